--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems that the router talks to."""
--- /dev/null
+++ b/teaselpath/__init__.py
@@ -0,0 +1,1 @@
+"""Router for language-model traffic with long shared prompts."""
--- /dev/null
+++ b/teaselpath/bundle/_document.py
@@ -0,0 +1,137 @@
+"""Structs of the bundle document."""
+
+import msgspec
+
+
+class _Strict(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Base of all parts of the document: an unknown field is an error."""
+
+
+class KeySpec(_Strict):
+    """A caller's key, by digest.
+
+    :param id: name of the key, for logs and revocations.
+    :param digest: SHA-256 of the key, 64 hexadecimal digits.
+    """
+
+    id: str
+    digest: str
+
+
+class Workspace(_Strict):
+    """A customer with its own keys and its own share of the endpoints.
+
+    :param rate: tokens per second.
+    :param burst: tokens.
+    :param weight: share under weighted fair queueing.
+    """
+
+    id: str
+    rate: float
+    burst: float
+    weight: float = 1.0
+    keys: list[KeySpec] = []
+
+
+class ModelSpec(_Strict):
+    """A language model and the weights version that serves it.
+
+    :param block_tokens: tokens in a block of the prefix cache.
+    :param bytes_per_token: average length of a token in the rendered prompt, in bytes.
+    """
+
+    id: str
+    weights: str
+    block_tokens: int = 2048
+    bytes_per_token: float = 4.0
+
+
+class EndpointSpec(_Strict):
+    """An endpoint: a model engine or a plain service.
+
+    :param kind: ``engine`` or ``service``.
+    :param models: models that an engine serves.
+    :param service: name of the plain service.
+    """
+
+    id: str
+    kind: str
+    models: list[str] = []
+    service: str = ""
+
+
+class Route(_Strict):
+    """A path prefix that leads to a plain service.
+
+    :param repeatable: whether a call may be sent again after an unknown outcome.
+    :param open: whether callers without a key are served, as workspace ``open_workspace``.
+    :param request_class: class of the calls.
+    :param cost_tokens: tokens charged for a call.
+    """
+
+    prefix: str
+    service: str
+    methods: list[str] = ["GET"]
+    repeatable: bool = False
+    open: bool = False
+    open_workspace: str = ""
+    request_class: str = "interactive"
+    cost_tokens: int = 1
+
+
+class RequestClass(_Strict):
+    """Scheduling class of requests.
+
+    :param priority: lower is served first.
+    :param deadline_ms: limit on the time from arrival to the first token, in milliseconds.
+    :param max_wait_ms: after this wait the request goes before newer ones of higher priority.
+    :param continuation: whether a broken stream may be continued on another engine.
+    """
+
+    id: str
+    priority: int
+    deadline_ms: int
+    max_wait_ms: int
+    continuation: bool = True
+
+
+class LinkSpec(_Strict):
+    """Budget of the link between regions for everything but requests themselves."""
+
+    bytes_per_s: float = 100_000.0
+    burst_bytes: float = 1_000_000.0
+
+
+class OrderSpec(_Strict):
+    """Wanted state of an engine.
+
+    :param kind: ``load_weights``, ``load_adapter`` or ``set_role``.
+    """
+
+    endpoint: str
+    kind: str
+    model: str = ""
+    version: str = ""
+    role: str = ""
+
+
+class Bundle(_Strict):
+    """A complete, versioned configuration.
+
+    :param version: positive, higher than the parent's.
+    :param parent: version that this one replaces; 0 for the first.
+    :param change_id: unique id of the change, which makes a repeated append idempotent.
+    :param claim_window_s: how long an idempotency key is remembered, in seconds.
+    """
+
+    version: int
+    parent: int
+    change_id: str
+    workspaces: list[Workspace]
+    models: list[ModelSpec] = []
+    endpoints: list[EndpointSpec] = []
+    routes: list[Route] = []
+    classes: list[RequestClass] = []
+    region_link: LinkSpec = LinkSpec()
+    orders: list[OrderSpec] = []
+    claim_window_s: float = 3600.0
--- /dev/null
+++ b/teaselpath/history/__init__.py
@@ -0,0 +1,1 @@
+"""History of concurrent runs and one checker per invariant."""
