Transport: pyzmq ROUTER and DEALER sockets with CURVE

Cause: entry and agent need a channel on which a failed send is proof of not sent. Conclusion: 3 tests over real sockets pass.

--- /dev/null
+++ b/teaselpath/transport/_security.py
@@ -0,0 +1,37 @@
+"""CURVE keys of the processes and the list of keys that may connect."""
+
+from dataclasses import dataclass
+
+import zmq
+import zmq.utils.z85
+
+
+@dataclass(slots=True)
+class CurveKeys:
+    """Key pair of one process, Z85 encoded (40 characters each)."""
+
+    public: bytes
+    secret: bytes
+
+    @classmethod
+    def generate(cls) -> "CurveKeys":
+        """Make a new key pair."""
+        public, secret = zmq.curve_keypair()
+        return cls(public, secret)
+
+
+class KeyAllowList:
+    """Credentials provider of the authenticator; the set may be replaced while it runs.
+
+    :param keys: Z85 public keys that may connect.
+    """
+
+    def __init__(self, keys: set[bytes]):
+        self.keys = keys
+        self.rejected = 0
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether a client key is trusted; ``key`` is Z85 encoded."""
+        allowed = key in self.keys
+        self.rejected += not allowed
+        return allowed
--- /dev/null
+++ b/teaselpath/transport/tests/test_node.py
@@ -0,0 +1,97 @@
+"""Sockets between processes: authenticated, restart-safe, proof against malformed input."""
+
+import asyncio
+
+import pytest
+import zmq
+
+from teaselpath.transport import CurveKeys, KeyAllowList, Node, PeerLost, Received
+from teaselpath.wire import Cancel, Cancelled
+
+WAIT_S = 10.0
+
+
+def make_node(host, keys, allowed, incarnation=1):
+    events: asyncio.Queue = asyncio.Queue()
+    node = Node(host, incarnation, "127.0.0.1:*", keys, KeyAllowList(allowed), events.put_nowait)
+    return node, events
+
+
+def bound_address(node):
+    return node.router.getsockopt_string(zmq.LAST_ENDPOINT).removeprefix("tcp://")
+
+
+async def send_until_connected(node, host, message):
+    async with asyncio.timeout(WAIT_S):
+        while node.send(host, message).is_err():
+            await asyncio.sleep(0.01)
+
+
+async def next_event(events, kind):
+    async with asyncio.timeout(WAIT_S):
+        while True:
+            event = await events.get()
+            if isinstance(event, kind):
+                return event
+
+
+@pytest.fixture
+def keys():
+    return [CurveKeys.generate() for _ in range(3)]
+
+
+def test_messages_travel_both_ways_and_a_lost_peer_is_reported(keys):
+    """Guards against an entry that waits for an agent that is gone."""
+
+    async def scenario():
+        agent, agent_events = make_node("agent", keys[0], {keys[1].public})
+        entry, entry_events = make_node("entry", keys[1], set())
+        await agent.start()
+        await entry.start()
+        entry.connect("agent", bound_address(agent), keys[0].public)
+        await send_until_connected(entry, "agent", Cancel("r", 1, True))
+        received = await next_event(agent_events, Received)
+        assert (received.host, received.message) == ("entry", Cancel("r", 1, True))
+        assert agent.reply("entry", Cancelled("r", 1, False)).is_ok()
+        assert (await next_event(entry_events, Received)).message == Cancelled("r", 1, False)
+        await agent.stop()
+        assert (await next_event(entry_events, PeerLost)).host == "agent"
+        await entry.stop()
+
+    asyncio.run(scenario())
+
+
+def test_unknown_key_is_rejected(keys):
+    """Guards against a process that is not part of the system giving orders to an agent."""
+
+    async def scenario():
+        agent, agent_events = make_node("agent", keys[0], {keys[1].public})
+        stranger, _ = make_node("stranger", keys[2], set())
+        trusted, _ = make_node("entry", keys[1], set())
+        for node in (agent, stranger, trusted):
+            await node.start()
+        for node in (stranger, trusted):
+            node.connect("agent", bound_address(agent), keys[0].public)
+        async with asyncio.timeout(WAIT_S):
+            while agent.allow_list.rejected == 0:
+                await asyncio.sleep(0.01)
+        assert stranger.send("agent", Cancel("r", 1, True)).is_err()
+        await send_until_connected(trusted, "agent", Cancel("s", 1, True))
+        assert (await next_event(agent_events, Received)).host == "entry"
+        for node in (agent, stranger, trusted):
+            await node.stop()
+
+    asyncio.run(scenario())
+
+
+def test_send_without_connection_is_an_error(keys):
+    """Guards against a start message that waits in a queue and runs after "not run" was said."""
+
+    async def scenario():
+        entry, _ = make_node("entry", keys[0], set())
+        await entry.start()
+        entry.connect("agent", "127.0.0.1:1", keys[1].public)
+        assert entry.send("agent", Cancel("r", 1, True)).is_err()
+        await entry.stop()
+
+    asyncio.run(scenario())
