--- /dev/null
+++ b/teaselpath/agent/_endpoint.py
@@ -0,0 +1,162 @@
+"""HTTP client of the one endpoint that an agent serves."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import aiohttp
+import msgspec
+
+from teaselpath.results import Code, Failure, Ran
+from teaselpath.wire import Start
+
+# Enough of the stream's end to hold the last event with the usage and the end marker.
+TAIL_BYTES = 4096
+DONE_MARKER = b"data: [DONE]"
+FORWARDED_RESPONSE_HEADERS = frozenset({"content-type", "cache-control", "location", "retry-after"})
+
+
+@dataclass(slots=True)
+class Usage:
+    """Tokens that a request used."""
+
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    output_tokens: int = 0
+
+
+@dataclass(slots=True)
+class Head:
+    """Status line and headers of the answer."""
+
+    status: int
+    headers: list[tuple[str, str]]
+
+
+@dataclass(slots=True)
+class Data:
+    """Bytes of the body, as they came."""
+
+    data: bytes
+
+
+@dataclass(slots=True)
+class Finished:
+    """The answer is complete."""
+
+    usage: Usage
+
+
+@dataclass(slots=True)
+class Broken:
+    """The answer is missing or incomplete."""
+
+    failure: Failure
+    usage: Usage = field(default_factory=Usage)
+
+
+class _PromptDetails(msgspec.Struct):
+    cached_tokens: int = 0
+
+
+class _UsageBody(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prompt_tokens_details: _PromptDetails = msgspec.field(default_factory=_PromptDetails)
+
+
+class _UsageEvent(msgspec.Struct):
+    usage: _UsageBody | None = None
+
+
+_usage_decoder = msgspec.json.Decoder(_UsageEvent)
+
+
+def parse_usage(data: bytes) -> Usage | None:
+    """Read the usage of an OpenAI-style JSON answer or of the end of an event stream.
+
+    :returns: None if there is no well-formed usage.
+    """
+    for line in reversed(data.split(b"\n")):
+        body = line.strip().removeprefix(b"data:").strip()
+        if b'"usage"' not in body:
+            continue
+        try:
+            usage = _usage_decoder.decode(body).usage
+        except msgspec.DecodeError:
+            continue
+        if usage is not None:
+            return Usage(
+                usage.prompt_tokens,
+                usage.prompt_tokens_details.cached_tokens,
+                usage.completion_tokens,
+            )
+    return None
+
+
+class EndpointClient:
+    """Sends requests to the endpoint and yields the answers in parts.
+
+    :param url: base URL of the endpoint.
+    :param session: HTTP session, owned by the caller.
+    :param idle_timeout_s: longest silence within an answer, in seconds.
+    """
+
+    def __init__(self, url: str, session: aiohttp.ClientSession, idle_timeout_s: float):
+        self.url = url.rstrip("/")
+        self.session = session
+        self.idle_timeout_s = idle_timeout_s
+
+    async def run(
+        self, start: Start, headers: list[tuple[str, str]], first_byte_timeout_s: float
+    ) -> AsyncIterator[Head | Data | Finished | Broken]:
+        """Run one request; the last item is ``Finished`` or ``Broken``."""
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=2.0, sock_read=max(first_byte_timeout_s, self.idle_timeout_s)
+        )
+        tail = b""
+        try:
+            async with self.session.request(
+                start.method,
+                self.url + start.path,
+                data=start.body or None,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                yield Head(response.status, _response_headers(response))
+                async for data in response.content.iter_any():
+                    tail = (tail + data)[-TAIL_BYTES:] if start.stream else tail + data
+                    yield Data(data)
+        except aiohttp.ClientConnectorError as error:
+            yield Broken(Failure(Code.ENDPOINT_FAILED, str(error), Ran.NOT_RUN))
+            return
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            detail = f"{type(error).__name__}: {error}"
+            yield Broken(Failure(Code.ENDPOINT_FAILED, detail, Ran.UNKNOWN), _usage(tail))
+            return
+        if start.stream and response.status == 200 and DONE_MARKER not in tail:
+            detail = "the event stream ended without its end marker"
+            yield Broken(Failure(Code.STREAM_INCOMPLETE, detail, Ran.RAN), _usage(tail))
+            return
+        yield Finished(_usage(tail))
+
+    async def cancel(self, request_id: str) -> None:
+        """Tell a model engine to stop a request; closing the connection is the fallback."""
+        try:
+            async with asyncio.timeout(1.0):
+                await self.session.post(f"{self.url}/cancel", json={"request_id": request_id})
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return
+
+
+def _usage(tail: bytes) -> Usage:
+    return parse_usage(tail) or Usage()
+
+
+def _response_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
+    return [
+        (name.lower(), value)
+        for name, value in response.headers.items()
+        if name.lower() in FORWARDED_RESPONSE_HEADERS
+    ]
