--- /dev/null
+++ b/teaselpath/agent/_admission.py
@@ -0,0 +1,29 @@
+"""What the endpoint gets to see of a request."""
+
+import orjson
+
+from teaselpath.prefix import chain_seed
+from teaselpath.wire import Start
+
+FORWARDED_HEADERS = frozenset({"accept", "accept-language", "content-type"})
+
+
+def endpoint_headers(start: Start) -> list[tuple[str, str]]:
+    """Return the headers for the endpoint; no other header passes, credentials least of all."""
+    headers = [(name, value) for name, value in start.headers if name in FORWARDED_HEADERS]
+    headers.append(("x-request-id", start.request_id))
+    if start.claim_key:
+        headers.append(("idempotency-key", start.claim_key.hex()))
+    return headers
+
+
+def model_body(start: Start, weights: str, priority: int) -> bytes:
+    """Add the fields that only the router may set to the JSON body.
+
+    The cache salt binds cached blocks to workspace, model and the weights that the engine has now.
+    """
+    seed = chain_seed(start.workspace, start.model, weights)
+    fields = {"cache_salt": seed.hex(), "priority": priority, "request_id": start.request_id}
+    if not start.body.startswith(b"{") or len(start.body) <= 2:
+        return start.body
+    return start.body.rstrip()[:-1] + b"," + orjson.dumps(fields)[1:]
--- /dev/null
+++ b/teaselpath/agent/_run.py
@@ -0,0 +1,75 @@
+"""One running request: reads the endpoint's answer and reports it to the main task."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from teaselpath.agent._endpoint import Broken, Data, EndpointClient, Finished, Head
+from teaselpath.delivery import RunChunk, RunEnd
+from teaselpath.results import Code, Ran
+from teaselpath.wire import Start
+
+Report = Callable[[RunChunk | RunEnd], Awaitable[None]]
+
+
+class RequestRun:
+    """Runs one attempt at the endpoint.
+
+    :param start: the request.
+    :param report: takes each chunk and the end, and waits while the main task is behind.
+    """
+
+    def __init__(self, start: Start, client: EndpointClient, report: Report):
+        self.start = start
+        self.client = client
+        self.report = report
+        self.readable = asyncio.Event()
+        self.readable.set()
+        self.task: asyncio.Task | None = None
+
+    def pause(self) -> None:
+        """Stop reading; the endpoint is slowed down by the full connection."""
+        self.readable.clear()
+
+    def resume(self) -> None:
+        """Read again."""
+        self.readable.set()
+
+    async def run(self, headers: list[tuple[str, str]], first_byte_timeout_s: float) -> None:
+        """Run to the end and report it exactly once."""
+        end = self._end(Code.CANCELLED, Ran.UNKNOWN, detail="cancelled")
+        try:
+            end = await self._read(headers, first_byte_timeout_s)
+        except asyncio.CancelledError:
+            await self.client.cancel(self.start.request_id)
+            raise
+        finally:
+            await asyncio.shield(self.report(end))
+
+    async def _read(self, headers: list[tuple[str, str]], first_byte_timeout_s: float) -> RunEnd:
+        head = Head(0, [])
+        is_first = True
+        async for item in self.client.run(self.start, headers, first_byte_timeout_s):
+            match item:
+                case Head():
+                    head = item
+                case Data(data):
+                    await self._report_chunk(data, head, is_first)
+                    is_first = False
+                case Finished(usage):
+                    if is_first:
+                        await self._report_chunk(b"", head, True)
+                    return self._end(Code.OK, Ran.RAN, usage)
+                case Broken(failure, usage):
+                    return self._end(failure.code, failure.ran, usage, failure.detail)
+        raise AssertionError("the endpoint client yields an end")
+
+    async def _report_chunk(self, data: bytes, head: Head, is_first: bool) -> None:
+        await self.readable.wait()
+        status, headers = (head.status, head.headers) if is_first else (0, None)
+        start = self.start
+        await self.report(RunChunk(start.request_id, start.attempt, data, status, headers))
+
+    def _end(self, code: Code, ran: Ran, usage=None, detail: str = "") -> RunEnd:
+        start = self.start
+        tokens = (usage.prompt_tokens, usage.cached_tokens, usage.output_tokens) if usage else ()
+        return RunEnd(start.request_id, start.attempt, code, ran, *tokens, detail=detail)
--- /dev/null
+++ b/teaselpath/agent/_service.py
@@ -0,0 +1,287 @@
+"""The agent: the only way to one endpoint."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+import aiohttp
+from eliot import log_message
+
+from teaselpath.agent._admission import endpoint_headers, model_body
+from teaselpath.agent._endpoint import EndpointClient
+from teaselpath.agent._engine import EngineState, EngineWatcher
+from teaselpath.agent._run import RequestRun
+from teaselpath.bundle import Bundle, RequestClass
+from teaselpath.control import ControlPlane
+from teaselpath.delivery import (
+    Accept,
+    CancelRun,
+    EntryLost,
+    FromEntry,
+    LeaveStarted,
+    PauseRun,
+    RequestLedger,
+    ResumeRun,
+    RunChunk,
+    RunEnd,
+    RunStarted,
+)
+from teaselpath.prefix import CacheIndex
+from teaselpath.results import Code, Ran
+from teaselpath.scheduling import Drop, Finished, Run, Scheduler, SlotsChanged, Submit, Withdraw
+from teaselpath.transport import PeerLost, Received
+from teaselpath.wire import Ack, Cancel, DecisionRecord, Probe, ProbeReply, Resume, Send, Start
+
+INBOX_SIZE = 20_000
+TICK_S = 0.05
+# Plain services report no batch size.
+SERVICE_SLOTS = 32
+DEFAULT_MAX_WAIT_MS = 5_000
+
+
+@dataclass(slots=True)
+class LoadChanged:
+    """The engine's load report changed."""
+
+
+@dataclass(slots=True)
+class Tick:
+    """Time passed."""
+
+
+class AgentService:
+    """Owns the ledger, the scheduler and the runs of one endpoint.
+
+    All state is changed by one task that reads the inbox. A full inbox makes runs wait, and drops
+    messages of entries, which resend or resume.
+
+    :param plane: configuration, membership and sockets of this process.
+    :param session: HTTP session to the endpoint.
+    """
+
+    def __init__(self, plane: ControlPlane, session: aiohttp.ClientSession):
+        settings = plane.settings
+        assert settings.endpoint is not None
+        self.plane = plane
+        self.endpoint = settings.endpoint
+        self.ledger = RequestLedger(plane.incarnation)
+        self.scheduler = Scheduler(slots=SERVICE_SLOTS)
+        self.engine = EngineState(CacheIndex())
+        self.client = EndpointClient(
+            self.endpoint.url, session, settings.limits.stream_idle_timeout_s
+        )
+        self.watcher = EngineWatcher(self.endpoint.url, session, self.engine, self._load_changed)
+        self.inbox: asyncio.Queue = asyncio.Queue(INBOX_SIZE)
+        self.starts: dict[str, Start] = {}
+        self.runs: dict[str, RequestRun] = {}
+        self.leaving = False
+        self.dropped_messages = 0
+
+    def deliver(self, event: Received | PeerLost) -> None:
+        """Take a message of an entry from the transport."""
+        try:
+            self.inbox.put_nowait(event)
+        except asyncio.QueueFull:
+            self.dropped_messages += 1
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            self.group = group
+            if self.is_engine:
+                group.create_task(self.watcher.run())
+            group.create_task(self._tick())
+            while True:
+                event = await self.inbox.get()
+                self._handle(event, time.monotonic())
+
+    @property
+    def is_engine(self) -> bool:
+        """Return whether the endpoint is a model engine."""
+        return self.endpoint.kind == "engine"
+
+    def leave(self) -> None:
+        """Refuse new work from now on; running work ends."""
+        self.leaving = True
+        self.inbox.put_nowait(LeaveStarted())
+
+    def is_idle(self) -> bool:
+        """Return whether nothing runs, waits or is still to be acknowledged."""
+        return not self.starts and not self.ledger.open_streams
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            await self.inbox.put(Tick())
+
+    def _load_changed(self) -> None:
+        if not self.inbox.full():
+            self.inbox.put_nowait(LoadChanged())
+
+    def _handle(self, event, now: float) -> None:
+        match event:
+            case Received(host=host, message=Probe() as probe):
+                self.plane.node.reply(host, self._probe_reply(probe, now))
+            case Received(host=host, message=Start() | Ack() | Cancel() | Resume() as message):
+                self._act(self.ledger.handle(FromEntry(host, message), now), now)
+            case RunChunk():
+                self._act(self.ledger.handle(event, now), now)
+            case RunEnd():
+                self._end_run(event, now)
+            case PeerLost(host=host):
+                self._act(self.ledger.handle(EntryLost(host), now), now)
+            case LeaveStarted():
+                self._act(self.ledger.handle(event, now), now)
+            case LoadChanged():
+                self._update_slots(now)
+            case Tick():
+                self._act(self.ledger.tick(now), now)
+                self._schedule(self.scheduler.tick(now), now)
+
+    def _probe_reply(self, probe: Probe, now: float) -> ProbeReply:
+        load = self.engine.load
+        priority = self._request_class(probe.request_class).priority
+        wait_s = self.scheduler.expected_wait_s(probe.workspace, priority, now)
+        return ProbeReply(
+            probe.probe_id,
+            self.endpoint.id,
+            self._is_accepting(),
+            self.engine.index.match(probe.chain) if self.is_engine else 0,
+            wait_s * 1e3,
+            load.prefill_us_per_token if load else 0.0,
+            load.weights if load else "",
+            self.engine.incarnation,
+            len(self.runs),
+            len(self.starts) - len(self.runs),
+            self.plane.incarnation,
+        )
+
+    def _is_accepting(self) -> bool:
+        return not self.leaving and (self.engine.reachable or not self.is_engine)
+
+    def _request_class(self, name: str) -> RequestClass:
+        bundle: Bundle | None = self.plane.bundle
+        classes = bundle.classes if bundle else []
+        for request_class in classes:
+            if request_class.id == name:
+                return request_class
+        return RequestClass(
+            id=name, priority=0, deadline_ms=0, max_wait_ms=DEFAULT_MAX_WAIT_MS
+        )
+
+    def _update_slots(self, now: float) -> None:
+        load = self.engine.load
+        if load is not None and self.engine.reachable:
+            self._schedule(self.scheduler.handle(SlotsChanged(load.max_running), now), now)
+
+    def _act(self, actions: list, now: float) -> None:
+        for action in actions:
+            match action:
+                case Send(host=host, message=message):
+                    self.plane.node.reply(host, message)
+                case Accept(start=start):
+                    self._submit(start, now)
+                case CancelRun(request_id=request_id, attempt=attempt):
+                    self._cancel(run_key(request_id, attempt), now)
+                case PauseRun(request_id=request_id, attempt=attempt):
+                    self.runs[run_key(request_id, attempt)].pause()
+                case ResumeRun(request_id=request_id, attempt=attempt):
+                    self.runs[run_key(request_id, attempt)].resume()
+
+    def _submit(self, start: Start, now: float) -> None:
+        key = run_key(start.request_id, start.attempt)
+        self.starts[key] = start
+        request_class = self._request_class(start.request_class)
+        submit = Submit(
+            key,
+            start.workspace,
+            self._weight(start.workspace),
+            start.prompt_tokens + start.output_cap,
+            request_class.priority,
+            now + start.remaining_ms / 1e3,
+            now + request_class.max_wait_ms / 1e3,
+        )
+        self._schedule(self.scheduler.handle(submit, now), now)
+
+    def _weight(self, workspace: str) -> float:
+        bundle = self.plane.bundle
+        for entry in bundle.workspaces if bundle else ():
+            if entry.id == workspace:
+                return entry.weight
+        return 1.0
+
+    def _schedule(self, actions: list[Run | Drop], now: float) -> None:
+        for action in actions:
+            match action:
+                case Run(request_id=key):
+                    self._start_run(key, now)
+                case Drop(request_id=key, code=code):
+                    self._drop(key, Code(code), now)
+
+    def _drop(self, key: str, code: Code, now: float) -> None:
+        start = self.starts.pop(key, None)
+        if start is None:
+            return
+        self._record(start, "dropped", code, "the request would have missed its deadline")
+        end = RunEnd(start.request_id, start.attempt, code, Ran.NOT_RUN, detail=code.name)
+        self._act(self.ledger.handle(end, now), now)
+
+    def _start_run(self, key: str, now: float) -> None:
+        start = self.starts[key]
+        if self.is_engine and not self.engine.reachable:
+            self._act(self.scheduler.handle(Finished(key, 0), now), now)
+            self._drop(key, Code.ENDPOINT_FAILED, now)
+            return
+        self._act(self.ledger.handle(RunStarted(start.request_id, start.attempt), now), now)
+        if key not in self.starts:
+            return
+        weights = self.engine.load.weights if self.engine.load else ""
+        if self.is_engine:
+            priority = self._request_class(start.request_class).priority
+            start.body = model_body(start, weights, priority)
+        run = RequestRun(start, self.client, self.inbox.put)
+        self.runs[key] = run
+        remaining_s = max(1.0, start.remaining_ms / 1e3)
+        run.task = self.group.create_task(run.run(endpoint_headers(start), remaining_s))
+        self._record(start, "started", Code.OK, f"weights {weights}")
+
+    def _cancel(self, key: str, now: float) -> None:
+        run = self.runs.get(key)
+        if run is not None and run.task is not None:
+            run.resume()
+            run.task.cancel()
+            return
+        if self.starts.pop(key, None) is not None:
+            self._schedule(self.scheduler.handle(Withdraw(key), now), now)
+
+    def _end_run(self, end: RunEnd, now: float) -> None:
+        key = run_key(end.request_id, end.attempt)
+        self.runs.pop(key, None)
+        start = self.starts.pop(key, None)
+        used = end.prompt_tokens - end.cached_tokens + end.output_tokens
+        self._schedule(self.scheduler.handle(Finished(key, used), now), now)
+        self._act(self.ledger.handle(end, now), now)
+        if start is not None:
+            self._record(start, "ended", Code(end.code), end.detail)
+            self.plane.metrics.observe_tokens(
+                start.workspace, end.prompt_tokens, end.cached_tokens, end.output_tokens
+            )
+
+    def _record(self, start: Start, step: str, code: Code, reason: str) -> None:
+        self.plane.record(
+            DecisionRecord(
+                start.request_id,
+                start.workspace,
+                step,
+                self.endpoint.id,
+                int(code),
+                start.bundle_version,
+                reason,
+            )
+        )
+        log_message(f"request_{step}", request_id=start.request_id, code=int(code), reason=reason)
+
+
+def run_key(request_id: str, attempt: int) -> str:
+    """Return the name of one attempt in the scheduler and the table of runs."""
+    return f"{request_id}#{attempt}"
--- /dev/null
+++ b/teaselpath/control/_plane.py
@@ -0,0 +1,383 @@
+"""Control plane of a process: bundle, revocations, members, decision records."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+import aiohttp
+from eliot import log_message
+from result import Err, Ok
+
+from teaselpath.bundle import (
+    Accepted,
+    Bundle,
+    BundleState,
+    KeyIndex,
+    Rejected,
+    Renewed,
+    RevocationSet,
+    Withdrawn,
+    mark_renewal,
+)
+from teaselpath.control._log_follower import LogFollower
+from teaselpath.control._metrics import Metrics
+from teaselpath.control._operator import OperatorRequests
+from teaselpath.membership import (
+    ConfigChanged,
+    GossipReceived,
+    HostList,
+    LeaveStarted,
+    LogSeen,
+    Member,
+    MemberChanged,
+    MemberTable,
+    PullReceived,
+    RevocationAdded,
+)
+from teaselpath.platform import HostListClient, LogClient, LogRecord
+from teaselpath.records import DecisionLog
+from teaselpath.settings import Settings
+from teaselpath.transport import CurveKeys, KeyAllowList, Node, PeerLost, Received
+from teaselpath.wire import (
+    Append,
+    ConfigPull,
+    ConfigPush,
+    Control,
+    DecisionRecord,
+    Gossip,
+    Revocation,
+    Send,
+    SignedRecord,
+    TraceCopy,
+)
+
+TICK_S = 0.2
+COPY_BATCH = 50
+CONFIG_STREAM = "config"
+PLATFORM_TIMEOUT_S = 3.0
+
+
+class Role(Protocol):
+    """The part of the process that serves requests."""
+
+    def deliver(self, event: Received | PeerLost) -> None:
+        """Take a message that the control plane does not handle."""
+
+    def bundle_changed(self, bundle: Bundle) -> None:
+        """Take a bundle that is in force from now on."""
+
+    def members_changed(self) -> None:
+        """React to a change of the member table."""
+
+    def describe(self, workspace: str) -> dict:
+        """Return the role's state of a workspace, for operators."""
+
+
+class ControlPlane:
+    """Owns configuration, membership, decision records and the sockets between nodes.
+
+    :param settings: checked settings.
+    :param keys: CURVE key pair of this process.
+    :param session: HTTP session to the platform.
+    :param incarnation: number of this run, higher than the previous one's.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        keys: CurveKeys,
+        session: aiohttp.ClientSession,
+        incarnation: int,
+    ):
+        self.settings = settings
+        self.incarnation = incarnation
+        self.random = Random(f"{settings.host}/{incarnation}")
+        self.metrics = Metrics(settings.role, settings.host)
+        limits = settings.limits
+        self.state = BundleState(settings.operator_key_bytes(), limits.log_retention_s)
+        self.key_index: KeyIndex | None = None
+        self.members = MemberTable(_self_member(settings, keys, incarnation), (), self.random)
+        self.decisions = DecisionLog(limits.decision_records, limits.trace_queue)
+        self.accepted_curve_keys = {key.encode() for key in settings.control.accepted_curve_keys}
+        self.allow_list = KeyAllowList({keys.public, *self.accepted_curve_keys})
+        address = f"{settings.control.address}:{settings.control.port}"
+        self.node = Node(
+            settings.host, incarnation, address, keys, self.allow_list, self._deliver
+        )
+        self.log = LogClient(session, settings.log_url) if settings.log_url else None
+        self.hosts = HostListClient(session, settings.host_list_url)
+        self.operator = OperatorRequests(self)
+        self.role: Role | None = None
+        self.drain_requested = asyncio.Event()
+        self.log_is_up = False
+        self.tasks: asyncio.TaskGroup | None = None
+
+    @property
+    def bundle(self) -> Bundle | None:
+        """Return the bundle in force."""
+        return self.state.bundle
+
+    @property
+    def revocations(self) -> RevocationSet:
+        """Return the withdrawn keys."""
+        return self.state.revocations
+
+    async def run(self, role: Role) -> None:
+        """Serve until cancelled."""
+        self.role = role
+        for peer in self.settings.peers:
+            self.members.members.setdefault(peer.host, _seed_member(peer))
+        await self.node.start()
+        try:
+            self._connect_members()
+            async with asyncio.TaskGroup() as group:
+                self.tasks = group
+                self.follow(CONFIG_STREAM, self._take_config_record, self._log_noticed)
+                group.create_task(self._poll_hosts())
+                group.create_task(self._tick())
+        finally:
+            await self.node.stop()
+
+    def follow(
+        self,
+        stream: str,
+        take: Callable[[LogRecord], None],
+        noticed: Callable[[bool], None] = lambda is_up: None,
+    ) -> LogFollower | None:
+        """Start to follow a stream of the log; None if the settings name no log."""
+        if self.log is None or self.tasks is None:
+            return None
+        wait_ms = self.settings.limits.log_wait_ms
+        follower = LogFollower(self.log, stream, take, noticed, self.state.skip_to, wait_ms)
+        if stream != CONFIG_STREAM:
+            follower.skipped = lambda first: None
+        self.tasks.create_task(follower.run())
+        return follower
+
+    def append(self, action: Append, done: Callable | None = None) -> None:
+        """Append a record in the background.
+
+        :param done: called with the result of the append.
+        """
+        if self.tasks is not None:
+            self.tasks.create_task(self._append(action, done))
+
+    def send(self, action: Send) -> None:
+        """Send a message whose loss is harmless."""
+        self.node.send(action.host, action.message)
+
+    def record(self, record: DecisionRecord) -> None:
+        """Keep a decision record for ``explain``."""
+        record.host = self.settings.host
+        record.wall_ms = int(time.time() * 1000)
+        self.decisions.add(record)
+
+    def leave(self) -> None:
+        """Tell the others that this process stops."""
+        self._act(self.members.handle(LeaveStarted(), time.monotonic()))
+
+    def refresh_metrics(self) -> None:
+        """Set the gauges that are read at scrape time."""
+        metrics = self.metrics
+        metrics.bundle_version.set({}, self.state.version)
+        metrics.config_offset.set({}, self.state.offset)
+        metrics.log_up.set({}, int(self.log_is_up))
+        metrics.control_bytes.set({}, self.node.sent_bytes)
+        metrics.malformed.set({}, self.node.malformed)
+        counts: dict[str, int] = {}
+        for member in self.members.members.values():
+            counts[member.state] = counts.get(member.state, 0) + 1
+        for state in ("alive", "leaving", "suspect", "gone"):
+            metrics.members.set({"state": state}, counts.get(state, 0))
+
+    def _deliver(self, event: Received | PeerLost) -> None:
+        match event:
+            case Received(message=Gossip() as gossip):
+                self._act(self.members.handle(GossipReceived(gossip), time.monotonic()))
+            case Received(message=ConfigPull() as pull):
+                self._act(self.members.handle(PullReceived(pull), time.monotonic()))
+            case Received(message=ConfigPush() as push):
+                self._take_push(push)
+            case Received(message=Revocation(data=data)):
+                self.add_revocation(data)
+            case Received(message=TraceCopy(records=records)):
+                self.decisions.add_copies(records)
+            case Received(host=host, message=Control() as control):
+                self.node.reply(host, self.operator.answer(control))
+            case _:
+                if self.role is not None:
+                    self.role.deliver(event)
+
+    def add_revocation(self, data: bytes) -> bool:
+        """Add a signed revocation and spread it if it was new; False if it was refused."""
+        match self.revocations.add(data, self.settings.operator_key_bytes()):
+            case Ok(True):
+                log_message("key_withdrawn")
+                now = time.monotonic()
+                self._config_changed()
+                self._act(self.members.handle(RevocationAdded(data), now))
+                return True
+            case Ok(False):
+                return True
+            case Err(failure):
+                log_message("revocation_refused", code=int(failure.code), reason=failure.detail)
+        return False
+
+    def _take_config_record(self, record: LogRecord) -> None:
+        signed = SignedRecord(record.offset, record.data)
+        events = self.state.handle(signed, time.monotonic(), record.age_ms / 1e3)
+        self._take_bundle_events(events)
+
+    def _take_push(self, push: ConfigPush) -> None:
+        for record in push.records:
+            self._take_bundle_events(self.state.install(record, time.monotonic()))
+        for data in push.revocations:
+            self.add_revocation(data)
+
+    def _take_bundle_events(self, events: list) -> None:
+        for event in events:
+            match event:
+                case Accepted():
+                    self._take_bundle(event)
+                case Rejected(offset=offset, failure=failure):
+                    log_message(
+                        "record_rejected",
+                        offset=offset,
+                        code=int(failure.code),
+                        reason=failure.detail,
+                    )
+                case Renewed(offset=offset):
+                    log_message("bundle_renewed", offset=offset)
+                case Withdrawn(key_id=key_id):
+                    log_message("key_withdrawn", key_id=key_id)
+        self._config_changed()
+
+    def _take_bundle(self, event: Accepted) -> None:
+        log_message("bundle_in_force", version=event.version, offset=event.offset)
+        self.key_index = KeyIndex(event.bundle, self.revocations)
+        if self.role is not None:
+            self.role.bundle_changed(event.bundle)
+
+    def _config_changed(self) -> None:
+        state = self.state
+        event = ConfigChanged(
+            state.attested_record(),
+            state.version,
+            state.digest,
+            state.revocations.digest,
+            state.revocations.records,
+            state.has_gap,
+        )
+        self._act(self.members.handle(event, time.monotonic()))
+
+    def _log_noticed(self, is_up: bool) -> None:
+        self.log_is_up = is_up
+        self._act(self.members.handle(LogSeen(is_up), time.monotonic()))
+
+    async def _poll_hosts(self) -> None:
+        if not self.settings.host_list_url:
+            return
+        loop = asyncio.get_running_loop()
+        while True:
+            match await self.hosts.fetch(loop.time() + PLATFORM_TIMEOUT_S):
+                case Ok(hosts):
+                    self._act(self.members.handle(HostList(hosts), time.monotonic()))
+                case Err(failure):
+                    log_message("host_list_unavailable", reason=failure.detail)
+            await asyncio.sleep(self.settings.limits.host_list_interval_s)
+
+    async def _tick(self) -> None:
+        while True:
+            now = time.monotonic()
+            self._act(self.members.tick(now))
+            self._renew_bundle(now)
+            self._copy_decisions()
+            await asyncio.sleep(TICK_S)
+
+    def _renew_bundle(self, now: float) -> None:
+        state = self.state
+        if now < state.renew_at or state.record is None or not self.log_is_up:
+            return
+        if self.members.is_chosen(state.digest):
+            # Another node may be chosen before this append is read back, so it is tried once per
+            # interval; a second copy of the record is harmless.
+            state.renew_at = now + self.settings.limits.log_retention_s / 10
+            self.append(Append(CONFIG_STREAM, mark_renewal(state.record.data)))
+
+    def _copy_decisions(self) -> None:
+        records = self.decisions.pending_copies(COPY_BATCH)
+        peers = [member.host for member in self.members.entries()]
+        peers = [host for host in peers if host != self.settings.host]
+        if records and peers:
+            self.node.send(self.random.choice(peers), TraceCopy(self.settings.host, records))
+
+    def _act(self, actions: list) -> None:
+        changed = False
+        for action in actions:
+            match action:
+                case Send():
+                    self.send(action)
+                case MemberChanged(member=member, previous=previous):
+                    changed = True
+                    log_message(
+                        "member_changed", member=member.host, state=member.state, previous=previous
+                    )
+        if changed:
+            self._connect_members()
+            if self.role is not None:
+                self.role.members_changed()
+
+    def _connect_members(self) -> None:
+        keys = {self.node.keys.public, *self.accepted_curve_keys}
+        for member in self.members.members.values():
+            if member.host == self.settings.host or not member.curve_public:
+                continue
+            key = member.curve_public.encode()
+            if not self.accepted_curve_keys:
+                keys.add(key)
+            if member.is_gone:
+                self.node.disconnect(member.host)
+            elif member.address:
+                address = f"{member.address}:{member.control_port}"
+                self.node.connect(member.host, address, key)
+        self.allow_list.keys = keys
+
+    async def _append(self, action: Append, done: Callable | None) -> None:
+        if self.log is None:
+            return
+        deadline = asyncio.get_running_loop().time()
+        deadline += self.settings.limits.append_timeout_ms / 1e3
+        result = await self.log.append(action.stream, action.data, deadline)
+        if done is not None:
+            done(result)
+
+
+def _self_member(settings: Settings, keys: CurveKeys, incarnation: int) -> Member:
+    return Member(
+        settings.host,
+        settings.role,
+        settings.region,
+        settings.failure_domain,
+        settings.control.address,
+        settings.control.port,
+        settings.http.port if settings.role == "entry" else 0,
+        keys.public.decode(),
+        settings.endpoint.id,
+        incarnation,
+    )
+
+
+def _seed_member(peer) -> Member:
+    return Member(
+        peer.host,
+        peer.role,
+        peer.region,
+        peer.failure_domain,
+        peer.address,
+        peer.control_port,
+        0,
+        peer.curve_public,
+        peer.endpoint,
+    )
--- /dev/null
+++ b/teaselpath/entry/_quota.py
@@ -0,0 +1,98 @@
+"""Quota task of the entry: connects the quota core with the requests, the peers and the log."""
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from teaselpath.quota import Denied, Granted, QuotaCore, ReserveTokens, SettleTokens
+from teaselpath.results import Code, Failure, Ran
+from teaselpath.wire import Append, Send
+
+TICK_S = 0.05
+
+
+class QuotaService:
+    """Reserves tokens for requests.
+
+    :param core: quota core of this process.
+    :param send: sends a message to another entry; losing it is harmless.
+    :param append: appends a record to a stream of the log in the background.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        core: QuotaCore,
+        send: Callable[[Send], None],
+        append: Callable[[Append], None],
+        clock: Callable[[], float],
+    ):
+        self.core = core
+        self.send = send
+        self.append = append
+        self.clock = clock
+        self.waiting: dict[str, asyncio.Future[Result[None, Failure]]] = {}
+
+    async def reserve(
+        self, reservation_id: str, workspace: str, tokens: int, deadline: float
+    ) -> Result[None, Failure]:
+        """Reserve tokens; waits while other homes are asked, until the deadline at the latest."""
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[reservation_id] = future
+        try:
+            self.handle(ReserveTokens(reservation_id, workspace, tokens, deadline))
+            async with asyncio.timeout(max(0.0, deadline - self.clock()) + TICK_S):
+                return await future
+        except TimeoutError:
+            self.settle(reservation_id, 0)
+            detail = f"no answer about the rate of workspace {workspace} in time"
+            return Err(Failure(Code.QUOTA_UNCONFIRMED, detail, Ran.NOT_RUN, 1.0))
+        except asyncio.CancelledError:
+            self.settle(reservation_id, 0)
+            raise
+        finally:
+            del self.waiting[reservation_id]
+
+    def settle(self, reservation_id: str, used: int) -> None:
+        """Settle a reservation to the tokens that were used."""
+        self.handle(SettleTokens(reservation_id, used))
+
+    def handle(self, event) -> None:
+        """Pass an event to the core and carry out its actions."""
+        self._act(self.core.handle(event, self.clock()))
+
+    async def run(self) -> None:
+        """Drive the core's timers until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._act(self.core.tick(self.clock()))
+
+    def _act(self, actions: list) -> None:
+        for action in actions:
+            match action:
+                case Granted(reservation_id=reservation_id):
+                    self._answer(reservation_id, Ok(None))
+                case Denied():
+                    self._answer(action.reservation_id, Err(_denial(action)))
+                case Send():
+                    self.send(action)
+                case Append():
+                    self.append(action)
+
+    def _answer(self, reservation_id: str, result: Result[None, Failure]) -> None:
+        future = self.waiting.get(reservation_id)
+        if future is not None and not future.done():
+            future.set_result(result)
+        elif result.is_ok():
+            # The request gave up before the grant came.
+            self.settle(reservation_id, 0)
+
+
+def _denial(action: Denied) -> Failure:
+    detail = "the workspace is over its rate and burst"
+    if action.code == Code.LARGER_THAN_BURST:
+        detail = "the request needs more tokens than the workspace's burst"
+    elif action.code == Code.QUOTA_UNCONFIRMED:
+        detail = "no share of the workspace's rate is confirmed at this moment"
+    return Failure(Code(action.code), detail, Ran.NOT_RUN, action.retry_after_s)
