Add bundle state, settings, platform clients and member table

Cause: nodes had no way to check, accept and spread configuration. SignedRecord gains decided_to, the offset up to which a peer knows the record as the accepted one.

--- a/teaselpath/bundle/__init__.py
+++ b/teaselpath/bundle/__init__.py
@@ -1,5 +1,13 @@
 """Bundles: the configuration that operators sign and every node puts in force."""
 
+from teaselpath.bundle._check import check_bundle
+from teaselpath.bundle._control import (
+    ControlRequest,
+    NonceMemory,
+    open_control,
+    sign_control,
+)
+from teaselpath.bundle._diff import Change, diff_bundles
 from teaselpath.bundle._document import (
     Bundle,
     EndpointSpec,
@@ -11,15 +19,57 @@
     Route,
     Workspace,
 )
+from teaselpath.bundle._faults import FaultCollector, decode_document
+from teaselpath.bundle._keys import KeyIndex, KeyMatch, key_digest
+from teaselpath.bundle._revocations import (
+    RevocationSet,
+    RevocationSpec,
+    open_revocation,
+    sign_revocation,
+)
+from teaselpath.bundle._signing import (
+    OpenedRecord,
+    mark_renewal,
+    open_record,
+    operator_public_key,
+    sign_record,
+)
+from teaselpath.bundle._state import Accepted, BundleState, Rejected, Renewed, Withdrawn
 
 __all__ = [
+    "Accepted",
     "Bundle",
+    "BundleState",
+    "Change",
+    "ControlRequest",
     "EndpointSpec",
+    "FaultCollector",
+    "KeyIndex",
+    "KeyMatch",
     "KeySpec",
     "LinkSpec",
     "ModelSpec",
+    "NonceMemory",
+    "OpenedRecord",
     "OrderSpec",
+    "Rejected",
+    "Renewed",
     "RequestClass",
+    "RevocationSet",
+    "RevocationSpec",
     "Route",
+    "Withdrawn",
     "Workspace",
+    "check_bundle",
+    "decode_document",
+    "diff_bundles",
+    "key_digest",
+    "mark_renewal",
+    "open_control",
+    "open_record",
+    "open_revocation",
+    "operator_public_key",
+    "sign_control",
+    "sign_record",
+    "sign_revocation",
 ]
--- a/teaselpath/bundle/_document.py
+++ b/teaselpath/bundle/_document.py
@@ -1,6 +1,17 @@
-"""Structs of the bundle document."""
+"""Structs of the bundle document; the annotations hold the range of each field."""
+
+from typing import Annotated, Literal
 
 import msgspec
+from msgspec import Meta
+
+Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[^\s\x00]+$")]
+KeyDigest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+PositiveInt = Annotated[int, Meta(ge=1, le=2**53)]
+Milliseconds = Annotated[int, Meta(ge=1, le=86_400_000)]
+Rate = Annotated[float, Meta(gt=0, le=1e12)]
+PathPrefix = Annotated[str, Meta(min_length=1, max_length=1000, pattern=r"^/[^\s?#]*$")]
+Method = Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 
 
 class _Strict(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -14,8 +25,8 @@
     :param digest: SHA-256 of the key, 64 hexadecimal digits.
     """
 
-    id: str
-    digest: str
+    id: Name
+    digest: KeyDigest
 
 
 class Workspace(_Strict):
@@ -26,10 +37,10 @@
     :param weight: share under weighted fair queueing.
     """
 
-    id: str
-    rate: float
-    burst: float
-    weight: float = 1.0
+    id: Name
+    rate: Rate
+    burst: Annotated[float, Meta(ge=1, le=1e15)]
+    weight: Annotated[float, Meta(gt=0, le=1e6)] = 1.0
     keys: list[KeySpec] = []
 
 
@@ -40,10 +51,10 @@
     :param bytes_per_token: average length of a token in the rendered prompt, in bytes.
     """
 
-    id: str
-    weights: str
-    block_tokens: int = 2048
-    bytes_per_token: float = 4.0
+    id: Name
+    weights: Name
+    block_tokens: Annotated[int, Meta(ge=1, le=1_000_000)] = 2048
+    bytes_per_token: Annotated[float, Meta(gt=0, le=1000)] = 4.0
 
 
 class EndpointSpec(_Strict):
@@ -54,8 +65,8 @@
     :param service: name of the plain service.
     """
 
-    id: str
-    kind: str
+    id: Name
+    kind: Literal["engine", "service"]
     models: list[str] = []
     service: str = ""
 
@@ -69,14 +80,16 @@
     :param cost_tokens: tokens charged for a call.
     """
 
-    prefix: str
-    service: str
-    methods: list[str] = ["GET"]
+    prefix: PathPrefix
+    service: Name
+    methods: Annotated[list[Method], Meta(min_length=1)] = msgspec.field(
+        default_factory=lambda: ["GET"]
+    )
     repeatable: bool = False
     open: bool = False
     open_workspace: str = ""
-    request_class: str = "interactive"
-    cost_tokens: int = 1
+    request_class: Name = "interactive"
+    cost_tokens: Annotated[int, Meta(ge=0, le=2**53)] = 1
 
 
 class RequestClass(_Strict):
@@ -88,18 +101,18 @@
     :param continuation: whether a broken stream may be continued on another engine.
     """
 
-    id: str
-    priority: int
-    deadline_ms: int
-    max_wait_ms: int
+    id: Name
+    priority: Annotated[int, Meta(ge=0, le=100)]
+    deadline_ms: Milliseconds
+    max_wait_ms: Milliseconds
     continuation: bool = True
 
 
 class LinkSpec(_Strict):
     """Budget of the link between regions for everything but requests themselves."""
 
-    bytes_per_s: float = 100_000.0
-    burst_bytes: float = 1_000_000.0
+    bytes_per_s: Annotated[float, Meta(ge=0, le=1e12)] = 100_000.0
+    burst_bytes: Annotated[float, Meta(ge=0, le=1e12)] = 1_000_000.0
 
 
 class OrderSpec(_Strict):
@@ -108,8 +121,8 @@
     :param kind: ``load_weights``, ``load_adapter`` or ``set_role``.
     """
 
-    endpoint: str
-    kind: str
+    endpoint: Name
+    kind: Literal["load_weights", "load_adapter", "set_role"]
     model: str = ""
     version: str = ""
     role: str = ""
@@ -124,14 +137,14 @@
     :param claim_window_s: how long an idempotency key is remembered, in seconds.
     """
 
-    version: int
-    parent: int
-    change_id: str
+    version: PositiveInt
+    parent: Annotated[int, Meta(ge=0, le=2**53)]
+    change_id: Name
     workspaces: list[Workspace]
     models: list[ModelSpec] = []
     endpoints: list[EndpointSpec] = []
     routes: list[Route] = []
     classes: list[RequestClass] = []
-    region_link: LinkSpec = LinkSpec()
+    region_link: LinkSpec = msgspec.field(default_factory=LinkSpec)
     orders: list[OrderSpec] = []
-    claim_window_s: float = 3600.0
+    claim_window_s: Annotated[float, Meta(gt=0, le=604_800)] = 3600.0
--- a/teaselpath/membership/__init__.py
+++ b/teaselpath/membership/__init__.py
@@ -1,1 +1,33 @@
-"""TODO."""
+"""Members of the system and the gossip between them."""
+
+from teaselpath.membership._events import (
+    ConfigChanged,
+    GossipReceived,
+    HostList,
+    LeaveStarted,
+    ListedHost,
+    LogSeen,
+    MemberChanged,
+    ProbeMissed,
+    PullReceived,
+    ReplySeen,
+    RevocationAdded,
+)
+from teaselpath.membership._member import Member
+from teaselpath.membership._table import MemberTable
+
+__all__ = [
+    "ConfigChanged",
+    "GossipReceived",
+    "HostList",
+    "LeaveStarted",
+    "ListedHost",
+    "LogSeen",
+    "Member",
+    "MemberChanged",
+    "MemberTable",
+    "ProbeMissed",
+    "PullReceived",
+    "ReplySeen",
+    "RevocationAdded",
+]
--- /dev/null
+++ b/teaselpath/membership/_table.py
@@ -0,0 +1,333 @@
+"""The member table of a node."""
+
+from collections.abc import Callable, Iterable, Sequence
+from functools import partial
+from random import Random
+
+from teaselpath.membership._config import ConfigSync
+from teaselpath.membership._events import (
+    ConfigChanged,
+    GossipReceived,
+    HostList,
+    LeaveStarted,
+    ListedHost,
+    LogSeen,
+    MemberChanged,
+    MemberEvent,
+    ProbeMissed,
+    PullReceived,
+    ReplySeen,
+    RevocationAdded,
+)
+from teaselpath.membership._member import REFUTED_S, Member
+from teaselpath.membership._spread import DeltaQueue
+from teaselpath.utils import rendezvous_top
+from teaselpath.wire import Gossip, MemberDelta, Revocation, Send
+
+GOSSIP_INTERVAL_S = 1.0
+# News that must be known everywhere within seconds are sent at once to this many peers.
+FANOUT = 3
+DELTAS_PER_MESSAGE = 4
+REPLY_TIMEOUT_S = 2.0
+# The host list lags by up to 30 s; a leaving entry may be about the previous process this long.
+HOST_LIST_LAG_S = 60.0
+# A suspect that does not answer, or a silent host that the list dropped, is gone after this time.
+GONE_AFTER_S = 30.0
+UNLISTED_GONE_S = 60.0
+FORGET_AFTER_S = 600.0
+# A young process puts its own addresses into its messages, for peers whose host list lags.
+INTRODUCE_S = 120.0
+# One contact in this many goes to a member that seems gone, so that a healed partition is noticed.
+GONE_CONTACT_EVERY = 8
+MAX_MEMBERS = 10_000
+
+TableAction = Send | MemberChanged
+
+
+class MemberTable:
+    """Members, their incarnations and states, and the gossip between them.
+
+    :param self_member: this process; its incarnation must rise with each start.
+    :param seeds: peers from the settings, for when the host list is down.
+    :param random: source of the choice of peers.
+    """
+
+    def __init__(self, self_member: Member, seeds: Iterable[Member], random: Random) -> None:
+        self.self_host = self_member.host
+        self.random = random
+        self.members: dict[str, Member] = {self_member.host: self_member}
+        for seed in seeds:
+            self.members.setdefault(seed.host, seed)
+        self.config = ConfigSync(self.self_host, random)
+        self.news = DeltaQueue()
+        self.awaited: dict[str, float] = {}
+        self.gossip_at = float("-inf")
+        self.introduce_until: float | None = None
+        self.rounds = 0
+        self.urgent: list[str] = []
+
+    @property
+    def self_member(self) -> Member:
+        """This process."""
+        return self.members[self.self_host]
+
+    def handle(self, event: MemberEvent, now: float) -> list[TableAction]:
+        """Apply an event."""
+        actions: list[TableAction] = []
+        match event:
+            case HostList(hosts):
+                actions += self._take_host_list(hosts, now)
+            case GossipReceived(gossip):
+                actions += self._take_gossip(gossip, now)
+            case PullReceived(pull):
+                actions += self.config.answer(pull)
+            case ReplySeen(host):
+                actions += self._change(host, lambda member: self._hear(member, now), now)
+            case ProbeMissed(host, path):
+                actions += self._miss(host, f"{self.self_host} {path}", now)
+            case LeaveStarted():
+                actions += self._change(self.self_host, _declare_leaving, now)
+            case ConfigChanged():
+                if self.config.change(event):
+                    actions += self._send_at_once()
+            case RevocationAdded(data):
+                actions += [Send(host, Revocation(data)) for host in self._peers(FANOUT)]
+            case LogSeen(is_reachable):
+                self.config.is_log_reachable = is_reachable
+        return actions + self._send_urgent()
+
+    def tick(self, now: float) -> list[TableAction]:
+        """Do what is due; call it a few times per second."""
+        actions: list[TableAction] = []
+        for host in [host for host, deadline in self.awaited.items() if now >= deadline]:
+            del self.awaited[host]
+            actions += self._miss(host, f"{self.self_host} gossip", now)
+        if self.config.has_gap and self.config.pull_at == float("inf"):
+            self.config.pull_at = now
+        peers = self._peers(1)
+        actions += self.config.due_pulls(now, peers[0] if peers else "")
+        if now >= self.gossip_at:
+            self.gossip_at = now + GOSSIP_INTERVAL_S
+            actions += self._age(now)
+            actions += [self._ask(host, now) for host in self._contacts(now)]
+        return actions + self._send_urgent()
+
+    def serving_endpoints(self) -> list[Member]:
+        """Return the agents that may get new work."""
+        return [m for m in self.members.values() if m.role == "agent" and m.state == "alive"]
+
+    def entries(self) -> list[Member]:
+        """Return the entries; a suspect one is among them.
+
+        Suspicion differs between nodes, and the homes of a workspace must not move with it.
+        """
+        states = ("alive", "suspect")
+        return [m for m in self.members.values() if m.role == "entry" and m.state in states]
+
+    def is_chosen(self, key: bytes) -> bool:
+        """Return whether this node is the one that does a job for all, such as a renewal."""
+        hosts = [m.host for m in self.members.values() if m.state in ("alive", "suspect")]
+        return rendezvous_top(key, hosts, 1) == [self.self_host]
+
+    # Host list
+
+    def _take_host_list(self, hosts: Sequence[ListedHost], now: float) -> list[TableAction]:
+        actions: list[TableAction] = []
+        listed = {entry.host: entry for entry in hosts}
+        for host, entry in listed.items():
+            if host not in self.members and len(self.members) >= MAX_MEMBERS:
+                continue
+            actions += self._change(host, partial(_apply_listed, entry=entry, now=now), now)
+        for host, member in self.members.items():
+            if host not in listed and host != self.self_host:
+                member.is_listed = False
+                if member.unlisted_since is None:
+                    member.unlisted_since = now
+        return actions
+
+    # Gossip
+
+    def _take_gossip(self, gossip: Gossip, now: float) -> list[TableAction]:
+        if gossip.host == self.self_host:
+            return []
+        actions: list[TableAction] = []
+        for delta in gossip.members:
+            actions += self._merge(delta, gossip.host, now)
+        member = self.members.get(gossip.host)
+        if member is None or gossip.incarnation < member.incarnation:
+            return actions  # without an address, or from a process that was replaced
+        actions += self._change(
+            gossip.host, lambda m: self._hear_gossip(m, gossip.incarnation, now), now
+        )
+        actions += self.config.compare(gossip, now)
+        if not gossip.reply:
+            actions.append(Send(gossip.host, self._gossip(now, is_reply=True)))
+        return actions
+
+    def _merge(self, delta: MemberDelta, observer: str, now: float) -> list[TableAction]:
+        member = self.members.get(delta.host)
+        if delta.host == self.self_host:
+            return []
+        if member is None and (delta.state == "gone" or len(self.members) >= MAX_MEMBERS):
+            return []
+        known = member.incarnation if member else -1
+        if delta.incarnation < known:
+            return []
+        if delta.state in ("suspect", "gone") and delta.incarnation == known:
+            if member is not None and now >= member.heard_at + REFUTED_S:
+                return self._miss(delta.host, observer, now)
+            return []
+        return self._change(delta.host, lambda m: _apply_delta(m, delta, now), now)
+
+    def _hear_gossip(self, member: Member, incarnation: int, now: float) -> None:
+        if incarnation > member.incarnation:
+            _start_incarnation(member, incarnation, now)
+        self._hear(member, now)
+
+    def _hear(self, member: Member, now: float) -> None:
+        self.awaited.pop(member.host, None)
+        member.heard_at = now
+        member.clear_suspicion()
+
+    def _miss(self, host: str, source: str, now: float) -> list[TableAction]:
+        member = self.members.get(host)
+        if member is None or host == self.self_host or member.is_gone:
+            return []
+        is_news = not member.misses
+        was_suspect = member.is_suspect
+        actions = self._change(host, lambda m: m.add_miss(source, now), now)
+        if is_news and source.startswith(f"{self.self_host} "):
+            self.news.add(host, len(self.members))
+        if member.is_suspect and not was_suspect:
+            actions.append(self._ask(host, now))  # the suspicion came from others: try it directly
+        return actions
+
+    # Time
+
+    def _age(self, now: float) -> list[TableAction]:
+        actions: list[TableAction] = []
+        for member in list(self.members.values()):
+            if member.host == self.self_host:
+                continue
+            if member.is_gone:
+                if not member.is_listed and now >= member.gone_at + FORGET_AFTER_S:
+                    del self.members[member.host]
+            elif _is_silent(member, now):
+                actions += self._change(member.host, _declare_gone, now)
+                member.gone_at = now
+        return actions
+
+    def _contacts(self, now: float) -> list[str]:
+        self.rounds += 1
+        hosts = self._peers(1)
+        if self.rounds % GONE_CONTACT_EVERY == 0:
+            gone = [m.host for m in self.members.values() if m.is_gone]
+            hosts += [self.random.choice(gone)] if gone else []
+        return [host for host in dict.fromkeys(hosts) if host not in self.awaited]
+
+    def _ask(self, host: str, now: float) -> Send:
+        self.awaited.setdefault(host, now + REPLY_TIMEOUT_S)
+        return Send(host, self._gossip(now, is_reply=False))
+
+    def _gossip(self, now: float | None, is_reply: bool, first: Sequence[str] = ()) -> Gossip:
+        hosts = dict.fromkeys(first)
+        if now is not None:
+            if self.introduce_until is None:
+                self.introduce_until = now + INTRODUCE_S
+            if now < self.introduce_until or self.self_member.state == "leaving":
+                hosts[self.self_host] = None
+            hosts.update(dict.fromkeys(self.news.take(DELTAS_PER_MESSAGE - len(hosts))))
+            if len(hosts) < DELTAS_PER_MESSAGE and not is_reply:
+                # Repairs what earlier messages lost, one member at a time.
+                hosts[self.random.choice(list(self.members))] = None
+        config = self.config
+        return Gossip(
+            self.self_host,
+            self.self_member.incarnation,
+            config.offset,
+            config.version,
+            config.digest,
+            [self.members[host].delta() for host in hosts if host in self.members],
+            config.revocation_digest,
+            reply=is_reply,
+        )
+
+    def _send_at_once(self, first: Sequence[str] = ()) -> list[TableAction]:
+        """Tell a few random peers, who do the same if it is news to them."""
+        return [
+            Send(host, self._gossip(None, is_reply=True, first=first))
+            for host in self._peers(FANOUT)
+        ]
+
+    def _send_urgent(self) -> list[TableAction]:
+        if not self.urgent:
+            return []
+        first, self.urgent = self.urgent[:DELTAS_PER_MESSAGE], []
+        return self._send_at_once(first)
+
+    def _peers(self, count: int) -> list[str]:
+        hosts = [m.host for m in self.members.values() if not m.is_gone and m.address]
+        hosts.remove(self.self_host) if self.self_host in hosts else None
+        return self.random.sample(hosts, min(count, len(hosts)))
+
+    def _change(
+        self, host: str, change: Callable[[Member], object], now: float
+    ) -> list[TableAction]:
+        """Apply a change to a member and report it if its state or incarnation differs."""
+        member = self.members.get(host)
+        previous, incarnation, was_leaving = "", -1, False
+        if member is None:
+            member = self.members[host] = Member(host)
+        else:
+            previous, incarnation = member.state, member.incarnation
+            was_leaving = member.has_declared_leaving
+        change(member)
+        if member.state == previous and member.incarnation == incarnation:
+            return []
+        if member.has_declared_leaving and not was_leaving:
+            self.urgent.append(host)
+        self.news.add(host, len(self.members))
+        is_restart = bool(previous) and member.incarnation > incarnation
+        return [MemberChanged(member, previous, is_restart)]
+
+
+def _apply_listed(member: Member, entry: ListedHost, now: float) -> None:
+    member.is_listed = True
+    member.unlisted_since = None
+    if member.incarnation == 0:
+        member.copy_address(entry)
+    if entry.state == "leaving" and now >= member.list_trusted_at:
+        member.is_listed_leaving = True
+
+
+def _apply_delta(member: Member, delta: MemberDelta, now: float) -> None:
+    if delta.incarnation > member.incarnation or not member.address:
+        member.copy_address(delta)
+    if delta.incarnation > member.incarnation:
+        _start_incarnation(member, delta.incarnation, now)
+        member.is_gone = delta.state == "gone"
+        member.gone_at = now
+    if delta.state == "leaving":
+        member.has_declared_leaving = True
+    if delta.engine_incarnation:
+        member.engine_incarnation = delta.engine_incarnation
+
+
+def _start_incarnation(member: Member, incarnation: int, now: float) -> None:
+    member.start_incarnation(incarnation, now + HOST_LIST_LAG_S)
+
+
+def _declare_leaving(member: Member) -> None:
+    member.has_declared_leaving = True
+
+
+def _declare_gone(member: Member) -> None:
+    member.is_gone = True
+
+
+def _is_silent(member: Member, now: float) -> bool:
+    if member.is_suspect and now >= member.suspect_at + GONE_AFTER_S:
+        return True
+    if member.unlisted_since is None:
+        return False
+    return now >= max(member.unlisted_since, member.heard_at) + UNLISTED_GONE_S
--- a/teaselpath/wire/_messages.py
+++ b/teaselpath/wire/_messages.py
@@ -163,10 +163,14 @@
 
 
 class SignedRecord(_Message):
-    """A record of the log as it was read, signature included."""
+    """A record of the log as it was read, signature included.
+
+    ``decided_to`` is set between peers: the record is the accepted one up to this offset.
+    """
 
     offset: int
     data: bytes
+    decided_to: int = 0
 
 
 class ConfigPull(_Message):
