--- /dev/null
+++ b/teaselpath/delivery/_answers.py
@@ -0,0 +1,27 @@
+"""Answers of the agent about an attempt."""
+
+from teaselpath.delivery._record import Key
+from teaselpath.results import Code, Ran
+from teaselpath.wire import Cancelled, End, Refused, Send
+
+
+def answer_chunks(answer: End | Refused) -> int:
+    return answer.chunks if isinstance(answer, End) else 0
+
+
+def cancelled_answer(key: Key, ran: Ran) -> Cancelled:
+    return Cancelled(*key, ran is not Ran.NOT_RUN, ran)
+
+
+def expired_answer(key: Key, gone: int, ran: Ran) -> End:
+    """Say that the chunks up to a number are gone; a stream that is past them is not affected."""
+    return End(*key, gone, Code.BUFFER_EXPIRED, ran, detail="the buffer was dropped")
+
+
+def end_answer(host: str, key: Key, code: Code, ran: Ran, detail: str) -> Send:
+    return Send(host, End(*key, 0, code, ran, detail=detail))
+
+
+def wrong_workspace_answer(host: str, key: Key) -> Send:
+    detail = "the request belongs to another workspace"
+    return end_answer(host, key, Code.WRONG_WORKSPACE, Ran.UNKNOWN, detail)
--- /dev/null
+++ b/teaselpath/delivery/_buffer.py
@@ -0,0 +1,62 @@
+"""Unacknowledged tail of a stream at the agent."""
+
+from collections import deque
+from itertools import islice
+
+from teaselpath.wire import Chunk, End
+
+
+class StreamBuffer:
+    """Numbered chunks that the entry has not acknowledged.
+
+    The end of the stream has the number ``last + 1``, so that an entry can acknowledge it too.
+
+    :param window: chunks that may be sent before the first acknowledgement.
+    """
+
+    __slots__ = ("acked", "chunks", "end", "last", "limit", "sent", "size")
+
+    def __init__(self, window: int) -> None:
+        self.chunks: deque[Chunk] = deque()
+        self.end: End | None = None
+        self.acked = 0
+        self.last = 0
+        self.sent = 0
+        self.limit = window
+        self.size = 0
+
+    def acknowledge(self, number: int) -> None:
+        """Drop the chunks up to a number; a number that was not given out yet is cut down."""
+        chunks = self.chunks
+        while chunks and chunks[0].number <= number:
+            self.size -= len(chunks.popleft().data)
+        top = self.last + 1 if self.end is not None else self.last
+        self.acked = max(self.acked, min(number, top))
+        self.sent = max(self.sent, self.acked)
+
+    def rewind(self, after: int, window: int) -> None:
+        """Send again from the chunk after a number, which must not be below ``acked``."""
+        self.sent = min(after, self.last)
+        self.limit = self.sent + window
+
+    def take_due(self) -> list[Chunk | End]:
+        """Return what may be sent now, in order, and count it as sent."""
+        due: list[Chunk | End] = []
+        last = min(self.limit, self.last)
+        if self.sent < last:
+            first = max(self.sent, self.acked)
+            due.extend(islice(self.chunks, first - self.acked, last - self.acked))
+            self.sent = last
+        if self.end is not None and self.sent == self.last:
+            due.append(self.end)
+            self.sent = self.last + 1
+        return due
+
+    def drop(self) -> None:
+        """Drop all chunks, as if they had been acknowledged."""
+        self.acknowledge(self.last)
+
+    @property
+    def is_delivered(self) -> bool:
+        """Whether the end was acknowledged."""
+        return self.end is not None and self.acked > self.last
--- /dev/null
+++ b/teaselpath/delivery/_events.py
@@ -0,0 +1,106 @@
+"""Events and actions of the agent's request ledger."""
+
+import msgspec
+
+from teaselpath.wire import Ack, Cancel, Resume, Start
+
+
+class DeliveryLimits(msgspec.Struct, frozen=True):
+    """Limits of the buffers and of the memory of finished requests.
+
+    :param window_chunks: unacknowledged chunks kept per stream.
+    :param window_bytes: unacknowledged bytes kept per stream.
+    :param buffer_retention_s: how long a stream is kept without a sign of its entry, in seconds.
+    :param end_resend_s: interval between copies of an unacknowledged end, in seconds.
+    :param finished_retention_s: how long a finished or fenced id is remembered, in seconds.
+    :param max_finished: finished and fenced ids that are remembered at most.
+    """
+
+    window_chunks: int = 64
+    window_bytes: int = 1 << 20
+    buffer_retention_s: float = 60.0
+    end_resend_s: float = 1.0
+    finished_retention_s: float = 900.0
+    max_finished: int = 50_000
+
+
+class FromEntry(msgspec.Struct, frozen=True):
+    """A message from an entry."""
+
+    host: str
+    message: Start | Ack | Cancel | Resume
+
+
+class RunStarted(msgspec.Struct, frozen=True):
+    """The request is about to be sent to the endpoint.
+
+    It must not be sent if the ledger answers ``CancelRun``.
+    """
+
+    request_id: str
+    attempt: int
+
+
+class RunChunk(msgspec.Struct, frozen=True):
+    """Bytes of the endpoint's answer; the first ones come with status and headers."""
+
+    request_id: str
+    attempt: int
+    data: bytes
+    status: int = 0
+    headers: list[tuple[str, str]] | None = None
+
+
+class RunEnd(msgspec.Struct, frozen=True):
+    """The run ended, or it was given up before it started (``ran`` is ``not_run``)."""
+
+    request_id: str
+    attempt: int
+    code: int
+    ran: str
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    output_tokens: int = 0
+    detail: str = ""
+    retry_after_ms: int = 0
+
+
+class EntryLost(msgspec.Struct, frozen=True):
+    """The connection to an entry is lost, or its process is gone."""
+
+    host: str
+
+
+class LeaveStarted(msgspec.Struct, frozen=True):
+    """The endpoint leaves: new work is refused and running work ends."""
+
+
+class Accept(msgspec.Struct, frozen=True):
+    """Queue the request for the endpoint."""
+
+    host: str
+    start: Start
+
+
+class CancelRun(msgspec.Struct, frozen=True):
+    """Withdraw the request from the queue, or stop its run."""
+
+    request_id: str
+    attempt: int
+
+
+class PauseRun(msgspec.Struct, frozen=True):
+    """Stop reading the endpoint's answer."""
+
+    request_id: str
+    attempt: int
+
+
+class ResumeRun(msgspec.Struct, frozen=True):
+    """Read the endpoint's answer again."""
+
+    request_id: str
+    attempt: int
+
+
+LedgerEvent = FromEntry | RunStarted | RunChunk | RunEnd | EntryLost | LeaveStarted
--- /dev/null
+++ b/teaselpath/delivery/_ledger.py
@@ -0,0 +1,367 @@
+"""Ledger of requests at the agent, which is the only way to its endpoint."""
+
+from typing import assert_never
+
+from teaselpath.delivery._answers import (
+    answer_chunks,
+    cancelled_answer,
+    end_answer,
+    expired_answer,
+    wrong_workspace_answer,
+)
+from teaselpath.delivery._buffer import StreamBuffer
+from teaselpath.delivery._events import (
+    Accept,
+    CancelRun,
+    DeliveryLimits,
+    EntryLost,
+    FromEntry,
+    LeaveStarted,
+    LedgerEvent,
+    PauseRun,
+    ResumeRun,
+    RunChunk,
+    RunEnd,
+    RunStarted,
+)
+from teaselpath.delivery._finished import FinishedMemory, FinishedRequest, RequestState
+from teaselpath.delivery._record import Key, RequestRecord
+from teaselpath.results import Code, Ran
+from teaselpath.wire import Ack, Cancel, Chunk, End, Refused, Resume, Send, Start
+
+Action = Accept | Send | CancelRun | PauseRun | ResumeRun
+
+
+class RequestLedger:
+    """Accepts, fences and delivers the requests of one endpoint.
+
+    :param incarnation: number of this agent process. A start, or a fence, that names another
+        process may have met that one, so it never runs and never gets the answer "not run".
+    :param limits: limits of buffers and memory.
+    """
+
+    def __init__(self, incarnation: int, limits: DeliveryLimits | None = None) -> None:
+        self.incarnation = incarnation
+        self.limits = limits or DeliveryLimits()
+        self.is_leaving = False
+        self.records: dict[Key, RequestRecord] = {}
+        self.finished = FinishedMemory(self.limits.finished_retention_s, self.limits.max_finished)
+        # Attempts of an id that run, ran or may still run.
+        self._possible_runs: dict[str, int] = {}
+
+    @property
+    def is_drained(self) -> bool:
+        """Whether nothing is queued or running and every stream was acknowledged or dropped."""
+        return not self.records
+
+    def handle(self, event: LedgerEvent, now: float) -> list[Action]:
+        """Apply one event and return what to do."""
+        match event:
+            case RunChunk():
+                return self._run_chunk(event)
+            case FromEntry(host, message):
+                return self._from_entry(host, message, now)
+            case RunStarted(request_id, attempt):
+                return self._run_started((request_id, attempt))
+            case RunEnd():
+                return self._run_end(event, now)
+            case EntryLost(host):
+                return self._entry_lost(host, now)
+            case LeaveStarted():
+                return self._leave(now)
+            case _:
+                assert_never(event)
+
+    def tick(self, now: float) -> list[Action]:
+        """Drop buffers that nobody asked for in time, send ends again, and forget old ids."""
+        actions: list[Action] = []
+        for record in list(self.records.values()):
+            if record.expires_at <= now:
+                actions += self._expire(record, now)
+            elif record.resend_at <= now:
+                actions += self._resend_end(record, now)
+        for (request_id, _), request in self.finished.forget(now):
+            if request.state is not RequestState.NOT_RUN:
+                self._release_id(request_id)
+        return actions
+
+    def _from_entry(
+        self, host: str, message: Start | Ack | Cancel | Resume, now: float
+    ) -> list[Action]:
+        match message:
+            case Ack():
+                return self._ack(host, message, now)
+            case Start():
+                return self._start(host, message, now)
+            case Resume():
+                return self._resume(host, message, now)
+            case Cancel():
+                return self._cancel(host, message, now)
+            case _:
+                assert_never(message)
+
+    # Start, refuse and fence
+
+    def _start(self, host: str, start: Start, now: float) -> list[Action]:
+        key = (start.request_id, start.attempt)
+        if (finished := self.finished.requests.get(key)) is not None:
+            return [Send(host, self._past_answer(key, finished))]
+        if (record := self.records.get(key)) is not None:
+            return self._repeated_start(host, record)
+        origin = (host, start.entry_incarnation, start.sequence)
+        if start.agent_incarnation != self.incarnation or self.finished.is_forgotten(origin):
+            detail = "the start is older than the memory of this agent"
+            return [end_answer(host, key, Code.OUTCOME_UNKNOWN, Ran.UNKNOWN, detail)]
+        if self.is_leaving:
+            return [Send(host, Refused(*key, Code.ENDPOINT_LEAVING, "the endpoint is leaving"))]
+        if not start.repeatable and self._possible_runs.get(start.request_id):
+            detail = "another attempt of this request may have run"
+            return [Send(host, Refused(*key, Code.DUPLICATE_REQUEST, detail))]
+        expires_at = now + self.limits.buffer_retention_s
+        self.records[key] = RequestRecord(host, start, self.limits.window_chunks, expires_at)
+        self._possible_runs[start.request_id] = self._possible_runs.get(start.request_id, 0) + 1
+        return [Accept(host, start)]
+
+    def _repeated_start(self, host: str, record: RequestRecord) -> list[Action]:
+        # A copy of the start from the entry that sent it must not end its stream.
+        if host in (record.host, record.origin[0]):
+            return []
+        detail = "the request was started through another entry; resume it"
+        return [end_answer(host, record.key, Code.DUPLICATE_REQUEST, record.ran, detail)]
+
+    def _cancel(self, host: str, cancel: Cancel, now: float) -> list[Action]:
+        key = (cancel.request_id, cancel.attempt)
+        if (finished := self.finished.requests.get(key)) is not None:
+            return [Send(host, cancelled_answer(key, finished.ran))]
+        if (record := self.records.get(key)) is not None:
+            return self._cancel_record(host, record, now)
+        origin = (host, cancel.entry_incarnation, cancel.sequence)
+        is_known = cancel.agent_incarnation == self.incarnation
+        if not cancel.fence or not is_known or self.finished.is_forgotten(origin):
+            return [Send(host, cancelled_answer(key, Ran.UNKNOWN))]
+        refused = Refused(*key, Code.FENCED, "the request was cancelled before it arrived")
+        self.finished.add(key, FinishedRequest(RequestState.NOT_RUN, "", refused, origin), now)
+        return [Send(host, cancelled_answer(key, Ran.NOT_RUN))]
+
+    def _cancel_record(self, host: str, record: RequestRecord, now: float) -> list[Action]:
+        # The caller may have moved to another entry; the entry it left must not stop the run.
+        if record.host not in (host, None):
+            return [Send(host, cancelled_answer(record.key, record.ran))]
+        if record.state is RequestState.QUEUED:
+            self._retire_not_run(record, Code.FENCED, "the request was cancelled in the queue", now)
+            return [CancelRun(*record.key), Send(host, cancelled_answer(record.key, Ran.NOT_RUN))]
+        actions: list[Action] = [Send(host, cancelled_answer(record.key, Ran.RAN))]
+        if record.state is RequestState.ENDED:
+            self._retire(record, now)
+            return actions
+        return self._cut(record) + actions
+
+    def _cut(self, record: RequestRecord) -> list[Action]:
+        """Stop a run; what it still produces is dropped."""
+        if record.is_cut:
+            return []
+        record.is_cut = True
+        return [CancelRun(*record.key)]
+
+    # Runs
+
+    def _run_started(self, key: Key) -> list[Action]:
+        record = self.records.get(key)
+        if record is None or record.state is not RequestState.QUEUED:
+            return [CancelRun(*key)]
+        record.state = RequestState.RUNNING
+        return []
+
+    def _run_chunk(self, event: RunChunk) -> list[Action]:
+        record = self.records.get((event.request_id, event.attempt))
+        if record is None or record.is_cut or record.state is RequestState.ENDED:
+            return []
+        buffer = record.buffer
+        number = buffer.last + 1
+        chunk = Chunk(
+            event.request_id, event.attempt, number, event.data, event.status, event.headers or []
+        )
+        buffer.last = number
+        buffer.chunks.append(chunk)
+        buffer.size += len(event.data)
+        actions: list[Action] = []
+        if record.host is not None and buffer.sent == number - 1 and number <= buffer.limit:
+            buffer.sent = number
+            actions.append(Send(record.host, chunk))
+        if not record.is_paused and self._is_full(buffer):
+            record.is_paused = True
+            actions.append(PauseRun(event.request_id, event.attempt))
+        return actions
+
+    def _is_full(self, buffer: StreamBuffer) -> bool:
+        limits = self.limits
+        return len(buffer.chunks) >= limits.window_chunks or buffer.size >= limits.window_bytes
+
+    def _run_end(self, event: RunEnd, now: float) -> list[Action]:
+        record = self.records.get((event.request_id, event.attempt))
+        if record is None or record.state is RequestState.ENDED:
+            return []
+        if event.ran == Ran.NOT_RUN and record.buffer.last == 0:
+            return self._refuse_record(record, event, now)
+        code, ran = event.code, event.ran
+        if record.is_cut:
+            code = Code.CANCELLED
+        if ran == Ran.NOT_RUN:
+            ran = Ran.UNKNOWN
+        record.state = RequestState.ENDED
+        record.expires_at = now + self.limits.buffer_retention_s
+        record.resend_at = now + self.limits.end_resend_s
+        record.buffer.end = End(
+            *record.key,
+            record.buffer.last,
+            code,
+            ran,
+            event.prompt_tokens,
+            event.cached_tokens,
+            event.output_tokens,
+            event.detail,
+        )
+        return self._send_due(record)
+
+    def _refuse_record(self, record: RequestRecord, event: RunEnd, now: float) -> list[Action]:
+        refused = self._retire_not_run(
+            record, event.code, event.detail, now, retry_after_ms=event.retry_after_ms
+        )
+        return [Send(record.host, refused)] if record.host is not None else []
+
+    # Acknowledge and resume
+
+    def _ack(self, host: str, ack: Ack, now: float) -> list[Action]:
+        record = self.records.get((ack.request_id, ack.attempt))
+        # An entry that lost the stream to another one must not drop what that one still needs.
+        if record is None or host != record.host:
+            return []
+        record.expires_at = now + self.limits.buffer_retention_s
+        buffer = record.buffer
+        buffer.acknowledge(ack.number)
+        buffer.limit = max(buffer.limit, ack.number + ack.window)
+        if buffer.is_delivered:
+            self._retire(record, now)
+            return []
+        return self._send_due(record) + self._unpause(record)
+
+    def _resume(self, host: str, resume: Resume, now: float) -> list[Action]:
+        key = (resume.request_id, resume.attempt)
+        if (finished := self.finished.requests.get(key)) is not None:
+            return [Send(host, self._resume_finished(key, finished, resume))]
+        record = self.records.get(key)
+        if record is None:
+            detail = "this agent does not know the request"
+            return [end_answer(host, key, Code.UNKNOWN_REQUEST, Ran.UNKNOWN, detail)]
+        if resume.workspace != record.workspace:
+            return [wrong_workspace_answer(host, key)]
+        buffer = record.buffer
+        if resume.after < buffer.acked:
+            return [Send(host, expired_answer(key, buffer.acked, record.ran))]
+        record.host = host
+        record.expires_at = now + self.limits.buffer_retention_s
+        buffer.acknowledge(min(resume.after, buffer.last))
+        buffer.rewind(resume.after, self.limits.window_chunks)
+        return self._send_due(record) + self._unpause(record)
+
+    def _resume_finished(
+        self, key: Key, finished: FinishedRequest, resume: Resume
+    ) -> End | Refused:
+        answer = finished.answer
+        if finished.state is RequestState.NOT_RUN:
+            return answer
+        if resume.workspace != finished.workspace:
+            return End(*key, 0, Code.WRONG_WORKSPACE, Ran.UNKNOWN)
+        return answer if resume.after >= answer_chunks(answer) else self._past_answer(key, finished)
+
+    def _past_answer(self, key: Key, finished: FinishedRequest) -> End | Refused:
+        """Answer for an attempt whose buffer is gone."""
+        if finished.state is RequestState.NOT_RUN:
+            return finished.answer
+        return expired_answer(key, answer_chunks(finished.answer), Ran.RAN)
+
+    def _resend_end(self, record: RequestRecord, now: float) -> list[Action]:
+        """Send the end again: an entry whose acknowledgement was lost answers it once more."""
+        record.resend_at = now + self.limits.end_resend_s
+        buffer = record.buffer
+        if record.host is None or buffer.end is None or buffer.sent <= buffer.last:
+            return []
+        return [Send(record.host, buffer.end)]
+
+    def _send_due(self, record: RequestRecord) -> list[Action]:
+        if record.host is None:
+            return []
+        return [Send(record.host, message) for message in record.buffer.take_due()]
+
+    def _unpause(self, record: RequestRecord) -> list[Action]:
+        buffer = record.buffer
+        # Reading goes on at half the limit, so that it does not toggle at each acknowledgement.
+        is_low = (
+            2 * len(buffer.chunks) <= self.limits.window_chunks
+            and 2 * buffer.size <= self.limits.window_bytes
+        )
+        if not (record.is_paused and is_low):
+            return []
+        record.is_paused = False
+        return [ResumeRun(*record.key)] if record.state is RequestState.RUNNING else []
+
+    # Lost entries, expiry and leaving
+
+    def _entry_lost(self, host: str, now: float) -> list[Action]:
+        for record in self.records.values():
+            if record.host == host:
+                record.host = None
+                record.expires_at = now + self.limits.buffer_retention_s
+        return []
+
+    def _expire(self, record: RequestRecord, now: float) -> list[Action]:
+        if record.state is RequestState.QUEUED:
+            self._retire_not_run(record, Code.CALLER_GONE, "the entry is gone", now)
+            return [CancelRun(*record.key)]
+        if record.state is RequestState.ENDED:
+            self._retire(record, now)
+            return []
+        record.buffer.drop()
+        record.host = None
+        record.expires_at = now + self.limits.buffer_retention_s
+        # A call that may not be repeated is left to finish: stopping it half-way helps nobody.
+        return self._cut(record) if record.repeatable else self._unpause(record)
+
+    def _leave(self, now: float) -> list[Action]:
+        self.is_leaving = True
+        actions: list[Action] = []
+        queued = [r for r in self.records.values() if r.state is RequestState.QUEUED]
+        for record in queued:
+            detail = "the endpoint is leaving"
+            refused = self._retire_not_run(record, Code.ENDPOINT_LEAVING, detail, now)
+            actions.append(CancelRun(*record.key))
+            if record.host is not None:
+                actions.append(Send(record.host, refused))
+        return actions
+
+    # Finished attempts
+
+    def _retire(self, record: RequestRecord, now: float) -> None:
+        end = record.buffer.end
+        if end is None:
+            raise ValueError("an attempt without an end cannot be retired")
+        del self.records[record.key]
+        finished = FinishedRequest(record.state, record.workspace, end, record.origin)
+        self.finished.add(record.key, finished, now)
+
+    def _retire_not_run(
+        self, record: RequestRecord, code: int, detail: str, now: float, retry_after_ms: int = 0
+    ) -> Refused:
+        refused = Refused(*record.key, code, detail, retry_after_ms)
+        del self.records[record.key]
+        self._release_id(record.key[0])
+        finished = FinishedRequest(RequestState.NOT_RUN, record.workspace, refused, record.origin)
+        self.finished.add(record.key, finished, now)
+        return refused
+
+    def _release_id(self, request_id: str) -> None:
+        count = self._possible_runs[request_id] - 1
+        if count:
+            self._possible_runs[request_id] = count
+        else:
+            del self._possible_runs[request_id]
--- /dev/null
+++ b/teaselpath/delivery/tests/test_ledger.py
@@ -0,0 +1,232 @@
+"""The ledger must run an id at most once and say "not run" only if that stays true."""
+
+import pytest
+
+from teaselpath.delivery import (
+    Accept,
+    CancelRun,
+    DeliveryLimits,
+    EntryLost,
+    FromEntry,
+    LeaveStarted,
+    PauseRun,
+    RequestLedger,
+    ResumeRun,
+    RunChunk,
+    RunEnd,
+    RunStarted,
+)
+from teaselpath.results import Code, Ran
+from teaselpath.wire import Ack, Cancel, Cancelled, Chunk, End, Refused, Resume, Send, Start
+
+LIMITS = DeliveryLimits(window_chunks=4, window_bytes=1000, finished_retention_s=100)
+
+
+def make_start(request_id="r", attempt=1, *, sequence=1, repeatable=False, incarnation=7):
+    return Start(
+        request_id=request_id,
+        attempt=attempt,
+        workspace="w",
+        request_class="interactive",
+        model="m",
+        remaining_ms=1000,
+        bundle_version=1,
+        weights="v",
+        chain=[],
+        prompt_tokens=1,
+        output_cap=1,
+        repeatable=repeatable,
+        claim_key=b"",
+        method="POST",
+        path="/",
+        headers=[],
+        body=b"",
+        stream=True,
+        agent_incarnation=incarnation,
+        entry_incarnation=1,
+        sequence=sequence,
+    )
+
+
+def make_cancel(request_id="r", attempt=1, *, sequence=1, incarnation=7, fence=True):
+    return Cancel(request_id, attempt, fence, incarnation, 1, sequence)
+
+
+def sent(actions):
+    """Return the messages that a list of actions sends."""
+    return [action.message for action in actions if isinstance(action, Send)]
+
+
+@pytest.fixture
+def ledger():
+    return RequestLedger(7, LIMITS)
+
+
+@pytest.fixture
+def running(ledger):
+    ledger.handle(FromEntry("a", make_start()), 0.0)
+    assert ledger.handle(RunStarted("r", 1), 0.0) == []
+    return ledger
+
+
+def test_stream_is_numbered_and_leaves_after_the_last_ack(running):
+    """Guards against unnumbered chunks and a drain that waits for a stream that was delivered."""
+    first = sent(running.handle(RunChunk("r", 1, b"a", 200, [("k", "v")]), 0.0))
+    assert first == [Chunk("r", 1, 1, b"a", 200, [("k", "v")])]
+    end = sent(running.handle(RunEnd("r", 1, Code.OK, Ran.RAN, 1, 2, 3), 0.0))
+    assert end == [End("r", 1, 1, Code.OK, Ran.RAN, 1, 2, 3)]
+    running.handle(FromEntry("a", Ack("r", 1, 1, 4)), 0.0)
+    assert not running.is_drained
+    running.handle(FromEntry("a", Ack("r", 1, 2, 4)), 0.0)
+    assert running.is_drained
+
+
+def test_window_pauses_the_engine_and_acks_resume_it(running):
+    """Guards against a buffer that grows with a slow entry."""
+    actions = [running.handle(RunChunk("r", 1, b"x"), 0.0) for _ in range(4)]
+    assert [len(sent(step)) for step in actions] == [1, 1, 1, 1]
+    assert actions[3][-1] == PauseRun("r", 1)
+    assert running.handle(FromEntry("a", Ack("r", 1, 1, 4)), 0.0) == []
+    assert running.handle(FromEntry("a", Ack("r", 1, 2, 4)), 0.0) == [ResumeRun("r", 1)]
+
+
+def test_bytes_limit_pauses_the_engine(running):
+    """Guards against few large chunks that fill the memory within the chunk window."""
+    assert running.handle(RunChunk("r", 1, b"x" * 1000), 0.0)[-1] == PauseRun("r", 1)
+
+
+def test_start_through_two_entries_runs_once(ledger):
+    """Guards against a second run of an id that arrives through another entry, or as a copy."""
+    assert isinstance(ledger.handle(FromEntry("a", make_start()), 0.0)[0], Accept)
+    assert ledger.handle(FromEntry("a", make_start()), 0.0) == []
+    (end,) = sent(ledger.handle(FromEntry("b", make_start()), 0.0))
+    assert (end.code, end.ran) == (Code.DUPLICATE_REQUEST, Ran.UNKNOWN)
+    (refused,) = sent(ledger.handle(FromEntry("b", make_start(attempt=2)), 0.0))
+    assert isinstance(refused, Refused)
+    assert refused.code == Code.DUPLICATE_REQUEST
+
+
+def test_next_attempt_runs_after_a_fence(ledger):
+    """Guards against a refusal of an attempt whose predecessor is proven not run."""
+    assert sent(ledger.handle(FromEntry("a", make_cancel()), 0.0)) == [
+        Cancelled("r", 1, False, Ran.NOT_RUN)
+    ]
+    (refused,) = sent(ledger.handle(FromEntry("a", make_start()), 0.0))
+    assert refused.code == Code.FENCED
+    assert isinstance(
+        ledger.handle(FromEntry("a", make_start(attempt=2, sequence=2)), 0.0)[0], Accept
+    )
+
+
+def test_cancel_in_the_queue_wins_over_the_start_of_the_run(ledger):
+    """Guards against a request that runs although its cancel was answered with "not run"."""
+    ledger.handle(FromEntry("a", make_start()), 0.0)
+    actions = ledger.handle(FromEntry("a", make_cancel()), 0.0)
+    assert actions == [CancelRun("r", 1), Send("a", Cancelled("r", 1, False, Ran.NOT_RUN))]
+    assert ledger.handle(RunStarted("r", 1), 0.0) == [CancelRun("r", 1)]
+
+
+def test_cancel_of_a_running_request_stops_it(running):
+    """Guards against a run that goes on for nobody, and against the answer "not run" for it."""
+    actions = running.handle(FromEntry("a", make_cancel()), 0.0)
+    assert actions == [CancelRun("r", 1), Send("a", Cancelled("r", 1, True, Ran.RAN))]
+    assert running.handle(RunChunk("r", 1, b"late"), 0.0) == []
+    (end,) = sent(running.handle(RunEnd("r", 1, Code.OK, Ran.RAN), 0.0))
+    assert (end.code, end.ran, end.chunks) == (Code.CANCELLED, Ran.RAN, 0)
+
+
+def test_newest_entry_gets_the_stream(running):
+    """Guards against an old entry that takes chunks from, or stops, a stream that moved on."""
+    running.handle(RunChunk("r", 1, b"1"), 0.0)
+    assert [m.number for m in sent(running.handle(FromEntry("b", Resume("r", 1, "w", 0)), 0.0))]
+    assert running.handle(FromEntry("a", Ack("r", 1, 1, 9)), 0.0) == []
+    running.handle(FromEntry("a", make_cancel()), 0.0)
+    assert running.handle(RunChunk("r", 1, b"2"), 0.0) == [Send("b", Chunk("r", 1, 2, b"2"))]
+    assert len(sent(running.handle(FromEntry("a", Resume("r", 1, "w", 0)), 0.0))) == 2
+
+
+def test_resume_checks_the_workspace(running):
+    """Guards against an answer that is handed to another workspace by request id."""
+    running.handle(RunChunk("r", 1, b"secret"), 0.0)
+    (end,) = sent(running.handle(FromEntry("b", Resume("r", 1, "other", 0)), 0.0))
+    assert end.code == Code.WRONG_WORKSPACE
+    assert running.handle(RunChunk("r", 1, b"more"), 0.0)[0].host == "a"
+    running.handle(RunEnd("r", 1, Code.OK, Ran.RAN), 0.0)
+    running.handle(FromEntry("a", Ack("r", 1, 3, 4)), 0.0)
+    (end,) = sent(running.handle(FromEntry("b", Resume("r", 1, "other", 2)), 0.0))
+    assert end.code == Code.WRONG_WORKSPACE
+
+
+def test_buffer_is_dropped_at_its_deadline(running):
+    """Guards against buffers that stay for ever, and against a gap handed out as a stream."""
+    running.handle(RunChunk("r", 1, b"1"), 0.0)
+    running.handle(EntryLost("a"), 10.0)
+    running.handle(RunEnd("r", 1, Code.OK, Ran.RAN), 20.0)
+    assert running.tick(79.0) == []
+    assert len(sent(running.handle(FromEntry("b", Resume("r", 1, "w", 0)), 79.0))) == 2
+    running.tick(79.0 + LIMITS.buffer_retention_s)
+    assert running.is_drained
+    (end,) = sent(running.handle(FromEntry("b", Resume("r", 1, "w", 0)), 140.0))
+    assert (end.code, end.ran) == (Code.BUFFER_EXPIRED, Ran.RAN)
+
+
+def test_expired_run_that_may_not_be_repeated_goes_on(running):
+    """Guards against a payment that is stopped half-way because its entry died."""
+    for _ in range(4):
+        running.handle(RunChunk("r", 1, b"x"), 0.0)
+    assert running.tick(60.0) == [ResumeRun("r", 1)]
+
+
+def test_expired_queue_place_is_given_up(ledger):
+    """Guards against work that starts for an entry that has been gone for long."""
+    ledger.handle(FromEntry("a", make_start()), 0.0)
+    assert ledger.tick(60.0) == [CancelRun("r", 1)]
+
+
+def test_leaving_refuses_new_and_queued_work_and_lets_runs_end(running):
+    """Guards against new work at a leaving endpoint and against a cut stream."""
+    running.handle(FromEntry("a", make_start("q", sequence=2)), 0.0)
+    actions = running.handle(LeaveStarted(), 0.0)
+    assert actions[0] == CancelRun("q", 1)
+    assert sent(actions)[0].code == Code.ENDPOINT_LEAVING
+    (refused,) = sent(running.handle(FromEntry("a", make_start("n", sequence=3)), 0.0))
+    assert refused.code == Code.ENDPOINT_LEAVING
+    assert running.handle(RunChunk("r", 1, b"x"), 0.0) != []
+
+
+@pytest.mark.parametrize("first", [make_start(), make_cancel()])
+def test_forgotten_id_never_runs_and_is_never_called_not_run(ledger, first):
+    """Guards against a copy of an old start that runs again once its id is forgotten."""
+    ledger.handle(FromEntry("a", first), 0.0)
+    ledger.handle(RunStarted("r", 1), 0.0)
+    ledger.handle(RunEnd("r", 1, Code.OK, Ran.RAN), 0.0)
+    ledger.handle(FromEntry("a", Ack("r", 1, 1, 4)), 0.0)
+    ledger.tick(100.0)
+    assert ledger.finished.requests == {}
+    (end,) = sent(ledger.handle(FromEntry("a", make_start(repeatable=True)), 101.0))
+    assert (end.code, end.ran) == (Code.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+    (cancelled,) = sent(ledger.handle(FromEntry("a", make_cancel()), 101.0))
+    assert cancelled == Cancelled("r", 1, True, Ran.UNKNOWN)
+    newer = make_start("n", sequence=2)
+    assert isinstance(ledger.handle(FromEntry("a", newer), 101.0)[0], Accept)
+
+
+def test_restarted_agent_proves_nothing_about_its_predecessor(ledger):
+    """Guards against "not run" for a request that ran before the agent restarted."""
+    (end,) = sent(ledger.handle(FromEntry("a", make_start(incarnation=6)), 0.0))
+    assert (end.code, end.ran) == (Code.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+    (cancelled,) = sent(ledger.handle(FromEntry("a", make_cancel(incarnation=6)), 0.0))
+    assert cancelled.ran == Ran.UNKNOWN
+    (end,) = sent(ledger.handle(FromEntry("a", Resume("r", 1, "w", 0)), 0.0))
+    assert (end.code, end.ran) == (Code.UNKNOWN_REQUEST, Ran.UNKNOWN)
+
+
+def test_memory_of_finished_ids_is_bounded():
+    """Guards against memory that grows with the number of requests."""
+    ledger = RequestLedger(7, DeliveryLimits(max_finished=10))
+    for sequence in range(1, 101):
+        cancel = make_cancel(str(sequence), sequence=sequence)
+        ledger.handle(FromEntry("a", cancel), 0.0)
+        ledger.tick(0.0)
+    assert len(ledger.finished.requests) == 10
+    assert ledger.finished.floors == {"a": (1, 90)}
--- a/teaselpath/wire/_messages.py
+++ b/teaselpath/wire/_messages.py
@@ -35,10 +35,16 @@
     engine_incarnation: str
     running: int
     queued: int
+    agent_incarnation: int = 0
 
 
 class Start(_Message):
-    """Run a request at the agent's endpoint."""
+    """Run a request at the agent's endpoint.
+
+    ``agent_incarnation`` is the agent process that the start is meant for; another process answers
+    that the outcome is unknown. ``(entry_incarnation, sequence)`` grows with each start that an
+    entry host sends to any agent, also over its restarts.
+    """
 
     request_id: str
     attempt: int
@@ -60,6 +66,9 @@
     stream: bool
     resume_after: int = 0
     key_digest: bytes = b""
+    agent_incarnation: int = 0
+    entry_incarnation: int = 0
+    sequence: int = 0
 
 
 class Refused(_Message):
@@ -107,19 +116,29 @@
 
 
 class Cancel(_Message):
-    """Cancel a request; with ``fence`` a later start of the same attempt is refused."""
+    """Cancel a request; with ``fence`` a later start of the same attempt is refused.
+
+    The last three fields repeat those of the start; without them nothing can be proven.
+    """
 
     request_id: str
     attempt: int
     fence: bool
+    agent_incarnation: int = 0
+    entry_incarnation: int = 0
+    sequence: int = 0
 
 
 class Cancelled(_Message):
-    """Answer to a cancel; ``started`` is false if the request is proven not to have run."""
+    """Answer to a cancel; ``started`` is false if the request is proven not to have run.
+
+    ``ran`` is a value of ``results.Ran``; with ``started`` it is ``ran`` or ``unknown``.
+    """
 
     request_id: str
     attempt: int
     started: bool
+    ran: str = "unknown"
 
 
 class Resume(_Message):
