--- /dev/null
+++ b/teaselpath/scheduling/_budget.py
@@ -0,0 +1,92 @@
+"""Retry budget and circuit breaker."""
+
+
+class RetryBudget:
+    """Budget of retries and hedges, as a fraction of recent successes.
+
+    Without it, retries multiply the load on endpoints that already fail. Successes and
+    retries decay exponentially.
+
+    :param fraction: retries allowed per success.
+    :param window_s: half-life of the decay, in seconds.
+    :param reserve: retries available with no recent success, so that a quiet entry can retry.
+    """
+
+    def __init__(self, fraction: float = 0.1, window_s: float = 10.0, reserve: float = 3.0) -> None:
+        self.fraction = fraction
+        self.window_s = window_s
+        self.reserve = reserve
+        self.successes = 0.0
+        self.spent = 0.0
+        self.updated_at: float | None = None
+
+    def record_success(self, now: float) -> None:
+        """Count a request that succeeded."""
+        self._decay(now)
+        self.successes += 1.0
+
+    def try_spend(self, now: float) -> bool:
+        """Take one retry from the budget, if there is one."""
+        self._decay(now)
+        if self.spent >= self.reserve + self.fraction * self.successes:
+            return False
+        self.spent += 1.0
+        return True
+
+    def _decay(self, now: float) -> None:
+        if self.updated_at is not None and now <= self.updated_at:
+            return
+        if self.updated_at is not None:
+            kept = 0.5 ** ((now - self.updated_at) / self.window_s)
+            self.successes *= kept
+            self.spent *= kept
+        self.updated_at = now
+
+
+class CircuitBreaker:
+    """Circuit breaker of one endpoint: closed, open until a deadline, then one trial at a time.
+
+    :param failures: consecutive failures that open it.
+    :param open_s: seconds open after the first opening; doubled after each failed trial.
+    :param max_open_s: limit of the doubling, in seconds.
+    """
+
+    def __init__(self, failures: int = 5, open_s: float = 1.0, max_open_s: float = 30.0) -> None:
+        self.failures = failures
+        self.open_s = open_s
+        self.max_open_s = max_open_s
+        self.failed = 0
+        self.openings = 0
+        self.open_until: float | None = None
+        self.trial_until: float | None = None
+
+    def record_success(self, now: float) -> None:
+        """Close the breaker."""
+        self.failed = 0
+        self.openings = 0
+        self.open_until = None
+        self.trial_until = None
+
+    def record_failure(self, now: float) -> None:
+        """Count a failure; a failed trial opens the breaker again for longer."""
+        if self.open_until is not None and now < self.open_until:
+            return
+        self.failed += 1
+        if self.trial_until is None and self.failed < self.failures:
+            return
+        delay = min(self.max_open_s, self.open_s * 2.0 ** min(self.openings, 32))
+        self.openings += 1
+        self.open_until = now + delay
+        self.trial_until = None
+
+    def allows(self, now: float) -> bool:
+        """Return whether a request may be sent; an open breaker lets one trial through.
+
+        A trial without an outcome blocks further trials for ``max_open_s``.
+        """
+        if self.open_until is None:
+            return True
+        if now < self.open_until or (self.trial_until is not None and now < self.trial_until):
+            return False
+        self.trial_until = now + self.max_open_s
+        return True
--- /dev/null
+++ b/teaselpath/scheduling/_flow.py
@@ -0,0 +1,68 @@
+"""Queue and virtual-time tags of one workspace."""
+
+from collections import OrderedDict
+
+from teaselpath.scheduling._events import Submit
+
+
+class Flow:
+    """Requests of one workspace, first come first served within a priority.
+
+    :param weight: share of the workspace.
+    """
+
+    __slots__ = ("backlog", "finish_tag", "queues", "running", "start_tag", "weight")
+
+    def __init__(self, weight: float) -> None:
+        self.weight = weight
+        self.queues: dict[int, OrderedDict[str, Submit]] = {}
+        self.backlog = 0.0
+        self.running = 0
+        self.start_tag = 0.0
+        self.finish_tag = 0.0
+
+    def push(self, request: Submit, virtual_time: float) -> None:
+        """Queue a request; a flow that was idle starts at the current virtual time."""
+        if not self.queues:
+            self.start_tag = max(virtual_time, self.finish_tag)
+        self.weight = request.weight
+        self.queues.setdefault(request.priority, OrderedDict())[request.request_id] = request
+        self.backlog += request.tokens
+
+    def remove(self, request: Submit) -> None:
+        """Remove a queued request."""
+        queue = self.queues[request.priority]
+        del queue[request.request_id]
+        self.backlog -= request.tokens
+        if not queue:
+            del self.queues[request.priority]
+        if not self.queues:
+            self.backlog = 0.0
+
+    def head(self, top_priority: int, now: float) -> Submit | None:
+        """Return the request to run next if the flow may compete at ``top_priority``.
+
+        Overdue requests compete at the top priority, ordered by their overdue instant.
+        """
+        best: Submit | None = None
+        for priority, queue in self.queues.items():
+            first = next(iter(queue.values()))
+            if priority != top_priority and first.overdue_at > now:
+                continue
+            if best is None or first.overdue_at < best.overdue_at:
+                best = first
+        return best
+
+    def newest(self) -> Submit:
+        """Return the last request of the least urgent queue."""
+        return next(reversed(self.queues[max(self.queues)].values()))
+
+    def charge(self, request: Submit) -> None:
+        """Advance the tags by a request that starts."""
+        self.finish_tag = self.start_tag + request.tokens / self.weight
+        self.start_tag = self.finish_tag
+
+    def correct(self, tokens: float) -> None:
+        """Move the tags by the difference between real and estimated tokens."""
+        self.finish_tag += tokens / self.weight
+        self.start_tag += tokens / self.weight
--- /dev/null
+++ b/teaselpath/scheduling/_scheduler.py
@@ -0,0 +1,174 @@
+"""Weighted fair queueing by workspace over the slots of an engine's batch.
+
+Start-time fair queueing (Goyal, Vin and Cheng, "Start-time Fair Queuing: A Scheduling Algorithm
+for Integrated Services Packet Switching Networks", 1996), with tokens in place of packet lengths.
+"""
+
+from dataclasses import dataclass
+from heapq import heappop, heappush
+
+from teaselpath.results import Code
+from teaselpath.scheduling._events import (
+    Drop,
+    Finished,
+    Run,
+    SchedulerEvent,
+    SlotsChanged,
+    Submit,
+    Withdraw,
+)
+from teaselpath.scheduling._flow import Flow
+
+# Weight of the newest sample in the averages of request duration and size.
+SAMPLE_WEIGHT = 0.1
+
+
+@dataclass(slots=True)
+class _Running:
+    request: Submit
+    started_at: float
+
+
+class Scheduler:
+    """Scheduler of one endpoint.
+
+    :param slots: requests that the engine's batch holds at once.
+    :param max_queued: limit of the queue; beyond it the workspace with the most queued tokens
+        for its weight loses its newest request.
+    """
+
+    def __init__(self, slots: int = 0, max_queued: int = 1000) -> None:
+        self.slots = slots
+        self.max_queued = max_queued
+        self.virtual_time = 0.0
+        self.flows: dict[str, Flow] = {}
+        self.queued: dict[str, Submit] = {}
+        self.running: dict[str, _Running] = {}
+        self.deadlines: list[tuple[float, str]] = []
+        self.mean_duration_s = 0.0
+        self.mean_tokens = 0.0
+
+    def handle(self, event: SchedulerEvent, now: float) -> list[Run | Drop]:
+        """Apply an event; each submitted request gets one ``Run`` or ``Drop``, once."""
+        actions = self._expire(now)
+        match event:
+            case Submit():
+                actions += self._submit(event, now)
+            case Finished(request_id, used):
+                self._finish(request_id, used, now)
+            case Withdraw(request_id):
+                if request_id in self.queued:
+                    self._unqueue(request_id)
+                    actions.append(Drop(request_id, Code.CALLER_GONE, 0.0))
+            case SlotsChanged(slots):
+                self.slots = slots
+        return actions + self._dispatch(now)
+
+    def tick(self, now: float) -> list[Run | Drop]:
+        """Drop what missed its deadline; call it a few times per second."""
+        return self._expire(now) + self._dispatch(now)
+
+    def expected_wait_s(self, workspace: str, priority: int, now: float) -> float:
+        """Return the expected wait of a request that arrives now, in seconds.
+
+        Only work that goes first is counted: of each other workspace no more than its weight
+        allows while this workspace's own queue drains.
+        """
+        if not self.queued and len(self.running) < self.slots:
+            return 0.0
+        if not self.mean_duration_s:
+            return 0.0
+        if not self.slots:
+            return float("inf")
+        own = self.flows.get(workspace)
+        weight = own.weight if own else 1.0
+        ahead = self._tokens_ahead(own, priority) + self.mean_tokens
+        total = ahead
+        for flow in self.flows.values():
+            if flow is not own:
+                total += min(self._tokens_ahead(flow, priority), ahead * flow.weight / weight)
+        per_second = self.slots * self.mean_tokens / self.mean_duration_s
+        return total / per_second if per_second else 0.0
+
+    def _tokens_ahead(self, flow: Flow | None, priority: int) -> float:
+        if flow is None:
+            return 0.0
+        if all(p <= priority for p in flow.queues):
+            return flow.backlog
+        queues = (queue for p, queue in flow.queues.items() if p <= priority)
+        return sum(request.tokens for queue in queues for request in queue.values())
+
+    def _submit(self, request: Submit, now: float) -> list[Run | Drop]:
+        if request.request_id in self.queued or request.request_id in self.running:
+            return []
+        wait_s = self.expected_wait_s(request.workspace, request.priority, now)
+        if now >= request.deadline or now + wait_s > request.deadline:
+            return [Drop(request.request_id, Code.DEADLINE_EXCEEDED, wait_s)]
+        flow = self.flows.setdefault(request.workspace, Flow(request.weight))
+        flow.push(request, self.virtual_time)
+        self.queued[request.request_id] = request
+        heappush(self.deadlines, (request.deadline, request.request_id))
+        if len(self.queued) <= self.max_queued:
+            return []
+        longest = max(self.flows.values(), key=lambda f: f.backlog / f.weight)
+        victim = longest.newest()
+        self._unqueue(victim.request_id)
+        wait_s = self.expected_wait_s(victim.workspace, victim.priority, now)
+        return [Drop(victim.request_id, Code.QUEUE_FULL, wait_s)]
+
+    def _finish(self, request_id: str, used: float, now: float) -> None:
+        entry = self.running.pop(request_id, None)
+        if entry is None:
+            return
+        flow = self.flows[entry.request.workspace]
+        flow.running -= 1
+        flow.correct(used - entry.request.tokens)
+        self._sample(max(0.0, now - entry.started_at), entry.request.tokens)
+        if not self.queued and not self.running:
+            self._end_busy_period()
+
+    def _sample(self, duration_s: float, tokens: float) -> None:
+        weight = SAMPLE_WEIGHT if self.mean_duration_s else 1.0
+        self.mean_duration_s += weight * (duration_s - self.mean_duration_s)
+        self.mean_tokens += weight * (tokens - self.mean_tokens)
+
+    def _end_busy_period(self) -> None:
+        tags = [flow.finish_tag for flow in self.flows.values()]
+        self.virtual_time = max([self.virtual_time, *tags])
+        self.flows.clear()
+
+    def _unqueue(self, request_id: str) -> Submit:
+        request = self.queued.pop(request_id)
+        self.flows[request.workspace].remove(request)
+        return request
+
+    def _expire(self, now: float) -> list[Run | Drop]:
+        dropped: list[Run | Drop] = []
+        while self.deadlines and self.deadlines[0][0] <= now:
+            _, request_id = heappop(self.deadlines)
+            request = self.queued.get(request_id)
+            if request is not None and request.deadline <= now:
+                self._unqueue(request_id)
+                wait_s = self.expected_wait_s(request.workspace, request.priority, now)
+                dropped.append(Drop(request_id, Code.DEADLINE_EXCEEDED, wait_s))
+        return dropped
+
+    def _dispatch(self, now: float) -> list[Run | Drop]:
+        started: list[Run | Drop] = []
+        while self.queued and len(self.running) < self.slots:
+            request = self._choose(now)
+            self._unqueue(request.request_id)
+            flow = self.flows[request.workspace]
+            self.virtual_time = max(self.virtual_time, flow.start_tag)
+            flow.charge(request)
+            flow.running += 1
+            self.running[request.request_id] = _Running(request, now)
+            started.append(Run(request.request_id))
+        return started
+
+    def _choose(self, now: float) -> Submit:
+        active = [flow for flow in self.flows.values() if flow.queues]
+        top = min(priority for flow in active for priority in flow.queues)
+        heads = ((flow, flow.head(top, now)) for flow in active)
+        ready = [(flow, head) for flow, head in heads if head is not None]
+        return min(ready, key=lambda pair: (pair[0].start_tag, pair[1].overdue_at))[1]
