Stand-ins: engine, service, log, host list and stores

Change: each stand-in is an aiohttp application with its decision part in a module without input or output. Faults are switched by POST /faults, and GET /audit reports what an engine reused and what may be a credential. `python -m standins` serves one stand-in or several from a JSON file, and standins.testing has a fixture that starts them in a test.

--- /dev/null
+++ b/standins/_text.py
@@ -0,0 +1,107 @@
+"""Text of the stand-in engines: rendered prompts, tokens, and the block hash chain.
+
+This is a second implementation of the formulas of design page 4.7, kept apart from
+``teaselpath.prefix`` so that a test of the router against the stand-ins compares the two.
+"""
+
+from collections.abc import Iterator, Mapping
+from hashlib import sha256
+from typing import Any
+
+BYTES_PER_TOKEN = 4
+_LETTERS = "abcdefghijklmnopqrstuvwxyz"
+_SYLLABLES = [a + b for a in _LETTERS for b in _LETTERS]
+_STOP_RANGE = 1 << 16
+
+
+def render_prompt(body: Mapping[str, Any]) -> str:
+    """Return the text from which the engine goes on.
+
+    A chat prompt is ``role LF content LF`` for each message, then ``assistant LF``, after which
+    the answer follows. With ``continue_final_message`` the trailing assistant message is left
+    open instead, so that the text equals that of the unbroken answer.
+    """
+    if "messages" not in body:
+        return str(body.get("prompt", ""))
+    messages = list(body["messages"])
+    text = "".join(f"{m['role']}\n{_content_text(m.get('content'))}\n" for m in messages)
+    if body.get("continue_final_message"):
+        return text[:-1]
+    return text + "assistant\n"
+
+
+def _content_text(content: Any) -> str:
+    if isinstance(content, list):
+        return "".join(str(part.get("text", "")) for part in content)
+    return "" if content is None else str(content)
+
+
+def count_tokens(byte_count: int) -> int:
+    """Return the number of tokens in a text of ``byte_count`` bytes."""
+    return -(-byte_count // BYTES_PER_TOKEN)
+
+
+class TokenSource:
+    """Tokens that follow a text; each is a function of the whole text before it.
+
+    :param text: prompt and answer so far.
+    :param stop_one_in: the answer ends by itself at one token in this many; 0 for never.
+    """
+
+    def __init__(self, text: str, stop_one_in: int = 0) -> None:
+        self.stop_one_in = stop_one_in
+        self._hash = sha256(text.encode())
+
+    def next(self) -> str | None:
+        """Return the next token, or ``None`` at a natural end of the answer."""
+        digest = self._hash.copy().digest()
+        if self.stop_one_in:
+            draw = int.from_bytes(digest[4:6], "big")
+            if draw * self.stop_one_in < _STOP_RANGE:
+                return None
+        value = int.from_bytes(digest[:4], "big")
+        token = _SYLLABLES[value % 676] + _LETTERS[value // 676 % 26] + " "
+        self._hash.update(token.encode())
+        return token
+
+
+def expected_tokens(body: Mapping[str, Any], stop_one_in: int = 0) -> Iterator[str]:
+    """Yield the tokens of the only right answer to a request."""
+    source = TokenSource(render_prompt(body), stop_one_in)
+    for _ in range(int(body.get("max_tokens", 16))):
+        token = source.next()
+        if token is None:
+            return
+        yield token
+
+
+def verify_answer(body: Mapping[str, Any], text: str, stop_one_in: int = 0) -> str:
+    """Check that an answer is whole and in order.
+
+    :returns: an empty string for the right answer, or a sentence that says what is wrong.
+    """
+    expected = "".join(expected_tokens(body, stop_one_in))
+    if text == expected:
+        return ""
+    if expected.startswith(text):
+        return f"answer ends after {len(text)} of {len(expected)} characters"
+    if text.startswith(expected):
+        return f"answer has {len(text) - len(expected)} characters too many"
+    pairs = zip(text, expected, strict=False)
+    place = next(i for i, (got, want) in enumerate(pairs) if got != want)
+    return f"answer differs from character {place}"
+
+
+def chain_block(parent: bytes, block: bytes) -> bytes:
+    """Return the 16-byte hash of a block that follows a chain hash."""
+    return sha256(parent + block).digest()[:16]
+
+
+def chain_hashes(text: bytes, seed: bytes, block_bytes: int) -> list[bytes]:
+    """Return the chain of hashes over the full blocks of a text."""
+    chain = []
+    parent = seed
+    for start in range(0, len(text) - block_bytes + 1, block_bytes):
+        parent = chain_block(parent, text[start : start + block_bytes])
+        chain.append(parent)
+    return chain
--- /dev/null
+++ b/standins/engine/__init__.py
@@ -0,0 +1,6 @@
+"""Model engine: continuous batching, prefix cache, orders."""
+
+from standins.engine._core import EngineCore, Sequence, StepResult
+from standins.engine._server import EngineServer
+
+__all__ = ["EngineCore", "EngineServer", "Sequence", "StepResult"]
--- /dev/null
+++ b/standins/engine/_core.py
@@ -0,0 +1,249 @@
+"""Continuous batching of an engine, without input or output.
+
+Time is simulated: ``step`` returns what it would take by the cost model, and the caller lets
+that much time pass before the next one.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from heapq import heapify, heappop, heappush
+from random import Random
+from typing import Any
+
+from msgspec.structs import replace
+
+from standins._config import EngineConfig
+from standins._text import (
+    BYTES_PER_TOKEN,
+    TokenSource,
+    chain_block,
+    chain_hashes,
+    count_tokens,
+)
+from standins.engine._cache import Block, EventFaults, PrefixCache
+
+NO_SALT = bytes(16)
+US_PER_S = 1e6
+
+
+@dataclass(slots=True, eq=False)
+class Sequence:
+    """A request in the batch or in its queue.
+
+    :param priority: lower is admitted first.
+    :param reused: cached blocks taken over at admission.
+    :param finish_reason: ``stop``, ``length``, ``cancelled`` or ``crashed``; empty while running.
+    """
+
+    request_id: str
+    text: str
+    salt: bytes
+    max_tokens: int
+    priority: int
+    model: str
+    arrived: int = 0
+    weights: str = ""
+    incarnation: str = ""
+    prompt_tokens: int = 0
+    prefill_left: int = 0
+    chain: list[bytes] = field(default_factory=list)
+    reused: list[Block] = field(default_factory=list)
+    tokens: list[str] = field(default_factory=list)
+    source: TokenSource | None = None
+    tail: bytearray = field(default_factory=bytearray)
+    cached_tokens: int = 0
+    admitted: bool = False
+    finish_reason: str = ""
+
+    def __lt__(self, other: "Sequence") -> bool:
+        """Order the queue by priority, then by arrival."""
+        return (self.priority, self.arrived) < (other.priority, other.arrived)
+
+
+@dataclass(slots=True)
+class StepResult:
+    """What a step did.
+
+    :param cost_s: simulated time of the step, in seconds.
+    :param touched: sequences with new tokens or an end.
+    """
+
+    cost_s: float
+    touched: list[Sequence]
+
+
+class EngineCore:
+    """Batch, queue, cache and weights of one engine."""
+
+    def __init__(self, config: EngineConfig, now: float = 0.0) -> None:
+        self.config = config
+        self.random = Random(config.seed)
+        self.event_faults = EventFaults()
+        self.starts = 0
+        self.model = config.model
+        self.weights = config.weights
+        self.role = config.role
+        self.adapters: dict[str, str] = {}
+        self.arrivals = 0
+        self.generated_tokens = 0
+        self.prefilled_tokens = 0
+        self.restart(now)
+
+    def restart(self, now: float) -> list[Sequence]:
+        """Start a new incarnation with an empty cache; return the sequences that were lost."""
+        lost = [*self.running, *self.waiting] if self.starts else []
+        for sequence in lost:
+            sequence.finish_reason = "crashed"
+        self.starts += 1
+        # The clock makes the incarnation unique over restarts of the process as well.
+        self.incarnation = f"{self.config.id}-{self.starts}-{now:.6f}"
+        self.running: list[Sequence] = []
+        self.waiting: list[Sequence] = []
+        self.by_id: dict[str, Sequence] = {}
+        self.cache = PrefixCache(
+            self.config.cache_blocks, self.config.event_ring, self.random, self.event_faults
+        )
+        return lost
+
+    def serves(self, model: str) -> bool:
+        """Return whether the engine has a model or adapter."""
+        return not model or model == self.model or model in self.adapters
+
+    def submit(self, sequence: Sequence) -> bool:
+        """Queue a sequence; return false if its id is in use."""
+        if sequence.request_id in self.by_id:
+            return False
+        self.arrivals += 1
+        sequence.arrived = self.arrivals
+        sequence.incarnation = self.incarnation
+        self.by_id[sequence.request_id] = sequence
+        heappush(self.waiting, sequence)
+        return True
+
+    def cancel(self, request_id: str) -> Sequence | None:
+        """End a sequence early; return it, or ``None`` if the id is not known."""
+        sequence = self.by_id.pop(request_id, None)
+        if sequence is None:
+            return None
+        sequence.finish_reason = "cancelled"
+        if sequence.admitted:
+            self.running.remove(sequence)
+        else:
+            self.waiting.remove(sequence)
+            heapify(self.waiting)
+        return sequence
+
+    @property
+    def busy(self) -> bool:
+        """Whether there is work for a step."""
+        return bool(self.running or self.waiting)
+
+    def step(self, now: float) -> StepResult:
+        """Admit, prefill one chunk, and decode one token of each sequence that is ready."""
+        while self.waiting and len(self.running) < self.config.max_running:
+            self._admit(heappop(self.waiting))
+        budget = self.config.prefill_chunk_tokens
+        decoded = 0
+        touched = []
+        for sequence in self.running:
+            if sequence.prefill_left:
+                budget -= self._prefill(sequence, budget, now)
+            else:
+                self._decode(sequence, now)
+                decoded += 1
+                touched.append(sequence)
+        ended = [s for s in touched if s.finish_reason]
+        if ended:
+            for sequence in ended:
+                del self.by_id[sequence.request_id]
+            self.running = [s for s in self.running if not s.finish_reason]
+        prefilled = self.config.prefill_chunk_tokens - budget
+        self.prefilled_tokens += prefilled
+        cost_us = (
+            self.config.step_us
+            + prefilled * self.config.prefill_us_per_token
+            + decoded * self.config.decode_us_per_token
+        )
+        return StepResult(cost_us / US_PER_S, touched)
+
+    def _admit(self, sequence: Sequence) -> None:
+        data = sequence.text.encode()
+        block_bytes = self.config.block_tokens * BYTES_PER_TOKEN
+        sequence.admitted = True
+        sequence.weights = self.weights
+        sequence.prompt_tokens = count_tokens(len(data))
+        sequence.chain = chain_hashes(data, sequence.salt, block_bytes)
+        sequence.reused = self.cache.match(sequence.chain)
+        reused_tokens = min(
+            len(sequence.reused) * self.config.block_tokens, max(sequence.prompt_tokens - 1, 0)
+        )
+        sequence.cached_tokens = reused_tokens
+        sequence.prefill_left = sequence.prompt_tokens - reused_tokens
+        sequence.source = TokenSource(sequence.text, self.config.stop_one_in)
+        sequence.tail = bytearray(data[len(sequence.chain) * block_bytes :])
+        self.running.append(sequence)
+
+    def _prefill(self, sequence: Sequence, budget: int, now: float) -> int:
+        done = min(budget, sequence.prefill_left)
+        sequence.prefill_left -= done
+        if done and not sequence.prefill_left:
+            self.cache.store(self._blocks(sequence, len(sequence.reused)), now)
+        return done
+
+    def _decode(self, sequence: Sequence, now: float) -> None:
+        assert sequence.source is not None
+        token = sequence.source.next() if len(sequence.tokens) < sequence.max_tokens else None
+        if token is None:
+            sequence.finish_reason = "stop" if sequence.max_tokens else "length"
+            return
+        sequence.tokens.append(token)
+        self.generated_tokens += 1
+        sequence.tail += token.encode()
+        block_bytes = self.config.block_tokens * BYTES_PER_TOKEN
+        if len(sequence.tail) >= block_bytes:
+            parent = sequence.chain[-1] if sequence.chain else sequence.salt
+            sequence.chain.append(chain_block(parent, bytes(sequence.tail[:block_bytes])))
+            del sequence.tail[:block_bytes]
+            self.cache.store(self._blocks(sequence, len(sequence.chain) - 1), now)
+        if len(sequence.tokens) >= sequence.max_tokens:
+            sequence.finish_reason = "length"
+
+    def _blocks(self, sequence: Sequence, first: int) -> list[Block]:
+        parents = [sequence.salt, *sequence.chain]
+        return [
+            Block(
+                hash=sequence.chain[i].hex(),
+                parent=parents[i].hex(),
+                salt=sequence.salt.hex(),
+                model=sequence.model,
+                weights=sequence.weights,
+                engine=self.config.id,
+                incarnation=sequence.incarnation,
+            )
+            for i in range(first, len(sequence.chain))
+        ]
+
+    def export_blocks(self, hashes: Iterable[str]) -> list[Block]:
+        """Return those of the wanted blocks that are cached."""
+        wanted = [bytes.fromhex(h) for h in hashes]
+        return [self.cache.blocks[h] for h in wanted if h in self.cache.blocks]
+
+    def import_blocks(self, blocks: Iterable[Block], now: float) -> None:
+        """Add blocks computed elsewhere, with the incarnation that took them in."""
+        self.cache.store([replace(b, imported_by=self.incarnation) for b in blocks], now)
+
+    def load_report(self) -> dict[str, Any]:
+        """Return the present load."""
+        return {
+            "incarnation": self.incarnation,
+            "running": len(self.running),
+            "waiting": len(self.waiting),
+            "max_running": self.config.max_running,
+            "prefill_us_per_token": self.config.prefill_us_per_token,
+            "decode_us_per_token": self.config.decode_us_per_token + self.config.step_us,
+            "cache_blocks": len(self.cache.blocks),
+            "model": self.model,
+            "weights": self.weights,
+            "role": self.role,
+            "adapters": dict(self.adapters),
+        }
--- /dev/null
+++ b/standins/engine/_server.py
@@ -0,0 +1,331 @@
+"""HTTP part of the model engine."""
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator
+from time import monotonic
+from typing import Any
+
+import msgspec
+from aiohttp import ClientSession, web
+
+from standins import _http
+from standins._config import EngineConfig
+from standins._credentials import ReceivedFields
+from standins._http import ConnectionCut, Handler, json_error, json_response, read_json
+from standins._text import render_prompt
+from standins.engine._core import NO_SALT, EngineCore, Sequence
+from standins.engine._faults import EngineFaults, StreamFault
+from standins.engine._orders import OrderDesk, OrderRequest
+from standins.engine._sse import CONTENT_TYPE, DONE, Framing, reuse_headers
+from standins.engine._transfer import Transfer
+
+# Steps without a pause of the event loop when the cost model is near zero.
+STEPS_PER_YIELD = 8
+MAX_CATCH_UP_S = 0.05
+EVENT_POLL_S = 0.005
+_UNAUDITED = {"/faults", "/audit", "/load", "/cache/events", "/cache/snapshot"}
+
+
+class EngineServer:
+    """Model engine as an aiohttp application."""
+
+    def __init__(self, config: EngineConfig) -> None:
+        self.config = config
+        self.core = EngineCore(config, monotonic())
+        self.faults = EngineFaults(freeze=False)
+        self.received = ReceivedFields(config.audit_ring)
+        self.audited: deque[Sequence] = deque(maxlen=config.audit_ring)
+        self.samples: deque[tuple[float, dict[str, Any]]] = deque(maxlen=1000)
+        self.wakes: dict[str, asyncio.Event] = {}
+        self.ids = 0
+        self.down_until = 0.0
+        self.new_work = asyncio.Event()
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+        self.app = web.Application(
+            middlewares=[_http.answer_errors, self._gate], client_max_size=_http.MAX_BODY_BYTES
+        )
+        self.app.cleanup_ctx.append(self._tasks)
+        self.app.add_routes(
+            [
+                web.post("/v1/completions", self.complete),
+                web.post("/v1/chat/completions", self.complete),
+                web.post("/cancel", self.cancel),
+                web.get("/cache/events", self.cache_events),
+                web.get("/cache/snapshot", self.cache_snapshot),
+                web.post("/cache/export", self.cache_export),
+                web.post("/cache/import", self.cache_import),
+                web.get("/load", self.load),
+                web.post("/orders", self.post_order),
+                web.get("/orders", self.get_orders),
+                web.get("/audit", self.audit),
+                web.post("/faults", self.set_faults),
+                web.get("/faults", self.get_faults),
+            ]
+        )
+
+    async def _tasks(self, app: web.Application) -> AsyncIterator[None]:
+        async with ClientSession() as session:
+            self.transfer = Transfer(self.core, session)
+            self.orders = OrderDesk(self.core, session)
+            tasks = [asyncio.create_task(self._steps()), asyncio.create_task(self._sample_load())]
+            yield
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await self.orders.close()
+
+    @web.middleware
+    async def _gate(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        if request.path == "/faults":
+            return await handler(request)
+        if monotonic() < self.down_until:
+            raise ConnectionCut
+        await self.thawed.wait()
+        if request.path not in _UNAUDITED:
+            await self._record(request)
+        return await handler(request)
+
+    async def _record(self, request: web.Request) -> None:
+        try:
+            body = msgspec.json.decode(await request.read())
+        except msgspec.DecodeError:
+            body = None
+        request_id = body.get("request_id", "") if isinstance(body, dict) else ""
+        headers = _http.header_list(request)
+        self.received.add(str(request_id), request.method, request.path_qs, headers, body)
+
+    async def _steps(self) -> None:
+        due = monotonic()
+        steps = 0
+        while True:
+            if not self.core.busy:
+                self.new_work.clear()
+                await self.new_work.wait()
+            await self.thawed.wait()
+            now = monotonic()
+            result = self.core.step(now)
+            due = max(due, now - MAX_CATCH_UP_S) + result.cost_s
+            steps += 1
+            if due > now:
+                await asyncio.sleep(due - now)
+            elif steps % STEPS_PER_YIELD == 0:
+                await asyncio.sleep(0)
+            for sequence in result.touched:
+                self._wake(sequence)
+
+    def _wake(self, sequence: Sequence) -> None:
+        wake = self.wakes.get(sequence.request_id)
+        if wake is not None:
+            wake.set()
+
+    async def _sample_load(self) -> None:
+        while True:
+            self.samples.append((monotonic(), self.core.load_report()))
+            await asyncio.sleep(self.config.load_sample_s)
+
+    def _sequence(self, body: Any, chat: bool) -> Sequence:
+        if not isinstance(body, dict) or ("messages" if chat else "prompt") not in body:
+            raise json_error(400, "no prompt")
+        model = str(body.get("model", ""))
+        if not self.core.serves(model):
+            raise json_error(404, f"model {model} is not loaded")
+        self.ids += 1
+        try:
+            salt = bytes.fromhex(body["cache_salt"]) if body.get("cache_salt") else NO_SALT
+            return Sequence(
+                request_id=str(body.get("request_id") or f"{self.config.id}-{self.ids}"),
+                text=render_prompt(body),
+                salt=salt,
+                max_tokens=int(body.get("max_tokens", 16)),
+                priority=int(body.get("priority", 0)),
+                model=model or self.core.model,
+            )
+        except (TypeError, ValueError, KeyError, AttributeError) as error:
+            raise json_error(400, f"malformed request: {error}") from error
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Answer a completion or chat request."""
+        chat = request.path.endswith("/chat/completions")
+        body = await read_json(request)
+        reject = self.faults.reject
+        if reject is not None and reject.count > 0:
+            reject.count -= 1
+            raise json_error(reject.status, "refused by a fault")
+        sequence = self._sequence(body, chat)
+        if not self.core.submit(sequence):
+            raise json_error(409, f"request {sequence.request_id} is running")
+        self.audited.append(sequence)
+        wake = self.wakes[sequence.request_id] = asyncio.Event()
+        self.new_work.set()
+        framing = Framing(sequence, chat)
+        try:
+            if body.get("stream"):
+                return await self._stream(request, sequence, framing, wake)
+            while not sequence.finish_reason:
+                wake.clear()
+                await wake.wait()
+            if sequence.finish_reason == "crashed":
+                raise ConnectionCut
+            return json_response(framing.whole(), headers=reuse_headers(sequence))
+        except ConnectionResetError:
+            raise ConnectionCut from None
+        finally:
+            if self.wakes.get(sequence.request_id) is wake:
+                del self.wakes[sequence.request_id]
+            if not sequence.finish_reason:
+                self.core.cancel(sequence.request_id)
+
+    async def _stream(
+        self, request: web.Request, sequence: Sequence, framing: Framing, wake: asyncio.Event
+    ) -> web.StreamResponse:
+        death = _take(self.faults.die_mid_stream)
+        broken = None if death else _take(self.faults.sse)
+        fault = death or broken
+        limit = fault.after_tokens if fault else None
+        await wake.wait()
+        if sequence.finish_reason == "crashed":
+            raise ConnectionCut
+        response = web.StreamResponse(headers=reuse_headers(sequence))
+        response.content_type = CONTENT_TYPE
+        await response.prepare(request)
+        sent = 0
+        while True:
+            wake.clear()
+            end = len(sequence.tokens) if limit is None else min(limit, len(sequence.tokens))
+            if end > sent:
+                await response.write(framing.tokens(sequence.tokens[sent:end]))
+                sent = end
+            if limit is not None and (sent >= limit or sequence.finish_reason):
+                break
+            if sequence.finish_reason and sent == len(sequence.tokens):
+                break
+            if not sequence.finish_reason:
+                await wake.wait()
+        if sequence.finish_reason == "crashed" or death:
+            raise ConnectionCut
+        await response.write(framing.broken_end(broken.mode) if broken else framing.last() + DONE)
+        return response
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """End a request early."""
+        body = await read_json(request)
+        sequence = self.core.cancel(str(body.get("request_id", "")))
+        if sequence is not None:
+            self._wake(sequence)
+        return json_response({"cancelled": sequence is not None})
+
+    async def cache_events(self, request: web.Request) -> web.Response:
+        """Answer the cache events after a sequence number, and wait for the first."""
+        after = _http.query_int(request, "after", 0)
+        deadline = monotonic() + _http.query_int(request, "wait_ms", 0) / 1000
+        events = self.core.cache.read_events(after, monotonic())
+        while not events and monotonic() < deadline:
+            await asyncio.sleep(min(EVENT_POLL_S, max(deadline - monotonic(), 0)))
+            events = self.core.cache.read_events(after, monotonic())
+        return json_response({"incarnation": self.core.incarnation, "events": events})
+
+    async def cache_snapshot(self, request: web.Request) -> web.Response:
+        """Answer all cached hashes and the sequence number up to which they hold."""
+        cache = self.core.cache
+        hashes = [block.hash for block in cache.blocks.values()]
+        return json_response(
+            {"incarnation": self.core.incarnation, "seq": cache.seq, "hashes": hashes}
+        )
+
+    async def cache_export(self, request: web.Request) -> web.Response:
+        """Answer cached blocks, or put them into the store at ``target``."""
+        return await self.transfer.export_blocks(await read_json(request))
+
+    async def cache_import(self, request: web.Request) -> web.Response:
+        """Fetch blocks from an engine or store at ``source``."""
+        return await self.transfer.import_blocks(await read_json(request))
+
+    async def load(self, request: web.Request) -> web.Response:
+        """Answer a load report that is at least ``load_lag_s`` old, if there is one."""
+        now = monotonic()
+        while len(self.samples) > 1 and self.samples[1][0] <= now - self.config.load_lag_s:
+            self.samples.popleft()
+        taken_at, report = self.samples[0]
+        return json_response({**report, "age_ms": round((now - taken_at) * 1000)})
+
+    async def post_order(self, request: web.Request) -> web.Response:
+        """Carry out an order; the answer comes when it is done."""
+        order = await _http.read_struct(request, OrderRequest)
+        if self.faults.fail_orders:
+            self.faults.fail_orders -= 1
+            raise json_error(500, "failed by a fault")
+        return json_response(await self.orders.carry_out(order))
+
+    async def get_orders(self, request: web.Request) -> web.Response:
+        """Answer the orders received so far."""
+        return json_response({"fence": self.orders.fence, "orders": self.orders.history})
+
+    async def audit(self, request: web.Request) -> web.Response:
+        """Answer what each request reused, and what may be a credential in what came in."""
+        wanted = request.query.get("request_id")
+        requests = [
+            _audit_entry(s) for s in self.audited if wanted is None or s.request_id == wanted
+        ]
+        received = [
+            r for r in self.received.requests if wanted is None or r["request_id"] == wanted
+        ]
+        return json_response(
+            {
+                "engine": self.config.id,
+                "incarnation": self.core.incarnation,
+                "generated_tokens": self.core.generated_tokens,
+                "prefilled_tokens": self.core.prefilled_tokens,
+                "requests": requests,
+                "received": received,
+                "suspects": self.received.suspects,
+            }
+        )
+
+    async def get_faults(self, request: web.Request) -> web.Response:
+        """Answer the faults that are switched on."""
+        return json_response(self.faults)
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Switch faults; fields that are absent keep their state."""
+        wanted = await _http.read_struct(request, EngineFaults)
+        crash, wanted.crash_and_return = wanted.crash_and_return, None
+        _http.merge(self.faults, wanted)
+        events = self.core.event_faults
+        events.drop_fraction = self.faults.drop_events or 0.0
+        events.delay_s = self.faults.delay_events_s or 0.0
+        events.duplicate_fraction = self.faults.duplicate_events or 0.0
+        if self.faults.freeze:
+            self.thawed.clear()
+        else:
+            self.thawed.set()
+        if crash is not None:
+            self.down_until = monotonic() + crash.down_s
+            self.orders.forget()
+            for sequence in self.core.restart(monotonic()):
+                self._wake(sequence)
+        return json_response(self.faults)
+
+
+def _take(fault: StreamFault | None) -> StreamFault | None:
+    if fault is None or fault.count <= 0:
+        return None
+    fault.count -= 1
+    return fault
+
+
+def _audit_entry(sequence: Sequence) -> dict[str, Any]:
+    return {
+        "request_id": sequence.request_id,
+        "salt": sequence.salt.hex(),
+        "model": sequence.model,
+        "weights": sequence.weights,
+        "incarnation": sequence.incarnation,
+        "priority": sequence.priority,
+        "prompt_tokens": sequence.prompt_tokens,
+        "cached_tokens": sequence.cached_tokens,
+        "output_tokens": len(sequence.tokens),
+        "finish_reason": sequence.finish_reason,
+        "reused": sequence.reused,
+    }
--- /dev/null
+++ b/standins/hosts/__init__.py
@@ -0,0 +1,6 @@
+"""Lagging host list."""
+
+from standins.hosts._core import HostListCore
+from standins.hosts._server import HostListServer
+
+__all__ = ["HostListCore", "HostListServer"]
--- /dev/null
+++ b/standins/service/_server.py
@@ -0,0 +1,126 @@
+"""HTTP part of the plain service."""
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+
+from standins import _http
+from standins._config import ServiceConfig
+from standins._credentials import ReceivedFields
+from standins._http import ConnectionCut, json_error, json_response
+from standins.service._core import ServiceCore
+
+
+class CrashFault(msgspec.Struct, forbid_unknown_fields=True):
+    """Drop the connection of the next calls.
+
+    :param when: ``before`` or ``after`` the execution.
+    """
+
+    when: str = "after"
+    count: int = 1
+
+
+class StatusFault(msgspec.Struct, forbid_unknown_fields=True):
+    """Answer the next calls with an error, without an execution."""
+
+    status: int = 503
+    count: int = 1
+
+
+class ServiceFaults(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
+    """Body of ``POST /faults``; absent fields change nothing.
+
+    :param slow_ms: wait before each execution, in milliseconds.
+    :param slow_reply_ms: wait after each execution, in milliseconds.
+    """
+
+    crash: CrashFault | None = None
+    fail: StatusFault | None = None
+    slow_ms: float | None = None
+    slow_reply_ms: float | None = None
+
+
+class ServiceServer:
+    """Plain service as an aiohttp application."""
+
+    def __init__(self, config: ServiceConfig) -> None:
+        self.config = config
+        self.core = ServiceCore()
+        self.faults = ServiceFaults()
+        self.received = ReceivedFields(config.audit_ring)
+        self.app = web.Application(
+            middlewares=[_http.answer_errors], client_max_size=_http.MAX_BODY_BYTES
+        )
+        path = config.prefix + "/{collection}"
+        self.app.add_routes(
+            [
+                web.get("/executions", self.get_executions),
+                web.get("/audit", self.audit),
+                web.post("/faults", self.set_faults),
+                web.get("/faults", self.get_faults),
+                web.route("*", path, self.call),
+                web.route("*", path + "/{id}", self.call),
+            ]
+        )
+
+    async def call(self, request: web.Request) -> web.Response:
+        """Carry out a call on a collection."""
+        if request.method not in ("GET", "POST", "PUT", "DELETE"):
+            raise json_error(405, f"method {request.method}")
+        data = await request.read()
+        value = await _http.read_json(request) if data else None
+        request_id = request.headers.get("X-Request-Id", "")
+        headers = _http.header_list(request)
+        self.received.add(request_id, request.method, request.path_qs, headers, value)
+        faults = self.faults
+        if faults.fail is not None and faults.fail.count > 0:
+            faults.fail.count -= 1
+            raise json_error(faults.fail.status, "refused by a fault")
+        self._crash("before")
+        await asyncio.sleep((self.config.service_ms + (faults.slow_ms or 0.0)) / 1000)
+        status, body = self.core.execute(
+            request.method,
+            request.match_info["collection"],
+            request.match_info.get("id", ""),
+            value,
+            request_id,
+            request.headers.get("Idempotency-Key", ""),
+        )
+        self._crash("after")
+        await asyncio.sleep((faults.slow_reply_ms or 0.0) / 1000)
+        return json_response(body, status, {"X-Request-Id": request_id})
+
+    def _crash(self, when: str) -> None:
+        crash = self.faults.crash
+        if crash is not None and crash.when == when and crash.count > 0:
+            crash.count -= 1
+            raise ConnectionCut
+
+    async def get_executions(self, request: web.Request) -> web.Response:
+        """Answer how often each request id and idempotency key was executed."""
+        return json_response(
+            {
+                "count": len(self.core.executions),
+                "reads": self.core.reads,
+                "by_request_id": self.core.by_request,
+                "by_idempotency_key": self.core.by_key,
+                "executions": self.core.executions,
+            }
+        )
+
+    async def audit(self, request: web.Request) -> web.Response:
+        """Answer what was received and what of it may be a credential."""
+        return json_response(
+            {"received": list(self.received.requests), "suspects": self.received.suspects}
+        )
+
+    async def get_faults(self, request: web.Request) -> web.Response:
+        """Answer the faults that are switched on."""
+        return json_response(self.faults)
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Switch faults; fields that are absent keep their state."""
+        _http.merge(self.faults, await _http.read_struct(request, ServiceFaults))
+        return json_response(self.faults)
--- /dev/null
+++ b/standins/tests/test_platform.py
@@ -0,0 +1,77 @@
+"""Tests of the plain service, the log, the host list and the stores."""
+
+from http.client import RemoteDisconnected
+
+import pytest
+
+from standins.log import LogCore
+from standins.testing import CacheStoreConfig, HostsConfig, LogConfig, ServiceConfig
+
+RECORDS = "/streams/config/records"
+
+
+def test_service_counts_each_execution(start_standin):
+    """Guards against a crash after the execution that is counted as not run, or the reverse."""
+    service = start_standin(ServiceConfig())
+    for when, count in (("before", 0), ("after", 1)):
+        service.faults(crash={"when": when})
+        with pytest.raises((RemoteDisconnected, ConnectionResetError)):
+            service.call("POST", "/payments", b'{"amount":5}')
+        assert service.get("/executions")["count"] == count
+    service.post("/bookings/7", {"at": "noon"})
+    assert service.get("/bookings/7")["value"] == {"at": "noon"}
+    assert service.call("GET", "/bookings/8")[0] == 404
+
+
+def test_log_reads_what_was_appended(start_standin):
+    """Guards against offsets that change after a trim, and reads below it."""
+    log = start_standin(LogConfig())
+    offsets = [log.post(RECORDS, data=data)["offset"] for data in (b"a", b"b", b"\xff")]
+    assert offsets == [0, 1, 2]
+    log.faults(trim={"stream": "config", "before": 1})
+    body = log.get(f"{RECORDS}?from=1&limit=1")
+    assert (body["first"], body["next"], body["records"][0]["data"]) == (1, 3, "Yg==")
+    status, body = log.call("GET", f"{RECORDS}?from=0")
+    assert (status, body["first"]) == (410, 1)
+    assert log.get(f"{RECORDS}?from=3&wait_ms=1")["records"] == []
+
+
+def test_log_faults(start_standin):
+    """Guards against a lost reply without the append, and an outage that answers."""
+    log = start_standin(LogConfig(appends_per_s=0.0, append_burst=2.0))
+    log.faults(lose_next_replies=1)
+    with pytest.raises((RemoteDisconnected, ConnectionResetError)):
+        log.call("POST", RECORDS, b"a")
+    assert log.get(f"{RECORDS}?from=0")["next"] == 1
+    log.post(RECORDS, data=b"b")
+    assert log.call("POST", RECORDS, b"c")[0] == 429
+    log.faults(outage=True)
+    assert log.call("GET", f"{RECORDS}?from=0")[0] == 503
+
+
+def test_log_retention():
+    """Guards against records kept beyond the count or the age."""
+    core = LogCore(keep_records=2, keep_s=10.0, appends_per_s=1.0, burst=1.0, now=0.0)
+    for now in (0.0, 1.0, 2.0):
+        core.stream("s", now).append(b"", now)
+    assert core.stream("s", 3.0).first == 1
+    assert core.stream("s", 11.5).first == 2
+    assert core.stream("s", 20.0).first == 3
+
+
+def test_host_list_lags(start_standin):
+    """Guards against a change that is seen before the lag is over."""
+    hosts = start_standin(HostsConfig(lag_s=1000.0, hosts=[{"host": "a"}]))
+    hosts.call("PUT", "/hosts/a", b'{"state":"leaving"}')
+    assert hosts.get("/hosts")["hosts"] == [{"state": "live", "host": "a"}]
+    hosts.server.core.visible(1e12)
+    assert hosts.get("/hosts")["hosts"][0]["state"] == "leaving"
+
+
+def test_cache_store_keeps_recent_blocks(start_standin):
+    """Guards against a store that grows over its capacity."""
+    store = start_standin(CacheStoreConfig(capacity_bytes=2))
+    for name in ("aa", "bb", "cc"):
+        store.call("PUT", f"/blocks/{name}", b"x")
+    assert store.post("/blocks/lookup", {"hashes": ["cc", "aa", "bb"]}) == {"hashes": ["cc", "bb"]}
+    assert store.call("GET", "/blocks/aa")[0] == 404
