--- a/standins/_config.py
+++ b/standins/_config.py
@@ -47,6 +47,7 @@
     """Plain service."""
 
     prefix: Annotated[str, Meta(description="path prefix of the collections")] = ""
+    records: Annotated[int, Meta(description="records 0.. in sponsorships and schedule")] = 0
     service_ms: Annotated[float, Meta(description="time that a call takes")] = 0.0
     audit_ring: Annotated[int, Meta(description="requests kept for /audit")] = 20000
 
--- a/standins/_text.py
+++ b/standins/_text.py
@@ -8,6 +8,8 @@
 from hashlib import sha256
 from typing import Any
 
+import msgspec
+
 BYTES_PER_TOKEN = 4
 _LETTERS = "abcdefghijklmnopqrstuvwxyz"
 _SYLLABLES = [a + b for a in _LETTERS for b in _LETTERS]
@@ -92,6 +94,29 @@
     return f"answer differs from character {place}"
 
 
+def verify_call(path: str, body: Mapping[str, Any] | None, answer: str) -> str:
+    """Check the answer to a call of an engine or of the plain service.
+
+    :param path: path of the call.
+    :param body: decoded body of the call.
+    :param answer: text of the answer; for an engine, the generated text.
+    :returns: an empty string for the right answer, or a sentence that says what is wrong.
+    """
+    if body is not None and path.endswith("/completions"):
+        return verify_answer(body, answer)
+    try:
+        record = msgspec.json.decode(answer)
+    except msgspec.DecodeError as error:
+        return f"answer is not JSON: {error}"
+    if not isinstance(record, dict):
+        return "answer is not a record"
+    if body is not None and record.get("value") != body:
+        return "answer has the value of another call"
+    if body is None and str(record.get("id")) != path.rsplit("/", 1)[-1]:
+        return "answer is another record"
+    return ""
+
+
 def chain_block(parent: bytes, block: bytes) -> bytes:
     """Return the 16-byte hash of a block that follows a chain hash."""
     return sha256(parent + block).digest()[:16]
--- a/standins/engine/_cache.py
+++ b/standins/engine/_cache.py
@@ -48,8 +48,8 @@
 class PrefixCache:
     """Blocks in least recently used order.
 
-    A block in the middle of a chain may be evicted before those after it; then the chain
-    matches only up to the gap, as with block tables of real engines.
+    Blocks of running sequences are not pinned, so a cache that is smaller than the batch needs
+    may evict a block before the sequence that wrote it has ended.
     """
 
     capacity: int
@@ -67,10 +67,16 @@
             block = self.blocks.get(block_hash)
             if block is None:
                 break
-            self.blocks.move_to_end(block_hash)
             found.append(block)
+        self.touch(chain[: len(found)])
         return found
 
+    def touch(self, chain: Sequence[bytes]) -> None:
+        """Mark blocks of a chain as used; later ones are evicted before those they follow."""
+        for block_hash in reversed(chain):
+            if block_hash in self.blocks:
+                self.blocks.move_to_end(block_hash)
+
     def store(self, blocks: Sequence[Block], now: float) -> None:
         """Add blocks and evict the least recently used ones beyond the capacity."""
         new = []
--- a/standins/engine/_core.py
+++ b/standins/engine/_core.py
@@ -52,6 +52,7 @@
     source: TokenSource | None = None
     tail: bytearray = field(default_factory=bytearray)
     cached_tokens: int = 0
+    stored_blocks: int = 0
     admitted: bool = False
     finish_reason: str = ""
 
@@ -178,6 +179,7 @@
             len(sequence.reused) * self.config.block_tokens, max(sequence.prompt_tokens - 1, 0)
         )
         sequence.cached_tokens = reused_tokens
+        sequence.stored_blocks = len(sequence.reused)
         sequence.prefill_left = sequence.prompt_tokens - reused_tokens
         sequence.source = TokenSource(sequence.text, self.config.stop_one_in)
         sequence.tail = bytearray(data[len(sequence.chain) * block_bytes :])
@@ -186,10 +188,17 @@
     def _prefill(self, sequence: Sequence, budget: int, now: float) -> int:
         done = min(budget, sequence.prefill_left)
         sequence.prefill_left -= done
-        if done and not sequence.prefill_left:
-            self.cache.store(self._blocks(sequence, len(sequence.reused)), now)
+        computed = sequence.prompt_tokens - sequence.prefill_left
+        full = min(computed // self.config.block_tokens, len(sequence.chain))
+        if done and full > sequence.stored_blocks:
+            self._store(sequence, full, now)
         return done
 
+    def _store(self, sequence: Sequence, full: int, now: float) -> None:
+        self.cache.store(self._blocks(sequence, sequence.stored_blocks, full), now)
+        self.cache.touch(sequence.chain[:full])
+        sequence.stored_blocks = full
+
     def _decode(self, sequence: Sequence, now: float) -> None:
         assert sequence.source is not None
         token = sequence.source.next() if len(sequence.tokens) < sequence.max_tokens else None
@@ -204,11 +213,11 @@
             parent = sequence.chain[-1] if sequence.chain else sequence.salt
             sequence.chain.append(chain_block(parent, bytes(sequence.tail[:block_bytes])))
             del sequence.tail[:block_bytes]
-            self.cache.store(self._blocks(sequence, len(sequence.chain) - 1), now)
+            self._store(sequence, len(sequence.chain), now)
         if len(sequence.tokens) >= sequence.max_tokens:
             sequence.finish_reason = "length"
 
-    def _blocks(self, sequence: Sequence, first: int) -> list[Block]:
+    def _blocks(self, sequence: Sequence, first: int, end: int) -> list[Block]:
         parents = [sequence.salt, *sequence.chain]
         return [
             Block(
@@ -220,7 +229,7 @@
                 engine=self.config.id,
                 incarnation=sequence.incarnation,
             )
-            for i in range(first, len(sequence.chain))
+            for i in range(first, end)
         ]
 
     def export_blocks(self, hashes: Iterable[str]) -> list[Block]:
--- a/standins/engine/_orders.py
+++ b/standins/engine/_orders.py
@@ -7,7 +7,7 @@
 import msgspec
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from standins._http import json_error
+from standins._http import ConnectionCut, json_error
 from standins.engine._core import EngineCore
 
 # Engines that load at once without slowing each other down (design page 1.6).
@@ -72,7 +72,7 @@
             return await asyncio.shield(task)
         except asyncio.CancelledError:
             if task.cancelled():
-                raise json_error(503, "the engine crashed during the order") from None
+                raise ConnectionCut from None
             raise
 
     def _ended(self, task: asyncio.Task[dict[str, Any]]) -> None:
--- a/standins/engine/_server.py
+++ b/standins/engine/_server.py
@@ -220,9 +220,12 @@
         """Answer the cache events after a sequence number, and wait for the first."""
         after = _http.query_int(request, "after", 0)
         deadline = monotonic() + _http.query_int(request, "wait_ms", 0) / 1000
+        incarnation = self.core.incarnation
         events = self.core.cache.read_events(after, monotonic())
         while not events and monotonic() < deadline:
             await asyncio.sleep(min(EVENT_POLL_S, max(deadline - monotonic(), 0)))
+            if incarnation != self.core.incarnation:
+                raise ConnectionCut
             events = self.core.cache.read_events(after, monotonic())
         return json_response({"incarnation": self.core.incarnation, "events": events})
 
--- a/standins/service/_core.py
+++ b/standins/service/_core.py
@@ -23,6 +23,13 @@
     executions: list[dict[str, Any]] = field(default_factory=list)
     reads: int = 0
 
+    def fill(self, count: int) -> None:
+        """Put records with the ids 0 to ``count - 1`` into the collections that are read."""
+        for name in ("sponsorships", "schedule"):
+            for number in map(str, range(count)):
+                value = {"name": f"{name} {number}"}
+                self.records[name][number] = {"id": number, "revision": 0, "value": value}
+
     def execute(
         self, method: str, collection: str, record_id: str, value: Any, request_id: str, key: str
     ) -> tuple[int, dict[str, Any]]:
--- a/standins/service/_server.py
+++ b/standins/service/_server.py
@@ -48,6 +48,7 @@
     def __init__(self, config: ServiceConfig) -> None:
         self.config = config
         self.core = ServiceCore()
+        self.core.fill(config.records)
         self.faults = ServiceFaults()
         self.received = ReceivedFields(config.audit_ring)
         self.app = web.Application(
--- a/standins/tests/test_engine.py
+++ b/standins/tests/test_engine.py
@@ -202,3 +202,28 @@
     assert verify_answer(body, whole) == ""
     for wrong in (whole[:-4], whole + "abc ", whole[4:] + whole[:4]):
         assert verify_answer(body, wrong)
+
+
+def test_old_weights_serve_during_a_load():
+    """Guards against a load that stops the engine, or that switches before it is done."""
+
+    async def scenario():
+        async with serve(config(weight_load_s=1e6)) as engine, ClientSession() as session:
+            order = {"fence": 1, "kind": "load_weights", "version": "w2"}
+            task = asyncio.create_task(session.post(f"{engine.url}/orders", json=order))
+            orders: list = []
+            while not orders:
+                async with session.get(f"{engine.url}/orders") as answer:
+                    orders = (await answer.json())["orders"]
+            await read_stream(engine, BODY)
+            task.cancel()
+            return engine.server.audited[0].weights
+
+    assert asyncio.run(scenario()) == "w1"
+
+
+def test_load_report_lags(start_standin):
+    """Guards against a load report that is fresh."""
+    engine = start_standin(config(load_lag_s=1000.0))
+    engine.server.core.weights = "w2"
+    assert engine.get("/load")["weights"] == "w1"
--- a/standins/tests/test_platform.py
+++ b/standins/tests/test_platform.py
@@ -2,8 +2,10 @@
 
 from http.client import RemoteDisconnected
 
+import msgspec
 import pytest
 
+from standins import verify_call
 from standins.log import LogCore
 from standins.testing import CacheStoreConfig, HostsConfig, LogConfig, ServiceConfig
 
@@ -75,3 +77,15 @@
         store.call("PUT", f"/blocks/{name}", b"x")
     assert store.post("/blocks/lookup", {"hashes": ["cc", "aa", "bb"]}) == {"hashes": ["cc", "bb"]}
     assert store.call("GET", "/blocks/aa")[0] == 404
+
+
+def test_verify_call_compares_the_record(start_standin):
+    """Guards against a verifier that accepts the answer of another call."""
+    service = start_standin(ServiceConfig(records=2))
+    posted = msgspec.json.encode(service.post("/bookings", {"n": 1})).decode()
+    read = msgspec.json.encode(service.get("/schedule/1")).decode()
+    assert verify_call("/bookings", {"n": 1}, posted) == ""
+    assert verify_call("/schedule/1", None, read) == ""
+    assert verify_call("/bookings", {"n": 2}, posted)
+    assert verify_call("/schedule/0", None, read)
+    assert verify_call("/schedule/1", None, read[:-1])
