--- /dev/null
+++ b/teaselpath/cli/_load_client.py
@@ -0,0 +1,215 @@
+"""One call of the load tool, and the check of its answer."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from time import monotonic
+from typing import Any
+
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from teaselpath.cli._load_profile import PlannedCall
+
+# Path, decoded body and text of the answer; the result is empty or says what is wrong.
+Verifier = Callable[[str, dict[str, Any] | None, str], str]
+
+MAX_EVENT_BYTES = 1 << 20
+MAX_DETAIL_CHARS = 200
+DONE = b"[DONE]"
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    text: str = ""
+    delta: _Delta | None = None
+    message: _Delta | None = None
+    finish_reason: str | None = None
+
+    def content(self) -> str:
+        part = self.delta or self.message
+        return (part.content or "") if part else self.text
+
+
+class _CachedTokens(msgspec.Struct):
+    cached_tokens: int = 0
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prompt_tokens_details: _CachedTokens | None = None
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice] = []
+    usage: _Usage | None = None
+    error: Any = None
+
+
+_event_decoder = msgspec.json.Decoder(_Event)
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What came of a call.
+
+    :param result: ``ok``, ``refused`` (an error status), ``failed`` (no answer), ``incomplete``,
+        ``wrong`` (whole, but not the answer to this call) or ``unfinished`` (cut at the end).
+    :param first_token_at: monotonic seconds; 0 if nothing came.
+    :param done_at: monotonic seconds.
+    :param gaps_s: times between the events of a stream, in seconds.
+    """
+
+    call: PlannedCall
+    result: str = "unfinished"
+    status: int = 0
+    detail: str = ""
+    first_token_at: float = 0.0
+    done_at: float = 0.0
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    output_tokens: int = 0
+    gaps_s: list[float] = field(default_factory=list)
+
+
+class _Broken(Exception):
+    """The answer is not whole."""
+
+
+async def send_call(
+    session: ClientSession,
+    base_url: str,
+    call: PlannedCall,
+    key: str,
+    timeout_s: float,
+    verify: Verifier | None,
+) -> Outcome:
+    """Send a call and check that its answer is whole and in order."""
+    outcome = Outcome(call)
+    headers = dict(call.headers)
+    if key:
+        headers["Authorization"] = f"Bearer {key}"
+    data = None
+    if call.body is not None:
+        data = msgspec.json.encode(call.body)
+        headers["Content-Type"] = "application/json"
+    try:
+        async with session.request(
+            call.method,
+            base_url + call.path,
+            data=data,
+            headers=headers,
+            timeout=ClientTimeout(total=timeout_s),
+        ) as answer:
+            outcome.status = answer.status
+            if answer.status >= 400:
+                outcome.result = "refused"
+                outcome.detail = _error_detail(await answer.read())
+            else:
+                text = await _read(answer, call, outcome)
+                wrong = verify(call.path, call.body, text) if verify else ""
+                outcome.result = "wrong" if wrong else "ok"
+                outcome.detail = wrong
+    except _Broken as error:
+        outcome.result = "incomplete"
+        outcome.detail = str(error)
+    except (ClientError, TimeoutError, OSError) as error:
+        outcome.result = "incomplete" if outcome.first_token_at else "failed"
+        outcome.detail = f"{type(error).__name__}: {error}"[:MAX_DETAIL_CHARS]
+    outcome.done_at = monotonic()
+    return outcome
+
+
+def _error_detail(data: bytes) -> str:
+    try:
+        error = _event_decoder.decode(data).error
+    except msgspec.DecodeError:
+        error = None
+    if isinstance(error, dict) and "code" in error:
+        return f"code {error['code']}"
+    return data[:MAX_DETAIL_CHARS].decode(errors="replace")
+
+
+async def _read(answer: Any, call: PlannedCall, outcome: Outcome) -> str:
+    if call.stream:
+        return await _read_stream(answer, outcome)
+    data = await answer.read()
+    outcome.first_token_at = monotonic()
+    if call.kind == "service":
+        return data.decode(errors="replace")
+    event = _decode(data)
+    _take_usage(event, outcome)
+    if not event.choices or event.choices[0].finish_reason not in ("stop", "length"):
+        raise _Broken("answer has no end")
+    return event.choices[0].content()
+
+
+async def _read_stream(answer: Any, outcome: Outcome) -> str:
+    parts: list[str] = []
+    pending = b""
+    ended = done = False
+    last_at = 0.0
+    async for data in answer.content.iter_any():
+        now = monotonic()
+        pending += data
+        *events, pending = pending.split(b"\n\n")
+        if len(pending) > MAX_EVENT_BYTES:
+            raise _Broken("event is too large")
+        for raw in events:
+            if not raw.startswith(b"data: "):
+                continue
+            if done:
+                raise _Broken("event after the end of the stream")
+            if raw[6:] == DONE:
+                done = True
+                continue
+            count = len(parts)
+            if _take_event(_decode(raw[6:]), parts, outcome):
+                ended = True
+            elif ended and len(parts) > count:
+                raise _Broken("text after the event that names the end")
+        if parts and not outcome.first_token_at:
+            outcome.first_token_at = now
+        elif last_at and parts:
+            outcome.gaps_s.append(now - last_at)
+        last_at = now if parts else 0.0
+    if not done or not ended:
+        raise _Broken(f"stream ends without its last event after {len(parts)} parts")
+    if not outcome.first_token_at:
+        outcome.first_token_at = monotonic()
+    return "".join(parts)
+
+
+def _take_event(event: _Event, parts: list[str], outcome: Outcome) -> bool:
+    """Take the text and the usage of an event; return whether it names the end."""
+    if event.error is not None:
+        raise _Broken(f"error event: {event.error}"[:MAX_DETAIL_CHARS])
+    _take_usage(event, outcome)
+    reason = None
+    for choice in event.choices:
+        text = choice.content()
+        if text:
+            parts.append(text)
+        reason = choice.finish_reason or reason
+    if reason not in (None, "stop", "length"):
+        raise _Broken(f"stream ended by {reason}")
+    return reason is not None
+
+
+def _take_usage(event: _Event, outcome: Outcome) -> None:
+    usage = event.usage
+    if usage is not None:
+        outcome.prompt_tokens = usage.prompt_tokens
+        outcome.output_tokens = usage.completion_tokens
+        if usage.prompt_tokens_details is not None:
+            outcome.cached_tokens = usage.prompt_tokens_details.cached_tokens
+
+
+def _decode(data: bytes) -> _Event:
+    try:
+        return _event_decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise _Broken(f"event is malformed: {error}"[:MAX_DETAIL_CHARS]) from error
--- /dev/null
+++ b/teaselpath/cli/_load_report.py
@@ -0,0 +1,199 @@
+"""Results of the load tool: counts, HDR histograms and a series by second."""
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from teaselpath.cli._load_client import Outcome
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 3
+PERCENTILES = (50.0, 90.0, 95.0, 99.0, 99.9)
+RESULTS = ("ok", "refused", "failed", "incomplete", "wrong", "unfinished")
+MAX_EXAMPLES = 20
+US_PER_S = 1e6
+
+
+def _new_histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+def _record(histogram: HdrHistogram, seconds: float) -> None:
+    histogram.record_value(min(max(int(seconds * US_PER_S), LOWEST_US), HIGHEST_US))
+
+
+def _summary(histogram: HdrHistogram) -> dict[str, Any]:
+    values = {f"p{p:g}": histogram.get_value_at_percentile(p) / 1000 for p in PERCENTILES}
+    return {
+        "count": histogram.get_total_count(),
+        "unit": "ms",
+        **values,
+        "max": histogram.get_max_value() / 1000,
+        "hdr": histogram.encode().decode(),
+    }
+
+
+@dataclass(slots=True)
+class _Group:
+    """Figures of one class in one workspace."""
+
+    results: Counter[str] = field(default_factory=Counter)
+    statuses: Counter[int] = field(default_factory=Counter)
+    sent: int = 0
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    output_tokens: int = 0
+    first_token: HdrHistogram = field(default_factory=_new_histogram)
+    total: HdrHistogram = field(default_factory=_new_histogram)
+    gap: HdrHistogram = field(default_factory=_new_histogram)
+
+    def add(self, other: "_Group") -> None:
+        """Add the figures of another group."""
+        self.results.update(other.results)
+        self.statuses.update(other.statuses)
+        for name in ("sent", "prompt_tokens", "cached_tokens", "output_tokens"):
+            setattr(self, name, getattr(self, name) + getattr(other, name))
+        for name in ("first_token", "total", "gap"):
+            getattr(self, name).add(getattr(other, name))
+
+    def as_dict(self, elapsed_s: float) -> dict[str, Any]:
+        """Return the figures for JSON; goodput counts whole and right answers only."""
+        return {
+            "sent": self.sent,
+            "results": {name: self.results[name] for name in RESULTS},
+            "statuses": {str(k): v for k, v in sorted(self.statuses.items())},
+            "prompt_tokens": self.prompt_tokens,
+            "cached_tokens": self.cached_tokens,
+            "output_tokens": self.output_tokens,
+            "prefix_hit_rate": self.cached_tokens / self.prompt_tokens if self.prompt_tokens else 0,
+            "goodput_requests_per_s": self.results["ok"] / elapsed_s,
+            "goodput_tokens_per_s": self.output_tokens / elapsed_s,
+            "first_token": _summary(self.first_token),
+            "total": _summary(self.total),
+            "between_events": _summary(self.gap),
+        }
+
+
+@dataclass(slots=True)
+class _Second:
+    """What happened in one second of the run."""
+
+    sent: int = 0
+    results: Counter[str] = field(default_factory=Counter)
+    output_tokens: int = 0
+    first_token_ms: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+
+
+class LoadReport:
+    """Figures of a run, by workspace and class.
+
+    Latencies are counted from the intended send time, so that a stall of the tool or of the
+    entry is not hidden by the calls that it held up (coordinated omission).
+
+    :param started_at: monotonic seconds.
+    """
+
+    def __init__(self, started_at: float) -> None:
+        self.started_at = started_at
+        self.groups: dict[tuple[str, str], _Group] = defaultdict(_Group)
+        self.examples: list[dict[str, Any]] = []
+        self.series: list[dict[str, Any]] = []
+        self.second = _Second()
+        self.in_flight = 0
+        self.late_s = 0.0
+
+    def record_sent(self, workspace: str, request_class: str, late_s: float) -> None:
+        """Count a call that was sent ``late_s`` after its intended time."""
+        self.groups[workspace, request_class].sent += 1
+        self.second.sent += 1
+        self.in_flight += 1
+        self.late_s = max(self.late_s, late_s)
+
+    def record_outcome(self, outcome: Outcome) -> None:
+        """Count the outcome of a call."""
+        call = outcome.call
+        group = self.groups[call.workspace, call.request_class]
+        intended_at = self.started_at + call.at_s
+        self.in_flight -= 1
+        group.results[outcome.result] += 1
+        group.statuses[outcome.status] += 1
+        self.second.results[outcome.result] += 1
+        if outcome.result != "ok":
+            self._keep_example(outcome)
+            return
+        group.prompt_tokens += outcome.prompt_tokens
+        group.cached_tokens += outcome.cached_tokens
+        group.output_tokens += outcome.output_tokens
+        self.second.output_tokens += outcome.output_tokens
+        first_s = outcome.first_token_at - intended_at
+        _record(group.first_token, first_s)
+        _record(group.total, outcome.done_at - intended_at)
+        for gap_s in outcome.gaps_s:
+            _record(group.gap, gap_s)
+        self.second.first_token_ms[call.request_class].append(first_s * 1000)
+
+    def _keep_example(self, outcome: Outcome) -> None:
+        kept = sum(e["result"] == outcome.result for e in self.examples)
+        if kept < MAX_EXAMPLES:
+            self.examples.append(
+                {
+                    "at_s": round(outcome.call.at_s, 3),
+                    "workspace": outcome.call.workspace,
+                    "class": outcome.call.request_class,
+                    "result": outcome.result,
+                    "status": outcome.status,
+                    "detail": outcome.detail,
+                }
+            )
+
+    def end_second(self) -> str:
+        """Close a second of the series; return its progress line."""
+        second, self.second = self.second, _Second()
+        times = sorted(t for ts in second.first_token_ms.values() for t in ts)
+        entry = {
+            "second": len(self.series) + 1,
+            "sent": second.sent,
+            "results": dict(second.results),
+            "output_tokens": second.output_tokens,
+            "in_flight": self.in_flight,
+            "first_token_ms": {
+                name: {"p50": _rank(sorted(ts), 0.5), "p99": _rank(sorted(ts), 0.99)}
+                for name, ts in second.first_token_ms.items()
+            },
+        }
+        self.series.append(entry)
+        bad = " ".join(f"{r} {n}" for r, n in sorted(second.results.items()) if r != "ok")
+        return (
+            f"{entry['second']:4d} s  sent {second.sent}  ok {second.results['ok']}"
+            f"  in flight {self.in_flight}  tokens/s {second.output_tokens}"
+            f"  first token p50 {_rank(times, 0.5):.1f} ms p99 {_rank(times, 0.99):.1f} ms  {bad}"
+        ).rstrip()
+
+    def as_dict(self, elapsed_s: float) -> dict[str, Any]:
+        """Return all figures for JSON."""
+        total = _Group()
+        workspaces: dict[str, _Group] = defaultdict(_Group)
+        classes: dict[str, _Group] = defaultdict(_Group)
+        for (workspace, request_class), group in self.groups.items():
+            for sum_of in (total, workspaces[workspace], classes[request_class]):
+                sum_of.add(group)
+        return {
+            "elapsed_s": elapsed_s,
+            "sent_late_max_ms": self.late_s * 1000,
+            "all": total.as_dict(elapsed_s),
+            "workspaces": {name: g.as_dict(elapsed_s) for name, g in sorted(workspaces.items())},
+            "classes": {name: g.as_dict(elapsed_s) for name, g in sorted(classes.items())},
+            "groups": [
+                {"workspace": workspace, "class": request_class, **group.as_dict(elapsed_s)}
+                for (workspace, request_class), group in sorted(self.groups.items())
+            ],
+            "examples": self.examples,
+            "series": self.series,
+        }
+
+
+def _rank(values: list[float], fraction: float) -> float:
+    return values[min(int(len(values) * fraction), len(values) - 1)] if values else 0.0
