Stand-ins: bounded audit, watched values, hostile text; error codes in results

Change: sequences drop their text at the end, texts are encoded with surrogatepass, POST /audit/watch names values that are searched for in everything received, load reports start anew after a crash, and the load results count errors by the entry's code and `ran` field.

Conclusion: a test sends malformed bodies and finds the engine serving after them; the others cover the watch and the error counts.

--- a/standins/_http.py
+++ b/standins/_http.py
@@ -12,6 +12,12 @@
 MAX_BODY_BYTES = 64 << 20
 
 
+class WatchRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /audit/watch``: values that no endpoint should ever see."""
+
+    values: list[str]
+
+
 class ConnectionCut(Exception):
     """The stand-in closes the connection without an answer."""
 
--- a/standins/_text.py
+++ b/standins/_text.py
@@ -24,7 +24,7 @@
     open instead, so that the text equals that of the unbroken answer.
     """
     if "messages" not in body:
-        return str(body.get("prompt", ""))
+        return _content_text(body.get("prompt"))
     messages = list(body["messages"])
     text = "".join(f"{m['role']}\n{_content_text(m.get('content'))}\n" for m in messages)
     if body.get("continue_final_message"):
@@ -34,10 +34,15 @@
 
 def _content_text(content: Any) -> str:
     if isinstance(content, list):
-        return "".join(str(part.get("text", "")) for part in content)
+        return "".join(p if isinstance(p, str) else str(p.get("text", "")) for p in content)
     return "" if content is None else str(content)
 
 
+def encode_text(text: str) -> bytes:
+    """Return the UTF-8 bytes of a text; JSON may hold lone surrogates, which are kept."""
+    return text.encode("utf-8", "surrogatepass")
+
+
 def count_tokens(byte_count: int) -> int:
     """Return the number of tokens in a text of ``byte_count`` bytes."""
     return -(-byte_count // BYTES_PER_TOKEN)
@@ -52,7 +57,7 @@
 
     def __init__(self, text: str, stop_one_in: int = 0) -> None:
         self.stop_one_in = stop_one_in
-        self._hash = sha256(text.encode())
+        self._hash = sha256(encode_text(text))
 
     def next(self) -> str | None:
         """Return the next token, or ``None`` at a natural end of the answer."""
--- a/standins/engine/_core.py
+++ b/standins/engine/_core.py
@@ -19,6 +19,7 @@
     chain_block,
     chain_hashes,
     count_tokens,
+    encode_text,
 )
 from standins.engine._cache import Block, EventFaults, PrefixCache
 
@@ -53,9 +54,24 @@
     tail: bytearray = field(default_factory=bytearray)
     cached_tokens: int = 0
     stored_blocks: int = 0
+    released_tokens: int = 0
     admitted: bool = False
     finish_reason: str = ""
 
+    @property
+    def output_tokens(self) -> int:
+        """Tokens generated so far."""
+        return len(self.tokens) or self.released_tokens
+
+    def release(self) -> None:
+        """Drop the text, so that a sequence that is kept for the audit stays small."""
+        self.released_tokens = len(self.tokens)
+        self.text = ""
+        self.tokens = []
+        self.chain = []
+        self.tail = bytearray()
+        self.source = None
+
     def __lt__(self, other: "Sequence") -> bool:
         """Order the queue by priority, then by arrival."""
         return (self.priority, self.arrived) < (other.priority, other.arrived)
@@ -168,7 +184,7 @@
         return StepResult(cost_us / US_PER_S, touched)
 
     def _admit(self, sequence: Sequence) -> None:
-        data = sequence.text.encode()
+        data = encode_text(sequence.text)
         block_bytes = self.config.block_tokens * BYTES_PER_TOKEN
         sequence.admitted = True
         sequence.weights = self.weights
--- a/standins/engine/_server.py
+++ b/standins/engine/_server.py
@@ -24,7 +24,9 @@
 STEPS_PER_YIELD = 8
 MAX_CATCH_UP_S = 0.05
 EVENT_POLL_S = 0.005
-_UNAUDITED = {"/faults", "/audit", "/load", "/cache/events", "/cache/snapshot"}
+_TEST_PATHS = {"/faults", "/audit", "/audit/watch"}
+# Polled all the time: searched for credentials, but not kept.
+_POLLED_PATHS = {"/load", "/cache/events", "/cache/snapshot"}
 
 
 class EngineServer:
@@ -60,6 +62,7 @@
                 web.post("/orders", self.post_order),
                 web.get("/orders", self.get_orders),
                 web.get("/audit", self.audit),
+                web.post("/audit/watch", self.watch),
                 web.post("/faults", self.set_faults),
                 web.get("/faults", self.get_faults),
             ]
@@ -83,18 +86,27 @@
         if monotonic() < self.down_until:
             raise ConnectionCut
         await self.thawed.wait()
-        if request.path not in _UNAUDITED:
+        if request.path not in _TEST_PATHS:
             await self._record(request)
         return await handler(request)
 
     async def _record(self, request: web.Request) -> None:
+        data = await request.read()
         try:
-            body = msgspec.json.decode(await request.read())
+            body = msgspec.json.decode(data)
         except msgspec.DecodeError:
             body = None
         request_id = body.get("request_id", "") if isinstance(body, dict) else ""
         headers = _http.header_list(request)
-        self.received.add(str(request_id), request.method, request.path_qs, headers, body)
+        self.received.add(
+            str(request_id),
+            request.method,
+            request.path_qs,
+            headers,
+            body,
+            data,
+            keep=request.path not in _POLLED_PATHS,
+        )
 
     async def _steps(self) -> None:
         due = monotonic()
@@ -176,6 +188,7 @@
                 del self.wakes[sequence.request_id]
             if not sequence.finish_reason:
                 self.core.cancel(sequence.request_id)
+            sequence.release()
 
     async def _stream(
         self, request: web.Request, sequence: Sequence, framing: Framing, wake: asyncio.Event
@@ -227,6 +240,7 @@
             if incarnation != self.core.incarnation:
                 raise ConnectionCut
             events = self.core.cache.read_events(after, monotonic())
+        await self.thawed.wait()
         return json_response({"incarnation": self.core.incarnation, "events": events})
 
     async def cache_snapshot(self, request: web.Request) -> web.Response:
@@ -282,10 +296,15 @@
                 "prefilled_tokens": self.core.prefilled_tokens,
                 "requests": requests,
                 "received": received,
-                "suspects": self.received.suspects,
+                "suspects": list(self.received.suspects),
             }
         )
 
+    async def watch(self, request: web.Request) -> web.Response:
+        """Report every later request that holds one of these values anywhere."""
+        self.received.watched = (await _http.read_struct(request, _http.WatchRequest)).values
+        return json_response({})
+
     async def get_faults(self, request: web.Request) -> web.Response:
         """Answer the faults that are switched on."""
         return json_response(self.faults)
@@ -306,8 +325,11 @@
         if crash is not None:
             self.down_until = monotonic() + crash.down_s
             self.orders.forget()
+            # A new process has no reports of the dead one.
+            self.samples.clear()
             for sequence in self.core.restart(monotonic()):
                 self._wake(sequence)
+            self.samples.append((monotonic(), self.core.load_report()))
         return json_response(self.faults)
 
 
@@ -328,7 +350,7 @@
         "priority": sequence.priority,
         "prompt_tokens": sequence.prompt_tokens,
         "cached_tokens": sequence.cached_tokens,
-        "output_tokens": len(sequence.tokens),
+        "output_tokens": sequence.output_tokens,
         "finish_reason": sequence.finish_reason,
         "reused": sequence.reused,
     }
--- a/standins/service/_server.py
+++ b/standins/service/_server.py
@@ -59,6 +59,7 @@
             [
                 web.get("/executions", self.get_executions),
                 web.get("/audit", self.audit),
+                web.post("/audit/watch", self.watch),
                 web.post("/faults", self.set_faults),
                 web.get("/faults", self.get_faults),
                 web.route("*", path, self.call),
@@ -74,7 +75,7 @@
         value = await _http.read_json(request) if data else None
         request_id = request.headers.get("X-Request-Id", "")
         headers = _http.header_list(request)
-        self.received.add(request_id, request.method, request.path_qs, headers, value)
+        self.received.add(request_id, request.method, request.path_qs, headers, value, data)
         faults = self.faults
         if faults.fail is not None and faults.fail.count > 0:
             faults.fail.count -= 1
@@ -114,9 +115,14 @@
     async def audit(self, request: web.Request) -> web.Response:
         """Answer what was received and what of it may be a credential."""
         return json_response(
-            {"received": list(self.received.requests), "suspects": self.received.suspects}
+            {"received": list(self.received.requests), "suspects": list(self.received.suspects)}
         )
 
+    async def watch(self, request: web.Request) -> web.Response:
+        """Report every later request that holds one of these values anywhere."""
+        self.received.watched = (await _http.read_struct(request, _http.WatchRequest)).values
+        return json_response({})
+
     async def get_faults(self, request: web.Request) -> web.Response:
         """Answer the faults that are switched on."""
         return json_response(self.faults)
--- a/standins/tests/test_engine.py
+++ b/standins/tests/test_engine.py
@@ -183,6 +183,22 @@
     assert block["imported_by"] == second.server.core.incarnation
 
 
+def test_hostile_texts_do_not_stop_the_engine(start_standin):
+    """Guards against a request that ends the engine's batch loop."""
+    engine = start_standin(config())
+    for body in (
+        b'{"prompt":"\\ud800"}',
+        b'{"prompt":[1]}',
+        b'{"prompt":"a","max_tokens":-1}',
+        b'{"prompt":"a","cache_salt":"zz"}',
+        b'{"messages":[3]}',
+        b"[",
+    ):
+        assert engine.call("POST", "/v1/completions", body)[0] in (200, 400)
+        assert engine.call("POST", "/v1/chat/completions", body)[0] == 400
+    assert ask(engine, "still there", max_tokens=1)
+
+
 def test_audit_marks_credentials(start_standin):
     """Guards against a caller's key that reaches the engine unseen, by name or by value."""
     engine = start_standin(config())
@@ -195,6 +211,16 @@
     assert found == {("header", "X-Api-Key", "k1"), ("body", "metadata.note", "Bearer abc")}
 
 
+def test_watched_values_are_found_in_prompts(start_standin):
+    """Guards against a caller's key that passes inside the text of a prompt."""
+    engine = start_standin(config())
+    engine.post("/audit/watch", {"values": ["plain secret"]})
+    ask(engine, "this is my plain secret.", request_id="r", max_tokens=1)
+    ask(engine, "this is not.", request_id="s", max_tokens=1)
+    found = [(s["request_id"], s["where"]) for s in engine.get("/audit")["suspects"]]
+    assert found == [("r", "text")]
+
+
 def test_verify_answer_sees_each_fault():
     """Guards against a verifier that accepts a short, long or crossed answer."""
     body = {"prompt": "a", "max_tokens": 4}
--- a/teaselpath/cli/_load_client.py
+++ b/teaselpath/cli/_load_client.py
@@ -58,6 +58,8 @@
 
     :param result: ``ok``, ``refused`` (an error status), ``failed`` (no answer), ``incomplete``,
         ``wrong`` (whole, but not the answer to this call) or ``unfinished`` (cut at the end).
+    :param code: result code that the entry names, such as ``rate_exceeded``.
+    :param ran: what the entry says of the request: ``not_run``, ``ran`` or ``unknown``.
     :param first_token_at: monotonic seconds; 0 if nothing came.
     :param done_at: monotonic seconds.
     :param gaps_s: times between the events of a stream, in seconds.
@@ -66,6 +68,8 @@
     call: PlannedCall
     result: str = "unfinished"
     status: int = 0
+    code: str = ""
+    ran: str = ""
     detail: str = ""
     first_token_at: float = 0.0
     done_at: float = 0.0
@@ -107,7 +111,7 @@
             outcome.status = answer.status
             if answer.status >= 400:
                 outcome.result = "refused"
-                outcome.detail = _error_detail(await answer.read())
+                _take_error(await answer.read(), outcome)
             else:
                 text = await _read(answer, call, outcome)
                 wrong = verify(call.path, call.body, text) if verify else ""
@@ -123,14 +127,18 @@
     return outcome
 
 
-def _error_detail(data: bytes) -> str:
+def _take_error(data: bytes, outcome: Outcome) -> None:
+    outcome.detail = data[:MAX_DETAIL_CHARS].decode(errors="replace")
     try:
-        error = _event_decoder.decode(data).error
+        _take_error_fields(_event_decoder.decode(data).error, outcome)
     except msgspec.DecodeError:
-        error = None
-    if isinstance(error, dict) and "code" in error:
-        return f"code {error['code']}"
-    return data[:MAX_DETAIL_CHARS].decode(errors="replace")
+        return
+
+
+def _take_error_fields(error: Any, outcome: Outcome) -> None:
+    if isinstance(error, dict):
+        outcome.code = str(error.get("code", ""))
+        outcome.ran = str(error.get("ran", ""))
 
 
 async def _read(answer: Any, call: PlannedCall, outcome: Outcome) -> str:
@@ -186,6 +194,7 @@
 def _take_event(event: _Event, parts: list[str], outcome: Outcome) -> bool:
     """Take the text and the usage of an event; return whether it names the end."""
     if event.error is not None:
+        _take_error_fields(event.error, outcome)
         raise _Broken(f"error event: {event.error}"[:MAX_DETAIL_CHARS])
     _take_usage(event, outcome)
     reason = None
--- a/teaselpath/cli/_load_report.py
+++ b/teaselpath/cli/_load_report.py
@@ -42,6 +42,7 @@
 
     results: Counter[str] = field(default_factory=Counter)
     statuses: Counter[int] = field(default_factory=Counter)
+    errors: Counter[str] = field(default_factory=Counter)
     sent: int = 0
     prompt_tokens: int = 0
     cached_tokens: int = 0
@@ -54,6 +55,7 @@
         """Add the figures of another group."""
         self.results.update(other.results)
         self.statuses.update(other.statuses)
+        self.errors.update(other.errors)
         for name in ("sent", "prompt_tokens", "cached_tokens", "output_tokens"):
             setattr(self, name, getattr(self, name) + getattr(other, name))
         for name in ("first_token", "total", "gap"):
@@ -65,6 +67,7 @@
             "sent": self.sent,
             "results": {name: self.results[name] for name in RESULTS},
             "statuses": {str(k): v for k, v in sorted(self.statuses.items())},
+            "errors": dict(sorted(self.errors.items())),
             "prompt_tokens": self.prompt_tokens,
             "cached_tokens": self.cached_tokens,
             "output_tokens": self.output_tokens,
@@ -122,6 +125,8 @@
         group.statuses[outcome.status] += 1
         self.second.results[outcome.result] += 1
         if outcome.result != "ok":
+            if outcome.code:
+                group.errors[f"{outcome.code} {outcome.ran}".rstrip()] += 1
             self._keep_example(outcome)
             return
         group.prompt_tokens += outcome.prompt_tokens
@@ -145,6 +150,8 @@
                     "class": outcome.call.request_class,
                     "result": outcome.result,
                     "status": outcome.status,
+                    "code": outcome.code,
+                    "ran": outcome.ran,
                     "detail": outcome.detail,
                 }
             )
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -3,10 +3,13 @@
 import msgspec
 import pytest
 from click.testing import CliRunner
+from msgspec.structs import replace
 
 from standins.testing import EngineConfig, ServiceConfig, start_standin
 from teaselpath.cli._load import load
-from teaselpath.cli._load_profile import ClassLoad, PrefixLevel, Profile, WorkspaceLoad
+from teaselpath.cli._load_client import Outcome
+from teaselpath.cli._load_profile import ClassLoad, PrefixLevel, Profile, Workload, WorkspaceLoad
+from teaselpath.cli._load_report import LoadReport
 
 __all__ = ["start_standin"]
 KEY = "sk-caller-key-1"
@@ -18,14 +21,7 @@
 
     def run_tool(url, classes, *arguments):
         path, out = tmp_path / "profile.json", tmp_path / "out.json"
-        profile = Profile(
-            name="test",
-            model="m",
-            workspaces=[WorkspaceLoad(id="a", rate=100.0)],
-            classes=classes,
-            prefixes=[PrefixLevel(fan_out=2, tokens=4), PrefixLevel(fan_out=3, tokens=2)],
-        )
-        path.write_bytes(msgspec.json.encode(profile))
+        path.write_bytes(msgspec.json.encode(replace(PROFILE, classes=classes)))
         options = ["--profile", str(path), "--duration", "0.2", "--out", str(out)]
         result = CliRunner().invoke(
             load, [url, *options, *arguments], env={"TEASELPATH_LOAD_KEYS": f'{{"a": "{KEY}"}}'}
@@ -36,16 +32,23 @@
     return run_tool
 
 
-def engine_config(**changes):
-    return EngineConfig(
-        step_us=0.0, decode_us_per_token=0.0, prefill_us_per_token=0.0, block_tokens=4, **changes
-    )
-
-
 CLASSES = [
     ClassLoad(id="ask", prefix_depth=2),
     ClassLoad(id="plain", kind="completion", stream=False, prefix_depth=1),
 ]
+PROFILE = Profile(
+    name="test",
+    model="m",
+    workspaces=[WorkspaceLoad(id="a", rate=100.0)],
+    classes=CLASSES,
+    prefixes=[PrefixLevel(fan_out=2, tokens=4), PrefixLevel(fan_out=3, tokens=2)],
+)
+
+
+def engine_config(**changes):
+    return EngineConfig(
+        step_us=0.0, decode_us_per_token=0.0, prefill_us_per_token=0.0, block_tokens=4, **changes
+    )
 
 
 def test_answers_are_checked_and_counted(run, start_standin, tmp_path):
@@ -83,6 +86,18 @@
     assert result.exit_code == 1
 
 
+def test_error_fields_are_counted():
+    """Guards against refusals that cannot be told apart by code and by whether they ran."""
+    report = LoadReport(0.0)
+    call = next(Workload(PROFILE, 1).calls(10.0))
+    report.record_sent("a", "ask", 0.0)
+    report.record_outcome(Outcome(call, "refused", 429, code="rate_exceeded", ran="not_run"))
+    group = report.as_dict(1.0)["workspaces"]["a"]
+    assert group["errors"] == {"rate_exceeded not_run": 1}
+    assert group["results"]["refused"] == 1
+    assert group["total"]["count"] == 0
+
+
 def test_refused_and_failed_calls(run, start_standin):
     """Guards against refusals and lost connections that are counted as one."""
     service = start_standin(ServiceConfig())
