--- a/teaselpath/agent/__init__.py
+++ b/teaselpath/agent/__init__.py
@@ -1,1 +1,5 @@
-"""TODO."""
+"""The agent: the only way to one endpoint."""
+
+from teaselpath.agent._service import AgentService
+
+__all__ = ["AgentService"]
--- a/teaselpath/agent/_service.py
+++ b/teaselpath/agent/_service.py
@@ -109,6 +109,33 @@
         """Return whether nothing runs, waits or is still to be acknowledged."""
         return not self.starts and not self.ledger.open_streams
 
+    def unfinished(self) -> list[str]:
+        """Return the ids of the running requests."""
+        return [start.request_id for start in self.starts.values()]
+
+    def follow_log(self) -> None:
+        """Follow the streams of the log that this agent needs."""
+
+    def bundle_changed(self, bundle: Bundle) -> None:
+        """Take a bundle; classes and weights are read when a request needs them."""
+
+    def members_changed(self) -> None:
+        """Entries connect to the agent, so a change of the members needs no action."""
+
+    def keys_changed(self) -> None:
+        """Entries stop the requests of withdrawn keys."""
+
+    def describe(self, workspace: str) -> dict:
+        """Return the state of the endpoint, for operators."""
+        return {
+            "endpoint": self.endpoint.id,
+            "running": len(self.runs),
+            "queued": len(self.starts) - len(self.runs),
+            "cached_blocks": len(self.engine.index.blocks),
+            "engine_incarnation": self.engine.incarnation,
+            "weights": self.engine.load.weights if self.engine.load else "",
+        }
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
@@ -165,9 +192,7 @@
         for request_class in classes:
             if request_class.id == name:
                 return request_class
-        return RequestClass(
-            id=name, priority=0, deadline_ms=0, max_wait_ms=DEFAULT_MAX_WAIT_MS
-        )
+        return RequestClass(id=name, priority=0, deadline_ms=0, max_wait_ms=DEFAULT_MAX_WAIT_MS)
 
     def _update_slots(self, now: float) -> None:
         load = self.engine.load
--- a/teaselpath/control/__init__.py
+++ b/teaselpath/control/__init__.py
@@ -1,5 +1,6 @@
 """What both roles share: configuration, membership, decision records and metrics."""
 
 from teaselpath.control._metrics import Metrics
+from teaselpath.control._plane import ControlPlane, Role
 
-__all__ = ["Metrics"]
+__all__ = ["ControlPlane", "Metrics", "Role"]
--- a/teaselpath/control/_plane.py
+++ b/teaselpath/control/_plane.py
@@ -71,8 +71,11 @@
     def members_changed(self) -> None:
         """React to a change of the member table."""
 
+    def keys_changed(self) -> None:
+        """Stop running requests whose key was withdrawn."""
+
     def describe(self, workspace: str) -> dict:
-        """Return the role's state of a workspace, for operators."""
+        """Return the role's state, or that of one workspace, for operators."""
 
 
 class ControlPlane:
@@ -103,14 +106,13 @@
         self.accepted_curve_keys = {key.encode() for key in settings.control.accepted_curve_keys}
         self.allow_list = KeyAllowList({keys.public, *self.accepted_curve_keys})
         address = f"{settings.control.address}:{settings.control.port}"
-        self.node = Node(
-            settings.host, incarnation, address, keys, self.allow_list, self._deliver
-        )
+        self.node = Node(settings.host, incarnation, address, keys, self.allow_list, self._deliver)
         self.log = LogClient(session, settings.log_url) if settings.log_url else None
         self.hosts = HostListClient(session, settings.host_list_url)
         self.operator = OperatorRequests(self)
         self.role: Role | None = None
         self.drain_requested = asyncio.Event()
+        self.started = asyncio.Event()
         self.log_is_up = False
         self.tasks: asyncio.TaskGroup | None = None
 
@@ -131,12 +133,13 @@
             self.members.members.setdefault(peer.host, _seed_member(peer))
         await self.node.start()
         try:
-            self._connect_members()
+            self.refresh_connections()
             async with asyncio.TaskGroup() as group:
                 self.tasks = group
                 self.follow(CONFIG_STREAM, self._take_config_record, self._log_noticed)
                 group.create_task(self._poll_hosts())
                 group.create_task(self._tick())
+                self.started.set()
         finally:
             await self.node.stop()
 
@@ -217,6 +220,8 @@
                 log_message("key_withdrawn")
                 now = time.monotonic()
                 self._config_changed()
+                if self.role is not None:
+                    self.role.keys_changed()
                 self._act(self.members.handle(RevocationAdded(data), now))
                 return True
             case Ok(False):
@@ -252,6 +257,8 @@
                     log_message("bundle_renewed", offset=offset)
                 case Withdrawn(key_id=key_id):
                     log_message("key_withdrawn", key_id=key_id)
+                    if self.role is not None:
+                        self.role.keys_changed()
         self._config_changed()
 
     def _take_bundle(self, event: Accepted) -> None:
@@ -325,11 +332,12 @@
                         "member_changed", member=member.host, state=member.state, previous=previous
                     )
         if changed:
-            self._connect_members()
+            self.refresh_connections()
             if self.role is not None:
                 self.role.members_changed()
 
-    def _connect_members(self) -> None:
+    def refresh_connections(self) -> None:
+        """Connect to the members and let exactly their keys connect."""
         keys = {self.node.keys.public, *self.accepted_curve_keys}
         for member in self.members.members.values():
             if member.host == self.settings.host or not member.curve_public:
--- /dev/null
+++ b/teaselpath/daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Run the daemon as ``python -m teaselpath.daemon``."""
+
+from teaselpath.daemon import main
+
+main()
--- /dev/null
+++ b/teaselpath/daemon/_main.py
@@ -0,0 +1,48 @@
+"""Start of the daemon: settings, log file, role."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import click
+from eliot import to_file
+from result import Err
+
+from teaselpath.daemon._process import Process
+from teaselpath.results import Failure
+from teaselpath.settings import Settings, load_settings
+
+EXIT_INVALID_SETTINGS = 2
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="JSON file with the settings of this process; see docs/configuration.md.",
+)
+@click.version_option(package_name="teaselpath")
+def main(path: Path) -> None:
+    """Run one node of teaselpath: an entry, or the agent beside an endpoint.
+
+    SIGTERM or SIGINT stops it gracefully; a second one ends it at once. SIGHUP reads the accepted
+    CURVE keys again.
+    """
+    loaded = load_settings(path)
+    if isinstance(loaded, Err):
+        _report(loaded.err_value)
+        sys.exit(EXIT_INVALID_SETTINGS)
+    settings = loaded.ok_value
+    _open_log(settings)
+    sys.exit(asyncio.run(Process(settings, path).run()))
+
+
+def _open_log(settings: Settings) -> None:
+    to_file(open(settings.log_file, "a") if settings.log_file else sys.stderr)
+
+
+def _report(faults: list[Failure]) -> None:
+    for fault in faults:
+        click.echo(str(fault), err=True)
--- /dev/null
+++ b/teaselpath/daemon/_process.py
@@ -0,0 +1,188 @@
+"""One running process: tasks, signals and the graceful stop."""
+
+import asyncio
+import signal
+import time
+from pathlib import Path
+
+import aiohttp
+import uvicorn
+from eliot import log_message
+from result import Err, Ok
+
+from teaselpath.agent import AgentService
+from teaselpath.control import ControlPlane
+from teaselpath.entry import EntryApp, EntryService
+from teaselpath.settings import Settings, load_settings, read_secret
+from teaselpath.transport import CurveKeys
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_STOP_TIMEOUT = 3
+POLL_S = 0.05
+# New work still arrives until the platform's balancer and the other nodes know of the stop.
+SETTLE_S = 0.5
+
+
+class Process:
+    """Runs a role until a signal or an operator stops it.
+
+    :param settings: checked settings.
+    :param path: settings file, read again on SIGHUP.
+    """
+
+    def __init__(self, settings: Settings, path: Path):
+        self.settings = settings
+        self.path = path
+        self.stop_requested = asyncio.Event()
+        self.signals = 0
+
+    async def run(self) -> int:
+        """Run to the end.
+
+        :returns: exit code of the process.
+        """
+        keys = self._read_keys()
+        if keys is None:
+            return EXIT_FAILED
+        self._install_signals()
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector, auto_decompress=False) as session:
+            # Rises with each start unless the wall clock is set back by more than the time between
+            # two starts; a peer that knows a higher number ignores this process until then.
+            incarnation = time.time_ns() // 1_000_000
+            self.plane = ControlPlane(self.settings, keys, session, incarnation)
+            if self.settings.role == "entry":
+                return await self._run_entry()
+            return await self._run_agent(session)
+
+    def _read_keys(self) -> CurveKeys | None:
+        control = self.settings.control
+        match read_secret(control.curve_secret_file):
+            case Ok(secret):
+                return CurveKeys(control.curve_public.encode(), secret)
+            case Err(failure):
+                log_message("start_failed", reason=str(failure))
+        return None
+
+    def _install_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop_signal)
+        loop.add_signal_handler(signal.SIGHUP, self._reload_keys)
+
+    def _stop_signal(self) -> None:
+        self.signals += 1
+        self.stop_requested.set()
+        if self.signals > 1:
+            log_message("stopped_at_once")
+            raise SystemExit(EXIT_FAILED)
+
+    def _reload_keys(self) -> None:
+        loaded = load_settings(self.path)
+        if isinstance(loaded, Err):
+            log_message("reload_failed", reason="; ".join(str(f) for f in loaded.err_value))
+            return
+        keys = loaded.ok_value.control.accepted_curve_keys
+        self.plane.accepted_curve_keys = {key.encode() for key in keys}
+        self.plane.refresh_connections()
+        log_message("reloaded", accepted_curve_keys=len(keys))
+
+    async def _run_entry(self) -> int:
+        service = EntryService(self.plane)
+        server = _make_server(self.settings, service)
+        tasks = [
+            asyncio.create_task(self.plane.run(service), name="control plane"),
+            asyncio.create_task(service.run(), name="entry"),
+            asyncio.create_task(server.serve(), name="http"),
+        ]
+        await self.plane.started.wait()
+        service.follow_shares()
+        return await self._until_stopped(service, tasks, server)
+
+    async def _run_agent(self, session: aiohttp.ClientSession) -> int:
+        service = AgentService(self.plane, session)
+        tasks = [
+            asyncio.create_task(self.plane.run(service), name="control plane"),
+            asyncio.create_task(service.run(), name="agent"),
+        ]
+        await self.plane.started.wait()
+        service.follow_log()
+        return await self._until_stopped(service, tasks, None)
+
+    async def _until_stopped(
+        self,
+        service: EntryService | AgentService,
+        tasks: list[asyncio.Task],
+        server: uvicorn.Server | None,
+    ) -> int:
+        stop = asyncio.create_task(self._wait_for_stop())
+        await asyncio.wait({stop, *tasks}, return_when=asyncio.FIRST_COMPLETED)
+        failed = [task for task in tasks if task.done()]
+        for task in failed:
+            log_message("task_failed", task=task.get_name(), error=repr(task.exception()))
+        stop.cancel()
+        code = EXIT_FAILED if failed else await self._drain(service)
+        if server is not None:
+            server.should_exit = True
+            await asyncio.wait(tasks[-1:], timeout=2.0)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        log_message("stopped", exit_code=code)
+        return code
+
+    async def _wait_for_stop(self) -> None:
+        signalled = asyncio.create_task(self.stop_requested.wait())
+        drained = asyncio.create_task(self.plane.drain_requested.wait())
+        try:
+            await asyncio.wait({signalled, drained}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            signalled.cancel()
+            drained.cancel()
+
+    async def _drain(self, service: EntryService | AgentService) -> int:
+        """Refuse new work, let running work end, and report what does not end in time."""
+        deadline = time.monotonic() + self.settings.stop_timeout_s
+        log_message("leaving", timeout_s=self.settings.stop_timeout_s)
+        service.leave()
+        self.plane.leave()
+        await asyncio.sleep(SETTLE_S)
+        while not service.is_idle():
+            if time.monotonic() >= deadline:
+                log_message("stop_timeout", unfinished=service.unfinished())
+                return EXIT_STOP_TIMEOUT
+            await asyncio.sleep(POLL_S)
+        return EXIT_OK
+
+
+def _make_server(settings: Settings, service: EntryService) -> uvicorn.Server:
+    http = settings.http
+    config = uvicorn.Config(
+        EntryApp(service).build(),
+        host=http.address,
+        port=http.port,
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        limit_concurrency=settings.limits.connections,
+        timeout_keep_alive=30,
+        ssl_certfile=http.tls_cert or None,
+        ssl_keyfile=http.tls_key_file or None,
+    )
+    server = _Server(config)
+    return server
+
+
+class _Server(uvicorn.Server):
+    """Server whose signals are handled by the process."""
+
+    def capture_signals(self):
+        """Leave the signal handlers as they are."""
+        from contextlib import nullcontext
+
+        return nullcontext()
--- a/teaselpath/entry/__init__.py
+++ b/teaselpath/entry/__init__.py
@@ -1,1 +1,6 @@
-"""TODO."""
+"""The entry: HTTP towards callers, routing of each request."""
+
+from teaselpath.entry._app import EntryApp
+from teaselpath.entry._service import EntryService
+
+__all__ = ["EntryApp", "EntryService"]
--- a/teaselpath/entry/_app.py
+++ b/teaselpath/entry/_app.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-import orjson
 from result import Err, Ok, Result
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -20,9 +19,9 @@
     check_service_call,
     find_route,
 )
-from teaselpath.entry._responses import CallerStream, not_run
+from teaselpath.entry._responses import CallerStream, error_body, error_headers, not_run
 from teaselpath.entry._service import EntryService
-from teaselpath.results import Code, Failure
+from teaselpath.results import Code, Failure, http_status
 from teaselpath.utils import new_id
 
 
@@ -43,7 +42,6 @@
                 HttpRoute("/readyz", self.readyz),
                 HttpRoute("/metrics", self.metrics),
                 HttpRoute("/v1/models", self.models),
-                HttpRoute("/v1/requests/{request_id}", self.attach),
                 HttpRoute("/{path:path}", _Endpoint(self.call)),
             ]
         )
@@ -77,20 +75,6 @@
         ]
         return JSONResponse({"object": "list", "data": models})
 
-    async def attach(self, request: Request) -> Response:
-        """Continue the answer of a request that another entry started."""
-        caller = self._check_caller(_lower_headers(request.scope), None)
-        if isinstance(caller, Err):
-            return _error_response(caller.err_value)
-        after = request.query_params.get("after", "0")
-        if not after.isdecimal() or len(after) > 9:
-            return _error_response(
-                Failure(Code.INVALID_FIELD, "must be a chunk number", path="?after")
-            )
-        request_id = request.path_params["request_id"]
-        workspace = caller.ok_value.workspace
-        return _Attached(self.service, request_id, workspace, int(after))
-
     async def call(self, scope, receive, send) -> None:
         """Run a model call or a call of a plain service."""
         request_id = new_id(self.service.random)
@@ -112,6 +96,7 @@
 
     def _check_caller(self, headers: dict[str, str], route) -> Result:
         plane = self.service.plane
+        assert plane.key_index is not None
         return check_caller(headers, plane.key_index, plane.revocations, route)
 
     def _check(self, scope, body: Result[bytes, Failure]) -> Result[Call, Failure]:
@@ -153,24 +138,6 @@
         await self.app(scope, receive, send)
 
 
-class _Attached(Response):
-    """Answer that continues a stream of another entry."""
-
-    def __init__(self, service: EntryService, request_id: str, workspace: str, after: int):
-        self.service = service
-        self.request_id = request_id
-        self.workspace = workspace
-        self.after = after
-        self.background = None
-
-    async def __call__(self, scope, receive, send) -> None:
-        stream = CallerStream(send, is_event_stream=True)
-        await _until_disconnect(
-            receive,
-            lambda: self.service.attach(self.request_id, self.workspace, self.after, stream),
-        )
-
-
 async def _until_disconnect(receive, start: Callable) -> None:
     """Run a coroutine until it ends or the caller's connection is closed."""
     work = asyncio.ensure_future(start())
@@ -203,8 +170,8 @@
                     return Err(Failure(Code.CALLER_GONE, "the caller closed the connection"))
                 parts.append(message.get("body", b""))
                 size += len(parts[-1])
-                if size > limits.max_body_bytes:
-                    detail = f"the body is larger than {limits.max_body_bytes} bytes"
+                if size > limits.body_bytes:
+                    detail = f"the body is larger than {limits.body_bytes} bytes"
                     return Err(Failure(Code.BODY_TOO_LARGE, detail))
                 if not message.get("more_body", False):
                     return Ok(b"".join(parts))
@@ -220,14 +187,8 @@
 
 
 def _error_response(failure: Failure) -> Response:
-    from teaselpath.entry._responses import error_body, error_headers
-    from teaselpath.results import http_status
-
     return Response(
         error_body(failure, ""),
         http_status(failure.code),
         headers=dict(error_headers(failure, "")),
     )
-
-
-__all__ = ["EntryApp", "orjson"]
--- a/teaselpath/entry/_call.py
+++ b/teaselpath/entry/_call.py
@@ -1,6 +1,7 @@
 """Checked form of a caller's request."""
 
 from dataclasses import dataclass, field
+from hashlib import sha256
 from typing import Any
 from urllib.parse import unquote_to_bytes
 
@@ -65,6 +66,14 @@
         """Return the model's id, or an empty string for a plain service."""
         return self.model.id if self.model else ""
 
+    @property
+    def claim_key(self) -> bytes:
+        """Return the digest under which a call that may not be repeated is claimed, or nothing."""
+        if self.repeatable or not self.idempotency_key:
+            return b""
+        parts = (self.workspace, self.service, self.idempotency_key)
+        return sha256("\0".join(parts).encode()).digest()
+
 
 @dataclass(slots=True)
 class Caller:
@@ -230,7 +239,7 @@
     """Check the fields that the router relies on; returns the output cap in tokens."""
     if not isinstance(body.get("model"), str):
         return _invalid("$.model", "must be a string")
-    if not isinstance(body.get("stream", False), bool | None):
+    if not isinstance(body.get("stream"), bool | None):
         return _invalid("$.stream", "must be true or false")
     if body.get("n", 1) not in (1, None):
         return _invalid("$.n", "only one answer per request is supported")
--- a/teaselpath/entry/_driver.py
+++ b/teaselpath/entry/_driver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import deque
 from typing import TYPE_CHECKING
 
 from eliot import log_message
@@ -50,6 +51,8 @@
 
 # The window bounds the chunks under way; a message that does not fit is asked for again.
 INBOX_SIZE = 256
+# A continuation that finds no engine within this time ends the stream with an error.
+CONTINUATION_TIMEOUT_S = 2.0
 
 
 class RequestDriver:
@@ -88,7 +91,7 @@
         self.routed_at = 0.0
         self.first_byte_at: float | None = None
         self.attempt_first_byte_at: float | None = None
-        self.used_tokens = 0
+        self.prompt_tokens = 0
         self.cached_tokens = 0
         self.output_tokens = 0
 
@@ -100,43 +103,47 @@
             self.service.dropped_messages += 1
 
     async def run(self) -> Finished:
-        """Drive the request to its end."""
-        actions: list = list(self.outcome.begin())
+        """Drive the request to its end and answer the caller."""
+        actions: deque = deque(self.outcome.begin())
         while True:
-            for action in actions:
+            while actions:
+                action = actions.popleft()
                 if isinstance(action, Finished):
                     await self._finish(action)
                     return action
-                await self._act(action)
-            actions = await self._next()
+                actions.extend(await self._act(action))
+            actions.extend(await self._handle(await self.inbox.get()))
 
     async def stop(self, code: Code) -> Finished:
-        """Cancel the request after the caller is gone, and wait for the proof of what happened."""
-        actions: list = list(self.outcome.handle(StopWanted(code), time.monotonic()))
+        """Cancel after the caller is gone, and wait until it is known what happened."""
+        actions = list(self.outcome.handle(StopWanted(code), time.monotonic()))
         while self.outcome.finished is None:
             for action in actions:
                 if isinstance(action, SendCancel):
                     self._send_cancel(action)
-            actions = self._outcome_events(await self.inbox.get(), time.monotonic())
+            event = await self.inbox.get()
+            if isinstance(event, Received) and isinstance(event.message, Chunk):
+                actions = []
+                continue
+            actions = list(self._handle_event(event, time.monotonic()))
         return self.outcome.finished
 
-    async def _next(self) -> list:
-        event = await self.inbox.get()
+    async def _handle(self, event) -> list:
         now = time.monotonic()
-        match event:
-            case Received(message=Chunk() | End() as message):
-                return await self._assemble(message, now)
-            case _:
-                return self._outcome_events(event, now)
+        if isinstance(event, Received) and isinstance(event.message, Chunk | End):
+            return await self._assemble(event.message, now)
+        return self._handle_event(event, now)
 
-    def _outcome_events(self, event, now: float) -> list:
+    def _handle_event(self, event, now: float) -> list:
         match event:
             case Received(host=host, message=Refused() | Cancelled() as message):
                 if isinstance(message, Refused):
-                    self._record("refused", Code(message.code), message.detail)
+                    self.record("refused", Code(message.code), message.detail)
                 return self.outcome.handle(OutcomeReceived(host, message), now)
+            case Received(message=End() as end) if self.assembler is not None:
+                return self._stopped_end(end, now)
             case PeerLost():
-                # The connection comes back by itself; a resume tells whether the agent lives.
+                # The connection comes back by itself; a resume then tells whether the agent lives.
                 if self.assembler is not None:
                     self.assembler.resume_at = min(self.assembler.resume_at, now)
                 return []
@@ -146,12 +153,27 @@
                 return self._tick(now)
         return []
 
+    def _stopped_end(self, end: End, now: float) -> list:
+        assert self.assembler is not None
+        for action in self.assembler.handle(end, now):
+            if isinstance(action, Completed):
+                self._count_usage(action)
+                return self.outcome.handle(StreamCompleted(self.attempt, action), now)
+        return []
+
     def _tick(self, now: float) -> list:
         if self.assembler is not None:
             for action in self.assembler.tick(now):
-                self._act_assembler(action)
+                self._send_stream_message(action)
         return self.outcome.tick(now)
 
+    @property
+    def attempt(self) -> int:
+        """Return the number of the current attempt."""
+        return len(self.outcome.attempts)
+
+    # Stream
+
     async def _assemble(self, message: Chunk | End, now: float) -> list:
         if self.assembler is None:
             return []
@@ -163,11 +185,10 @@
                 case Completed():
                     results += await self._take_completion(action, now)
                 case _:
-                    self._act_assembler(action)
+                    self._send_stream_message(action)
         return results
 
     async def _take_chunk(self, chunk: Chunk, now: float) -> list:
-        attempt = chunk.attempt
         if self.attempt_first_byte_at is None:
             self.attempt_first_byte_at = now
         data = self.body.take(chunk)
@@ -175,21 +196,21 @@
             return []
         events: list = []
         if not self.outcome.is_delivering:
-            events = self.outcome.handle(Delivered(attempt), now)
+            events = self.outcome.handle(Delivered(chunk.attempt), now)
         await self._send(data)
         return events
 
     async def _take_completion(self, completed: Completed, now: float) -> list:
-        self.used_tokens = max(self.used_tokens, completed.prompt_tokens)
-        self.output_tokens += completed.output_tokens
-        self.cached_tokens = max(self.cached_tokens, completed.cached_tokens)
+        self._count_usage(completed)
         self._observe_endpoint(completed, now)
         if completed.code == Code.OK:
-            rest = self.body.complete()
-            if rest or not self.stream.started:
-                await self._send(rest)
-        attempt = len(self.outcome.attempts)
-        return self.outcome.handle(StreamCompleted(attempt, completed), now)
+            await self._send(self.body.complete())
+        return self.outcome.handle(StreamCompleted(self.attempt, completed), now)
+
+    def _count_usage(self, completed: Completed) -> None:
+        self.prompt_tokens = max(self.prompt_tokens, completed.prompt_tokens)
+        self.cached_tokens = max(self.cached_tokens, completed.cached_tokens)
+        self.output_tokens += completed.output_tokens
 
     def _observe_endpoint(self, completed: Completed, now: float) -> None:
         if self.destination is None:
@@ -197,11 +218,11 @@
         first_s = -1.0
         if self.attempt_first_byte_at is not None:
             first_s = self.attempt_first_byte_at - self.routed_at
+        name = f"{self.request_id}#{self.attempt}"
         router = self.service.router
-        name = f"{self.request_id}#{len(self.outcome.attempts)}"
         router.prefix.handle(PrefixFinished(name, first_s, completed.cached_tokens), now)
-        failed = completed.code in (Code.ENDPOINT_FAILED, Code.STREAM_INCOMPLETE)
-        router.observe(self.destination.choice.endpoint, not failed, now)
+        is_failed = completed.code in (Code.ENDPOINT_FAILED, Code.STREAM_INCOMPLETE)
+        router.observe(self.destination.choice.endpoint, not is_failed, now)
 
     async def _send(self, data: bytes) -> None:
         if not self.stream.started:
@@ -211,59 +232,136 @@
         if data:
             await self.stream.send(data)
 
-    async def _act(self, action) -> None:
-        match action:
-            case RouteWanted():
-                await self._route(action)
-            case SendStart():
-                self._send_start(action)
-            case SendCancel():
-                self._send_cancel(action)
-
-    def _act_assembler(self, action) -> None:
+    def _send_stream_message(self, action) -> None:
         if self.destination is None:
             return
         node, host = self.service.plane.node, self.destination.host
-        attempt = len(self.outcome.attempts)
         match action:
             case AckDue(number=number, window=window):
-                node.send(host, Ack(self.request_id, attempt, number, window))
+                node.send(host, Ack(self.request_id, self.attempt, number, window))
             case ResumeDue(after=after):
-                node.send(host, Resume(self.request_id, attempt, self.call.workspace, after))
+                workspace = self.call.workspace
+                node.send(host, Resume(self.request_id, self.attempt, workspace, after))
+
+    # Routing
+
+    async def _act(self, action) -> list:
+        match action:
+            case RouteWanted():
+                return await self._route(action)
+            case SendStart():
+                return self._send_start(action)
+            case SendCancel():
+                self._send_cancel(action)
+        return []
 
-    async def _route(self, wanted: RouteWanted) -> None:
+    async def _route(self, wanted: RouteWanted) -> list:
         now = time.monotonic()
-        if self._is_over_retry_budget(wanted, now):
-            event = NoRoute(Code.RETRY_BUDGET_EMPTY, "the budget for retries is empty")
-            self._queue_outcome(event, now)
-            return
-        if wanted.is_continuation and not self.body.start_continuation():
-            event = NoRoute(Code.STREAM_INCOMPLETE, "the stream cannot be continued")
-            self._queue_outcome(event, now)
-            return
-        deadline = now + 1.0 if wanted.is_continuation else self.deadline
+        refusal = self._why_not_again(wanted, now)
+        if refusal is not None:
+            return self.outcome.handle(refusal, now)
+        deadline = now + CONTINUATION_TIMEOUT_S if wanted.is_continuation else self.deadline
         found = await self.service.router.route(self.call, wanted.excluded, deadline)
         now = time.monotonic()
         if isinstance(found, NoRoute):
-            self._record("no_route", Code(found.code), found.detail)
-            self._queue_outcome(found, now)
-            return
+            self.record("no_route", Code(found.code), found.detail)
+            return self.outcome.handle(found, now)
         self.destination = found
-        self._queue_outcome(Routed(found.host, found.agent_incarnation), now)
+        return self.outcome.handle(Routed(found.host, found.agent_incarnation), now)
 
-    def _is_over_retry_budget(self, wanted: RouteWanted, now: float) -> bool:
-        """Charge a repeated run; an attempt that was proven not run costs no budget."""
-        if wanted.attempt == 1 or self.outcome.attempts[-1].ran is Ran.NOT_RUN:
-            return False
-        return not self.service.retry_budget.try_spend(now)
+    def _why_not_again(self, wanted: RouteWanted, now: float) -> NoRoute | None:
+        """Charge a repeated run to the budget; an attempt that was proven not run costs nothing."""
+        if wanted.attempt == 1:
+            return None
+        if self.outcome.attempts[-1].ran is not Ran.NOT_RUN:
+            if not self.service.retry_budget.try_spend(now):
+                return NoRoute(Code.RETRY_BUDGET_EMPTY, "the budget for retries is empty")
+        if wanted.is_continuation and not self.body.start_continuation():
+            return NoRoute(Code.STREAM_INCOMPLETE, "the rest of the stream cannot be generated")
+        return None
 
-    def _queue_outcome(self, event, now: float) -> None:
-        for action in self.outcome.handle(event, now):
-            match action:
-                case SendStart():
-                    self._send_start(action)
-                case Finished():
-                    self.pending_finish = action
+    def _send_start(self, action: SendStart) -> list:
+        assert self.destination is not None
+        now = time.monotonic()
+        choice = self.destination.choice
+        self.routed_at = now
+        self.attempt_first_byte_at = None
+        self.assembler = StreamAssembler(self.request_id, action.attempt, now)
+        start = self._make_start(action, now)
+        sent = self.service.plane.node.send(action.host, start)
+        if sent.is_err():
+            # Nothing left this process, which proves that the attempt did not run.
+            refused = Refused(
+                self.request_id, action.attempt, Code.ENDPOINT_FAILED, str(sent.unwrap_err())
+            )
+            return self.outcome.handle(OutcomeReceived(action.host, refused), now)
+        name = f"{self.request_id}#{action.attempt}"
+        routed = PrefixRouted(name, choice, tuple(self.call.chain), self.call.prompt_tokens)
+        self.service.router.prefix.handle(routed, now)
+        reason = (
+            f"matched {choice.matched_blocks} blocks, expected {choice.expected_s * 1e3:.0f} ms"
+        )
+        self.record("routed", Code.OK, reason)
+        return []
+
+    def _make_start(self, action: SendStart, now: float) -> Start:
+        call = self.call
+        assert self.destination is not None
+        sequence = self.service.next_sequence()
+        self.sequences[action.attempt] = sequence
+        return Start(
+            self.request_id,
+            action.attempt,
+            call.workspace,
+            call.request_class.id,
+            call.model_id,
+            max(1, int((self.deadline - now) * 1e3)),
+            self.service.plane.state.version,
+            call.model.weights if call.model else "",
+            call.chain,
+            call.prompt_tokens,
+            call.output_cap,
+            call.repeatable,
+            call.claim_key,
+            call.method,
+            call.path,
+            call.headers,
+            self.body.body or call.body,
+            call.stream,
+            0,
+            call.key_digest,
+            action.agent_incarnation,
+            self.service.plane.incarnation,
+            sequence,
+        )
+
+    def _send_cancel(self, action: SendCancel) -> None:
+        cancel = Cancel(
+            self.request_id,
+            action.attempt,
+            True,
+            action.agent_incarnation,
+            self.service.plane.incarnation,
+            self.sequences.get(action.attempt, 0),
+        )
+        self.service.plane.node.send(action.host, cancel)
+
+    # End
 
-    def _send_start(self, action: SendStart) -> None:
-        raise NotImplementedError
+    async def _finish(self, finished: Finished) -> None:
+        if finished.code == Code.OK:
+            await self.stream.finish()
+            return
+        retry_after_s = finished.retry_after_ms / 1e3
+        failure = Failure(Code(finished.code), finished.detail, Ran(finished.ran), retry_after_s)
+        await self.stream.fail(failure, self.request_id)
+
+    def record(self, step: str, code: Code, reason: str) -> None:
+        """Keep and log a decision about this request."""
+        endpoint = self.destination.choice.endpoint if self.destination else ""
+        version = self.service.plane.state.version
+        workspace = self.call.workspace
+        self.service.plane.record(
+            DecisionRecord(self.request_id, workspace, step, endpoint, int(code), version, reason)
+        )
+        log_message(f"request_{step}", request_id=self.request_id, code=int(code), reason=reason)
--- a/teaselpath/entry/_routing.py
+++ b/teaselpath/entry/_routing.py
@@ -47,9 +47,7 @@
     def refresh(self) -> None:
         """Recompute the groups of endpoints after a change of the bundle or the members."""
         self.groups.clear()
-        self.agents = {
-            member.endpoint: member for member in self.plane.members.serving_endpoints()
-        }
+        self.agents = {member.endpoint: member for member in self.plane.members.serving_endpoints()}
 
     def group(self, model: str, service: str, is_local: bool) -> tuple[str, ...]:
         """Return the endpoints that serve a model or a plain service, in the own region or not."""
--- /dev/null
+++ b/teaselpath/entry/_service.py
@@ -0,0 +1,252 @@
+"""State and tasks that the requests of an entry share."""
+
+import asyncio
+import time
+
+from eliot import log_message
+
+from teaselpath.bundle import Bundle
+from teaselpath.control import ControlPlane
+from teaselpath.delivery import AgentLost, Finished, StopWanted
+from teaselpath.entry._call import Call
+from teaselpath.entry._driver import RequestDriver
+from teaselpath.entry._probes import Prober
+from teaselpath.entry._quota import QuotaService
+from teaselpath.entry._responses import CallerStream
+from teaselpath.entry._routing import EndpointRouter
+from teaselpath.quota import (
+    FromPeer,
+    Home,
+    HomesChanged,
+    LeaseConfirmed,
+    LeaveStarted,
+    QuotaCore,
+    TableRecord,
+    WorkspacesChanged,
+)
+from teaselpath.results import Code, Failure, Ran
+from teaselpath.scheduling import RetryBudget
+from teaselpath.transport import PeerLost, Received
+from teaselpath.wire import (
+    Cancelled,
+    Chunk,
+    DecisionRecord,
+    End,
+    ProbeReply,
+    QuotaAsk,
+    QuotaGrant,
+    QuotaReceipt,
+    QuotaReserve,
+    QuotaSettle,
+    QuotaTransfer,
+    Refused,
+)
+
+TICK_S = 0.1
+SHARES_STREAM = "shares"
+QuotaMessage = QuotaAsk | QuotaTransfer | QuotaReceipt | QuotaReserve | QuotaGrant | QuotaSettle
+
+
+class EntryService:
+    """Serves callers' requests.
+
+    :param plane: configuration, membership and sockets of this process.
+    """
+
+    def __init__(self, plane: ControlPlane):
+        self.plane = plane
+        self.settings = plane.settings
+        self.random = plane.random
+        self.clock = time.monotonic
+        self.prober = Prober(plane.node)
+        self.router = EndpointRouter(plane, self.prober)
+        core = QuotaCore(self.settings.host, self.settings.region, plane.incarnation)
+        self.quota = QuotaService(core, plane.send, plane.append, self.clock)
+        self.retry_budget = RetryBudget()
+        self.drivers: dict[str, RequestDriver] = {}
+        self.running = 0
+        self.leaving = False
+        self.dropped_messages = 0
+        self.sequence = 0
+
+    def next_sequence(self) -> int:
+        """Return the number of the next start; it grows with each start of this process."""
+        self.sequence += 1
+        return self.sequence
+
+    def why_not_ready(self) -> str:
+        """Return why requests cannot be served, or an empty string."""
+        if self.leaving:
+            return "stopping"
+        return "" if self.plane.bundle else "no bundle is in force"
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.quota.run())
+            group.create_task(self._tick())
+
+    def follow_shares(self) -> None:
+        """Follow the share tables on the log."""
+        self.plane.follow(SHARES_STREAM, self._take_share_record, self._shares_noticed)
+
+    def leave(self) -> None:
+        """Hand the quota balance over; running requests end."""
+        self.leaving = True
+        self.quota.handle(LeaveStarted())
+
+    def is_idle(self) -> bool:
+        """Return whether no request is running."""
+        return self.running == 0
+
+    def unfinished(self) -> list[str]:
+        """Return the ids of the running requests."""
+        return list(self.drivers)
+
+    # Role of the control plane
+
+    def deliver(self, event: Received | PeerLost) -> None:
+        """Pass a message on to the request or the task that it belongs to."""
+        match event:
+            case Received(message=Chunk() | End() | Refused() | Cancelled() as message):
+                driver = self.drivers.get(message.request_id)
+                if driver is not None:
+                    driver.deliver(event)
+            case Received(message=ProbeReply() as reply):
+                self.prober.handle(reply)
+            case Received(host=host, message=message) if isinstance(message, QuotaMessage):
+                self.quota.handle(FromPeer(host, message))
+            case PeerLost(host=host):
+                for driver in self.drivers.values():
+                    if driver.destination is not None and driver.destination.host == host:
+                        driver.deliver(event)
+
+    def bundle_changed(self, bundle: Bundle) -> None:
+        """Take a bundle that is in force from now on."""
+        self.quota.handle(WorkspacesChanged(bundle.workspaces))
+        self.router.refresh()
+        self.keys_changed()
+
+    def members_changed(self) -> None:
+        """Take a change of the member table."""
+        entries = self.plane.members.entries()
+        homes = sorted((member.host, member.region) for member in entries)
+        self.quota.handle(HomesChanged([Home(*home) for home in homes]))
+        self.router.refresh()
+        for driver in self.drivers.values():
+            self._check_agent(driver)
+
+    def _check_agent(self, driver: RequestDriver) -> None:
+        if driver.destination is None:
+            return
+        host = driver.destination.host
+        member = self.plane.members.members.get(host)
+        known = driver.destination.agent_incarnation
+        if member is None or member.is_gone or member.incarnation > known:
+            driver.deliver(AgentLost(host))
+
+    def keys_changed(self) -> None:
+        """Stop the running requests whose key is no longer valid."""
+        index = self.plane.key_index
+        for driver in self.drivers.values():
+            digest = driver.call.key_digest
+            is_known = index is None or not digest or digest in index.matches
+            if not is_known or self.plane.revocations.is_revoked(digest):
+                driver.deliver(StopWanted(Code.KEY_WITHDRAWN))
+
+    def describe(self, workspace: str) -> dict:
+        """Return this entry's state of a workspace, for operators."""
+        return {"running": self.running, "workspace": workspace}
+
+    # Requests
+
+    async def serve(
+        self, request_id: str, call: Call, stream: CallerStream, arrived: float
+    ) -> None:
+        """Run a checked call and answer its caller."""
+        self.running += 1
+        driver = RequestDriver(self, request_id, call, stream, arrived)
+        try:
+            finished = await self._serve(driver)
+        finally:
+            self.running -= 1
+        self._observe(driver, finished)
+
+    async def _serve(self, driver: RequestDriver) -> Finished | Failure:
+        call, request_id = driver.call, driver.request_id
+        if self.leaving:
+            failure = Failure(Code.STOPPING, "this entry stops", Ran.NOT_RUN, 1.0)
+            await driver.stream.fail(failure, request_id)
+            return failure
+        reserved = await self.quota.reserve(
+            request_id, call.workspace, call.charge, driver.deadline
+        )
+        if reserved.is_err():
+            failure = reserved.unwrap_err()
+            driver.record("refused", failure.code, failure.detail)
+            await driver.stream.fail(failure, request_id)
+            return failure
+        self.drivers[request_id] = driver
+        try:
+            return await driver.run()
+        except asyncio.CancelledError:
+            return await asyncio.shield(driver.stop(Code.CALLER_GONE))
+        finally:
+            del self.drivers[request_id]
+            self.quota.settle(request_id, self._used(driver))
+
+    def _used(self, driver: RequestDriver) -> int:
+        """Return the tokens to charge; the whole reservation if the use is not known."""
+        finished = driver.outcome.finished
+        if finished is None or finished.ran == Ran.UNKNOWN:
+            return driver.call.charge
+        if finished.ran == Ran.NOT_RUN:
+            return 0
+        if driver.call.model is None:
+            return driver.call.charge
+        used = driver.call.prompt_tokens + driver.output_tokens
+        return min(used, driver.call.charge)
+
+    def _observe(self, driver: RequestDriver, finished: Finished | Failure) -> None:
+        now = self.clock()
+        call = driver.call
+        code = Code(finished.code)
+        if code is Code.OK:
+            self.retry_budget.record_success(now)
+        first_s = None if driver.first_byte_at is None else driver.first_byte_at - driver.arrived
+        workspace, class_id = call.workspace, call.request_class.id
+        total_s = now - driver.arrived
+        metrics = self.plane.metrics
+        metrics.observe_request(workspace, class_id, code.name, first_s, total_s)
+        metrics.observe_tokens(
+            workspace, driver.prompt_tokens, driver.cached_tokens, driver.output_tokens
+        )
+        driver.record("ended", code, f"{finished.ran}, {total_s * 1e3:.0f} ms")
+
+    def observe_refusal(self, request_id: str, failure: Failure) -> None:
+        """Record a request that failed its checks."""
+        version = self.plane.state.version
+        self.plane.record(
+            DecisionRecord(
+                request_id, "", "rejected", "", int(failure.code), version, failure.detail
+            )
+        )
+        self.plane.metrics.observe_request("", "", failure.code.name, None, 0.0)
+        log_message("request_rejected", request_id=request_id, code=int(failure.code))
+
+    # Timers and log
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self.clock()
+            for driver in self.drivers.values():
+                if driver.inbox.empty():
+                    driver.deliver(now)
+
+    def _take_share_record(self, record) -> None:
+        self.quota.handle(TableRecord(record.offset, record.data))
+
+    def _shares_noticed(self, is_up: bool) -> None:
+        if is_up:
+            self.quota.handle(LeaseConfirmed())
--- a/teaselpath/daemon/_settings.py
+++ b/teaselpath/settings/_settings.py
@@ -101,6 +101,8 @@
     :param log_wait_ms: length of one long poll of the log.
     :param host_list_interval_s: between two reads of the host list.
     :param log_retention_s: how long the log keeps a record.
+    :param body_timeout_s: for the body of a caller's request to arrive.
+    :param stream_idle_timeout_s: longest silence of an endpoint within an answer.
     """
 
     body_bytes: Bytes = 16 * 1024 * 1024
@@ -117,6 +119,8 @@
     log_wait_ms: Milliseconds = 10_000
     host_list_interval_s: Seconds = 5.0
     log_retention_s: Seconds = 86_400.0
+    body_timeout_s: Seconds = 10.0
+    stream_idle_timeout_s: Seconds = 30.0
 
 
 class Settings(_Strict):
