--- /dev/null
+++ b/teaselpath/bundle/tests/test_state.py
@@ -0,0 +1,155 @@
+"""Decisions of BundleState over log records and peers' records."""
+
+import msgspec
+import pytest
+
+from teaselpath.bundle import (
+    Accepted,
+    BundleState,
+    Rejected,
+    Renewed,
+    RevocationSpec,
+    Withdrawn,
+    mark_renewal,
+    sign_record,
+    sign_revocation,
+)
+from teaselpath.bundle.tests.conftest import OPERATORS, OTHER_KEY, PRIVATE_KEY, signed
+from teaselpath.results import Code
+from teaselpath.wire import SignedRecord
+
+
+@pytest.fixture
+def state():
+    """A state that has accepted version 1 at offset 0."""
+    fresh = BundleState(OPERATORS)
+    fresh.handle(signed(0), 0.0)
+    return fresh
+
+
+def code_of(events):
+    """Code of a single rejection."""
+    (event,) = events
+    assert isinstance(event, Rejected)
+    return event.failure.code
+
+
+def test_race_is_settled_by_offset(state):
+    """Guards against two operators whose versions are both in force."""
+    assert isinstance(state.handle(signed(1, 2, 1, change_id="a"), 0.0)[0], Accepted)
+    assert code_of(state.handle(signed(2, 2, 1, change_id="b"), 0.0)) is Code.STALE_PARENT
+    assert state.bundle.change_id == "a"
+
+
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [
+        (b"not a record", Code.MALFORMED_RECORD),
+        (signed(1, 2, 1, key=OTHER_KEY).data, Code.UNTRUSTED_OPERATOR),
+        (sign_record("control", b"{}", PRIVATE_KEY), Code.MALFORMED_RECORD),
+        (sign_record("revocation", b"{}", PRIVATE_KEY), Code.MALFORMED_RECORD),
+        (sign_record("bundle", b"{}", PRIVATE_KEY), Code.INVALID_BUNDLE),
+        (signed(1, 5, 4).data, Code.STALE_PARENT),
+        (signed(1, 1, 0, change_id="late").data, Code.STALE_PARENT),
+    ],
+)
+def test_other_records_are_rejected(state, data, code):
+    """Guards against a forged or stale record that changes the accepted bundle (P13)."""
+    assert code_of(state.handle(SignedRecord(1, data), 0.0)) is code
+    assert (state.version, state.offset, state.next_offset) == (1, 0, 2)
+
+
+def test_altered_payload_has_a_bad_signature(state):
+    """Guards against a bundle that was changed after it was signed."""
+    parts = msgspec.msgpack.decode(signed(1, 2, 1).data)
+    forged = msgspec.msgpack.encode([parts[0], b'{"version":2}', parts[2], parts[3], False, False])
+    assert code_of(state.handle(SignedRecord(1, forged), 0.0)) is Code.BAD_SIGNATURE
+    kind = msgspec.msgpack.encode(["revocation", *parts[1:]])
+    assert code_of(state.handle(SignedRecord(2, kind), 0.0)) is Code.BAD_SIGNATURE
+
+
+def test_renewal_moves_the_offset_only(state):
+    """Guards against a renewal that counts as a change."""
+    renewal = SignedRecord(1, mark_renewal(state.record.data))
+    assert state.handle(renewal, 50.0, age_s=10.0) == [Renewed(1, 1)]
+    assert (state.version, state.offset) == (1, 1)
+    assert state.renew_at == 40.0 + state.retention_s / 2
+
+
+def test_install_never_lowers(state):
+    """Guards against a peer that brings back an older configuration (P13)."""
+    state.handle(signed(1, 2, 1), 0.0)
+    assert code_of(state.install(signed(90, 1, 0), 0.0)) is Code.OLD_VERSION
+    assert code_of(state.install(signed(90, 2, 1, change_id="loser"), 0.0)) is Code.OLD_VERSION
+    assert code_of(state.install(signed(1, 3, 2), 0.0)) is Code.OLD_VERSION
+    assert isinstance(state.install(signed(5, 3, 2), 0.0)[0], Accepted)
+    assert state.handle(signed(2, 9, 2), 0.0) == []
+    assert code_of(state.handle(signed(6, 3, 2, change_id="z"), 0.0)) is Code.STALE_PARENT
+
+
+def test_records_after_a_gap_wait_for_a_peer(state):
+    """Guards against a decision on an outdated parent after the log was trimmed."""
+    assert state.handle(signed(10, 5, 4), 0.0) == []
+    assert state.has_gap
+    assert state.install(SignedRecord(7, signed(7, 4, 1).data, 8), 0.0)[0].version == 4
+    assert state.has_gap  # the peer itself had only read up to offset 8
+    events = state.install(SignedRecord(7, signed(7, 4, 1).data, 10), 0.0)
+    assert [type(event) for event in events] == [Accepted]
+    assert (state.version, state.offset, state.has_gap) == (5, 10, False)
+
+
+def test_gap_is_closed_by_a_marked_renewal():
+    """Guards against a node without peers that never finds the accepted bundle."""
+    fresh = BundleState(OPERATORS)
+    assert fresh.handle(signed(10, 6, 4, change_id="loser"), 0.0) == []
+    events = fresh.handle(SignedRecord(11, mark_renewal(signed(0, 5, 4).data)), 0.0)
+    assert isinstance(events[0], Accepted)
+    assert (fresh.version, fresh.has_gap) == (5, False)
+
+
+def test_assume_base_replays_what_the_log_has():
+    """Guards against a system that stays empty after all nodes lost their state."""
+    fresh = BundleState(OPERATORS)
+    for record in (signed(10, 5, 4), signed(11, 5, 4, change_id="x"), signed(12, 6, 5)):
+        assert fresh.handle(record, 0.0) == []
+    kinds = [type(event) for event in fresh.assume_base(0.0)]
+    assert kinds == [Accepted, Rejected, Accepted]
+    assert (fresh.version, fresh.has_gap) == (6, False)
+
+
+def revocation(version, digest="ab" * 32):
+    """A signed revocation."""
+    return sign_revocation(RevocationSpec(key_digest=digest, version=version), PRIVATE_KEY)
+
+
+def test_revocation_is_in_force_and_compacted(state):
+    """Guards against a withdrawn key that works, and against a set that only grows (P6)."""
+    record = SignedRecord(1, revocation(1))
+    assert isinstance(state.handle(record, 0.0)[0], Withdrawn)
+    assert state.revocations.is_revoked(b"\xab" * 32)
+    state.handle(signed(2, 2, 1), 0.0)
+    assert state.revocations.is_revoked(b"\xab" * 32)
+    state.handle(signed(3, 3, 2, workspaces=[]), 0.0)
+    assert not state.revocations.records
+    assert state.revocations.add(record.data, OPERATORS).unwrap() is False
+
+
+def test_revocation_of_a_later_version_survives_compaction(state):
+    """Guards against a key that works because its withdrawal arrived before its bundle."""
+    state.revocations.add(revocation(3, "cd" * 32), OPERATORS)
+    state.handle(signed(1, 2, 1), 0.0)
+    assert state.revocations.is_revoked(b"\xcd" * 32)
+
+
+def test_revocation_digest_depends_on_the_keys_only(state):
+    """Guards against nodes that exchange equal sets for ever."""
+    other = BundleState(OPERATORS)
+    other.handle(signed(0), 0.0)
+    for data in (revocation(1), revocation(1, "cd" * 32)):
+        state.revocations.add(data, OPERATORS)
+    for data in (revocation(2, "cd" * 32), revocation(1)):
+        other.revocations.add(data, OPERATORS)
+    assert state.revocations.digest == other.revocations.digest
+    assert state.revocations.add(
+        sign_revocation(RevocationSpec(key_digest="ab" * 32, version=1), OTHER_KEY), OPERATORS
+    ).is_err()
