Add the outcome of a request and the continuation of its stream

Cause: the entry needs one place that decides on reroute, fence, stop and the terminal outcome, and a broken stream has to go on at another engine.

Change: RequestOutcome is a state machine over the answers of all attempts; a request that may not be repeated gets a new attempt only after the one before is proven not run. SseParser splits events incrementally with bounded lines and events. ContinuedStream collects the delivered text, builds the follow-up body and rewrites the continued events to one stream.

--- /dev/null
+++ b/teaselpath/delivery/_continuation.py
@@ -0,0 +1,263 @@
+"""Continuation of a broken stream on another engine."""
+
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from teaselpath.delivery._sse import DONE, SseParser, format_event
+from teaselpath.results import Code, Failure, Ran
+
+COMPLETIONS_PATH = "/v1/completions"
+CHAT_PATH = "/v1/chat/completions"
+_LIMIT_FIELDS = ("max_tokens", "max_completion_tokens")
+
+
+def check_continuable(path: str, body: dict[str, Any]) -> str:
+    """Return why a request cannot be continued, or an empty string if it can.
+
+    The answer has to be one text that a second engine can go on from.
+    """
+    if not body.get("stream"):
+        return "the answer is not a stream"
+    if body.get("n", 1) != 1 or body.get("best_of", 1) != 1:
+        return "the answer has several choices"
+    if body.get("echo") or body.get("tools") or body.get("response_format"):
+        return "the answer is more than the text that follows the prompt"
+    if path == COMPLETIONS_PATH:
+        return "" if isinstance(body.get("prompt"), str) else "the prompt is not a text"
+    if path != CHAT_PATH:
+        return "the route has no continuation"
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return "there are no messages"
+    if not all(isinstance(message, dict) for message in messages):
+        return "a message is not an object"
+    return "" if isinstance(messages[-1].get("content"), str) else "the last message is not a text"
+
+
+class ContinuedStream:
+    """Events of one answer over several runs, seen by the caller as one unbroken stream.
+
+    Only whole events are passed on, so a run may break anywhere.
+
+    :param path: path of the request.
+    :param body: decoded JSON body, for which :func:`check_continuable` found no reason.
+    :param max_text_bytes: text that is collected; a longer answer is not continued.
+    """
+
+    def __init__(self, path: str, body: dict[str, Any], max_text_bytes: int = 1 << 22) -> None:
+        self.path = path
+        self.body = body
+        self.max_text_bytes = max_text_bytes
+        self.text: list[str] = []
+        self.text_bytes = 0
+        self.tokens = 0
+        self.finish_reason = ""
+        self.is_done = False
+        self.is_continuable = True
+        self._run_tokens = 0
+        self._parser = SseParser()
+        self._runs = 1
+        self._head: dict[str, Any] = {}
+        self._has_role = False
+
+    @property
+    def delivered_tokens(self) -> int:
+        """Tokens that the caller got: as the engines counted, else one per event with text."""
+        return self.tokens + self._run_tokens
+
+    def feed(self, data: bytes) -> Result[bytes, Failure]:
+        """Take bytes of the current run and return bytes for the caller.
+
+        :returns: whole events, or a failure if the engine broke the protocol or sent an error. The
+            run is over after a failure and may be continued.
+        """
+        events = self._parser.feed(data)
+        if isinstance(events, Err):
+            return events
+        out: list[bytes] = []
+        for event in events.ok_value:
+            result = self._event(event)
+            if isinstance(result, Err):
+                # What came before the faulty event still reaches the caller, at the next call.
+                return result if not out else self._defer(out, result.err_value)
+            out.append(result.ok_value)
+        return Ok(b"".join(out))
+
+    def _defer(self, out: list[bytes], failure: Failure) -> Result[bytes, Failure]:
+        self._parser = SseParser()
+        self._parser.fail(failure)
+        return Ok(b"".join(out))
+
+    def check_complete(self) -> Failure | None:
+        """Return why the stream is not complete although its run ended, or None if it is."""
+        if self.is_done:
+            return None
+        failure = self._parser.feed(b"").err()
+        return failure or Failure(Code.STREAM_INCOMPLETE, "the stream has no [DONE]", Ran.RAN)
+
+    def break_run(self) -> None:
+        """Forget the unfinished event of a run that broke, and expect a continued run."""
+        self._parser = SseParser()
+        self.tokens += self._run_tokens
+        self._run_tokens = 0
+        self._runs += 1
+
+    def follow_up_body(self) -> dict[str, Any] | None:
+        """Return the body that goes on from the delivered text.
+
+        :returns: None if nothing is left to generate; :meth:`finish` then ends the stream.
+        """
+        if self.finish_reason or self.is_done:
+            return None
+        body = dict(self.body)
+        for field in _LIMIT_FIELDS:
+            if isinstance(limit := body.get(field), int):
+                if limit <= self.delivered_tokens:
+                    return None
+                body[field] = limit - self.delivered_tokens
+        if not self.text:
+            return body
+        text = "".join(self.text)
+        if self.path == COMPLETIONS_PATH:
+            body["prompt"] = body["prompt"] + text
+            return body
+        return self._follow_up_chat(body, text)
+
+    def _follow_up_chat(self, body: dict[str, Any], text: str) -> dict[str, Any]:
+        messages = list(body["messages"])
+        if body.get("continue_final_message") and messages[-1].get("role") == "assistant":
+            last = messages.pop()
+            messages.append({**last, "content": last["content"] + text})
+        else:
+            messages.append({"role": "assistant", "content": text})
+        body["messages"] = messages
+        body["continue_final_message"] = True
+        # Engines reject continue_final_message together with a generation prompt.
+        body["add_generation_prompt"] = False
+        return body
+
+    def finish(self) -> bytes:
+        """Return the events that end a stream of which all text was delivered."""
+        if self.is_done:
+            return b""
+        self.is_done = True
+        if self.finish_reason:
+            return format_event(DONE)
+        choice: dict[str, Any] = {"index": 0, "finish_reason": "length"}
+        if self.path == COMPLETIONS_PATH:
+            choice["text"] = ""
+        else:
+            choice["delta"] = {}
+        event = msgspec.json.encode({**self._head, "choices": [choice]})
+        return format_event(event) + format_event(DONE)
+
+    # Events of a run
+
+    def _event(self, data: bytes) -> Result[bytes, Failure]:
+        if self.is_done:
+            return Ok(b"")
+        if data == DONE:
+            self.is_done = True
+            return Ok(format_event(DONE))
+        try:
+            event = msgspec.json.decode(data)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            return _protocol_error("an event is not JSON")
+        if not isinstance(event, dict):
+            return _protocol_error("an event is not an object")
+        if "error" in event:
+            return Err(Failure(Code.ENDPOINT_FAILED, "the engine reported an error", Ran.RAN))
+        if (choice := _read_choice(event)) is None:
+            return _protocol_error("the choices of an event are malformed")
+        self._collect(event, choice)
+        return Ok(self._pass_on(data, event, choice))
+
+    def _collect(self, event: dict[str, Any], choice: dict[str, Any]) -> None:
+        text = self._text_of(choice)
+        if text:
+            self.text.append(text)
+            self.text_bytes += len(text)
+            self._run_tokens += 1
+            if self.text_bytes > self.max_text_bytes:
+                self.is_continuable = False
+                self.text.clear()
+        if isinstance(reason := choice.get("finish_reason"), str):
+            self.finish_reason = reason
+        usage = event.get("usage")
+        if isinstance(usage, dict) and (count := _count(usage, "completion_tokens")) is not None:
+            self._run_tokens = count
+
+    def _text_of(self, choice: dict[str, Any]) -> str:
+        if self.path == COMPLETIONS_PATH:
+            text = choice.get("text")
+        else:
+            delta = choice.get("delta")
+            delta = delta if isinstance(delta, dict) else {}
+            # Only plain content can be put into a trailing assistant message.
+            if delta.keys() - {"role", "content"}:
+                self.is_continuable = self.is_continuable and not any(
+                    value for name, value in delta.items() if name not in ("role", "content")
+                )
+            text = delta.get("content")
+        return text if isinstance(text, str) else ""
+
+    def _pass_on(self, data: bytes, event: dict[str, Any], choice: dict[str, Any]) -> bytes:
+        if not self._head:
+            names = ("id", "object", "created", "model", "system_fingerprint")
+            self._head = {name: event[name] for name in names if name in event}
+        is_repeated_role = self._drop_role(choice)
+        if self._runs == 1:
+            return format_event(b" ".join(data.splitlines()))
+        event.update(self._head)
+        usage = event.get("usage")
+        if isinstance(usage, dict):
+            self._sum_usage(usage)
+        elif is_repeated_role and not self._text_of(choice) and not choice.get("finish_reason"):
+            return b""
+        return format_event(msgspec.json.encode(event))
+
+    def _drop_role(self, choice: dict[str, Any]) -> bool:
+        delta = choice.get("delta")
+        if not isinstance(delta, dict) or "role" not in delta:
+            return False
+        is_repeated = self._has_role and self._runs > 1
+        self._has_role = True
+        if is_repeated:
+            del delta["role"]
+        return is_repeated
+
+    def _sum_usage(self, usage: dict[str, Any]) -> None:
+        """Move the tokens of earlier runs from the prompt to the completion."""
+        prompt = _count(usage, "prompt_tokens")
+        completion = _count(usage, "completion_tokens")
+        if prompt is None or completion is None:
+            return
+        prompt = max(0, prompt - self.tokens)
+        completion += self.tokens
+        usage.update(
+            prompt_tokens=prompt, completion_tokens=completion, total_tokens=prompt + completion
+        )
+        details = usage.get("prompt_tokens_details")
+        if isinstance(details, dict) and (cached := _count(details, "cached_tokens")) is not None:
+            details["cached_tokens"] = min(cached, prompt)
+
+
+def _read_choice(event: dict[str, Any]) -> dict[str, Any] | None:
+    """Return the only choice, an empty object if there is none, or None if it is malformed."""
+    choices = event.get("choices", [])
+    if not isinstance(choices, list) or len(choices) > 1:
+        return None
+    if not choices:
+        return {}
+    return choices[0] if isinstance(choices[0], dict) else None
+
+
+def _count(values: dict[str, Any], name: str) -> int | None:
+    count = values.get(name)
+    return count if isinstance(count, int) and count >= 0 else None
+
+
+def _protocol_error(detail: str) -> Err[Failure]:
+    return Err(Failure(Code.ENDPOINT_PROTOCOL, detail, Ran.RAN))
--- /dev/null
+++ b/teaselpath/delivery/_outcome.py
@@ -0,0 +1,296 @@
+"""Outcome of one request at the entry, over all its attempts."""
+
+from enum import IntEnum
+from typing import assert_never
+
+from teaselpath.delivery._assembler import Completed
+from teaselpath.delivery._outcome_events import (
+    AgentLost,
+    Delivered,
+    Finished,
+    NoRoute,
+    Outcome,
+    OutcomeAction,
+    OutcomeEvent,
+    Received,
+    Routed,
+    RouteWanted,
+    SendCancel,
+    SendStart,
+    StopWanted,
+    StreamCompleted,
+)
+from teaselpath.results import Code, Ran
+from teaselpath.wire import Cancelled, Refused
+
+# Refusals that say nothing about the request itself, so another endpoint may take it.
+REROUTED_REFUSALS = frozenset(
+    (
+        Code.ENDPOINT_LEAVING,
+        Code.ENDPOINT_FAILED,
+        Code.CIRCUIT_OPEN,
+        Code.QUEUE_FULL,
+        Code.OVERLOADED,
+        Code.WEIGHTS_MISMATCH,
+        Code.FENCED,
+        Code.STOPPING,
+    )
+)
+# Failures of an attempt that may have run; only a repeatable or continued request goes on.
+RETRIED_FAILURES = frozenset(
+    (
+        Code.ENDPOINT_FAILED,
+        Code.ENDPOINT_PROTOCOL,
+        Code.ENDPOINT_LEAVING,
+        Code.STREAM_INCOMPLETE,
+        Code.BUFFER_EXPIRED,
+        Code.UNKNOWN_REQUEST,
+        Code.OUTCOME_UNKNOWN,
+        Code.PEER_UNREACHABLE,
+        Code.PEER_TIMEOUT,
+    )
+)
+
+
+class _State(IntEnum):
+    """State of the current attempt."""
+
+    ROUTING = 1
+    SENT = 2
+    FENCING = 3
+    STOPPING = 4
+    DONE = 5
+
+
+class Attempt:
+    """One attempt, and what is proven about it."""
+
+    __slots__ = ("agent_incarnation", "host", "ran")
+
+    def __init__(self, host: str, agent_incarnation: int) -> None:
+        self.host = host
+        self.agent_incarnation = agent_incarnation
+        self.ran = Ran.UNKNOWN
+
+
+class RequestOutcome:
+    """Decides what happens next to a request, and what its caller may be told.
+
+    A request that may not be repeated gets a new attempt only after the one before is proven not
+    run. :meth:`begin` is called once, before any event.
+
+    :param repeatable: whether a second run is harmless.
+    :param continuable: whether a broken stream may be continued on another engine.
+    :param first_byte_deadline: instant until which the answer has to begin.
+    :param max_attempts: attempts in total.
+    :param fence_timeout_s: time that an answer to a cancel is waited for, in seconds.
+    :param fence_resend_s: interval between copies of a cancel, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        repeatable: bool,
+        continuable: bool,
+        first_byte_deadline: float,
+        max_attempts: int = 3,
+        fence_timeout_s: float = 3.0,
+        fence_resend_s: float = 0.25,
+    ) -> None:
+        self.repeatable = repeatable
+        self.continuable = continuable
+        self.first_byte_deadline = first_byte_deadline
+        self.max_attempts = max_attempts
+        self.fence_timeout_s = fence_timeout_s
+        self.fence_resend_s = fence_resend_s
+        self.attempts: list[Attempt] = []
+        self.is_delivering = False
+        self.finished: Finished | None = None
+        self._state = _State.ROUTING
+        self._stop_code = Code.OK
+        self._give_up_at = 0.0
+        self._resend_at = 0.0
+
+    @property
+    def ran(self) -> Ran:
+        """What is known about all attempts together."""
+        known = {attempt.ran for attempt in self.attempts}
+        if Ran.RAN in known:
+            return Ran.RAN
+        return Ran.UNKNOWN if Ran.UNKNOWN in known else Ran.NOT_RUN
+
+    def begin(self) -> list[OutcomeAction]:
+        """Ask for the first agent."""
+        return [RouteWanted(1)]
+
+    def handle(self, event: OutcomeEvent, now: float) -> list[OutcomeAction]:
+        """Apply one event and return what to do."""
+        if self._state is _State.DONE:
+            return []
+        match event:
+            case Delivered(attempt):
+                self.is_delivering = True
+                self.attempts[attempt - 1].ran = Ran.RAN
+                return []
+            case Routed(host, agent_incarnation):
+                return self._routed(host, agent_incarnation)
+            case NoRoute(code, detail, retry_after_ms):
+                if self._state is not _State.ROUTING:
+                    return []
+                return self._finish(code, detail, retry_after_ms)
+            case Received(host, message):
+                return self._received(host, message)
+            case StreamCompleted(attempt, completed):
+                return self._completed(attempt, completed, now)
+            case AgentLost(host):
+                return self._agent_lost(host)
+            case StopWanted(code):
+                return self._stop(Code(code), now)
+            case _:
+                assert_never(event)
+
+    def tick(self, now: float) -> list[OutcomeAction]:
+        """Apply the deadlines."""
+        if self._state in (_State.FENCING, _State.STOPPING):
+            return self._tick_cancel(now)
+        is_late = not self.is_delivering and now >= self.first_byte_deadline
+        if self._state is _State.DONE or not is_late:
+            return []
+        return self._stop(Code.DEADLINE_EXCEEDED, now)
+
+    def _tick_cancel(self, now: float) -> list[OutcomeAction]:
+        if now >= self._give_up_at:
+            detail = "the agent did not answer the cancel"
+            if self._state is _State.STOPPING:
+                return self._finish(self._stop_code, detail)
+            return self._failed(Code.OUTCOME_UNKNOWN, detail)
+        if now < self._resend_at:
+            return []
+        self._resend_at = now + self.fence_resend_s
+        return [self._cancel_current()]
+
+    # Routing
+
+    def _routed(self, host: str, agent_incarnation: int) -> list[OutcomeAction]:
+        if self._state is not _State.ROUTING:
+            return []
+        self.attempts.append(Attempt(host, agent_incarnation))
+        self._state = _State.SENT
+        return [SendStart(host, len(self.attempts), agent_incarnation)]
+
+    def _route_again(self, code: int, detail: str, retry_after_ms: int = 0) -> list[OutcomeAction]:
+        if len(self.attempts) >= self.max_attempts:
+            return self._finish(code, detail, retry_after_ms)
+        excluded = tuple(dict.fromkeys(attempt.host for attempt in self.attempts))
+        self._state = _State.ROUTING
+        number = len(self.attempts) + 1
+        return [RouteWanted(number, excluded, is_continuation=self.is_delivering)]
+
+    # Answers of agents
+
+    def _received(self, host: str, message: Refused | Cancelled) -> list[OutcomeAction]:
+        number = message.attempt
+        if not 1 <= number <= len(self.attempts) or self.attempts[number - 1].host != host:
+            return []
+        attempt = self.attempts[number - 1]
+        if isinstance(message, Refused) or not message.started:
+            # A delivered byte proves a run; an answer that contradicts it is wrong.
+            if attempt.ran is Ran.RAN:
+                return []
+            attempt.ran = Ran.NOT_RUN
+        elif message.ran == Ran.RAN:
+            attempt.ran = Ran.RAN
+        is_current = number == len(self.attempts) and self._state is not _State.ROUTING
+        if not is_current:
+            return []
+        if isinstance(message, Refused):
+            return self._refused(message)
+        return self._cancelled(attempt)
+
+    def _refused(self, refused: Refused) -> list[OutcomeAction]:
+        if self._state is _State.STOPPING:
+            return self._finish(self._stop_code, refused.detail)
+        if refused.code == Code.DUPLICATE_REQUEST:
+            # The agent knows another run of this id, so nothing is proven about the request.
+            self.attempts[-1].ran = Ran.UNKNOWN
+            return self._finish(refused.code, refused.detail)
+        if refused.code in REROUTED_REFUSALS:
+            return self._route_again(refused.code, refused.detail, refused.retry_after_ms)
+        return self._finish(refused.code, refused.detail, refused.retry_after_ms)
+
+    def _cancelled(self, attempt: Attempt) -> list[OutcomeAction]:
+        if self._state is _State.STOPPING:
+            return self._finish(self._stop_code, "the request was stopped")
+        if self._state is not _State.FENCING:
+            return []
+        if attempt.ran is Ran.NOT_RUN:
+            return self._route_again(Code.UNKNOWN_REQUEST, "the request did not reach its agent")
+        return self._failed(Code.OUTCOME_UNKNOWN, "the answer of the request is lost")
+
+    def _completed(self, number: int, completed: Completed, now: float) -> list[OutcomeAction]:
+        if number != len(self.attempts) or self._state is _State.ROUTING:
+            return []
+        attempt = self.attempts[-1]
+        if completed.ran == Ran.RAN or completed.code == Code.OK:
+            attempt.ran = Ran.RAN
+        if completed.code == Code.OK:
+            return self._finish(Code.OK, "")
+        if self._state is _State.STOPPING:
+            return self._finish(self._stop_code, completed.detail)
+        if completed.code == Code.UNKNOWN_REQUEST and attempt.ran is Ran.UNKNOWN:
+            return self._fence(now)
+        return self._failed(completed.code, completed.detail)
+
+    def _failed(self, code: int, detail: str) -> list[OutcomeAction]:
+        """Go on after an attempt that may have run, if that is allowed."""
+        is_allowed = self.continuable if self.is_delivering else self.repeatable
+        if not is_allowed or code not in RETRIED_FAILURES:
+            return self._finish(code, detail)
+        # The abandoned run may still go on; the cancel saves its work and needs no answer.
+        return [self._cancel_current(), *self._route_again(code, detail)]
+
+    def _agent_lost(self, host: str) -> list[OutcomeAction]:
+        if self._state is _State.ROUTING or self.attempts[-1].host != host:
+            return []
+        detail = "the agent of the request is gone"
+        if self._state is _State.STOPPING:
+            return self._finish(self._stop_code, detail)
+        if self.attempts[-1].ran is Ran.RAN:
+            return self._failed(Code.STREAM_INCOMPLETE, detail)
+        return self._failed(Code.OUTCOME_UNKNOWN, detail)
+
+    # Cancel and fence
+
+    def _cancel_current(self) -> SendCancel:
+        attempt = self.attempts[-1]
+        return SendCancel(attempt.host, len(self.attempts), attempt.agent_incarnation)
+
+    def _fence(self, now: float) -> list[OutcomeAction]:
+        self._state = _State.FENCING
+        return self._send_cancel(now)
+
+    def _stop(self, code: Code, now: float) -> list[OutcomeAction]:
+        if self._state is _State.ROUTING:
+            return self._finish(code, "the request was stopped before it was sent")
+        if self._state is _State.STOPPING:
+            return []
+        self._stop_code = code
+        self._state = _State.STOPPING
+        return self._send_cancel(now)
+
+    def _send_cancel(self, now: float) -> list[OutcomeAction]:
+        self._give_up_at = now + self.fence_timeout_s
+        self._resend_at = now + self.fence_resend_s
+        return [self._cancel_current()]
+
+    def _finish(self, code: int, detail: str, retry_after_ms: int = 0) -> list[OutcomeAction]:
+        self._state = _State.DONE
+        ran = self.ran
+        if code == Code.OK:
+            outcome = Outcome.SERVED
+        elif ran is Ran.NOT_RUN:
+            outcome = Outcome.NOT_RUN
+        else:
+            outcome = Outcome.FAILED if ran is Ran.RAN else Outcome.UNKNOWN
+        self.finished = Finished(outcome, code, ran, detail, retry_after_ms)
+        return [self.finished]
--- /dev/null
+++ b/teaselpath/delivery/_sse.py
@@ -0,0 +1,109 @@
+"""Incremental parser of server-sent events."""
+
+from result import Err, Ok, Result
+
+from teaselpath.results import Code, Failure, Ran
+
+DONE = b"[DONE]"
+
+
+class SseParser:
+    """Splits a byte stream into the data of its events.
+
+    Lines end with LF, CR or CRLF, also when these are cut in two. Comments and fields other than
+    ``data`` are skipped. After a failure the parser stays failed; events that were complete before
+    it are returned first, and the failure at the next call.
+
+    :param max_line_bytes: longest line.
+    :param max_event_bytes: longest data of an event.
+    """
+
+    __slots__ = (
+        "_data",
+        "_data_size",
+        "_failure",
+        "_skip_lf",
+        "_tail",
+        "_tail_size",
+        "max_event_bytes",
+        "max_line_bytes",
+    )
+
+    def __init__(self, max_line_bytes: int = 1 << 18, max_event_bytes: int = 1 << 20) -> None:
+        self.max_line_bytes = max_line_bytes
+        self.max_event_bytes = max_event_bytes
+        self._tail: list[bytes] = []
+        self._tail_size = 0
+        self._data: list[bytes] = []
+        self._data_size = 0
+        self._skip_lf = False
+        self._failure: Failure | None = None
+
+    def feed(self, data: bytes) -> Result[list[bytes], Failure]:
+        """Add bytes and return the data of the events that they complete.
+
+        :returns: the events, or ENDPOINT_PROTOCOL if a line or an event is too long.
+        """
+        if self._failure is not None:
+            return Err(self._failure)
+        if not data:
+            return Ok([])
+        if self._skip_lf and data.startswith(b"\n"):
+            data = data[1:]
+        self._skip_lf = data.endswith(b"\r")
+        if b"\n" not in data and b"\r" not in data:
+            return self._keep_tail(data)
+        lines = b"".join([*self._tail, data]).splitlines(keepends=True)
+        self._tail.clear()
+        self._tail_size = 0
+        last = b"" if lines[-1].endswith((b"\n", b"\r")) else lines.pop()
+        events: list[bytes] = []
+        for line in lines:
+            if (fault := self._line(line.rstrip(b"\r\n"), events)) is not None:
+                error = self._fail(fault)
+                return Ok(events) if events else error
+        kept = self._keep_tail(last)
+        return Ok(events) if events else kept
+
+    def _keep_tail(self, data: bytes) -> Result[list[bytes], Failure]:
+        """Keep an unfinished line in parts, so that single bytes cost no copies of the line."""
+        if data:
+            self._tail.append(data)
+            self._tail_size += len(data)
+        if self._tail_size > self.max_line_bytes:
+            return self._fail("a line of the event stream is too long")
+        return Ok([])
+
+    def _line(self, line: bytes, events: list[bytes]) -> str | None:
+        if not line:
+            if self._data:
+                events.append(b"\n".join(self._data))
+            self._data = []
+            self._data_size = 0
+            return None
+        if len(line) > self.max_line_bytes:
+            return "a line of the event stream is too long"
+        name, _, value = line.partition(b":")
+        if name != b"data":
+            return None
+        value = value.removeprefix(b" ")
+        self._data.append(value)
+        self._data_size += len(value) + 1
+        if self._data_size > self.max_event_bytes:
+            return "an event is too long"
+        return None
+
+    def fail(self, failure: Failure) -> None:
+        """Answer this failure from now on."""
+        self._failure = failure
+
+    def _fail(self, detail: str) -> Err[Failure]:
+        self._failure = Failure(Code.ENDPOINT_PROTOCOL, detail, Ran.RAN)
+        self._tail = []
+        self._data = []
+        return Err(self._failure)
+
+
+def format_event(data: bytes) -> bytes:
+    """Return an event with one line of data."""
+    return b"data: " + data + b"\n\n"
