--- a/teaselpath/agent/_run.py
+++ b/teaselpath/agent/_run.py
@@ -3,7 +3,14 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from teaselpath.agent._endpoint import Broken, Data, EndpointClient, Finished, Head
+from teaselpath.agent._endpoint import (
+    Broken,
+    Data,
+    EndpointClient,
+    Finished,
+    Head,
+    Usage,
+)
 from teaselpath.delivery import RunChunk, RunEnd
 from teaselpath.results import Code, Ran
 from teaselpath.wire import Start
@@ -69,7 +76,16 @@
         start = self.start
         await self.report(RunChunk(start.request_id, start.attempt, data, status, headers))
 
-    def _end(self, code: Code, ran: Ran, usage=None, detail: str = "") -> RunEnd:
+    def _end(self, code: Code, ran: Ran, usage: Usage | None = None, detail: str = "") -> RunEnd:
         start = self.start
-        tokens = (usage.prompt_tokens, usage.cached_tokens, usage.output_tokens) if usage else ()
-        return RunEnd(start.request_id, start.attempt, code, ran, *tokens, detail=detail)
+        usage = usage or Usage()
+        return RunEnd(
+            start.request_id,
+            start.attempt,
+            code,
+            ran,
+            usage.prompt_tokens,
+            usage.cached_tokens,
+            usage.output_tokens,
+            detail,
+        )
--- a/teaselpath/agent/_service.py
+++ b/teaselpath/agent/_service.py
@@ -107,7 +107,7 @@
 
     def is_idle(self) -> bool:
         """Return whether nothing runs, waits or is still to be acknowledged."""
-        return not self.starts and not self.ledger.open_streams
+        return not self.starts and self.ledger.is_drained
 
     def unfinished(self) -> list[str]:
         """Return the ids of the running requests."""
--- a/teaselpath/control/_log_follower.py
+++ b/teaselpath/control/_log_follower.py
@@ -41,6 +41,7 @@
         self.next_offset = 0
         self.end_offset = 0
         self.is_up = False
+        self.read_started_at = 0.0
 
     @property
     def is_caught_up(self) -> bool:
@@ -61,7 +62,8 @@
 
     async def _read_once(self) -> bool:
         wait_ms = self.wait_ms if self.is_caught_up else 0
-        deadline = asyncio.get_running_loop().time() + wait_ms / 1e3 + READ_MARGIN_S
+        self.read_started_at = asyncio.get_running_loop().time()
+        deadline = self.read_started_at + wait_ms / 1e3 + READ_MARGIN_S
         match await self.client.read(self.stream, self.next_offset, deadline, wait_ms=wait_ms):
             case Ok(LogPage() as page):
                 self._take_page(page)
--- a/teaselpath/control/_plane.py
+++ b/teaselpath/control/_plane.py
@@ -148,11 +148,15 @@
         stream: str,
         take: Callable[[LogRecord], None],
         noticed: Callable[[bool], None] = lambda is_up: None,
+        longest_wait_ms: int = 60_000,
     ) -> LogFollower | None:
-        """Start to follow a stream of the log; None if the settings name no log."""
+        """Start to follow a stream of the log; None if the settings name no log.
+
+        :param longest_wait_ms: bound on the length of one long poll, in milliseconds.
+        """
         if self.log is None or self.tasks is None:
             return None
-        wait_ms = self.settings.limits.log_wait_ms
+        wait_ms = min(self.settings.limits.log_wait_ms, longest_wait_ms)
         follower = LogFollower(self.log, stream, take, noticed, self.state.skip_to, wait_ms)
         if stream != CONFIG_STREAM:
             follower.skipped = lambda first: None
@@ -206,7 +210,8 @@
             case Received(message=Revocation(data=data)):
                 self.add_revocation(data)
             case Received(message=TraceCopy(records=records)):
-                self.decisions.add_copies(records)
+                for record in records:
+                    self.decisions.add_copy(record)
             case Received(host=host, message=Control() as control):
                 self.node.reply(host, self.operator.answer(control))
             case _:
--- a/teaselpath/daemon/_main.py
+++ b/teaselpath/daemon/_main.py
@@ -40,7 +40,8 @@
 
 
 def _open_log(settings: Settings) -> None:
-    to_file(open(settings.log_file, "a") if settings.log_file else sys.stderr)
+    # The log file stays open for the life of the process.
+    to_file(Path(settings.log_file).open("a") if settings.log_file else sys.stderr)  # noqa: SIM115
 
 
 def _report(faults: list[Failure]) -> None:
--- a/teaselpath/daemon/_process.py
+++ b/teaselpath/daemon/_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import time
+from contextlib import nullcontext
 from pathlib import Path
 
 import aiohttp
@@ -174,8 +175,7 @@
         ssl_certfile=http.tls_cert or None,
         ssl_keyfile=http.tls_key_file or None,
     )
-    server = _Server(config)
-    return server
+    return _Server(config)
 
 
 class _Server(uvicorn.Server):
@@ -183,6 +183,4 @@
 
     def capture_signals(self):
         """Leave the signal handlers as they are."""
-        from contextlib import nullcontext
-
         return nullcontext()
--- a/teaselpath/entry/_app.py
+++ b/teaselpath/entry/_app.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from eliot import write_traceback
 from result import Err, Ok, Result
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -21,7 +22,7 @@
 )
 from teaselpath.entry._responses import CallerStream, error_body, error_headers, not_run
 from teaselpath.entry._service import EntryService
-from teaselpath.results import Code, Failure, http_status
+from teaselpath.results import Code, Failure, Ran, http_status
 from teaselpath.utils import new_id
 
 
@@ -90,9 +91,15 @@
             return
         call = checked.ok_value
         stream.is_event_stream = call.stream
-        await _until_disconnect(
-            receive, lambda: self.service.serve(request_id, call, stream, arrived)
-        )
+        try:
+            await _until_disconnect(
+                receive, lambda: self.service.serve(request_id, call, stream, arrived)
+            )
+        except Exception:
+            # A programming error must not reach the caller as a bare connection error.
+            write_traceback()
+            failure = Failure(Code.OUTCOME_UNKNOWN, "internal error", Ran.UNKNOWN)
+            await stream.fail(failure, request_id)
 
     def _check_caller(self, headers: dict[str, str], route) -> Result:
         plane = self.service.plane
--- a/teaselpath/entry/_body.py
+++ b/teaselpath/entry/_body.py
@@ -96,7 +96,7 @@
     def _start_attempt(self, chunk: Chunk) -> None:
         self.attempt = chunk.attempt
         self.status = chunk.status or 200
-        self.headers = [tuple(header) for header in chunk.headers]
+        self.headers = list(chunk.headers)
         self.held.clear()
         self.held_bytes = 0
         self.tail = b""
--- a/teaselpath/entry/_call.py
+++ b/teaselpath/entry/_call.py
@@ -133,7 +133,7 @@
         detail = f"{request.method} is not allowed; allowed: {', '.join(route.methods)}"
         return Err(Failure(Code.METHOD_NOT_ALLOWED, detail))
     checked = check_no_credential(request, request.body, caller.key)
-    if checked.is_err():
+    if isinstance(checked, Err):
         return checked
     found = find_class(bundle, request.headers.get(CLASS_HEADER) or route.request_class)
     if isinstance(found, Err):
@@ -181,7 +181,7 @@
         return found
     data = _endpoint_body(body, output_cap)
     credential = check_no_credential(request, data, caller.key)
-    if credential.is_err():
+    if isinstance(credential, Err):
         return credential
     return Ok(_model_call(request, caller, found.ok_value, model, body, data, output_cap))
 
--- a/teaselpath/entry/_driver.py
+++ b/teaselpath/entry/_driver.py
@@ -273,9 +273,9 @@
         """Charge a repeated run to the budget; an attempt that was proven not run costs nothing."""
         if wanted.attempt == 1:
             return None
-        if self.outcome.attempts[-1].ran is not Ran.NOT_RUN:
-            if not self.service.retry_budget.try_spend(now):
-                return NoRoute(Code.RETRY_BUDGET_EMPTY, "the budget for retries is empty")
+        may_have_run = self.outcome.attempts[-1].ran is not Ran.NOT_RUN
+        if may_have_run and not self.service.retry_budget.try_spend(now):
+            return NoRoute(Code.RETRY_BUDGET_EMPTY, "the budget for retries is empty")
         if wanted.is_continuation and not self.body.start_continuation():
             return NoRoute(Code.STREAM_INCOMPLETE, "the rest of the stream cannot be generated")
         return None
--- a/teaselpath/entry/_quota.py
+++ b/teaselpath/entry/_quota.py
@@ -10,6 +10,9 @@
 from teaselpath.wire import Append, Send
 
 TICK_S = 0.05
+# A lack of tokens that ends within this time is waited out: a caller that is told to retry takes
+# longer, and a share that was just moved or restarted fills up within it.
+MAX_WAIT_S = 2.0
 
 
 class QuotaService:
@@ -37,7 +40,21 @@
     async def reserve(
         self, reservation_id: str, workspace: str, tokens: int, deadline: float
     ) -> Result[None, Failure]:
-        """Reserve tokens; waits while other homes are asked, until the deadline at the latest."""
+        """Reserve tokens; waits for a short lack of them, until the deadline at the latest."""
+        give_up_at = min(deadline, self.clock() + MAX_WAIT_S)
+        while True:
+            result = await self._reserve_once(reservation_id, workspace, tokens, deadline)
+            if result.is_ok():
+                return result
+            failure = result.unwrap_err()
+            retry_at = self.clock() + failure.retry_after_s
+            if failure.code is not Code.RATE_EXCEEDED or retry_at > give_up_at:
+                return result
+            await asyncio.sleep(max(TICK_S, failure.retry_after_s))
+
+    async def _reserve_once(
+        self, reservation_id: str, workspace: str, tokens: int, deadline: float
+    ) -> Result[None, Failure]:
         future = asyncio.get_running_loop().create_future()
         self.waiting[reservation_id] = future
         try:
--- a/teaselpath/entry/_service.py
+++ b/teaselpath/entry/_service.py
@@ -6,7 +6,7 @@
 from eliot import log_message
 
 from teaselpath.bundle import Bundle
-from teaselpath.control import ControlPlane
+from teaselpath.control import ControlPlane, LogFollower
 from teaselpath.delivery import AgentLost, Finished, StopWanted
 from teaselpath.entry._call import Call
 from teaselpath.entry._driver import RequestDriver
@@ -44,6 +44,8 @@
 
 TICK_S = 0.1
 SHARES_STREAM = "shares"
+# A read confirms the leases as of its start, so it must be much shorter than a lease.
+SHARES_WAIT_MS = 1_000
 QuotaMessage = QuotaAsk | QuotaTransfer | QuotaReceipt | QuotaReserve | QuotaGrant | QuotaSettle
 
 
@@ -68,6 +70,7 @@
         self.leaving = False
         self.dropped_messages = 0
         self.sequence = 0
+        self.shares: LogFollower | None = None
 
     def next_sequence(self) -> int:
         """Return the number of the next start; it grows with each start of this process."""
@@ -88,7 +91,9 @@
 
     def follow_shares(self) -> None:
         """Follow the share tables on the log."""
-        self.plane.follow(SHARES_STREAM, self._take_share_record, self._shares_noticed)
+        self.shares = self.plane.follow(
+            SHARES_STREAM, self._take_share_record, self._shares_noticed, SHARES_WAIT_MS
+        )
 
     def leave(self) -> None:
         """Hand the quota balance over; running requests end."""
@@ -248,5 +253,5 @@
         self.quota.handle(TableRecord(record.offset, record.data))
 
     def _shares_noticed(self, is_up: bool) -> None:
-        if is_up:
-            self.quota.handle(LeaseConfirmed())
+        if is_up and self.shares is not None and self.shares.is_caught_up:
+            self.quota.handle(LeaseConfirmed(self.shares.read_started_at))
