Add idempotency claims on the log with grouped appends

Cause: a call that may not be repeated has to be claimed before it runs, also over agent restarts, with two agents of one service and while the log is down.

Change: ClaimTable claims keys by log records, one append in flight, and grants a claim only after its record and all before it were read. Result records tell "ran" from "claimed" and release keys that are proven not run.

--- a/teaselpath/delivery/__init__.py
+++ b/teaselpath/delivery/__init__.py
@@ -8,6 +8,18 @@
     ResumeDue,
     StreamAssembler,
 )
+from teaselpath.delivery._claim_events import (
+    AppendDone,
+    AppendFailed,
+    ClaimFinished,
+    ClaimGranted,
+    ClaimRecord,
+    ClaimRefused,
+    ClaimWanted,
+    ReadProgress,
+    StoredAnswer,
+)
+from teaselpath.delivery._claims import ClaimTable
 from teaselpath.delivery._continuation import ContinuedStream, check_continuable
 from teaselpath.delivery._events import (
     Accept,
@@ -44,8 +56,16 @@
     "Accept",
     "AckDue",
     "AgentLost",
+    "AppendDone",
+    "AppendFailed",
     "AssemblerAction",
     "CancelRun",
+    "ClaimFinished",
+    "ClaimGranted",
+    "ClaimRecord",
+    "ClaimRefused",
+    "ClaimTable",
+    "ClaimWanted",
     "Completed",
     "ContinuedStream",
     "Deliver",
@@ -58,6 +78,7 @@
     "NoRoute",
     "Outcome",
     "PauseRun",
+    "ReadProgress",
     "Received",
     "RequestLedger",
     "RequestOutcome",
@@ -72,6 +93,7 @@
     "SendStart",
     "SseParser",
     "StopWanted",
+    "StoredAnswer",
     "StreamAssembler",
     "StreamCompleted",
     "check_continuable",
