Add recorded histories and one checker per invariant

Cause: concurrent runs need a verdict on P1 to P13 that does not use the code under test.

Change: events as JSON lines, History, Violation and check_* for each invariant; each check returns the first counterexample in time.

--- a/teaselpath/history/__init__.py
+++ b/teaselpath/history/__init__.py
@@ -1,1 +1,106 @@
-"""History of concurrent runs and one checker per invariant."""
+"""Recorded histories and one check per invariant P1 to P13."""
+
+from teaselpath.history._events import (
+    CacheReused,
+    CandidatesChosen,
+    ConfigAccepted,
+    ConfigInForce,
+    EndpointLeaving,
+    EngineStarted,
+    Event,
+    ExecutionEnded,
+    ExecutionStarted,
+    KeyGranted,
+    KeyRevoked,
+    LimitInForce,
+    ProcessReady,
+    ProcessStopped,
+    QuotaCharged,
+    RequestAnswered,
+    RequestSent,
+    StopStarted,
+    StreamDelivered,
+    StreamProduced,
+)
+from teaselpath.history._history import Checker, History, Violation, encode_event, read_history
+from teaselpath.history._nodes import (
+    check_configuration,
+    check_leaving,
+    check_planned_stops,
+    check_quota,
+    check_restarts,
+)
+from teaselpath.history._requests import (
+    check_answers,
+    check_cache_reuse,
+    check_key_secrecy,
+    check_not_run,
+    check_single_runs,
+    check_streams,
+    check_withdrawn_keys,
+    check_workspaces,
+)
+
+__all__ = [
+    "CHECKERS",
+    "CacheReused",
+    "CandidatesChosen",
+    "Checker",
+    "ConfigAccepted",
+    "ConfigInForce",
+    "EndpointLeaving",
+    "EngineStarted",
+    "Event",
+    "ExecutionEnded",
+    "ExecutionStarted",
+    "History",
+    "KeyGranted",
+    "KeyRevoked",
+    "LimitInForce",
+    "ProcessReady",
+    "ProcessStopped",
+    "QuotaCharged",
+    "RequestAnswered",
+    "RequestSent",
+    "StopStarted",
+    "StreamDelivered",
+    "StreamProduced",
+    "Violation",
+    "check_all",
+    "check_answers",
+    "check_cache_reuse",
+    "check_configuration",
+    "check_key_secrecy",
+    "check_leaving",
+    "check_not_run",
+    "check_planned_stops",
+    "check_quota",
+    "check_restarts",
+    "check_single_runs",
+    "check_streams",
+    "check_withdrawn_keys",
+    "check_workspaces",
+    "encode_event",
+    "read_history",
+]
+
+CHECKERS: dict[str, Checker] = {
+    "P1": check_cache_reuse,
+    "P2": check_streams,
+    "P3": check_restarts,
+    "P4": check_workspaces,
+    "P5": check_key_secrecy,
+    "P6": check_withdrawn_keys,
+    "P7": check_quota,
+    "P8": check_answers,
+    "P9": check_not_run,
+    "P10": check_single_runs,
+    "P11": check_leaving,
+    "P12": check_planned_stops,
+    "P13": check_configuration,
+}
+
+
+def check_all(history: History) -> list[Violation]:
+    """Return the first counterexample to each invariant that is violated."""
+    return [violation for check in CHECKERS.values() for violation in check(history)]
--- /dev/null
+++ b/teaselpath/history/_history.py
@@ -0,0 +1,95 @@
+"""Recorded histories and the violations found in them."""
+
+from collections.abc import Callable, Iterable, Iterator
+from functools import wraps
+from typing import TypeVar
+
+import msgspec
+
+from teaselpath.history._events import Event
+
+E = TypeVar("E")
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(Event)
+
+
+class History:
+    """Events in the order of their instants.
+
+    :param events: events in any order; equal instants keep it.
+    :param skipped: lines that were not readable, for instance cut by a kill.
+    """
+
+    def __init__(self, events: Iterable[Event], skipped: int = 0) -> None:
+        self.events = sorted(events, key=lambda event: event.at)
+        self.skipped = skipped
+
+    def of(self, kind: type[E]) -> list[E]:
+        """Return the events of one kind."""
+        return [event for event in self.events if isinstance(event, kind)]
+
+    @property
+    def end(self) -> float:
+        """Instant of the last event."""
+        return self.events[-1].at if self.events else 0.0
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """A counterexample to an invariant.
+
+    :param invariant: P1 to P13.
+    :param at: instant at which it shows.
+    """
+
+    invariant: str
+    at: float
+    detail: str
+    events: tuple[Event, ...] = ()
+
+    def __str__(self) -> str:
+        """Format the violation with its events, one per line."""
+        lines = [f"{self.invariant} violated at {self.at:.3f} s: {self.detail}"]
+        return "\n  ".join(lines + [encode_event(event).decode().strip() for event in self.events])
+
+
+Found = Iterator[tuple[str, tuple[Event, ...]]]
+Checker = Callable[[History], list[Violation]]
+
+
+def checker(invariant: str) -> Callable[[Callable[[History], Found]], Checker]:
+    """Turn a generator of counterexamples into a check that returns the first one in time."""
+
+    def decorate(find: Callable[[History], Found]) -> Checker:
+        @wraps(find)
+        def check(history: History) -> list[Violation]:
+            found = [
+                Violation(
+                    invariant, max((event.at for event in events), default=0.0), detail, events
+                )
+                for detail, events in find(history)
+            ]
+            return [min(found, key=lambda violation: violation.at)] if found else []
+
+        return check
+
+    return decorate
+
+
+def encode_event(event: Event) -> bytes:
+    """Encode an event as one JSON line."""
+    return _encoder.encode(event) + b"\n"
+
+
+def read_history(lines: Iterable[bytes]) -> History:
+    """Read JSON lines of any number of writers; unreadable lines are counted and skipped."""
+    events: list[Event] = []
+    skipped = 0
+    for line in lines:
+        if not line.strip():
+            continue
+        try:
+            events.append(_decoder.decode(line))
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            skipped += 1
+    return History(events, skipped)
