--- a/teaselpath/orders/__init__.py
+++ b/teaselpath/orders/__init__.py
@@ -1,1 +1,32 @@
-"""TODO."""
+"""Orders to engines: wanted state, fencing numbers, load leases on the log."""
+
+from teaselpath.orders._core import (
+    EngineSeen,
+    Order,
+    OrderCore,
+    OrderDone,
+    OrderFailed,
+    SendOrder,
+    WantedState,
+)
+from teaselpath.orders._ledger import GUARD_S, LEASE_S, MAX_LOADS, LoadLedger
+from teaselpath.orders._records import STREAM, Claim, LoadRecord, Release, Turn
+
+__all__ = [
+    "GUARD_S",
+    "LEASE_S",
+    "MAX_LOADS",
+    "STREAM",
+    "Claim",
+    "EngineSeen",
+    "LoadLedger",
+    "LoadRecord",
+    "Order",
+    "OrderCore",
+    "OrderDone",
+    "OrderFailed",
+    "Release",
+    "SendOrder",
+    "Turn",
+    "WantedState",
+]
--- a/teaselpath/prefix/tests/test_chain.py
+++ b/teaselpath/prefix/tests/test_chain.py
@@ -8,7 +8,7 @@
 
 from teaselpath.prefix import chain_hashes, chain_seed, render_prompt
 
-NAMES = st.text(st.characters(exclude_characters="\0", exclude_categories=("Cs",)), max_size=6)
+NAMES = st.text(st.characters(exclude_characters="\0", exclude_categories=["Cs"]), max_size=6)
 
 
 def test_chat_and_completion_bodies_render_as_engines_do() -> None:
