--- a/teaselpath/orders/tests/test_core.py
+++ b/teaselpath/orders/tests/test_core.py
@@ -50,6 +50,14 @@
             self.feed(core, LoadRecord(offset, (now - appended_at) * 1e3, data), now)
 
 
+def take_turn(core: OrderCore) -> Append:
+    [turn] = core.handle(engine("v1"), 1.0)
+    assert isinstance(turn, Append)
+    [claim] = core.handle(LoadRecord(0, 0.0, turn.data), 1.0)
+    assert isinstance(claim, Append)
+    return claim
+
+
 def engine(version: str, role: str = "") -> EngineSeen:
     return EngineSeen("1", frozenset({("m", version)}), role=role)
 
@@ -73,8 +81,7 @@
     """Guards against a load of weights that a rollback has just withdrawn."""
     bench = Bench()
     core = bench.agent("p", V2)
-    [turn] = core.handle(engine("v1"), 1.0)
-    [claim] = core.handle(LoadRecord(0, 0.0, turn.data), 1.0)
+    claim = take_turn(core)
     core.handle(WantedState((V1,)), 1.0)
     [release] = core.handle(LoadRecord(1, 0.0, claim.data), 1.0)
     assert isinstance(release, Append)
@@ -125,8 +132,7 @@
     """Guards against a claim that was repeated being granted twice."""
     bench = Bench()
     core = bench.agent("p", ROLE)
-    [turn] = core.handle(engine("v1"), 1.0)
-    [claim] = core.handle(LoadRecord(0, 0.0, turn.data), 1.0)
+    claim = take_turn(core)
     assert core.tick(2.0) == []
     assert core.tick(5.0) == [claim]
     [order] = core.handle(LoadRecord(1, 0.0, claim.data), 5.0)
