--- /dev/null
+++ b/teaselpath/prefix/tests/test_index.py
@@ -0,0 +1,265 @@
+"""Stateful tests of the cache index against a model of an engine and a faulty network."""
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from teaselpath.prefix import (
+    CacheEvent,
+    CacheEventKind,
+    CacheIndex,
+    EngineSeen,
+    EventBatch,
+    Snapshot,
+)
+from teaselpath.prefix._hash_set import HashSet
+
+BLOCKS = [bytes([number]) * 16 for number in range(1, 9)]
+STORED, REMOVED, CLEARED = CacheEventKind
+
+
+class Harness:
+    """An engine whose messages are lost, delayed, doubled and reordered on the way to the index.
+
+    ``states`` holds the true cache, and how often the weights had changed, after each event.
+    """
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.index = CacheIndex()
+        self.starts = 0
+        self.changes = 0
+        self.seen_changes = 0
+        self.network: list = []
+        self.states: dict[tuple[str, int], tuple[frozenset[bytes], int]] = {}
+        self.restart()
+        self.see()
+
+    def restart(self) -> None:
+        self.starts += 1
+        self.incarnation = f"i{self.starts}"
+        self.seq, self.cache = 0, frozenset[bytes]()
+        self.states[self.incarnation, 0] = (self.cache, self.changes)
+
+    def publish(self, kind: CacheEventKind, *hashes: bytes) -> None:
+        change = {STORED: self.cache | {*hashes}, REMOVED: self.cache - {*hashes}}
+        self.cache = change.get(kind, frozenset())
+        self.seq += 1
+        self.states[self.incarnation, self.seq] = (self.cache, self.changes)
+        event = CacheEvent(self.seq, kind, hashes)
+        self.network.append(EventBatch(self.incarnation, (event,)))
+
+    def change_weights(self) -> None:
+        self.changes += 1
+        self.publish(CLEARED)
+
+    def see(self) -> None:
+        """Answers to the direct question arrive in order."""
+        self.seen_changes = self.changes
+        self._hand_over(EngineSeen(self.incarnation, "ab"[self.changes % 2]))
+
+    def deliver(self, number: int, keep: bool = False) -> None:
+        if self.network:
+            number %= len(self.network)
+            self._hand_over(self.network[number] if keep else self.network.pop(number))
+
+    def lose(self, number: int) -> None:
+        if self.network:
+            self.network.pop(number % len(self.network))
+
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+        self._answer(self.index.tick(self.now))
+
+    def _hand_over(self, message) -> None:
+        self._answer(self.index.handle(message, self.now))
+
+    def _answer(self, needs: list) -> None:
+        for need in needs:
+            content = tuple(sorted(self.cache))
+            self.network.append(Snapshot(self.incarnation, self.seq, content, need.request))
+        self.check()
+
+    def check(self) -> None:
+        index = self.index
+        claimed = {block for block in BLOCKS if index.match([block])}
+        if claimed:
+            cache, changes = self.states.get((index.incarnation, index.seq), (set(), -1))
+            assert claimed <= cache, "claims a block that was not cached after its last event"
+            assert changes >= self.seen_changes, "claims a block of older weights"
+
+    def step(self, what: str, number: int) -> None:
+        block = BLOCKS[number % len(BLOCKS)]
+        match what:
+            case "store":
+                self.publish(STORED, block)
+            case "remove":
+                self.publish(REMOVED, block)
+            case "deliver":
+                self.deliver(number)
+            case "in order":
+                self.deliver(0)
+            case "duplicate":
+                self.deliver(number, keep=True)
+            case "wait":
+                self.wait(number / 40)
+            case _:
+                getattr(self, what)(*([number] if what == "lose" else []))
+
+
+COMMON = ["store", "remove", "in order", "in order", "wait"]
+FAULTS = ["deliver", "duplicate", "lose", "restart", "change_weights", "see"]
+
+
+@given(st.lists(st.tuples(st.sampled_from(COMMON * 3 + FAULTS), st.integers(0, 60)), max_size=80))
+def test_claims_hold_after_the_last_confirmed_event(steps) -> None:
+    """Guards against claims of another incarnation, older weights, or across a gap."""
+    harness = Harness()
+    for step in steps:
+        harness.step(*step)
+
+
+def run_random(loss: float, seed: int, steps: int = 4000) -> tuple[Harness, int]:
+    """Run with a loss rate and rare crashes; return how often the index was out of doubt."""
+    random, harness, sure = Random(seed), Harness(), 0
+    for _ in range(steps):
+        harness.step(random.choice(COMMON), random.randrange(60))
+        if random.random() < loss:
+            harness.step("lose", random.randrange(60))
+        if random.random() < 0.02:
+            harness.step(random.choice(FAULTS), random.randrange(60))
+        sure += not harness.index.in_doubt
+    return harness, sure
+
+
+@pytest.mark.parametrize("loss", [0.01, 0.3])
+def test_lossy_stream_is_repaired(loss) -> None:
+    """Guards against an index that claims too much under loss, or never leaves doubt."""
+    for seed in range(5):
+        harness, sure = run_random(loss, seed)
+        assert sure > 0
+        while harness.network:
+            harness.deliver(0)
+        harness.see()
+        for _ in range(10):
+            harness.wait(2.1)
+            while harness.network:
+                harness.deliver(0)
+        assert set(harness.index.blocks) == harness.cache
+        assert not harness.index.in_doubt
+
+
+def start_with_block() -> Harness:
+    harness = Harness()
+    harness.publish(STORED, BLOCKS[0])
+    while harness.network:
+        harness.deliver(0)
+    assert harness.index.match(BLOCKS[:2]) == 1
+    return harness
+
+
+def test_gap_hides_all_claims_until_it_is_closed() -> None:
+    """Guards against a claim of a block whose removal was lost."""
+    harness = start_with_block()
+    harness.publish(REMOVED, BLOCKS[0])
+    harness.publish(STORED, BLOCKS[1])
+    harness.deliver(1)
+    assert harness.index.match(BLOCKS) == 0
+    harness.deliver(0)
+    assert not harness.index.in_doubt
+    assert harness.index.match([BLOCKS[1]]) == 1
+
+
+def test_events_that_arrive_during_a_snapshot_are_applied_after_it() -> None:
+    """Guards against a snapshot that brings back a block that was removed meanwhile."""
+    harness = Harness()
+    harness.publish(STORED, BLOCKS[0])
+    harness.wait(3.0)
+    harness.publish(REMOVED, BLOCKS[0])
+    harness.deliver(3)
+    harness.deliver(2)
+    assert not harness.index.in_doubt
+    assert harness.index.match(BLOCKS) == 0
+
+
+def late_snapshot(harness: Harness) -> None:
+    """A snapshot under way while the weights change arrives after the change was seen."""
+    harness.wait(6.0)
+    harness.change_weights()
+    harness.see()
+    harness.deliver(0)
+
+
+def late_incarnation(harness: Harness) -> None:
+    """An event of the dead engine arrives after the new one was seen."""
+    harness.publish(STORED, BLOCKS[1])
+    harness.restart()
+    harness.see()
+    harness.deliver(0)
+
+
+def test_late_messages_from_before_a_change_are_not_believed() -> None:
+    """Guards against old blocks that are confirmed by a message that was long under way."""
+    for late in (late_snapshot, late_incarnation, lost_removal):
+        harness = start_with_block()
+        late(harness)
+        assert harness.index.match(BLOCKS) == 0
+
+
+def adopt_incarnation(self: CacheIndex, incarnation: str, now: float) -> None:
+    """A known bug: the blocks of the dead engine stay."""
+    self.incarnation = incarnation
+
+
+def ignore_gaps(self: CacheIndex, now: float) -> None:
+    """A known bug: events are applied as they come."""
+    for seq in sorted(self.held):
+        self._apply(self.held.pop(seq))
+
+
+def lost_removal(harness: Harness) -> None:
+    """A removal is lost and the next event arrives."""
+    harness.publish(REMOVED, BLOCKS[0])
+    harness.lose(0)
+    harness.publish(STORED, BLOCKS[1])
+    harness.deliver(0)
+
+
+BUGS = [
+    ({"_void": lambda self, now: None}, late_snapshot, "older weights"),
+    ({"_start_incarnation": adopt_incarnation}, late_incarnation, "not cached"),
+    ({"_apply_held": ignore_gaps}, lost_removal, "not cached"),
+]
+
+
+@pytest.mark.parametrize(("patches", "scenario", "message"), BUGS)
+def test_checks_find_known_bugs(monkeypatch, patches, scenario, message) -> None:
+    """Shows that each check fails when the index has the bug that it guards against."""
+    harness = start_with_block()
+    for name, function in patches.items():
+        monkeypatch.setattr(CacheIndex, name, function)
+    with pytest.raises(AssertionError, match=message):
+        scenario(harness)
+
+
+def test_silence_ends_the_claims() -> None:
+    """Guards against claims from a stream that broke without a gap."""
+    harness = start_with_block()
+    harness.wait(5.1)
+    assert harness.index.match(BLOCKS) == 0
+
+
+@given(st.lists(st.tuples(st.booleans(), st.integers(0, 400)), max_size=600))
+def test_compact_set_equals_a_set(steps) -> None:
+    """Guards against entries lost when a run of the table is closed up."""
+    table = HashSet()
+    model: set[bytes] = set()
+    for is_added, number in steps:
+        # Few distinct homes, so that runs are long and wrap around.
+        value = (number % 5 + 60).to_bytes(8, "little") + (number + 1).to_bytes(8, "little")
+        (table.add if is_added else table.discard)(value)
+        (model.add if is_added else model.discard)(value)
+    assert set(table) == model
+    assert len(table) == len(model)
