--- a/standins/tests/test_engine.py
+++ b/standins/tests/test_engine.py
@@ -248,6 +248,26 @@
     assert asyncio.run(scenario()) == "w1"
 
 
+def test_frozen_engine_answers_nothing():
+    """Guards against a freeze that lets calls through, or that loses them."""
+
+    async def scenario():
+        async with serve(config()) as engine, ClientSession() as session:
+            await session.post(f"{engine.url}/faults", json={"freeze": True})
+            task = asyncio.create_task(read_stream(engine, BODY))
+            # Each of these calls takes as many turns of the event loop as one that is answered.
+            for _ in range(20):
+                await session.get(f"{engine.url}/faults")
+            frozen = not task.done()
+            await session.post(f"{engine.url}/faults", json={"freeze": False})
+            return frozen, await task
+
+    frozen, (got, closed) = asyncio.run(scenario())
+    assert frozen
+    assert closed
+    assert b"[DONE]" in got
+
+
 def test_load_report_lags(start_standin):
     """Guards against a load report that is fresh."""
     engine = start_standin(config(load_lag_s=1000.0))
--- a/standins/tests/test_platform.py
+++ b/standins/tests/test_platform.py
@@ -1,13 +1,20 @@
 """Tests of the plain service, the log, the host list and the stores."""
 
 from http.client import RemoteDisconnected
+from urllib.request import urlopen
 
 import msgspec
 import pytest
 
 from standins import verify_call
 from standins.log import LogCore
-from standins.testing import CacheStoreConfig, HostsConfig, LogConfig, ServiceConfig
+from standins.testing import (
+    CacheStoreConfig,
+    HostsConfig,
+    LogConfig,
+    ServiceConfig,
+    WeightStoreConfig,
+)
 
 RECORDS = "/streams/config/records"
 
@@ -79,6 +86,17 @@
     assert store.call("GET", "/blocks/aa")[0] == 404
 
 
+def test_weight_store_refuses_over_its_rate(start_standin):
+    """Guards against a store that serves any number of loads."""
+    store = start_standin(WeightStoreConfig(load_s=0.0, loads_per_s=0.0, load_burst=2.0))
+    server = store.server
+    for _ in range(2):
+        with urlopen(f"{store.url}/weights/m/w1", timeout=30) as answer:
+            assert len(answer.read()) == server.config.weight_bytes
+    assert store.call("GET", "/weights/m/w1")[0] == 429
+    assert server.counts == {"active": 0, "peak": 1, "served": 2, "refused": 1}
+
+
 def test_verify_call_compares_the_record(start_standin):
     """Guards against a verifier that accepts the answer of another call."""
     service = start_standin(ServiceConfig(records=2))
--- a/teaselpath/cli/_load.py
+++ b/teaselpath/cli/_load.py
@@ -207,4 +207,9 @@
     click.echo(f"sent {total['sent']}  {counts}")
     click.echo(f"first token ms: p50 {first['p50']} p95 {first['p95']} p99 {first['p99']}")
     click.echo(f"total ms: p50 {whole['p50']} p95 {whole['p95']} p99 {whole['p99']}")
+    if total["sent"]:
+        worst = results["worst_workspace"]
+        slowest, poorest = worst["first_token_p99"], worst["ok_fraction"]
+        click.echo(f"slowest first token p99: {slowest['workspace']} {slowest['ms']} ms")
+        click.echo(f"fewest right answers: {poorest['workspace']} {poorest['fraction']:.4f}")
     click.echo(f"prefix hit rate: {total['prefix_hit_rate']:.3f}")
--- a/teaselpath/cli/_load_report.py
+++ b/teaselpath/cli/_load_report.py
@@ -191,6 +191,7 @@
             "elapsed_s": elapsed_s,
             "sent_late_max_ms": self.late_s * 1000,
             "all": total.as_dict(elapsed_s),
+            "worst_workspace": _worst(workspaces),
             "workspaces": {name: g.as_dict(elapsed_s) for name, g in sorted(workspaces.items())},
             "classes": {name: g.as_dict(elapsed_s) for name, g in sorted(classes.items())},
             "groups": [
@@ -202,5 +203,23 @@
         }
 
 
+def _worst(workspaces: dict[str, _Group]) -> dict[str, Any]:
+    """Return the workspaces with the slowest first tokens and with the fewest right answers."""
+    if not workspaces:
+        return {}
+
+    def p99_ms(name: str) -> float:
+        return workspaces[name].first_token.get_value_at_percentile(99.0) / 1000
+
+    def ok_fraction(name: str) -> float:
+        return workspaces[name].results["ok"] / max(workspaces[name].sent, 1)
+
+    slowest, poorest = max(workspaces, key=p99_ms), min(workspaces, key=ok_fraction)
+    return {
+        "first_token_p99": {"workspace": slowest, "ms": p99_ms(slowest)},
+        "ok_fraction": {"workspace": poorest, "fraction": ok_fraction(poorest)},
+    }
+
+
 def _rank(values: list[float], fraction: float) -> float:
     return values[min(int(len(values) * fraction), len(values) - 1)] if values else 0.0
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -96,6 +96,7 @@
     assert group["errors"] == {"rate_exceeded not_run": 1}
     assert group["results"]["refused"] == 1
     assert group["total"]["count"] == 0
+    assert report.as_dict(1.0)["worst_workspace"]["ok_fraction"]["fraction"] == 0.0
 
 
 def test_refused_and_failed_calls(run, start_standin):
