Stand-in service: name the counts by_request and by_key

Cause: the demo and the core call them so; the HTTP answer used other names.

Change: the fields of GET /executions are renamed, and a test counts a call that is sent twice.

Conclusion: the service reports both executions of the repeated call.

--- a/standins/service/_server.py
+++ b/standins/service/_server.py
@@ -106,8 +106,8 @@
             {
                 "count": len(self.core.executions),
                 "reads": self.core.reads,
-                "by_request_id": self.core.by_request,
-                "by_idempotency_key": self.core.by_key,
+                "by_request": self.core.by_request,
+                "by_key": self.core.by_key,
                 "executions": self.core.executions,
             }
         )
--- a/standins/tests/test_platform.py
+++ b/standins/tests/test_platform.py
@@ -1,7 +1,7 @@
 """Tests of the plain service, the log, the host list and the stores."""
 
 from http.client import RemoteDisconnected
-from urllib.request import urlopen
+from urllib.request import Request, urlopen
 
 import msgspec
 import pytest
@@ -27,7 +27,11 @@
         with pytest.raises((RemoteDisconnected, ConnectionResetError)):
             service.call("POST", "/payments", b'{"amount":5}')
         assert service.get("/executions")["count"] == count
-    service.post("/bookings/7", {"at": "noon"})
+    headers = {"X-Request-Id": "r1", "Idempotency-Key": "k1"}
+    for _ in range(2):
+        urlopen(Request(f"{service.url}/bookings/7", b'{"at":"noon"}', headers)).close()
+    counts = service.get("/executions")
+    assert (counts["by_request"]["r1"], counts["by_key"]["k1"]) == (2, 2)
     assert service.get("/bookings/7")["value"] == {"at": "noon"}
     assert service.call("GET", "/bookings/8")[0] == 404
 
