--- a/standins/tests/test_platform.py
+++ b/standins/tests/test_platform.py
@@ -1,13 +1,20 @@
 """Tests of the plain service, the log, the host list and the stores."""
 
 from http.client import RemoteDisconnected
+from urllib.request import Request, urlopen
 
 import msgspec
 import pytest
 
 from standins import verify_call
 from standins.log import LogCore
-from standins.testing import CacheStoreConfig, HostsConfig, LogConfig, ServiceConfig
+from standins.testing import (
+    CacheStoreConfig,
+    HostsConfig,
+    LogConfig,
+    ServiceConfig,
+    WeightStoreConfig,
+)
 
 RECORDS = "/streams/config/records"
 
@@ -20,7 +27,11 @@
         with pytest.raises((RemoteDisconnected, ConnectionResetError)):
             service.call("POST", "/payments", b'{"amount":5}')
         assert service.get("/executions")["count"] == count
-    service.post("/bookings/7", {"at": "noon"})
+    headers = {"X-Request-Id": "r1", "Idempotency-Key": "k1"}
+    for _ in range(2):
+        urlopen(Request(f"{service.url}/bookings/7", b'{"at":"noon"}', headers)).close()
+    counts = service.get("/executions")
+    assert (counts["by_request"]["r1"], counts["by_key"]["k1"]) == (2, 2)
     assert service.get("/bookings/7")["value"] == {"at": "noon"}
     assert service.call("GET", "/bookings/8")[0] == 404
 
@@ -79,6 +90,17 @@
     assert store.call("GET", "/blocks/aa")[0] == 404
 
 
+def test_weight_store_refuses_over_its_rate(start_standin):
+    """Guards against a store that serves any number of loads."""
+    store = start_standin(WeightStoreConfig(load_s=0.0, loads_per_s=0.0, load_burst=2.0))
+    server = store.server
+    for _ in range(2):
+        with urlopen(f"{store.url}/weights/m/w1", timeout=30) as answer:
+            assert len(answer.read()) == server.config.weight_bytes
+    assert store.call("GET", "/weights/m/w1")[0] == 429
+    assert server.counts == {"active": 0, "peak": 1, "served": 2, "refused": 1}
+
+
 def test_verify_call_compares_the_record(start_standin):
     """Guards against a verifier that accepts the answer of another call."""
     service = start_standin(ServiceConfig(records=2))
