Add quota core with loans between homes and share tables on the log

Cause: a workspace's rate and burst must hold over all entries together, across restarts, partitions and log outages. Change: shares as fractions of rate and burst; loans that only the owner gives and that end by return, restart, table change or time; tables accepted by log order with a settled record before any share grows; lease; reservations at a home with asks, and at the nearest home otherwise. Wire: QuotaAsk, QuotaTransfer and QuotaReceipt get fields at the end, with defaults.

--- a/teaselpath/quota/__init__.py
+++ b/teaselpath/quota/__init__.py
@@ -1,5 +1,42 @@
 """Token buckets, shares, escrow and share tables."""
 
 from teaselpath.quota._bucket import Bucket
+from teaselpath.quota._core import QuotaCore
+from teaselpath.quota._events import (
+    Denied,
+    FromPeer,
+    Granted,
+    Home,
+    HomesChanged,
+    LeaseConfirmed,
+    LeaveStarted,
+    QuotaEvent,
+    ReserveTokens,
+    SettleTokens,
+    TableRecord,
+    WorkspaceQuota,
+    WorkspacesChanged,
+)
+from teaselpath.quota._state import QuotaAction
+from teaselpath.quota._table import SHARES_STREAM, ShareTable
 
-__all__ = ["Bucket"]
+__all__ = [
+    "SHARES_STREAM",
+    "Bucket",
+    "Denied",
+    "FromPeer",
+    "Granted",
+    "Home",
+    "HomesChanged",
+    "LeaseConfirmed",
+    "LeaveStarted",
+    "QuotaAction",
+    "QuotaCore",
+    "QuotaEvent",
+    "ReserveTokens",
+    "SettleTokens",
+    "ShareTable",
+    "TableRecord",
+    "WorkspaceQuota",
+    "WorkspacesChanged",
+]
--- a/teaselpath/quota/_bucket.py
+++ b/teaselpath/quota/_bucket.py
@@ -20,7 +20,7 @@
         self.capacity = 0.0
         self.rate = 0.0
         self.refundable = 0.0
-        self.reservations: OrderedDict[str, float] = OrderedDict()
+        self.reservations: OrderedDict[str, tuple[float, float]] = OrderedDict()
         self.updated_at = now
 
     def accrue(self, now: float) -> None:
@@ -45,22 +45,23 @@
             return False
         self.level -= tokens
         self.refundable += tokens
-        self.reservations[reservation_id] = tokens
+        self.reservations[reservation_id] = (tokens, tokens)
         return True
 
-    def settle(self, reservation_id: str, tokens: float, used: float, now: float) -> float:
+    def settle(self, reservation_id: str, used: float, now: float) -> float:
         """End a reservation and refund what it did not use.
 
-        :param tokens: tokens charged by the reservation.
         :param used: tokens used; more than was charged becomes a debt of the bucket.
-        :returns: tokens charged in the end.
+        :returns: tokens refunded; 0 for a reservation that has lost its right to a refund.
         """
         self.accrue(now)
-        right = self.reservations.pop(reservation_id, 0.0)
+        tokens, right = self.reservations.pop(reservation_id, (0.0, 0.0))
+        if not tokens:
+            return 0.0
         self.refundable = max(0.0, self.refundable - right)
         refund = min(tokens - used, right)
         self.level += refund
-        return tokens - refund
+        return refund
 
     def take(self, tokens: float) -> None:
         """Remove tokens that are handed over; the caller resizes by the same amount."""
@@ -82,9 +83,9 @@
     def _fit(self) -> None:
         over = self.level + self.refundable - self.capacity
         while over > 0.0 and self.reservations:
-            oldest, right = next(iter(self.reservations.items()))
+            oldest, (tokens, right) = next(iter(self.reservations.items()))
             if right > over:
-                self.reservations[oldest] = right - over
+                self.reservations[oldest] = (tokens, right - over)
                 self.refundable -= over
                 return
             del self.reservations[oldest]
--- /dev/null
+++ b/teaselpath/quota/_core.py
@@ -0,0 +1,147 @@
+"""Quota core of an entry."""
+
+from collections.abc import Sequence
+
+from teaselpath.quota._admission import Admission
+from teaselpath.quota._escrow import Escrow
+from teaselpath.quota._events import (
+    FromPeer,
+    HomesChanged,
+    LeaseConfirmed,
+    LeaveStarted,
+    QuotaEvent,
+    ReserveTokens,
+    SettleTokens,
+    TableRecord,
+    WorkspaceQuota,
+    WorkspacesChanged,
+)
+from teaselpath.quota._remote import RemoteReservations
+from teaselpath.quota._state import LEASE_S, QuotaAction, QuotaState, Share
+from teaselpath.quota._tenure import Tenure
+from teaselpath.results import Code
+from teaselpath.wire import (
+    QuotaAsk,
+    QuotaGrant,
+    QuotaReceipt,
+    QuotaReserve,
+    QuotaSettle,
+    QuotaTransfer,
+)
+
+
+class QuotaCore:
+    """Shares of the workspaces' token buckets at one entry.
+
+    :param host: name of this host.
+    :param region: region of this host.
+    :param incarnation: number of this process, positive and higher than that of its predecessor
+        on the same host, which must have ended.
+    """
+
+    def __init__(self, host: str, region: str, incarnation: int) -> None:
+        self.state = QuotaState(host, region, incarnation)
+        self.escrow = Escrow(self.state)
+        self.admission = Admission(self.state, self.escrow)
+        self.remote = RemoteReservations(self.state)
+        self.tenure = Tenure(self.state, self.escrow)
+
+    def handle(self, event: QuotaEvent, now: float) -> list[QuotaAction]:
+        """Apply an event; each reservation gets one ``Granted`` or ``Denied``, once."""
+        self._advance(now)
+        match event:
+            case ReserveTokens():
+                self._reserve(event)
+            case SettleTokens():
+                if not self.admission.settle(event):
+                    self.remote.settle(event)
+            case FromPeer(host, message):
+                self._from_peer(host, message)
+            case WorkspacesChanged(workspaces):
+                self._change_workspaces(workspaces)
+            case HomesChanged(homes):
+                self.state.homes = {home.host: home for home in homes}
+                self.tenure.on_homes()
+            case TableRecord(offset, data):
+                self.tenure.on_record(offset, data)
+            case LeaseConfirmed(started_at):
+                self._confirm_lease(started_at)
+            case LeaveStarted():
+                self.tenure.leave()
+        return self._finish()
+
+    def tick(self, now: float) -> list[QuotaAction]:
+        """Do what is due; call it about every 50 ms while reservations wait, else each 500 ms."""
+        self._advance(now)
+        self.tenure.tick()
+        self.escrow.tick()
+        self.admission.tick()
+        self.remote.tick()
+        return self._finish()
+
+    def _advance(self, now: float) -> None:
+        """Move the clock, which never goes back, and end what is over before anything else."""
+        state = self.state
+        state.now = max(state.now, now)
+        state.started_at = min(state.started_at, state.now)
+        self.escrow.expire()
+
+    def _finish(self) -> list[QuotaAction]:
+        state = self.state
+        if state.changed:
+            changed, state.changed = state.changed, set()
+            self.admission.serve(changed)
+            state.changed.clear()
+        actions, state.out = state.out, []
+        return actions
+
+    def _reserve(self, event: ReserveTokens) -> None:
+        state = self.state
+        here = state.host in state.table.homes(event.workspace)
+        if event.workspace in state.shares and (state.leaving or not here):
+            self.remote.reserve(event)
+        else:
+            self.admission.reserve(event)
+
+    def _confirm_lease(self, started_at: float | None) -> None:
+        state = self.state
+        at = state.now if started_at is None else min(started_at, state.now)
+        state.lease_until = max(state.lease_until, at + LEASE_S)
+        state.log_confirmed = True
+        self.tenure.activate()
+        state.changed |= state.waiting
+
+    def _from_peer(self, host: str, message: object) -> None:
+        match message:
+            case QuotaAsk():
+                self.escrow.on_ask(host, message)
+            case QuotaTransfer():
+                booked = self.escrow.on_transfer(host, message)
+                if booked is not None:
+                    self.admission.on_offer(host, booked, message)
+            case QuotaReceipt():
+                self.escrow.on_receipt(host, message)
+                self.tenure.activate()
+            case QuotaReserve():
+                self.admission.on_reserve(host, message)
+            case QuotaGrant():
+                self.remote.on_grant(host, message)
+            case QuotaSettle():
+                self.admission.on_settle(message)
+
+    def _change_workspaces(self, workspaces: Sequence[WorkspaceQuota]) -> None:
+        state = self.state
+        wanted = {workspace.id: workspace for workspace in workspaces}
+        for workspace in wanted:
+            if workspace not in state.shares:
+                share = state.shares[workspace] = Share(workspace, state.now)
+                self.tenure.add_share(share)
+        for workspace, share in list(state.shares.items()):
+            found = wanted.get(workspace)
+            share.rate = found.rate if found else 0.0
+            share.burst = found.burst if found else 0.0
+            share.refresh(state.now)
+            state.changed.add(workspace)
+            if found is None:
+                self.admission.refuse_all(share, Code.WRONG_WORKSPACE)
+        self.tenure.activate()
--- a/teaselpath/scheduling/tests/test_scheduler.py
+++ b/teaselpath/scheduling/tests/test_scheduler.py
@@ -23,7 +23,7 @@
 
 def drain(scheduler, sizes, count):
     """Finish one running request after the other and return the order of the starts."""
-    order = []
+    order: list[str] = []
     running = [a.request_id for a in scheduler.handle(SlotsChanged(1), 1.0)]
     while running and len(order) < count:
         order.append(running[0])
@@ -103,6 +103,7 @@
     for index in range(3):
         scheduler.handle(submit(f"a{index}", "a"), 0.0)
     (drop,) = scheduler.handle(submit("b", "b"), 0.0)
+    assert isinstance(drop, Drop)
     assert (drop.request_id, drop.code) == ("a2", Code.QUEUE_FULL)
 
 
@@ -110,7 +111,9 @@
 def test_each_request_gets_one_answer(steps):
     """Guards against lost or doubled requests in the queue."""
     scheduler = Scheduler(slots=2, max_queued=5)
-    sent, answers, running = 0, [], []
+    sent = 0
+    answers: list[str] = []
+    running: list[str] = []
     for now, step in enumerate(steps):
         actions = []
         match step:
--- a/teaselpath/wire/_messages.py
+++ b/teaselpath/wire/_messages.py
@@ -192,16 +192,26 @@
 
 
 class QuotaAsk(_Message):
-    """Ask another home for tokens of a workspace."""
+    """Ask another home for tokens of a workspace; without a workspace, only for a receipt.
+
+    ``ask_id`` comes back in the answer, which proves that the answer is not older than the ask.
+    """
 
     workspace: str
     host: str
     tokens: float
     table: int
+    incarnation: int = 0
+    ask_id: int = 0
 
 
 class QuotaTransfer(_Message):
-    """Move tokens, capacity and rate to another home; resent until acknowledged."""
+    """Move tokens, capacity and rate to another home; resent until acknowledged.
+
+    ``capacity`` and ``rate`` are fractions of the workspace's burst and rate. ``lender`` owns
+    them: the sender for a loan, the receiver for a return. ``left_*`` tell what the sender could
+    still give. An empty ``transfer_id`` moves nothing.
+    """
 
     transfer_id: str
     workspace: str
@@ -211,12 +221,27 @@
     tokens: float
     capacity: float
     rate: float
+    to_incarnation: int = 0
+    lender: str = ""
+    epoch: int = 0
+    number: int = 0
+    oldest_number: int = 0
+    ask_id: int = 0
+    left_tokens: float = 0.0
+    left_capacity: float = 0.0
+    left_rate: float = 0.0
 
 
 class QuotaReceipt(_Message):
-    """Acknowledge a transfer."""
+    """Acknowledge a transfer, or answer an ask without a workspace."""
 
     transfer_id: str
+    host: str = ""
+    incarnation: int = 0
+    to_incarnation: int = 0
+    table: int = 0
+    epoch: int = 0
+    ask_id: int = 0
 
 
 class QuotaReserve(_Message):
