Whole path over real processes: claims, orders, quota, transport fixes

Cause: first runs of the demo. (1) Requests hung: a send on the plain socket consumed the readiness signal of the asynchronous one. (2) Entries stayed cut off from an agent that had rejected their key once: the library gives up after a rejection, and a second connect to the same address does nothing. (3) A booking ran twice through two entries.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -209,7 +209,7 @@
         for node in self.fleet.nodes.values():
             if node.endpoint.startswith("service"):
                 answer = await self.fleet.get(node.endpoint_url + "/executions")
-                counts = answer["by_idempotency_key"]
+                counts = answer["by_key"]
                 faults += [key for key, count in counts.items() if key and count > 1]
         return faults
 
--- a/teaselpath/agent/_admission.py
+++ b/teaselpath/agent/_admission.py
@@ -17,12 +17,14 @@
     return headers
 
 
-def model_body(start: Start, weights: str, priority: int) -> bytes:
+def model_body(start: Start, weights: str, is_certain: bool, priority: int) -> bytes:
     """Add the fields that only the router may set to the JSON body.
 
-    The cache salt binds cached blocks to workspace, model and the weights that the engine has now.
+    The cache salt binds cached blocks to workspace, model and weights. While a change of weights
+    may be under way, each request gets a salt of its own, so that it can reuse nothing.
     """
-    seed = chain_seed(start.workspace, start.model, weights)
+    version = weights if is_certain else f"{weights}?{start.request_id}#{start.attempt}"
+    seed = chain_seed(start.workspace, start.model, version)
     fields = {"cache_salt": seed.hex(), "priority": priority, "request_id": start.request_id}
     if not start.body.startswith(b"{") or len(start.body) <= 2:
         return start.body
--- a/teaselpath/agent/_engine.py
+++ b/teaselpath/agent/_engine.py
@@ -36,6 +36,8 @@
     cache_blocks: int = 0
     model: str = ""
     weights: str = ""
+    adapters: dict[str, str] = {}
+    role: str = ""
     age_ms: float = 0.0
 
 
--- a/teaselpath/agent/_service.py
+++ b/teaselpath/agent/_service.py
@@ -2,20 +2,25 @@
 
 import asyncio
 import time
+from collections.abc import Coroutine
 from dataclasses import dataclass
 
 import aiohttp
 from eliot import log_message
 
 from teaselpath.agent._admission import endpoint_headers, model_body
+from teaselpath.agent._claims import ClaimService, claim_failure
 from teaselpath.agent._endpoint import EndpointClient
 from teaselpath.agent._engine import EngineState, EngineWatcher
+from teaselpath.agent._orders import OrderService
 from teaselpath.agent._run import RequestRun
 from teaselpath.bundle import Bundle, RequestClass
 from teaselpath.control import ControlPlane
 from teaselpath.delivery import (
     Accept,
     CancelRun,
+    ClaimGranted,
+    ClaimRefused,
     EntryLost,
     FromEntry,
     LeaveStarted,
@@ -25,6 +30,7 @@
     RunChunk,
     RunEnd,
     RunStarted,
+    StoredAnswer,
 )
 from teaselpath.prefix import CacheIndex
 from teaselpath.results import Code, Ran
@@ -76,6 +82,9 @@
         self.runs: dict[str, RequestRun] = {}
         self.leaving = False
         self.dropped_messages = 0
+        self.session = session
+        self.claims: ClaimService | None = None
+        self.orders: OrderService | None = None
 
     def deliver(self, event: Received | PeerLost) -> None:
         """Take a message of an entry from the transport."""
@@ -115,9 +124,25 @@
 
     def follow_log(self) -> None:
         """Follow the streams of the log that this agent needs."""
+        if self.is_engine:
+            self.orders = OrderService(
+                self.plane, self.endpoint.id, self.endpoint.url, self.session, self._spawn
+            )
+        elif self.plane.bundle is not None:
+            self.bundle_changed(self.plane.bundle)
+
+    def _spawn(self, work: Coroutine) -> None:
+        self.group.create_task(work)
 
     def bundle_changed(self, bundle: Bundle) -> None:
-        """Take a bundle; classes and weights are read when a request needs them."""
+        """Take a bundle that is in force from now on."""
+        if self.orders is not None:
+            self.orders.bundle_changed(bundle)
+        service = next((s.service for s in bundle.endpoints if s.id == self.endpoint.id), "")
+        if service and not self.is_engine and self.claims is None and self.plane.started.is_set():
+            self.claims = ClaimService(
+                self.plane, service, bundle.claim_window_s, self._claim_decided
+            )
 
     def members_changed(self) -> None:
         """Entries connect to the agent, so a change of the members needs no action."""
@@ -152,7 +177,7 @@
             case Received(host=host, message=Start() | Ack() | Cancel() | Resume() as message):
                 self._act(self.ledger.handle(FromEntry(host, message), now), now)
             case RunChunk():
-                self._act(self.ledger.handle(event, now), now)
+                self._take_chunk(event, now)
             case RunEnd():
                 self._end_run(event, now)
             case PeerLost(host=host):
@@ -164,6 +189,10 @@
             case Tick():
                 self._act(self.ledger.tick(now), now)
                 self._schedule(self.scheduler.tick(now), now)
+                if self.claims is not None:
+                    self.claims.tick(now)
+                if self.orders is not None:
+                    self.orders.tick(now)
 
     def _probe_reply(self, probe: Probe, now: float) -> ProbeReply:
         load = self.engine.load
@@ -197,6 +226,8 @@
     def _update_slots(self, now: float) -> None:
         load = self.engine.load
         if load is not None and self.engine.reachable:
+            if self.orders is not None:
+                self.orders.engine_seen(load)
             self._schedule(self.scheduler.handle(SlotsChanged(load.max_running), now), now)
 
     def _act(self, actions: list, now: float) -> None:
@@ -205,7 +236,7 @@
                 case Send(host=host, message=message):
                     self.plane.node.reply(host, message)
                 case Accept(start=start):
-                    self._submit(start, now)
+                    self._accept(start, now)
                 case CancelRun(request_id=request_id, attempt=attempt):
                     self._cancel(run_key(request_id, attempt), now)
                 case PauseRun(request_id=request_id, attempt=attempt):
@@ -213,9 +244,62 @@
                 case ResumeRun(request_id=request_id, attempt=attempt):
                     self.runs[run_key(request_id, attempt)].resume()
 
-    def _submit(self, start: Start, now: float) -> None:
+    def _accept(self, start: Start, now: float) -> None:
         key = run_key(start.request_id, start.attempt)
         self.starts[key] = start
+        if not start.claim_key:
+            self._submit(start, now)
+        elif self.claims is None:
+            self._drop(key, Code.CLAIM_UNAVAILABLE, "the claims are not read yet", now)
+        else:
+            self.claims.want(start, now + start.remaining_ms / 1e3)
+
+    def _claim_decided(self, start: Start, answer: ClaimGranted | ClaimRefused) -> None:
+        now = time.monotonic()
+        key = run_key(start.request_id, start.attempt)
+        if isinstance(answer, ClaimGranted):
+            if key in self.starts:
+                self._submit(start, now)
+            else:
+                self._finish_claim(start, Code.CANCELLED, Ran.NOT_RUN)
+            return
+        if self.starts.pop(key, None) is None:
+            return
+        failure = claim_failure(answer)
+        self._record(start, "claim_refused", failure.code, failure.detail)
+        if answer.answer is not None:
+            self._replay(start, answer.answer, now)
+            return
+        end = RunEnd(
+            start.request_id,
+            start.attempt,
+            failure.code,
+            failure.ran,
+            detail=failure.detail,
+            retry_after_ms=int(failure.retry_after_s * 1e3),
+        )
+        self._act(self.ledger.handle(end, now), now)
+
+    def _replay(self, start: Start, answer: StoredAnswer, now: float) -> None:
+        """Give a repeat of an idempotency key the answer of the run that had it first."""
+        key = (start.request_id, start.attempt)
+        chunk = RunChunk(*key, answer.body, answer.status, answer.headers)
+        self._act(self.ledger.handle(RunStarted(*key), now), now)
+        self._act(self.ledger.handle(chunk, now), now)
+        self._act(self.ledger.handle(RunEnd(*key, Code.OK, Ran.RAN), now), now)
+
+    def _finish_claim(self, start: Start, code: int, ran: str) -> None:
+        if start.claim_key and self.claims is not None:
+            self.claims.finish(start, code, ran)
+
+    def _take_chunk(self, chunk: RunChunk, now: float) -> None:
+        start = self.starts.get(run_key(chunk.request_id, chunk.attempt))
+        if self.claims is not None and start is not None and start.claim_key:
+            self.claims.record_chunk(chunk)
+        self._act(self.ledger.handle(chunk, now), now)
+
+    def _submit(self, start: Start, now: float) -> None:
+        key = run_key(start.request_id, start.attempt)
         request_class = self._request_class(start.request_class)
         submit = Submit(
             key,
@@ -240,35 +324,52 @@
             match action:
                 case Run(request_id=key):
                     self._start_run(key, now)
-                case Drop(request_id=key, code=code):
-                    self._drop(key, Code(code), now)
-
-    def _drop(self, key: str, code: Code, now: float) -> None:
+                case Drop(request_id=key, code=code, retry_after_s=retry_after_s):
+                    detail = "the queue of the endpoint is too long"
+                    self._drop(key, Code(code), detail, now, retry_after_s)
+
+    def _drop(
+        self, key: str, code: Code, detail: str, now: float, retry_after_s: float = 0.0
+    ) -> None:
+        """End a request that was not run."""
         start = self.starts.pop(key, None)
         if start is None:
             return
-        self._record(start, "dropped", code, "the request would have missed its deadline")
-        end = RunEnd(start.request_id, start.attempt, code, Ran.NOT_RUN, detail=code.name)
+        self._record(start, "dropped", code, detail)
+        self._finish_claim(start, code, Ran.NOT_RUN)
+        end = RunEnd(
+            start.request_id,
+            start.attempt,
+            code,
+            Ran.NOT_RUN,
+            detail=detail,
+            retry_after_ms=int(retry_after_s * 1e3),
+        )
         self._act(self.ledger.handle(end, now), now)
 
     def _start_run(self, key: str, now: float) -> None:
         start = self.starts[key]
         if self.is_engine and not self.engine.reachable:
             self._act(self.scheduler.handle(Finished(key, 0), now), now)
-            self._drop(key, Code.ENDPOINT_FAILED, now)
+            self._drop(key, Code.ENDPOINT_FAILED, "the engine does not answer", now)
             return
         self._act(self.ledger.handle(RunStarted(start.request_id, start.attempt), now), now)
         if key not in self.starts:
             return
-        weights = self.engine.load.weights if self.engine.load else ""
         if self.is_engine:
-            priority = self._request_class(start.request_class).priority
-            start.body = model_body(start, weights, priority)
+            start.body = self._model_body(start, now)
         run = RequestRun(start, self.client, self.inbox.put)
         self.runs[key] = run
         remaining_s = max(1.0, start.remaining_ms / 1e3)
         run.task = self.group.create_task(run.run(endpoint_headers(start), remaining_s))
-        self._record(start, "started", Code.OK, f"weights {weights}")
+        self._record(start, "started", Code.OK, "")
+
+    def _model_body(self, start: Start, now: float) -> bytes:
+        load = self.engine.load
+        assert load is not None
+        is_certain = self.orders is not None and self.orders.are_weights_certain(load, now)
+        priority = self._request_class(start.request_class).priority
+        return model_body(start, load.weights, is_certain, priority)
 
     def _cancel(self, key: str, now: float) -> None:
         run = self.runs.get(key)
@@ -276,7 +377,9 @@
             run.resume()
             run.task.cancel()
             return
-        if self.starts.pop(key, None) is not None:
+        start = self.starts.pop(key, None)
+        if start is not None:
+            self._finish_claim(start, Code.CANCELLED, Ran.NOT_RUN)
             self._schedule(self.scheduler.handle(Withdraw(key), now), now)
 
     def _end_run(self, end: RunEnd, now: float) -> None:
@@ -287,6 +390,7 @@
         self._schedule(self.scheduler.handle(Finished(key, used), now), now)
         self._act(self.ledger.handle(end, now), now)
         if start is not None:
+            self._finish_claim(start, end.code, end.ran)
             self._record(start, "ended", Code(end.code), end.detail)
             self.plane.metrics.observe_tokens(
                 start.workspace, end.prompt_tokens, end.cached_tokens, end.output_tokens
--- a/teaselpath/control/_log_follower.py
+++ b/teaselpath/control/_log_follower.py
@@ -39,6 +39,7 @@
         self.skipped = skipped
         self.wait_ms = wait_ms
         self.next_offset = 0
+        self.first_offset = 0
         self.end_offset = 0
         self.is_up = False
         self.read_started_at = 0.0
@@ -75,6 +76,7 @@
         return False
 
     def _take_page(self, page: LogPage) -> None:
+        self.first_offset = page.first
         self.end_offset = page.next
         for record in page.records:
             self.take(record)
--- a/teaselpath/entry/_quota.py
+++ b/teaselpath/entry/_quota.py
@@ -41,20 +41,7 @@
         self, reservation_id: str, workspace: str, tokens: int, deadline: float
     ) -> Result[None, Failure]:
         """Reserve tokens; waits for a short lack of them, until the deadline at the latest."""
-        give_up_at = min(deadline, self.clock() + MAX_WAIT_S)
-        while True:
-            result = await self._reserve_once(reservation_id, workspace, tokens, deadline)
-            if result.is_ok():
-                return result
-            failure = result.unwrap_err()
-            retry_at = self.clock() + failure.retry_after_s
-            if failure.code is not Code.RATE_EXCEEDED or retry_at > give_up_at:
-                return result
-            await asyncio.sleep(max(TICK_S, failure.retry_after_s))
-
-    async def _reserve_once(
-        self, reservation_id: str, workspace: str, tokens: int, deadline: float
-    ) -> Result[None, Failure]:
+        deadline = min(deadline, self.clock() + MAX_WAIT_S)
         future = asyncio.get_running_loop().create_future()
         self.waiting[reservation_id] = future
         try:
@@ -71,6 +58,13 @@
         finally:
             del self.waiting[reservation_id]
 
+    def why_not_ready(self) -> str:
+        """Return why no tokens can be granted yet, or an empty string."""
+        core = self.core
+        if not core.state.may_spend():
+            return "the lease of the quota shares is not confirmed"
+        return "the quota shares are not active yet" if core.tenure.pending else ""
+
     def settle(self, reservation_id: str, used: int) -> None:
         """Settle a reservation to the tokens that were used."""
         self.handle(SettleTokens(reservation_id, used))
--- a/teaselpath/entry/_routing.py
+++ b/teaselpath/entry/_routing.py
@@ -1,5 +1,6 @@
 """Choice of an agent for one attempt: candidates, probes, cost."""
 
+import asyncio
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -18,6 +19,10 @@
 SETTLE_S = 0.005
 # Endpoints of other regions are asked only if the own region would exceed the first-token target.
 SPILL_AT_S = 0.72
+# Connections come back and full queues drain within this time, which is shorter than any caller's
+# own retry.
+NO_ROUTE_TIMEOUT_S = 1.0
+NO_ROUTE_RETRY_S = 0.05
 
 
 @dataclass(slots=True)
@@ -75,6 +80,16 @@
 
         :param deadline: instant until which the answer has to begin.
         """
+        give_up_at = min(deadline, time.monotonic() + NO_ROUTE_TIMEOUT_S)
+        while True:
+            found = await self._route_once(call, excluded_hosts, deadline)
+            if isinstance(found, Destination) or time.monotonic() >= give_up_at:
+                return found
+            await asyncio.sleep(NO_ROUTE_RETRY_S)
+
+    async def _route_once(
+        self, call: Call, excluded_hosts: Sequence[str], deadline: float
+    ) -> Destination | NoRoute:
         local = await self._choose(call, True, excluded_hosts, deadline)
         if local is not None and local.choice.expected_s <= SPILL_AT_S:
             return local
--- a/teaselpath/entry/_service.py
+++ b/teaselpath/entry/_service.py
@@ -22,6 +22,7 @@
     LeaveStarted,
     QuotaCore,
     TableRecord,
+    WorkspaceQuota,
     WorkspacesChanged,
 )
 from teaselpath.results import Code, Failure, Ran
@@ -81,7 +82,9 @@
         """Return why requests cannot be served, or an empty string."""
         if self.leaving:
             return "stopping"
-        return "" if self.plane.bundle else "no bundle is in force"
+        if self.plane.bundle is None:
+            return "no bundle is in force"
+        return self.quota.why_not_ready()
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -128,7 +131,8 @@
 
     def bundle_changed(self, bundle: Bundle) -> None:
         """Take a bundle that is in force from now on."""
-        self.quota.handle(WorkspacesChanged(bundle.workspaces))
+        workspaces = [WorkspaceQuota(w.id, w.rate, w.burst) for w in bundle.workspaces]
+        self.quota.handle(WorkspacesChanged(workspaces))
         self.router.refresh()
         self.keys_changed()
 
--- a/teaselpath/transport/_node.py
+++ b/teaselpath/transport/_node.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 import zmq
 import zmq.asyncio
@@ -22,7 +23,14 @@
 HEARTBEAT_TIMEOUT_MS = 2_000
 RECONNECT_INTERVAL_MS = 50
 RECONNECT_MAX_MS = 1_000
+REJECTED_RETRY_S = 0.2
 # Larger than any body limit; a peer that sends more is disconnected.
+MONITORED_EVENTS = (
+    zmq.EVENT_HANDSHAKE_SUCCEEDED
+    | zmq.EVENT_HANDSHAKE_FAILED_AUTH
+    | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
+    | zmq.EVENT_DISCONNECTED
+)
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 ZAP_DOMAIN = "teaselpath"
 
@@ -130,7 +138,7 @@
         # With IMMEDIATE a message is queued only on a live connection, so that a send that
         # returned an error is proof that the peer never got the message.
         socket.setsockopt(zmq.IMMEDIATE, 1)
-        monitor = socket.get_monitor_socket(zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED)
+        monitor = socket.get_monitor_socket(MONITORED_EVENTS)
         socket.connect(f"tcp://{address}")
         peer = _Peer(address, public_key, socket, zmq.Socket.shadow(socket.underlying))
         peer.task = asyncio.create_task(self._receive_from_peer(host, peer))
@@ -147,21 +155,11 @@
 
         :returns: PEER_UNREACHABLE if there is no live connection or its queue is full.
         """
+        peer = self.peers.get(host)
+        if peer is None:
+            return self.reply(host, message)
         data = encode(message)
-        try:
-            peer = self.peers.get(host)
-            if peer is not None:
-                peer.sync_socket.send(data, zmq.NOBLOCK)
-            elif host in self.inbound:
-                self.router_sync.send_multipart([self.inbound[host], data], zmq.NOBLOCK)
-            else:
-                return Err(_unreachable(host))
-        except zmq.ZMQError:
-            if peer is None:
-                self._lose_inbound(host)
-            return Err(_unreachable(host))
-        self.sent_bytes += len(data)
-        return Ok(None)
+        return self._sent(host, data, _is_sent(peer.socket.send(data, zmq.NOBLOCK)))
 
     def reply(self, host: str, message: Message) -> Result[None, Failure]:
         """Send over the connection that the peer opened to this process."""
@@ -169,10 +167,13 @@
         if identity is None:
             return Err(_unreachable(host))
         data = encode(message)
-        try:
-            self.router_sync.send_multipart([identity, data], zmq.NOBLOCK)
-        except zmq.ZMQError:
+        is_sent = _is_sent(self.router.send_multipart([identity, data], zmq.NOBLOCK))
+        if not is_sent:
             self._lose_inbound(host)
+        return self._sent(host, data, is_sent)
+
+    def _sent(self, host: str, data: bytes, is_sent: bool) -> Result[None, Failure]:
+        if not is_sent:
             return Err(_unreachable(host))
         self.sent_bytes += len(data)
         return Ok(None)
@@ -254,9 +255,27 @@
             event = parse_monitor_message(await monitor.recv_multipart())
             if event["event"] == zmq.EVENT_HANDSHAKE_SUCCEEDED:
                 peer.connected = True
-            elif peer.connected:
-                peer.connected = False
-                self.deliver(PeerLost(host))
+            elif event["event"] == zmq.EVENT_DISCONNECTED:
+                if peer.connected:
+                    peer.connected = False
+                    self.deliver(PeerLost(host))
+            else:
+                # The library gives up after a rejected key, but the peer may only not have learned
+                # of this process yet.
+                await asyncio.sleep(REJECTED_RETRY_S)
+                # A second connect to a known address does nothing.
+                peer.socket.disconnect(f"tcp://{peer.address}")
+                peer.socket.connect(f"tcp://{peer.address}")
+
+
+def _is_sent(future: Any) -> bool:
+    """Return whether a send without waiting succeeded; its future is done at once.
+
+    Sends go through the asynchronous socket although they never wait: it looks at the socket's
+    events afterwards. A send on the plain socket can consume the edge-triggered readiness signal,
+    after which a reader that polls would never wake up.
+    """
+    return future.done() and future.exception() is None
 
 
 def _incarnation_of(identity: bytes | None) -> int:
--- a/teaselpath/transport/tests/test_node.py
+++ b/teaselpath/transport/tests/test_node.py
@@ -95,3 +95,56 @@
         await entry.stop()
 
     asyncio.run(scenario())
+
+
+def test_peer_that_was_rejected_connects_once_its_key_is_known(keys):
+    """Guards against an entry that never reaches an agent which learned of it a little later."""
+
+    async def scenario():
+        agent, agent_events = make_node("agent", keys[0], set())
+        entry, _ = make_node("entry", keys[1], set())
+        await agent.start()
+        await entry.start()
+        entry.connect("agent", bound_address(agent), keys[0].public)
+        async with asyncio.timeout(WAIT_S):
+            while agent.allow_list.rejected == 0:
+                await asyncio.sleep(0.01)
+        agent.allow_list.keys = {keys[1].public}
+        await send_until_connected(entry, "agent", Cancel("r", 1, True))
+        assert (await next_event(agent_events, Received)).host == "entry"
+        await agent.stop()
+        await entry.stop()
+
+    asyncio.run(scenario())
+
+
+def test_no_message_is_stuck_while_both_sides_send(keys):
+    """Guards against a reader that sleeps on because a send consumed its readiness signal."""
+    count = 3000
+
+    async def scenario():
+        agent, agent_events = make_node("agent", keys[0], {keys[1].public})
+        entry, entry_events = make_node("entry", keys[1], set())
+        await agent.start()
+        await entry.start()
+        entry.connect("agent", bound_address(agent), keys[0].public)
+        await send_until_connected(entry, "agent", Cancel("first", 1, True))
+
+        async def answer():
+            for _ in range(count):
+                event = await agent_events.get()
+                agent.reply("entry", Cancelled(event.message.request_id, 1, False))
+
+        answering = asyncio.create_task(answer())
+        for number in range(count):
+            assert entry.send("agent", Cancel(str(number), 1, True)).is_ok()
+            if number % 7 == 0:
+                await asyncio.sleep(0)
+        async with asyncio.timeout(WAIT_S):
+            await answering
+            for _ in range(count):
+                await entry_events.get()
+        await agent.stop()
+        await entry.stop()
+
+    asyncio.run(scenario())
