Test configuration spread under faults with a state machine

Cause: loss, reorder, trimmed logs and forged records were tested one by one. Change: a hypothesis machine and seeded random walks over the same rules compare every node with a reference that reads the whole log. Three seeded bugs show that the checks can fail. The walks exist because the machine alone did not reach states with an accepted bundle often enough to find the seeded bugs.

--- /dev/null
+++ b/teaselpath/cli/tests/cluster.py
@@ -0,0 +1,125 @@
+"""Nodes that consist of a bundle state and a member table, joined by an in-memory network."""
+
+from random import Random
+
+from teaselpath.bundle import Accepted, BundleState, Rejected
+from teaselpath.membership import (
+    ConfigChanged,
+    GossipReceived,
+    LogSeen,
+    Member,
+    MemberTable,
+    PullReceived,
+    RevocationAdded,
+)
+from teaselpath.wire import ConfigPull, ConfigPush, Gossip, Revocation, Send, SignedRecord
+
+
+class MemoryLog:
+    """The log, with outages and trimming."""
+
+    def __init__(self):
+        self.records = []
+        self.first = 0
+        self.is_up = True
+
+    def append(self, data):
+        """Append a record and return its offset."""
+        self.records.append(data)
+        return len(self.records) - 1
+
+    def read(self, offset, limit):
+        """Return the first kept offset at or above ``offset`` and the records from there."""
+        start = max(offset, self.first)
+        data = self.records[start : start + limit]
+        return start, [SignedRecord(start + i, record) for i, record in enumerate(data)]
+
+
+class Node:
+    """One node: its cores and what the outer layer does between them."""
+
+    def __init__(self, host, hosts, operators, incarnation, random):
+        self.host = host
+        self.state = BundleState(operators)
+        members = {h: Member(h, role="entry", address="127.0.0.1") for h in hosts}
+        members[host].incarnation = incarnation
+        self.table = MemberTable(members.pop(host), members.values(), random)
+        self.rejections = {}
+        self.accepted = []
+        self.member_changes = []
+
+    def read_log(self, log, limit, now):
+        """Read from the log if it is up."""
+        actions = self.table.handle(LogSeen(log.is_up), now)
+        if log.is_up:
+            start, records = log.read(self.state.next_offset, limit)
+            self.state.skip_to(start)
+            for record in records:
+                events = self.state.handle(record, now)
+                self.note(events, now)
+                self.rejections |= {
+                    e.offset: e.failure.code for e in events if isinstance(e, Rejected)
+                }
+            actions += self.report(now)
+        return self.sends(actions)
+
+    def receive(self, message, now):
+        """Handle a message; return the messages to send."""
+        actions = []
+        match message:
+            case Gossip():
+                actions += self.table.handle(GossipReceived(message), now)
+            case ConfigPull():
+                actions += self.table.handle(PullReceived(message), now)
+            case ConfigPush(_, records, revocations):
+                for record in records:
+                    self.note(self.state.install(record, now), now)
+                for data in revocations:
+                    actions += self.revoke(data, now)
+                actions += self.report(now)
+            case Revocation(data):
+                actions += self.revoke(data, now) + self.report(now)
+        return self.sends(actions)
+
+    def tick(self, now):
+        """Advance the time-driven work."""
+        return self.sends(self.table.tick(now))
+
+    def revoke(self, data, now):
+        """Add a revocation and spread it if it is new."""
+        if self.state.revocations.add(data, self.state.operator_keys).unwrap_or(False):
+            return self.table.handle(RevocationAdded(data), now)
+        return []
+
+    def note(self, events, now):
+        """Record when a version came into force."""
+        self.accepted += [(e.version, now) for e in events if isinstance(e, Accepted)]
+
+    def report(self, now):
+        """Tell the member table what is in force."""
+        state = self.state
+        return self.table.handle(
+            ConfigChanged(
+                state.attested_record(),
+                state.version,
+                state.digest,
+                state.revocations.digest,
+                state.revocations.records,
+                state.has_gap,
+            ),
+            now,
+        )
+
+    def sends(self, actions):
+        """Split the actions into messages and changes."""
+        self.member_changes += [a for a in actions if not isinstance(a, Send)]
+        return [(self.host, a.host, a.message) for a in actions if isinstance(a, Send)]
+
+
+def make_nodes(count, operators, seed=1):
+    """Return nodes that know each other by host name."""
+    hosts = [f"n{i}" for i in range(count)]
+    return {
+        host: Node(host, hosts, operators, 1, Random(seed * 1000 + i))
+        for i, host in enumerate(hosts)
+    }
--- /dev/null
+++ b/teaselpath/cli/tests/test_rollout_machine.py
@@ -0,0 +1,294 @@
+"""Configuration between nodes under loss, reorder, partitions, log outages and forgeries.
+
+A reference state that reads the whole log says which bundle was the accepted one at each offset.
+"""
+
+from functools import partial
+from random import Random
+
+import msgspec
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.stateful import run_state_machine_as_test as run_machine
+
+from teaselpath.bundle import (
+    BundleState,
+    Rejected,
+    RevocationSpec,
+    mark_renewal,
+    sign_record,
+    sign_revocation,
+)
+from teaselpath.bundle import _state as state_module
+from teaselpath.bundle.tests.conftest import OPERATORS, OTHER_KEY, PRIVATE_KEY, document
+from teaselpath.cli.tests.cluster import MemoryLog, Node, make_nodes
+from teaselpath.wire import ConfigPush, SignedRecord
+
+NODES = 4
+FORGERIES = ["stranger", "altered", "garbage", "old"]
+PUSHES = ["old", "forged", "loser"]
+hosts = st.sampled_from([f"n{i}" for i in range(NODES)])
+
+
+def bundle_data(version, parent, change_id, key=PRIVATE_KEY):
+    """A signed bundle record."""
+    payload = msgspec.json.encode(document(version, parent, change_id=change_id))
+    return sign_record("bundle", payload, key)
+
+
+class Reference(BundleState):
+    """The reference keeps the original methods when a bug is seeded into BundleState."""
+
+    _decide = BundleState._decide
+    _install_other = BundleState._install_other
+    _hold = BundleState._hold
+
+
+class Rollout(RuleBasedStateMachine):
+    """Random steps of operators, network, log and nodes."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.log = MemoryLog()
+        self.nodes = make_nodes(NODES, OPERATORS)
+        self.truth = Reference(OPERATORS)
+        self.truth_at = []
+        self.truth_codes = {}
+        self.flying = []
+        self.cut = set()
+        self.changes = 0
+        self.seen = {}
+        self.incarnations = 1
+
+    def append(self, data):
+        """Append to the log and let the reference decide."""
+        offset = self.log.append(data)
+        for event in self.truth.handle(SignedRecord(offset, data), 0.0):
+            if isinstance(event, Rejected):
+                self.truth_codes[offset] = event.failure.code
+        self.truth_at.append((self.truth.version, self.truth.digest))
+
+    def send(self, messages):
+        """Put messages on the network, which drops those across the cut."""
+        self.flying += [m for m in messages if (m[0] in self.cut) == (m[1] in self.cut)]
+
+    @rule(lag=st.integers(0, 2), step=st.integers(1, 3), key=st.sampled_from([PRIVATE_KEY] * 3))
+    def publish(self, lag, step, key):
+        """Operators race: some publish on an outdated parent."""
+        if self.log.is_up:
+            parent = max(0, self.truth.version - lag)
+            self.changes += 1
+            self.append(bundle_data(parent + step, parent, f"c{self.changes}", key))
+
+    @rule(kind=st.sampled_from(FORGERIES), pick=st.integers(0, 99))
+    def append_forged(self, kind, pick):
+        """A forged or an old record on the log."""
+        version = self.truth.version
+        data = {
+            "stranger": bundle_data(version + 1, version, "forged", OTHER_KEY),
+            "altered": bundle_data(version + 1, version, "forged")[:-70] + b"x" * 70,
+            "garbage": b"garbage",
+            "old": self.log.records[pick % len(self.log.records)] if self.log.records else b"",
+        }[kind]
+        self.append(data)
+
+    @rule()
+    def renew(self):
+        """The accepted bundle is appended again."""
+        if self.truth.record is not None and self.log.is_up:
+            self.append(mark_renewal(self.truth.record.data))
+
+    @rule(host=hosts, digest=st.sampled_from(["ab", "cd", "ef"]))
+    def revoke(self, host, digest):
+        """An operator withdraws a key at one node, without the log."""
+        spec = RevocationSpec(key_digest=digest * 32, version=10**6)
+        node = self.nodes[host]
+        actions = node.revoke(sign_revocation(spec, PRIVATE_KEY), self.now)
+        self.send(node.sends(actions + node.report(self.now)))
+
+    @rule(host=hosts, limit=st.integers(1, 10))
+    def read(self, host, limit):
+        """A node reads the log."""
+        self.send(self.nodes[host].read_log(self.log, limit, self.now))
+
+    @rule(seconds=st.sampled_from([0.5, 1.0, 3.0, 40.0]))
+    def wait(self, seconds):
+        """Time passes at every node."""
+        self.now += seconds
+        for node in self.nodes.values():
+            self.send(node.tick(self.now))
+
+    @rule(pick=st.integers(0, 999), count=st.integers(1, 8), again=st.booleans())
+    def deliver(self, pick, count, again):
+        """Messages arrive in any order, some of them twice."""
+        for _ in range(min(count, len(self.flying))):
+            message = self.flying.pop(pick % len(self.flying))
+            if again:
+                self.flying.append(message)
+            self.send(self.nodes[message[1]].receive(message[2], self.now))
+
+    @precondition(lambda self: self.flying)
+    @rule(keep=st.integers(0, 3))
+    def lose(self, keep):
+        """The network loses all but a few messages."""
+        del self.flying[keep:]
+
+    @rule(host=hosts, kind=st.sampled_from(PUSHES), offset=st.integers(0, 99))
+    def push_false(self, host, kind, offset):
+        """A peer pushes a record that must not be taken."""
+        version = self.nodes[host].state.version
+        record = {
+            "old": bundle_data(max(1, version), 0, "old"),
+            "forged": bundle_data(version + 5, version, "forged", OTHER_KEY),
+            "loser": bundle_data(max(1, version), max(1, version) - 1, "loser"),
+        }[kind]
+        if kind == "forged" or version > 0:
+            push = ConfigPush("n0", [SignedRecord(offset, record, 1000)])
+            self.send(self.nodes[host].receive(push, self.now))
+
+    @rule(up=st.booleans())
+    def switch_log(self, up):
+        """The log goes down or comes back."""
+        self.log.is_up = up
+
+    @rule(count=st.integers(1, 5))
+    def trim(self, count):
+        """The log drops its oldest records."""
+        self.log.first = min(len(self.log.records), self.log.first + count)
+
+    @rule(cut=st.sets(hosts, max_size=2))
+    def partition(self, cut):
+        """The network splits, or heals."""
+        self.cut = cut
+
+    @rule(host=hosts)
+    def restart(self, host):
+        """A node loses its state."""
+        self.incarnations += 1
+        random = Random(self.incarnations)
+        self.nodes[host] = Node(host, list(self.nodes), OPERATORS, self.incarnations, random)
+        self.seen.pop(host, None)
+
+    @invariant()
+    def never_reverts(self):
+        """(offset, version) never falls within a process."""
+        for host, node in self.nodes.items():
+            place = (node.state.offset, node.state.version)
+            before = self.seen.get(host, (-1, 0))
+            assert place[0] >= before[0]
+            assert place[1] >= before[1]
+            self.seen[host] = place
+
+    @invariant()
+    def agrees_with_the_log(self):
+        """At each offset every node has the same accepted bundle and the same reasons."""
+        for node in self.nodes.values():
+            state = node.state
+            in_force = (state.version, state.digest)
+            if state.version:
+                assert in_force in self.truth_at[state.offset : state.offset + 1]
+            if state.decided_to and not state.has_gap:
+                last = state.decided_to - 1
+                assert in_force in self.truth_at[last : last + 1]
+            for offset, code in node.rejections.items():
+                assert code == self.truth_codes.get(offset)
+
+    def teardown(self):
+        """After everything heals, all nodes agree if one knows the accepted bundle."""
+        self.log.is_up, self.cut, self.flying = True, set(), []
+        for _ in range(20):
+            self.now += 1.0
+            for node in self.nodes.values():
+                self.send(node.read_log(self.log, 1000, self.now) + node.tick(self.now))
+            for _ in range(4):
+                flying, self.flying = self.flying, []
+                for _, target, message in flying:
+                    self.send(self.nodes[target].receive(message, self.now))
+            self.never_reverts()
+            self.agrees_with_the_log()
+        states = [node.state for node in self.nodes.values()]
+        if self.truth.version and any(not state.has_gap for state in states):
+            assert {s.digest for s in states} == {self.truth.digest}
+            assert not any(state.has_gap for state in states)
+        if len({s.version for s in states}) == 1:
+            assert len({s.revocations.digest for s in states}) == 1
+
+
+PROFILE = settings(max_examples=30, stateful_step_count=40, deadline=None, derandomize=True)
+
+
+def walk(seed, steps=150):
+    """A random walk over the same rules, with weights that keep most nodes up to date."""
+    random = Random(seed)
+    machine = Rollout()
+    host = partial(random.choice, list(machine.nodes))
+    number = partial(random.randrange, 100)
+    moves = [
+        (
+            6,
+            lambda: machine.publish(
+                random.choice([0, 0, 0, 1, 2]), random.choice([1, 1, 4]), PRIVATE_KEY
+            ),
+        ),
+        (3, lambda: machine.append_forged(random.choice(FORGERIES), number())),
+        (1, machine.renew),
+        (1, lambda: machine.revoke(host(), random.choice(["ab", "cd", "ef"]))),
+        (10, lambda: machine.read(host(), random.choice([1, 3, 10]))),
+        (6, lambda: machine.wait(random.choice([0.5, 1.0, 3.0, 40.0]))),
+        (10, lambda: machine.deliver(number(), 8, random.random() < 0.2)),
+        (2, lambda: machine.lose(random.randrange(4))),
+        (3, lambda: machine.push_false(host(), random.choice(PUSHES), number())),
+        (2, lambda: machine.switch_log(random.random() < 0.7)),
+        (1, lambda: machine.trim(random.randrange(1, 5))),
+        (1, lambda: machine.partition(set(random.sample(list(machine.nodes), 2)))),
+        (1, lambda: machine.partition(set())),
+        (1, lambda: machine.restart(host())),
+    ]
+    weights = [weight for weight, _ in moves]
+    for _, move in random.choices(moves, weights, k=steps):
+        move()
+        machine.never_reverts()
+        machine.agrees_with_the_log()
+    machine.teardown()
+    return machine
+
+
+def test_rollout_never_reverts_and_agrees():
+    """Guards against a node that differs from the log at the same offset (P13)."""
+    run_machine(Rollout, settings=PROFILE)
+
+
+def test_random_walks_never_revert_and_agree():
+    """Guards against the same, over long runs in which nodes accept many versions."""
+    versions = [walk(seed).truth.version for seed in range(30)]
+    assert sum(version > 5 for version in versions) > 20
+
+
+def _take_any(self, record, opened, now):
+    checked = state_module.check_bundle(opened.payload).unwrap()
+    return self._accept(record, opened, checked, now, 0.0)
+
+
+def _skip_parent(self, record, opened, now, age_s):
+    checked = state_module.check_bundle(opened.payload)
+    if checked.is_err() or checked.unwrap().version <= self.version:
+        return []
+    return self._accept(record, opened, checked.unwrap(), now, age_s)
+
+
+def _ignore_gap(self, record, opened, now, age_s):
+    return self._decide(record, opened, now, age_s) if opened else []
+
+
+@pytest.mark.parametrize(
+    ("method", "bug"),
+    [("_install_other", _take_any), ("_decide", _skip_parent), ("_hold", _ignore_gap)],
+)
+def test_machine_finds_a_seeded_bug(monkeypatch, method, bug):
+    """Guards against checks that cannot fail."""
+    monkeypatch.setattr(BundleState, method, bug)
+    with pytest.raises(AssertionError):
+        [walk(seed) for seed in range(30)]
