Do not let a renewal on the log close a gap

Change: only a peer's bundle, or assume_base when no peer exists, closes a gap. Pending records are bounded to 64.

--- a/teaselpath/bundle/_state.py
+++ b/teaselpath/bundle/_state.py
@@ -7,7 +7,8 @@
   peer.
 
 If the log was trimmed past the node, ``next_offset`` is above ``decided_to``. Records that are read
-then wait in ``pending`` until a peer's bundle, or a renewal on the log, closes the gap.
+then wait in ``pending`` until a peer's bundle closes the gap. A renewal on the log does not close
+it, because anybody who can append can repeat the renewal of an older bundle.
 """
 
 from collections.abc import Sequence
@@ -21,6 +22,8 @@
 from teaselpath.wire import SignedRecord
 
 DEFAULT_RETENTION_S = 86_400.0
+# Bounds the memory of a node that waits for a peer; older records come with the peer's bundle.
+MAX_PENDING = 64
 
 
 @dataclass(slots=True, frozen=True)
@@ -122,7 +125,7 @@
         elif record.offset <= self.offset:
             events = []  # decided already when the bundle was installed from a peer
         elif record.offset > self.decided_to:
-            return self._hold(record, opened.ok(), now, age_s)
+            return self._hold(record)
         elif opened.is_err():
             events = [Rejected(record.offset, opened.unwrap_err())]
         else:
@@ -158,18 +161,22 @@
     def assume_base(self, now: float) -> list[Event]:
         """Close a gap without a peer, from the records that the log still has.
 
-        For the case that every node lost its state and the log was trimmed. The first record that
-        fits is taken as the accepted one; all nodes that see the same records choose the same.
+        For the case that every node lost its state and the log was trimmed. The marked renewal
+        with the highest version, or else the first record that fits, is taken as the accepted one;
+        all nodes that see the same records choose the same.
         """
+        candidates = []
         for record in self.pending:
             opened = open_record(record.data, self.operator_keys).ok()
-            if opened is None or opened.kind != "bundle":
-                continue
-            events = self._install_other(record, opened, now)
-            if isinstance(events[0], Accepted):
-                self.decided_to = record.offset + 1
-                return events + self._replay(now)
-        return []
+            if opened is not None and opened.kind == "bundle":
+                checked = check_bundle(opened.payload)
+                if checked.is_ok() and checked.unwrap().version >= self.version:
+                    rank = checked.unwrap().version if opened.renewal else 0
+                    candidates.append((-rank, record.offset, record))
+        if not candidates:
+            return []
+        base = min(candidates, key=lambda candidate: candidate[:2])[2]
+        return self.install(SignedRecord(base.offset, base.data, base.offset + 1), now)
 
     def _install_other(self, record: SignedRecord, opened: OpenedRecord, now: float) -> list[Event]:
         checked = check_bundle(opened.payload)
@@ -193,21 +200,11 @@
             return []
         return [Withdrawn(record.offset, bytes.fromhex(spec.key_digest), spec.key_id)]
 
-    def _hold(
-        self, record: SignedRecord, opened: OpenedRecord | None, now: float, age_s: float
-    ) -> list[Event]:
+    def _hold(self, record: SignedRecord) -> list[Event]:
         self.pending.append(record)
-        if opened is None or opened.kind != "bundle" or not opened.renewal:
-            return []
-        if opened.digest == self.digest:
-            events = self._renew(record, now, age_s)
-        else:
-            events = self._install_other(record, opened, now)
-            if isinstance(events[0], Rejected):
-                return []
-        self.pending = []
-        self.decided_to = self.next_offset
-        return events
+        if len(self.pending) > MAX_PENDING:
+            self.pending_from = self.pending.pop(0).offset + 1
+        return []
 
     def _replay(self, now: float) -> list[Event]:
         """Decide the pending records if the gap before them is closed."""
--- a/teaselpath/bundle/tests/test_state.py
+++ b/teaselpath/bundle/tests/test_state.py
@@ -14,6 +14,7 @@
     sign_record,
     sign_revocation,
 )
+from teaselpath.bundle._state import MAX_PENDING
 from teaselpath.bundle.tests.conftest import OPERATORS, OTHER_KEY, PRIVATE_KEY, signed
 from teaselpath.results import Code
 from teaselpath.wire import SignedRecord
@@ -98,15 +99,35 @@
     assert (state.version, state.offset, state.has_gap) == (5, 10, False)
 
 
-def test_gap_is_closed_by_a_marked_renewal():
-    """Guards against a node without peers that never finds the accepted bundle."""
+def test_gap_is_not_closed_by_a_renewal():
+    """Guards against an old renewal, repeated by a stranger, that brings back an old bundle."""
     fresh = BundleState(OPERATORS)
-    assert fresh.handle(signed(10, 6, 4, change_id="loser"), 0.0) == []
-    events = fresh.handle(SignedRecord(11, mark_renewal(signed(0, 5, 4).data)), 0.0)
-    assert isinstance(events[0], Accepted)
+    assert fresh.handle(SignedRecord(10, mark_renewal(signed(0, 5, 4).data)), 0.0) == []
+    assert (fresh.version, fresh.has_gap) == (0, True)
+
+
+def test_assume_base_prefers_renewals():
+    """Guards against the loser of a race that is taken because its winner was trimmed."""
+    fresh = BundleState(OPERATORS)
+    fresh.handle(signed(10, 6, 4, change_id="loser"), 0.0)
+    fresh.handle(SignedRecord(11, mark_renewal(signed(0, 5, 4).data)), 0.0)
+    fresh.handle(SignedRecord(12, mark_renewal(signed(0, 4, 3).data)), 0.0)
+    assert [type(event) for event in fresh.assume_base(0.0)] == [Accepted, Rejected]
     assert (fresh.version, fresh.has_gap) == (5, False)
 
 
+def test_pending_records_are_bounded():
+    """Guards against memory that grows while no peer answers."""
+    fresh = BundleState(OPERATORS)
+    for offset in range(10, 10 + 2 * MAX_PENDING):
+        fresh.handle(SignedRecord(offset, b"x"), 0.0)
+    assert len(fresh.pending) == MAX_PENDING
+    fresh.install(SignedRecord(5, signed(5, 4, 1).data, 11), 0.0)
+    assert fresh.has_gap  # the dropped records are still undecided
+    fresh.install(SignedRecord(5, signed(5, 4, 1).data, fresh.pending_from), 0.0)
+    assert not fresh.has_gap
+
+
 def test_assume_base_replays_what_the_log_has():
     """Guards against a system that stays empty after all nodes lost their state."""
     fresh = BundleState(OPERATORS)
--- a/teaselpath/cli/tests/test_rollout_machine.py
+++ b/teaselpath/cli/tests/test_rollout_machine.py
@@ -279,8 +279,10 @@
     return self._accept(record, opened, checked.unwrap(), now, age_s)
 
 
-def _ignore_gap(self, record, opened, now, age_s):
-    return self._decide(record, opened, now, age_s) if opened else []
+def _ignore_gap(self, record):
+    opened = state_module.open_record(record.data, self.operator_keys)
+    self.decided_to = record.offset + 1
+    return self._decide(record, opened.unwrap(), 0.0, 0.0) if opened.is_ok() else []
 
 
 @pytest.mark.parametrize(
