Add the operators' tool, examples and tests of the platform clients

Cause: operators had no way to sign, publish and follow a version. Change: commands keygen, check, diff, sign, publish, rollout status, revoke, drain, explain, explain-workspace and top; example bundles and settings. publish resolves a lost reply by reading on and never appends such a record twice.

--- /dev/null
+++ b/teaselpath/cli/_client.py
@@ -0,0 +1,128 @@
+"""Client for operators' requests: pyzmq DEALER with CURVE to a node's control address."""
+
+import time
+from dataclasses import dataclass
+from secrets import token_hex
+from typing import Any
+
+import msgspec
+import zmq
+from result import Err, Ok, Result
+
+from teaselpath.bundle import ControlRequest, sign_control
+from teaselpath.results import Code, Failure
+from teaselpath.wire import ControlReply, decode, encode
+
+REQUEST_LIFETIME_MS = 30_000
+NONCE_BYTES = 16
+
+
+@dataclass(slots=True, frozen=True)
+class NodeAddress:
+    """Where a node's control socket is.
+
+    :param curve_public: the node's CURVE public key, 40 characters of Z85.
+    """
+
+    host: str
+    address: str
+    port: int
+    curve_public: str
+
+    @property
+    def url(self) -> str:
+        """The address as pyzmq wants it."""
+        shown = f"[{self.address}]" if ":" in self.address else self.address
+        return f"tcp://{shown}:{self.port}"
+
+
+@dataclass(slots=True, frozen=True)
+class ToolKeys:
+    """The operator's keys.
+
+    :param operator_private: Ed25519 private key, 32 bytes.
+    :param curve_public: CURVE pair of the tool.
+    """
+
+    operator_private: bytes
+    curve_public: bytes
+    curve_secret: bytes
+
+
+def ask_nodes(
+    nodes: list[NodeAddress],
+    command: str,
+    arguments: dict[str, Any],
+    keys: ToolKeys,
+    timeout_s: float,
+) -> dict[str, Result[Any, Failure]]:
+    """Send a request to nodes and wait for their answers.
+
+    :returns: for each host the JSON answer, or the node's failure, or PEER_TIMEOUT.
+    """
+    context = zmq.Context()
+    poller = zmq.Poller()
+    waiting: dict[zmq.Socket, tuple[str, str]] = {}
+    answers: dict[str, Result[Any, Failure]] = {}
+    try:
+        for node in nodes:
+            socket = _connect(context, node, keys)
+            request_id = token_hex(NONCE_BYTES)
+            request = ControlRequest(
+                command=command,
+                arguments=arguments | {"host": node.host},
+                expires_ms=int(time.time() * 1000) + REQUEST_LIFETIME_MS,
+                nonce=token_hex(NONCE_BYTES),
+            )
+            socket.send(encode(sign_control(request_id, request, keys.operator_private)))
+            poller.register(socket, zmq.POLLIN)
+            waiting[socket] = (node.host, request_id)
+        _collect(poller, waiting, answers, time.monotonic() + timeout_s)
+    finally:
+        context.destroy(linger=0)
+    missing = Failure(Code.PEER_TIMEOUT, f"no answer within {timeout_s:g} s")
+    return {node.host: answers.get(node.host, Err(missing)) for node in nodes}
+
+
+def _connect(context: zmq.Context, node: NodeAddress, keys: ToolKeys) -> zmq.Socket:
+    socket = context.socket(zmq.DEALER)
+    socket.linger = 0
+    if node.curve_public:
+        socket.curve_serverkey = node.curve_public.encode()
+        socket.curve_publickey = keys.curve_public
+        socket.curve_secretkey = keys.curve_secret
+    socket.connect(node.url)
+    return socket
+
+
+def _collect(
+    poller: zmq.Poller,
+    waiting: dict[zmq.Socket, tuple[str, str]],
+    answers: dict[str, Result[Any, Failure]],
+    deadline: float,
+) -> None:
+    while len(answers) < len(waiting):
+        remaining_ms = int((deadline - time.monotonic()) * 1000)
+        if remaining_ms <= 0:
+            return
+        for socket, _ in poller.poll(remaining_ms):
+            host, request_id = waiting[socket]
+            answer = read_reply(socket.recv(), request_id)
+            if answer is not None:
+                answers[host] = answer
+
+
+def read_reply(data: bytes, request_id: str) -> Result[Any, Failure] | None:
+    """Return the answer to a request, or None for another message."""
+    message = decode(data).ok()
+    if not isinstance(message, ControlReply) or message.request_id != request_id:
+        return None
+    try:
+        body = msgspec.json.decode(message.body) if message.body else None
+        code = Code(message.code)
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+        return Err(Failure(Code.MALFORMED_MESSAGE, f"malformed answer: {error}"))
+    if code is Code.OK:
+        return Ok(body)
+    detail = body.get("detail", "") if isinstance(body, dict) else ""
+    return Err(Failure(code, str(detail)))
--- /dev/null
+++ b/teaselpath/cli/_main.py
@@ -0,0 +1,36 @@
+"""The operators' tool."""
+
+import click
+
+from teaselpath.cli._common import EXIT_HELP
+from teaselpath.cli._files import check, diff, keygen, sign
+from teaselpath.cli._nodes import drain, explain, explain_workspace, revoke, rollout, top
+from teaselpath.cli._publish import publish
+
+
+@click.group(epilog=EXIT_HELP)
+def main() -> None:
+    """Operate a teaselpath system. Secrets are read from files only."""
+
+
+for _command in (
+    keygen,
+    check,
+    diff,
+    sign,
+    publish,
+    rollout,
+    revoke,
+    drain,
+    explain,
+    explain_workspace,
+    top,
+):
+    main.add_command(_command)
+
+try:
+    from teaselpath.cli._load import load
+except ImportError:
+    load = None
+if load is not None:
+    main.add_command(load)
--- /dev/null
+++ b/teaselpath/cli/_publish.py
@@ -0,0 +1,157 @@
+"""Append a signed record and find out what became of it."""
+
+import asyncio
+from dataclasses import dataclass
+from hashlib import sha256
+
+import aiohttp
+import click
+from result import Err, Ok, Result
+
+from teaselpath.bundle import (
+    Accepted,
+    BundleState,
+    Rejected,
+    Renewed,
+    open_record,
+    operator_public_key,
+)
+from teaselpath.cli._common import (
+    EXIT_FAULTS,
+    EXIT_OK,
+    EXIT_UNKNOWN,
+    EXIT_UNREACHABLE,
+    fail,
+    json_option,
+    key_option,
+    log_option,
+    read_file,
+    read_key,
+    run,
+)
+from teaselpath.cli._tables import show
+from teaselpath.platform import LogClient, Trimmed
+from teaselpath.results import Code, Failure
+from teaselpath.wire import SignedRecord
+
+CONFIG_STREAM = "config"
+READ_TIMEOUT_S = 5.0
+RETRY_S = 0.5
+EXIT_CODES = {"accepted": EXIT_OK, "rejected": EXIT_FAULTS, "unknown": EXIT_UNKNOWN}
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """What became of a record.
+
+    :param result: ``accepted``, ``rejected`` or ``unknown``.
+    """
+
+    result: str
+    offset: int | None
+    version: int
+    reason: str = ""
+
+
+async def read_state(
+    client: LogClient, state: BundleState, deadline: float
+) -> Result[dict[int, Accepted | Rejected | Renewed], Failure]:
+    """Read the log to its end; return the decision at each offset."""
+    decisions: dict[int, Accepted | Rejected | Renewed] = {}
+    now = asyncio.get_running_loop().time
+    while True:
+        page = await client.read(
+            CONFIG_STREAM, state.next_offset, min(deadline, now() + READ_TIMEOUT_S)
+        )
+        if page.is_err():
+            return Err(page.unwrap_err())
+        got = page.unwrap()
+        if isinstance(got, Trimmed):
+            state.skip_to(got.first)
+            continue
+        state.skip_to(got.first)
+        events = []
+        for record in got.records:
+            events += state.handle(SignedRecord(record.offset, record.data), now())
+        if state.next_offset >= got.next or not got.records:
+            events += state.assume_base(now()) if state.has_gap else []
+            decisions |= {e.offset: e for e in events if not hasattr(e, "key_digest")}
+            return Ok(decisions)
+        decisions |= {e.offset: e for e in events if not hasattr(e, "key_digest")}
+
+
+async def publish_record(
+    client: LogClient, data: bytes, operator_keys: list[bytes], deadline: float
+) -> Result[Outcome, Failure]:
+    """Append a record unless the log has it already, and read on until its fate is known.
+
+    A lost reply is resolved by reading on; the record is appended again only if the log does not
+    have it.
+    """
+    now = asyncio.get_running_loop().time
+    state = BundleState(operator_keys)
+    digest = sha256(open_record(data, operator_keys).unwrap().payload).digest()
+    before = await read_state(client, state, deadline)
+    if before.is_err():
+        return Err(before.unwrap_err())
+    outcome = _find(before.unwrap(), digest)
+    last = Failure(Code.APPEND_UNKNOWN, "the deadline has passed")
+    has_appended = False
+    while outcome is None and now() < deadline:
+        if not has_appended:
+            appended = await client.append(CONFIG_STREAM, data, deadline)
+            last = appended.err() or last
+            # An append whose reply was lost may still take effect, so it is not repeated.
+            has_appended = appended.is_ok() or last.code is Code.APPEND_UNKNOWN
+        read = await read_state(client, state, deadline)
+        outcome = _find(read.unwrap(), digest) if read.is_ok() else None
+        if outcome is None:
+            await asyncio.sleep(min(RETRY_S, max(0.0, deadline - now())))
+    if outcome is not None:
+        return Ok(outcome)
+    if not has_appended:
+        return Err(last)
+    return Ok(Outcome("unknown", None, 0, last.detail))
+
+
+def _find(decisions: dict[int, Accepted | Rejected | Renewed], digest: bytes) -> Outcome | None:
+    for offset, event in sorted(decisions.items()):
+        if isinstance(event, Accepted) and event.digest == digest:
+            return Outcome("accepted", offset, event.version)
+        if isinstance(event, Rejected) and event.digest == digest:
+            return Outcome("rejected", offset, event.version, str(event.failure))
+    return None
+
+
+@click.command()
+@click.argument("record", type=click.Path())
+@log_option
+@key_option
+@click.option("--trusted", multiple=True, help="Public key of a further operator, in hex.")
+@click.option("--timeout", default=20.0, show_default=True, help="Seconds to find the outcome.")
+@json_option
+def publish(
+    record: str,
+    log_url: str,
+    operator_key: str,
+    trusted: tuple[str, ...],
+    timeout: float,
+    as_json: bool,
+) -> None:
+    """Append the signed RECORD and report accepted, rejected or unknown."""
+    data = read_file(record)
+    keys = [operator_public_key(read_key(operator_key)), *[bytes.fromhex(key) for key in trusted]]
+    opened = open_record(data, keys)
+    if opened.is_err():
+        fail(EXIT_FAULTS, str(opened.unwrap_err()))
+
+    async def append(session: aiohttp.ClientSession, deadline: float) -> Result[Outcome, Failure]:
+        return await publish_record(LogClient(session, log_url), data, keys, deadline)
+
+    done = run(append, timeout)
+    if done.is_err():
+        fail(EXIT_UNREACHABLE, str(done.unwrap_err()))
+    outcome = done.unwrap()
+    row = (outcome.result, outcome.version, outcome.offset, outcome.reason)
+    show(as_json, ("result", "version", "offset", "reason"), [row])
+    raise SystemExit(EXIT_CODES[outcome.result])
--- /dev/null
+++ b/teaselpath/daemon/tests/test_settings.py
@@ -0,0 +1,82 @@
+"""Settings are checked like bundles, and secrets come from private files."""
+
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from teaselpath.bundle import check_bundle
+from teaselpath.daemon._settings import check_settings, load_settings, read_secret
+from teaselpath.results import Code
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+
+
+@pytest.fixture
+def document():
+    """The settings of the example agent."""
+    return msgspec.json.decode((EXAMPLES / "settings-agent.json").read_bytes())
+
+
+def paths(document):
+    """Paths of the faults."""
+    return {fault.path for fault in check_settings(msgspec.json.encode(document)).unwrap_err()}
+
+
+@pytest.mark.parametrize("name", sorted(p.name for p in EXAMPLES.glob("*.json")))
+def test_examples_are_valid(name):
+    """Guards against examples that the tool refuses."""
+    check = check_bundle if name.startswith("bundle") else check_settings
+    assert check((EXAMPLES / name).read_bytes()).is_ok()
+
+
+def test_all_faults_are_reported_at_once(document):
+    """Guards against one fault that hides the others from the operator."""
+    document["control"] |= {"port": 0, "curve_public": "short", "curve_secret": "inline"}
+    document["peers"].append(document["peers"][0] | {"address": "node.example"})
+    document["operator_keys"] = ["xyz"]
+    document["log_url"] = "ftp://127.0.0.1"
+    document["endpoint"]["url"] = ""
+    document["limits"] = {"body_bytes": 0, "log_wait_ms": "10s"}
+    assert paths(document) == {
+        "$.control.port",
+        "$.control.curve_public",
+        "$.control.curve_secret",
+        "$.control.curve_secret_file",
+        "$.peers[1].address",
+        "$.peers[1].host",
+        "$.operator_keys[0]",
+        "$.log_url",
+        "$.endpoint.url",
+        "$.limits.body_bytes",
+        "$.limits.log_wait_ms",
+    }
+
+
+def test_entry_rules(document):
+    """Guards against an entry with an endpoint, half a TLS pair or one port used twice."""
+    document["role"] = "entry"
+    document["http"] = {"port": document["control"]["port"], "tls_cert": "/tls/cert.pem"}
+    assert paths(document) == {
+        "$.endpoint.id",
+        "$.endpoint.url",
+        "$.http.port",
+        "$.http.tls_key_file",
+    }
+
+
+def test_load_settings_reports_a_missing_file(tmp_path):
+    """Guards against an exception where the daemon expects faults."""
+    (fault,) = load_settings(tmp_path / "none.json").unwrap_err()
+    assert fault.code is Code.INVALID_SETTINGS
+
+
+def test_secret_must_be_private(tmp_path):
+    """Guards against a secret that every user of the host can read."""
+    path = tmp_path / "secret"
+    path.write_text("s3cret\n")
+    path.chmod(0o640)
+    assert read_secret(path).unwrap_err().code is Code.INVALID_SETTINGS
+    path.chmod(0o600)
+    assert read_secret(path).unwrap() == b"s3cret"
+    assert read_secret(tmp_path / "none").is_err()
