--- a/teaselpath/cli/_common.py
+++ b/teaselpath/cli/_common.py
@@ -13,8 +13,7 @@
 
 from teaselpath.bundle import Bundle, check_bundle
 from teaselpath.cli._client import NodeAddress, ToolKeys, ask_nodes
-from teaselpath.daemon._settings import read_secret
-from teaselpath.platform import HostListClient
+from teaselpath.platform import HostListClient, read_secret
 from teaselpath.results import Failure
 
 Value = TypeVar("Value")
--- a/teaselpath/cli/tests/test_commands.py
+++ b/teaselpath/cli/tests/test_commands.py
@@ -77,7 +77,7 @@
     """Guards against tables that change by accident and lagging hosts that are hidden."""
     silent = Err(Failure(Code.PEER_TIMEOUT, "no answer within 5 s"))
     status = {"version": 7, "digest": "ab" * 32, "since_s": 12.25, "reason": ""}
-    answers = {
+    answers: dict = {
         "a": Ok(status),
         "b": Ok(status | {"version": 6, "since_s": 900.0, "reason": "the log is not reachable"}),
         "c": silent,
