--- a/teaselpath/control/_plane.py
+++ b/teaselpath/control/_plane.py
@@ -36,9 +36,8 @@
     PullReceived,
     RevocationAdded,
 )
-from teaselpath.platform import HostListClient, LogClient, LogRecord
+from teaselpath.platform import HostListClient, LogClient, LogRecord, Settings
 from teaselpath.records import DecisionLog
-from teaselpath.settings import Settings
 from teaselpath.transport import CurveKeys, KeyAllowList, Node, PeerLost, Received
 from teaselpath.wire import (
     Append,
--- a/teaselpath/daemon/_main.py
+++ b/teaselpath/daemon/_main.py
@@ -9,8 +9,8 @@
 from result import Err
 
 from teaselpath.daemon._process import Process
+from teaselpath.platform import Settings, load_settings
 from teaselpath.results import Failure
-from teaselpath.settings import Settings, load_settings
 
 EXIT_INVALID_SETTINGS = 2
 
--- a/teaselpath/daemon/_process.py
+++ b/teaselpath/daemon/_process.py
@@ -14,7 +14,7 @@
 from teaselpath.agent import AgentService
 from teaselpath.control import ControlPlane
 from teaselpath.entry import EntryApp, EntryService
-from teaselpath.settings import Settings, load_settings, read_secret
+from teaselpath.platform import Settings, load_settings, read_secret
 from teaselpath.transport import CurveKeys
 
 EXIT_OK = 0
--- a/teaselpath/settings/__init__.py
+++ b/teaselpath/daemon/_settings.py
@@ -1,6 +1,10 @@
-"""Settings of a process."""
+"""Settings of a process.
 
-from teaselpath.settings._settings import (
+They are defined in ``teaselpath.platform``: the operators' tool checks them too, and does not
+import the daemon.
+"""
+
+from teaselpath.platform import (
     ControlSettings,
     EndpointSettings,
     HttpSettings,
