--- a/benchmarks/bench_claims.py
+++ b/benchmarks/bench_claims.py
@@ -158,7 +158,7 @@
             self.agent = ClaimTable("bench", "agent", incarnation)
         for offset, (when, data) in enumerate(self.records):
             self._call(ClaimRecord(offset, data, self.now - when))
-        self._call(ReadProgress(0, len(self.records)))
+        self._call(ReadProgress(len(self.records)))
 
     def _call(self, event: Any) -> None:
         if self.agent is None:
--- a/teaselpath/delivery/__init__.py
+++ b/teaselpath/delivery/__init__.py
@@ -50,7 +50,7 @@
     StopWanted,
     StreamCompleted,
 )
-from teaselpath.delivery._sse import SseParser
+from teaselpath.delivery._sse import EventAligner, SseParser
 
 __all__ = [
     "Accept",
@@ -72,6 +72,7 @@
     "Delivered",
     "DeliveryLimits",
     "EntryLost",
+    "EventAligner",
     "Finished",
     "FromEntry",
     "LeaveStarted",
--- a/teaselpath/delivery/_assembler.py
+++ b/teaselpath/delivery/_assembler.py
@@ -52,7 +52,8 @@
     """Puts the chunks of one attempt in order, once each.
 
     :param request_id: request id.
-    :param attempt: attempt; chunks of other attempts are ignored.
+    :param attempt: attempt; chunks of other attempts are ignored. With 0, the attempt of the first
+        message is taken, for a caller that resumes by request id alone.
     :param now: instant of the start or resume.
     :param window: chunks that may be outstanding; also the bound on chunks held back by a gap.
     :param stall_s: time without progress after which the stream is resumed, in seconds. It also
@@ -87,7 +88,11 @@
 
     def handle(self, message: Chunk | End, now: float) -> list[AssemblerAction]:
         """Apply a message of the agent and return what to do."""
-        if message.attempt != self.attempt or message.request_id != self.request_id:
+        if message.request_id != self.request_id:
+            return []
+        if self.attempt == 0:
+            self.attempt = message.attempt
+        if message.attempt != self.attempt:
             return []
         if self.completed is not None:
             return self._after_completion(message)
--- a/teaselpath/delivery/_buffer.py
+++ b/teaselpath/delivery/_buffer.py
@@ -56,6 +56,10 @@
         """Drop all chunks, as if they had been acknowledged."""
         self.acknowledge(self.last)
 
+    def skip(self, number: int) -> None:
+        """Count a chunk that is not kept."""
+        self.last = self.acked = self.sent = number
+
     @property
     def is_delivered(self) -> bool:
         """Whether the end was acknowledged."""
--- a/teaselpath/delivery/_claim_events.py
+++ b/teaselpath/delivery/_claim_events.py
@@ -78,12 +78,8 @@
 
 
 class ReadProgress(msgspec.Struct, frozen=True):
-    """All records below ``next_offset`` that the log still keeps were handed in.
+    """All records below ``next_offset`` that the log still keeps were handed in."""
 
-    :param first_offset: oldest offset that the log keeps.
-    """
-
-    first_offset: int
     next_offset: int
 
 
--- a/teaselpath/delivery/_continuation.py
+++ b/teaselpath/delivery/_continuation.py
@@ -67,9 +67,12 @@
         """Tokens that the caller got: as the engines counted, else one per event with text."""
         return self.tokens + self._run_tokens
 
-    def feed(self, data: bytes) -> Result[bytes, Failure]:
+    def feed(self, data: bytes, event_id: str = "") -> Result[bytes, Failure]:
         """Take bytes of the current run and return bytes for the caller.
 
+        :param data: a chunk.
+        :param event_id: id that the last event gets, for a caller that reconnects with
+            ``Last-Event-ID``; chunks have to end with whole events (:class:`EventAligner`).
         :returns: whole events, or a failure if the engine broke the protocol or sent an error. The
             run is over after a failure and may be continued.
         """
@@ -83,7 +86,10 @@
                 # What came before the faulty event still reaches the caller, at the next call.
                 return result if not out else self._defer(out, result.err_value)
             out.append(result.ok_value)
-        return Ok(b"".join(out))
+        joined = b"".join(out)
+        if event_id and joined:
+            joined = joined[:-1] + b"id: " + event_id.encode() + b"\n\n"
+        return Ok(joined)
 
     def _defer(self, out: list[bytes], failure: Failure) -> Result[bytes, Failure]:
         self._parser = SseParser()
--- a/teaselpath/delivery/_events.py
+++ b/teaselpath/delivery/_events.py
@@ -41,7 +41,7 @@
     attempt: int
 
 
-class RunChunk(msgspec.Struct, frozen=True):
+class RunChunk(msgspec.Struct, frozen=True, gc=False):
     """Bytes of the endpoint's answer; the first ones come with status and headers."""
 
     request_id: str
--- a/teaselpath/delivery/_ledger.py
+++ b/teaselpath/delivery/_ledger.py
@@ -1,5 +1,6 @@
 """Ledger of requests at the agent, which is the only way to its endpoint."""
 
+from math import inf
 from typing import assert_never
 
 from teaselpath.delivery._answers import (
@@ -29,6 +30,9 @@
 from teaselpath.results import Code, Ran
 from teaselpath.wire import Ack, Cancel, Chunk, End, Refused, Resume, Send, Start
 
+# Highest attempt that a resume without an attempt finds.
+MAX_ATTEMPTS = 8
+
 Action = Accept | Send | CancelRun | PauseRun | ResumeRun
 
 
@@ -178,9 +182,12 @@
             return []
         buffer = record.buffer
         number = buffer.last + 1
-        chunk = Chunk(
-            event.request_id, event.attempt, number, event.data, event.status, event.headers or []
-        )
+        if record.is_abandoned:
+            buffer.skip(number)
+            return []
+        chunk = Chunk(event.request_id, event.attempt, number, event.data)
+        if event.status:
+            chunk.status, chunk.headers = event.status, event.headers or []
         buffer.last = number
         buffer.chunks.append(chunk)
         buffer.size += len(event.data)
@@ -221,6 +228,9 @@
             event.output_tokens,
             event.detail,
         )
+        if record.is_abandoned:
+            self._retire(record, now)
+            return []
         return self._send_due(record)
 
     def _refuse_record(self, record: RequestRecord, event: RunEnd, now: float) -> list[Action]:
@@ -246,7 +256,8 @@
         return self._send_due(record) + self._unpause(record)
 
     def _resume(self, host: str, resume: Resume, now: float) -> list[Action]:
-        key = (resume.request_id, resume.attempt)
+        is_by_id = resume.attempt == 0
+        key = (resume.request_id, resume.attempt or self._newest_attempt(resume.request_id))
         if (finished := self.finished.requests.get(key)) is not None:
             return [Send(host, self._resume_finished(key, finished, resume))]
         record = self.records.get(key)
@@ -255,15 +266,27 @@
             return [end_answer(host, key, Code.UNKNOWN_REQUEST, Ran.UNKNOWN, detail)]
         if resume.workspace != record.workspace:
             return [wrong_workspace_answer(host, key)]
+        if is_by_id and record.is_continuation:
+            # The beginning of the answer came from another run; a part must not pass for the whole.
+            return [Send(host, expired_answer(key, max(1, record.buffer.last), record.ran))]
         buffer = record.buffer
         if resume.after < buffer.acked:
             return [Send(host, expired_answer(key, buffer.acked, record.ran))]
         record.host = host
+        record.is_abandoned = False
         record.expires_at = now + self.limits.buffer_retention_s
         buffer.acknowledge(min(resume.after, buffer.last))
         buffer.rewind(resume.after, self.limits.window_chunks)
         return self._send_due(record) + self._unpause(record)
 
+    def _newest_attempt(self, request_id: str) -> int:
+        """Return the newest attempt known here, for a caller that knows only the request id."""
+        for attempt in range(MAX_ATTEMPTS, 0, -1):
+            key = (request_id, attempt)
+            if key in self.records or key in self.finished.requests:
+                return attempt
+        return 0
+
     def _resume_finished(
         self, key: Key, finished: FinishedRequest, resume: Resume
     ) -> End | Refused:
@@ -272,13 +295,14 @@
             return answer
         if resume.workspace != finished.workspace:
             return End(*key, 0, Code.WRONG_WORKSPACE, Ran.UNKNOWN)
-        return answer if resume.after >= answer_chunks(answer) else self._past_answer(key, finished)
+        is_past = resume.attempt != 0 and resume.after >= answer_chunks(answer)
+        return answer if is_past else self._past_answer(key, finished)
 
     def _past_answer(self, key: Key, finished: FinishedRequest) -> End | Refused:
         """Answer for an attempt whose buffer is gone."""
         if finished.state is RequestState.NOT_RUN:
             return finished.answer
-        return expired_answer(key, answer_chunks(finished.answer), Ran.RAN)
+        return expired_answer(key, max(1, answer_chunks(finished.answer)), finished.ran)
 
     def _resend_end(self, record: RequestRecord, now: float) -> list[Action]:
         """Send the end again: an entry whose acknowledgement was lost answers it once more."""
@@ -323,7 +347,8 @@
             return []
         record.buffer.drop()
         record.host = None
-        record.expires_at = now + self.limits.buffer_retention_s
+        record.is_abandoned = True
+        record.expires_at = inf
         # A call that may not be repeated is left to finish: stopping it half-way helps nobody.
         return self._cut(record) if record.repeatable else self._unpause(record)
 
--- a/teaselpath/delivery/_record.py
+++ b/teaselpath/delivery/_record.py
@@ -16,13 +16,16 @@
     :param host: entry that gets the stream.
     :param expires_at: instant at which the buffer is dropped unless its entry is heard before.
 
-    ``resend_at`` is the instant at which an unacknowledged end is sent again.
+    ``resend_at`` is the instant at which an unacknowledged end is sent again. ``is_abandoned``
+    means that the deadline passed during the run: chunks are dropped until an entry resumes.
     """
 
     __slots__ = (
         "buffer",
         "expires_at",
         "host",
+        "is_abandoned",
+        "is_continuation",
         "is_cut",
         "is_paused",
         "key",
@@ -45,6 +48,8 @@
         self.buffer = StreamBuffer(window)
         self.is_paused = False
         self.is_cut = False
+        self.is_continuation = start.resume_after > 0
+        self.is_abandoned = False
 
     @property
     def ran(self) -> Ran:
--- a/teaselpath/delivery/_sse.py
+++ b/teaselpath/delivery/_sse.py
@@ -5,6 +5,7 @@
 from teaselpath.results import Code, Failure, Ran
 
 DONE = b"[DONE]"
+_EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 
 
 class SseParser:
@@ -104,6 +105,38 @@
         return Err(self._failure)
 
 
+class EventAligner:
+    """Cuts a byte stream after whole events, so that a chunk number is a place to resume from.
+
+    :param max_tail_bytes: bytes held back at most; a longer event is cut.
+    """
+
+    __slots__ = ("_tail", "max_tail_bytes")
+
+    def __init__(self, max_tail_bytes: int = 1 << 18) -> None:
+        self.max_tail_bytes = max_tail_bytes
+        self._tail = bytearray()
+
+    def feed(self, data: bytes) -> bytes:
+        """Add bytes and return those up to the end of the last whole event."""
+        # An end can begin in the tail; of CR LF CR LF three bytes can be there.
+        start = max(0, len(self._tail) - 3)
+        self._tail += data
+        found = ((self._tail.rfind(end, start), len(end)) for end in _EVENT_ENDS)
+        cut = max((place + length for place, length in found if place >= 0), default=0)
+        if not cut and len(self._tail) > self.max_tail_bytes:
+            return self.flush()
+        whole = bytes(self._tail[:cut])
+        del self._tail[:cut]
+        return whole
+
+    def flush(self) -> bytes:
+        """Return what is held back, at the end of the stream."""
+        rest = bytes(self._tail)
+        self._tail.clear()
+        return rest
+
+
 def format_event(data: bytes) -> bytes:
     """Return an event with one line of data."""
     return b"data: " + data + b"\n\n"
--- a/teaselpath/delivery/tests/test_claims.py
+++ b/teaselpath/delivery/tests/test_claims.py
@@ -26,7 +26,7 @@
 @pytest.fixture
 def table():
     table = ClaimTable("pay", "h1", 1, window_s=100.0)
-    assert table.handle(ReadProgress(0, 0), 0.0) == []
+    assert table.handle(ReadProgress(0), 0.0) == []
     return table
 
 
@@ -59,7 +59,7 @@
     data = only(want(table), Append).data
     assert table.handle(AppendDone(1), 0.0) == []
     other = ClaimTable("pay", "h2", 1)
-    other.handle(ReadProgress(0, 0), 0.0)
+    other.handle(ReadProgress(0), 0.0)
     other_data = only(want(other, "x"), Append).data
     assert table.handle(ClaimRecord(0, other_data), 0.0) == []
     refused = only(table.handle(ClaimRecord(1, data), 0.0), ClaimRefused)
@@ -121,7 +121,7 @@
     assert only(want(restarted, "again", 2.0), ClaimRefused).code == Code.CLAIM_UNAVAILABLE
     for offset, data in enumerate(records):
         restarted.handle(ClaimRecord(offset, data, 1.0), 2.0)
-    restarted.handle(ReadProgress(0, 2), 2.0)
+    restarted.handle(ReadProgress(2), 2.0)
     refused = only(want(restarted, "again", 2.0), ClaimRefused)
     assert (refused.code, refused.ran) == (Code.DUPLICATE_CLAIM, Ran.RAN)
     assert only(want(restarted, "late", 101.1), Append)
@@ -141,9 +141,9 @@
     for age_s, is_ready in ((99.0, False), (100.0, True)):
         table = ClaimTable("pay", "h1", 1, window_s=100.0)
         table.handle(ClaimRecord(5, b"", age_s), 0.0)
-        table.handle(ReadProgress(5, 6), 0.0)
+        table.handle(ReadProgress(6), 0.0)
         assert table.is_ready(0.0) is is_ready
-    assert table.handle(ReadProgress(9, 9), 0.0) == []
+    assert table.handle(ReadProgress(9), 0.0) == []
     assert not table.is_ready(99.0)
     assert table.is_ready(100.0)
 
@@ -169,7 +169,7 @@
             "pay", host, self.incarnation, window_s=1e6, retry_s=0.0
         )
         self.read(host, len(self.log))
-        self.carry_out(host, self.tables[host].handle(ReadProgress(0, len(self.log)), self.now))
+        self.carry_out(host, self.tables[host].handle(ReadProgress(len(self.log)), self.now))
 
     def read(self, host, limit):
         table = self.tables[host]
--- a/teaselpath/delivery/tests/test_continuation.py
+++ b/teaselpath/delivery/tests/test_continuation.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from teaselpath.delivery import ContinuedStream, SseParser, check_continuable
+from teaselpath.delivery import ContinuedStream, EventAligner, SseParser, check_continuable
 from teaselpath.results import Code
 
 WORDS = ["eins", "zwei", "drei", "vier", "fünf"]
@@ -136,3 +136,16 @@
     assert check_continuable("/v1/completions", body) == ""
     assert check_continuable("/v1/completions", {**body, **change}) != ""
     assert check_continuable("/v1/embeddings", body) != ""
+
+
+def test_aligned_chunks_hold_whole_events_and_get_an_id():
+    """Guards against a caller that resumes in the middle of an event."""
+    for end in (b"\n\n", b"\r\n\r\n", b"\r\r"):
+        raw = b'data: {"choices": [{"text": "a"}]}' + end + b'data: {"choices": []}' + end
+        aligner = EventAligner()
+        parts = [part for byte in raw if (part := aligner.feed(bytes([byte])))]
+        assert parts == [event + end for event in raw.split(end)[:-1]]
+        stream = ContinuedStream("/v1/completions", BODIES["/v1/completions"])
+        out = [stream.feed(part, f"1.{n}").unwrap() for n, part in enumerate(parts, 1)]
+        assert out[0] == b'data: {"choices": [{"text": "a"}]}\nid: 1.1\n\n'
+    assert EventAligner(max_tail_bytes=5).feed(b"x" * 9) == b"x" * 9
--- a/teaselpath/delivery/tests/test_ledger.py
+++ b/teaselpath/delivery/tests/test_ledger.py
@@ -5,6 +5,7 @@
 from teaselpath.delivery import (
     Accept,
     CancelRun,
+    Deliver,
     DeliveryLimits,
     EntryLost,
     FromEntry,
@@ -15,6 +16,7 @@
     RunChunk,
     RunEnd,
     RunStarted,
+    StreamAssembler,
 )
 from teaselpath.results import Code, Ran
 from teaselpath.wire import Ack, Cancel, Cancelled, Chunk, End, Refused, Resume, Send, Start
@@ -145,6 +147,39 @@
     assert len(sent(running.handle(FromEntry("a", Resume("r", 1, "w", 0)), 0.0))) == 2
 
 
+def test_resume_by_request_id_finds_the_attempt(running):
+    """Guards against an entry that cannot take over because it does not know the attempt."""
+    running.handle(RunChunk("r", 1, b"1"), 0.0)
+    (chunk,) = sent(running.handle(FromEntry("b", Resume("r", 0, "w", 0)), 0.0))
+    assert chunk == Chunk("r", 1, 1, b"1")
+    assembler = StreamAssembler("r", 0, 0.0)
+    assert assembler.handle(chunk, 0.0) == [Deliver(chunk)]
+    assert assembler.attempt == 1
+
+
+def test_resume_by_request_id_does_not_take_a_part_for_the_whole(ledger):
+    """Guards against a continued run that is handed out as the whole answer."""
+    start = make_start(attempt=2)
+    start.resume_after = 5
+    ledger.handle(FromEntry("a", start), 0.0)
+    ledger.handle(RunStarted("r", 2), 0.0)
+    (end,) = sent(ledger.handle(FromEntry("b", Resume("r", 0, "w", 0)), 0.0))
+    assert (end.code, end.attempt) == (Code.BUFFER_EXPIRED, 2)
+    ledger.handle(RunEnd("r", 2, Code.OK, Ran.RAN), 0.0)
+    ledger.handle(FromEntry("a", Ack("r", 2, 1, 4)), 0.0)
+    (end,) = sent(ledger.handle(FromEntry("b", Resume("r", 0, "w", 0)), 0.0))
+    assert (end.code, end.chunks) == (Code.BUFFER_EXPIRED, 1)
+
+
+def test_stored_answer_is_delivered_without_a_run(ledger):
+    """Guards against a repeat of a claimed key that runs, or whose stored answer is lost."""
+    ledger.handle(FromEntry("a", make_start()), 0.0)
+    assert sent(ledger.handle(RunChunk("r", 1, b"paid", 200), 0.0))[0].data == b"paid"
+    (end,) = sent(ledger.handle(RunEnd("r", 1, Code.OK, Ran.RAN), 0.0))
+    assert (end.chunks, end.ran) == (1, Ran.RAN)
+    assert ledger.handle(RunStarted("r", 1), 0.0) == [CancelRun("r", 1)]
+
+
 def test_resume_checks_the_workspace(running):
     """Guards against an answer that is handed to another workspace by request id."""
     running.handle(RunChunk("r", 1, b"secret"), 0.0)
