--- a/teaselpath/prefix/__init__.py
+++ b/teaselpath/prefix/__init__.py
@@ -12,9 +12,10 @@
     Routed,
     Snapshot,
 )
+from teaselpath.prefix._imports import ImportPlan, ImportSource, plan_import
 from teaselpath.prefix._index import CacheIndex
 from teaselpath.prefix._link import LinkBudget
-from teaselpath.prefix._router import PrefixRouter
+from teaselpath.prefix._router import PrefixRouter, RouterLimits
 
 __all__ = [
     "CacheEvent",
@@ -24,12 +25,16 @@
     "EngineSeen",
     "EventBatch",
     "Finished",
+    "ImportPlan",
+    "ImportSource",
     "LinkBudget",
     "NeedSnapshot",
     "PrefixRouter",
     "Routed",
+    "RouterLimits",
     "Snapshot",
     "chain_hashes",
     "chain_seed",
+    "plan_import",
     "render_prompt",
 ]
--- a/teaselpath/prefix/_events.py
+++ b/teaselpath/prefix/_events.py
@@ -65,8 +65,9 @@
 class Choice:
     """Endpoint chosen for a request.
 
-    :param matched_blocks: blocks that the endpoint's agent says are in its cache.
+    :param matched_blocks: blocks that the endpoint has or will have when the request arrives.
     :param expected_s: expected time to the first token, in seconds.
+    :param import_source: endpoint from which to import the blocks after the matched ones, or "".
     """
 
     endpoint: str
@@ -74,6 +75,8 @@
     expected_s: float
     weights: str
     engine_incarnation: str
+    import_source: str = ""
+    import_blocks: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/prefix/_link.py
+++ b/teaselpath/prefix/_link.py
@@ -1,6 +1,7 @@
 """Byte budget of the narrow link between two regions."""
 
-# A smaller number of users counts only after this time, when every other node has heard of it.
+# A smaller number of users counts only after this time, and a process that has just started spends
+# nothing for as long, so that every other process has heard of the change.
 SHARE_GUARD_S = 30.0
 
 
@@ -62,8 +63,9 @@
             self.users, self.pending_at = self.pending_users, float("inf")
         burst = self.burst_bytes / self.users
         if self.filled_at == float("-inf"):
-            # A restarted process may have spent its share just before, so it starts empty.
-            self.filled_at = now
+            # The others may not count this process yet, and its predecessor may have spent its
+            # share just before.
+            self.filled_at = now + SHARE_GUARD_S
         gained = max(0.0, now - self.filled_at) * self.bytes_per_s / self.users
         self.level = min(burst, self.level + gained)
         self.filled_at = max(self.filled_at, now)
--- a/teaselpath/prefix/_placement.py
+++ b/teaselpath/prefix/_placement.py
@@ -6,8 +6,9 @@
 from teaselpath.utils import rendezvous_rank
 
 # Keys are reduced to this many slots, so that the order over thousands of endpoints is computed
-# once per slot and not once per request. Every node must use the same number.
-SLOTS = 8192
+# once per slot and not once per request: at 2,400 endpoints an order takes milliseconds. Every node
+# must use the same number.
+SLOTS = 2048
 # Endpoints kept per slot; the widest set over which a prefix is spread.
 DEPTH = 16
 
--- a/teaselpath/prefix/_router.py
+++ b/teaselpath/prefix/_router.py
@@ -1,68 +1,254 @@
 """Choice of an endpoint for a request, at the entry."""
 
-from collections.abc import Sequence
+from collections import OrderedDict
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 
+from teaselpath.prefix._cost import CostModel
 from teaselpath.prefix._events import Choice, Finished, Routed
-from teaselpath.prefix._placement import Placement
+from teaselpath.prefix._hints import HotPrefixes, RecentRoutes
+from teaselpath.prefix._imports import ImportSource, plan_import
+from teaselpath.prefix._link import LinkBudget
+from teaselpath.prefix._placement import DEPTH, Placement
 from teaselpath.wire import ProbeReply
 
-MAX_PROBES = 4
+# Requests that are tracked between ``Routed`` and ``Finished``.
+MAX_PENDING = 16_384
+# Weights of the newest reply in the means of load; about 10 and 50 requests change them.
+LOAD_RATE = 0.1
+MEAN_RATE = 0.02
+# Bounded load: an engine may make requests wait this many times the region's mean.
+OVERLOAD = 2.0
 
 
-def level_positions(length: int, count: int) -> list[int]:
+@dataclass(slots=True, frozen=True)
+class RouterLimits:
+    """Limits and constants of the router.
+
+    :param max_probes: probes per request within the region; one more goes to the other region.
+    :param copy_weight: weight of blocks that an engine does not have, on top of their latency in
+        this request. Recomputing takes time from other requests, and each further copy of a block,
+        recomputed or imported, evicts another one.
+    :param remote_wait_s: the other region is probed when local engines make a request wait longer
+        ...
+    :param remote_gain: ... or when recomputing the prompt would cost this many times its transfer.
+    :param remote_round_trip_s: round trip to the other region.
+    :param bytes_per_token: bytes of a prompt that cross the link, per token.
+    :param link_bytes_per_s: rate of the link for requests.
+    """
+
+    max_probes: int = 4
+    copy_weight: float = 1.0
+    remote_wait_s: float = 0.1
+    remote_gain: float = 3.0
+    remote_round_trip_s: float = 0.06
+    bytes_per_token: float = 4.0
+    link_bytes_per_s: float = 500_000.0
+
+
+def level_positions(length: int) -> list[int]:
     """Return the chain positions used as levels, deepest first.
 
-    They are the last position and the powers of two below it: a prefix of n blocks that requests
-    share is then told apart by a level of at least n/2 blocks, wherever its boundary lies.
+    They are the powers of two: a prefix of n blocks that requests share is then told apart by a
+    level of more than n/2 blocks, wherever its boundary lies. The last block is no level of its
+    own, because in most prompts it belongs to one request.
     """
-    positions = [length - 1] if length else []
-    size = 1 << max(length - 1, 0).bit_length() >> 1
-    while size and len(positions) < count:
-        if size < length:
-            positions.append(size - 1)
-        size >>= 1
-    return positions
+    return [(1 << power) - 1 for power in reversed(range(length.bit_length()))]
 
 
 class PrefixRouter:
-    """Candidates for a request, and the choice among those that answered a probe."""
+    """Candidates for a request, and the choice among those that answered a probe.
 
-    def __init__(self, max_probes: int = MAX_PROBES) -> None:
-        self.max_probes = max_probes
-        self.placement = Placement(())
+    :param region: region of this entry.
+    :param regions: region of each endpoint; an endpoint that is missing counts as local.
+    :param link: budget of the link to the other region; imports over it need one.
+    """
+
+    def __init__(
+        self,
+        region: str = "",
+        regions: Mapping[str, str] | None = None,
+        link: LinkBudget | None = None,
+        limits: RouterLimits | None = None,
+    ) -> None:
+        self.region = region
+        self.regions = regions if regions is not None else {}
+        self.link = link
+        self.limits = limits if limits is not None else RouterLimits()
+        self.endpoints: Sequence[str] = ()
+        self.local = Placement(())
+        self.remote = Placement(())
+        self.costs = CostModel()
+        self.recent = RecentRoutes()
+        self.hot = HotPrefixes(DEPTH)
+        self.pending: OrderedDict[str, Routed] = OrderedDict()
+        self.local_wait_s = 0.0
+        self.mean_wait_s = 0.0
+        self.block_s = 0.0
+        self.block_tokens = 0.0
+        self.link_free_at = 0.0
 
     def candidates(self, chain: Sequence[bytes], endpoints: Sequence[str], now: float) -> list[str]:
-        """Return the endpoints to probe, at most ``max_probes``.
+        """Return the endpoints to probe, best first.
 
         :param endpoints: endpoints that serve the model; pass the same object until it changes.
         """
-        if endpoints is not self.placement.endpoints:
-            self.placement.change(endpoints)
-        if not endpoints:
-            return []
+        if endpoints is not self.endpoints:
+            self._change_endpoints(endpoints)
+        found = self._homes(chain) if self.local.known else []
+        if self.remote.known and (not found or self._is_remote_useful(len(chain))):
+            found.append(self.remote.nth(self._main_level(chain), 0))
+        return found
+
+    def _change_endpoints(self, endpoints: Sequence[str]) -> None:
+        self.endpoints = endpoints
+        self.local.change([name for name in endpoints if self._is_local(name)])
+        self.remote.change([name for name in endpoints if not self._is_local(name)])
+        self.costs.keep(frozenset(endpoints))
+
+    def _is_local(self, endpoint: str) -> bool:
+        return self.regions.get(endpoint, self.region) == self.region
+
+    def _is_remote_useful(self, blocks: int) -> bool:
+        if self.local_wait_s > self.limits.remote_wait_s:
+            return True
+        recompute_s = (1 + self.limits.copy_weight) * blocks * self.block_s
+        transfer_s = self._transfer_s(blocks * self.block_tokens, float("inf"))
+        return recompute_s > self.limits.remote_gain * transfer_s
+
+    def _main_level(self, chain: Sequence[bytes]) -> bytes:
+        return chain[level_positions(len(chain))[0]] if chain else b""
+
+    def _homes(self, chain: Sequence[bytes]) -> list[str]:
+        """Return one endpoint per level, then further ones of the deepest level."""
+        count = self.limits.max_probes
         found: dict[str, None] = {}
-        for position in level_positions(len(chain), self.max_probes):
-            found[self.placement.nth(chain[position], 0)] = None
-        for endpoint in self.placement.top(chain[-1] if chain else b"", self.max_probes):
-            if len(found) < self.max_probes:
-                found[endpoint] = None
-        return list(found)
+        spread_by = int.from_bytes(chain[-1][-4:], "big") if chain else 0
+        for position in level_positions(len(chain)):
+            value = chain[position]
+            found[self.local.nth(value, spread_by % self.hot.width(value))] = None
+        for endpoint in self.local.top(self._main_level(chain), count):
+            found[endpoint] = None
+        return list(found)[:count]
 
     def choose(
         self, chain: Sequence[bytes], prompt_tokens: int, replies: Sequence[ProbeReply], now: float
     ) -> Choice | None:
-        """Return the endpoint with the lowest expected time to first token, if any accepts."""
-        choices = [
-            self._choice(chain, prompt_tokens, reply) for reply in replies if reply.accepting
+        """Return the endpoint with the lowest expected time to first token.
+
+        :param replies: answers to the probes, in the order of the candidates.
+        :returns: None if no endpoint accepts new work.
+        """
+        accepting = [reply for reply in replies if reply.accepting]
+        if not accepting:
+            return None
+        block_tokens = prompt_tokens / max(1, len(chain))
+        self._observe(chain, block_tokens, accepting, now)
+        best: Choice | None = None
+        lowest = float("inf")
+        for reply in accepting:
+            choice = self._choice(chain, prompt_tokens, reply, accepting, now)
+            missed = len(chain) - choice.matched_blocks
+            copy_s = missed * block_tokens * reply.prefill_us_per_token / 1e6
+            cost = choice.expected_s + self.limits.copy_weight * copy_s
+            if cost < lowest:
+                best, lowest = choice, cost
+        return best
+
+    def _observe(
+        self,
+        chain: Sequence[bytes],
+        block_tokens: float,
+        replies: Sequence[ProbeReply],
+        now: float,
+    ) -> None:
+        """Learn the load of the region and the cost of a block; resize the sets of the prefixes."""
+        block_s = block_tokens * replies[0].prefill_us_per_token / 1e6
+        self.block_s += LOAD_RATE * (block_s - self.block_s)
+        self.block_tokens += LOAD_RATE * (block_tokens - self.block_tokens)
+        waits = [reply.wait_ms / 1e3 for reply in replies if self._is_local(reply.endpoint)]
+        if not waits:
+            return
+        self.local_wait_s += LOAD_RATE * (min(waits) - self.local_wait_s)
+        self.mean_wait_s += MEAN_RATE * (sum(waits) / len(waits) - self.mean_wait_s)
+        # A prefix is spread when its own engines are busier than the region: more copies do not
+        # help when all engines are busy.
+        excess_s = min(waits) - OVERLOAD * self.mean_wait_s
+        for position in level_positions(len(chain)):
+            self.hot.record(chain[position], excess_s, now)
+
+    def _choice(
+        self,
+        chain: Sequence[bytes],
+        prompt_tokens: int,
+        reply: ProbeReply,
+        replies: Sequence[ProbeReply],
+        now: float,
+    ) -> Choice:
+        claimed = min(reply.matched_blocks, len(chain))
+        matched = self.recent.extend(chain, reply.endpoint, claimed, now)
+        block_tokens = prompt_tokens / max(1, len(chain))
+        expected_s = self.costs.expected_s(reply, matched * block_tokens, prompt_tokens, now)
+        source, blocks = "", 0
+        if self._is_local(reply.endpoint):
+            prefill_s = block_tokens * reply.prefill_us_per_token / 1e6
+            plan = plan_import(self._sources(reply, replies), matched, prefill_s, self.link, now)
+            if plan is not None:
+                source, blocks, expected_s = plan.source, plan.blocks, expected_s - plan.saving_s
+        else:
+            expected_s += self._transfer_s(prompt_tokens, now)
+        return Choice(
+            reply.endpoint,
+            matched,
+            expected_s,
+            reply.weights,
+            reply.engine_incarnation,
+            source,
+            blocks,
+        )
+
+    def _sources(self, reply: ProbeReply, replies: Sequence[ProbeReply]) -> list[ImportSource]:
+        if not reply.import_us_per_block:
+            return []
+        return [
+            ImportSource(other.endpoint, other.matched_blocks, reply.import_us_per_block / 1e6)
+            for other in replies
+            if other is not reply
+            and self._is_local(other.endpoint)
+            and other.weights == reply.weights
         ]
-        return min(choices, key=lambda choice: choice.expected_s, default=None)
 
-    def _choice(self, chain: Sequence[bytes], prompt_tokens: int, reply: ProbeReply) -> Choice:
-        matched = min(reply.matched_blocks, len(chain))
-        missed = prompt_tokens * (1 - matched / len(chain)) if chain else prompt_tokens
-        expected_s = reply.wait_ms / 1e3 + missed * reply.prefill_us_per_token / 1e6
-        return Choice(reply.endpoint, matched, expected_s, reply.weights, reply.engine_incarnation)
+    def _transfer_s(self, prompt_tokens: float, now: float) -> float:
+        limits = self.limits
+        queued_s = max(0.0, self.link_free_at - now)
+        size = prompt_tokens * limits.bytes_per_token
+        return limits.remote_round_trip_s + queued_s + size / limits.link_bytes_per_s
 
     def handle(self, event: Routed | Finished, now: float) -> list:
-        """Learn from a request that was sent or that ended."""
+        """Learn from a request that was sent or that ended; there are no actions."""
+        match event:
+            case Routed():
+                self._record_routed(event, now)
+            case Finished():
+                self._record_finished(event, now)
         return []
+
+    def _record_routed(self, event: Routed, now: float) -> None:
+        self.pending[event.request_id] = event
+        if len(self.pending) > MAX_PENDING:
+            self.pending.popitem(last=False)
+        self.recent.add(event.chain, event.choice.endpoint, now)
+        if self._is_local(event.choice.endpoint):
+            return
+        size = int(event.prompt_tokens * self.limits.bytes_per_token)
+        start = max(now, self.link_free_at)
+        self.link_free_at = start + size / self.limits.link_bytes_per_s
+        if self.link is not None:
+            self.link.record_request(size, now)
+
+    def _record_finished(self, event: Finished, now: float) -> None:
+        routed = self.pending.pop(event.request_id, None)
+        if routed is None:
+            return
+        if event.first_token_s >= 0:
+            self.costs.learn(routed.choice, event.first_token_s, now)
--- /dev/null
+++ b/teaselpath/prefix/tests/test_router.py
@@ -0,0 +1,175 @@
+"""Tests of candidates, choice, spread, import and the link budget."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from teaselpath.prefix import (
+    Finished,
+    ImportSource,
+    LinkBudget,
+    PrefixRouter,
+    Routed,
+    _link,
+    chain_hashes,
+    plan_import,
+)
+from teaselpath.prefix._hints import HotPrefixes
+from teaselpath.wire import ProbeReply
+
+NAMES = [f"e{n}" for n in range(30)]
+
+
+def chain_of(*parts: str) -> list[bytes]:
+    """Return a chain with one block per character."""
+    return chain_hashes("".join(parts).encode(), bytes(16), 1)
+
+
+def reply(endpoint: str, matched: int = 0, wait_ms: float = 0.0, **fields) -> ProbeReply:
+    values = {"accepting": True, "import_us_per_block": 0.0, **fields}
+    return ProbeReply(
+        0, endpoint, values["accepting"], matched, wait_ms, 20.0, "v", "1", 0, 0,
+        values["import_us_per_block"],
+    )  # fmt: skip
+
+
+@given(st.text("abc", max_size=40), st.integers(1, 30), st.integers(0, 29))
+def test_candidates_survive_restart_and_membership_change(text, count, gone) -> None:
+    """Guards against a cold start, unbounded probes, and a change that moves other prefixes."""
+    chain, names = chain_of(text), tuple(NAMES[:count])
+    router = PrefixRouter()
+    before = router.candidates(chain, names, 0.0)
+    assert before == PrefixRouter().candidates(chain, names[::-1], 9.0)
+    assert 1 <= len(set(before)) == len(before) <= 4
+    rest = tuple(name for name in names if name != NAMES[gone])
+    after = router.candidates(chain, rest, 0.0)
+    assert after == PrefixRouter().candidates(chain, rest, 0.0)
+    if NAMES[gone] in before:
+        assert len(set(before) - set(after)) <= 2, "more than the lost one and one pushed out"
+    else:
+        assert after == before
+    assert router.candidates(chain, names, 0.0) == before
+
+
+def test_requests_that_share_an_upper_level_meet() -> None:
+    """Guards against children of one prefix that never probe a common engine."""
+    router, names = PrefixRouter(), tuple(NAMES)
+    sets = [set(router.candidates(chain_of("abcdefgh", tail * 7), names, 0.0)) for tail in "xyz"]
+    assert set.intersection(*sets)
+
+
+def test_hot_upper_level_does_not_choose_one_first_engine() -> None:
+    """Guards against all children of a hot prefix having the same first candidate."""
+    router, names = PrefixRouter(), tuple(NAMES)
+    tails = [f"{n:05d}" for n in range(100)]
+    firsts = {router.candidates(chain_of("abc", tail), names, 0.0)[0] for tail in tails}
+    assert len(firsts) > len(NAMES) / 2
+
+
+def test_choice_weighs_wait_against_recomputation() -> None:
+    """Guards against a match that is followed into a long queue, or ignored for a short one."""
+    router, chain = PrefixRouter(), chain_of("abcd")
+    for wait_ms, expected in ((100.0, "e0"), (400.0, "e1")):
+        replies = [reply("e0", 4, wait_ms), reply("e1"), reply("e2", 4, accepting=False)]
+        choice = router.choose(chain, 8192, replies, 0.0)
+        assert choice is not None
+        assert choice.endpoint == expected
+    assert router.choose(chain, 8192, [reply("e2", accepting=False)], 0.0) is None
+
+
+def test_finished_requests_correct_the_cost_until_they_are_old() -> None:
+    """Guards against an engine that is slower than it says, and against avoiding it for ever."""
+    router, chain = PrefixRouter(), chain_of("abcd")
+    replies = [reply("e0"), reply("e1", 0, 5.0)]
+    for number in range(20):
+        choice = router.choose(chain, 8192, [replies[0]], 0.0)
+        assert choice is not None
+        router.handle(Routed(str(number), choice, (), 8192), 0.0)
+        router.handle(Finished(str(number), 2.0, 0), 0.0)
+    chosen = [router.choose(chain, 8192, replies, now) for now in (0.0, 60.0)]
+    assert [choice.endpoint for choice in chosen if choice] == ["e1", "e0"]
+
+
+def test_other_region_is_probed_only_under_load_and_pays_for_the_link() -> None:
+    """Guards against prompts that queue on the narrow link."""
+    router = PrefixRouter("a", {"e0": "a", "e1": "b"})
+    chain, names = chain_of("abcd"), ("e0", "e1")
+    assert router.candidates(chain, names, 0.0) == ["e0"]
+    replies = [reply("e0", 0, 900.0), reply("e1")]
+    sent = 0
+    while (choice := router.choose(chain, 8192, replies, 0.0)) and choice.endpoint == "e1":
+        router.handle(Routed(str(sent), choice, (), 8192), 0.0)
+        sent += 1
+    assert 0 < sent < 20
+    assert router.candidates(chain, names, 0.0) == ["e0", "e1"]
+
+
+def test_spread_grows_on_overload_and_shrinks_late() -> None:
+    """Guards against a set that follows each short queue, and one that never shrinks."""
+    hot, now, widths = HotPrefixes(max_width=8), 0.0, []
+    for wait_s in [0.0] * 50 + [0.4] * 20 + [0.0, 0.1] * 60 + [0.0] * 400:
+        now += 0.1
+        hot.record(b"p", wait_s, now)
+        widths.append(hot.width(b"p"))
+    assert (widths[49], max(widths), widths[189], widths[-1]) == (1, 8, 8, 5)
+
+
+def test_import_only_if_cheaper_and_within_the_link_budget() -> None:
+    """Guards against imports that cost more than recomputing, or that fill the link."""
+    link = LinkBudget(1000.0, 1000.0)
+    near, far = ImportSource("near", 3, 0.01), ImportSource("far", 8, 0.01, 300)
+    assert plan_import([near], 1, 0.009, link, 0.0) is None
+    assert link.try_spend(1, 0.0) is False
+    plan = plan_import([near, far], 1, 0.05, link, 0.0)
+    assert plan is not None
+    assert (plan.source, plan.first, plan.blocks) == ("near", 1, 2)
+    assert plan_import([far], 1, 0.05, None, 0.0) is None
+    choice = PrefixRouter().choose(
+        chain_of("abcd"), 8192, [reply("e0", 4, 900.0), reply("e1", import_us_per_block=9e3)], 0.0
+    )
+    assert choice is not None
+    assert (choice.endpoint, choice.import_source, choice.import_blocks) == ("e1", "e0", 4)
+
+
+def spend_with_changing_users(seed: int) -> None:
+    """Four users, a fifth that starts, and one that others count out while it still spends."""
+    random, spent = Random(seed), 0
+    users = [LinkBudget(100.0, 100.0, reserve=0.0) for _ in range(5)]
+    heard = [(100.0 + 29 * random.random(), 200.0 + 29 * random.random()) for _ in users]
+    for tick in range(3000):
+        now = tick / 10
+        for number, user in enumerate(users):
+            joined, left = heard[number]
+            if (number == 4 and now < 100) or (number == 0 and now >= 229):
+                continue
+            count = 4 if now >= left or (now < joined and number < 4) else 5
+            user.set_users(count, now)
+            while user.try_spend(1, now):
+                spent += 1
+        assert spent <= 100 + 100 * now, "the users spent more than the link has"
+    assert spent > 20_000
+
+
+@given(st.integers(0, 2**32))
+@settings(max_examples=5)
+def test_link_users_together_stay_within_the_budget(seed) -> None:
+    """Guards against overspending while processes differ in the number of users."""
+    spend_with_changing_users(seed)
+
+
+def test_check_finds_a_link_share_without_guard(monkeypatch) -> None:
+    """Shows that the bound fails for a known bug: fewer users count at once."""
+    monkeypatch.setattr(_link, "SHARE_GUARD_S", 0.0)
+    with pytest.raises(AssertionError, match="spent more"):
+        spend_with_changing_users(1)
+
+
+def test_requests_pause_transfers_and_are_never_refused() -> None:
+    """Guards against transfers that delay requests on the link."""
+    link = LinkBudget(100.0, 1000.0, reserve=0.5)
+    assert not link.try_spend(1, 0.0)
+    assert link.try_spend(400, 40.0)
+    link.record_request(700, 40.0)
+    assert not link.try_spend(1, 45.0)
--- a/teaselpath/wire/_messages.py
+++ b/teaselpath/wire/_messages.py
@@ -35,6 +35,7 @@
     engine_incarnation: str
     running: int
     queued: int
+    import_us_per_block: float = 0.0
 
 
 class Start(_Message):
@@ -60,6 +61,8 @@
     stream: bool
     resume_after: int = 0
     key_digest: bytes = b""
+    import_source: str = ""
+    import_blocks: int = 0
 
 
 class Refused(_Message):
