--- a/teaselpath/wire/_messages.py
+++ b/teaselpath/wire/_messages.py
@@ -36,6 +36,7 @@
     running: int
     queued: int
     agent_incarnation: int = 0
+    import_us_per_block: float = 0.0
 
 
 class Start(_Message):
@@ -69,6 +70,8 @@
     agent_incarnation: int = 0
     entry_incarnation: int = 0
     sequence: int = 0
+    import_source: str = ""
+    import_blocks: int = 0
 
 
 class Refused(_Message):
