Answer repeats of a known key also from a table that takes no claims

Cause: a full table, or one that has not read its window, refused a repeat of a key it knows as CLAIM_UNAVAILABLE, and kept the stored answer back. The check of P3 reported NO_ENDPOINT although no entry had an endpoint.

Change: the known holder is looked up first; NO_ENDPOINT and QUOTA_UNCONFIRMED count for P3 only if another entry serves since the start.

Conclusion: tests of the bounded table and of the total outage pass.

--- a/teaselpath/delivery/_claims.py
+++ b/teaselpath/delivery/_claims.py
@@ -114,11 +114,12 @@
         is_active = active is not None and claim_id == _claim_id(active)
         if claim_id in self._pending or is_active:
             return
-        if not self.is_ready(now):
+        # A key that is known to be held stays so, whatever else is not known yet.
+        if not self.map.is_free(*claim_id, now):
+            self._refuse_duplicate(claim_id, now, actions)
+        elif not self.is_ready(now):
             detail = "the claims of the whole window are not known"
             self._refuse(claim_id, Code.CLAIM_UNAVAILABLE, Ran.NOT_RUN, detail, actions)
-        elif not self.map.is_free(*claim_id, now):
-            self._refuse_duplicate(claim_id, now, actions)
         else:
             self._serial += 1
             entry = ClaimEntry(*claim_id, self.host, self.incarnation, self._serial)
--- a/teaselpath/delivery/tests/test_claims.py
+++ b/teaselpath/delivery/tests/test_claims.py
@@ -148,6 +148,24 @@
     assert table.is_ready(100.0)
 
 
+def test_memory_is_bounded_without_forgetting_a_key():
+    """Guards against answers that fill the memory, and keys that are forgotten for room."""
+    table = ClaimTable("pay", "h1", 1, max_claims=3, max_answer_bytes=10)
+    table.handle(ReadProgress(0), 0.0)
+    for number, key in enumerate((b"1", b"2", b"3")):
+        table.handle(ClaimWanted(key, "r", 1, 9.0), 0.0)
+        table.handle(AppendDone(2 * number), 0.0)
+        table.handle(ClaimFinished(key, "r", 1, Ran.RAN, StoredAnswer(200, [], b"paid!")), 0.0)
+        table.handle(AppendDone(2 * number + 1), 0.0)
+    refused = [
+        only(table.handle(ClaimWanted(key, "s", 1, 9.0), 0.0), ClaimRefused)
+        for key in (b"1", b"3", b"4")
+    ]
+    codes = [Code.DUPLICATE_CLAIM, Code.DUPLICATE_CLAIM, Code.CLAIM_UNAVAILABLE]
+    assert [r.code for r in refused] == codes
+    assert [r.answer for r in refused] == [None, StoredAnswer(200, [], b"paid!"), None]
+
+
 class ClaimWorld:
     """Two agents over a log that loses replies, delays appends and has outages."""
 
--- a/teaselpath/history/_nodes.py
+++ b/teaselpath/history/_nodes.py
@@ -27,8 +27,8 @@
 # Rounding of the sums of charges, in tokens.
 TOLERANCE_TOKENS = 1e-3
 
-# Refusals that show missing state of a router.
-_COLD_CODES = frozenset((Code.NO_BUNDLE, Code.NO_ENDPOINT))
+# Refusals that show missing state of a router, if another one serves at the same time.
+_COLD_CODES = frozenset((Code.NO_ENDPOINT, Code.QUOTA_UNCONFIRMED))
 # Answers to a caller that left or lost its right are no cut.
 _CALLER_CODES = frozenset(
     (Code.OK, Code.CALLER_GONE, Code.KEY_WITHDRAWN, Code.DEADLINE_EXCEEDED, Code.REQUEST_TIMEOUT)
@@ -40,6 +40,7 @@
     """A ready entry lacks no state, and computes the same candidates as every other one."""
     ready: dict[str, ProcessReady] = {}
     entries: dict[str, str] = {}
+    served: dict[str, RequestAnswered] = {}
     chosen: dict[tuple[str, str], CandidatesChosen] = {}
     for event in history.events:
         match event:
@@ -47,9 +48,12 @@
                 ready[event.node] = event
             case RequestSent():
                 entries[event.request_id] = event.node
-            case RequestAnswered() if event.code in _COLD_CODES:
-                start = ready.get(entries.get(event.request_id, event.node))
-                if start is not None:
+            case RequestAnswered():
+                entry = entries.get(event.request_id, event.node)
+                start = ready.get(entry)
+                if event.code == Code.OK:
+                    served[entry] = event
+                elif start is not None and _is_cold(entry, start, event, served):
                     yield "an entry that was ready lacked state", (start, event)
             case CandidatesChosen():
                 first = chosen.setdefault((event.prefix, event.context), event)
@@ -57,6 +61,15 @@
                     yield "two candidate lists from the same inputs differ", (first, event)
 
 
+def _is_cold(
+    entry: str, start: ProcessReady, answer: RequestAnswered, served: dict[str, RequestAnswered]
+) -> bool:
+    """Whether an entry refused for want of state that another one had since its start."""
+    if answer.code not in _COLD_CODES:
+        return answer.code == Code.NO_BUNDLE
+    return any(other != entry and last.at >= start.at for other, last in served.items())
+
+
 @checker("P7")
 def check_quota(history: History) -> Found:
     """The charges of all hosts fit one bucket of the workspace's rate and burst."""
--- a/teaselpath/history/tests/test_checkers.py
+++ b/teaselpath/history/tests/test_checkers.py
@@ -114,6 +114,9 @@
     produced(24, "r5", "abc"),
     delivered(24, "r5", "ab", is_whole=False),
     answered(24, "r5", Code.STREAM_INCOMPLETE),
+    # All endpoints are gone: no other entry serves either.
+    sent(24.5, "r6", key="secret-2"),
+    answered(24.5, "r6", Code.NO_ENDPOINT, "not_run"),
     ConfigAccepted(at=25, node="log", version=2),
 ]
 
@@ -125,6 +128,14 @@
     ("P2", [delivered(40, "r5", "ab")]),
     ("P3", [chosen(40, "e1", ["g2", "g1"])]),
     ("P3", [sent(40, "x"), answered(40, "x", Code.NO_BUNDLE, "not_run")]),
+    (
+        "P3",
+        [
+            ProcessReady(at=5, node="e2", role="entry"),
+            RequestSent(at=40, node="e2", request_id="x", caller="c1", is_open=True),
+            answered(40, "x", Code.NO_ENDPOINT, "not_run"),
+        ],
+    ),
     ("P4", [sent(40, "x", key="secret-2"), started(41, "x", "w1")]),
     ("P4", [sent(40, "x"), started(41, "x", "w1")]),
     ("P4", [started(41, "nobody", "w1")]),
