--- a/teaselpath/agent/_claims.py
+++ b/teaselpath/agent/_claims.py
@@ -91,7 +91,7 @@
     def _noticed(self, is_up: bool) -> None:
         follower = self.follower
         if is_up and follower is not None and follower.is_caught_up:
-            event = ReadProgress(follower.first_offset, follower.next_offset)
+            event = ReadProgress(follower.next_offset)
             self._act(self.table.handle(event, time.monotonic()))
 
     def _act(self, actions: list) -> None:
--- a/teaselpath/cli/_main.py
+++ b/teaselpath/cli/_main.py
@@ -4,6 +4,7 @@
 
 from teaselpath.cli._common import EXIT_HELP
 from teaselpath.cli._files import check, diff, keygen, sign
+from teaselpath.cli._load import load
 from teaselpath.cli._nodes import drain, explain, explain_workspace, revoke, rollout, top
 from teaselpath.cli._publish import publish
 
@@ -25,12 +26,6 @@
     explain,
     explain_workspace,
     top,
+    load,
 ):
     main.add_command(_command)
-
-try:
-    from teaselpath.cli._load import load
-except ImportError:
-    load = None
-if load is not None:
-    main.add_command(load)
--- a/teaselpath/entry/_driver.py
+++ b/teaselpath/entry/_driver.py
@@ -220,7 +220,8 @@
             first_s = self.attempt_first_byte_at - self.routed_at
         name = f"{self.request_id}#{self.attempt}"
         router = self.service.router
-        router.prefix.handle(PrefixFinished(name, first_s, completed.cached_tokens), now)
+        group = router.group(self.call)
+        group.router.handle(PrefixFinished(name, first_s, completed.cached_tokens), now)
         is_failed = completed.code in (Code.ENDPOINT_FAILED, Code.STREAM_INCOMPLETE)
         router.observe(self.destination.choice.endpoint, not is_failed, now)
 
@@ -297,7 +298,7 @@
             return self.outcome.handle(OutcomeReceived(action.host, refused), now)
         name = f"{self.request_id}#{action.attempt}"
         routed = PrefixRouted(name, choice, tuple(self.call.chain), self.call.prompt_tokens)
-        self.service.router.prefix.handle(routed, now)
+        self.service.router.group(self.call).router.handle(routed, now)
         reason = (
             f"matched {choice.matched_blocks} blocks, expected {choice.expected_s * 1e3:.0f} ms"
         )
