Hold a claimed key for its whole run and never repeat a claimed request

Cause: review of the claims found that a table stopped with a KeyError when an earlier attempt ended after a later one had released the key, that a run longer than the window let a second one start beside it at the same agent, and that a repeatable route with a key could be rerouted without proof.

Change: the holder is looked up without assuming it, a key that runs here is held, and a start with a claim key is not repeatable at the ledger.

Conclusion: three new tests fail before the change and pass after it.

--- a/teaselpath/delivery/_claims.py
+++ b/teaselpath/delivery/_claims.py
@@ -115,7 +115,8 @@
         if claim_id in self._pending or is_active:
             return
         # A key that is known to be held stays so, whatever else is not known yet.
-        if not self.map.is_free(*claim_id, now):
+        runs_here = active is not None and active.request_id != wanted.request_id
+        if runs_here or not self.map.is_free(*claim_id, now):
             self._refuse_duplicate(claim_id, now, actions)
         elif not self.is_ready(now):
             detail = "the claims of the whole window are not known"
@@ -165,7 +166,8 @@
 
     def _is_young(self, entry: ClaimEntry, now: float) -> bool:
         """Whether no later claim can hold the key, which a late release would free."""
-        return now < self.map.holders[entry.key].expires_at - self.window_s / 2
+        holder = self.map.holders.get(entry.key)
+        return holder is not None and now < holder.expires_at - self.window_s / 2
 
     def _forget_pending(self, claim_id: ClaimId) -> None:
         self._pending.pop(claim_id, None)
--- a/teaselpath/delivery/_ledger.py
+++ b/teaselpath/delivery/_ledger.py
@@ -26,7 +26,7 @@
     RunStarted,
 )
 from teaselpath.delivery._finished import FinishedMemory, FinishedRequest, RequestState
-from teaselpath.delivery._record import Key, RequestRecord
+from teaselpath.delivery._record import Key, RequestRecord, is_repeatable
 from teaselpath.results import Code, Ran
 from teaselpath.wire import Ack, Cancel, Chunk, End, Refused, Resume, Send, Start
 
@@ -118,7 +118,7 @@
             return [end_answer(host, key, Code.OUTCOME_UNKNOWN, Ran.UNKNOWN, detail)]
         if self.is_leaving:
             return [Send(host, Refused(*key, Code.ENDPOINT_LEAVING, "the endpoint is leaving"))]
-        if not start.repeatable and self._possible_runs.get(start.request_id):
+        if not is_repeatable(start) and self._possible_runs.get(start.request_id):
             detail = "another attempt of this request may have run"
             return [Send(host, Refused(*key, Code.DUPLICATE_REQUEST, detail))]
         expires_at = now + self.limits.buffer_retention_s
--- a/teaselpath/delivery/_outcome.py
+++ b/teaselpath/delivery/_outcome.py
@@ -79,7 +79,7 @@
     A request that may not be repeated gets a new attempt only after the one before is proven not
     run. :meth:`begin` is called once, before any event.
 
-    :param repeatable: whether a second run is harmless.
+    :param repeatable: whether a second run is harmless; false for a request with a claim key.
     :param continuable: whether a broken stream may be continued on another engine.
     :param first_byte_deadline: instant until which the answer has to begin.
     :param max_attempts: attempts in total.
--- a/teaselpath/delivery/_record.py
+++ b/teaselpath/delivery/_record.py
@@ -10,6 +10,11 @@
 Key = tuple[str, int]
 
 
+def is_repeatable(start: Start) -> bool:
+    """Whether a second run is harmless; one for a claimed key never is."""
+    return start.repeatable and not start.claim_key
+
+
 class RequestRecord:
     """An attempt that is queued, running or not fully acknowledged.
 
@@ -40,7 +45,7 @@
         self.key: Key = (start.request_id, start.attempt)
         self.host: str | None = host
         self.workspace = start.workspace
-        self.repeatable = start.repeatable
+        self.repeatable = is_repeatable(start)
         self.origin = (host, start.entry_incarnation, start.sequence)
         self.expires_at = expires_at
         self.resend_at = inf
--- a/teaselpath/delivery/tests/test_claims.py
+++ b/teaselpath/delivery/tests/test_claims.py
@@ -136,6 +136,29 @@
     assert only(want(table, "r", attempt=1), ClaimRefused).code == Code.DUPLICATE_CLAIM
 
 
+def test_earlier_attempt_ends_after_the_later_one_released_the_key(table):
+    """Guards against an agent that stops because the holder it knew is gone."""
+    records = [only(want(table, "r", attempt=1), Append).data]
+    table.handle(AppendDone(0), 0.0)
+    other = ClaimTable("pay", "h2", 1, window_s=100.0)
+    other.handle(ClaimRecord(0, records[0]), 0.0)
+    other.handle(ReadProgress(1), 0.0)
+    records.append(only(want(other, "r", attempt=2), Append).data)
+    other.handle(AppendDone(1), 0.0)
+    records.append(only(other.handle(ClaimFinished(KEY, "r", 2, "not_run"), 0.0), Append).data)
+    for offset in (1, 2):
+        table.handle(ClaimRecord(offset, records[offset]), 0.0)
+    assert table.handle(ClaimFinished(KEY, "r", 1, "not_run"), 0.0) == []
+
+
+def test_key_of_a_run_that_outlasts_the_window_stays_held(table):
+    """Guards against a second run beside a first one that takes longer than the window."""
+    want(table)
+    table.handle(AppendDone(0), 0.0)
+    table.tick(200.0)
+    assert only(want(table, "again", 200.0), ClaimRefused).code == Code.DUPLICATE_CLAIM
+
+
 def test_trimmed_records_inside_the_window_refuse_claims():
     """Guards against a second run of a key whose claim was trimmed before it was read."""
     for age_s, is_ready in ((99.0, False), (100.0, True)):
--- a/teaselpath/delivery/tests/test_ledger.py
+++ b/teaselpath/delivery/tests/test_ledger.py
@@ -108,6 +108,15 @@
     assert refused.code == Code.DUPLICATE_REQUEST
 
 
+def test_claimed_request_is_never_repeatable(ledger):
+    """Guards against two runs for one idempotency key on a route that allows repeats."""
+    for attempt in (1, 2):
+        start = make_start(attempt=attempt, sequence=attempt, repeatable=True)
+        start.claim_key = b"key"
+        actions = ledger.handle(FromEntry("a", start), 0.0)
+    assert sent(actions)[0].code == Code.DUPLICATE_REQUEST
+
+
 def test_next_attempt_runs_after_a_fence(ledger):
     """Guards against a refusal of an attempt whose predecessor is proven not run."""
     assert sent(ledger.handle(FromEntry("a", make_cancel()), 0.0)) == [
