--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -92,8 +92,7 @@
         self.standins: dict[str, subprocess.Popen] = {}
         self.standin_configs: dict[str, list[dict[str, Any]]] = {}
         self.operator_secret = Ed25519PrivateKey.generate().private_bytes_raw()
-        self.version = 0
-        self.offset = -1
+        self.interpreter_options: dict[str, list[str]] = {}
         self.log_url = self.hosts_url = self.cache_store_url = self.weight_store_url = ""
 
     # Preparation
@@ -224,7 +223,9 @@
     def start_node(self, name: str) -> None:
         """Start the process of a node."""
         node = self.nodes[name]
-        command = [sys.executable, "-m", "teaselpath.daemon", "--settings", str(node.settings)]
+        options = self.interpreter_options.get(name, [])
+        command = [sys.executable, *options, "-m", "teaselpath.daemon"]
+        command += ["--settings", str(node.settings)]
         node.process = self._spawn(command, name)
 
     def _spawn(self, command: list[str], name: str) -> subprocess.Popen:
--- a/teaselpath/delivery/_ledger.py
+++ b/teaselpath/delivery/_ledger.py
@@ -10,7 +10,6 @@
     expired_answer,
     wrong_workspace_answer,
 )
-from teaselpath.delivery._buffer import StreamBuffer
 from teaselpath.delivery._events import (
     Accept,
     CancelRun,
--- a/teaselpath/entry/_routing.py
+++ b/teaselpath/entry/_routing.py
@@ -21,6 +21,9 @@
 # own retry.
 NO_ROUTE_TIMEOUT_S = 1.0
 NO_ROUTE_RETRY_S = 0.05
+# Requests that probe at once. In a burst of arrivals more of them would delay each other's replies
+# past the probe timeout, and all would probe again.
+ROUTING_SLOTS = 32
 
 
 @dataclass(slots=True)
@@ -70,6 +73,7 @@
         self.groups: dict[tuple[str, str], EndpointGroup] = {}
         self.breakers: dict[str, CircuitBreaker] = {}
         self.agents: dict[str, Member] = {}
+        self.slots = asyncio.Semaphore(ROUTING_SLOTS)
 
     def refresh(self) -> None:
         """Recompute the groups of endpoints after a change of the bundle or the members."""
@@ -113,7 +117,8 @@
         """
         give_up_at = min(deadline, time.monotonic() + NO_ROUTE_TIMEOUT_S)
         while True:
-            found = await self._choose(call, excluded_hosts, deadline)
+            async with self.slots:
+                found = await self._choose(call, excluded_hosts, deadline)
             if found is not None:
                 return found
             if time.monotonic() >= give_up_at:
