Remember a start that was refused as a duplicate

Cause: the refusal of a second attempt was not remembered. Once the first attempt was fenced, a late copy of the refused start was accepted and ran although it had been answered as not run.

Change: the refusal is kept like a fence. The tests of full and low buffers move to the buffer.

--- a/teaselpath/delivery/_buffer.py
+++ b/teaselpath/delivery/_buffer.py
@@ -3,6 +3,7 @@
 from collections import deque
 from itertools import islice
 
+from teaselpath.delivery._events import DeliveryLimits
 from teaselpath.wire import Chunk, End
 
 
@@ -60,6 +61,14 @@
         """Count a chunk that is not kept."""
         self.last = self.acked = self.sent = number
 
+    def is_full(self, limits: DeliveryLimits) -> bool:
+        """Whether the engine has to wait."""
+        return len(self.chunks) >= limits.window_chunks or self.size >= limits.window_bytes
+
+    def is_low(self, limits: DeliveryLimits) -> bool:
+        """Whether the engine may go on: at half the limits, so that it does not toggle."""
+        return 2 * len(self.chunks) <= limits.window_chunks and 2 * self.size <= limits.window_bytes
+
     @property
     def is_delivered(self) -> bool:
         """Whether the end was acknowledged."""
--- a/teaselpath/delivery/_ledger.py
+++ b/teaselpath/delivery/_ledger.py
@@ -10,7 +10,6 @@
     expired_answer,
     wrong_workspace_answer,
 )
-from teaselpath.delivery._buffer import StreamBuffer
 from teaselpath.delivery._events import (
     Accept,
     CancelRun,
@@ -120,7 +119,9 @@
             return [Send(host, Refused(*key, Code.ENDPOINT_LEAVING, "the endpoint is leaving"))]
         if not is_repeatable(start) and self._possible_runs.get(start.request_id):
             detail = "another attempt of this request may have run"
-            return [Send(host, Refused(*key, Code.DUPLICATE_REQUEST, detail))]
+            refused = Refused(*key, Code.DUPLICATE_REQUEST, detail)
+            self._remember_not_run(refused, start.workspace, origin, now)
+            return [Send(host, refused)]
         expires_at = now + self.limits.buffer_retention_s
         self.records[key] = RequestRecord(host, start, self.limits.window_chunks, expires_at)
         self._possible_runs[start.request_id] = self._possible_runs.get(start.request_id, 0) + 1
@@ -144,7 +145,7 @@
         if not cancel.fence or not is_known or self.finished.is_forgotten(origin):
             return [Send(host, cancelled_answer(key, Ran.UNKNOWN))]
         refused = Refused(*key, Code.FENCED, "the request was cancelled before it arrived")
-        self.finished.add(key, FinishedRequest(RequestState.NOT_RUN, "", refused, origin), now)
+        self._remember_not_run(refused, "", origin, now)
         return [Send(host, cancelled_answer(key, Ran.NOT_RUN))]
 
     def _cancel_record(self, host: str, record: RequestRecord, now: float) -> list[Action]:
@@ -195,15 +196,11 @@
         if record.host is not None and buffer.sent == number - 1 and number <= buffer.limit:
             buffer.sent = number
             actions.append(Send(record.host, chunk))
-        if not record.is_paused and self._is_full(buffer):
+        if not record.is_paused and buffer.is_full(self.limits):
             record.is_paused = True
             actions.append(PauseRun(event.request_id, event.attempt))
         return actions
 
-    def _is_full(self, buffer: StreamBuffer) -> bool:
-        limits = self.limits
-        return len(buffer.chunks) >= limits.window_chunks or buffer.size >= limits.window_bytes
-
     def _run_end(self, event: RunEnd, now: float) -> list[Action]:
         record = self.records.get((event.request_id, event.attempt))
         if record is None or record.state is RequestState.ENDED:
@@ -318,13 +315,7 @@
         return [Send(record.host, message) for message in record.buffer.take_due()]
 
     def _unpause(self, record: RequestRecord) -> list[Action]:
-        buffer = record.buffer
-        # Reading goes on at half the limit, so that it does not toggle at each acknowledgement.
-        is_low = (
-            2 * len(buffer.chunks) <= self.limits.window_chunks
-            and 2 * buffer.size <= self.limits.window_bytes
-        )
-        if not (record.is_paused and is_low):
+        if not (record.is_paused and record.buffer.is_low(self.limits)):
             return []
         record.is_paused = False
         return [ResumeRun(*record.key)] if record.state is RequestState.RUNNING else []
@@ -380,10 +371,16 @@
         refused = Refused(*record.key, code, detail, retry_after_ms)
         del self.records[record.key]
         self._release_id(record.key[0])
-        finished = FinishedRequest(RequestState.NOT_RUN, record.workspace, refused, record.origin)
-        self.finished.add(record.key, finished, now)
+        self._remember_not_run(refused, record.workspace, record.origin, now)
         return refused
 
+    def _remember_not_run(
+        self, refused: Refused, workspace: str, origin: tuple[str, int, int], now: float
+    ) -> None:
+        key = (refused.request_id, refused.attempt)
+        request = FinishedRequest(RequestState.NOT_RUN, workspace, refused, origin)
+        self.finished.add(key, request, now)
+
     def _release_id(self, request_id: str) -> None:
         count = self._possible_runs[request_id] - 1
         if count:
--- a/teaselpath/delivery/tests/test_ledger.py
+++ b/teaselpath/delivery/tests/test_ledger.py
@@ -108,6 +108,15 @@
     assert refused.code == Code.DUPLICATE_REQUEST
 
 
+def test_refused_attempt_stays_refused(ledger):
+    """Guards against a copy of a refused start that runs once its predecessor is fenced."""
+    ledger.handle(FromEntry("a", make_start()), 0.0)
+    second = make_start(attempt=2, sequence=2)
+    (refused,) = sent(ledger.handle(FromEntry("b", second), 0.0))
+    ledger.handle(FromEntry("a", make_cancel()), 0.0)
+    assert sent(ledger.handle(FromEntry("b", second), 0.0)) == [refused]
+
+
 def test_claimed_request_is_never_repeatable(ledger):
     """Guards against two runs for one idempotency key on a route that allows repeats."""
     for attempt in (1, 2):
