--- a/teaselpath/membership/_events.py
+++ b/teaselpath/membership/_events.py
@@ -102,12 +102,15 @@
 class MemberChanged:
     """The state or the incarnation of a member changed.
 
+    :param member: the member in the table, which changes further.
     :param previous: state before; empty for a new member.
+    :param state: state after the change.
     :param is_restart: whether the incarnation is a new one.
     """
 
     member: Member
     previous: str
+    state: str
     is_restart: bool = False
 
 
--- a/teaselpath/membership/_member.py
+++ b/teaselpath/membership/_member.py
@@ -11,6 +11,8 @@
 REFUTED_S = 5.0
 # Missed answers from this many sources make a member suspect.
 EVIDENCE_SOURCES = 2
+# Sources of this node begin with this; a host name holds no space.
+OWN_MISS = "self "
 
 ADDRESS_FIELDS = (
     "role",
@@ -70,9 +72,13 @@
         return "suspect" if self.is_suspect else "alive"
 
     @property
-    def is_reachable(self) -> bool:
-        """Whether the member is not known to be gone."""
-        return not self.is_gone
+    def has_own_miss(self) -> bool:
+        """Whether this node missed an answer itself.
+
+        Only that is told to others: an observation that is passed on would come back to its
+        observer as a second one.
+        """
+        return any(source.startswith(OWN_MISS) for source in self.misses)
 
     def delta(self) -> MemberDelta:
         """Return what other nodes are told.
@@ -80,7 +86,7 @@
         A leaving entry of the host list is not passed on: it names no incarnation, and other nodes
         read the list themselves.
         """
-        state = "suspect" if self.is_suspect or self.misses else "alive"
+        state = "suspect" if self.is_suspect or self.has_own_miss else "alive"
         if self.has_declared_leaving:
             state = "leaving"
         if self.is_gone:
--- a/teaselpath/membership/_table.py
+++ b/teaselpath/membership/_table.py
@@ -1,6 +1,7 @@
 """The member table of a node."""
 
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 from functools import partial
 from random import Random
 
@@ -19,7 +20,7 @@
     ReplySeen,
     RevocationAdded,
 )
-from teaselpath.membership._member import REFUTED_S, Member
+from teaselpath.membership._member import OWN_MISS, REFUTED_S, Member
 from teaselpath.membership._spread import DeltaQueue
 from teaselpath.utils import rendezvous_top
 from teaselpath.wire import Gossip, MemberDelta, Revocation, Send
@@ -40,10 +41,24 @@
 # One contact in this many goes to a member that seems gone, so that a healed partition is noticed.
 GONE_CONTACT_EVERY = 8
 MAX_MEMBERS = 10_000
+# The states that time changes are looked at this often.
+AGE_INTERVAL_S = 5.0
+DRAWS_PER_PEER = 8
+
+URGENT_ROUNDS = 4
+URGENT_INTERVAL_S = 0.4
 
 TableAction = Send | MemberChanged
 
 
+@dataclass(slots=True)
+class _Urgent:
+    """News that is sent in ``rounds`` more rounds."""
+
+    rounds: int
+    next_at: float
+
+
 class MemberTable:
     """Members, their incarnations and states, and the gossip between them.
 
@@ -64,7 +79,9 @@
         self.gossip_at = float("-inf")
         self.introduce_until: float | None = None
         self.rounds = 0
-        self.urgent: list[str] = []
+        self.urgent: dict[str, _Urgent] = {}
+        self.hosts: list[str] = []
+        self.age_at = float("-inf")
 
     @property
     def self_member(self) -> Member:
@@ -84,7 +101,7 @@
             case ReplySeen(host):
                 actions += self._change(host, lambda member: self._hear(member, now), now)
             case ProbeMissed(host, path):
-                actions += self._miss(host, f"{self.self_host} {path}", now)
+                actions += self._miss(host, f"{OWN_MISS}{path}", now)
             case LeaveStarted():
                 actions += self._change(self.self_host, _declare_leaving, now)
             case ConfigChanged():
@@ -94,23 +111,25 @@
                 actions += [Send(host, Revocation(data)) for host in self._peers(FANOUT)]
             case LogSeen(is_reachable):
                 self.config.is_log_reachable = is_reachable
-        return actions + self._send_urgent()
+        return actions + self._send_urgent(now)
 
     def tick(self, now: float) -> list[TableAction]:
         """Do what is due; call it a few times per second."""
         actions: list[TableAction] = []
         for host in [host for host, deadline in self.awaited.items() if now >= deadline]:
             del self.awaited[host]
-            actions += self._miss(host, f"{self.self_host} gossip", now)
+            actions += self._miss(host, f"{OWN_MISS}gossip", now)
         if self.config.has_gap and self.config.pull_at == float("inf"):
             self.config.pull_at = now
-        peers = self._peers(1)
-        actions += self.config.due_pulls(now, peers[0] if peers else "")
+        if now >= self.config.pull_at:
+            actions += self.config.due_pulls(now, next(iter(self._peers(1)), ""))
+        if now >= self.age_at:
+            self.age_at = now + AGE_INTERVAL_S
+            actions += self._age(now)
         if now >= self.gossip_at:
             self.gossip_at = now + GOSSIP_INTERVAL_S
-            actions += self._age(now)
             actions += [self._ask(host, now) for host in self._contacts(now)]
-        return actions + self._send_urgent()
+        return actions + self._send_urgent(now)
 
     def serving_endpoints(self) -> list[Member]:
         """Return the agents that may get new work."""
@@ -193,10 +212,10 @@
         member = self.members.get(host)
         if member is None or host == self.self_host or member.is_gone:
             return []
-        is_news = not member.misses
+        is_news = not member.has_own_miss
         was_suspect = member.is_suspect
         actions = self._change(host, lambda m: m.add_miss(source, now), now)
-        if is_news and source.startswith(f"{self.self_host} "):
+        if is_news and source.startswith(OWN_MISS):
             self.news.add(host, len(self.members))
         if member.is_suspect and not was_suspect:
             actions.append(self._ask(host, now))  # the suspicion came from others: try it directly
@@ -212,6 +231,7 @@
             if member.is_gone:
                 if not member.is_listed and now >= member.gone_at + FORGET_AFTER_S:
                     del self.members[member.host]
+                    self.hosts = []
             elif _is_silent(member, now):
                 actions += self._change(member.host, _declare_gone, now)
                 member.gone_at = now
@@ -221,10 +241,13 @@
         self.rounds += 1
         hosts = self._peers(1)
         if self.rounds % GONE_CONTACT_EVERY == 0:
-            gone = [m.host for m in self.members.values() if m.is_gone]
-            hosts += [self.random.choice(gone)] if gone else []
+            hosts += self._some_gone()
         return [host for host in dict.fromkeys(hosts) if host not in self.awaited]
 
+    def _some_gone(self) -> list[str]:
+        gone = [m.host for m in self.members.values() if m.is_gone and m.address]
+        return [self.random.choice(gone)] if gone else []
+
     def _ask(self, host: str, now: float) -> Send:
         self.awaited.setdefault(host, now + REPLY_TIMEOUT_S)
         return Send(host, self._gossip(now, is_reply=False))
@@ -239,7 +262,7 @@
             hosts.update(dict.fromkeys(self.news.take(DELTAS_PER_MESSAGE - len(hosts))))
             if len(hosts) < DELTAS_PER_MESSAGE and not is_reply:
                 # Repairs what earlier messages lost, one member at a time.
-                hosts[self.random.choice(list(self.members))] = None
+                hosts[self.random.choice(self._known_hosts())] = None
         config = self.config
         return Gossip(
             self.self_host,
@@ -259,16 +282,47 @@
             for host in self._peers(FANOUT)
         ]
 
-    def _send_urgent(self) -> list[TableAction]:
-        if not self.urgent:
-            return []
-        first, self.urgent = self.urgent[:DELTAS_PER_MESSAGE], []
-        return self._send_at_once(first)
+    def _send_urgent(self, now: float) -> list[TableAction]:
+        """Send the news that must be known within seconds, in a few rounds.
+
+        One round of an epidemic with this fan-out misses some 6% of the nodes.
+        """
+        due = [host for host, urgent in self.urgent.items() if now >= urgent.next_at]
+        for host in due:
+            urgent = self.urgent[host]
+            urgent.rounds -= 1
+            urgent.next_at = now + URGENT_INTERVAL_S
+            if urgent.rounds <= 0:
+                del self.urgent[host]
+        return self._send_at_once(due[:DELTAS_PER_MESSAGE]) if due else []
 
     def _peers(self, count: int) -> list[str]:
-        hosts = [m.host for m in self.members.values() if not m.is_gone and m.address]
-        hosts.remove(self.self_host) if self.self_host in hosts else None
-        return self.random.sample(hosts, min(count, len(hosts)))
+        """Return random members that may answer.
+
+        Drawing again is cheaper than filtering thousands of members; the filter is for tables in
+        which most members are gone.
+        """
+        hosts = self._known_hosts()
+        chosen: dict[str, None] = {}
+        for _ in range(DRAWS_PER_PEER * count):
+            host = hosts[int(self.random.random() * len(hosts))]
+            if self._is_peer(host):
+                chosen[host] = None
+            if len(chosen) == count:
+                return list(chosen)
+        peers = [host for host in hosts if self._is_peer(host)]
+        return self.random.sample(peers, min(count, len(peers)))
+
+    def _known_hosts(self) -> list[str]:
+        if not self.hosts:
+            self.hosts = list(self.members)
+        return self.hosts
+
+    def _is_peer(self, host: str) -> bool:
+        member = self.members.get(host)
+        if member is None or host == self.self_host:
+            return False
+        return bool(member.address) and not member.is_gone
 
     def _change(
         self, host: str, change: Callable[[Member], object], now: float
@@ -278,6 +332,7 @@
         previous, incarnation, was_leaving = "", -1, False
         if member is None:
             member = self.members[host] = Member(host)
+            self.hosts = []
         else:
             previous, incarnation = member.state, member.incarnation
             was_leaving = member.has_declared_leaving
@@ -285,10 +340,10 @@
         if member.state == previous and member.incarnation == incarnation:
             return []
         if member.has_declared_leaving and not was_leaving:
-            self.urgent.append(host)
+            self.urgent[host] = _Urgent(URGENT_ROUNDS, now)
         self.news.add(host, len(self.members))
         is_restart = bool(previous) and member.incarnation > incarnation
-        return [MemberChanged(member, previous, is_restart)]
+        return [MemberChanged(member, previous, member.state, is_restart)]
 
 
 def _apply_listed(member: Member, entry: ListedHost, now: float) -> None:
