Refuse a line end in names and digests, and strengthen the machine

Cause: a pattern that ends in $ matches before a final line end, so one key digest could be listed in two workspaces. Change: the patterns end in \Z; the machine may start with a bundle in force and has a rule that publishes and reads at once.

--- a/teaselpath/bundle/_document.py
+++ b/teaselpath/bundle/_document.py
@@ -5,12 +5,12 @@
 import msgspec
 from msgspec import Meta
 
-Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[^\s\x00]+$")]
-KeyDigest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[^\s\x00]+\Z")]
+KeyDigest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}\Z")]
 PositiveInt = Annotated[int, Meta(ge=1, le=2**53)]
 Milliseconds = Annotated[int, Meta(ge=1, le=86_400_000)]
 Rate = Annotated[float, Meta(gt=0, le=1e12)]
-PathPrefix = Annotated[str, Meta(min_length=1, max_length=1000, pattern=r"^/[^\s?#]*$")]
+PathPrefix = Annotated[str, Meta(min_length=1, max_length=1000, pattern=r"^/[^\s?#]*\Z")]
 Method = Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 
 
--- a/teaselpath/bundle/tests/test_check.py
+++ b/teaselpath/bundle/tests/test_check.py
@@ -50,6 +50,11 @@
         ("workspaces", {"rate": -1.0}, "$.workspaces[0].rate"),
         ("workspaces", {"rate": 1e300}, "$.workspaces[0].rate"),
         ("workspaces", {"keys": [{"id": "k", "digest": "AB"}]}, "$.workspaces[0].keys[0].digest"),
+        (
+            "workspaces",
+            {"keys": [{"id": "k", "digest": "ab" * 32 + "\n"}]},
+            "$.workspaces[0].keys[0].digest",
+        ),
         ("workspaces", {"keys": {}}, "$.workspaces[0].keys"),
         ("endpoints", {"models": []}, "$.endpoints[0].models"),
         ("endpoints", {"service": "x"}, "$.endpoints[0].service"),
--- a/teaselpath/cli/_publish.py
+++ b/teaselpath/cli/_publish.py
@@ -140,7 +140,11 @@
 ) -> None:
     """Append the signed RECORD and report accepted, rejected or unknown."""
     data = read_file(record)
-    keys = [operator_public_key(read_key(operator_key)), *[bytes.fromhex(key) for key in trusted]]
+    try:
+        others = [bytes.fromhex(key) for key in trusted]
+    except ValueError:
+        raise click.UsageError("--trusted expects hexadecimal digits") from None
+    keys = [operator_public_key(read_key(operator_key)), *others]
     opened = open_record(data, keys)
     if opened.is_err():
         fail(EXIT_FAULTS, str(opened.unwrap_err()))
--- a/teaselpath/cli/tests/test_rollout_machine.py
+++ b/teaselpath/cli/tests/test_rollout_machine.py
@@ -10,7 +10,7 @@
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 from hypothesis.stateful import run_state_machine_as_test as run_machine
 
 from teaselpath.bundle import (
@@ -75,6 +75,14 @@
         """Put messages on the network, which drops those across the cut."""
         self.flying += [m for m in messages if (m[0] in self.cut) == (m[1] in self.cut)]
 
+    @initialize(is_started=st.booleans())
+    def start(self, is_started):
+        """Some runs begin with a bundle in force, others with nothing."""
+        if is_started:
+            self.publish(0, 1, PRIVATE_KEY)
+            for host in self.nodes:
+                self.read(host, 10)
+
     @rule(lag=st.integers(0, 2), step=st.integers(1, 3), key=st.sampled_from([PRIVATE_KEY] * 3))
     def publish(self, lag, step, key):
         """Operators race: some publish on an outdated parent."""
@@ -83,6 +91,13 @@
             self.changes += 1
             self.append(bundle_data(parent + step, parent, f"c{self.changes}", key))
 
+    @rule(order=st.permutations([f"n{i}" for i in range(NODES)]), count=st.integers(1, NODES))
+    def publish_and_read(self, order, count):
+        """A version that several nodes read at once."""
+        self.publish(0, 1, PRIVATE_KEY)
+        for host in order[:count]:
+            self.read(host, 100)
+
     @rule(kind=st.sampled_from(FORGERIES), pick=st.integers(0, 99))
     def append_forged(self, kind, pick):
         """A forged or an old record on the log."""
--- a/teaselpath/platform/_settings.py
+++ b/teaselpath/platform/_settings.py
@@ -14,7 +14,7 @@
 from teaselpath.bundle import FaultCollector, decode_document
 from teaselpath.results import Code, Failure
 
-Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[^\s\x00]+$")]
+Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[^\s\x00]+\Z")]
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Seconds = Annotated[float, Meta(gt=0, le=86_400)]
 Milliseconds = Annotated[int, Meta(ge=1, le=3_600_000)]
