Keep the list of serving endpoints between changes

Cause: serving_endpoints took 1.2 ms per call with 2,940 members. Change: the list is kept until a member's state changes.

--- a/teaselpath/membership/_table.py
+++ b/teaselpath/membership/_table.py
@@ -81,6 +81,7 @@
         self.rounds = 0
         self.urgent: dict[str, _Urgent] = {}
         self.hosts: list[str] = []
+        self.serving: list[Member] | None = None
         self.age_at = float("-inf")
 
     @property
@@ -132,8 +133,12 @@
         return actions + self._send_urgent(now)
 
     def serving_endpoints(self) -> list[Member]:
-        """Return the agents that may get new work."""
-        return [m for m in self.members.values() if m.role == "agent" and m.state == "alive"]
+        """Return the agents that may get new work; the list must not be changed."""
+        if self.serving is None:
+            self.serving = [
+                m for m in self.members.values() if m.role == "agent" and m.state == "alive"
+            ]
+        return self.serving
 
     def entries(self) -> list[Member]:
         """Return the entries; a suspect one is among them.
@@ -232,6 +237,7 @@
                 if not member.is_listed and now >= member.gone_at + FORGET_AFTER_S:
                     del self.members[member.host]
                     self.hosts = []
+                    self.serving = None
             elif _is_silent(member, now):
                 actions += self._change(member.host, _declare_gone, now)
                 member.gone_at = now
@@ -337,6 +343,7 @@
             previous, incarnation = member.state, member.incarnation
             was_leaving = member.has_declared_leaving
         change(member)
+        self.serving = None if member.state != previous else self.serving
         if member.state == previous and member.incarnation == incarnation:
             return []
         if member.has_declared_leaving and not was_leaving:
