Test the commands that ask nodes, and carry the share table in gossip

Cause: the commands ran in no test; gossip sent no share table version; an address that changed with a restart was not taken from the host list. Change: a test runs each command against a CURVE socket; MemberTable.share_table goes into each message; the list's addresses apply after its lag.

--- a/teaselpath/cli/_nodes.py
+++ b/teaselpath/cli/_nodes.py
@@ -36,19 +36,20 @@
     node's own, for example a log that it cannot reach.
     """
     known = {host: answer.unwrap() for host, answer in answers.items() if answer.is_ok()}
-    newest = max((status["version"] for status in known.values()), default=0)
+    newest = max((status.get("version", 0) for status in known.values()), default=0)
     rows = []
     for host, answer in answers.items():
         if answer.is_err():
             rows.append((host, None, None, None, "unknown", str(answer.unwrap_err())))
             continue
         status = known[host]
-        state = "in force" if status["version"] == newest else "lags"
+        version = status.get("version", 0)
+        state = "in force" if version == newest else "lags"
         reason = status.get("reason", "")
         if state == "lags" and not reason:
             reason = f"newest is version {newest}"
         rows.append(
-            (host, status["version"], status["digest"][:12], status["since_s"], state, reason)
+            (host, version, status.get("digest", "")[:12], status.get("since_s"), state, reason)
         )
     order = {"unknown": 0, "lags": 1, "in force": 2}
     return sorted(rows, key=lambda row: (order[row[4]], row[0]))
--- a/teaselpath/cli/tests/test_commands.py
+++ b/teaselpath/cli/tests/test_commands.py
@@ -150,22 +150,61 @@
         requests -= 1
 
 
-def test_requests_reach_a_node_over_curve():
-    """Guards against requests in the clear, and answers to another request that are believed."""
+@pytest.fixture
+def node():
+    """A node that answers on a CURVE socket; yields how to serve, its port and its public key."""
     context = zmq.Context()
     public, secret = zmq.curve_keypair()
     socket = context.socket(zmq.ROUTER)
     socket.curve_server, socket.curve_secretkey = True, secret
     port = socket.bind_to_random_port("tcp://127.0.0.1")
-    thread = threading.Thread(target=serve_node, args=(socket, 1), daemon=True)
-    thread.start()
+    threads = []
+
+    def serve(requests):
+        threads.append(threading.Thread(target=serve_node, args=(socket, requests), daemon=True))
+        threads[-1].start()
+
+    yield serve, port, public.decode()
+    for thread in threads:
+        thread.join(2.0)
+    context.destroy(linger=0)
+
+
+def test_requests_reach_a_node_over_curve(node):
+    """Guards against requests in the clear, and answers to another request that are believed."""
+    serve, port, public = node
+    serve(1)
     keys = ToolKeys(PRIVATE_KEY, *zmq.curve_keypair())
     nodes = [
-        NodeAddress("h1", "127.0.0.1", port, public.decode()),
-        NodeAddress("h2", "127.0.0.1", 1, public.decode()),
+        NodeAddress("h1", "127.0.0.1", port, public),
+        NodeAddress("h2", "127.0.0.1", 1, public),
     ]
     answers = ask_nodes(nodes, "status", {}, keys, 2.0)
     assert answers["h1"] == Ok({"detail": "d"})
     assert answers["h2"].unwrap_err().code is Code.PEER_TIMEOUT
-    thread.join(2.0)
-    context.destroy(linger=0)
+
+
+def test_node_commands(node, tool, tmp_path):
+    """Guards against commands that fail before they send, and wrong exit codes."""
+    serve, port, public = node
+    serve(3)
+    hosts = [{"host": "h1", "address": "127.0.0.1", "control_port": port, "curve_public": public}]
+    (tmp_path / "nodes.json").write_text(json.dumps({"hosts": hosts}))
+    (tmp_path / "operator").write_text(PRIVATE_KEY.hex())
+    (tmp_path / "operator").chmod(0o600)
+    tool("keygen", "curve", tmp_path / "curve")
+    options = ["--operator-key", tmp_path / "operator", "--curve-public", tmp_path / "curve.pub"]
+    options += ["--curve-secret", tmp_path / "curve", "--nodes", tmp_path / "nodes.json"]
+    assert tool("drain", "h1", *options)[0] == 0
+    assert tool("revoke", "ab" * 32, "--version", "1", *options)[0] == 0
+    assert tool("top", *options)[0] == 0
+    assert tool("revoke", "short", "--version", "1", *options)[0] == 2
+    assert tool("drain", "h2", *options)[0] == 2
+    assert tool("explain", "workspace", "w", "--timeout", "0.1", *options)[0] == 3
+    assert tool("explain-workspace", "w", "--timeout", "0.1", *options)[0] == 3
+    assert tool("explain", "r", "--timeout", "0.1", *options)[0] == 3
+    assert tool("rollout", "status", "--timeout", "0.1", *options)[0] == 3
+    unreachable = ["--log-url", "http://127.0.0.1:1", *options[:2]]
+    (tmp_path / "record").write_bytes(signed(0).data)
+    assert tool("publish", tmp_path / "record", *unreachable)[0] == 3
+    assert "Exit codes" in tool("--help")[1]
--- a/teaselpath/membership/_table.py
+++ b/teaselpath/membership/_table.py
@@ -76,6 +76,7 @@
         self.config = ConfigSync(self.self_host, random)
         self.news = DeltaQueue()
         self.awaited: dict[str, float] = {}
+        self.share_table = 0  # version of the share table, set by the owner of the quota core
         self.gossip_at = float("-inf")
         self.introduce_until: float | None = None
         self.rounds = 0
@@ -278,7 +279,8 @@
             config.digest,
             [self.members[host].delta() for host in hosts if host in self.members],
             config.revocation_digest,
-            reply=is_reply,
+            self.share_table,
+            is_reply,
         )
 
     def _send_at_once(self, first: Sequence[str] = ()) -> list[TableAction]:
@@ -356,7 +358,7 @@
 def _apply_listed(member: Member, entry: ListedHost, now: float) -> None:
     member.is_listed = True
     member.unlisted_since = None
-    if member.incarnation == 0:
+    if now >= member.list_trusted_at:
         member.copy_address(entry)
     if entry.state == "leaving" and now >= member.list_trusted_at:
         member.is_listed_leaving = True
