Refuse a peer's record at an offset that this node decided itself

Cause: the walks, extended by pushes of refused records, brought the loser of a race into force on a node that had refused it when it read the log. Change: install refuses records below next_offset unless the node has a gap.

--- a/teaselpath/bundle/_state.py
+++ b/teaselpath/bundle/_state.py
@@ -151,6 +151,9 @@
             return [Rejected(record.offset, Failure(Code.MALFORMED_RECORD, detail))]
         if opened.unwrap().digest == self.digest:
             events = self._renew(record, now, 0.0) if record.offset > self.offset else []
+        elif record.offset < self.next_offset and not self.has_gap:
+            detail = f"offset {record.offset} was decided when the log was read"
+            return [Rejected(record.offset, Failure(Code.OLD_VERSION, detail))]
         else:
             events = self._install_other(record, opened.unwrap(), now)
             if isinstance(events[0], Rejected):
--- a/teaselpath/cli/tests/test_rollout_machine.py
+++ b/teaselpath/cli/tests/test_rollout_machine.py
@@ -28,7 +28,7 @@
 
 NODES = 4
 FORGERIES = ["stranger", "altered", "garbage", "old"]
-PUSHES = ["old", "forged", "loser"]
+PUSHES = ["old", "forged", "loser", "refused"]
 hosts = st.sampled_from([f"n{i}" for i in range(NODES)])
 
 
@@ -154,7 +154,11 @@
     @rule(host=hosts, kind=st.sampled_from(PUSHES), offset=st.integers(0, 99))
     def push_false(self, host, kind, offset):
         """A peer pushes a record that must not be taken."""
-        version = self.nodes[host].state.version
+        state = self.nodes[host].state
+        version = state.version
+        if kind == "refused":
+            self.push_refused(host, offset)
+            return
         record = {
             "old": bundle_data(max(1, version), 0, "old"),
             "forged": bundle_data(version + 5, version, "forged", OTHER_KEY),
@@ -164,6 +168,15 @@
             push = ConfigPush("n0", [SignedRecord(offset, record, 1000)])
             self.send(self.nodes[host].receive(push, self.now))
 
+    def push_refused(self, host, pick):
+        """A peer pushes the loser of a race, which this node refused when it read the log."""
+        state = self.nodes[host].state
+        refused = [o for o in self.truth_codes if o < state.next_offset and not state.has_gap]
+        if refused:
+            offset = refused[pick % len(refused)]
+            push = ConfigPush("n0", [SignedRecord(offset, self.log.records[offset], offset + 1)])
+            self.send(self.nodes[host].receive(push, self.now))
+
     @rule(up=st.booleans())
     def switch_log(self, up):
         """The log goes down or comes back."""
