Try suspects directly, and ignore a late list entry about the own host

Cause: a restarted process would have stopped at once when the late host list still showed its predecessor as leaving; a suspect was tried only once; a reply from an unknown host made an empty member. Change: the own entry applies after the lag of the list; up to three suspects are tried every 5 s; replies from unknown hosts are ignored.

--- a/teaselpath/membership/_table.py
+++ b/teaselpath/membership/_table.py
@@ -5,6 +5,15 @@
 from functools import partial
 from random import Random
 
+from teaselpath.membership._changes import (
+    HOST_LIST_LAG_S,
+    apply_delta,
+    apply_listed,
+    declare_gone,
+    declare_leaving,
+    is_silent,
+    start_incarnation,
+)
 from teaselpath.membership._config import ConfigSync
 from teaselpath.membership._events import (
     ConfigChanged,
@@ -30,11 +39,6 @@
 FANOUT = 3
 DELTAS_PER_MESSAGE = 4
 REPLY_TIMEOUT_S = 2.0
-# The host list lags by up to 30 s; a leaving entry may be about the previous process this long.
-HOST_LIST_LAG_S = 60.0
-# A suspect that does not answer, or a silent host that the list dropped, is gone after this time.
-GONE_AFTER_S = 30.0
-UNLISTED_GONE_S = 60.0
 FORGET_AFTER_S = 600.0
 # A young process puts its own addresses into its messages, for peers whose host list lags.
 INTRODUCE_S = 120.0
@@ -44,6 +48,8 @@
 # The states that time changes are looked at this often.
 AGE_INTERVAL_S = 5.0
 DRAWS_PER_PEER = 8
+# Suspects that are tried directly each time.
+SUSPECTS_PER_ROUND = 3
 
 URGENT_ROUNDS = 4
 URGENT_INTERVAL_S = 0.4
@@ -100,12 +106,12 @@
                 actions += self._take_gossip(gossip, now)
             case PullReceived(pull):
                 actions += self.config.answer(pull)
-            case ReplySeen(host):
+            case ReplySeen(host) if host in self.members:
                 actions += self._change(host, lambda member: self._hear(member, now), now)
             case ProbeMissed(host, path):
                 actions += self._miss(host, f"{OWN_MISS}{path}", now)
             case LeaveStarted():
-                actions += self._change(self.self_host, _declare_leaving, now)
+                actions += self._change(self.self_host, declare_leaving, now)
             case ConfigChanged():
                 if self.config.change(event):
                     actions += self._send_at_once()
@@ -158,11 +164,14 @@
 
     def _take_host_list(self, hosts: Sequence[ListedHost], now: float) -> list[TableAction]:
         actions: list[TableAction] = []
-        listed = {entry.host: entry for entry in hosts}
+        listed = {entry.host: entry for entry in hosts if entry.host != self.self_host}
+        own = next((entry for entry in hosts if entry.host == self.self_host), None)
+        if own is not None:
+            actions += self._change(self.self_host, partial(self._apply_own, own, now), now)
         for host, entry in listed.items():
             if host not in self.members and len(self.members) >= MAX_MEMBERS:
                 continue
-            actions += self._change(host, partial(_apply_listed, entry=entry, now=now), now)
+            actions += self._change(host, partial(apply_listed, entry=entry, now=now), now)
         for host, member in self.members.items():
             if host not in listed and host != self.self_host:
                 member.is_listed = False
@@ -170,6 +179,14 @@
                     member.unlisted_since = now
         return actions
 
+    def _apply_own(self, entry: ListedHost, now: float, member: Member) -> None:
+        """Start to leave if the host list says so, but not for the previous process's sake."""
+        if not member.is_listed:
+            member.is_listed = True
+            member.list_trusted_at = now + HOST_LIST_LAG_S
+        if entry.state == "leaving" and now >= member.list_trusted_at:
+            member.is_listed_leaving = True
+
     # Gossip
 
     def _take_gossip(self, gossip: Gossip, now: float) -> list[TableAction]:
@@ -202,11 +219,11 @@
             if member is not None and now >= member.heard_at + REFUTED_S:
                 return self._miss(delta.host, observer, now)
             return []
-        return self._change(delta.host, lambda m: _apply_delta(m, delta, now), now)
+        return self._change(delta.host, lambda m: apply_delta(m, delta, now), now)
 
     def _hear_gossip(self, member: Member, incarnation: int, now: float) -> None:
         if incarnation > member.incarnation:
-            _start_incarnation(member, incarnation, now)
+            start_incarnation(member, incarnation, now)
         self._hear(member, now)
 
     def _hear(self, member: Member, now: float) -> None:
@@ -231,6 +248,9 @@
 
     def _age(self, now: float) -> list[TableAction]:
         actions: list[TableAction] = []
+        suspects = [m.host for m in self.members.values() if m.is_suspect and not m.is_gone]
+        for host in suspects[:SUSPECTS_PER_ROUND]:
+            actions.append(self._ask(host, now))
         for member in list(self.members.values()):
             if member.host == self.self_host:
                 continue
@@ -239,8 +259,8 @@
                     del self.members[member.host]
                     self.hosts = []
                     self.serving = None
-            elif _is_silent(member, now):
-                actions += self._change(member.host, _declare_gone, now)
+            elif is_silent(member, now):
+                actions += self._change(member.host, declare_gone, now)
                 member.gone_at = now
         return actions
 
@@ -353,45 +373,3 @@
         self.news.add(host, len(self.members))
         is_restart = bool(previous) and member.incarnation > incarnation
         return [MemberChanged(member, previous, member.state, is_restart)]
-
-
-def _apply_listed(member: Member, entry: ListedHost, now: float) -> None:
-    member.is_listed = True
-    member.unlisted_since = None
-    if now >= member.list_trusted_at:
-        member.copy_address(entry)
-    if entry.state == "leaving" and now >= member.list_trusted_at:
-        member.is_listed_leaving = True
-
-
-def _apply_delta(member: Member, delta: MemberDelta, now: float) -> None:
-    if delta.incarnation > member.incarnation or not member.address:
-        member.copy_address(delta)
-    if delta.incarnation > member.incarnation:
-        _start_incarnation(member, delta.incarnation, now)
-        member.is_gone = delta.state == "gone"
-        member.gone_at = now
-    if delta.state == "leaving":
-        member.has_declared_leaving = True
-    if delta.engine_incarnation:
-        member.engine_incarnation = delta.engine_incarnation
-
-
-def _start_incarnation(member: Member, incarnation: int, now: float) -> None:
-    member.start_incarnation(incarnation, now + HOST_LIST_LAG_S)
-
-
-def _declare_leaving(member: Member) -> None:
-    member.has_declared_leaving = True
-
-
-def _declare_gone(member: Member) -> None:
-    member.is_gone = True
-
-
-def _is_silent(member: Member, now: float) -> bool:
-    if member.is_suspect and now >= member.suspect_at + GONE_AFTER_S:
-        return True
-    if member.unlisted_since is None:
-        return False
-    return now >= max(member.unlisted_since, member.heard_at) + UNLISTED_GONE_S
--- a/teaselpath/membership/tests/test_table.py
+++ b/teaselpath/membership/tests/test_table.py
@@ -108,6 +108,17 @@
     assert "b" not in serving(table)
 
 
+def test_own_entry_that_lags_does_not_stop_a_new_process(table):
+    """Guards against a restarted process that stops because the list is about the previous one."""
+    leaving = HostList([Listed("a", "leaving")])
+    assert table.handle(leaving, 0.0) == []
+    assert table.handle(leaving, 59.0) == []
+    (change, *_) = table.handle(leaving, 60.0)
+    assert (change.member.host, change.state) == ("a", "leaving")
+    assert table.handle(ReplySeen("unknown"), 61.0) == []
+    assert "unknown" not in table.members
+
+
 def test_one_slow_path_is_no_suspicion(table):
     """Guards against flapping when one node cannot reach another."""
     for now in range(20):
