--- a/teaselpath/cli/tests/test_rollout_machine.py
+++ b/teaselpath/cli/tests/test_rollout_machine.py
@@ -10,7 +10,7 @@
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 from hypothesis.stateful import run_state_machine_as_test as run_machine
 
 from teaselpath.bundle import (
@@ -28,7 +28,7 @@
 
 NODES = 4
 FORGERIES = ["stranger", "altered", "garbage", "old"]
-PUSHES = ["old", "forged", "loser"]
+PUSHES = ["old", "forged", "loser", "refused"]
 hosts = st.sampled_from([f"n{i}" for i in range(NODES)])
 
 
@@ -75,6 +75,14 @@
         """Put messages on the network, which drops those across the cut."""
         self.flying += [m for m in messages if (m[0] in self.cut) == (m[1] in self.cut)]
 
+    @initialize(is_started=st.booleans())
+    def start(self, is_started):
+        """Some runs begin with a bundle in force, others with nothing."""
+        if is_started:
+            self.publish(0, 1, PRIVATE_KEY)
+            for host in self.nodes:
+                self.read(host, 10)
+
     @rule(lag=st.integers(0, 2), step=st.integers(1, 3), key=st.sampled_from([PRIVATE_KEY] * 3))
     def publish(self, lag, step, key):
         """Operators race: some publish on an outdated parent."""
@@ -83,6 +91,13 @@
             self.changes += 1
             self.append(bundle_data(parent + step, parent, f"c{self.changes}", key))
 
+    @rule(order=st.permutations([f"n{i}" for i in range(NODES)]), count=st.integers(1, NODES))
+    def publish_and_read(self, order, count):
+        """A version that several nodes read at once."""
+        self.publish(0, 1, PRIVATE_KEY)
+        for host in order[:count]:
+            self.read(host, 100)
+
     @rule(kind=st.sampled_from(FORGERIES), pick=st.integers(0, 99))
     def append_forged(self, kind, pick):
         """A forged or an old record on the log."""
@@ -139,7 +154,11 @@
     @rule(host=hosts, kind=st.sampled_from(PUSHES), offset=st.integers(0, 99))
     def push_false(self, host, kind, offset):
         """A peer pushes a record that must not be taken."""
-        version = self.nodes[host].state.version
+        state = self.nodes[host].state
+        version = state.version
+        if kind == "refused":
+            self.push_refused(host, offset)
+            return
         record = {
             "old": bundle_data(max(1, version), 0, "old"),
             "forged": bundle_data(version + 5, version, "forged", OTHER_KEY),
@@ -149,6 +168,15 @@
             push = ConfigPush("n0", [SignedRecord(offset, record, 1000)])
             self.send(self.nodes[host].receive(push, self.now))
 
+    def push_refused(self, host, pick):
+        """A peer pushes the loser of a race, which this node refused when it read the log."""
+        state = self.nodes[host].state
+        refused = [o for o in self.truth_codes if o < state.next_offset and not state.has_gap]
+        if refused:
+            offset = refused[pick % len(refused)]
+            push = ConfigPush("n0", [SignedRecord(offset, self.log.records[offset], offset + 1)])
+            self.send(self.nodes[host].receive(push, self.now))
+
     @rule(up=st.booleans())
     def switch_log(self, up):
         """The log goes down or comes back."""
