--- a/benchmarks/bench_prefix.py
+++ b/benchmarks/bench_prefix.py
@@ -124,6 +124,7 @@
         row["hit_rate"] = outcome.hit_rate()
         for name in ("wasted", "wasted_near", "imported"):
             row[name] = outcome.share(name)
+        row["remote"] = outcome.remote()
         row["probes"] = getattr(sim.policy, "probes", 0) / len(outcome.requests)
         rows.append(row)
     return {name: sum(row[name] for row in rows) / len(rows) for name in rows[0]}
--- a/teaselpath/prefix/_hints.py
+++ b/teaselpath/prefix/_hints.py
@@ -10,8 +10,9 @@
 HINT_S = 4.0
 MAX_HINTS = 16_384
 MAX_HOT = 4_096
-# The set of a prefix grows when even its best engine makes a request wait this long ...
-GROW_WAIT_S = 0.25
+# The set of a prefix grows when even its best engine makes a request wait this much longer than
+# the region's bound. At 0.25 s, sets also grew in short queues, and recomputation rose ...
+GROW_WAIT_S = 0.8
 # ... and shrinks when the best engine has been below this wait for SHRINK_HOLD_S. Two limits and
 # a hold time keep the set from following every short queue; each change costs recomputation.
 SHRINK_WAIT_S = 0.05
--- a/teaselpath/prefix/_router.py
+++ b/teaselpath/prefix/_router.py
@@ -9,26 +9,26 @@
 from teaselpath.prefix._hints import HotPrefixes, RecentRoutes
 from teaselpath.prefix._imports import ImportSource, plan_import
 from teaselpath.prefix._link import LinkBudget
+from teaselpath.prefix._load import RegionLoad
 from teaselpath.prefix._placement import DEPTH, Placement
 from teaselpath.wire import ProbeReply
 
 # Requests that are tracked between ``Routed`` and ``Finished``.
 MAX_PENDING = 16_384
-# Weights of the newest reply in the means of load; about 10 and 50 requests change them.
-LOAD_RATE = 0.1
-MEAN_RATE = 0.02
-# Bounded load: an engine may make requests wait this many times the region's mean.
-OVERLOAD = 2.0
 
 
 @dataclass(slots=True, frozen=True)
 class RouterLimits:
     """Limits and constants of the router.
 
-    :param max_probes: probes per request within the region; one more goes to the other region.
+    :param max_probes: probes per request within the region; one is a sample of its load.
+    :param remote_probes: further probes in the other region.
     :param copy_weight: weight of blocks that an engine does not have, on top of their latency in
         this request. Recomputing takes time from other requests, and each further copy of a block,
         recomputed or imported, evicts another one.
+    :param busy_copy_weight: further weight when the region is busy, where lost capacity costs more.
+    :param stray_s: cost of an endpoint that is not a home of the prompt, because later requests
+        will not look for its copy, in seconds.
     :param remote_wait_s: the other region is probed when local engines make a request wait longer
         ...
     :param remote_gain: ... or when recomputing the prompt would cost this many times its transfer.
@@ -38,7 +38,10 @@
     """
 
     max_probes: int = 4
+    remote_probes: int = 3
     copy_weight: float = 1.0
+    busy_copy_weight: float = 2.0
+    stray_s: float = 1.0
     remote_wait_s: float = 0.1
     remote_gain: float = 3.0
     remote_round_trip_s: float = 0.06
@@ -81,12 +84,11 @@
         self.costs = CostModel()
         self.recent = RecentRoutes()
         self.hot = HotPrefixes(DEPTH)
+        self.load = RegionLoad()
         self.pending: OrderedDict[str, Routed] = OrderedDict()
-        self.local_wait_s = 0.0
-        self.mean_wait_s = 0.0
-        self.block_s = 0.0
-        self.block_tokens = 0.0
         self.link_free_at = 0.0
+        self.local_order: list[str] = []
+        self.turn = 0
 
     def candidates(self, chain: Sequence[bytes], endpoints: Sequence[str], now: float) -> list[str]:
         """Return the endpoints to probe, best first.
@@ -96,32 +98,50 @@
         if endpoints is not self.endpoints:
             self._change_endpoints(endpoints)
         found = self._homes(chain) if self.local.known else []
+        sample = self._sample()
+        if sample and sample not in found:
+            found.append(sample)
         if self.remote.known and (not found or self._is_remote_useful(len(chain))):
-            found.append(self.remote.nth(self._main_level(chain), 0))
+            found += self.remote.top(self._main_level(chain), self.limits.remote_probes)
         return found
 
     def _change_endpoints(self, endpoints: Sequence[str]) -> None:
         self.endpoints = endpoints
-        self.local.change([name for name in endpoints if self._is_local(name)])
+        self.local_order = [name for name in endpoints if self._is_local(name)]
+        self.local.change(self.local_order)
         self.remote.change([name for name in endpoints if not self._is_local(name)])
         self.costs.keep(frozenset(endpoints))
 
     def _is_local(self, endpoint: str) -> bool:
         return self.regions.get(endpoint, self.region) == self.region
 
+    def _sample(self) -> str:
+        """Return a local endpoint in turn, whatever its cache.
+
+        Its reply shows the load of the region, which the homes of a hot prefix do not, and it can
+        take the request when they are overloaded.
+        """
+        if not self.local_order:
+            return ""
+        self.turn = (self.turn + 1) % len(self.local_order)
+        return self.local_order[self.turn]
+
     def _is_remote_useful(self, blocks: int) -> bool:
-        if self.local_wait_s > self.limits.remote_wait_s:
+        if self.load.local_wait_s > self.limits.remote_wait_s:
             return True
-        recompute_s = (1 + self.limits.copy_weight) * blocks * self.block_s
-        transfer_s = self._transfer_s(blocks * self.block_tokens, float("inf"))
+        recompute_s = (1 + self._copy_weight()) * blocks * self.load.block_s
+        transfer_s = self._transfer_s(blocks * self.load.block_tokens, float("inf"))
         return recompute_s > self.limits.remote_gain * transfer_s
 
+    def _copy_weight(self) -> float:
+        return self.limits.copy_weight + self.limits.busy_copy_weight * self.load.busy()
+
     def _main_level(self, chain: Sequence[bytes]) -> bytes:
         return chain[level_positions(len(chain))[0]] if chain else b""
 
     def _homes(self, chain: Sequence[bytes]) -> list[str]:
         """Return one endpoint per level, then further ones of the deepest level."""
-        count = self.limits.max_probes
+        count = self.limits.max_probes - 1
         found: dict[str, None] = {}
         spread_by = int.from_bytes(chain[-1][-4:], "big") if chain else 0
         for position in level_positions(len(chain)):
@@ -143,14 +163,18 @@
         if not accepting:
             return None
         block_tokens = prompt_tokens / max(1, len(chain))
-        self._observe(chain, block_tokens, accepting, now)
+        homes = self._homes(chain) if self.local.known else []
+        self._observe(chain, block_tokens, homes, accepting, now)
+        weight = self._copy_weight()
         best: Choice | None = None
         lowest = float("inf")
         for reply in accepting:
             choice = self._choice(chain, prompt_tokens, reply, accepting, now)
             missed = len(chain) - choice.matched_blocks
             copy_s = missed * block_tokens * reply.prefill_us_per_token / 1e6
-            cost = choice.expected_s + self.limits.copy_weight * copy_s
+            cost = choice.expected_s + weight * copy_s
+            if self._is_local(reply.endpoint) and reply.endpoint not in homes:
+                cost += self.limits.stray_s
             if cost < lowest:
                 best, lowest = choice, cost
         return best
@@ -159,21 +183,17 @@
         self,
         chain: Sequence[bytes],
         block_tokens: float,
+        homes: Sequence[str],
         replies: Sequence[ProbeReply],
         now: float,
     ) -> None:
-        """Learn the load of the region and the cost of a block; resize the sets of the prefixes."""
-        block_s = block_tokens * replies[0].prefill_us_per_token / 1e6
-        self.block_s += LOAD_RATE * (block_s - self.block_s)
-        self.block_tokens += LOAD_RATE * (block_tokens - self.block_tokens)
-        waits = [reply.wait_ms / 1e3 for reply in replies if self._is_local(reply.endpoint)]
-        if not waits:
-            return
-        self.local_wait_s += LOAD_RATE * (min(waits) - self.local_wait_s)
-        self.mean_wait_s += MEAN_RATE * (sum(waits) / len(waits) - self.mean_wait_s)
-        # A prefix is spread when its own engines are busier than the region: more copies do not
-        # help when all engines are busy.
-        excess_s = min(waits) - OVERLOAD * self.mean_wait_s
+        """Learn the load of the region; resize the sets of the prompt's prefixes."""
+        local = [reply for reply in replies if self._is_local(reply.endpoint)]
+        self.load.observe_block(block_tokens, replies[0].prefill_us_per_token)
+        excess_s = self.load.observe_waits(
+            [reply.wait_ms / 1e3 for reply in local if reply.endpoint in homes],
+            [reply.wait_ms / 1e3 for reply in local if reply.endpoint not in homes],
+        )
         for position in level_positions(len(chain)):
             self.hot.record(chain[position], excess_s, now)
 
