Orders: back off after rejected claims; seed known bugs in more checks

All engines that wait for a load would claim again at the same moment when a lease ends, which at 2,400 engines is more than the log takes. Rejected claims now wait up to 16 s, each another part.

--- a/teaselpath/orders/_core.py
+++ b/teaselpath/orders/_core.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from zlib import crc32
 
 from teaselpath.orders._ledger import GUARD_S, LEASE_S, MAX_LOADS, LoadLedger
 from teaselpath.orders._records import STREAM, Claim, LoadRecord, Release, Turn, encode_record
@@ -12,8 +13,11 @@
 APPEND_RETRY_S = 3.0
 # A load starts only if this much of its lease is left, so that it usually ends within the lease.
 MIN_LEFT_S = 10.0
-# Pause after a failed order, or a rejected claim, if no other time is known.
+# Pause after an order ended, and unit of the pause after a rejected claim.
 RETRY_S = 1.0
+# Rejected claims wait up to this many times longer, each by another part of it. Otherwise all
+# engines that wait would claim at once whenever a lease ends.
+MAX_BACKOFF = 16
 # Engines that want a load take turns in groups of MAX_LOADS; the log takes a few hundred appends/s
 # and 2,400 claims at once would be refused almost all.
 STAGGER_S = 1.5
@@ -123,6 +127,7 @@
     last_fence: int = -1
     not_before: float = float("-inf")
     serial: int = 0
+    rejections: int = 0
 
     def handle(
         self,
@@ -248,6 +253,7 @@
         if is_late or not is_wanted or self.is_superseded or offset <= self.last_fence:
             self.attempt = None
             return [self._release(lease)]
+        self.rejections = 0
         attempt.fence = self.last_fence = offset
         return [SendOrder(offset, attempt.order, attempt.deadline)]
 
@@ -255,7 +261,10 @@
         attempt = self.attempt
         if attempt is not None and attempt.fence < 0 and record.data == attempt.record:
             self.attempt = None
-            self.not_before = max(self.not_before, now + RETRY_S)
+            self.rejections += 1
+            part = 0.5 + crc32(attempt.lease.encode()) / 2**33
+            backoff = part * min(MAX_BACKOFF, 2**self.rejections)
+            self.not_before = max(self.not_before, now + RETRY_S * backoff)
         return []
 
     def _end(self, fence: int, now: float) -> list[SendOrder | Append]:
--- a/teaselpath/orders/tests/test_leases.py
+++ b/teaselpath/orders/tests/test_leases.py
@@ -129,6 +129,8 @@
     """Guards against a rule so strict that nothing is granted, which would pass the bound."""
     fleet = run_fleet(race(range(6)))
     assert sum(order is not None for order in fleet.orders) == MAX_LOADS
+    waits = {core.not_before for core in fleet.cores if core.rejections}
+    assert len(waits) == len(ENGINES) - MAX_LOADS, "rejected engines claim again at once"
 
 
 def test_check_finds_a_window_that_is_not_counted(monkeypatch) -> None:
--- a/teaselpath/prefix/tests/test_router.py
+++ b/teaselpath/prefix/tests/test_router.py
@@ -17,6 +17,7 @@
     plan_import,
 )
 from teaselpath.prefix._hints import HotPrefixes
+from teaselpath.prefix._placement import Placement
 from teaselpath.wire import ProbeReply
 
 NAMES = [f"e{n}" for n in range(30)]
@@ -60,6 +61,17 @@
     assert homes(router, chain, names) == before
 
 
+def test_check_finds_candidates_that_depend_on_the_list_order(monkeypatch) -> None:
+    """Shows that the stability check fails for a known bug: a position in the list is used."""
+
+    def nth(self: Placement, value: bytes, position: int) -> str:
+        return self.endpoints[(value[0] + position) % len(self.endpoints)]
+
+    monkeypatch.setattr(Placement, "nth", nth)
+    with pytest.raises(AssertionError):
+        test_candidates_survive_restart_and_membership_change()
+
+
 def test_requests_that_share_an_upper_level_meet() -> None:
     """Guards against children of one prefix that never probe a common engine."""
     router, names = PrefixRouter(), tuple(NAMES)
