--- a/benchmarks/bench_quota.py
+++ b/benchmarks/bench_quota.py
@@ -39,6 +39,7 @@
     QuotaCore,
     ReserveTokens,
     SettleTokens,
+    ShareTable,
     TableRecord,
     WorkspaceQuota,
     WorkspacesChanged,
@@ -46,6 +47,22 @@
 )
 from teaselpath.wire import Append, Send
 
+RANK = ShareTable._rank
+
+
+def share_rankings() -> None:
+    """Let all cores of this process share the ranking of homes, which they compute alike."""
+    rank = RANK
+    known: dict[tuple[str, int], tuple[str, ...]] = {}
+
+    def ranked(table: ShareTable, workspace: str) -> tuple[str, ...]:
+        key = (workspace, table.number)
+        if key not in known:
+            known[key] = rank(table, workspace)
+        return known[key]
+
+    setattr(ShareTable, "_rank", ranked)  # noqa: B010
+
 
 class Ours:
     """Quota cores of the product."""
@@ -59,6 +76,7 @@
         self.busy: set[str] = set()
         self.names: dict[int, str] = {}
         vars(_state)["Bucket"] = self.bucket_class()
+        share_rankings()
         for index, host in enumerate(world.hosts):
             self.start(host)
             world.at(TICK_S * index / len(world.hosts), self.tick, host)
@@ -89,17 +107,16 @@
         """Start a process, which reads the log first."""
         self.incarnations[host] += 1
         region = self.world.load.hosts[host]
-        core = self.cores[host] = QuotaCore(host, region, self.incarnations[host])
+        self.cores[host] = QuotaCore(host, region, self.incarnations[host])
         self.read[host] = 0
         self.call(host, WorkspacesChanged(self.world.load.quotas))
-        for share in core.state.shares.values():
-            self.names[id(share.bucket)] = share.workspace
         self.call(host, HomesChanged([Home(h, r) for h, r in self.world.load.hosts.items()]))
         self.catch_up(host)
 
     def buckets_of(self, workspace: str) -> list[Bucket]:
         """Return the buckets of a workspace."""
-        return [core.state.shares[workspace].bucket for core in self.cores.values()]
+        found = (core.state.shares.get(workspace) for core in self.cores.values())
+        return [share.bucket for share in found if share is not None]
 
     def stop(self, host: str) -> None:
         """Kill a process."""
@@ -153,6 +170,8 @@
             return
         for offset in range(self.read[host], len(self.log)):
             self.call(host, TableRecord(offset, self.log[offset]))
+            for share in self.cores[host].state.shares.values():
+                self.names[id(share.bucket)] = share.workspace
         self.read[host] = len(self.log)
         self.call(host, LeaseConfirmed())
 
--- a/teaselpath/quota/_admission.py
+++ b/teaselpath/quota/_admission.py
@@ -60,7 +60,8 @@
             state.send(host, QuotaGrant(reservation_id, True))
         elif reservation_id not in self.askers:
             self.askers[reservation_id] = host
-            if state.host not in state.table.homes(message.workspace) or state.leaving:
+            known = message.workspace in state.quotas
+            if known and (message.workspace not in state.shares or state.leaving):
                 request = ReserveTokens(reservation_id, message.workspace, 0.0, 0.0)
                 self._refuse(request, Code.QUOTA_UNCONFIRMED, 0.0)
                 return
@@ -127,8 +128,11 @@
             if self.state.may_spend() and share.bucket.level >= request.tokens:
                 continue
             share.waiting.remove(request)
-            code = Code.RATE_EXCEEDED if self.state.may_spend() else Code.QUOTA_UNCONFIRMED
-            self._refuse(request, code, self.retry_after_s(share, request))
+            if self.state.may_spend():
+                wait_s = self.retry_after_s(share, request)
+                self._refuse(request, Code.RATE_EXCEEDED, wait_s)
+            else:
+                self._refuse(request, Code.QUOTA_UNCONFIRMED, 0.0)
 
     def _must_wait(self, share: Share, request: ReserveTokens) -> bool:
         """Ask the other homes, own region first; False when none of them can help in time."""
--- a/teaselpath/quota/_core.py
+++ b/teaselpath/quota/_core.py
@@ -17,7 +17,7 @@
     WorkspacesChanged,
 )
 from teaselpath.quota._remote import RemoteReservations
-from teaselpath.quota._state import LEASE_S, QuotaAction, QuotaState, Share
+from teaselpath.quota._state import LEASE_S, QuotaAction, QuotaState
 from teaselpath.quota._tenure import Tenure
 from teaselpath.results import Code
 from teaselpath.wire import (
@@ -97,8 +97,9 @@
 
     def _reserve(self, event: ReserveTokens) -> None:
         state = self.state
-        here = state.host in state.table.homes(event.workspace)
-        if event.workspace in state.shares and (state.leaving or not here):
+        known = event.workspace in state.quotas
+        here = known and state.host in state.table.homes(event.workspace)
+        if known and (state.leaving or not here):
             self.remote.reserve(event)
         else:
             self.admission.reserve(event)
@@ -131,17 +132,16 @@
 
     def _change_workspaces(self, workspaces: Sequence[WorkspaceQuota]) -> None:
         state = self.state
-        wanted = {workspace.id: workspace for workspace in workspaces}
-        for workspace in wanted:
-            if workspace not in state.shares:
-                share = state.shares[workspace] = Share(workspace, state.now)
-                self.tenure.add_share(share)
-        for workspace, share in list(state.shares.items()):
-            found = wanted.get(workspace)
-            share.rate = found.rate if found else 0.0
-            share.burst = found.burst if found else 0.0
+        old, state.quotas = state.quotas, {w.id: (w.rate, w.burst) for w in workspaces}
+        for workspace, share in state.shares.items():
+            quota = state.quotas.get(workspace)
+            if quota == old.get(workspace):
+                continue
+            share.rate, share.burst = quota or (0.0, 0.0)
             share.refresh(state.now)
             state.changed.add(workspace)
-            if found is None:
+            if quota is None:
                 self.admission.refuse_all(share, Code.WRONG_WORKSPACE)
+        for workspace in state.quotas.keys() - old.keys():
+            self.tenure.add_share(workspace)
         self.tenure.activate()
--- a/teaselpath/quota/_state.py
+++ b/teaselpath/quota/_state.py
@@ -157,6 +157,8 @@
     now: float = float("-inf")
     started_at: float = float("inf")
     table: ShareTable = field(default_factory=ShareTable)
+    # Rate and burst of all workspaces; shares exist where this host is a home.
+    quotas: dict[str, tuple[float, float]] = field(default_factory=dict)
     shares: dict[str, Share] = field(default_factory=dict)
     links: dict[str, PeerLink] = field(default_factory=dict)
     homes: dict[str, Home] = field(default_factory=dict)
--- a/teaselpath/quota/_table.py
+++ b/teaselpath/quota/_table.py
@@ -43,6 +43,7 @@
         # Offset of the last settled record of the current table.
         self.renewed = -1
         self.handovers: dict[str, int] = {}
+        self._regions: dict[str, list[str]] = {}
         self._homes: dict[str, tuple[str, ...]] = {}
 
     def handle(self, offset: int, data: bytes) -> bool:
@@ -86,21 +87,41 @@
         key = workspace.encode()
         if len(self.slots) <= ALL_HOMES_LIMIT:
             return tuple(rendezvous_top(key, self.slots, len(self.slots)))
-        regions: dict[str, list[str]] = {}
-        for host, region in self.slots.items():
-            regions.setdefault(region, []).append(host)
         chosen: list[str] = []
-        for region in sorted(regions):
-            chosen += rendezvous_top(key, regions[region], HOMES_PER_REGION)
+        for region in sorted(self._regions):
+            chosen += rendezvous_top(key, self._regions[region], HOMES_PER_REGION)
         return tuple(chosen)
 
+    def _stays(self, homes: tuple[str, ...], workspace: str, joined: dict[str, str]) -> bool:
+        """Return whether the homes of a workspace stay as they are when hosts join."""
+        key = workspace.encode()
+        for host, region in joined.items():
+            rivals = [home for home in homes if self.slots[home] == region]
+            if host in rendezvous_top(key, [host, *rivals], HOMES_PER_REGION):
+                return False
+        return True
+
     def _install(self, number: int, record: ShareRecord, *, settled: bool) -> bool:
+        old, self.slots = self.slots, dict(record.slots)
         self.number = number
-        self.slots = dict(record.slots)
         self.settled = settled
-        self._homes.clear()
+        self._regions = {}
+        for host, region in self.slots.items():
+            self._regions.setdefault(region, []).append(host)
+        self._forget_changed_homes(old)
         return True
 
+    def _forget_changed_homes(self, old: dict[str, str]) -> None:
+        """Keep the homes that the change of slots leaves alone; ranking all costs seconds."""
+        if min(len(old), len(self.slots)) <= ALL_HOMES_LIMIT:
+            self._homes.clear()
+            return
+        joined = {h: r for h, r in self.slots.items() if old.get(h) != r}
+        for workspace, homes in list(self._homes.items()):
+            kept = all(self.slots.get(home) == old[home] for home in homes)
+            if not kept or not self._stays(homes, workspace, joined):
+                del self._homes[workspace]
+
 
 def encode_table(base: int, slots: dict[str, str]) -> bytes:
     """Encode the proposal of a table with slots (host -> region)."""
--- a/teaselpath/quota/_tenure.py
+++ b/teaselpath/quota/_tenure.py
@@ -55,12 +55,21 @@
         self.wanted_since = None
         if state.table.number != number:
             self._change_table()
+            for workspace in state.quotas:
+                self.add_share(workspace)
         self.pending = set(state.shares)
         self.activate()
 
-    def add_share(self, share: Share) -> None:
-        """Take a workspace that was added to the bundle."""
-        self.pending.add(share.workspace)
+    def add_share(self, workspace: str) -> None:
+        """Start an empty share of a workspace of the bundle, if this host is a home of it."""
+        state = self.state
+        share = state.shares.get(workspace)
+        if share is None and state.host in state.table.homes(workspace):
+            share = state.shares[workspace] = Share(workspace, state.now)
+        if share is not None:
+            share.rate, share.burst = state.quotas[workspace]
+            share.refresh(state.now)
+            self.pending.add(workspace)
 
     def on_homes(self) -> None:
         """Note since when slots are not on the host list."""
@@ -124,8 +133,13 @@
             self.escrow.drop_borrowed(link)
             if link.host not in state.table.slots:
                 self.escrow.take_back(link)
-        for share in state.shares.values():
-            share.base = min(share.base, state.table.fraction(share.workspace, state.host))
+        for share in list(state.shares.values()):
+            fraction = state.table.fraction(share.workspace, state.host)
+            if fraction == 0.0 and not share.waiting:
+                # All hosts drop what it lent before any of them may own more.
+                del state.shares[share.workspace]
+                continue
+            share.base = min(share.base, fraction)
             share.offers.clear()
             share.asked_at.clear()
             share.refresh(state.now)
@@ -144,7 +158,7 @@
         for lender in list(share.borrowed):
             self.escrow.give_back(share, lender)
         others = [host for host in state.other_homes(share.workspace) if host in state.homes]
-        others = [host for host in others if state.link(host).table == state.table.number]
+        others = [host for host in others if state.link(host).incarnation]
         near = [host for host in others if state.table.slots[host] == state.region]
         self.escrow.lend_all(share, near or others)
 
