--- a/examples/demo.py
+++ b/examples/demo.py
@@ -41,6 +41,8 @@
 }
 OVERLOADED = "shredding-archive"
 REQUESTS_PER_WORKSPACE = 20
+# A started entry has empty buckets, because its predecessor may have spent all they held.
+BUCKET_FILL_S = 8.0
 MAX_TOKENS = 24
 
 
@@ -239,6 +241,8 @@
             await fleet.start()
             await fleet.publish(make_bundle(fleet))
             await fleet.wait_ready()
+            click.echo("fleet is ready; waiting for the token buckets to fill")
+            await asyncio.sleep(BUCKET_FILL_S)
             async with aiohttp.ClientSession() as session:
                 return await _run(Demo(fleet, session, seed), keep)
         finally:
--- a/teaselpath/entry/_driver.py
+++ b/teaselpath/entry/_driver.py
@@ -329,7 +329,8 @@
             call.headers,
             self.body.body or call.body,
             call.stream,
-            0,
+            # Above 0 for a continued answer, which is not the whole one.
+            int(self.outcome.is_delivering),
             call.key_digest,
             action.agent_incarnation,
             self.service.plane.incarnation,
--- a/teaselpath/entry/_service.py
+++ b/teaselpath/entry/_service.py
@@ -29,6 +29,7 @@
 from teaselpath.scheduling import RetryBudget
 from teaselpath.transport import PeerLost, Received
 from teaselpath.wire import (
+    Ack,
     Cancelled,
     Chunk,
     DecisionRecord,
@@ -44,6 +45,8 @@
 )
 
 TICK_S = 0.1
+# Ids of finished requests that are remembered, for ends that an agent sends again.
+MAX_FINISHED = 10_000
 SHARES_STREAM = "shares"
 # A read confirms the leases as of its start, so it must be much shorter than a lease.
 SHARES_WAIT_MS = 1_000
@@ -67,6 +70,7 @@
         self.quota = QuotaService(core, plane.send, plane.append, self.clock)
         self.retry_budget = RetryBudget()
         self.drivers: dict[str, RequestDriver] = {}
+        self.finished: dict[str, None] = {}
         self.running = 0
         self.leaving = False
         self.dropped_messages = 0
@@ -120,6 +124,8 @@
                 driver = self.drivers.get(message.request_id)
                 if driver is not None:
                     driver.deliver(event)
+                elif isinstance(message, End) and message.request_id in self.finished:
+                    self._acknowledge_again(event.host, message)
             case Received(message=ProbeReply() as reply):
                 self.prober.handle(reply)
             case Received(host=host, message=message) if isinstance(message, QuotaMessage):
@@ -129,6 +135,11 @@
                     if driver.destination is not None and driver.destination.host == host:
                         driver.deliver(event)
 
+    def _acknowledge_again(self, host: str, end: End) -> None:
+        """Acknowledge an end that was sent again, so that its agent can drop the stream."""
+        ack = Ack(end.request_id, end.attempt, end.chunks + 1, 0)
+        self.plane.node.send(host, ack)
+
     def bundle_changed(self, bundle: Bundle) -> None:
         """Take a bundle that is in force from now on."""
         workspaces = [WorkspaceQuota(w.id, w.rate, w.burst) for w in bundle.workspaces]
@@ -202,8 +213,14 @@
             return await asyncio.shield(driver.stop(Code.CALLER_GONE))
         finally:
             del self.drivers[request_id]
+            self._remember_finished(request_id)
             self.quota.settle(request_id, self._used(driver))
 
+    def _remember_finished(self, request_id: str) -> None:
+        self.finished[request_id] = None
+        if len(self.finished) > MAX_FINISHED:
+            del self.finished[next(iter(self.finished))]
+
     def _used(self, driver: RequestDriver) -> int:
         """Return the tokens to charge; the whole reservation if the use is not known."""
         finished = driver.outcome.finished
