Operators' tool against real nodes: status, top, explain, revoke, drain

Cause: nodes dropped the tool's messages, whose routing id had no incarnation, and answered in another shape than the tool reads. An entry called itself ready before its quota shares were active, so the first requests were refused.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -92,6 +92,7 @@
         self.standins: dict[str, subprocess.Popen] = {}
         self.standin_configs: dict[str, list[dict[str, Any]]] = {}
         self.operator_secret = Ed25519PrivateKey.generate().private_bytes_raw()
+        self.tool_keys = CurveKeys.generate()
         self.interpreter_options: dict[str, list[str]] = {}
         self.log_url = self.hosts_url = self.cache_store_url = self.weight_store_url = ""
 
@@ -113,6 +114,24 @@
         for index, region in enumerate(plan.entries, 1):
             self._prepare_entry(f"entry-{index}", region, next(ports), next(ports))
         self._prepare_platform()
+        self._write_secret("operator.key", self.operator_secret.hex().encode())
+        self._write_secret("tool.curve", self.tool_keys.secret)
+        (self.root / "tool.curve.pub").write_bytes(self.tool_keys.public)
+
+    def _write_secret(self, name: str, data: bytes) -> Path:
+        path = self.root / name
+        path.touch(mode=0o600)
+        path.write_bytes(data)
+        return path
+
+    def tool_options(self) -> list[str]:
+        """Return the options of the operators' tool for commands that talk to nodes."""
+        return [
+            f"--operator-key={self.root / 'operator.key'}",
+            f"--curve-secret={self.root / 'tool.curve'}",
+            f"--curve-public={self.root / 'tool.curve.pub'}",
+            f"--host-list-url={self.hosts_url}",
+        ]
 
     def _prepare_agent(
         self, endpoint: str, kind: str, region: str, port: int, endpoint_port: int
@@ -135,9 +154,7 @@
 
     def _prepare_node(self, name: str, role: str, region: str, port: int) -> Node:
         keys = CurveKeys.generate()
-        secret = self.root / f"{name}.curve"
-        secret.touch(mode=0o600)
-        secret.write_bytes(keys.secret)
+        self._write_secret(f"{name}.curve", keys.secret)
         path = self.root / f"{name}.json"
         node = Node(name, role, region, path, port, keys.public.decode())
         self.nodes[name] = node
@@ -155,6 +172,7 @@
                 "port": node.control_port,
                 "curve_public": node.curve_public,
                 "curve_secret_file": str(self.root / f"{node.name}.curve"),
+                "accepted_curve_keys": [self.tool_keys.public.decode()],
             },
             "log_url": self.log_url,
             "host_list_url": self.hosts_url,
--- a/teaselpath/agent/_service.py
+++ b/teaselpath/agent/_service.py
@@ -15,7 +15,7 @@
 from teaselpath.agent._orders import OrderService
 from teaselpath.agent._run import RequestRun
 from teaselpath.bundle import Bundle, RequestClass
-from teaselpath.control import ControlPlane
+from teaselpath.control import ControlPlane, RateMeter
 from teaselpath.delivery import (
     Accept,
     CancelRun,
@@ -82,6 +82,8 @@
         self.runs: dict[str, RequestRun] = {}
         self.leaving = False
         self.dropped_messages = 0
+        self.ended = RateMeter()
+        self.refused = RateMeter()
         self.session = session
         self.claims: ClaimService | None = None
         self.orders: OrderService | None = None
@@ -150,17 +152,24 @@
     def keys_changed(self) -> None:
         """Entries stop the requests of withdrawn keys."""
 
-    def describe(self, workspace: str) -> dict:
-        """Return the state of the endpoint, for operators."""
+    def describe(self) -> dict:
+        """Return the load of the endpoint, for operators."""
+        now = time.monotonic()
         return {
             "endpoint": self.endpoint.id,
             "running": len(self.runs),
             "queued": len(self.starts) - len(self.runs),
+            "requests_per_s": round(self.ended.per_second(now), 1),
+            "refused_per_s": round(self.refused.per_second(now), 1),
             "cached_blocks": len(self.engine.index.blocks),
             "engine_incarnation": self.engine.incarnation,
             "weights": self.engine.load.weights if self.engine.load else "",
         }
 
+    def describe_workspace(self, workspace: str) -> dict:
+        """Return nothing: shares are kept at the entries."""
+        return {}
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
@@ -335,6 +344,7 @@
         start = self.starts.pop(key, None)
         if start is None:
             return
+        self.refused.add(now)
         self._record(start, "dropped", code, detail)
         self._finish_claim(start, code, Ran.NOT_RUN)
         end = RunEnd(
@@ -389,6 +399,7 @@
         used = end.prompt_tokens - end.cached_tokens + end.output_tokens
         self._schedule(self.scheduler.handle(Finished(key, used), now), now)
         self._act(self.ledger.handle(end, now), now)
+        self.ended.add(now)
         if start is not None:
             self._finish_claim(start, end.code, end.ran)
             self._record(start, "ended", Code(end.code), end.detail)
--- a/teaselpath/control/__init__.py
+++ b/teaselpath/control/__init__.py
@@ -3,5 +3,6 @@
 from teaselpath.control._log_follower import LogFollower
 from teaselpath.control._metrics import Metrics
 from teaselpath.control._plane import ControlPlane, Role
+from teaselpath.control._rates import RateMeter
 
-__all__ = ["ControlPlane", "LogFollower", "Metrics", "Role"]
+__all__ = ["ControlPlane", "LogFollower", "Metrics", "RateMeter", "Role"]
--- a/teaselpath/control/_operator.py
+++ b/teaselpath/control/_operator.py
@@ -9,13 +9,11 @@
 
 from teaselpath.bundle import ControlRequest, NonceMemory, open_control
 from teaselpath.results import Code, Failure
-from teaselpath.wire import Control, ControlReply, DecisionRecord
+from teaselpath.wire import Control, ControlReply
 
 if TYPE_CHECKING:
     from teaselpath.control._plane import ControlPlane
 
-MAX_RECORDS = 500
-
 
 class OperatorRequests:
     """Checks and answers signed requests of operators.
@@ -53,9 +51,11 @@
         match request.command:
             case "status":
                 return self._status()
+            case "top":
+                return self._top()
             case "explain":
                 records = self.plane.decisions.for_request(str(arguments.get("request_id", "")))
-                return {"records": [_plain(record) for record in records]}
+                return {"records": [msgspec.structs.asdict(record) for record in records]}
             case "explain_workspace":
                 return self._workspace(str(arguments.get("workspace", "")))
             case "drain":
@@ -67,40 +67,43 @@
 
     def _status(self) -> dict[str, Any]:
         plane, state = self.plane, self.plane.state
-        members: dict[str, int] = {}
-        for member in plane.members.members.values():
-            members[member.state] = members.get(member.state, 0) + 1
+        since_s = round(time.monotonic() - state.accepted_at, 1) if state.bundle else None
         return {
             "host": plane.settings.host,
-            "role": plane.settings.role,
-            "region": plane.settings.region,
-            "failure_domain": plane.settings.failure_domain,
             "incarnation": plane.incarnation,
             "version": state.version,
             "offset": state.offset,
             "digest": state.digest.hex(),
-            "in_force_s": round(time.monotonic() - state.accepted_at, 3) if state.bundle else None,
+            "since_s": since_s,
+            "reason": self._why_behind(),
             "revocations": len(state.revocations.entries),
-            "log_up": plane.log_is_up,
-            "has_gap": state.has_gap,
-            "members": members,
-            "role_state": plane.role.describe("") if plane.role else {},
+            "members": plane.count_members(),
         }
 
+    def _why_behind(self) -> str:
+        plane = self.plane
+        if plane.state.has_gap:
+            return "the log was trimmed past this node, and no peer has the records"
+        if not plane.log_is_up:
+            return "the log does not answer"
+        return "" if plane.state.bundle else "no bundle was accepted"
+
+    def _top(self) -> dict[str, Any]:
+        plane = self.plane
+        role_state = plane.role.describe() if plane.role else {}
+        state = plane.members.self_member.state
+        return {"role": plane.settings.role, "state": state, **role_state}
+
     def _workspace(self, workspace: str) -> dict[str, Any]:
-        records = self.plane.decisions.for_workspace(workspace)[-MAX_RECORDS:]
+        plane = self.plane
         refusals: dict[str, int] = {}
-        for record in records:
-            if record.code != Code.OK:
-                key = f"{Code(record.code).name} v{record.bundle_version}"
-                refusals[key] = refusals.get(key, 0) + 1
-        return {
-            "host": self.plane.settings.host,
-            "workspace": workspace,
-            "refusals": refusals,
-            "state": self.plane.role.describe(workspace) if self.plane.role else {},
-            "records": [_plain(record) for record in records[-20:]],
-        }
+        for record in plane.decisions.for_workspace(workspace):
+            is_own = record.host == plane.settings.host
+            if is_own and record.step == "ended" and record.code != Code.OK:
+                name = f"{Code(record.code).name.lower()} (version {record.bundle_version})"
+                refusals[name] = refusals.get(name, 0) + 1
+        share = plane.role.describe_workspace(workspace) if plane.role else {}
+        return {**share, "refusals": refusals, "version": plane.state.version}
 
     def _revoke(self, record: str) -> dict[str, Any] | Failure:
         try:
@@ -112,10 +115,6 @@
         return {"host": self.plane.settings.host, "revoked": True}
 
 
-def _plain(record: DecisionRecord) -> dict[str, Any]:
-    return msgspec.structs.asdict(record)
-
-
 def _error(request_id: str, failure: Failure) -> ControlReply:
-    body = msgspec.json.encode({"error": str(failure)})
+    body = msgspec.json.encode({"detail": failure.detail})
     return ControlReply(request_id, int(failure.code), body)
--- a/teaselpath/control/_plane.py
+++ b/teaselpath/control/_plane.py
@@ -73,8 +73,11 @@
     def keys_changed(self) -> None:
         """Stop running requests whose key was withdrawn."""
 
-    def describe(self, workspace: str) -> dict:
-        """Return the role's state, or that of one workspace, for operators."""
+    def describe(self) -> dict:
+        """Return the load of the role, for operators."""
+
+    def describe_workspace(self, workspace: str) -> dict:
+        """Return the role's state of one workspace, for operators."""
 
 
 class ControlPlane:
@@ -192,11 +195,15 @@
         metrics.log_up.set({}, int(self.log_is_up))
         metrics.control_bytes.set({}, self.node.sent_bytes)
         metrics.malformed.set({}, self.node.malformed)
-        counts: dict[str, int] = {}
+        for state, count in self.count_members().items():
+            metrics.members.set({"state": state}, count)
+
+    def count_members(self) -> dict[str, int]:
+        """Return the number of members by state."""
+        counts = dict.fromkeys(("alive", "leaving", "suspect", "gone"), 0)
         for member in self.members.members.values():
-            counts[member.state] = counts.get(member.state, 0) + 1
-        for state in ("alive", "leaving", "suspect", "gone"):
-            metrics.members.set({"state": state}, counts.get(state, 0))
+            counts[member.state] += 1
+        return counts
 
     def _deliver(self, event: Received | PeerLost) -> None:
         match event:
@@ -213,6 +220,7 @@
                     self.decisions.add_copy(record)
             case Received(host=host, message=Control() as control):
                 self.node.reply(host, self.operator.answer(control))
+                self.node.forget(host)
             case _:
                 if self.role is not None:
                     self.role.deliver(event)
@@ -347,8 +355,7 @@
             if member.host == self.settings.host or not member.curve_public:
                 continue
             key = member.curve_public.encode()
-            if not self.accepted_curve_keys:
-                keys.add(key)
+            keys.add(key)
             if member.is_gone:
                 self.node.disconnect(member.host)
             elif member.address:
--- a/teaselpath/entry/_quota.py
+++ b/teaselpath/entry/_quota.py
@@ -63,7 +63,21 @@
         core = self.core
         if not core.state.may_spend():
             return "the lease of the quota shares is not confirmed"
-        return "the quota shares are not active yet" if core.tenure.pending else ""
+        table = core.state.table
+        is_active = table.settled and core.state.host in table.slots and not core.tenure.pending
+        return "" if is_active else "the quota shares are not active yet"
+
+    def describe(self, workspace: str) -> dict:
+        """Return the share of a workspace held here: tokens/s, tokens, tokens."""
+        share = self.core.state.shares.get(workspace)
+        if share is None:
+            return {}
+        share.bucket.accrue(self.clock())
+        return {
+            "rate": round(share.bucket.rate, 1),
+            "capacity": round(share.bucket.capacity, 1),
+            "balance": round(share.bucket.level, 1),
+        }
 
     def settle(self, reservation_id: str, used: int) -> None:
         """Settle a reservation to the tokens that were used."""
--- a/teaselpath/entry/_service.py
+++ b/teaselpath/entry/_service.py
@@ -6,7 +6,7 @@
 from eliot import log_message
 
 from teaselpath.bundle import Bundle
-from teaselpath.control import ControlPlane, LogFollower
+from teaselpath.control import ControlPlane, LogFollower, RateMeter
 from teaselpath.delivery import AgentLost, Finished, StopWanted
 from teaselpath.entry._call import Call
 from teaselpath.entry._driver import RequestDriver
@@ -71,6 +71,8 @@
         self.retry_budget = RetryBudget()
         self.drivers: dict[str, RequestDriver] = {}
         self.finished: dict[str, None] = {}
+        self.ended = RateMeter()
+        self.refused = RateMeter()
         self.running = 0
         self.leaving = False
         self.dropped_messages = 0
@@ -174,9 +176,19 @@
             if not is_known or self.plane.revocations.is_revoked(digest):
                 driver.deliver(StopWanted(Code.KEY_WITHDRAWN))
 
-    def describe(self, workspace: str) -> dict:
-        """Return this entry's state of a workspace, for operators."""
-        return {"running": self.running, "workspace": workspace}
+    def describe(self) -> dict:
+        """Return the load of this entry, for operators."""
+        now = self.clock()
+        return {
+            "running": self.running,
+            "queued": len(self.quota.waiting),
+            "requests_per_s": round(self.ended.per_second(now), 1),
+            "refused_per_s": round(self.refused.per_second(now), 1),
+        }
+
+    def describe_workspace(self, workspace: str) -> dict:
+        """Return this entry's share of a workspace, for operators."""
+        return self.quota.describe(workspace)
 
     # Requests
 
@@ -237,6 +249,9 @@
         now = self.clock()
         call = driver.call
         code = Code(finished.code)
+        self.ended.add(now)
+        if finished.ran == Ran.NOT_RUN:
+            self.refused.add(now)
         if code is Code.OK:
             self.retry_budget.record_success(now)
         first_s = None if driver.first_byte_at is None else driver.first_byte_at - driver.arrived
@@ -251,6 +266,7 @@
 
     def observe_refusal(self, request_id: str, failure: Failure) -> None:
         """Record a request that failed its checks."""
+        self.refused.add(self.clock())
         version = self.plane.state.version
         self.plane.record(
             DecisionRecord(
--- a/teaselpath/platform/_settings.py
+++ b/teaselpath/platform/_settings.py
@@ -35,7 +35,8 @@
     :param address: IP number to bind.
     :param curve_public: CURVE public key of this process, 40 characters of Z85.
     :param curve_secret_file: file with the CURVE secret key, readable by its owner only.
-    :param accepted_curve_keys: public keys that may connect; empty means the keys of the host list.
+    :param accepted_curve_keys: public keys that may connect besides those of the members, such as
+        those of the operators' tools.
     """
 
     address: str = "127.0.0.1"
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of several parts together."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -2,144 +2,15 @@
 
 import asyncio
 import json
-import threading
-from collections.abc import Iterator
-from dataclasses import dataclass
-from hashlib import sha256
 
 import aiohttp
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from standins.fleet import Fleet, FleetPlan, make_key
 from standins.testing import verify_answer
-from teaselpath.bundle import (
-    Bundle,
-    EndpointSpec,
-    KeySpec,
-    ModelSpec,
-    RequestClass,
-    Route,
-    Workspace,
-)
 from teaselpath.results import Code
-
-MODEL = "model-a"
-KEY = make_key("office")
-HEADERS = {"Authorization": f"Bearer {KEY}"}
-MAX_BODY_BYTES = 200_000
-WAIT_S = 30.0
-
-
-@dataclass(slots=True)
-class Answer:
-    """Status, headers and body of an answer."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-    @property
-    def error(self) -> dict:
-        """Return the error of the body."""
-        return json.loads(self.body)["error"]
-
-
-class Installation:
-    """A small fleet that runs in an event loop of its own thread."""
-
-    def __init__(self, fleet: Fleet):
-        self.fleet = fleet
-        self.loop = asyncio.new_event_loop()
-        self.thread = threading.Thread(target=self.loop.run_forever)
-        self.thread.start()
-
-    def run(self, work, timeout_s: float = WAIT_S):
-        """Run a coroutine to its end."""
-        return asyncio.run_coroutine_threadsafe(work, self.loop).result(timeout_s)
-
-    def close(self) -> None:
-        """Stop the event loop."""
-        self.loop.call_soon_threadsafe(self.loop.stop)
-        self.thread.join()
-        self.loop.close()
-
-    @property
-    def url(self) -> str:
-        """Return the base URL of the entry."""
-        return self.fleet.entries()[0].http_url
-
-    def endpoint_url(self, endpoint: str) -> str:
-        """Return the base URL of an endpoint, for its reports."""
-        return self.fleet.nodes[f"agent-{endpoint}"].endpoint_url
-
-    def call(self, method: str, path: str, **options) -> Answer:
-        """Send a request to the entry."""
-        return self.run(self._call(method, path, options))
-
-    async def _call(self, method: str, path: str, options) -> Answer:
-        async with (
-            aiohttp.ClientSession() as session,
-            session.request(method, self.url + path, **options) as answer,
-        ):
-            return Answer(answer.status, dict(answer.headers), await answer.read())
-
-
-def make_bundle(fleet: Fleet) -> Bundle:
-    key = KeySpec(id="office-1", digest=sha256(KEY.encode()).hexdigest())
-    return Bundle(
-        version=1,
-        parent=0,
-        change_id="test-1",
-        workspaces=[
-            Workspace(id="office", rate=1e7, burst=1e7, keys=[key]),
-            Workspace(id="public", rate=1e4, burst=1e4),
-        ],
-        models=[ModelSpec(id=MODEL, weights="w1")],
-        endpoints=[
-            EndpointSpec(id="engine-1", kind="engine", models=[MODEL]),
-            EndpointSpec(id="service-1", kind="service", service="records"),
-        ],
-        routes=[
-            Route(prefix="/bookings", service="records", methods=["POST"]),
-            Route(
-                prefix="/schedule",
-                service="records",
-                repeatable=True,
-                open=True,
-                open_workspace="public",
-            ),
-        ],
-        classes=[
-            RequestClass(id="interactive", priority=0, deadline_ms=15_000, max_wait_ms=3_000),
-            RequestClass(
-                id="once", priority=0, deadline_ms=15_000, max_wait_ms=3_000, continuation=False
-            ),
-        ],
-    )
-
-
-@pytest.fixture(scope="module")
-def installation(tmp_path_factory) -> Iterator[Installation]:
-    """One entry, one engine and one service with their agents."""
-    plan = FleetPlan(
-        engines=("region-a",),
-        entries=("region-a",),
-        engine_options={"step_us": 2000.0, "max_running": 64},
-        settings={"limits": {"body_bytes": MAX_BODY_BYTES, "body_timeout_s": 0.5}},
-    )
-    fleet = Fleet(tmp_path_factory.mktemp("fleet"), plan)
-    fleet.prepare()
-    installation = Installation(fleet)
-    try:
-        installation.run(fleet.start())
-        installation.run(fleet.publish(make_bundle(fleet)))
-        installation.run(fleet.wait_ready())
-        yield installation
-    finally:
-        installation.run(fleet.stop())
-        installation.close()
+from tests.conftest import HEADERS, KEY, MAX_BODY_BYTES, MODEL
 
 
 def read_events(body: bytes) -> tuple[str, bool]:
