--- a/teaselpath/cli/_nodes.py
+++ b/teaselpath/cli/_nodes.py
@@ -121,7 +121,7 @@
     for answer in answers.values():
         for record in (answer.ok() or {}).get("records", []):
             records[msgspec.json.encode(record, order="sorted")] = record
-    ordered = sorted(records.values(), key=lambda r: r.get("wall_ms", 0))
+    ordered = sorted(records.values(), key=lambda r: r.get("wall_us", 0))
     return [
         (
             record.get("host", ""),
--- a/teaselpath/cli/tests/test_commands.py
+++ b/teaselpath/cli/tests/test_commands.py
@@ -87,8 +87,8 @@
     assert format_table(columns, rollout_rows(answers)) == snapshot
     record = {"step": "route", "endpoint": "e1", "code": 0, "bundle_version": 7, "reason": "cached"}
     answers = {
-        "a": Ok({"records": [record | {"wall_ms": 2}, record | {"wall_ms": 1, "step": "admit"}]}),
-        "b": Ok({"records": [record | {"wall_ms": 2}]}),
+        "a": Ok({"records": [record | {"wall_us": 2}, record | {"wall_us": 1, "step": "admit"}]}),
+        "b": Ok({"records": [record | {"wall_us": 2}]}),
         "c": silent,
     }
     assert explain_rows(answers) == snapshot
--- a/teaselpath/control/_plane.py
+++ b/teaselpath/control/_plane.py
@@ -180,7 +180,7 @@
     def record(self, record: DecisionRecord) -> None:
         """Keep a decision record for ``explain``."""
         record.host = self.settings.host
-        record.wall_ms = int(time.time() * 1000)
+        record.wall_us = time.time_ns() // 1000
         self.decisions.add(record)
 
     def leave(self) -> None:
--- a/teaselpath/wire/_messages.py
+++ b/teaselpath/wire/_messages.py
@@ -308,7 +308,7 @@
     bundle_version: int
     reason: str
     host: str = ""
-    wall_ms: int = 0
+    wall_us: int = 0
 
 
 class TraceCopy(_Message):
