Prefix: spread prompts without a full block over all endpoints

Short prompts have an empty chain, and its fixed key gave all of them the same three homes. They now probe endpoints by a key that changes with each request, carry no extra cost for endpoints that are not homes, and leave the learned block cost alone.

--- a/teaselpath/prefix/_load.py
+++ b/teaselpath/prefix/_load.py
@@ -44,8 +44,7 @@
         """
         for wait_s in samples:
             self.mean_wait_s += MEAN_RATE * (wait_s - self.mean_wait_s)
-        if not homes:
-            return 0.0
-        best_s = min(*homes, *samples) if samples else min(homes)
-        self.local_wait_s += LOAD_RATE * (best_s - self.local_wait_s)
-        return min(homes) - OVERLOAD * self.mean_wait_s
+        if homes or samples:
+            best_s = min([*homes, *samples])
+            self.local_wait_s += LOAD_RATE * (best_s - self.local_wait_s)
+        return min(homes) - OVERLOAD * self.mean_wait_s if homes else 0.0
--- a/teaselpath/prefix/_router.py
+++ b/teaselpath/prefix/_router.py
@@ -62,9 +62,12 @@
 class PrefixRouter:
     """Candidates for a request, and the choice among those that answered a probe.
 
+    An entry has one router per model, because the order of the endpoints is kept for one list.
+
     :param region: region of this entry.
     :param regions: region of each endpoint; an endpoint that is missing counts as local.
-    :param link: budget of the link to the other region; imports over it need one.
+    :param link: budget of the link to the other region; requests that cross it are charged. The
+        router plans imports within its region only.
     """
 
     def __init__(
@@ -97,12 +100,17 @@
         """
         if endpoints is not self.endpoints:
             self._change_endpoints(endpoints)
-        found = self._homes(chain) if self.local.known else []
+        found = self._homes(chain)
         sample = self._sample()
-        if sample and sample not in found:
+        if not chain:
+            # Without a full block there is nothing to share; a fixed key would give all short
+            # prompts the same few endpoints.
+            found = self.local.top(self._turn_key(), self.limits.max_probes)
+        elif sample and sample not in found:
             found.append(sample)
         if self.remote.known and (not found or self._is_remote_useful(len(chain))):
-            found += self.remote.top(self._main_level(chain), self.limits.remote_probes)
+            key = self._main_level(chain) if chain else self._turn_key()
+            found += self.remote.top(key, self.limits.remote_probes)
         return found
 
     def _change_endpoints(self, endpoints: Sequence[str]) -> None:
@@ -121,10 +129,11 @@
         Its reply shows the load of the region, which the homes of a hot prefix do not, and it can
         take the request when they are overloaded.
         """
-        if not self.local_order:
-            return ""
-        self.turn = (self.turn + 1) % len(self.local_order)
-        return self.local_order[self.turn]
+        self.turn += 1
+        return self.local_order[self.turn % len(self.local_order)] if self.local_order else ""
+
+    def _turn_key(self) -> bytes:
+        return (self.turn % 2**32).to_bytes(4, "big")
 
     def _is_remote_useful(self, blocks: int) -> bool:
         if self.load.local_wait_s > self.limits.remote_wait_s:
@@ -137,13 +146,15 @@
         return self.limits.copy_weight + self.limits.busy_copy_weight * self.load.busy()
 
     def _main_level(self, chain: Sequence[bytes]) -> bytes:
-        return chain[level_positions(len(chain))[0]] if chain else b""
+        return chain[level_positions(len(chain))[0]]
 
     def _homes(self, chain: Sequence[bytes]) -> list[str]:
         """Return one endpoint per level, then further ones of the deepest level."""
         count = self.limits.max_probes - 1
         found: dict[str, None] = {}
-        spread_by = int.from_bytes(chain[-1][-4:], "big") if chain else 0
+        if not chain or not self.local.known:
+            return []
+        spread_by = int.from_bytes(chain[-1][-4:], "big")
         for position in level_positions(len(chain)):
             value = chain[position]
             found[self.local.nth(value, spread_by % self.hot.width(value))] = None
@@ -163,7 +174,7 @@
         if not accepting:
             return None
         block_tokens = prompt_tokens / max(1, len(chain))
-        homes = self._homes(chain) if self.local.known else []
+        homes = self._homes(chain)
         self._observe(chain, block_tokens, homes, accepting, now)
         weight = self._copy_weight()
         best: Choice | None = None
@@ -173,7 +184,7 @@
             missed = len(chain) - choice.matched_blocks
             copy_s = missed * block_tokens * reply.prefill_us_per_token / 1e6
             cost = choice.expected_s + weight * copy_s
-            if self._is_local(reply.endpoint) and reply.endpoint not in homes:
+            if homes and self._is_local(reply.endpoint) and reply.endpoint not in homes:
                 cost += self.limits.stray_s
             if cost < lowest:
                 best, lowest = choice, cost
@@ -189,7 +200,8 @@
     ) -> None:
         """Learn the load of the region; resize the sets of the prompt's prefixes."""
         local = [reply for reply in replies if self._is_local(reply.endpoint)]
-        self.load.observe_block(block_tokens, replies[0].prefill_us_per_token)
+        if chain:
+            self.load.observe_block(block_tokens, replies[0].prefill_us_per_token)
         excess_s = self.load.observe_waits(
             [reply.wait_ms / 1e3 for reply in local if reply.endpoint in homes],
             [reply.wait_ms / 1e3 for reply in local if reply.endpoint not in homes],
@@ -212,7 +224,7 @@
         source, blocks = "", 0
         if self._is_local(reply.endpoint):
             prefill_s = block_tokens * reply.prefill_us_per_token / 1e6
-            plan = plan_import(self._sources(reply, replies), matched, prefill_s, self.link, now)
+            plan = plan_import(self._sources(reply, replies), matched, prefill_s, None, now)
             if plan is not None:
                 source, blocks, expected_s = plan.source, plan.blocks, expected_s - plan.saving_s
         else:
