Spend less time per tick on peers without loans

Cause: at 120 entries, ticks and first messages of peers looped over all shares and homes. Change: links note whether loans exist; the order of homes is kept per table; the host list is compared with the table once per second.

--- a/teaselpath/quota/_escrow.py
+++ b/teaselpath/quota/_escrow.py
@@ -179,6 +179,9 @@
 
     def take_back(self, link: PeerLink) -> None:
         """End all loans to a peer that cannot use them any more."""
+        if not link.lends:
+            return
+        link.lends = False
         link.epoch += 1
         link.outbox = {n: t for n, t in link.outbox.items() if t.lender != self.state.host}
         for share in self.state.shares.values():
@@ -187,6 +190,9 @@
 
     def drop_borrowed(self, link: PeerLink) -> None:
         """Forget all loans of a peer, with the tokens that do not fit any more."""
+        if not link.borrows:
+            return
+        link.borrows = False
         link.outbox = {n: t for n, t in link.outbox.items() if t.lender == self.state.host}
         for share in self.state.shares.values():
             if share.borrowed.pop(link.host, None) is not None:
@@ -199,16 +205,14 @@
             return
         self.expiry_at = float("inf")
         for link in list(state.links.values()):
-            lent = any(link.host in share.lent for share in state.shares.values())
-            borrowed = any(link.host in share.borrowed for share in state.shares.values())
             lent_until = link.heard_at + LOAN_S + LOAN_GUARD_S
-            if lent and state.now > lent_until:
+            if link.lends and state.now > lent_until:
                 self.take_back(link)
-            elif lent:
+            elif link.lends:
                 self.expiry_at = min(self.expiry_at, lent_until)
-            if borrowed and state.now >= link.valid_until:
+            if link.borrows and state.now >= link.valid_until:
                 self.drop_borrowed(link)
-            elif borrowed:
+            elif link.borrows:
                 self.expiry_at = min(self.expiry_at, link.valid_until)
 
     def tick(self) -> None:
@@ -236,6 +240,7 @@
             return
         if link.first_sight(message.number, message.oldest_number) and current:
             if fits:
+                link.borrows = True
                 share.borrowed[link.host] = share.borrowed.get(link.host, 0.0) + message.capacity
                 self.expiry_at = min(self.expiry_at, link.valid_until)
                 self._add(share, message.tokens)
@@ -328,6 +333,7 @@
         message.oldest_number = min(link.outbox)
         link.resend_at = state.now
         if not returned:
+            link.lends = True
             link.heard_at = max(link.heard_at, state.now)
             self.expiry_at = min(self.expiry_at, state.now + LOAN_S + LOAN_GUARD_S)
         state.send(host, message)
--- a/teaselpath/quota/_state.py
+++ b/teaselpath/quota/_state.py
@@ -98,6 +98,7 @@
 
     __slots__ = (
         "asks",
+        "borrows",
         "confirmed",
         "confirmed_at",
         "epoch",
@@ -106,6 +107,7 @@
         "host",
         "incarnation",
         "lender_epoch",
+        "lends",
         "next_number",
         "oldest_seen",
         "outbox",
@@ -121,6 +123,9 @@
         self.table = 0
         self.confirmed = False
         self.confirmed_at = float("-inf")
+        # Whether there may be loans to the peer, and from it.
+        self.lends = False
+        self.borrows = False
         self.epoch = 0
         self.heard_at = float("-inf")
         self.hello_at = float("-inf")
@@ -166,6 +171,8 @@
     log_confirmed: bool = False
     leaving: bool = False
     next_ask_id: int = 1
+    ordered_table: int = 0
+    ordered_homes: dict[str, list[str]] = field(default_factory=dict)
     # Shares with a queue, and shares with a balance that changed in this call.
     waiting: set[str] = field(default_factory=set)
     changed: set[str] = field(default_factory=set)
@@ -188,9 +195,19 @@
 
     def other_homes(self, workspace: str) -> list[str]:
         """Return the other homes of a workspace, own region first."""
-        homes = [host for host in self.table.homes(workspace) if host != self.host]
-        return sorted(homes, key=lambda host: self.table.slots[host] != self.region)
+        if self.ordered_table != self.table.number:
+            self.ordered_table = self.table.number
+            self.ordered_homes.clear()
+        found = self.ordered_homes.get(workspace)
+        if found is None:
+            homes = [host for host in self.table.homes(workspace) if host != self.host]
+            found = sorted(homes, key=lambda host: self.table.slots[host] != self.region)
+            self.ordered_homes[workspace] = found
+        return found
 
-    def lenders(self) -> set[str]:
-        """Return the hosts that this one borrows from."""
-        return {host for share in self.shares.values() for host in share.borrowed}
+    def lenders(self) -> list[str]:
+        """Return the hosts that this one borrows from, and forget those that got all back."""
+        hosts = {host for share in self.shares.values() for host in share.borrowed}
+        for link in self.links.values():
+            link.borrows = link.borrows and link.host in hosts
+        return sorted(hosts)
--- a/teaselpath/quota/_tenure.py
+++ b/teaselpath/quota/_tenure.py
@@ -24,6 +24,8 @@
 
 # Time between two proposals of one host, and the head start of a host over the next in rank.
 PROPOSE_S = 5.0
+# Time between two comparisons of the host list with the table.
+CHECK_S = 1.0
 # Only slots that answered within this time count as reachable for a proposal.
 ANSWER_S = 5.0
 RENEW_S = 1800.0
@@ -40,6 +42,7 @@
         self.pending: set[str] = set()
         self.absent_since: dict[str, float] = {}
         self.wanted_since: float | None = None
+        self.check_at = float("-inf")
         self.propose_at = float("-inf")
         self.renewed_at = float("-inf")
 
@@ -116,15 +119,16 @@
         """Confirm with peers, activate, propose and renew."""
         state = self.state
         if self.pending and state.log_confirmed and not state.leaving:
-            for workspace in self.pending:
-                for host in state.other_homes(workspace):
-                    if not state.link(host).confirmed:
-                        self.escrow.hello(host)
+            homes = {host for ws in self.pending for host in state.other_homes(ws)}
+            for host in homes:
+                if not state.link(host).confirmed:
+                    self.escrow.hello(host)
             self.activate()
         if state.now > state.lease_until - LEASE_S / 2.0:
             for host in self._attesters():
                 self.escrow.hello(host)
-        if state.may_spend() and not state.leaving:
+        if state.may_spend() and not state.leaving and state.now >= self.check_at:
+            self.check_at = state.now + CHECK_S
             self._propose()
 
     def _change_table(self) -> None:
