--- a/teaselpath/entry/_driver.py
+++ b/teaselpath/entry/_driver.py
@@ -288,6 +288,9 @@
         self.routed_at = now
         self.attempt_first_byte_at = None
         self.assembler = StreamAssembler(self.request_id, action.attempt, now)
+        expected_ms = choice.expected_s * 1e3
+        reason = f"matched {choice.matched_blocks} blocks, expected {expected_ms:.0f} ms"
+        self.record("routed", Code.OK, reason)
         start = self._make_start(action, now)
         sent = self.service.plane.node.send(action.host, start)
         if sent.is_err():
@@ -299,10 +302,6 @@
         name = f"{self.request_id}#{action.attempt}"
         routed = PrefixRouted(name, choice, tuple(self.call.chain), self.call.prompt_tokens)
         self.service.router.group(self.call).router.handle(routed, now)
-        reason = (
-            f"matched {choice.matched_blocks} blocks, expected {choice.expected_s * 1e3:.0f} ms"
-        )
-        self.record("routed", Code.OK, reason)
         return []
 
     def _make_start(self, action: SendStart, now: float) -> Start:
--- a/teaselpath/entry/_routing.py
+++ b/teaselpath/entry/_routing.py
@@ -146,6 +146,8 @@
         limits = self.plane.settings.limits
         timeout_s = min(limits.probe_timeout_ms / 1e3, max(0.0, deadline - now))
         replies = await self.prober.ask(hosts, probe, timeout_s, SETTLE_S)
+        # Of equal expectations the better candidate wins, so the order must not be that of arrival.
+        replies.sort(key=lambda reply: names.index(reply.endpoint))
         choice = group.router.choose(call.chain, call.prompt_tokens, replies, time.monotonic())
         if choice is None:
             return None
