--- a/teaselpath/entry/_routing.py
+++ b/teaselpath/entry/_routing.py
@@ -147,7 +147,9 @@
         timeout_s = min(limits.probe_timeout_ms / 1e3, max(0.0, deadline - now))
         replies = await self.prober.ask(hosts, probe, timeout_s, SETTLE_S)
         # Of equal expectations the better candidate wins, so the order must not be that of arrival.
-        replies.sort(key=lambda reply: names.index(reply.endpoint))
+        rank = {name: position for position, name in enumerate(names)}
+        replies = [reply for reply in replies if reply.endpoint in rank]
+        replies.sort(key=lambda reply: rank[reply.endpoint])
         choice = group.router.choose(call.chain, call.prompt_tokens, replies, time.monotonic())
         if choice is None:
             return None
