Metrics and health of agents; few log readers per failure domain

Cause: only entries exported histograms; each node long-polled the configuration log, which 2,940 nodes could not do. Change: shared status pages on both roles; 3 nodes per failure domain follow the log and the others get the bundle by gossip, with a read a minute as a fallback.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -10,7 +10,7 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -53,7 +53,7 @@
     """One process of the router.
 
     :param settings: its settings file.
-    :param http_url: base URL of an entry, or an empty string.
+    :param http_url: base URL; at an agent only health, readiness and metrics.
     :param endpoint_url: base URL of an agent's endpoint, or an empty string.
     """
 
@@ -103,14 +103,14 @@
         plan = self.plan
         self.root.mkdir(parents=True, exist_ok=True)
         endpoints = len(plan.engines) + len(plan.services)
-        ports = iter(free_ports(4 + 2 * endpoints + 2 * len(plan.entries)))
+        ports = iter(free_ports(4 + 3 * endpoints + 2 * len(plan.entries)))
         self.log_url, self.hosts_url, self.cache_store_url, self.weight_store_url = (
             f"http://{ADDRESS}:{next(ports)}" for _ in range(4)
         )
         for index, region in enumerate(plan.engines, 1):
-            self._prepare_agent(f"engine-{index}", "engine", region, next(ports), next(ports))
+            self._prepare_agent(f"engine-{index}", "engine", region, ports)
         for index, region in enumerate(plan.services, 1):
-            self._prepare_agent(f"service-{index}", "service", region, next(ports), next(ports))
+            self._prepare_agent(f"service-{index}", "service", region, ports)
         for index, region in enumerate(plan.entries, 1):
             self._prepare_entry(f"entry-{index}", region, next(ports), next(ports))
         self._prepare_platform()
@@ -133,9 +133,8 @@
             f"--host-list-url={self.hosts_url}",
         ]
 
-    def _prepare_agent(
-        self, endpoint: str, kind: str, region: str, port: int, endpoint_port: int
-    ) -> None:
+    def _prepare_agent(self, endpoint: str, kind: str, region: str, ports: Iterator[int]) -> None:
+        endpoint_port = next(ports)
         url = f"http://{ADDRESS}:{endpoint_port}"
         config: dict[str, Any] = {"kind": kind, "id": endpoint, "port": endpoint_port}
         if kind == "engine":
@@ -143,9 +142,17 @@
         else:
             config |= {"records": 200}
         self.standin_configs[endpoint] = [config]
-        node = self._prepare_node(f"agent-{endpoint}", "agent", region, port)
+        node = self._prepare_node(f"agent-{endpoint}", "agent", region, next(ports))
         node.endpoint, node.endpoint_url = endpoint, url
-        self._write_settings(node, {"endpoint": {"id": endpoint, "kind": kind, "url": url}})
+        http_port = next(ports)
+        node.http_url = f"http://{ADDRESS}:{http_port}"
+        self._write_settings(
+            node,
+            {
+                "endpoint": {"id": endpoint, "kind": kind, "url": url},
+                "http": {"address": ADDRESS, "port": http_port},
+            },
+        )
 
     def _prepare_entry(self, name: str, region: str, port: int, http_port: int) -> None:
         node = self._prepare_node(name, "entry", region, port)
--- a/teaselpath/agent/_service.py
+++ b/teaselpath/agent/_service.py
@@ -80,6 +80,8 @@
         self.inbox: asyncio.Queue = asyncio.Queue(INBOX_SIZE)
         self.starts: dict[str, Start] = {}
         self.runs: dict[str, RequestRun] = {}
+        self.started_at: dict[str, float] = {}
+        self.first_byte_at: dict[str, float] = {}
         self.leaving = False
         self.dropped_messages = 0
         self.ended = RateMeter()
@@ -116,6 +118,12 @@
         self.leaving = True
         self.inbox.put_nowait(LeaveStarted())
 
+    def why_not_ready(self) -> str:
+        """Return why requests cannot be served, or an empty string."""
+        if self.leaving:
+            return "stopping"
+        return "" if self._is_accepting() else "the endpoint does not answer"
+
     def is_idle(self) -> bool:
         """Return whether nothing runs, waits or is still to be acknowledged."""
         return not self.starts and self.ledger.is_drained
@@ -302,7 +310,10 @@
             self.claims.finish(start, code, ran)
 
     def _take_chunk(self, chunk: RunChunk, now: float) -> None:
-        start = self.starts.get(run_key(chunk.request_id, chunk.attempt))
+        key = run_key(chunk.request_id, chunk.attempt)
+        start = self.starts.get(key)
+        if chunk.headers is not None:
+            self.first_byte_at[key] = now
         if self.claims is not None and start is not None and start.claim_key:
             self.claims.record_chunk(chunk)
         self._act(self.ledger.handle(chunk, now), now)
@@ -370,6 +381,7 @@
             start.body = self._model_body(start, now)
         run = RequestRun(start, self.client, self.inbox.put)
         self.runs[key] = run
+        self.started_at[key] = now
         remaining_s = max(1.0, start.remaining_ms / 1e3)
         run.task = self.group.create_task(run.run(endpoint_headers(start), remaining_s))
         self._record(start, "started", Code.OK, "")
@@ -403,10 +415,20 @@
         if start is not None:
             self._finish_claim(start, end.code, end.ran)
             self._record(start, "ended", Code(end.code), end.detail)
+            self._observe(start, end, key, now)
             self.plane.metrics.observe_tokens(
                 start.workspace, end.prompt_tokens, end.cached_tokens, end.output_tokens
             )
 
+    def _observe(self, start: Start, end: RunEnd, key: str, now: float) -> None:
+        started_at = self.started_at.pop(key, now)
+        first_byte_at = self.first_byte_at.pop(key, None)
+        first_s = None if first_byte_at is None else first_byte_at - started_at
+        name = Code(end.code).name
+        self.plane.metrics.observe_request(
+            start.workspace, start.request_class, name, first_s, now - started_at
+        )
+
     def _record(self, start: Start, step: str, code: Code, reason: str) -> None:
         self.plane.record(
             DecisionRecord(
--- /dev/null
+++ b/teaselpath/control/_http.py
@@ -0,0 +1,44 @@
+"""HTTP endpoints of every process: health, readiness, metrics."""
+
+from collections.abc import Callable
+
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from teaselpath.control._plane import ControlPlane
+
+
+class StatusPages:
+    """Health, readiness and metrics.
+
+    :param plane: control plane of the process.
+    :param why_not_ready: returns why requests cannot be served, or an empty string.
+    """
+
+    def __init__(self, plane: ControlPlane, why_not_ready: Callable[[], str]):
+        self.plane = plane
+        self.why_not_ready = why_not_ready
+
+    def routes(self) -> list[Route]:
+        """Return the routes."""
+        return [
+            Route("/healthz", self.healthz),
+            Route("/readyz", self.readyz),
+            Route("/metrics", self.metrics),
+        ]
+
+    async def healthz(self, request: Request) -> Response:
+        """Answer that the process is alive."""
+        return JSONResponse({"status": "alive"})
+
+    async def readyz(self, request: Request) -> Response:
+        """Answer whether requests can be served."""
+        reason = self.why_not_ready()
+        return JSONResponse({"ready": not reason, "reason": reason}, 503 if reason else 200)
+
+    async def metrics(self, request: Request) -> Response:
+        """Render the metrics."""
+        self.plane.refresh_metrics()
+        body, headers = self.plane.metrics.render(request.headers.getlist("accept"))
+        return Response(body, headers=headers)
--- a/teaselpath/control/_log_follower.py
+++ b/teaselpath/control/_log_follower.py
@@ -10,6 +10,7 @@
 RETRY_DELAY_S = 0.25
 RETRY_DELAY_MAX_S = 2.0
 READ_MARGIN_S = 3.0
+UNWANTED_READ_S = 60.0
 
 
 class LogFollower:
@@ -43,6 +44,8 @@
         self.end_offset = 0
         self.is_up = False
         self.read_started_at = 0.0
+        self.wanted = asyncio.Event()
+        self.wanted.set()
 
     @property
     def is_caught_up(self) -> bool:
@@ -53,6 +56,7 @@
         """Read on for ever; retry with a growing delay while the log is down."""
         delay_s = RETRY_DELAY_S
         while True:
+            await self._until_wanted()
             self.is_up = await self._read_once()
             self.noticed(self.is_up)
             if self.is_up:
@@ -61,6 +65,14 @@
             await asyncio.sleep(delay_s)
             delay_s = min(2 * delay_s, RETRY_DELAY_MAX_S)
 
+    async def _until_wanted(self) -> None:
+        """Wait while other nodes read for this one; a rare read makes up for readers that fail."""
+        try:
+            async with asyncio.timeout(UNWANTED_READ_S):
+                await self.wanted.wait()
+        except TimeoutError:
+            return
+
     async def _read_once(self) -> bool:
         wait_ms = self.wait_ms if self.is_caught_up else 0
         self.read_started_at = asyncio.get_running_loop().time()
--- a/teaselpath/control/_plane.py
+++ b/teaselpath/control/_plane.py
@@ -39,6 +39,7 @@
 from teaselpath.platform import HostListClient, LogClient, LogRecord, Settings
 from teaselpath.records import DecisionLog
 from teaselpath.transport import CurveKeys, KeyAllowList, Node, PeerLost, Received
+from teaselpath.utils import rendezvous_top
 from teaselpath.wire import (
     Append,
     ConfigPull,
@@ -55,6 +56,7 @@
 TICK_S = 0.2
 COPY_BATCH = 50
 CONFIG_STREAM = "config"
+READERS_PER_DOMAIN = 3
 PLATFORM_TIMEOUT_S = 3.0
 
 
@@ -117,6 +119,7 @@
         self.started = asyncio.Event()
         self.log_is_up = False
         self.tasks: asyncio.TaskGroup | None = None
+        self.config_follower: LogFollower | None = None
 
     @property
     def bundle(self) -> Bundle | None:
@@ -138,7 +141,9 @@
             self.refresh_connections()
             async with asyncio.TaskGroup() as group:
                 self.tasks = group
-                self.follow(CONFIG_STREAM, self._take_config_record, self._log_noticed)
+                self.config_follower = self.follow(
+                    CONFIG_STREAM, self._take_config_record, self._log_noticed
+                )
                 group.create_task(self._poll_hosts())
                 group.create_task(self._tick())
                 self.started.set()
@@ -165,6 +170,25 @@
         self.tasks.create_task(follower.run())
         return follower
 
+    def _choose_log_reader(self) -> None:
+        """Read the configuration from the log only on a few nodes of each failure domain.
+
+        The others get it from them by gossip; a few thousand readers would cost the log more than
+        all appends.
+        """
+        if self.config_follower is None:
+            return
+        domain = self.settings.failure_domain
+        hosts = [
+            member.host
+            for member in self.members.members.values()
+            if member.failure_domain == domain and member.state in ("alive", "suspect")
+        ]
+        if self.settings.host in rendezvous_top(domain.encode(), hosts, READERS_PER_DOMAIN):
+            self.config_follower.wanted.set()
+        else:
+            self.config_follower.wanted.clear()
+
     def append(self, action: Append, done: Callable | None = None) -> None:
         """Append a record in the background.
 
@@ -344,6 +368,7 @@
                         "member_changed", member=member.host, state=member.state, previous=previous
                     )
         if changed:
+            self._choose_log_reader()
             self.refresh_connections()
             if self.role is not None:
                 self.role.members_changed()
--- a/teaselpath/daemon/_process.py
+++ b/teaselpath/daemon/_process.py
@@ -10,9 +10,10 @@
 import uvicorn
 from eliot import log_message
 from result import Err, Ok
+from starlette.applications import Starlette
 
 from teaselpath.agent import AgentService
-from teaselpath.control import ControlPlane
+from teaselpath.control import ControlPlane, StatusPages
 from teaselpath.entry import EntryApp, EntryService
 from teaselpath.platform import Settings, load_settings, read_secret
 from teaselpath.transport import CurveKeys
@@ -91,7 +92,7 @@
 
     async def _run_entry(self) -> int:
         service = EntryService(self.plane)
-        server = _make_server(self.settings, service)
+        server = _make_server(self.settings, EntryApp(service).build())
         tasks = [
             asyncio.create_task(self.plane.run(service), name="control plane"),
             asyncio.create_task(service.run(), name="entry"),
@@ -103,19 +104,22 @@
 
     async def _run_agent(self, session: aiohttp.ClientSession) -> int:
         service = AgentService(self.plane, session)
+        pages = StatusPages(self.plane, service.why_not_ready)
+        server = _make_server(self.settings, Starlette(routes=pages.routes()))
         tasks = [
             asyncio.create_task(self.plane.run(service), name="control plane"),
             asyncio.create_task(service.run(), name="agent"),
+            asyncio.create_task(server.serve(), name="http"),
         ]
         await self.plane.started.wait()
         service.follow_log()
-        return await self._until_stopped(service, tasks, None)
+        return await self._until_stopped(service, tasks, server)
 
     async def _until_stopped(
         self,
         service: EntryService | AgentService,
         tasks: list[asyncio.Task],
-        server: uvicorn.Server | None,
+        server: uvicorn.Server,
     ) -> int:
         stop = asyncio.create_task(self._wait_for_stop())
         await asyncio.wait({stop, *tasks}, return_when=asyncio.FIRST_COMPLETED)
@@ -124,9 +128,8 @@
             log_message("task_failed", task=task.get_name(), error=repr(task.exception()))
         stop.cancel()
         code = EXIT_FAILED if failed else await self._drain(service)
-        if server is not None:
-            server.should_exit = True
-            await asyncio.wait(tasks[-1:], timeout=2.0)
+        server.should_exit = True
+        await asyncio.wait(tasks[-1:], timeout=2.0)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -157,10 +160,10 @@
         return EXIT_OK
 
 
-def _make_server(settings: Settings, service: EntryService) -> uvicorn.Server:
+def _make_server(settings: Settings, app: Starlette) -> uvicorn.Server:
     http = settings.http
     config = uvicorn.Config(
-        EntryApp(service).build(),
+        app,
         host=http.address,
         port=http.port,
         loop="asyncio",
--- a/teaselpath/entry/_app.py
+++ b/teaselpath/entry/_app.py
@@ -10,6 +10,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route as HttpRoute
 
+from teaselpath.control import StatusPages
 from teaselpath.entry._auth import check_caller
 from teaselpath.entry._call import (
     CHAT_PATH,
@@ -39,29 +40,12 @@
         """Return the ASGI application."""
         return Starlette(
             routes=[
-                HttpRoute("/healthz", self.healthz),
-                HttpRoute("/readyz", self.readyz),
-                HttpRoute("/metrics", self.metrics),
+                *StatusPages(self.service.plane, self.service.why_not_ready).routes(),
                 HttpRoute("/v1/models", self.models),
                 HttpRoute("/{path:path}", _Endpoint(self.call)),
             ]
         )
 
-    async def healthz(self, request: Request) -> Response:
-        """Answer that the process is alive."""
-        return JSONResponse({"status": "alive"})
-
-    async def readyz(self, request: Request) -> Response:
-        """Answer whether requests can be served: a bundle is in force and no stop is under way."""
-        reason = self.service.why_not_ready()
-        return JSONResponse({"ready": not reason, "reason": reason}, 503 if reason else 200)
-
-    async def metrics(self, request: Request) -> Response:
-        """Render the metrics."""
-        self.service.plane.refresh_metrics()
-        body, headers = self.service.plane.metrics.render(request.headers.getlist("accept"))
-        return Response(body, headers=headers)
-
     async def models(self, request: Request) -> Response:
         """List the models; the caller needs a valid key."""
         bundle = self.service.plane.bundle
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -70,14 +70,14 @@
         """Return the base URL of an endpoint, for its reports."""
         return self.fleet.nodes[f"agent-{endpoint}"].endpoint_url
 
-    def call(self, method: str, path: str, **options) -> Answer:
-        """Send a request to the entry."""
-        return self.run(self._call(method, path, options))
+    def call(self, method: str, path: str, url: str = "", **options) -> Answer:
+        """Send a request to the entry, or to another base URL."""
+        return self.run(self._call(method, (url or self.url) + path, options))
 
-    async def _call(self, method: str, path: str, options) -> Answer:
+    async def _call(self, method: str, url: str, options) -> Answer:
         async with (
             aiohttp.ClientSession() as session,
-            session.request(method, self.url + path, **options) as answer,
+            session.request(method, url, **options) as answer,
         ):
             headers = {name.lower(): value for name, value in answer.headers.items()}
             return Answer(answer.status, headers, await answer.read())
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -207,3 +207,12 @@
         assert f"teaselpath_{name}" in metrics
     assert 'workspace="office"' in metrics
     assert KEY not in metrics
+
+
+def test_agents_export_histograms_too(installation):
+    """Guards against a first-token time that cannot be split between entry and endpoint."""
+    installation.call("POST", "/v1/completions", json=GOOD, headers=HEADERS)
+    url = installation.fleet.nodes["agent-engine-1"].http_url
+    metrics = installation.call("GET", "/metrics", url=url).body.decode()
+    assert 'teaselpath_first_token_seconds_bucket{class="interactive"' in metrics
+    assert 'role="agent"' in metrics
