An entry without a share table reserves at the entries that run

Cause: after a restart while the log is down, an entry knew no share table and refused every request until the log came back. Change: reservations go to the other live entries, own region first; readiness waits for the shares for 10 s at most.

--- a/teaselpath/entry/_quota.py
+++ b/teaselpath/entry/_quota.py
@@ -13,6 +13,7 @@
 # A lack of tokens that ends within this time is waited out: a caller that is told to retry takes
 # longer, and a share that was just moved or restarted fills up within it.
 MAX_WAIT_S = 2.0
+START_TIMEOUT_S = 10.0
 
 
 class QuotaService:
@@ -35,6 +36,8 @@
         self.send = send
         self.append = append
         self.clock = clock
+        # Without the log no share becomes active, but entries that run grant tokens.
+        self.ready_at_latest = clock() + START_TIMEOUT_S
         self.waiting: dict[str, asyncio.Future[Result[None, Failure]]] = {}
 
     async def reserve(
@@ -61,6 +64,8 @@
     def why_not_ready(self) -> str:
         """Return why no tokens can be granted yet, or an empty string."""
         core = self.core
+        if self.clock() >= self.ready_at_latest:
+            return ""
         if not core.state.may_spend():
             return "the lease of the quota shares is not confirmed"
         table = core.state.table
--- a/teaselpath/quota/_remote.py
+++ b/teaselpath/quota/_remote.py
@@ -31,13 +31,24 @@
 
     def reserve(self, request: ReserveTokens) -> None:
         """Send a reservation to the nearest home."""
-        homes = self.state.other_homes(request.workspace)
+        homes = self.state.other_homes(request.workspace) or self._live_entries()
         if not homes:
             self._deny(request, Code.QUOTA_UNCONFIRMED, 0.0)
             return
         pending = self.pending[request.reservation_id] = _Pending(request, homes)
         self._send(pending)
 
+    def _live_entries(self) -> list[str]:
+        """Return the other entries, own region first, while no share table is known.
+
+        A process that starts while the log is down has no table; the entries that run have one, and
+        those that are not homes of the workspace say so.
+        """
+        state = self.state
+        homes = [home for home in state.homes.values() if home.host != state.host]
+        homes.sort(key=lambda home: (home.region != state.region, home.host))
+        return [home.host for home in homes]
+
     def settle(self, event: SettleTokens) -> None:
         """Send the settlement; if it is lost, the tokens stay charged."""
         known = self.granted.pop(event.reservation_id, None)
