Kept KV cache at the agent; loads wait for requests without a first byte

Cause: blocks were computed anew by each engine although a store was there. A request that waits inside the engine during a load would meet new weights under an old salt. A load order is sent only when the requests before it have their first byte. An error in one run no longer ends the agent.

--- a/teaselpath/agent/__init__.py
+++ b/teaselpath/agent/__init__.py
@@ -1,5 +1,6 @@
 """The agent: the only way to one endpoint."""
 
+from teaselpath.agent._kept_cache import KeptCache
 from teaselpath.agent._service import AgentService
 
-__all__ = ["AgentService"]
+__all__ = ["AgentService", "KeptCache"]
--- a/teaselpath/agent/_orders.py
+++ b/teaselpath/agent/_orders.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 from eliot import log_message
@@ -56,6 +56,8 @@
     :param url: base URL of the engine.
     :param session: HTTP session, owned by the caller.
     :param spawn: starts a task whose life is bound to the agent.
+    :param wait_for_prefill: returns once the requests that were sent before have their first byte,
+        or at a deadline.
     """
 
     def __init__(
@@ -65,11 +67,13 @@
         url: str,
         session: aiohttp.ClientSession,
         spawn: Callable,
+        wait_for_prefill: Callable[[float], Awaitable[None]],
     ):
         self.plane = plane
         self.url = url.rstrip("/")
         self.session = session
         self.spawn = spawn
+        self.wait_for_prefill = wait_for_prefill
         self.core = OrderCore(endpoint, f"{plane.settings.host}/{plane.incarnation}")
         self.in_flight = 0
         self.unsettled_until = float("-inf")
@@ -127,6 +131,8 @@
         log_message("order_sent", kind=order.kind, version=order.version, fence=action.fence)
         event: OrderDone | OrderFailed = OrderFailed(action.fence)
         try:
+            # A request that waits inside the engine would find new weights but an old cache salt.
+            await self.wait_for_prefill(action.not_after)
             if time.monotonic() < action.not_after:
                 event = await self._post(action)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/teaselpath/agent/_run.py
+++ b/teaselpath/agent/_run.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from eliot import write_traceback
+
 from teaselpath.agent._endpoint import (
     Broken,
     Data,
@@ -23,10 +25,18 @@
 
     :param start: the request.
     :param report: takes each chunk and the end, and waits while the main task is behind.
+    :param prepare: completes the request right before it is sent.
     """
 
-    def __init__(self, start: Start, client: EndpointClient, report: Report):
+    def __init__(
+        self,
+        start: Start,
+        client: EndpointClient,
+        report: Report,
+        prepare: Callable[[], Awaitable[None]] | None = None,
+    ):
         self.start = start
+        self.prepare = prepare
         self.client = client
         self.report = report
         self.readable = asyncio.Event()
@@ -49,12 +59,18 @@
         except asyncio.CancelledError:
             await self.client.cancel(self.start.request_id)
             raise
+        except Exception:
+            # A programming error ends this request only, not the agent.
+            write_traceback()
+            end = self._end(Code.ENDPOINT_FAILED, Ran.UNKNOWN, detail="internal error")
         finally:
             await asyncio.shield(self.report(end))
 
     async def _read(self, headers: list[tuple[str, str]], first_byte_timeout_s: float) -> RunEnd:
         head = Head(0, [])
         is_first = True
+        if self.prepare is not None:
+            await self.prepare()
         async for item in self.client.run(self.start, headers, first_byte_timeout_s):
             match item:
                 case Head():
--- a/teaselpath/agent/_service.py
+++ b/teaselpath/agent/_service.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Coroutine
 from dataclasses import dataclass
+from functools import partial
 
 import aiohttp
 from eliot import log_message
@@ -12,6 +13,7 @@
 from teaselpath.agent._claims import ClaimService, claim_failure
 from teaselpath.agent._endpoint import EndpointClient
 from teaselpath.agent._engine import EngineState, EngineWatcher
+from teaselpath.agent._kept_cache import KeptCache
 from teaselpath.agent._orders import OrderService
 from teaselpath.agent._run import RequestRun
 from teaselpath.bundle import Bundle, RequestClass
@@ -32,6 +34,7 @@
     RunStarted,
     StoredAnswer,
 )
+from teaselpath.platform import CacheStoreClient
 from teaselpath.prefix import CacheIndex
 from teaselpath.results import Code, Ran
 from teaselpath.scheduling import Drop, Finished, Run, Scheduler, SlotsChanged, Submit, Withdraw
@@ -43,6 +46,8 @@
 # Plain services report no batch size.
 SERVICE_SLOTS = 32
 DEFAULT_MAX_WAIT_MS = 5_000
+DEFAULT_BLOCK_TOKENS = 2048
+PREFILL_POLL_S = 0.02
 
 
 @dataclass(slots=True)
@@ -82,6 +87,9 @@
         self.runs: dict[str, RequestRun] = {}
         self.started_at: dict[str, float] = {}
         self.first_byte_at: dict[str, float] = {}
+        # Runs whose salt names the engine's weights and that have no first byte yet.
+        self.prefilling: set[str] = set()
+        self.kept_cache = self._make_kept_cache(session)
         self.leaving = False
         self.dropped_messages = 0
         self.ended = RateMeter()
@@ -90,6 +98,15 @@
         self.claims: ClaimService | None = None
         self.orders: OrderService | None = None
 
+    def _make_kept_cache(self, session: aiohttp.ClientSession) -> KeptCache | None:
+        settings = self.plane.settings
+        is_local = settings.cache_store_region in ("", settings.region)
+        if not settings.cache_store_url or not self.is_engine or not is_local:
+            # Across regions an agent's part of the link budget is smaller than one block.
+            return None
+        store = CacheStoreClient(session, settings.cache_store_url)
+        return KeptCache(store, self.endpoint.url, session, self.engine.index)
+
     def deliver(self, event: Received | PeerLost) -> None:
         """Take a message of an entry from the transport."""
         try:
@@ -136,7 +153,12 @@
         """Follow the streams of the log that this agent needs."""
         if self.is_engine:
             self.orders = OrderService(
-                self.plane, self.endpoint.id, self.endpoint.url, self.session, self._spawn
+                self.plane,
+                self.endpoint.id,
+                self.endpoint.url,
+                self.session,
+                self._spawn,
+                self._wait_for_prefill,
             )
         elif self.plane.bundle is not None:
             self.bundle_changed(self.plane.bundle)
@@ -314,6 +336,7 @@
         start = self.starts.get(key)
         if chunk.headers is not None:
             self.first_byte_at[key] = now
+            self.prefilling.discard(key)
         if self.claims is not None and start is not None and start.claim_key:
             self.claims.record_chunk(chunk)
         self._act(self.ledger.handle(chunk, now), now)
@@ -377,21 +400,47 @@
         self._act(self.ledger.handle(RunStarted(start.request_id, start.attempt), now), now)
         if key not in self.starts:
             return
-        if self.is_engine:
-            start.body = self._model_body(start, now)
-        run = RequestRun(start, self.client, self.inbox.put)
+        prepare = partial(self._prepare, start, key) if self.is_engine else None
+        run = RequestRun(start, self.client, self.inbox.put, prepare)
         self.runs[key] = run
         self.started_at[key] = now
         remaining_s = max(1.0, start.remaining_ms / 1e3)
         run.task = self.group.create_task(run.run(endpoint_headers(start), remaining_s))
         self._record(start, "started", Code.OK, "")
 
-    def _model_body(self, start: Start, now: float) -> bytes:
+    async def _prepare(self, start: Start, key: str) -> None:
+        """Import kept cache, then add the fields that depend on the engine's weights."""
         load = self.engine.load
-        assert load is not None
-        is_certain = self.orders is not None and self.orders.are_weights_certain(load, now)
+        assert load is not None, "a run starts only while the engine answers"
+        if self.kept_cache is not None and self._are_weights_certain(start):
+            per_block_s = load.prefill_us_per_token * self._block_tokens(start.model) / 1e6
+            await self.kept_cache.import_missing(start.chain, per_block_s)
+        is_certain = self._are_weights_certain(start)
+        if is_certain:
+            self.prefilling.add(key)
         priority = self._request_class(start.request_class).priority
-        return model_body(start, load.weights, is_certain, priority)
+        # The report may have been replaced during the import.
+        load = self.engine.load or load
+        start.body = model_body(start, load.weights, is_certain, priority)
+
+    def _are_weights_certain(self, start: Start) -> bool:
+        load = self.engine.load
+        if load is None or self.orders is None:
+            return False
+        return self.orders.are_weights_certain(load, time.monotonic())
+
+    def _block_tokens(self, model: str) -> int:
+        bundle = self.plane.bundle
+        for spec in bundle.models if bundle else ():
+            if spec.id == model:
+                return spec.block_tokens
+        return DEFAULT_BLOCK_TOKENS
+
+    async def _wait_for_prefill(self, deadline: float) -> None:
+        """Wait until the requests that were sent before have their first byte."""
+        waiting = set(self.prefilling)
+        while waiting & self.prefilling and time.monotonic() < deadline:
+            await asyncio.sleep(PREFILL_POLL_S)
 
     def _cancel(self, key: str, now: float) -> None:
         run = self.runs.get(key)
@@ -407,6 +456,7 @@
     def _end_run(self, end: RunEnd, now: float) -> None:
         key = run_key(end.request_id, end.attempt)
         self.runs.pop(key, None)
+        self.prefilling.discard(key)
         start = self.starts.pop(key, None)
         used = end.prompt_tokens - end.cached_tokens + end.output_tokens
         self._schedule(self.scheduler.handle(Finished(key, used), now), now)
@@ -416,6 +466,8 @@
             self._finish_claim(start, end.code, end.ran)
             self._record(start, "ended", Code(end.code), end.detail)
             self._observe(start, end, key, now)
+            if self.kept_cache is not None and end.code == Code.OK:
+                self._spawn(self.kept_cache.export_shared(start.chain))
             self.plane.metrics.observe_tokens(
                 start.workspace, end.prompt_tokens, end.cached_tokens, end.output_tokens
             )
--- a/teaselpath/platform/_settings.py
+++ b/teaselpath/platform/_settings.py
@@ -128,6 +128,7 @@
     """Settings of one process.
 
     :param operator_keys: trusted Ed25519 public keys, 64 hexadecimal digits each.
+    :param cache_store_region: region of the KV cache store; empty for the region of this process.
     :param stop_timeout_s: limit on a planned stop.
     :param log_file: file for log lines; empty for standard error.
     """
@@ -142,6 +143,7 @@
     log_url: str = ""
     host_list_url: str = ""
     cache_store_url: str = ""
+    cache_store_region: str = ""
     weight_store_url: str = ""
     peers: list[PeerSettings] = []
     endpoint: EndpointSettings = msgspec.field(default_factory=EndpointSettings)
