Exercise table changes in the stateful quota test

Cause: with steps of 50 s no proposer has answers that are recent enough, so few runs changed the table, and a table in force before its settled record was not found. Change: rules that lose a host beyond its lease and let it read the next table first; a fifth seeded bug; tests that a lost host's share is released.

--- a/teaselpath/quota/tests/cluster.py
+++ b/teaselpath/quota/tests/cluster.py
@@ -184,6 +184,16 @@
             for host in self.running():
                 self.read_log(host)
 
+    def run_with_one_reader(self, host, rounds, step):
+        """Let time pass while only one host reads the log."""
+        for _ in range(rounds):
+            self.advance(step)
+            self.deliver_all()
+            while self.appends and self.log_up:
+                self.append()
+            if host in self.running():
+                self.read_log(host)
+
     def reserve(self, host, workspace, tokens, wait_s=0.5):
         self.reservations += 1
         reservation_id = f"r{self.reservations}"
--- a/teaselpath/quota/tests/test_cluster.py
+++ b/teaselpath/quota/tests/test_cluster.py
@@ -12,7 +12,7 @@
     run_state_machine_as_test,
 )
 
-from teaselpath.quota import Bucket, _escrow, _state, _tenure
+from teaselpath.quota import Bucket, ShareTable, _escrow, _state, _tenure
 from teaselpath.quota.tests.cluster import Cluster
 
 HOSTS = {"a1": "a", "a2": "a", "b1": "b"}
@@ -70,7 +70,9 @@
 
     @rule()
     def run_long(self):
+        """Pass the lease, then let a proposer hear answers that are recent enough."""
         self.cluster.run(15, 50.0)
+        self.cluster.run(14, 1.0)
 
     @rule(host=HOST, back_s=st.floats(0.0, 50.0))
     def clock_back(self, host, back_s):
@@ -115,6 +117,25 @@
         if host not in self.cluster.running():
             self.cluster.delisted.add(host)
 
+    @rule(host=HOST, planned=st.booleans(), back=st.booleans())
+    def lose_host(self, host, planned, back):
+        """Lose a host for longer than its lease, so that a table without it follows.
+
+        If it comes back, it is the first to read the next table.
+        """
+        if planned:
+            self.leave(host)
+        self.cluster.kill(host)
+        self.cluster.delisted.add(host)
+        for other in sorted(HOSTS):
+            self.list_hosts(other)
+        self.run_long()
+        if back:
+            self.kill(host, True, True)
+            for other in sorted(HOSTS):
+                self.list_hosts(other)
+            self.cluster.run_with_one_reader(host, 8, 1.0)
+
     @rule(host=HOST)
     def list_hosts(self, host):
         if host in self.cluster.running():
@@ -182,8 +203,11 @@
     return True
 
 
-def ignore_epoch(self, link, epoch):
-    link.lender_epoch = epoch
+install = ShareTable._install
+
+
+def settle_at_once(self, number, record, *, settled):
+    return install(self, number, record, settled=True)
 
 
 @pytest.mark.parametrize(
@@ -193,8 +217,15 @@
         (Bucket, "_fit", fit_without_forfeit),
         (_tenure.Tenure, "_predecessor_is_over", own_at_once),
         (_escrow.Escrow, "drop_borrowed", lambda self, link: None),
+        (ShareTable, "_install", settle_at_once),
+    ],
+    ids=[
+        "transfer-added-twice",
+        "late-refund",
+        "restart-owns-at-once",
+        "loan-kept-for-ever",
+        "table-in-force-at-once",
     ],
-    ids=["transfer-added-twice", "late-refund", "restart-owns-at-once", "loan-kept-for-ever"],
 )
 def test_machine_finds_seeded_bugs(monkeypatch, owner, name, bug):
     """Guards against a machine that cannot fail: each known bug must break a check."""
--- a/teaselpath/quota/tests/test_core.py
+++ b/teaselpath/quota/tests/test_core.py
@@ -73,6 +73,26 @@
     assert cluster.cores["a1"].state.shares["w"].hold == 0.0
 
 
+@pytest.mark.parametrize(("leaves", "rounds"), [(True, 3), (False, 16)])
+def test_share_of_a_lost_host_is_released(cluster, leaves, rounds):
+    """Guards against a share lost for good, and against release while its holder may live."""
+    if leaves:
+        cluster.leave("a1")
+        cluster.run(2)
+    cluster.kill("a1")
+    cluster.delisted.add("a1")
+    for host in ("a2", "b1"):
+        cluster.list_hosts(host)
+    cluster.run(10, 50.0 if not leaves else 0.05)
+    assert cluster.cores["a2"].state.table.slots.keys() == {"a1", "a2", "b1"}
+    cluster.run(rounds, 50.0)
+    # A proposal needs answers that are a few seconds old at most.
+    cluster.run(30, 0.5)
+    holds = [cluster.cores[host].state.shares["w"].hold for host in ("a2", "b1")]
+    assert sum(holds) == pytest.approx(1.0)
+    cluster.check_shares()
+
+
 def test_lapsed_lease_refuses_until_confirmed(cluster):
     """Guards against a paused holder spending a share that was given to others."""
     cluster.paused.add("a1")
