Activate shares at the last receipt or the next tick

Cause: each receipt checked all pending shares against all their homes, which grows with the square of the entries after a restart of all of them. Change: a receipt activates only when no home is missing; partial activation waits for the tick.

--- a/teaselpath/quota/_core.py
+++ b/teaselpath/quota/_core.py
@@ -122,7 +122,7 @@
                     self.admission.on_offer(host, booked, message)
             case QuotaReceipt():
                 self.escrow.on_receipt(host, message)
-                self.tenure.activate()
+                self.tenure.on_receipt(host)
             case QuotaReserve():
                 self.admission.on_reserve(host, message)
             case QuotaGrant():
--- a/teaselpath/quota/_tenure.py
+++ b/teaselpath/quota/_tenure.py
@@ -40,6 +40,7 @@
         self.state = state
         self.escrow = escrow
         self.pending: set[str] = set()
+        self.unconfirmed: set[str] = set()
         self.absent_since: dict[str, float] = {}
         self.wanted_since: float | None = None
         self.check_at = float("-inf")
@@ -100,6 +101,13 @@
                 share.refresh(state.now)
                 state.changed.add(workspace)
 
+    def on_receipt(self, host: str) -> None:
+        """Activate at the last missing receipt; what needs only some of them waits for a tick."""
+        if host in self.unconfirmed and self.state.link(host).confirmed:
+            self.unconfirmed.discard(host)
+            if not self.unconfirmed:
+                self.activate()
+
     def leave(self) -> None:
         """Hand all tokens to other homes and give up the share on the log."""
         state = self.state
@@ -120,9 +128,9 @@
         state = self.state
         if self.pending and state.log_confirmed and not state.leaving:
             homes = {host for ws in self.pending for host in state.other_homes(ws)}
-            for host in homes:
-                if not state.link(host).confirmed:
-                    self.escrow.hello(host)
+            self.unconfirmed = {host for host in homes if not state.link(host).confirmed}
+            for host in sorted(self.unconfirmed):
+                self.escrow.hello(host)
             self.activate()
         if state.now > state.lease_until - LEASE_S / 2.0:
             for host in self._attesters():
