--- a/benchmarks/bench_capacity.py
+++ b/benchmarks/bench_capacity.py
@@ -90,7 +90,8 @@
     head = [role, "mechanism", "% of a core", "of 1.4%", "MB", "of 256 MB", "B/s", "of 2 KB/s"]
     table = [[row.part, row.mechanism, *cells(row)] for row in rows]
     local = total(rows, lambda row: not row.part.startswith("engine:"))
-    table.append(["sum without the engine", "", *cells(local)])
+    if local.cpu < total(rows).cpu:
+        table.append(["sum without the engine", "", *cells(local)])
     table.append(["sum", "", *cells(total(rows))])
     show(head, table)
 
@@ -109,7 +110,7 @@
 def show_log(rows: list[dict]) -> None:
     """Print the streams of the log."""
     head = ["stream", "appends/s", "of 300/s", "B per record", "readers", "polls/s", "read B/s"]
-    head += ["few readers", "read B/s with few", "ratio"]
+    head += ["of a far region's link", "few readers", "read B/s with few", "of the link", "ratio"]
     show(
         head,
         [
@@ -121,8 +122,10 @@
                 number(row["readers"]),
                 number(row["polls_per_s"]),
                 number(row["read_bytes_per_s"]),
+                number(row["of_region_link"]),
                 number(row["few_readers"]),
                 number(row["few_bytes_per_s"]),
+                number(row["few_of_region_link"]),
                 number(row["few_bytes_per_s"] / row["read_bytes_per_s"]),
             ]
             for row in rows
@@ -141,6 +144,42 @@
     )
 
 
+def show_states(rows: list[dict]) -> None:
+    """Print what a reader of each stream keeps and computes."""
+    show(
+        ["stream", "state of a reader, MB", "of 256 MB", "% of a core", "of 1.4%"],
+        [
+            [
+                f"`{row['stream']}`",
+                number(row["state_bytes"] / 1e6),
+                number(row["state_bytes"] / BUDGET_MEMORY),
+                number(row["reader_ms_per_s"] / 10),
+                number(row["reader_ms_per_s"] / 10 / BUDGET_CPU_PERCENT),
+            ]
+            for row in rows
+        ],
+    )
+
+
+def show_alternatives(rows: list[dict], fitting: dict[str, float]) -> None:
+    """Print designs that are not built beside what is built."""
+    show(
+        ["part", "design", "B/s per node", "of 2 KB/s", "built"],
+        [
+            [
+                row["part"],
+                row["design"],
+                number(row["bytes_per_s"]),
+                number(row["bytes_per_s"] / BUDGET_BYTES_PER_S),
+                "yes" if row["is_built"] else "no",
+            ]
+            for row in rows
+        ],
+    )
+    counts = ", ".join(f"{name} {count:.0f}" for name, count in fitting.items())
+    print(f"Idle connections that use up a budget alone: {counts}.\n")
+
+
 def main() -> None:
     """Measure, fit, evaluate and print."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -174,7 +213,11 @@
             "request": [dataclasses.asdict(row) for row in request],
         }
     result["log"], result["recovery"] = model.log(), model.recovery()
+    result["alternatives"] = model.alternatives()
+    result["peers_that_fit"] = model.peers_that_fit()
     show_log(result["log"])
+    show_states(result["log"])
+    show_alternatives(result["alternatives"], result["peers_that_fit"])
     show_recovery(result["recovery"])
     print(f"A node can connect to {limit} peers before its sockets run out.\n")
     result["seconds"] = time.monotonic() - started
--- a/benchmarks/capacity_control.py
+++ b/benchmarks/capacity_control.py
@@ -1,6 +1,7 @@
 """Slopes of members, bundle, keys, revocations and quota: the background cost of a node."""
 
 from functools import lru_cache
+from hashlib import sha256
 from random import Random
 from types import SimpleNamespace
 
@@ -178,6 +179,21 @@
     return sign_record("bundle", bundle_payload(workspaces), OPERATOR)
 
 
+def change_bytes(workspaces: int) -> float:
+    """Measure a signed record that holds only the workspaces that a change touches."""
+    document = msgspec.json.decode(bundle_payload(500), type=Bundle)
+    changed = msgspec.json.encode(
+        {
+            "version": 2301,
+            "parent": 2300,
+            "change_id": "change-2301",
+            "digest": sha256(b"").hexdigest(),
+            "workspaces": document.workspaces[:workspaces],
+        }
+    )
+    return len(sign_record("bundle", changed, OPERATOR))
+
+
 def accepted(workspaces: int) -> BundleState:
     """Return the state after the bundle was read from the log."""
     state = BundleState(OPERATOR_KEYS)
@@ -337,6 +353,7 @@
             WORKSPACES,
             lambda n: len(bundle_record(n)),
         ),
+        Slope("bundle.change_bytes", "B", "changed workspaces", (1, 4, 16), 1, change_bytes),
         Slope("bundle.accept_cpu", "ms", "workspaces", spaces, WORKSPACES, bundle_cpu),
         Slope("bundle.memory", "B", "workspaces", spaces, WORKSPACES, bundle_memory),
         Slope("keys.find_cpu", "us", "keys", (1000, 3000, 6000), full_keys, key_cpu),
--- a/benchmarks/capacity_endpoint.py
+++ b/benchmarks/capacity_endpoint.py
@@ -41,6 +41,12 @@
     return found
 
 
+def index_memory(blocks: int) -> float:
+    """Measure the index without the hashes that were handed in."""
+    hashes(blocks)
+    return allocated(lambda: index(blocks))
+
+
 def events_body(first: int, count: int, blocks: int) -> bytes:
     """Return events as the engine publishes them: each stored block evicts an older one."""
     known, new = hashes(blocks), hashes(count, 2)
@@ -204,7 +210,7 @@
             "blocks",
             blocks,
             BLOCKS_PER_ENGINE,
-            lambda n: allocated(lambda: index(n).blocks),
+            index_memory,
         ),
         Slope("index.event_cpu", "us", "events", (100, 400, 1600), EVENTS_PER_S, event_cpu),
         Slope(
--- a/benchmarks/capacity_model.py
+++ b/benchmarks/capacity_model.py
@@ -24,13 +24,19 @@
 HOST_LIST_S, LOG_POLL_S, SHARES_POLL_S, QUOTA_TICK_S = 5.0, 10.0, 1.0, 0.05
 LOAD_POLLS_PER_S = 10.0
 READERS_PER_DOMAIN = 2
+FANOUT = 3
+# Each of two nodes connects to the other.
+CONNECTIONS_PER_PEER = 2
+HEARTBEAT_S, SLOW_HEARTBEAT_S = 0.5, 30.0
+FEW_PEERS = 100
 CLAIMED, SERVICES, APPEND_S = 0.01, 20, 0.02
+CLAIM_WINDOW_S = 3600
 
 ASSUMPTIONS = {
     "bundle": "2 keys per workspace, 2,400 endpoints, 4 models",
     "request": "16,384 prompt tokens, 339 output tokens, one chunk per token, 4 probes, 4 records",
     "revocations": "1,000 that no bundle has taken up yet",
-    "claims": "1% of the requests, at 20 plain services with one agent each, 20 ms per append",
+    "claims": "1% of the requests at 20 services of one agent each, kept 1 h, 20 ms per append",
     "loads": "one change of weights on all engines a day",
     "log": "300 appends/s",
     "region link": "4 Mbit/s",
@@ -82,7 +88,7 @@
                 "full mesh, heartbeat each 500 ms",
                 self.at("peers.cpu") / 10,
                 self.at("peers.memory"),
-                self.at("peers.bytes"),
+                CONNECTIONS_PER_PEER * self.at("peers.bytes"),
             ),
             Row(
                 "host list",
@@ -231,7 +237,8 @@
         share_appends = 2 * self.share_changes() + 1 / 1800
         load_bytes = self.at("loads.bytes") / DAY_S
         claim_bytes = claimed * self.each("claims.bytes") / SERVICES
-        return [
+        held = claimed / SERVICES * CLAIM_WINDOW_S
+        rows = [
             self._stream(
                 "config", CHANGES_A_DAY / DAY_S, self.at("bundle.record_bytes"), MEMBERS, LOG_POLL_S
             ),
@@ -250,6 +257,18 @@
                 "claims.<service>", groups, claim_bytes * SERVICES / groups, 1, LOG_POLL_S
             ),
         ]
+        states = [
+            (2 * self.at("bundle.memory"), CHANGES_A_DAY / DAY_S * self.at("bundle.accept_cpu")),
+            (self.at("quota.memory"), self.share_changes() * self.at("quota.change_cpu")),
+            (self.at("loads.memory"), self.at("loads.read_cpu") / DAY_S),
+            (
+                held * self.each("claims.memory"),
+                claimed / SERVICES * self.each("claims.read_cpu"),
+            ),
+        ]
+        for row, (memory, cpu_ms_per_s) in zip(rows, states, strict=True):
+            row |= {"state_bytes": memory, "reader_ms_per_s": cpu_ms_per_s}
+        return rows
 
     def _stream(self, name: str, appends: float, size: float, readers: int, poll_s: float) -> dict:
         few = min(readers, READERS_PER_DOMAIN * DOMAINS)
@@ -263,8 +282,44 @@
             "readers": readers,
             "polls_per_s": readers / poll_s,
             "read_bytes_per_s": readers * one,
+            "of_region_link": readers * one / REGIONS / REGION_LINK_BYTES_PER_S,
             "few_readers": few,
             "few_bytes_per_s": few * one,
+            "few_of_region_link": few * one / REGIONS / REGION_LINK_BYTES_PER_S,
+        }
+
+    def alternatives(self) -> list[dict]:
+        """Return what a node would send and receive with designs that are not built."""
+        changes = CHANGES_A_DAY / DAY_S
+        built = changes * BASE64 * self.at("bundle.record_bytes")
+        whole = changes * (2 * gossip_bytes(0) + self.at("bundle.record_bytes"))
+        part = changes * (2 * gossip_bytes(0) + FANOUT * self.at("bundle.change_bytes"))
+        hosts = self.at("members.host_list_bytes") / HOST_LIST_S
+        mesh = CONNECTIONS_PER_PEER * self.at("peers.bytes")
+        neighbours = CONNECTIONS_PER_PEER * FEW_PEERS * self.each("peers.bytes")
+        slow = neighbours * HEARTBEAT_S / SLOW_HEARTBEAT_S
+        few = READERS_PER_DOMAIN * DOMAINS / MEMBERS
+        rows = [
+            ("configuration", "each node reads the log", built, True),
+            ("configuration", "few readers, whole bundle from a peer", whole, False),
+            ("configuration", "few readers, signed change pushed to 3 peers", part, False),
+            ("host list", "each node reads it each 5 s", hosts, True),
+            ("host list", "few readers, gossip; mean over the nodes", hosts * few, False),
+            ("connections", "full mesh, heartbeat each 500 ms", mesh, True),
+            ("connections", f"{FEW_PEERS} peers, heartbeat each 500 ms", neighbours, False),
+            ("connections", f"{FEW_PEERS} peers, heartbeat each 30 s", slow, False),
+        ]
+        return [
+            {"part": part, "design": design, "bytes_per_s": rate, "is_built": is_built}
+            for part, design, rate, is_built in rows
+        ]
+
+    def peers_that_fit(self) -> dict[str, float]:
+        """Return how many idle connections alone use up each budget."""
+        return {
+            "processor": 10 * BUDGET_CPU_PERCENT / self.each("peers.cpu"),
+            "memory": BUDGET_MEMORY / self.each("peers.memory"),
+            "bytes": BUDGET_BYTES_PER_S / CONNECTIONS_PER_PEER / self.each("peers.bytes"),
         }
 
     def recovery(self) -> list[dict]:
@@ -277,13 +332,17 @@
         entry_s = common_s + self.at("quota.rank_cpu") / 1e3
         agent_s = common_s + self.at("index.snapshot_cpu") / 1e3
         loads = BASE64 * self.at("loads.bytes")
+        held = CLAIMED * REQUESTS_PER_S / SERVICES * CLAIM_WINDOW_S
+        claims = BASE64 * held * self.each("claims.bytes")
+        claims_s = held * self.each("claims.read_cpu") / 1e3
         entry, agent = bundle + hosts + shares, bundle + hosts + loads
         part = 1 / DOMAINS
         whole = ENTRIES * entry + AGENTS * agent
-        per_region = whole * (REGIONS - 1) / REGIONS / (REGIONS - 1)
+        per_region = whole / REGIONS
         rows: list[tuple[str, float, float]] = [
             ("one entry restarts", entry, entry_s),
             ("one agent restarts", agent, agent_s),
+            ("one agent of a plain service restarts", bundle + hosts + claims, common_s + claims_s),
             ("a failure domain returns", whole * part, max(entry_s, agent_s)),
             ("all nodes restart", whole, max(entry_s, agent_s)),
             ("all nodes of a far region restart", per_region, max(entry_s, agent_s)),
--- a/benchmarks/capacity_transport.py
+++ b/benchmarks/capacity_transport.py
@@ -204,8 +204,8 @@
         Slope("peers.cpu", "ms/s", "peers", peers, PEERS, of("peers", "cpu_ms_per_s")),
         Slope("peers.connect_cpu", "ms", "peers", peers, PEERS, of("peers", "connect_ms")),
         Slope("peers.bytes", "B/s", "peers", peers, PEERS, of("bytes", "bytes_per_s")),
-        Slope("polls.cpu", "us", "polls", polls, 1, of("polls", "cpu_us")),
-        Slope("polls.bytes", "B", "polls", polls, 1, of("polls", "bytes")),
+        Slope("polls.cpu", "us", "polls", polls, 8640, of("polls", "cpu_us")),
+        Slope("polls.bytes", "B", "polls", polls, 8640, of("polls", "bytes")),
     ]
 
 
