--- a/teaselpath/agent/_service.py
+++ b/teaselpath/agent/_service.py
@@ -9,12 +9,10 @@
 import aiohttp
 from eliot import log_message
 
-from teaselpath.agent._admission import endpoint_headers, model_body
+from teaselpath.agent._admission import endpoint_headers
 from teaselpath.agent._claims import ClaimService, claim_failure
 from teaselpath.agent._endpoint import EndpointClient
-from teaselpath.agent._engine import EngineState, EngineWatcher
-from teaselpath.agent._kept_cache import KeptCache
-from teaselpath.agent._orders import OrderService
+from teaselpath.agent._engine_side import EngineSide
 from teaselpath.agent._run import RequestRun
 from teaselpath.bundle import Bundle, RequestClass
 from teaselpath.control import ControlPlane, RateMeter
@@ -34,8 +32,6 @@
     RunStarted,
     StoredAnswer,
 )
-from teaselpath.platform import CacheStoreClient
-from teaselpath.prefix import CacheIndex
 from teaselpath.results import Code, Ran
 from teaselpath.scheduling import Drop, Finished, Run, Scheduler, SlotsChanged, Submit, Withdraw
 from teaselpath.transport import PeerLost, Received
@@ -46,8 +42,6 @@
 # Plain services report no batch size.
 SERVICE_SLOTS = 32
 DEFAULT_MAX_WAIT_MS = 5_000
-DEFAULT_BLOCK_TOKENS = 2048
-PREFILL_POLL_S = 0.02
 
 
 @dataclass(slots=True)
@@ -77,35 +71,20 @@
         self.endpoint = settings.endpoint
         self.ledger = RequestLedger(plane.incarnation)
         self.scheduler = Scheduler(slots=SERVICE_SLOTS)
-        self.engine = EngineState(CacheIndex())
         self.client = EndpointClient(
             self.endpoint.url, session, settings.limits.stream_idle_timeout_s
         )
-        self.watcher = EngineWatcher(self.endpoint.url, session, self.engine, self._load_changed)
+        self.engine = EngineSide(plane, session, self._load_changed, self._spawn)
         self.inbox: asyncio.Queue = asyncio.Queue(INBOX_SIZE)
         self.starts: dict[str, Start] = {}
         self.runs: dict[str, RequestRun] = {}
         self.started_at: dict[str, float] = {}
         self.first_byte_at: dict[str, float] = {}
-        # Runs whose salt names the engine's weights and that have no first byte yet.
-        self.prefilling: set[str] = set()
-        self.kept_cache = self._make_kept_cache(session)
         self.leaving = False
         self.dropped_messages = 0
         self.ended = RateMeter()
         self.refused = RateMeter()
-        self.session = session
         self.claims: ClaimService | None = None
-        self.orders: OrderService | None = None
-
-    def _make_kept_cache(self, session: aiohttp.ClientSession) -> KeptCache | None:
-        settings = self.plane.settings
-        is_local = settings.cache_store_region in ("", settings.region)
-        if not settings.cache_store_url or not self.is_engine or not is_local:
-            # Across regions an agent's part of the link budget is smaller than one block.
-            return None
-        store = CacheStoreClient(session, settings.cache_store_url)
-        return KeptCache(store, self.endpoint.url, session, self.engine.index)
 
     def deliver(self, event: Received | PeerLost) -> None:
         """Take a message of an entry from the transport."""
@@ -119,7 +98,7 @@
         async with asyncio.TaskGroup() as group:
             self.group = group
             if self.is_engine:
-                group.create_task(self.watcher.run())
+                group.create_task(self.engine.run())
             group.create_task(self._tick())
             while True:
                 event = await self.inbox.get()
@@ -152,14 +131,7 @@
     def follow_log(self) -> None:
         """Follow the streams of the log that this agent needs."""
         if self.is_engine:
-            self.orders = OrderService(
-                self.plane,
-                self.endpoint.id,
-                self.endpoint.url,
-                self.session,
-                self._spawn,
-                self._wait_for_prefill,
-            )
+            self.engine.follow_orders()
         elif self.plane.bundle is not None:
             self.bundle_changed(self.plane.bundle)
 
@@ -168,8 +140,7 @@
 
     def bundle_changed(self, bundle: Bundle) -> None:
         """Take a bundle that is in force from now on."""
-        if self.orders is not None:
-            self.orders.bundle_changed(bundle)
+        self.engine.bundle_changed(bundle)
         service = next((s.service for s in bundle.endpoints if s.id == self.endpoint.id), "")
         if service and not self.is_engine and self.claims is None and self.plane.started.is_set():
             self.claims = ClaimService(
@@ -191,9 +162,7 @@
             "queued": len(self.starts) - len(self.runs),
             "requests_per_s": round(self.ended.per_second(now), 1),
             "refused_per_s": round(self.refused.per_second(now), 1),
-            "cached_blocks": len(self.engine.index.blocks),
-            "engine_incarnation": self.engine.incarnation,
-            "weights": self.engine.load.weights if self.engine.load else "",
+            **(self.engine.describe() if self.is_engine else {}),
         }
 
     def describe_workspace(self, workspace: str) -> dict:
@@ -230,8 +199,7 @@
                 self._schedule(self.scheduler.tick(now), now)
                 if self.claims is not None:
                     self.claims.tick(now)
-                if self.orders is not None:
-                    self.orders.tick(now)
+                self.engine.tick(now)
 
     def _probe_reply(self, probe: Probe, now: float) -> ProbeReply:
         load = self.engine.load
@@ -241,7 +209,7 @@
             probe.probe_id,
             self.endpoint.id,
             self._is_accepting(),
-            self.engine.index.match(probe.chain) if self.is_engine else 0,
+            self.engine.match(probe.chain) if self.is_engine else 0,
             wait_s * 1e3,
             load.prefill_us_per_token if load else 0.0,
             load.weights if load else "",
@@ -252,7 +220,7 @@
         )
 
     def _is_accepting(self) -> bool:
-        return not self.leaving and (self.engine.reachable or not self.is_engine)
+        return not self.leaving and (self.engine.is_reachable or not self.is_engine)
 
     def _request_class(self, name: str) -> RequestClass:
         bundle: Bundle | None = self.plane.bundle
@@ -264,9 +232,7 @@
 
     def _update_slots(self, now: float) -> None:
         load = self.engine.load
-        if load is not None and self.engine.reachable:
-            if self.orders is not None:
-                self.orders.engine_seen(load)
+        if load is not None and self.engine.is_reachable:
             self._schedule(self.scheduler.handle(SlotsChanged(load.max_running), now), now)
 
     def _act(self, actions: list, now: float) -> None:
@@ -336,7 +302,7 @@
         start = self.starts.get(key)
         if chunk.headers is not None:
             self.first_byte_at[key] = now
-            self.prefilling.discard(key)
+            self.engine.prefilling.discard(key)
         if self.claims is not None and start is not None and start.claim_key:
             self.claims.record_chunk(chunk)
         self._act(self.ledger.handle(chunk, now), now)
@@ -393,14 +359,14 @@
 
     def _start_run(self, key: str, now: float) -> None:
         start = self.starts[key]
-        if self.is_engine and not self.engine.reachable:
+        if self.is_engine and not self.engine.is_reachable:
             self._act(self.scheduler.handle(Finished(key, 0), now), now)
             self._drop(key, Code.ENDPOINT_FAILED, "the engine does not answer", now)
             return
         self._act(self.ledger.handle(RunStarted(start.request_id, start.attempt), now), now)
         if key not in self.starts:
             return
-        prepare = partial(self._prepare, start, key) if self.is_engine else None
+        prepare = partial(self._prepare_model_call, start, key) if self.is_engine else None
         run = RequestRun(start, self.client, self.inbox.put, prepare)
         self.runs[key] = run
         self.started_at[key] = now
@@ -408,39 +374,9 @@
         run.task = self.group.create_task(run.run(endpoint_headers(start), remaining_s))
         self._record(start, "started", Code.OK, "")
 
-    async def _prepare(self, start: Start, key: str) -> None:
-        """Import kept cache, then add the fields that depend on the engine's weights."""
-        load = self.engine.load
-        assert load is not None, "a run starts only while the engine answers"
-        if self.kept_cache is not None and self._are_weights_certain(start):
-            per_block_s = load.prefill_us_per_token * self._block_tokens(start.model) / 1e6
-            await self.kept_cache.import_missing(start.chain, per_block_s)
-        is_certain = self._are_weights_certain(start)
-        if is_certain:
-            self.prefilling.add(key)
+    async def _prepare_model_call(self, start: Start, key: str) -> None:
         priority = self._request_class(start.request_class).priority
-        # The report may have been replaced during the import.
-        load = self.engine.load or load
-        start.body = model_body(start, load.weights, is_certain, priority)
-
-    def _are_weights_certain(self, start: Start) -> bool:
-        load = self.engine.load
-        if load is None or self.orders is None:
-            return False
-        return self.orders.are_weights_certain(load, time.monotonic())
-
-    def _block_tokens(self, model: str) -> int:
-        bundle = self.plane.bundle
-        for spec in bundle.models if bundle else ():
-            if spec.id == model:
-                return spec.block_tokens
-        return DEFAULT_BLOCK_TOKENS
-
-    async def _wait_for_prefill(self, deadline: float) -> None:
-        """Wait until the requests that were sent before have their first byte."""
-        waiting = set(self.prefilling)
-        while waiting & self.prefilling and time.monotonic() < deadline:
-            await asyncio.sleep(PREFILL_POLL_S)
+        start.body = await self.engine.prepare(start, key, priority)
 
     def _cancel(self, key: str, now: float) -> None:
         run = self.runs.get(key)
@@ -456,7 +392,7 @@
     def _end_run(self, end: RunEnd, now: float) -> None:
         key = run_key(end.request_id, end.attempt)
         self.runs.pop(key, None)
-        self.prefilling.discard(key)
+        self.engine.prefilling.discard(key)
         start = self.starts.pop(key, None)
         used = end.prompt_tokens - end.cached_tokens + end.output_tokens
         self._schedule(self.scheduler.handle(Finished(key, used), now), now)
@@ -466,8 +402,8 @@
             self._finish_claim(start, end.code, end.ran)
             self._record(start, "ended", Code(end.code), end.detail)
             self._observe(start, end, key, now)
-            if self.kept_cache is not None and end.code == Code.OK:
-                self._spawn(self.kept_cache.export_shared(start.chain))
+            if self.is_engine and end.code == Code.OK:
+                self.engine.keep_shared(start.chain)
             self.plane.metrics.observe_tokens(
                 start.workspace, end.prompt_tokens, end.cached_tokens, end.output_tokens
             )
