--- a/teaselpath/agent/_service.py
+++ b/teaselpath/agent/_service.py
@@ -13,8 +13,9 @@
 from teaselpath.agent._claims import ClaimService, claim_failure
 from teaselpath.agent._endpoint import EndpointClient
 from teaselpath.agent._engine_side import EngineSide
+from teaselpath.agent._policy import find_class, find_weight
 from teaselpath.agent._run import RequestRun
-from teaselpath.bundle import Bundle, RequestClass
+from teaselpath.bundle import Bundle
 from teaselpath.control import ControlPlane, RateMeter
 from teaselpath.delivery import (
     Accept,
@@ -32,7 +33,7 @@
     RunStarted,
     StoredAnswer,
 )
-from teaselpath.results import Code, Ran
+from teaselpath.results import Code, Failure, Ran
 from teaselpath.scheduling import Drop, Finished, Run, Scheduler, SlotsChanged, Submit, Withdraw
 from teaselpath.transport import PeerLost, Received
 from teaselpath.wire import Ack, Cancel, DecisionRecord, Probe, ProbeReply, Resume, Send, Start
@@ -41,7 +42,6 @@
 TICK_S = 0.05
 # Plain services report no batch size.
 SERVICE_SLOTS = 32
-DEFAULT_MAX_WAIT_MS = 5_000
 
 
 @dataclass(slots=True)
@@ -203,7 +203,7 @@
 
     def _probe_reply(self, probe: Probe, now: float) -> ProbeReply:
         load = self.engine.load
-        priority = self._request_class(probe.request_class).priority
+        priority = find_class(self.plane.bundle, probe.request_class).priority
         wait_s = self.scheduler.expected_wait_s(probe.workspace, priority, now)
         return ProbeReply(
             probe.probe_id,
@@ -222,14 +222,6 @@
     def _is_accepting(self) -> bool:
         return not self.leaving and (self.engine.is_reachable or not self.is_engine)
 
-    def _request_class(self, name: str) -> RequestClass:
-        bundle: Bundle | None = self.plane.bundle
-        classes = bundle.classes if bundle else []
-        for request_class in classes:
-            if request_class.id == name:
-                return request_class
-        return RequestClass(id=name, priority=0, deadline_ms=0, max_wait_ms=DEFAULT_MAX_WAIT_MS)
-
     def _update_slots(self, now: float) -> None:
         load = self.engine.load
         if load is not None and self.engine.is_reachable:
@@ -275,15 +267,7 @@
         if answer.answer is not None:
             self._replay(start, answer.answer, now)
             return
-        end = RunEnd(
-            start.request_id,
-            start.attempt,
-            failure.code,
-            failure.ran,
-            detail=failure.detail,
-            retry_after_ms=int(failure.retry_after_s * 1e3),
-        )
-        self._act(self.ledger.handle(end, now), now)
+        self._act(self.ledger.handle(failed_end(start, failure), now), now)
 
     def _replay(self, start: Start, answer: StoredAnswer, now: float) -> None:
         """Give a repeat of an idempotency key the answer of the run that had it first."""
@@ -309,11 +293,11 @@
 
     def _submit(self, start: Start, now: float) -> None:
         key = run_key(start.request_id, start.attempt)
-        request_class = self._request_class(start.request_class)
+        request_class = find_class(self.plane.bundle, start.request_class)
         submit = Submit(
             key,
             start.workspace,
-            self._weight(start.workspace),
+            find_weight(self.plane.bundle, start.workspace),
             start.prompt_tokens + start.output_cap,
             request_class.priority,
             now + start.remaining_ms / 1e3,
@@ -321,13 +305,6 @@
         )
         self._schedule(self.scheduler.handle(submit, now), now)
 
-    def _weight(self, workspace: str) -> float:
-        bundle = self.plane.bundle
-        for entry in bundle.workspaces if bundle else ():
-            if entry.id == workspace:
-                return entry.weight
-        return 1.0
-
     def _schedule(self, actions: list[Run | Drop], now: float) -> None:
         for action in actions:
             match action:
@@ -347,15 +324,8 @@
         self.refused.add(now)
         self._record(start, "dropped", code, detail)
         self._finish_claim(start, code, Ran.NOT_RUN)
-        end = RunEnd(
-            start.request_id,
-            start.attempt,
-            code,
-            Ran.NOT_RUN,
-            detail=detail,
-            retry_after_ms=int(retry_after_s * 1e3),
-        )
-        self._act(self.ledger.handle(end, now), now)
+        failure = Failure(code, detail, Ran.NOT_RUN, retry_after_s)
+        self._act(self.ledger.handle(failed_end(start, failure), now), now)
 
     def _start_run(self, key: str, now: float) -> None:
         start = self.starts[key]
@@ -375,7 +345,7 @@
         self._record(start, "started", Code.OK, "")
 
     async def _prepare_model_call(self, start: Start, key: str) -> None:
-        priority = self._request_class(start.request_class).priority
+        priority = find_class(self.plane.bundle, start.request_class).priority
         start.body = await self.engine.prepare(start, key, priority)
 
     def _cancel(self, key: str, now: float) -> None:
@@ -432,6 +402,18 @@
         log_message(f"request_{step}", request_id=start.request_id, code=int(code), reason=reason)
 
 
+def failed_end(start: Start, failure: Failure) -> RunEnd:
+    """Return the end of a request that was given up before or instead of its run."""
+    return RunEnd(
+        start.request_id,
+        start.attempt,
+        failure.code,
+        failure.ran,
+        detail=failure.detail,
+        retry_after_ms=int(failure.retry_after_s * 1e3),
+    )
+
+
 def run_key(request_id: str, attempt: int) -> str:
     """Return the name of one attempt in the scheduler and the table of runs."""
     return f"{request_id}#{attempt}"
--- a/teaselpath/control/_plane.py
+++ b/teaselpath/control/_plane.py
@@ -10,17 +10,8 @@
 from eliot import log_message
 from result import Err, Ok
 
-from teaselpath.bundle import (
-    Accepted,
-    Bundle,
-    BundleState,
-    KeyIndex,
-    Rejected,
-    Renewed,
-    RevocationSet,
-    Withdrawn,
-    mark_renewal,
-)
+from teaselpath.bundle import Bundle, BundleState, KeyIndex, RevocationSet
+from teaselpath.control._config import CONFIG_STREAM, ConfigService
 from teaselpath.control._log_follower import LogFollower
 from teaselpath.control._metrics import Metrics
 from teaselpath.control._operator import OperatorRequests
@@ -49,13 +40,11 @@
     Gossip,
     Revocation,
     Send,
-    SignedRecord,
     TraceCopy,
 )
 
 TICK_S = 0.2
 COPY_BATCH = 50
-CONFIG_STREAM = "config"
 READERS_PER_DOMAIN = 3
 PLATFORM_TIMEOUT_S = 3.0
 
@@ -103,8 +92,9 @@
         self.random = Random(f"{settings.host}/{incarnation}")
         self.metrics = Metrics(settings.role, settings.host)
         limits = settings.limits
-        self.state = BundleState(settings.operator_key_bytes(), limits.log_retention_s)
-        self.key_index: KeyIndex | None = None
+        self.config = ConfigService(
+            settings, self._config_changed, self._bundle_in_force, self._keys_changed
+        )
         self.members = MemberTable(_self_member(settings, keys, incarnation), (), self.random)
         self.decisions = DecisionLog(limits.decision_records, limits.trace_queue)
         self.accepted_curve_keys = {key.encode() for key in settings.control.accepted_curve_keys}
@@ -121,6 +111,16 @@
         self.tasks: asyncio.TaskGroup | None = None
         self.config_follower: LogFollower | None = None
 
+    @property
+    def state(self) -> BundleState:
+        """Return the accepted bundle with its place on the log."""
+        return self.config.state
+
+    @property
+    def key_index(self) -> KeyIndex | None:
+        """Return the keys of the bundle in force."""
+        return self.config.key_index
+
     @property
     def bundle(self) -> Bundle | None:
         """Return the bundle in force."""
@@ -142,7 +142,7 @@
             async with asyncio.TaskGroup() as group:
                 self.tasks = group
                 self.config_follower = self.follow(
-                    CONFIG_STREAM, self._take_config_record, self._log_noticed
+                    CONFIG_STREAM, self.config.take_record, self._log_noticed
                 )
                 group.create_task(self._poll_hosts())
                 group.create_task(self._tick())
@@ -164,7 +164,7 @@
         if self.log is None or self.tasks is None:
             return None
         wait_ms = min(self.settings.limits.log_wait_ms, longest_wait_ms)
-        follower = LogFollower(self.log, stream, take, noticed, self.state.skip_to, wait_ms)
+        follower = LogFollower(self.log, stream, take, noticed, self.config.skip_to, wait_ms)
         if stream != CONFIG_STREAM:
             follower.skipped = lambda first: None
         self.tasks.create_task(follower.run())
@@ -231,7 +231,10 @@
 
     def _deliver(self, event: Received | PeerLost) -> None:
         match event:
-            case Received(message=Gossip() as gossip):
+            case Received(host=host, message=Gossip() as gossip):
+                # A node may speak for itself only.
+                if gossip.host != host:
+                    return
                 self._act(self.members.handle(GossipReceived(gossip), time.monotonic()))
             case Received(message=ConfigPull() as pull):
                 self._act(self.members.handle(PullReceived(pull), time.monotonic()))
@@ -251,70 +254,27 @@
 
     def add_revocation(self, data: bytes) -> bool:
         """Add a signed revocation and spread it if it was new; False if it was refused."""
-        match self.revocations.add(data, self.settings.operator_key_bytes()):
-            case Ok(True):
-                log_message("key_withdrawn")
-                now = time.monotonic()
-                self._config_changed()
-                if self.role is not None:
-                    self.role.keys_changed()
-                self._act(self.members.handle(RevocationAdded(data), now))
-                return True
-            case Ok(False):
-                return True
-            case Err(failure):
-                log_message("revocation_refused", code=int(failure.code), reason=failure.detail)
-        return False
-
-    def _take_config_record(self, record: LogRecord) -> None:
-        signed = SignedRecord(record.offset, record.data)
-        events = self.state.handle(signed, time.monotonic(), record.age_ms / 1e3)
-        self._take_bundle_events(events)
+        is_new = self.config.add_revocation(data)
+        if is_new:
+            self._act(self.members.handle(RevocationAdded(data), time.monotonic()))
+        return is_new is not None
 
     def _take_push(self, push: ConfigPush) -> None:
-        for record in push.records:
-            self._take_bundle_events(self.state.install(record, time.monotonic()))
+        self.config.take_peer_records(push.records)
         for data in push.revocations:
             self.add_revocation(data)
 
-    def _take_bundle_events(self, events: list) -> None:
-        for event in events:
-            match event:
-                case Accepted():
-                    self._take_bundle(event)
-                case Rejected(offset=offset, failure=failure):
-                    log_message(
-                        "record_rejected",
-                        offset=offset,
-                        code=int(failure.code),
-                        reason=failure.detail,
-                    )
-                case Renewed(offset=offset):
-                    log_message("bundle_renewed", offset=offset)
-                case Withdrawn(key_id=key_id):
-                    log_message("key_withdrawn", key_id=key_id)
-                    if self.role is not None:
-                        self.role.keys_changed()
-        self._config_changed()
-
-    def _take_bundle(self, event: Accepted) -> None:
-        log_message("bundle_in_force", version=event.version, offset=event.offset)
-        self.key_index = KeyIndex(event.bundle, self.revocations)
-        if self.role is not None:
-            self.role.bundle_changed(event.bundle)
-
-    def _config_changed(self) -> None:
-        state = self.state
-        event = ConfigChanged(
-            state.attested_record(),
-            state.version,
-            state.digest,
-            state.revocations.digest,
-            state.revocations.records,
-            state.has_gap,
-        )
+    def _config_changed(self, event: ConfigChanged) -> None:
         self._act(self.members.handle(event, time.monotonic()))
 
+    def _bundle_in_force(self, bundle: Bundle) -> None:
+        if self.role is not None:
+            self.role.bundle_changed(bundle)
+
+    def _keys_changed(self) -> None:
+        if self.role is not None:
+            self.role.keys_changed()
+
     def _log_noticed(self, is_up: bool) -> None:
         self.log_is_up = is_up
         self._act(self.members.handle(LogSeen(is_up), time.monotonic()))
@@ -335,19 +295,15 @@
         while True:
             now = time.monotonic()
             self._act(self.members.tick(now))
+            self.config.close_gap(now)
             self._renew_bundle(now)
             self._copy_decisions()
             await asyncio.sleep(TICK_S)
 
     def _renew_bundle(self, now: float) -> None:
-        state = self.state
-        if now < state.renew_at or state.record is None or not self.log_is_up:
-            return
-        if self.members.is_chosen(state.digest):
-            # Another node may be chosen before this append is read back, so it is tried once per
-            # interval; a second copy of the record is harmless.
-            state.renew_at = now + self.settings.limits.log_retention_s / 10
-            self.append(Append(CONFIG_STREAM, mark_renewal(state.record.data)))
+        renewal = self.config.due_renewal(now, self.members.is_chosen)
+        if renewal is not None:
+            self.append(renewal)
 
     def _copy_decisions(self) -> None:
         records = self.decisions.pending_copies(COPY_BATCH)
