Pass single-byte chunks to the event boundary; room for more peers; fewer event polls

Cause: a first chunk of one byte was taken as a whole event, because the search for an event's end answered -1 and 2 was added to it. The socket context ended at 340 peers. Each single cache event cost a poll of the engine. Change: the boundary is 0 if no end is found; 16,384 sockets; 50 ms between event polls.

--- a/teaselpath/agent/_engine.py
+++ b/teaselpath/agent/_engine.py
@@ -20,6 +20,8 @@
 
 LOAD_INTERVAL_S = 0.1
 EVENT_WAIT_MS = 1_000
+# Lets events gather; a poll for each single event costs more than all other work on the cache.
+EVENT_PAUSE_S = 0.05
 RETRY_DELAY_S = 0.1
 CALL_TIMEOUT_S = 2.0
 
@@ -137,6 +139,7 @@
             if batch.events:
                 self.last_seq = max(self.last_seq, *(event.seq for event in batch.events))
             self._apply(batch)
+            await asyncio.sleep(EVENT_PAUSE_S)
 
     async def _fetch_snapshots(self) -> None:
         while True:
--- a/teaselpath/entry/_body.py
+++ b/teaselpath/entry/_body.py
@@ -116,10 +116,11 @@
         if self.tail:
             data = self.tail + data
             self.tail = b""
-        end = data.rfind(EVENT_END)
-        if end + len(EVENT_END) != len(data):
-            self.tail = data[end + len(EVENT_END) :] if end >= 0 else data
-            data = data[: end + len(EVENT_END)] if end >= 0 else b""
+        found = data.rfind(EVENT_END)
+        end = found + len(EVENT_END) if found >= 0 else 0
+        if end != len(data):
+            self.tail = data[end:]
+            data = data[:end]
         if data:
             self.delivered_bytes += len(data)
             if self.delivered_bytes <= KEEP_BYTES:
--- a/teaselpath/transport/_node.py
+++ b/teaselpath/transport/_node.py
@@ -19,6 +19,8 @@
 # Messages handled before other tasks of the process get a turn.
 RECEIVE_BATCH = 64
 HIGH_WATER_MARK = 20_000
+# Three per peer; the library's default of 1,023 ends at 340 peers.
+MAX_SOCKETS = 16_384
 HEARTBEAT_INTERVAL_MS = 500
 HEARTBEAT_TIMEOUT_MS = 2_000
 RECONNECT_INTERVAL_MS = 50
@@ -103,6 +105,7 @@
     async def start(self) -> None:
         """Bind the ROUTER and start receiving."""
         self.context = zmq.asyncio.Context()
+        self.context.set(zmq.MAX_SOCKETS, MAX_SOCKETS)
         self.authenticator = AsyncioAuthenticator(self.context)
         self.authenticator.start()
         self.authenticator.configure_curve_callback(
