Answer the operators' tool, which connects without a routing id

Cause: a node drops messages from connections whose routing id is not host/incarnation. The tool sets none, so no node ever answered it. Change: a connection with an automatic routing id may send Control, and nothing else; the connection is not kept after the answer.

--- a/teaselpath/transport/_node.py
+++ b/teaselpath/transport/_node.py
@@ -14,7 +14,7 @@
 
 from teaselpath.results import Code, Failure, Ran
 from teaselpath.transport._security import CurveKeys, KeyAllowList
-from teaselpath.wire import Message, decode, encode
+from teaselpath.wire import Control, Message, decode, encode
 
 # Messages handled before other tasks of the process get a turn.
 RECEIVE_BATCH = 64
@@ -33,6 +33,10 @@
 )
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 ZAP_DOMAIN = "teaselpath"
+# The library names a connection that has no routing id by a zero byte and a number.
+UNNAMED_PREFIX = b"\0"
+# No host name starts with this.
+UNNAMED_HOST = "\0"
 
 
 @dataclass(slots=True)
@@ -219,6 +223,9 @@
             await asyncio.sleep(0)
 
     def _accept_inbound(self, identity: bytes, data: bytes) -> None:
+        if identity.startswith(UNNAMED_PREFIX):
+            self._accept_unnamed(identity, data)
+            return
         host, _, number = identity.decode("utf-8", "replace").rpartition("/")
         if not host or not number.isdecimal():
             self.malformed += 1
@@ -230,6 +237,23 @@
             self.inbound[host] = identity
         self._deliver_data(host, incarnation, data)
 
+    def _accept_unnamed(self, identity: bytes, data: bytes) -> None:
+        """Take a request of the operators' tool, which is no host and connects without a name.
+
+        The answer is sent while the request is delivered, so the connection is not kept.
+        """
+        message = decode(data).ok()
+        if not isinstance(message, Control):
+            self.malformed += 1
+            return
+        self.received_bytes += len(data)
+        name = f"{UNNAMED_HOST}{identity.hex()}"
+        self.inbound[name] = identity
+        try:
+            self.deliver(Received(name, 0, message))
+        finally:
+            self.inbound.pop(name, None)
+
     async def _receive_from_peer(self, host: str, peer: _Peer) -> None:
         while True:
             await peer.socket.poll()
--- a/teaselpath/transport/tests/test_node.py
+++ b/teaselpath/transport/tests/test_node.py
@@ -6,7 +6,7 @@
 import zmq
 
 from teaselpath.transport import CurveKeys, KeyAllowList, Node, PeerLost, Received
-from teaselpath.wire import Cancel, Cancelled
+from teaselpath.wire import Cancel, Cancelled, Control, ControlReply, decode, encode
 
 WAIT_S = 10.0
 
@@ -148,3 +148,33 @@
         await entry.stop()
 
     asyncio.run(scenario())
+
+
+def test_operators_tool_gets_its_answer_without_a_routing_id(keys):
+    """Guards against a tool that no node answers, and against other messages from its socket."""
+
+    async def scenario():
+        agent, events = make_node("agent", keys[0], {keys[1].public})
+
+        def answer(event):
+            events.put_nowait(event)
+            agent.reply(event.host, ControlReply(event.message.request_id, 0, b"{}"))
+
+        agent.deliver = answer
+        await agent.start()
+        tool = zmq.asyncio.Context.instance().socket(zmq.DEALER)
+        tool.linger = 0
+        tool.curve_serverkey = keys[0].public
+        tool.curve_publickey, tool.curve_secretkey = keys[1].public, keys[1].secret
+        tool.connect(f"tcp://{bound_address(agent)}")
+        async with asyncio.timeout(WAIT_S):
+            await tool.send(encode(Cancel("r", 1, True)))
+            await tool.send(encode(Control("q", b"", b"", b"")))
+            assert decode(await tool.recv()).unwrap() == ControlReply("q", 0, b"{}")
+        assert isinstance(events.get_nowait().message, Control)
+        assert events.empty()
+        assert not agent.inbound
+        tool.close()
+        await agent.stop()
+
+    asyncio.run(scenario())
