Take a stream as complete only if it ends with usage and reason

Cause: an agent took an event stream as complete if the end marker was near its end. An engine that sent the marker early, or text after it, made a part of an answer look whole. Change: the event before the marker must have usage and a finish reason, and nothing after the marker is passed on. Conclusion: such streams are continued or end with an error.

--- a/teaselpath/agent/_endpoint.py
+++ b/teaselpath/agent/_endpoint.py
@@ -12,7 +12,8 @@
 
 # Enough of the stream's end to hold the last event with the usage and the end marker.
 TAIL_BYTES = 4096
-DONE_MARKER = b"data: [DONE]"
+# A line of its own: the text of an answer cannot hold a line feed, because JSON escapes it.
+DONE_MARKER = b"\ndata: [DONE]"
 FORWARDED_RESPONSE_HEADERS = frozenset({"content-type", "cache-control", "location", "retry-after"})
 
 
@@ -69,6 +70,16 @@
     usage: _UsageBody | None = None
 
 
+class _Choice(msgspec.Struct):
+    finish_reason: str | None = None
+
+
+class _LastEvent(msgspec.Struct):
+    usage: _UsageBody | None = None
+    choices: list[_Choice] = []
+
+
+_last_decoder = msgspec.json.Decoder(_LastEvent)
 _usage_decoder = msgspec.json.Decoder(_UsageEvent)
 
 
@@ -114,7 +125,7 @@
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=2.0, sock_read=max(first_byte_timeout_s, self.idle_timeout_s)
         )
-        tail = b""
+        tail, is_done = b"\n", False
         try:
             async with self.session.request(
                 start.method,
@@ -125,8 +136,18 @@
                 allow_redirects=False,
             ) as response:
                 yield Head(response.status, _response_headers(response))
+                is_stream = start.stream and response.status == 200
                 async for data in response.content.iter_any():
-                    tail = (tail + data)[-TAIL_BYTES:] if start.stream else tail + data
+                    if is_done:
+                        # What follows the end marker is no part of the answer.
+                        continue
+                    known, tail = len(tail), tail + data
+                    if is_stream and DONE_MARKER in tail:
+                        is_done = True
+                        tail = tail[: tail.index(DONE_MARKER) + len(DONE_MARKER)]
+                        data = tail[known:] + b"\n\n"
+                    elif start.stream:
+                        tail = tail[-TAIL_BYTES:]
                     yield Data(data)
         except aiohttp.ClientConnectorError as error:
             yield Broken(Failure(Code.ENDPOINT_FAILED, str(error), Ran.NOT_RUN))
@@ -135,8 +156,9 @@
             detail = f"{type(error).__name__}: {error}"
             yield Broken(Failure(Code.ENDPOINT_FAILED, detail, Ran.UNKNOWN), _usage(tail))
             return
-        if start.stream and response.status == 200 and DONE_MARKER not in tail:
-            detail = "the event stream ended without its end marker"
+        if is_stream and not (is_done and _ends_properly(tail)):
+            # Each stream is asked for its usage, so an end without it is no proper end.
+            detail = "the event stream ended without usage, reason or end marker"
             yield Broken(Failure(Code.STREAM_INCOMPLETE, detail, Ran.RAN), _usage(tail))
             return
         yield Finished(_usage(tail))
@@ -150,6 +172,18 @@
             return
 
 
+def _ends_properly(tail: bytes) -> bool:
+    """Return whether the event before the end marker has the usage and the reason of the end."""
+    lines = [line for line in tail.removesuffix(DONE_MARKER).split(b"\n") if line.strip()]
+    if not lines:
+        return False
+    try:
+        event = _last_decoder.decode(lines[-1].strip().removeprefix(b"data:"))
+    except msgspec.DecodeError:
+        return False
+    return event.usage is not None and all(choice.finish_reason for choice in event.choices)
+
+
 def _usage(tail: bytes) -> Usage:
     return parse_usage(tail) or Usage()
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -7,7 +7,7 @@
 import pytest
 
 from benchmarks.fault_client import Attempt, send
-from benchmarks.fault_cluster import MODEL, Cluster
+from benchmarks.fault_cluster import MODEL, START_OVER_CLASS, Cluster
 from standins.fleet import FleetPlan, make_key
 from standins.testing import expected_tokens
 from teaselpath.results import Code, Ran
@@ -55,6 +55,8 @@
 
     async def _send(self, path, body, headers, attempt):
         key = make_key(attempt.workspace, attempt.key_number)
+        if attempt.request_class:
+            headers = headers | {"x-teaselpath-class": attempt.request_class}
         headers = headers | {"Authorization": f"Bearer {key}"}
         url = self.fleet.nodes[attempt.entry].http_url + path
         await send(self.session, url, body, headers, attempt, WAIT_S)
@@ -136,6 +138,26 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("mode", ["no_usage", "shuffled", "after_done"])
+def test_malformed_end_of_a_stream_never_passes_for_its_end(run, mode):
+    """Guards against a part of an answer, or text after its end, that looks whole."""
+
+    async def scenario(caller):
+        for node in caller.cluster.agents("engine"):
+            fault = {"sse": {"after_tokens": 3, "count": 1, "mode": mode}}
+            await caller.fleet.set_faults(node.endpoint_url, fault)
+        for number in range(4):
+            attempt, reading = await caller.stream(f"{mode}-{number}", "entry-1", 30)
+            attempt.request_class = START_OVER_CLASS
+            await reading
+            assert attempt.expected.startswith(attempt.text), attempt
+            assert not attempt.is_whole or attempt.text == attempt.expected
+        for node in caller.cluster.agents("engine"):
+            await caller.fleet.set_faults(node.endpoint_url, {"sse": {"count": 0}})
+
+    run(scenario)
+
+
 def test_booking_with_a_key_is_made_once_although_its_agent_is_killed(run):
     """Guards against two vans for one visit after an agent lost its memory in the middle."""
 
