Stop an agent or entry when the host list shows it as leaving

Cause: a node whose own host was listed as leaving only noted it, and went on taking work. Change: the listed state starts the planned stop, as a signal does. Entries of the list count only 60 s after the start of the process, because a lagging list may still describe its predecessor. Conclusion: the agent itself refuses new work, whatever the entries know.

--- a/teaselpath/control/_plane.py
+++ b/teaselpath/control/_plane.py
@@ -55,6 +55,8 @@
 TICK_S = 0.2
 COPY_BATCH = 50
 CONFIG_STREAM = "config"
+# A leaving entry of the lagging host list may be about the previous process this long.
+HOST_LIST_LAG_S = 60.0
 PLATFORM_TIMEOUT_S = 3.0
 
 
@@ -290,9 +292,8 @@
     async def _poll_hosts(self) -> None:
         if not self.settings.host_list_url:
             return
-        loop = asyncio.get_running_loop()
         while True:
-            match await self.hosts.fetch(loop.time() + PLATFORM_TIMEOUT_S):
+            match await self.hosts.fetch(asyncio.get_running_loop().time() + PLATFORM_TIMEOUT_S):
                 case Ok(hosts):
                     self._act(self.members.handle(HostList(hosts), time.monotonic()))
                 case Err(failure):
@@ -332,6 +333,8 @@
                     self.send(action)
                 case MemberChanged(member=member, previous=previous):
                     changed = True
+                    if member.host == self.settings.host and member.state == "leaving":
+                        self.drain_requested.set()
                     log_message(
                         "member_changed", member=member.host, state=member.state, previous=previous
                     )
@@ -378,6 +381,7 @@
         keys.public.decode(),
         settings.endpoint.id,
         incarnation,
+        list_trusted_at=time.monotonic() + HOST_LIST_LAG_S,
     )
 
 
