Show only hosts as leaving that the host list may apply to

Cause: nodes take a leaving entry to be about the previous process for 60 s after a start; the fault run listed a process that was 54 s old. Change: the fault takes only nodes that started more than 65 s ago. Conclusion: the check of the run tests the rule that the nodes follow.

--- a/benchmarks/fault_kinds.py
+++ b/benchmarks/fault_kinds.py
@@ -22,6 +22,8 @@
 PROBE_AFTER_S = 5.2
 # Limit of new work at a leaving endpoint, with one poll of the host list and its lag.
 LEAVING_LIMIT_S = 3.0
+# A node takes a leaving entry of the host list to be about the previous process this long.
+HOST_LIST_LAG_S = 65.0
 # Part of the engine faults that hit the busiest engine.
 BUSIEST_SHARE = 0.8
 SSE_MODES = ("truncated", "malformed", "oversized", "after_done", "no_usage", "shuffled")
@@ -56,6 +58,8 @@
     problems: list[tuple[str, str]] = field(default_factory=list)
     rates: list[Rates] = field(default_factory=list)
     next_key: int = KEPT_KEYS + 1
+    began_at: float = field(default_factory=time.monotonic)
+    started_at: dict[str, float] = field(default_factory=dict)
 
     def take(self, nodes: list[Node]) -> Node | None:
         """Choose a node that no other fault uses at this time."""
@@ -98,6 +102,7 @@
 
 async def _start(run: FaultRun, node: Node) -> None:
     run.cluster.fleet.start_node(node.name)
+    run.started_at[node.name] = time.monotonic()
     if not await run.watcher.wait_ready(node.name, READY_TIMEOUT_S):
         run.problems.append(("P3", f"{node.name} was not ready {READY_TIMEOUT_S} s after a start"))
 
@@ -165,7 +170,8 @@
 
 async def leave(run: FaultRun, nodes: list[Node]) -> None:
     """Show an engine's host as leaving in the host list; it must get no new work."""
-    node = run.take(nodes)
+    old = time.monotonic() - HOST_LIST_LAG_S
+    node = run.take([n for n in nodes if run.started_at.get(n.name, run.began_at) < old])
     if node is None:
         return
     run.done["host leaving"] += 1
