A lost agent counts as gone after one second without a connection

Cause: after an agent was killed its requests waited for the first-byte deadline (20 s) or for the membership (30 s), since a lost connection only led to resumes that could not be sent. Change: if the connection is not back within 1 s, the outcome core is told that the agent is gone: streams go on elsewhere, calls that may not be repeated end as unknown.

--- a/teaselpath/entry/_driver.py
+++ b/teaselpath/entry/_driver.py
@@ -53,6 +53,8 @@
 INBOX_SIZE = 256
 # A continuation that finds no engine within this time ends the stream with an error.
 CONTINUATION_TIMEOUT_S = 2.0
+# A connection that was only cut is back within this time; otherwise the agent counts as gone.
+AGENT_RETURN_S = 1.0
 
 
 class RequestDriver:
@@ -89,6 +91,7 @@
         self.destination: Destination | None = None
         self.sequences: dict[int, int] = {}
         self.routed_at = 0.0
+        self.lost_until: float | None = None
         self.first_byte_at: float | None = None
         self.attempt_first_byte_at: float | None = None
         self.prompt_tokens = 0
@@ -143,9 +146,7 @@
             case Received(message=End() as end) if self.assembler is not None:
                 return self._stopped_end(end, now)
             case PeerLost():
-                # The connection comes back by itself; a resume then tells whether the agent lives.
-                if self.assembler is not None:
-                    self.assembler.resume_at = min(self.assembler.resume_at, now)
+                self.lost_until = now + AGENT_RETURN_S
                 return []
             case AgentLost() | StopWanted():
                 return self.outcome.handle(event, now)
@@ -162,6 +163,16 @@
         return []
 
     def _tick(self, now: float) -> list:
+        if self.lost_until is not None and self.destination is not None:
+            host = self.destination.host
+            if self.service.plane.node.is_connected(host):
+                # A resume tells whether the agent is still the process that has the request.
+                self.lost_until = None
+                if self.assembler is not None:
+                    self.assembler.resume_at = now
+            elif now >= self.lost_until:
+                self.lost_until = None
+                return self.outcome.handle(AgentLost(host), now)
         if self.assembler is not None:
             for action in self.assembler.tick(now):
                 self._send_stream_message(action)
@@ -287,6 +298,7 @@
         choice = self.destination.choice
         self.routed_at = now
         self.attempt_first_byte_at = None
+        self.lost_until = None
         self.assembler = StreamAssembler(self.request_id, action.attempt, now)
         expected_ms = choice.expected_s * 1e3
         reason = f"matched {choice.matched_blocks} blocks, expected {expected_ms:.0f} ms"
--- a/teaselpath/transport/_node.py
+++ b/teaselpath/transport/_node.py
@@ -152,6 +152,11 @@
         peer.monitor_task = asyncio.create_task(self._watch_peer(host, peer, monitor))
         self.peers[host] = peer
 
+    def is_connected(self, host: str) -> bool:
+        """Return whether there is a live connection to a peer."""
+        peer = self.peers.get(host)
+        return peer is not None and peer.connected
+
     def disconnect(self, host: str) -> None:
         """Close the connection to a peer, if there is one."""
         if host in self.peers:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -138,6 +138,29 @@
     run(scenario)
 
 
+def test_stream_goes_on_after_its_agent_was_killed(run):
+    """Guards against a stream that stalls until a deadline although other engines are free."""
+
+    async def scenario(caller):
+        attempt, reading = await caller.stream("agent-killed", "entry-1", 400)
+        busy = []
+
+        async def is_running():
+            for node in caller.cluster.agents("engine"):
+                load = await caller.fleet.get(node.endpoint_url + "/load")
+                busy.extend([node.name] if load["running"] else [])
+            return bool(busy)
+
+        await wait_for(is_running)
+        await caller.fleet.kill_node(busy[0])
+        await reading
+        await caller.restart(busy[0])
+        assert attempt.is_served, attempt
+        assert attempt.text == attempt.expected
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("mode", ["no_usage", "shuffled", "after_done"])
 def test_malformed_end_of_a_stream_never_passes_for_its_end(run, mode):
     """Guards against a part of an answer, or text after its end, that looks whole."""
