--- a/teaselpath/control/_plane.py
+++ b/teaselpath/control/_plane.py
@@ -46,8 +46,6 @@
 TICK_S = 0.2
 COPY_BATCH = 50
 READERS_PER_DOMAIN = 3
-# A leaving entry of the lagging host list may be about the previous process this long.
-HOST_LIST_LAG_S = 60.0
 PLATFORM_TIMEOUT_S = 3.0
 
 
@@ -368,7 +366,6 @@
         keys.public.decode(),
         settings.endpoint.id,
         incarnation,
-        list_trusted_at=time.monotonic() + HOST_LIST_LAG_S,
     )
 
 
