One list of forwarded headers; the host list is read each 2 s

Cause: the header list stood in the entry and in the agent; with 5 s between reads a leaving host could take new work for longer than 3 s. Change: the list is in wire, used by both sides; default of host_list_interval_s is 2 s.

--- a/teaselpath/agent/_admission.py
+++ b/teaselpath/agent/_admission.py
@@ -3,9 +3,7 @@
 import orjson
 
 from teaselpath.prefix import chain_seed
-from teaselpath.wire import Start
-
-FORWARDED_HEADERS = frozenset({"accept", "accept-language", "content-type"})
+from teaselpath.wire import FORWARDED_HEADERS, Start
 
 
 def endpoint_headers(start: Start) -> list[tuple[str, str]]:
--- a/teaselpath/entry/_call.py
+++ b/teaselpath/entry/_call.py
@@ -11,6 +11,7 @@
 from teaselpath.bundle import Bundle, ModelSpec, RequestClass, Route
 from teaselpath.prefix import chain_hashes, chain_seed, render_prompt
 from teaselpath.results import Code, Failure
+from teaselpath.wire import FORWARDED_HEADERS
 
 CHAT_PATH = "/v1/chat/completions"
 COMPLETIONS_PATH = "/v1/completions"
@@ -18,8 +19,6 @@
 MAX_OUTPUT_CAP = 131_072
 CLASS_HEADER = "x-teaselpath-class"
 DEFAULT_CLASS = RequestClass(id="interactive", priority=0, deadline_ms=30_000, max_wait_ms=5_000)
-# All that an endpoint may see of a caller's headers; credentials are not among them.
-FORWARDED_HEADERS = frozenset({"accept", "accept-language", "content-type"})
 
 
 @dataclass(slots=True)
--- a/teaselpath/platform/_settings.py
+++ b/teaselpath/platform/_settings.py
@@ -118,7 +118,7 @@
     probe_timeout_ms: Milliseconds = 150
     append_timeout_ms: Milliseconds = 3000
     log_wait_ms: Milliseconds = 10_000
-    host_list_interval_s: Seconds = 5.0
+    host_list_interval_s: Seconds = 2.0
     log_retention_s: Seconds = 86_400.0
     body_timeout_s: Seconds = 10.0
     stream_idle_timeout_s: Seconds = 30.0
--- a/teaselpath/wire/__init__.py
+++ b/teaselpath/wire/__init__.py
@@ -2,6 +2,7 @@
 
 from teaselpath.wire._actions import Append, Send
 from teaselpath.wire._codec import Message, decode, encode
+from teaselpath.wire._headers import FORWARDED_HEADERS
 from teaselpath.wire._messages import (
     Ack,
     Cancel,
@@ -32,6 +33,7 @@
 )
 
 __all__ = [
+    "FORWARDED_HEADERS",
     "Ack",
     "Append",
     "Cancel",
