Remove what stood twice or was no longer called

Cause: a last read of the whole change. Change: one check, the constructor, the quota package's name, one _run_role for both. Conclusion: behaviour stays.

--- a/standins/engine/_cache.py
+++ b/standins/engine/_cache.py
@@ -108,10 +108,6 @@
                 out.extend([item] * event.copies)
         return out
 
-    def next_visible_at(self, after: int) -> float | None:
-        """Return when the next delayed event above a number becomes visible."""
-        return min((e.visible_at for e in self.events if e.seq > after), default=None)
-
     def _emit(self, kind: str, hashes: list[str], now: float) -> None:
         self.seq += 1
         if self.faults.drop_fraction and self.random.random() < self.faults.drop_fraction:
--- a/teaselpath/bundle/_signing.py
+++ b/teaselpath/bundle/_signing.py
@@ -22,7 +22,6 @@
 KINDS = ("bundle", "revocation", "control")
 # Bounds the memory that one record can take when it is unpacked.
 MAX_PAYLOAD_BYTES = 32 * 1024 * 1024
-KEY_BYTES = 32
 
 
 class _Envelope(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
--- a/teaselpath/daemon/_process.py
+++ b/teaselpath/daemon/_process.py
@@ -92,23 +92,18 @@
 
     async def _run_entry(self) -> int:
         service = EntryService(self.plane)
-        server = _make_server(self.settings, EntryApp(service).build())
-        tasks = [
-            asyncio.create_task(self.plane.run(service), name="control plane"),
-            asyncio.create_task(service.run(), name="entry"),
-            asyncio.create_task(server.serve(), name="http"),
-        ]
-        await self.plane.started.wait()
-        service.follow_shares()
-        return await self._until_stopped(service, tasks, server)
+        return await self._run_role(service, EntryApp(service).build())
 
     async def _run_agent(self, session: aiohttp.ClientSession) -> int:
         service = AgentService(self.plane, session)
         pages = StatusPages(self.plane, service.why_not_ready)
-        server = _make_server(self.settings, Starlette(routes=pages.routes()))
+        return await self._run_role(service, Starlette(routes=pages.routes()))
+
+    async def _run_role(self, service: EntryService | AgentService, app: Starlette) -> int:
+        server = _make_server(self.settings, app)
         tasks = [
             asyncio.create_task(self.plane.run(service), name="control plane"),
-            asyncio.create_task(service.run(), name="agent"),
+            asyncio.create_task(service.run(), name=self.settings.role),
             asyncio.create_task(server.serve(), name="http"),
         ]
         await self.plane.started.wait()
--- a/teaselpath/entry/_app.py
+++ b/teaselpath/entry/_app.py
@@ -21,7 +21,7 @@
     check_service_call,
     find_route,
 )
-from teaselpath.entry._responses import CallerStream, error_body, error_headers, not_run
+from teaselpath.entry._responses import CallerStream, error_body, error_headers
 from teaselpath.entry._service import EntryService
 from teaselpath.results import Code, Failure, Ran, http_status
 from teaselpath.utils import new_id
@@ -50,7 +50,7 @@
         """List the models; the caller needs a valid key."""
         bundle = self.service.plane.bundle
         if bundle is None:
-            return _error_response(not_run(Code.NO_BUNDLE, "no bundle is in force"))
+            return _error_response(Failure(Code.NO_BUNDLE, "no bundle is in force"))
         caller = self._check_caller(_lower_headers(request.scope), None)
         if isinstance(caller, Err):
             return _error_response(caller.err_value)
@@ -88,12 +88,12 @@
     def _check_caller(self, headers: dict[str, str], route) -> Result:
         plane = self.service.plane
         assert plane.key_index is not None
-        return check_caller(headers, plane.key_index, plane.revocations, route)
+        return check_caller(headers, plane.key_index, route)
 
     def _check(self, scope, body: Result[bytes, Failure]) -> Result[Call, Failure]:
         bundle = self.service.plane.bundle
         if bundle is None:
-            return Err(not_run(Code.NO_BUNDLE, "no bundle is in force yet", 1.0))
+            return Err(Failure(Code.NO_BUNDLE, "no bundle is in force yet", retry_after_s=1.0))
         if isinstance(body, Err):
             return body
         path = scope["path"]
--- a/teaselpath/entry/_auth.py
+++ b/teaselpath/entry/_auth.py
@@ -2,7 +2,7 @@
 
 from result import Err, Ok, Result
 
-from teaselpath.bundle import KeyIndex, RevocationSet, Route
+from teaselpath.bundle import KeyIndex, Route
 from teaselpath.entry._call import Caller
 from teaselpath.results import Code, Failure
 
@@ -16,12 +16,13 @@
 
 
 def check_caller(
-    headers: dict[str, str], keys: KeyIndex, revocations: RevocationSet, route: Route | None
+    headers: dict[str, str], keys: KeyIndex, route: Route | None
 ) -> Result[Caller, Failure]:
     """Return the caller of a request.
 
     It runs on each request, so that a withdrawn key also stops on a kept-alive connection.
 
+    :param keys: keys of the bundle in force; it knows which of them are withdrawn.
     :param route: route of a plain service; one that is open to all needs no key.
     """
     key = read_key(headers)
@@ -33,6 +34,4 @@
     if isinstance(found, Err):
         return found
     match = found.ok_value
-    if revocations.is_revoked(match.digest):
-        return Err(Failure(Code.KEY_WITHDRAWN, f"the key {match.key_id} was withdrawn"))
     return Ok(Caller(match.workspace, match.digest, key))
--- a/teaselpath/entry/_responses.py
+++ b/teaselpath/entry/_responses.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from teaselpath.results import Code, Failure, Ran, http_status
+from teaselpath.results import Failure, http_status
 
 REQUEST_ID_HEADER = "x-request-id"
 _ERROR_TYPES = {1: "invalid_request_error", 2: "authentication_error", 3: "rate_limit_error"}
@@ -82,8 +82,3 @@
         elif self.is_event_stream:
             await self.send(error_event(failure, request_id))
             await self.finish()
-
-
-def not_run(code: Code, detail: str, retry_after_s: float = 0.0) -> Failure:
-    """Return a failure of a request that was not run."""
-    return Failure(code, detail, Ran.NOT_RUN, retry_after_s)
--- a/teaselpath/entry/_service.py
+++ b/teaselpath/entry/_service.py
@@ -15,6 +15,7 @@
 from teaselpath.entry._responses import CallerStream
 from teaselpath.entry._routing import EndpointRouter
 from teaselpath.quota import (
+    SHARES_STREAM,
     FromPeer,
     Home,
     HomesChanged,
@@ -47,7 +48,6 @@
 TICK_S = 0.1
 # Ids of finished requests that are remembered, for ends that an agent sends again.
 MAX_FINISHED = 10_000
-SHARES_STREAM = "shares"
 # A read confirms the leases as of its start, so it must be much shorter than a lease.
 SHARES_WAIT_MS = 1_000
 QuotaMessage = QuotaAsk | QuotaTransfer | QuotaReceipt | QuotaReserve | QuotaGrant | QuotaSettle
@@ -98,7 +98,7 @@
             group.create_task(self.quota.run())
             group.create_task(self._tick())
 
-    def follow_shares(self) -> None:
+    def follow_log(self) -> None:
         """Follow the share tables on the log."""
         self.shares = self.plane.follow(
             SHARES_STREAM, self._take_share_record, self._shares_noticed, SHARES_WAIT_MS
--- a/teaselpath/quota/_bucket.py
+++ b/teaselpath/quota/_bucket.py
@@ -72,14 +72,6 @@
         self.level += tokens
         self._fit()
 
-    def seconds_until(self, tokens: float) -> float:
-        """Return the seconds from the last accrual until the level reaches ``tokens``."""
-        if tokens <= self.level:
-            return 0.0
-        if self.rate <= 0.0 or tokens > self.capacity:
-            return float("inf")
-        return (tokens - self.level) / self.rate
-
     def _fit(self) -> None:
         over = self.level + self.refundable - self.capacity
         while over > 0.0 and self.reservations:
