--- a/benchmarks/capacity_transport.py
+++ b/benchmarks/capacity_transport.py
@@ -18,7 +18,7 @@
 import zmq
 from capacity_fit import Slope
 
-from teaselpath.platform import LogClient
+from teaselpath.clients import LogClient
 from teaselpath.transport import CurveKeys, KeyAllowList, Node
 
 PAGE_BYTES = 4096
--- a/benchmarks/fault_cluster.py
+++ b/benchmarks/fault_cluster.py
@@ -24,7 +24,7 @@
 )
 from teaselpath.cli._client import NodeAddress, ToolKeys, ask_nodes
 from teaselpath.cli._publish import Outcome, publish_record
-from teaselpath.platform import LogClient
+from teaselpath.clients import LogClient
 from teaselpath.transport import CurveKeys
 
 MODEL = "model-a"
--- a/teaselpath/agent/_claims.py
+++ b/teaselpath/agent/_claims.py
@@ -19,7 +19,7 @@
     RunChunk,
     StoredAnswer,
 )
-from teaselpath.platform import LogRecord
+from teaselpath.clients import LogRecord
 from teaselpath.results import Code, Failure, Ran
 from teaselpath.wire import Append, Start
 
--- a/teaselpath/agent/_engine_side.py
+++ b/teaselpath/agent/_engine_side.py
@@ -12,7 +12,7 @@
 from teaselpath.agent._orders import OrderService
 from teaselpath.bundle import Bundle
 from teaselpath.control import ControlPlane
-from teaselpath.platform import CacheStoreClient
+from teaselpath.clients import CacheStoreClient
 from teaselpath.prefix import CacheIndex
 from teaselpath.wire import Start
 
--- a/teaselpath/agent/_kept_cache.py
+++ b/teaselpath/agent/_kept_cache.py
@@ -9,7 +9,7 @@
 from eliot import log_message
 from result import Ok
 
-from teaselpath.platform import CacheStoreClient
+from teaselpath.clients import CacheStoreClient
 from teaselpath.prefix import CacheIndex, ImportSource, LinkBudget, plan_import
 
 # Recomputing less than this is not worth asking the store.
--- a/teaselpath/agent/_orders.py
+++ b/teaselpath/agent/_orders.py
@@ -23,7 +23,7 @@
     SendOrder,
     WantedState,
 )
-from teaselpath.platform import LogRecord
+from teaselpath.clients import LogRecord
 from teaselpath.wire import Append
 
 ORDER_TIMEOUT_S = 30.0
--- a/teaselpath/cli/_common.py
+++ b/teaselpath/cli/_common.py
@@ -13,7 +13,7 @@
 
 from teaselpath.bundle import Bundle, check_bundle
 from teaselpath.cli._client import NodeAddress, ToolKeys, ask_nodes
-from teaselpath.platform import HostListClient, read_secret
+from teaselpath.clients import HostListClient, read_secret
 from teaselpath.results import Failure
 
 Value = TypeVar("Value")
--- a/teaselpath/cli/_files.py
+++ b/teaselpath/cli/_files.py
@@ -25,7 +25,7 @@
     read_key,
 )
 from teaselpath.cli._tables import show
-from teaselpath.platform import check_settings
+from teaselpath.clients import check_settings
 
 CALLER_KEY_BYTES = 32
 
--- a/teaselpath/cli/_publish.py
+++ b/teaselpath/cli/_publish.py
@@ -30,7 +30,7 @@
     run,
 )
 from teaselpath.cli._tables import show
-from teaselpath.platform import LogClient, Trimmed
+from teaselpath.clients import LogClient, Trimmed
 from teaselpath.results import Code, Failure
 from teaselpath.wire import SignedRecord
 
--- a/teaselpath/cli/tests/test_commands.py
+++ b/teaselpath/cli/tests/test_commands.py
@@ -18,8 +18,8 @@
 from teaselpath.cli._nodes import explain_rows, rollout_rows, top_rows, workspace_rows
 from teaselpath.cli._publish import publish_record
 from teaselpath.cli._tables import format_table
-from teaselpath.platform import LogClient
-from teaselpath.platform.tests.servers import FakePlatform, run_with
+from teaselpath.clients import LogClient
+from teaselpath.clients.tests.servers import FakePlatform, run_with
 from teaselpath.results import Code, Failure
 from teaselpath.wire import Control, ControlReply, decode, encode
 
--- a/teaselpath/platform/_hosts.py
+++ b/teaselpath/clients/_hosts.py
@@ -4,7 +4,7 @@
 import msgspec
 from result import Err, Result
 
-from teaselpath.platform._http import call, decode_json
+from teaselpath.clients._http import call, decode_json
 from teaselpath.results import Code, Failure
 
 
--- a/teaselpath/platform/_log.py
+++ b/teaselpath/clients/_log.py
@@ -8,7 +8,7 @@
 import msgspec
 from result import Err, Result
 
-from teaselpath.platform._http import Answer, call, decode_json, retry_after_s
+from teaselpath.clients._http import Answer, call, decode_json, retry_after_s
 from teaselpath.results import Code, Failure, Ran
 
 # The answer to a long poll needs some time on top of the wait.
--- a/teaselpath/platform/_stores.py
+++ b/teaselpath/clients/_stores.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from teaselpath.platform._http import Answer, call, decode_json, retry_after_s
+from teaselpath.clients._http import Answer, call, decode_json, retry_after_s
 from teaselpath.results import Code, Failure, Ran
 
 
--- a/teaselpath/platform/tests/test_clients.py
+++ b/teaselpath/clients/tests/test_clients.py
@@ -4,14 +4,14 @@
 
 import pytest
 
-from teaselpath.platform import (
+from teaselpath.clients import (
     CacheStoreClient,
     HostListClient,
     LogClient,
     Trimmed,
     WeightStoreClient,
 )
-from teaselpath.platform.tests.servers import FakePlatform, run_with
+from teaselpath.clients.tests.servers import FakePlatform, run_with
 from teaselpath.results import Code, Ran
 
 
--- a/teaselpath/control/_config.py
+++ b/teaselpath/control/_config.py
@@ -18,7 +18,7 @@
     mark_renewal,
 )
 from teaselpath.membership import ConfigChanged
-from teaselpath.platform import LogRecord, Settings
+from teaselpath.clients import LogRecord, Settings
 from teaselpath.wire import Append, SignedRecord
 
 CONFIG_STREAM = "config"
--- a/teaselpath/control/_log_follower.py
+++ b/teaselpath/control/_log_follower.py
@@ -5,7 +5,7 @@
 
 from result import Ok
 
-from teaselpath.platform import LogClient, LogPage, LogRecord, Trimmed
+from teaselpath.clients import LogClient, LogPage, LogRecord, Trimmed
 
 RETRY_DELAY_S = 0.25
 RETRY_DELAY_MAX_S = 2.0
--- a/teaselpath/control/_plane.py
+++ b/teaselpath/control/_plane.py
@@ -27,7 +27,7 @@
     PullReceived,
     RevocationAdded,
 )
-from teaselpath.platform import HostListClient, LogClient, LogRecord, Settings
+from teaselpath.clients import HostListClient, LogClient, LogRecord, Settings
 from teaselpath.records import DecisionLog
 from teaselpath.transport import CurveKeys, KeyAllowList, Node, PeerLost, Received
 from teaselpath.utils import rendezvous_top
--- a/teaselpath/control/tests/test_leaving.py
+++ b/teaselpath/control/tests/test_leaving.py
@@ -8,7 +8,7 @@
 
 from teaselpath.control import ControlPlane
 from teaselpath.membership import HostList
-from teaselpath.platform import HostEntry, Settings
+from teaselpath.clients import HostEntry, Settings
 from teaselpath.transport import CurveKeys
 
 HOST = "agent-1"
--- a/teaselpath/daemon/__init__.py
+++ b/teaselpath/daemon/__init__.py
@@ -1,5 +1,1 @@
-"""The daemon: one process in role entry or agent."""
-
-from teaselpath.daemon._main import main
-
-__all__ = ["main"]
+"""The daemons: an entry or agent of a self-hosted fleet, or a gateway on the users' platform."""
--- a/teaselpath/daemon/__main__.py
+++ b/teaselpath/daemon/__main__.py
@@ -1,5 +1,5 @@
 """Run the daemon as ``python -m teaselpath.daemon``."""
 
-from teaselpath.daemon import main
+from teaselpath.daemon._main import main
 
 main()
--- a/teaselpath/daemon/_main.py
+++ b/teaselpath/daemon/_main.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from teaselpath.daemon._process import Process
-from teaselpath.platform import Settings, load_settings
+from teaselpath.clients import Settings, load_settings
 from teaselpath.results import Failure
 
 EXIT_INVALID_SETTINGS = 2
--- a/teaselpath/daemon/_process.py
+++ b/teaselpath/daemon/_process.py
@@ -15,7 +15,7 @@
 from teaselpath.agent import AgentService
 from teaselpath.control import ControlPlane, StatusPages
 from teaselpath.entry import EntryApp, EntryService
-from teaselpath.platform import Settings, load_settings, read_secret
+from teaselpath.clients import Settings, load_settings, read_secret
 from teaselpath.transport import CurveKeys
 
 EXIT_OK = 0
--- a/teaselpath/daemon/tests/test_documents.py
+++ b/teaselpath/daemon/tests/test_documents.py
@@ -8,7 +8,7 @@
 import pytest
 
 from teaselpath.bundle import Bundle, RevocationSpec
-from teaselpath.platform import Settings
+from teaselpath.clients import Settings
 from teaselpath.results import Code
 
 DOCS = Path(__file__).parents[3] / "docs"
--- a/teaselpath/daemon/tests/test_settings.py
+++ b/teaselpath/daemon/tests/test_settings.py
@@ -6,7 +6,7 @@
 import pytest
 
 from teaselpath.bundle import check_bundle
-from teaselpath.platform import check_settings, load_settings, read_secret
+from teaselpath.clients import check_settings, load_settings, read_secret
 from teaselpath.results import Code
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
--- /dev/null
+++ b/teaselpath/dispatch/__init__.py
@@ -0,0 +1,59 @@
+"""Decisions about single requests: rate, endpoint, repetition. No input or output."""
+
+from teaselpath.dispatch._attempts import (
+    Answered,
+    Broken,
+    Fail,
+    NotRun,
+    NotSent,
+    Outcome,
+    PassOn,
+    Progress,
+    Refuse,
+    SendAgain,
+    Step,
+    next_step,
+)
+from teaselpath.dispatch._budget import RetryWindow
+from teaselpath.dispatch._health import EndpointHealth
+from teaselpath.dispatch._placement import (
+    Demand,
+    EndpointView,
+    Load,
+    NoPlace,
+    Placed,
+    Topology,
+    choose_endpoint,
+    scope_of,
+)
+from teaselpath.dispatch._part_cache import PartCache
+from teaselpath.dispatch._quota import Granted, OverRate, SharedQuota
+
+__all__ = [
+    "Answered",
+    "Broken",
+    "Demand",
+    "EndpointHealth",
+    "EndpointView",
+    "Fail",
+    "Granted",
+    "Load",
+    "NoPlace",
+    "NotRun",
+    "NotSent",
+    "Outcome",
+    "OverRate",
+    "PartCache",
+    "PassOn",
+    "Placed",
+    "Progress",
+    "Refuse",
+    "RetryWindow",
+    "SendAgain",
+    "SharedQuota",
+    "Step",
+    "Topology",
+    "choose_endpoint",
+    "next_step",
+    "scope_of",
+]
--- /dev/null
+++ b/teaselpath/dispatch/_budget.py
@@ -0,0 +1,59 @@
+"""Retry budget of a service, shared by all gateways without messages."""
+
+from collections import deque
+
+# Resolution of the window, in seconds.
+SLICE_S = 0.5
+# Fraction of the stated budget that is used; the rest covers unlike clocks and windows.
+USED_FRACTION = 0.85
+
+
+class RetryWindow:
+    """Counts first sends and repeats of one service over a sliding window.
+
+    Each gateway earns ``ratio`` repeats for its own requests and has an equal part of the fixed
+    extra, so the sum over all gateways stays within the budget without any exchange.
+
+    :param ratio: repeats per request.
+    :param extra: repeats beyond that in any window, over all gateways.
+    :param window_s: length of the window.
+    """
+
+    def __init__(self, ratio: float, extra: float, window_s: float):
+        self.ratio = ratio
+        self.extra = extra
+        self.window_s = window_s
+        self.slices: deque[list[float]] = deque()
+        self.requests = 0
+        self.repeats = 0
+
+    def record_request(self, now: float) -> None:
+        """Count a request for the service."""
+        self._slice(now)[1] += 1
+        self.requests += 1
+
+    def try_repeat(self, now: float, gateways: int) -> bool:
+        """Take one repeat if the budget allows it.
+
+        :param gateways: gateways that may be running.
+        """
+        self._expire(now)
+        allowed = self.ratio * self.requests + self.extra / max(1, gateways)
+        if self.repeats + 1 > USED_FRACTION * allowed:
+            return False
+        self._slice(now)[2] += 1
+        self.repeats += 1
+        return True
+
+    def _slice(self, now: float) -> list[float]:
+        self._expire(now)
+        start = now - now % SLICE_S
+        if not self.slices or self.slices[-1][0] != start:
+            self.slices.append([start, 0, 0])
+        return self.slices[-1]
+
+    def _expire(self, now: float) -> None:
+        while self.slices and self.slices[0][0] <= now - self.window_s - SLICE_S:
+            _, requests, repeats = self.slices.popleft()
+            self.requests -= int(requests)
+            self.repeats -= int(repeats)
--- /dev/null
+++ b/teaselpath/fleet/__init__.py
@@ -0,0 +1,78 @@
+"""Model of the fleet: configuration, endpoints and the rules by which both change."""
+
+from teaselpath.fleet._calls import (
+    AnswerInfo,
+    CacheChange,
+    CacheChanges,
+    CallerRequest,
+    EngineCallError,
+    EngineCalls,
+    EngineReport,
+    Forwarding,
+    RequestCodec,
+    WeightsOrder,
+)
+from teaselpath.fleet._endpoints import (
+    Endpoint,
+    EndpointEntry,
+    EndpointState,
+    EndpointTable,
+)
+from teaselpath.fleet._model import (
+    Backend,
+    CacheStore,
+    CallerLimits,
+    EngineLimits,
+    FleetConfig,
+    RequestKind,
+    Route,
+    Service,
+    Workspace,
+    index_routes,
+)
+from teaselpath.fleet._ports import (
+    MetadataStore,
+    RecordPage,
+    StoreError,
+    StoredRecord,
+    Topic,
+)
+from teaselpath.fleet._prompts import Prompt, PromptPart
+from teaselpath.fleet._settings import Bounds, GatewaySettings, StoreLimits
+
+__all__ = [
+    "AnswerInfo",
+    "Backend",
+    "Bounds",
+    "CacheChange",
+    "CacheChanges",
+    "CacheStore",
+    "CallerLimits",
+    "CallerRequest",
+    "Endpoint",
+    "EndpointEntry",
+    "EndpointState",
+    "EndpointTable",
+    "EngineCallError",
+    "EngineCalls",
+    "EngineLimits",
+    "EngineReport",
+    "FleetConfig",
+    "Forwarding",
+    "GatewaySettings",
+    "MetadataStore",
+    "Prompt",
+    "PromptPart",
+    "RecordPage",
+    "RequestCodec",
+    "RequestKind",
+    "Route",
+    "Service",
+    "StoreError",
+    "StoreLimits",
+    "StoredRecord",
+    "Topic",
+    "WeightsOrder",
+    "Workspace",
+    "index_routes",
+]
--- /dev/null
+++ b/teaselpath/fleet/_endpoints.py
@@ -0,0 +1,127 @@
+"""Endpoints as the store lists them, with rules for lapsed and returning entries."""
+
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+# Time after the store's return in which entries that lapsed meanwhile may come back.
+LAPSE_GRACE_S = 2.5
+
+
+class EndpointState(StrEnum):
+    """State that an endpoint reports."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+@dataclass(slots=True, frozen=True)
+class Endpoint:
+    """A running server of a service.
+
+    :param endpoint_id: id of its incarnation.
+    :param started_at_ms: Unix time of its start as it says; None if unknown.
+    :param slots: requests that it processes at once.
+    :param weights: version of the weights by model.
+    """
+
+    endpoint_id: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    state: EndpointState
+    started_at_ms: int | None
+    weights: tuple[tuple[str, int], ...]
+
+    @property
+    def incarnation(self) -> tuple[str, int | None]:
+        """Return what tells two starts apart, also under one id."""
+        return self.endpoint_id, self.started_at_ms
+
+    def weights_of(self, model: str) -> int | None:
+        """Return the version of a model's weights, None if it does not serve the model."""
+        for name, version in self.weights:
+            if name == model:
+                return version
+        return None
+
+
+@dataclass(slots=True, frozen=True)
+class EndpointEntry:
+    """A record of the endpoint list.
+
+    :param endpoint: None for a removal, or for a record that names no usable endpoint.
+    """
+
+    key: str
+    offset: int
+    endpoint: Endpoint | None
+
+
+class EndpointTable:
+    """The newest known record of each endpoint.
+
+    A removal that was recorded while the store was away, or shortly after, may be a lapse of a
+    living endpoint. It takes effect ``LAPSE_GRACE_S`` after the store's return.
+    """
+
+    def __init__(self) -> None:
+        self.entries: dict[str, EndpointEntry] = {}
+        self.lapsed: dict[str, float] = {}
+        self.offset = -1
+
+    def apply(self, entry: EndpointEntry, now: float, *, may_be_lapse: bool) -> str | None:
+        """Apply a record and return what changed, None if nothing did.
+
+        :param may_be_lapse: whether a removal may stem from an outage of the store.
+        """
+        known = self.entries.get(entry.key)
+        if known is not None and known.offset >= entry.offset:
+            return None
+        self.offset = max(self.offset, entry.offset)
+        if entry.endpoint is None and may_be_lapse and known and known.endpoint:
+            self.entries[entry.key] = replace(known, offset=entry.offset)
+            self.lapsed.setdefault(entry.key, now + LAPSE_GRACE_S)
+            return "lapsed"
+        self.lapsed.pop(entry.key, None)
+        self.entries[entry.key] = entry
+        before = known.endpoint if known else None
+        if before == entry.endpoint:
+            return None
+        if entry.endpoint is None:
+            return "removed" if before else None
+        return "added" if before is None else "changed"
+
+    def keep_only(self, keys: set[str], now: float, *, may_be_lapse: bool) -> list[str]:
+        """Remove entries that a full listing does not hold; return their keys."""
+        gone = [key for key, entry in self.entries.items() if entry.endpoint and key not in keys]
+        for key in gone:
+            known = self.entries[key]
+            if may_be_lapse:
+                self.lapsed.setdefault(key, now + LAPSE_GRACE_S)
+            else:
+                self.entries[key] = replace(known, endpoint=None)
+        return gone
+
+    def extend_lapses(self, now: float) -> None:
+        """Postpone pending removals while the store is away."""
+        for key in self.lapsed:
+            self.lapsed[key] = now + LAPSE_GRACE_S
+
+    def expire(self, now: float) -> list[str]:
+        """Remove lapsed entries that did not come back; return their keys."""
+        gone = [key for key, at in self.lapsed.items() if at <= now]
+        for key in gone:
+            del self.lapsed[key]
+            self.entries[key] = replace(self.entries[key], endpoint=None)
+        return gone
+
+    def of_service(self, service: str) -> list[Endpoint]:
+        """Return the listed endpoints of a service, also those that leave."""
+        found = (entry.endpoint for entry in self.entries.values())
+        return [e for e in found if e is not None and e.service == service]
+
+    def get(self, key: str) -> Endpoint | None:
+        """Return a listed endpoint."""
+        entry = self.entries.get(key)
+        return entry.endpoint if entry else None
--- /dev/null
+++ b/teaselpath/fleet/_settings.py
@@ -0,0 +1,66 @@
+"""Settings of a gateway process."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Bounds:
+    """Bounds that the deployment states.
+
+    :param drain_s: time for which a leaving endpoint still serves.
+    :param stop_s: time between SIGTERM and SIGKILL.
+    :param retry_ratio: arrivals beyond the first, as a fraction of the requests of a window.
+    :param retry_extra: arrivals beyond the first that are allowed in any window.
+    :param retry_window_s: length of that window.
+    :param quota_slack: tokens beyond rate and burst that are tolerated.
+    :param lease_s: time after its last order in which no other holder may give orders.
+    :param weights_s: time within which named weights are in place.
+    :param stable_s: time after a disturbance from which a host counts as undisturbed again.
+    """
+
+    drain_s: float
+    stop_s: float
+    retry_ratio: float
+    retry_extra: float
+    retry_window_s: float
+    quota_slack: float
+    lease_s: float
+    weights_s: float
+    stable_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class StoreLimits:
+    """Address and limits of the metadata store."""
+
+    address: str
+    writes_per_s: float
+    reads_per_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class GatewaySettings:
+    """Settings of one gateway process.
+
+    :param host: name of the host.
+    :param caller_address: where callers connect, IP:PORT.
+    :param readiness_address: where the balancer asks for readiness.
+    :param peer_port: port of all gateways for messages between them.
+    :param seed_ips: IP addresses of hosts that may run a gateway.
+    :param failure_domains: region of each failure domain.
+    """
+
+    host: str
+    ip: str
+    failure_domain: str
+    region: str
+    failure_domains: dict[str, str]
+    caller_address: str
+    readiness_address: str
+    peer_port: int
+    seed_ips: tuple[str, ...]
+    memory_mb: int
+    max_descriptors: int
+    store: StoreLimits
+    bounds: Bounds
+    checks_fences: bool
--- /dev/null
+++ b/teaselpath/gateway/_events.py
@@ -0,0 +1,34 @@
+"""Events of a stream as they pass through."""
+
+
+class EventSplitter:
+    """Splits a byte stream into whole events.
+
+    :ivar last_id: id of the last whole event; None before the first one that has an id.
+    """
+
+    __slots__ = ("count", "last_id", "rest")
+
+    def __init__(self) -> None:
+        self.rest = b""
+        self.last_id: bytes | None = None
+        self.count = 0
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the bytes up to the end of the last whole event."""
+        data = self.rest + data
+        end = data.rfind(b"\n\n")
+        if end < 0:
+            self.rest = data
+            return b""
+        whole, self.rest = data[: end + 2], data[end + 2 :]
+        for event in whole.split(b"\n\n")[:-1]:
+            self.count += 1
+            for line in event.split(b"\n"):
+                if line.startswith(b"id:"):
+                    self.last_id = line[3:].strip()
+        return whole
+
+    def restart(self) -> None:
+        """Drop a partial event before the stream goes on from another endpoint."""
+        self.rest = b""
--- /dev/null
+++ b/teaselpath/gateway/_metrics.py
@@ -0,0 +1,51 @@
+"""Prometheus metrics of a gateway."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0, float("inf"))
+
+
+class GatewayMetrics:
+    """Counters and histograms, by workspace and kind of request."""
+
+    def __init__(self, host: str):
+        self.registry = Registry()
+        labels = {"host": host}
+
+        def make(kind, name, doc, **options):
+            return kind(f"teaselpath_{name}", doc, labels, registry=self.registry, **options)
+
+        self.first = make(
+            Histogram, "first_byte_seconds", "Arrival to first byte", buckets=LATENCY_BUCKETS_S
+        )
+        self.total = make(
+            Histogram, "request_seconds", "Arrival to end of the answer", buckets=LATENCY_BUCKETS_S
+        )
+        self.requests = make(Counter, "requests_total", "Requests by workspace, kind and result")
+        self.refusals = make(Counter, "refusals_total", "Requests refused at arrival, by reason")
+        self.running = make(Gauge, "running", "Requests under way")
+        self.config_version = make(Gauge, "config_version", "Configuration in force")
+        self.store_up = make(Gauge, "store_up", "1 if the last call to the store succeeded")
+        self.gateways = make(Gauge, "gateways", "Gateways by state: heard, possible")
+
+    def observe(
+        self, workspace: str, kind: str, result: str, first_s: float | None, total_s: float
+    ) -> None:
+        """Count one request that was admitted.
+
+        :param first_s: time to the first byte in seconds; None if there was none.
+        """
+        labels = {"workspace": workspace, "kind": str(kind)}
+        if first_s is not None:
+            self.first.observe(labels, first_s)
+        self.total.observe(labels, total_s)
+        self.requests.inc({**labels, "result": result})
+
+    def count_refusal(self, workspace: str, reason: str) -> None:
+        """Count one request that was refused at arrival."""
+        self.refusals.inc({"workspace": workspace, "reason": reason})
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics as text, with HTTP header fields."""
+        return render(self.registry, ["text/plain"])
--- /dev/null
+++ b/teaselpath/gateway/_service.py
@@ -0,0 +1,169 @@
+"""One gateway process: listeners, tasks, signals and the graceful stop."""
+
+import asyncio
+import signal
+import time
+
+from eliot import log_message
+
+from teaselpath.fleet import EngineCalls, GatewaySettings, MetadataStore, RequestCodec
+from teaselpath.gateway._forward import Forwarder
+from teaselpath.gateway._log import LogSink
+from teaselpath.gateway._metrics import GatewayMetrics
+from teaselpath.gateway._state import GatewayState
+from teaselpath.gateway._watch import StoreWatcher
+from teaselpath.http1 import Exchange, HttpClient, ServerConnection, ServerLimits
+
+# Time after SIGTERM in which new connections still arrive, in seconds: the balancer needs two
+# misses, one per second.
+SETTLE_S = 2.6
+# Time before SIGKILL at which the process ends in any case, in seconds.
+STOP_MARGIN_S = 0.8
+POLL_S = 0.05
+EXPIRE_INTERVAL_S = 0.5
+BACKLOG = 512
+
+
+class GatewayService:
+    """Runs a gateway until a signal stops it.
+
+    :param settings: checked settings.
+    :param store: the platform's store.
+    :param codec: translation of requests and answers.
+    :param engines: calls to engines.
+    :param http: connections that the ports share.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        store: MetadataStore,
+        codec: RequestCodec,
+        engines: EngineCalls,
+        http: HttpClient,
+        log: LogSink,
+    ):
+        self.settings = settings
+        self.http = http
+        self.engines = engines
+        self.log = log
+        self.state = GatewayState(settings, store, time.time_ns() // 1_000_000)
+        self.metrics = GatewayMetrics(settings.host)
+        self.forwarder = Forwarder(self.state, codec, http, self.metrics)
+        self.watcher = StoreWatcher(self.state)
+        self.connections: set[ServerConnection] = set()
+        self.stop_requested = asyncio.Event()
+        self.servers: list[asyncio.Server] = []
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then drain."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stop_requested.set)
+        loop.add_signal_handler(signal.SIGINT, self.stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        log_message(
+            "started", host=self.settings.host, incarnation=self.state.incarnation
+        )
+        await self._listen()
+        async with asyncio.TaskGroup() as group:
+            tasks = [group.create_task(job) for job in self._jobs()]
+            await self.stop_requested.wait()
+            await self._drain()
+            for task in tasks:
+                task.cancel()
+        log_message("stopped", host=self.settings.host)
+        self.log.flush()
+
+    def _jobs(self):
+        watcher = self.watcher
+        return [
+            watcher.follow_operators(),
+            watcher.follow_endpoints(),
+            watcher.follow_members(),
+            watcher.expire_lapses(),
+            self._expire_connections(),
+            self.log.run(),
+        ]
+
+    async def _listen(self) -> None:
+        settings = self.settings
+        plain: set[ServerConnection] = set()
+        await self._serve(settings.caller_address, self.forwarder.handle, self.connections)
+        await self._serve(settings.readiness_address, self._answer_readiness, plain)
+        await self._serve(f"{settings.ip}:{settings.peer_port}", self._answer_page, plain)
+
+    async def _serve(self, address: str, handler, connections) -> None:
+        ip, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: ServerConnection(handler, self._limits, connections),
+            ip,
+            int(port),
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+        self.servers.append(server)
+
+    def _limits(self) -> ServerLimits:
+        config = self.state.config
+        if config is None:
+            return ServerLimits()
+        limits = config.limits
+        return ServerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        )
+
+    async def _answer_readiness(self, exchange: Exchange) -> None:
+        exchange.respond(200 if self.state.is_ready() else 503, [])
+
+    async def _answer_page(self, exchange: Exchange) -> None:
+        match exchange.request.target:
+            case b"/metrics":
+                self._update_gauges()
+                body, headers = self.metrics.render()
+                fields = [(k.encode(), v.encode()) for k, v in headers.items()]
+                exchange.respond(200, fields, body)
+            case _:
+                exchange.respond(404, [])
+
+    def _update_gauges(self) -> None:
+        state, now = self.state, asyncio.get_running_loop().time()
+        heard, possible = state.gateways(now)
+        self.metrics.running.set({}, self.forwarder.running)
+        self.metrics.config_version.set({}, state.config.version if state.config else 0)
+        self.metrics.store_up.set({}, int(state.store_up))
+        self.metrics.gateways.set({"state": "heard"}, heard)
+        self.metrics.gateways.set({"state": "possible"}, possible)
+
+    async def _expire_connections(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_INTERVAL_S)
+            for pool in self.http.pools.values():
+                pool.close_expired()
+
+    def _reload(self) -> None:
+        log_message("reload_ignored", reason="the settings hold nothing that changes while running")
+
+    async def _drain(self) -> None:
+        """Report not ready, serve what still arrives, and end when nothing is under way."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        self.state.is_stopping = True
+        log_message("stopping", running=self.forwarder.running, open=len(self.connections))
+        deadline = started_at + self.settings.bounds.stop_s - STOP_MARGIN_S
+        for connection in self.connections:
+            connection.stop_reuse()
+        while loop.time() < deadline:
+            await asyncio.sleep(POLL_S)
+            if loop.time() < started_at + SETTLE_S:
+                continue
+            for connection in list(self.connections):
+                connection.close_if_idle()
+            if not self.forwarder.running and not self.connections:
+                break
+        for server in self.servers:
+            server.close()
+        log_message("drained", unfinished=self.forwarder.running)
--- /dev/null
+++ b/teaselpath/gateway/_state.py
@@ -0,0 +1,254 @@
+"""What a gateway knows: configuration, endpoints, weights and the other gateways."""
+
+from dataclasses import dataclass, field
+
+from eliot import log_message
+
+from teaselpath.dispatch import EndpointView, RetryWindow, SharedQuota, Topology
+from teaselpath.fleet import (
+    EndpointEntry,
+    EndpointState,
+    EndpointTable,
+    FleetConfig,
+    GatewaySettings,
+    MetadataStore,
+    StoredRecord,
+    Workspace,
+)
+
+# A gateway that was heard of within this time may still be running and spend quota.
+MEMBER_MEMORY_S = 30.0
+# A gateway that was heard within this time shares its counters.
+PEER_HEARD_S = 1.0
+
+
+@dataclass(slots=True)
+class Member:
+    """Another gateway.
+
+    :param heard_at: event loop time of its last message; 0 if there was none.
+    :param listed_at: when its entry was last seen to change, or first seen.
+    """
+
+    host: str
+    ip: str
+    incarnation: int
+    heard_at: float = 0.0
+    listed_at: float = 0.0
+
+
+@dataclass(slots=True)
+class WantedWeights:
+    """Newest version of a model's weights.
+
+    :param named_at: event loop time at which this gateway learned of it.
+    """
+
+    version: int
+    named_at: float
+
+
+class GatewayState:
+    """State of one gateway process, owned by its event loop.
+
+    Versions and offsets only grow: older records from the store or from peers change nothing.
+    """
+
+    def __init__(self, settings: GatewaySettings, store: MetadataStore, incarnation: int):
+        self.settings = settings
+        self.store = store
+        self.incarnation = incarnation
+        self.topology = Topology(settings.failure_domain, settings.failure_domains)
+        self.config: FleetConfig | None = None
+        self.records: dict[str, StoredRecord] = {}
+        self.wanted: dict[str, WantedWeights] = {}
+        self.endpoints = EndpointTable()
+        self.views: dict[str, EndpointView] = {}
+        self.by_service: dict[str, list[EndpointView]] = {}
+        self.raw_entries: dict[str, StoredRecord] = {}
+        self.members: dict[str, Member] = {}
+        self.quota = SharedQuota()
+        self.retry_windows: dict[str, RetryWindow] = {}
+        self.store_up = False
+        self.store_lost_at = 0.0
+        self.store_returned_at = 0.0
+        self.is_stopping = False
+        self.has_endpoints = False
+
+    def is_ready(self) -> bool:
+        """Return whether requests can be served."""
+        return self.config is not None and self.has_endpoints and not self.is_stopping
+
+    # configuration and weights
+
+    def apply_operator_record(self, record: StoredRecord, source: str, now: float) -> None:
+        """Take a record of the operators' topic if it is newer than the known one."""
+        known = self.records.get(record.key)
+        if known is not None and known.offset >= record.offset:
+            return
+        config = self.store.decode_config(record)
+        weights = self.store.decode_weights(record)
+        if config is not None:
+            self._take_config(config, record, source)
+        elif weights is not None:
+            self._take_weights(*weights, record, source, now)
+        elif record.value:
+            log_message("record_ignored", key=record.key, offset=record.offset)
+
+    def _take_config(self, config: FleetConfig, record: StoredRecord, source: str) -> None:
+        if self.config is not None and config.version <= self.config.version:
+            return
+        before = self.config.version if self.config else None
+        self.config = config
+        self.records[record.key] = record
+        self._index_views()
+        log_message(
+            "config_applied",
+            version=config.version,
+            before=before,
+            offset=record.offset,
+            source=source,
+        )
+
+    def _take_weights(
+        self, model: str, version: int, record: StoredRecord, source: str, now: float
+    ) -> None:
+        known = self.wanted.get(model)
+        if known is not None and known.version >= version:
+            return
+        self.wanted[model] = WantedWeights(version, now)
+        self.records[record.key] = record
+        log_message("weights_named", model=model, version=version, source=source)
+
+    # endpoints
+
+    def may_be_lapse(self, now: float) -> bool:
+        """Return whether a removal may stem from an outage of the store."""
+        return not self.store_up or now - self.store_returned_at < self.settings.bounds.stable_s
+
+    def apply_endpoint_record(self, record: StoredRecord, source: str, now: float) -> None:
+        """Take a record of the endpoint topic if it is newer than the known one."""
+        known = self.raw_entries.get(record.key)
+        if known is not None and known.offset >= record.offset:
+            return
+        entry = self.store.decode_endpoint(record)
+        lapse = self.may_be_lapse(now) and not record.value
+        before = self.endpoints.get(record.key)
+        change = self.endpoints.apply(entry, now, may_be_lapse=lapse)
+        self.raw_entries[record.key] = record
+        if change is not None:
+            self._log_endpoint(change, entry, record, source)
+        if before != self.endpoints.get(record.key):
+            self._refresh_view(record.key)
+
+    def _log_endpoint(
+        self, change: str, entry: EndpointEntry, record: StoredRecord, source: str
+    ) -> None:
+        endpoint = entry.endpoint
+        log_message(
+            "endpoint_" + change,
+            endpoint=record.key,
+            offset=record.offset,
+            source=source,
+            service=endpoint.service if endpoint else None,
+            address=endpoint.address if endpoint else None,
+            state=endpoint.state if endpoint else None,
+            weights=dict(endpoint.weights) if endpoint else None,
+        )
+
+    def keep_only(self, keys: set[str], end: int, now: float) -> None:
+        """Remove endpoints that a listing up to offset ``end`` does not hold."""
+        newer = {key for key, raw in self.raw_entries.items() if raw.offset >= end}
+        lapse = self.may_be_lapse(now)
+        for key in self.endpoints.keep_only(keys | newer, now, may_be_lapse=lapse):
+            log_message("endpoint_unlisted", endpoint=key, end=end, may_be_lapse=lapse)
+            self._refresh_view(key)
+
+    def expire_lapses(self, now: float) -> None:
+        """Remove endpoints whose entries did not come back after an outage."""
+        if not self.store_up:
+            self.endpoints.extend_lapses(now)
+            return
+        for key in self.endpoints.expire(now):
+            log_message("endpoint_removed", endpoint=key, source="lapse")
+            self._refresh_view(key)
+
+    def _refresh_view(self, key: str) -> None:
+        endpoint = self.endpoints.get(key)
+        view = self.views.get(key)
+        if endpoint is None:
+            self.views.pop(key, None)
+        elif view is None or view.endpoint.incarnation != endpoint.incarnation:
+            self.views[key] = EndpointView(endpoint, weights=dict(endpoint.weights))
+        else:
+            view.endpoint = endpoint
+            for model, version in endpoint.weights:
+                view.weights[model] = max(version, view.weights.get(model, 0))
+        self._index_views()
+
+    def _index_views(self) -> None:
+        index: dict[str, list[EndpointView]] = {}
+        for view in self.views.values():
+            index.setdefault(view.endpoint.service, []).append(view)
+        self.by_service = index
+
+    def candidates(self, service: str) -> list[EndpointView]:
+        """Return the endpoints that may get new requests of a service."""
+        return [
+            view
+            for view in self.by_service.get(service, ())
+            if view.endpoint.state is EndpointState.READY
+        ]
+
+    # store
+
+    def record_store_answer(self, now: float) -> None:
+        """Note that the store answered."""
+        if not self.store_up:
+            self.store_up = True
+            self.store_returned_at = now
+            log_message("store_regained", away_s=now - self.store_lost_at)
+
+    def record_store_failure(self, reason: str, now: float) -> None:
+        """Note that a call to the store failed."""
+        if self.store_up:
+            self.store_up = False
+            self.store_lost_at = now
+            log_message("store_lost", reason=reason)
+
+    # other gateways
+
+    def see_member(self, host: str, ip: str, incarnation: int, now: float) -> Member:
+        """Note that a gateway is listed, by the store or by a peer."""
+        member = self.members.get(host)
+        if member is None or member.incarnation < incarnation:
+            heard_at = member.heard_at if member else 0.0
+            member = Member(host, ip, incarnation, heard_at, now)
+            self.members[host] = member
+            log_message("member_listed", host=host, ip=ip, incarnation=incarnation)
+        return member
+
+    def gateways(self, now: float) -> tuple[int, int]:
+        """Return how many gateways are heard and how many may run, both with this one."""
+        heard = possible = 1
+        for member in self.members.values():
+            if now - member.heard_at < PEER_HEARD_S:
+                heard += 1
+            if now - max(member.heard_at, member.listed_at) < MEMBER_MEMORY_S:
+                possible += 1
+        return heard, max(heard, possible)
+
+    def retry_window(self, service: str) -> RetryWindow:
+        """Return the retry budget of a service."""
+        window = self.retry_windows.get(service)
+        if window is None:
+            bounds = self.settings.bounds
+            window = RetryWindow(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s)
+            self.retry_windows[service] = window
+        return window
+
+    def workspace_of(self, key: str | None) -> Workspace | None:
+        """Return the workspace that holds a key."""
+        if self.config is None or key is None:
+            return None
+        return self.config.workspaces.get(key)
--- /dev/null
+++ b/teaselpath/gateway/_watch.py
@@ -0,0 +1,113 @@
+"""Tasks that follow the store's topics."""
+
+import asyncio
+
+import msgspec
+from eliot import log_message
+
+from teaselpath.fleet import StoreError, Topic
+from teaselpath.gateway._state import GatewayState
+
+# Long poll of the operators' topic, in seconds.
+OPERATORS_WAIT_S = 8.0
+# Interval between reads of the endpoint topic, in seconds; endpoints report about each second.
+ENDPOINTS_INTERVAL_S = 0.5
+# Pause after a failed call, in seconds.
+RETRY_DELAY_S = 0.3
+# Interval between entries of this gateway in the member topic, in seconds.
+MEMBER_INTERVAL_S = 10.0
+LAPSE_CHECK_S = 0.25
+
+
+class MemberRecord(msgspec.Struct):
+    """Entry of a gateway in the member topic."""
+
+    ip: str
+    incarnation: int
+    beat: int = 0
+
+
+class StoreWatcher:
+    """Follows configuration, weights, endpoints and members.
+
+    :param state: state that it updates.
+    """
+
+    def __init__(self, state: GatewayState):
+        self.state = state
+        self.store = state.store
+
+    async def follow_operators(self) -> None:
+        """Follow configuration and named weights."""
+        await self._follow(Topic.OPERATORS, OPERATORS_WAIT_S, 0.0)
+
+    async def follow_endpoints(self) -> None:
+        """Follow the endpoint list."""
+        await self._follow(Topic.ENDPOINTS, 0.0, ENDPOINTS_INTERVAL_S)
+
+    async def follow_members(self) -> None:
+        """Announce this gateway and learn of the others."""
+        settings, beat, cursor = self.state.settings, 0, None
+        loop = asyncio.get_running_loop()
+        while True:
+            beat += 1
+            record = MemberRecord(settings.ip, self.state.incarnation, beat)
+            try:
+                await self.store.append(
+                    Topic.MEMBERS, settings.host, msgspec.json.encode(record)
+                )
+                for delay_s in (0.3, 2.0, MEMBER_INTERVAL_S - 2.3):
+                    page = await self.store.follow(Topic.MEMBERS, cursor, 0.0)
+                    cursor = page.end
+                    self._take_members(page.records, loop.time())
+                    await asyncio.sleep(delay_s)
+            except StoreError as error:
+                self.state.record_store_failure(str(error), loop.time())
+                await asyncio.sleep(1.0)
+
+    async def expire_lapses(self) -> None:
+        """Remove endpoints that did not come back after an outage of the store."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(LAPSE_CHECK_S)
+            self.state.expire_lapses(loop.time())
+
+    def _take_members(self, records, now: float) -> None:
+        for record in records:
+            if record.key == self.state.settings.host or not record.value:
+                continue
+            try:
+                member = msgspec.json.decode(record.value, type=MemberRecord)
+            except msgspec.MsgspecError as error:
+                log_message("record_ignored", key=record.key, reason=str(error))
+                continue
+            self.state.see_member(record.key, member.ip, member.incarnation, now).listed_at = now
+
+    async def _follow(self, topic: Topic, wait_s: float, interval_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        cursor: int | None = None
+        while True:
+            try:
+                page = await self.store.follow(topic, cursor, wait_s if cursor else 0.0)
+            except StoreError as error:
+                self.state.record_store_failure(f"{topic}: {error}", loop.time())
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
+            self.state.record_store_answer(loop.time())
+            self._apply(topic, page, loop.time())
+            if cursor is None or page.end > cursor:
+                cursor = page.end
+            if interval_s:
+                await asyncio.sleep(interval_s)
+
+    def _apply(self, topic: Topic, page, now: float) -> None:
+        state = self.state
+        if topic is Topic.OPERATORS:
+            for record in page.records:
+                state.apply_operator_record(record, "store", now)
+            return
+        if page.is_listing:
+            state.keep_only({r.key for r in page.records if r.value}, page.end, now)
+        for record in page.records:
+            state.apply_endpoint_record(record, "store", now)
+        state.has_endpoints = state.has_endpoints or bool(state.views)
--- /dev/null
+++ b/teaselpath/http1/__init__.py
@@ -0,0 +1,38 @@
+"""HTTP/1.1 connections on asyncio with explicit control over reuse, framing and early ends."""
+
+from teaselpath.http1._client import (
+    ClientConnection,
+    ConnectFailed,
+    ConnectionBroken,
+    ConnectionPool,
+    HttpClient,
+    PoolLimits,
+    ReadTimeout,
+)
+from teaselpath.http1._messages import (
+    HOP_BY_HOP,
+    Request,
+    Response,
+    ResponseHead,
+    ServerLimits,
+    encode_request,
+)
+from teaselpath.http1._server import Exchange, ServerConnection
+
+__all__ = [
+    "HOP_BY_HOP",
+    "ClientConnection",
+    "ConnectFailed",
+    "ConnectionBroken",
+    "ConnectionPool",
+    "Exchange",
+    "HttpClient",
+    "PoolLimits",
+    "ReadTimeout",
+    "Request",
+    "Response",
+    "ResponseHead",
+    "ServerConnection",
+    "ServerLimits",
+    "encode_request",
+]
--- /dev/null
+++ b/teaselpath/http1/_client.py
@@ -0,0 +1,390 @@
+"""Client side of connections, with a pool per address."""
+
+import asyncio
+import socket
+from collections import deque
+from dataclasses import dataclass
+
+import httptools
+
+from teaselpath.http1._messages import Headers, Response, ResponseHead, encode_request
+
+# Unacknowledged data or missing keep-alive answers for this long end a connection, in ms.
+TCP_USER_TIMEOUT_MS = 2_000
+# Margin before the idle timeout that a server announces, in seconds.
+IDLE_MARGIN_S = 0.7
+# Linux option number; older builds of the socket module lack the name.
+_TCP_USER_TIMEOUT = getattr(socket, "TCP_USER_TIMEOUT", 18)
+
+
+class ConnectFailed(Exception):
+    """No connection was established, so nothing was sent."""
+
+
+class ConnectionBroken(Exception):
+    """The connection ended, or sent bytes that are no response, before the response was whole.
+
+    :param has_response: whether a byte of the response had arrived.
+    """
+
+    def __init__(self, reason: str, has_response: bool = False):
+        super().__init__(reason)
+        self.reason = reason
+        self.has_response = has_response
+
+
+class ReadTimeout(Exception):
+    """The response did not arrive before the deadline."""
+
+
+class _Incoming:
+    """One response as it arrives."""
+
+    __slots__ = ("chunks", "has_framing", "head", "is_complete")
+
+    def __init__(self) -> None:
+        self.head = ResponseHead(0)
+        self.chunks: deque[bytes] = deque()
+        self.is_complete = False
+        self.has_framing = False
+
+
+class ClientConnection(asyncio.Protocol):
+    """A connection that carries one request at a time.
+
+    Bytes that arrive while no response is expected end the connection. Responses whose id is not
+    that of the current request are skipped, and the connection is not used again.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        self.loop = loop
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.responses: deque[_Incoming] = deque()
+        self.current: _Incoming | None = None
+        self.waiter: asyncio.Future | None = None
+        self.is_lost = False
+        self.is_reusable = True
+        self.is_busy = False
+        self.error = ""
+        self.idle_until = 0.0
+        self.uses = 0
+        self.got_bytes = False
+        self.id_header = b""
+        self.expected_id: bytes | None = None
+        self.method = b""
+
+    def connection_made(self, transport) -> None:
+        """Set the options that reveal a silent peer."""
+        self.transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, _TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived."""
+        if not self.is_busy:
+            self._fail("bytes outside a response")
+            return
+        self.got_bytes = True
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(f"no valid response: {error}")
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """End a response without a length; its end is the end of the connection."""
+        incoming = self.current
+        if incoming is not None and incoming.head.status and not incoming.has_framing:
+            incoming.is_complete = True
+            self.current = None
+        return False
+
+    def connection_lost(self, exc) -> None:
+        """Wake the reader."""
+        self.is_lost = True
+        self.is_reusable = False
+        if not self.error:
+            self.error = f"connection lost: {exc}" if exc else "connection closed by the server"
+        self._wake()
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Start a response."""
+        self.current = _Incoming()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header field."""
+        assert self.current is not None
+        self.current.head.headers.append((name, value))
+        lower = name.lower()
+        if lower in (b"content-length", b"transfer-encoding"):
+            self.current.has_framing = True
+
+    def on_headers_complete(self) -> None:
+        """Queue the response for the reader; interim responses are dropped."""
+        assert self.current is not None
+        status = self.parser.get_status_code()
+        self.current.head.status = status
+        if status in (204, 304):
+            self.current.has_framing = True
+        if status >= 200:
+            self.responses.append(self.current)
+        if not self.current.has_framing or not self.parser.should_keep_alive():
+            self.is_reusable = False
+
+    def on_body(self, data: bytes) -> None:
+        """Collect the body."""
+        assert self.current is not None
+        self.current.chunks.append(data)
+
+    def on_message_complete(self) -> None:
+        """Mark the response as whole."""
+        if self.current is not None:
+            self.current.is_complete = True
+            self.current = None
+
+    # requests
+
+    def send(
+        self, method: bytes, data: bytes, id_header: bytes = b"", expected_id: bytes | None = None
+    ) -> None:
+        """Send a request.
+
+        :param id_header: name of the header field in which a response names its request.
+        :param expected_id: value of that field; None to take the next response.
+        :raises ConnectionBroken: if the connection is already lost.
+        """
+        if self.is_lost or self.transport is None:
+            raise ConnectionBroken(self.error)
+        self.is_busy = True
+        self.got_bytes = False
+        self.uses += 1
+        self.method = method
+        self.id_header = id_header
+        self.expected_id = expected_id
+        self.transport.write(data)
+
+    async def read_head(self, deadline: float) -> ResponseHead:
+        """Return the head of the response to the current request.
+
+        :param deadline: event loop time.
+        :raises ConnectionBroken: if the connection ends first.
+        :raises ReadTimeout: at the deadline.
+        """
+        while True:
+            await self._until(lambda: bool(self.responses), deadline)
+            incoming = self.responses[0]
+            if self._is_expected(incoming.head):
+                return incoming.head
+            self.is_reusable = False
+            await self._until(lambda: incoming.is_complete, deadline)
+            self.responses.popleft()
+
+    async def read_chunk(self, deadline: float) -> bytes | None:
+        """Return the next part of the body, or None at its end."""
+        incoming = self.responses[0]
+        if not incoming.chunks and not incoming.is_complete:
+            await self._until(lambda: bool(incoming.chunks) or incoming.is_complete, deadline)
+        if incoming.chunks:
+            data = b"".join(incoming.chunks)
+            incoming.chunks.clear()
+            return data
+        return None
+
+    async def read_body(self, deadline: float) -> bytes:
+        """Return the whole body."""
+        if self.method == b"HEAD":
+            self.is_reusable = False
+            return b""
+        parts = []
+        while (part := await self.read_chunk(deadline)) is not None:
+            parts.append(part)
+        return b"".join(parts)
+
+    def end_request(self) -> None:
+        """Finish the current request; the connection is idle afterwards."""
+        incoming = self.responses.popleft() if self.responses else None
+        if incoming is None or not incoming.is_complete or self.responses or self.current:
+            self.is_reusable = False
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            self.is_reusable = False
+        self.is_busy = False
+
+    def close(self) -> None:
+        """Close the connection; the server gives up its request."""
+        self.is_reusable = False
+        self.is_lost = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _is_expected(self, head: ResponseHead) -> bool:
+        if self.expected_id is None:
+            return True
+        found = head.header(self.id_header)
+        return found is None or found == self.expected_id
+
+    async def _until(self, condition, deadline: float) -> None:
+        while not condition():
+            if self.is_lost:
+                raise ConnectionBroken(self.error, self.got_bytes)
+            left = deadline - self.loop.time()
+            if left <= 0:
+                raise ReadTimeout
+            self.waiter = self.loop.create_future()
+            timer = self.loop.call_later(left, self._wake)
+            try:
+                await self.waiter
+            finally:
+                timer.cancel()
+                self.waiter = None
+
+    def _wake(self) -> None:
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    def _fail(self, reason: str) -> None:
+        self.error = self.error or reason
+        self.close()
+        self._wake()
+
+
+@dataclass(slots=True)
+class PoolLimits:
+    """Limits of the connections to one address.
+
+    :param connect_timeout_s: time to establish a connection.
+    :param default_idle_s: time for which an idle connection is kept if the server names none.
+    """
+
+    connect_timeout_s: float = 0.5
+    default_idle_s: float = 4.0
+
+
+class ConnectionPool:
+    """Connections to one address.
+
+    :param address: IP address and port, joined by a colon.
+    """
+
+    def __init__(self, address: str, limits: PoolLimits):
+        self.address = address
+        self.limits = limits
+        self.idle: list[ClientConnection] = []
+        self.opened = 0
+        self.loop = asyncio.get_running_loop()
+        host, _, port = address.rpartition(":")
+        self.host, self.port = host, int(port)
+
+    async def acquire(self, deadline: float, *, fresh: bool = False) -> ClientConnection:
+        """Return an idle connection, or a new one.
+
+        :param fresh: never reuse a connection.
+        :raises ConnectFailed: if no connection could be established.
+        """
+        if not fresh:
+            now = self.loop.time()
+            while self.idle:
+                connection = self.idle.pop()
+                if not connection.is_lost and now < connection.idle_until:
+                    return connection
+                connection.close()
+        return await self._open(deadline)
+
+    async def _open(self, deadline: float) -> ClientConnection:
+        left = min(self.limits.connect_timeout_s, deadline - self.loop.time())
+        if left <= 0:
+            raise ConnectFailed("no time is left to connect")
+        try:
+            async with asyncio.timeout(left):
+                _, connection = await self.loop.create_connection(
+                    lambda: ClientConnection(self.loop), self.host, self.port
+                )
+        except (OSError, TimeoutError) as error:
+            raise ConnectFailed(f"cannot connect to {self.address}: {error!r}") from error
+        self.opened += 1
+        return connection
+
+    def release(self, connection: ClientConnection, head: ResponseHead | None) -> None:
+        """Take a connection back after a whole response, or close it."""
+        connection.end_request()
+        if not connection.is_reusable or connection.is_lost:
+            connection.close()
+            return
+        idle_s = self.limits.default_idle_s
+        keep_alive = head.header(b"keep-alive") if head is not None else None
+        if keep_alive is not None:
+            idle_s = _keep_alive_s(keep_alive, idle_s)
+        connection.idle_until = self.loop.time() + max(0.0, idle_s - IDLE_MARGIN_S)
+        self.idle.append(connection)
+
+    def close_expired(self) -> None:
+        """Close idle connections that the server is about to close."""
+        now = self.loop.time()
+        expired = [c for c in self.idle if c.is_lost or now >= c.idle_until]
+        self.idle = [c for c in self.idle if not (c.is_lost or now >= c.idle_until)]
+        for connection in expired:
+            connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for connection in self.idle:
+            connection.close()
+        self.idle.clear()
+
+
+def _keep_alive_s(value: bytes, default: float) -> float:
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.strip().isdigit():
+            return float(number)
+    return default
+
+
+class HttpClient:
+    """Calls with whole responses, over pools shared by address."""
+
+    def __init__(self, limits: PoolLimits | None = None):
+        self.limits = limits or PoolLimits()
+        self.pools: dict[str, ConnectionPool] = {}
+
+    def pool(self, address: str) -> ConnectionPool:
+        """Return the pool of an address."""
+        pool = self.pools.get(address)
+        if pool is None:
+            pool = self.pools[address] = ConnectionPool(address, self.limits)
+        return pool
+
+    async def call(
+        self,
+        address: str,
+        method: bytes,
+        target: bytes,
+        *,
+        deadline: float,
+        headers: Headers | None = None,
+        body: bytes = b"",
+    ) -> Response:
+        """Send a request and return the whole response.
+
+        :param deadline: event loop time.
+        :raises ConnectFailed: if nothing was sent.
+        :raises ConnectionBroken: if the response is not whole.
+        :raises ReadTimeout: at the deadline.
+        """
+        pool = self.pool(address)
+        connection = await pool.acquire(deadline)
+        fields = [(b"Host", address.encode()), *(headers or [])]
+        head: ResponseHead | None = None
+        try:
+            connection.send(method, encode_request(method, target, fields, body))
+            head = await connection.read_head(deadline)
+            content = await connection.read_body(deadline)
+        except BaseException:
+            connection.close()
+            raise
+        pool.release(connection, head)
+        return Response(head, content)
--- /dev/null
+++ b/teaselpath/http1/_messages.py
@@ -0,0 +1,107 @@
+"""Requests and responses, and the text of their heads."""
+
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+# Header fields that concern one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+Headers = list[tuple[bytes, bytes]]
+
+_REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header field; ``name`` is lower case."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+@dataclass(slots=True)
+class ServerLimits:
+    """Limits of what a caller may send.
+
+    :param header_bytes: size of a request's head.
+    :param body_bytes: size of a request's body.
+    :param header_timeout_s: time from the first byte of a request to the end of its head.
+    :param idle_timeout_s: time for which a connection without a request stays open.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(slots=True)
+class Request:
+    """A request that was read completely.
+
+    :param target: path and query as sent.
+    :param received_at: event loop time of the last byte, in seconds.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    keep_alive: bool
+    received_at: float
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header field; ``name`` is lower case."""
+        return find_header(self.headers, name)
+
+
+@dataclass(slots=True)
+class ResponseHead:
+    """Status line and header fields of a response."""
+
+    status: int
+    headers: Headers = field(default_factory=list)
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header field; ``name`` is lower case."""
+        return find_header(self.headers, name)
+
+
+@dataclass(slots=True)
+class Response:
+    """A response with its whole body."""
+
+    head: ResponseHead
+    body: bytes
+
+
+def encode_request(method: bytes, target: bytes, headers: Headers, body: bytes) -> bytes:
+    """Return a request as bytes; a length is added if there is a body or the method takes one."""
+    parts = [method, b" ", target, b" HTTP/1.1\r\n"]
+    for name, value in headers:
+        parts += (name, b": ", value, b"\r\n")
+    if body or method in (b"POST", b"PUT", b"PATCH"):
+        parts.append(b"Content-Length: %d\r\n" % len(body))
+    parts += (b"\r\n", body)
+    return b"".join(parts)
+
+
+def encode_head(status: int, headers: Headers) -> bytes:
+    """Return the head of a response as bytes."""
+    parts = [b"HTTP/1.1 %d %s\r\n" % (status, _REASONS.get(status, b"Unknown"))]
+    for name, value in headers:
+        parts += (name, b": ", value, b"\r\n")
+    parts.append(b"\r\n")
+    return b"".join(parts)
--- /dev/null
+++ b/teaselpath/http1/_server.py
@@ -0,0 +1,342 @@
+"""Server side of a connection: one request at a time, in order."""
+
+import asyncio
+import contextlib
+from collections import deque
+from collections.abc import Awaitable, Callable
+
+import httptools
+
+from teaselpath.http1._messages import (
+    HOP_BY_HOP,
+    Headers,
+    Request,
+    ServerLimits,
+    encode_head,
+)
+
+# Complete requests that one connection may have waiting; reading pauses beyond them.
+MAX_PIPELINED = 4
+
+Handler = Callable[["Exchange"], Awaitable[None]]
+
+
+class Exchange:
+    """One request and the response to it.
+
+    The response is either complete or the connection is closed, so that a caller never takes a
+    part of a response for the whole.
+
+    :param connection: connection on which the request arrived.
+    :param request: the whole request.
+    """
+
+    __slots__ = ("chunked", "connection", "is_finished", "is_started", "remaining", "request")
+
+    def __init__(self, connection: "ServerConnection", request: Request):
+        self.connection = connection
+        self.request = request
+        self.is_started = False
+        self.is_finished = False
+        self.chunked = False
+        self.remaining = 0
+
+    def start(self, status: int, headers: Headers, length: int | None = None) -> None:
+        """Send the head; without a length the body is sent in chunks."""
+        self.is_started = True
+        fields = [pair for pair in headers if not _is_framing(pair[0])]
+        if length is None:
+            self.chunked = True
+            fields.append((b"Transfer-Encoding", b"chunked"))
+        else:
+            self.remaining = length
+            fields.append((b"Content-Length", b"%d" % length))
+        if self.connection.closes_after(self.request):
+            fields.append((b"Connection", b"close"))
+        self.connection.write(encode_head(status, fields))
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if not data:
+            return
+        if self.chunked:
+            self.connection.write(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            self.remaining -= len(data)
+            self.connection.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the caller has taken enough of what was written."""
+        await self.connection.drain()
+
+    def finish(self) -> None:
+        """End the response; a body that is shorter than announced closes the connection."""
+        self.is_finished = True
+        if self.chunked:
+            self.connection.write(b"0\r\n\r\n")
+        elif self.remaining:
+            self.abort()
+
+    def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Send a whole response."""
+        self.start(status, headers, len(body))
+        self.write(body)
+        self.finish()
+
+    def abort(self) -> None:
+        """Close the connection so that the response shows as incomplete."""
+        self.is_finished = True
+        self.connection.abort()
+
+
+def _is_framing(name: bytes) -> bool:
+    lower = name.lower()
+    return lower in HOP_BY_HOP or lower == b"content-length"
+
+
+class ServerConnection(asyncio.Protocol):
+    """Parses requests and runs the handler for each.
+
+    The handler's task is cancelled when the caller goes away.
+
+    :param handler: coroutine function that answers an exchange.
+    :param limits: function that returns the limits in force.
+    :param connections: set of all open connections, kept by this class.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], ServerLimits],
+        connections: set["ServerConnection"],
+    ):
+        self.handler = handler
+        self.get_limits = limits
+        self.connections = connections
+        self.transport: asyncio.Transport | None = None
+        self.waiting: deque[Request] = deque()
+        self.task: asyncio.Task | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.is_closing = False
+        self.must_close = False
+        self.can_write = asyncio.Event()
+        self.loop = asyncio.get_running_loop()
+        self._reset_parser()
+
+    def _reset_parser(self) -> None:
+        self.parser = httptools.HttpRequestParser(self)
+        self._reset_request()
+
+    def _reset_request(self) -> None:
+        self.target = b""
+        self.headers: Headers = []
+        self.body: list[bytes] = []
+        self.head_bytes = 0
+        self.body_bytes = 0
+        self.is_reading = False
+        self.has_head = False
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport) -> None:
+        """Register the connection."""
+        self.transport = transport
+        self.can_write.set()
+        self.connections.add(self)
+        self._set_timer(self.get_limits().idle_timeout_s)
+
+    def connection_lost(self, exc) -> None:
+        """Cancel the running handler: nobody reads its response."""
+        self.is_closing = True
+        self.connections.discard(self)
+        self.can_write.set()
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.task is not None:
+            self.task.cancel()
+
+    def eof_received(self) -> bool:
+        """Close the connection; callers do not half-close it."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Stop handlers that wait in ``drain``."""
+        self.can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Let handlers go on."""
+        self.can_write.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived."""
+        if self.is_closing or self.must_close:
+            return
+        if not self.is_reading:
+            self.is_reading = True
+            if self.task is None:
+                self._set_timer(self.get_limits().header_timeout_s)
+        if not self.has_head:
+            self.head_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except _TooLarge as error:
+            self._reject(error.status)
+        except httptools.HttpParserUpgrade:
+            self._reject(400)
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            self._reject(cause.status if isinstance(cause, _TooLarge) else 400)
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._reset_request()
+        self.is_reading = True
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target, which may arrive in pieces."""
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header field."""
+        self.headers.append((name, value))
+        if sum(len(n) + len(v) for n, v in self.headers) > self.get_limits().header_bytes:
+            raise _TooLarge(431)
+
+    def on_headers_complete(self) -> None:
+        """Allow the body as long as the connection may stay idle."""
+        self.has_head = True
+        if self.task is None:
+            self._set_timer(self.get_limits().idle_timeout_s)
+
+    def on_body(self, data: bytes) -> None:
+        """Collect the body."""
+        self.body_bytes += len(data)
+        if self.body_bytes > self.get_limits().body_bytes:
+            raise _TooLarge(413)
+        self.body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Hand the request to the handler, or queue it behind the running one."""
+        request = Request(
+            self.parser.get_method(),
+            self.target,
+            self.headers,
+            b"".join(self.body),
+            self.parser.should_keep_alive(),
+            self.loop.time(),
+        )
+        self._reset_request()
+        self.waiting.append(request)
+        if len(self.waiting) >= MAX_PIPELINED and self.transport is not None:
+            self.transport.pause_reading()
+        if self.task is None:
+            self._run_next()
+
+    # requests
+
+    def closes_after(self, request: Request) -> bool:
+        """Return whether the connection closes after the response to this request."""
+        return self.must_close or self.is_closing or not request.keep_alive
+
+    def write(self, data: bytes) -> None:
+        """Write to the caller unless it has left."""
+        if not self.is_closing and self.transport is not None:
+            self.transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the transport takes more."""
+        if not self.can_write.is_set():
+            await self.can_write.wait()
+
+    def abort(self) -> None:
+        """Reset the connection after what was already written has been handed over."""
+        self.must_close = True
+        if self.transport is not None and not self.is_closing:
+            self.is_closing = True
+            self.transport.close()
+
+    def stop_reuse(self) -> None:
+        """Close the connection after the next response."""
+        self.must_close = True
+
+    def close_if_idle(self) -> bool:
+        """Close the connection if no request is being read or answered."""
+        if self.task is not None or self.waiting or self.is_reading:
+            return False
+        self._close()
+        return True
+
+    def _run_next(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        request = self.waiting.popleft()
+        if self.transport is not None and len(self.waiting) < MAX_PIPELINED:
+            self.transport.resume_reading()
+        self.task = self.loop.create_task(self._run(Exchange(self, request)))
+
+    async def _run(self, exchange: Exchange) -> None:
+        try:
+            await self.handler(exchange)
+        except asyncio.CancelledError:
+            self.abort()
+            raise
+        finally:
+            self.task = None
+            if not exchange.is_finished:
+                exchange.abort()
+        self._after(exchange)
+
+    def _after(self, exchange: Exchange) -> None:
+        if self.is_closing:
+            return
+        if self.must_close or not exchange.request.keep_alive:
+            self._close()
+        elif self.waiting:
+            self._run_next()
+        else:
+            self._set_timer(self.get_limits().idle_timeout_s)
+
+    def _reject(self, status: int) -> None:
+        """Answer a malformed request once earlier ones are done, and close."""
+        self.must_close = True
+        if self.task is None and not self.waiting:
+            head = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            self.write(encode_head(status, head))
+        self._close_when_done()
+
+    def _close_when_done(self) -> None:
+        if self.task is None:
+            self._close()
+        else:
+            self.task.add_done_callback(lambda _: self._close())
+
+    def _close(self) -> None:
+        if self.transport is not None and not self.is_closing:
+            self.is_closing = True
+            self.transport.close()
+
+    def _set_timer(self, delay_s: float) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.loop.call_later(delay_s, self._expire)
+
+    def _expire(self) -> None:
+        self.timer = None
+        if self.task is not None or self.waiting:
+            return
+        if self.is_reading:
+            with contextlib.suppress(RuntimeError):
+                self._reject(408)
+        else:
+            self._close()
+
+
+class _TooLarge(Exception):
+    """The head or body of a request is over its limit."""
+
+    def __init__(self, status: int):
+        super().__init__(status)
+        self.status = status
--- a/teaselpath/platform/__init__.py
+++ b/teaselpath/platform/__init__.py
@@ -1,36 +1,11 @@
-"""Clients of the platform (log, host list, stores) and the settings of a process."""
+"""Adapter to the users' platform: only translation, no decisions and no state of its own.
 
-from teaselpath.platform._hosts import HostEntry, HostListClient
-from teaselpath.platform._log import LogClient, LogPage, LogRecord, Trimmed
-from teaselpath.platform._settings import (
-    ControlSettings,
-    EndpointSettings,
-    HttpSettings,
-    Limits,
-    PeerSettings,
-    Settings,
-    check_settings,
-    load_settings,
-    read_secret,
-)
-from teaselpath.platform._stores import CacheStoreClient, WeightStoreClient
+Each name of the platform's wire format is decoded here, once.
+"""
 
-__all__ = [
-    "CacheStoreClient",
-    "ControlSettings",
-    "EndpointSettings",
-    "HostEntry",
-    "HostListClient",
-    "HttpSettings",
-    "Limits",
-    "LogClient",
-    "LogPage",
-    "LogRecord",
-    "PeerSettings",
-    "Settings",
-    "Trimmed",
-    "WeightStoreClient",
-    "check_settings",
-    "load_settings",
-    "read_secret",
-]
+from teaselpath.platform._engines import PlatformEngines
+from teaselpath.platform._requests import PlatformRequests
+from teaselpath.platform._settings import read_settings
+from teaselpath.platform._store import PlatformStore
+
+__all__ = ["PlatformEngines", "PlatformRequests", "PlatformStore", "read_settings"]
--- /dev/null
+++ b/teaselpath/platform/_config.py
@@ -0,0 +1,233 @@
+"""Records that operators and engines write to the store."""
+
+import msgspec
+
+from teaselpath.fleet import (
+    Backend,
+    CacheStore,
+    CallerLimits,
+    Endpoint,
+    EndpointEntry,
+    EndpointState,
+    EngineLimits,
+    FleetConfig,
+    RequestKind,
+    Route,
+    Service,
+    StoredRecord,
+    Workspace,
+    index_routes,
+)
+
+CONFIG_KEY = "config"
+WEIGHTS_PREFIX = "version/"
+_STATES = {"ready": EndpointState.READY, "draining": EndpointState.LEAVING}
+
+
+class _Backend(msgspec.Struct):
+    service: str
+    weight: float = 1
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float = 30_000
+    target_latency_ms: float = 1000
+    gap_aim_ms: float = 1000
+    priority: int = 5
+    service: str | None = None
+    # Services that share the route's requests, by weight; replaces ``service``.
+    backends: list[_Backend] = []
+    max_attempts: int = 1
+    public: bool = False
+    # Marks routes whose requests describe their prompt.
+    session_affinity: bool = False
+    resumable: bool = False
+
+
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    slots: int = 1
+    kv_capacity_tokens: int = 0
+    kv_token_bytes: int = 0
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    health_path: str = "/health"
+    max_conns: int = 100
+    engine: _Engine | None = None
+    kv_store_addr: str | None = None
+    kv_capacity_tokens: int = 0
+    zone: str = ""
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    # Replaces the priority of the route.
+    priority: int | None = None
+    plain_tokens: int = 0
+    isolated: bool = False
+    rate_per_s: float = 0
+    burst: float = 0
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+class _Weights(msgspec.Struct):
+    model: str
+    version: int
+
+
+class _ServerModel(msgspec.Struct):
+    name: str
+    version: int = 0
+
+
+class _Server(msgspec.Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    # Unix time of the start in ms.
+    born: int | None = None
+    models: list[_ServerModel] = []
+
+
+def decode_config(record: StoredRecord) -> FleetConfig | None:
+    """Return the configuration in a record; None for another record or an unreadable one."""
+    if record.key != CONFIG_KEY:
+        return None
+    try:
+        raw = msgspec.json.decode(record.value, type=_Config)
+        routes = [_route(route) for route in raw.routes]
+    except (msgspec.MsgspecError, ValueError):
+        return None
+    stores = [
+        CacheStore(s.name, s.kv_store_addr, s.zone, s.kv_capacity_tokens)
+        for s in raw.services
+        if s.kv_store_addr
+    ]
+    return FleetConfig(
+        version=raw.version,
+        routes=index_routes(routes),
+        services={s.name: _service(s) for s in raw.services if not s.kv_store_addr},
+        cache_stores=stores,
+        workspaces={key: _workspace(t) for t in raw.tenants or [] for key in t.api_keys},
+        limits=_caller_limits(raw.limits),
+        has_workspaces=raw.tenants is not None,
+    )
+
+
+def decode_weights(record: StoredRecord) -> tuple[str, int] | None:
+    """Return model and version that a record names; None for another record."""
+    if not record.key.startswith(WEIGHTS_PREFIX):
+        return None
+    try:
+        raw = msgspec.json.decode(record.value, type=_Weights)
+    except msgspec.MsgspecError:
+        return None
+    return raw.model, raw.version
+
+
+def decode_endpoint(record: StoredRecord) -> EndpointEntry:
+    """Return the endpoint in a record; entries that cannot be read name no endpoint."""
+    endpoint = None
+    try:
+        raw = msgspec.json.decode(record.value, type=_Server) if record.value else None
+        state = _STATES.get(raw.state) if raw else None
+        if raw is not None and state is not None and _is_address(raw.address):
+            endpoint = Endpoint(
+                endpoint_id=record.key,
+                service=raw.service,
+                address=raw.address,
+                failure_domain=raw.zone,
+                slots=max(1, raw.slots),
+                state=state,
+                started_at_ms=raw.born,
+                weights=tuple((m.name, m.version) for m in raw.models),
+            )
+    except msgspec.MsgspecError:
+        pass
+    return EndpointEntry(record.key, record.offset, endpoint)
+
+
+def _is_address(address: str) -> bool:
+    ip, _, port = address.rpartition(":")
+    octets = ip.split(".")
+    return port.isdigit() and len(octets) == 4 and all(o.isdigit() for o in octets)
+
+
+def _route(route: _Route) -> Route:
+    backends = tuple(Backend(b.service, b.weight) for b in route.backends)
+    if not backends and route.service:
+        backends = (Backend(route.service, 1.0),)
+    return Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        kind=RequestKind(route.kind),
+        backends=backends,
+        timeout_s=route.timeout_ms / 1000,
+        target_latency_s=route.target_latency_ms / 1000,
+        max_pause_s=route.gap_aim_ms / 1000,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        is_public=route.public,
+        is_resumable=route.resumable,
+        has_prompt=route.session_affinity,
+    )
+
+
+def _service(service: _Service) -> Service:
+    engine = None
+    if service.engine is not None:
+        engine = EngineLimits(
+            slots=service.engine.slots,
+            cache_tokens=service.engine.kv_capacity_tokens,
+            token_bytes=service.engine.kv_token_bytes,
+            models=tuple(model.name for model in service.engine.models),
+        )
+    return Service(service.name, service.health_path, service.max_conns, engine)
+
+
+def _workspace(tenant: _Tenant) -> Workspace:
+    return Workspace(
+        name=tenant.name,
+        rate=tenant.rate_per_s,
+        burst=tenant.burst,
+        plain_tokens=tenant.plain_tokens,
+        priority=tenant.priority,
+        is_isolated=tenant.isolated,
+    )
+
+
+def _caller_limits(limits: _Limits) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        header_timeout_s=limits.header_timeout_ms / 1000,
+        idle_timeout_s=limits.idle_timeout_ms / 1000,
+    )
--- /dev/null
+++ b/teaselpath/platform/_engines.py
@@ -0,0 +1,127 @@
+"""Calls to model engines and to the store of cached parts."""
+
+from typing import TypeVar
+
+import msgspec
+
+from teaselpath.fleet import (
+    CacheChange,
+    CacheChanges,
+    EngineCallError,
+    EngineReport,
+    WeightsOrder,
+)
+from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout, Response
+
+T = TypeVar("T")
+
+_ORDER_STATUS = {200: "done", 202: "accepted", 409: "busy", 412: "fenced", 421: "elsewhere"}
+
+
+class _Model(msgspec.Struct):
+    name: str
+    version: int = 0
+
+
+class _Report(msgspec.Struct):
+    # Number of orders accepted since the start.
+    seq: int = 0
+    busy: bool = False
+    running: int = 0
+    waiting: int = 0
+    models: list[_Model] = []
+
+
+class _Events(msgspec.Struct, rename="camel"):
+    boot_epoch: int
+    # Cursor of the next call, although the name says token.
+    next_token: int
+    lost: bool = False
+    # Number, + or -, scope, part, tokens that are cached now, model.
+    events: list[tuple[int, str, str, str, int, str]] = []
+
+
+class _Listing(msgspec.Struct, rename="camel"):
+    boot_epoch: int
+    next_token: int
+    held: list[tuple[str, str, int, str]] = []
+
+
+class PlatformEngines:
+    """Calls to model engines and cache stores besides requests."""
+
+    def __init__(self, http: HttpClient):
+        self.http = http
+
+    async def fetch_report(self, address: str, deadline: float) -> EngineReport:
+        """Return the state of an engine."""
+        response = await self._call(address, b"GET", b"/-/report", deadline)
+        report = _decode(response, _Report)
+        weights = {model.name: model.version for model in report.models}
+        return EngineReport(report.seq, report.busy, weights, report.running, report.waiting)
+
+    async def send_order(self, order: WeightsOrder, deadline: float) -> str:
+        """Send an order to load weights; running requests finish first."""
+        fields = {
+            "operation": "version",
+            "model": order.model,
+            "version": order.version,
+            "switchMode": "wait",
+            "holder": order.holder,
+            "fence": order.fence,
+        }
+        if order.orders_before is not None:
+            # The number of orders that the engine must have accepted.
+            fields["expect"] = order.orders_before
+        headers = [
+            (b"Content-Type", b"application/json"),
+            (b"Expect-Instance", order.endpoint_id.encode()),
+        ]
+        body = msgspec.json.encode(fields)
+        response = await self._call(order.address, b"POST", b"/-/order", deadline, headers, body)
+        return _ORDER_STATUS.get(response.head.status, "invalid")
+
+    async def follow_cache(
+        self, address: str, cursor: int | None, wait_s: float, deadline: float
+    ) -> CacheChanges:
+        """Return changes after a cursor, or a full listing if it is None."""
+        if cursor is None:
+            listing = _decode(await self._call(address, b"GET", b"/-/kv-list", deadline), _Listing)
+            changes = [CacheChange(salt, part, tokens) for salt, part, tokens, _ in listing.held]
+            return CacheChanges(listing.boot_epoch, listing.next_token, True, changes)
+        target = b"/-/kv-events?since=%d" % cursor
+        headers = [(b"Wait-Ms", b"%d" % (wait_s * 1000))]
+        response = await self._call(address, b"GET", target, deadline, headers)
+        page = _decode(response, _Events)
+        changes = [
+            CacheChange(scope, part, tokens)
+            for _, _, scope, part, tokens, _ in page.events
+        ]
+        return CacheChanges(page.boot_epoch, page.next_token, page.lost, changes)
+
+    async def _call(
+        self,
+        address: str,
+        method: bytes,
+        target: bytes,
+        deadline: float,
+        headers: list[tuple[bytes, bytes]] | None = None,
+        body: bytes = b"",
+    ) -> Response:
+        try:
+            return await self.http.call(
+                address, method, target, deadline=deadline, headers=headers, body=body
+            )
+        except ConnectFailed as error:
+            raise EngineCallError(str(error), is_unknown=False) from error
+        except (ConnectionBroken, ReadTimeout) as error:
+            raise EngineCallError(f"no answer: {error!r}", is_unknown=True) from error
+
+
+def _decode(response: Response, kind: type[T]) -> T:
+    if response.head.status != 200:
+        raise EngineCallError(f"refused with {response.head.status}", is_unknown=False)
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise EngineCallError(f"unreadable answer: {error}", is_unknown=False) from error
--- /dev/null
+++ b/teaselpath/platform/_requests.py
@@ -0,0 +1,197 @@
+"""Header fields of requests and answers."""
+
+from urllib.parse import urlsplit
+
+from teaselpath.fleet import AnswerInfo, CallerRequest, Forwarding, Prompt, PromptPart
+from teaselpath.http1 import HOP_BY_HOP, encode_request
+
+Headers = list[tuple[bytes, bytes]]
+
+REQUEST_ID = b"request-id"
+# Milliseconds that the caller still waits, in spite of its name no point in time.
+TIME_LEFT = b"deadline-ms"
+# Prompt tokens and maximum output tokens, separated by a comma.
+TOKENS = b"token-counts"
+SIGNATURE = b"response-stamp"
+NOT_RUN = b"not-run"
+KEY_SCHEME = b"token "
+
+# Set by the gateway alone, whatever a caller sends.
+_OWN_FIELDS = frozenset(
+    {
+        b"authorization",
+        b"cache-salt",
+        b"content-length",
+        b"deadline-ms",
+        b"accept-encoding",
+        b"expect",
+        b"expect-instance",
+        b"expect-version",
+        b"hold",
+        b"host",
+        b"kv-backup",
+        b"kv-fetch",
+        b"kv-from",
+        b"kv-save",
+        b"last-event-id",
+        b"pin-ms",
+        b"request-priority",
+        b"tenant",
+    }
+)
+_DROPPED_FROM_REQUESTS = HOP_BY_HOP | _OWN_FIELDS
+_DROPPED_FROM_ANSWERS = HOP_BY_HOP | {b"content-length", b"server-load"}
+
+
+class PlatformRequests:
+    """Translation of requests and answers."""
+
+    id_header = REQUEST_ID
+
+    def decode_request(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> CallerRequest | None:
+        """Return what a caller asks for, or None if the request is malformed."""
+        fields: dict[bytes, bytes] = {}
+        passed: Headers = []
+        listed = _listed_in_connection(headers)
+        for name, value in headers:
+            lower = name.lower()
+            if lower == b"host" and b"host" in fields:
+                return None
+            fields.setdefault(lower, value)
+            if lower not in _DROPPED_FROM_REQUESTS and lower not in listed:
+                passed.append((name, value))
+        try:
+            path = urlsplit(target.decode("ascii")).path if target[:1] != b"/" else ""
+            path = path or target.decode("ascii").partition("?")[0]
+            host = fields.get(b"host", b"").decode("ascii").lower().partition(":")[0]
+        except (UnicodeDecodeError, ValueError):
+            return None
+        tokens = _token_counts(fields.get(TOKENS))
+        return CallerRequest(
+            method=method,
+            target=target,
+            host=host,
+            path=path,
+            request_id=fields.get(REQUEST_ID, b"").decode("latin-1"),
+            key=_key(fields.get(b"authorization")),
+            time_left_s=_milliseconds(fields.get(TIME_LEFT)),
+            last_event_id=fields.get(b"last-event-id"),
+            prompt=_prompt(fields, tokens),
+            tokens=sum(tokens) if tokens else None,
+            passed_headers=passed,
+            body=body,
+        )
+
+    def encode_request(self, request: CallerRequest, forwarding: Forwarding) -> bytes:
+        """Return the bytes that go to an endpoint."""
+        headers: Headers = [
+            (b"Host", request.host.encode("latin-1")),
+            *request.passed_headers,
+            (b"Deadline-Ms", b"%d" % max(1, int(forwarding.time_left_s * 1000))),
+            (b"Expect-Instance", forwarding.endpoint_id.encode("latin-1")),
+        ]
+        optional = (
+            (b"Tenant", forwarding.workspace),
+            (b"Cache-Salt", forwarding.scope),
+            (b"Expect-Version", forwarding.weights),
+            (b"Request-Priority", forwarding.priority),
+            (b"Kv-Fetch", forwarding.fetch_from),
+            (b"Kv-Save", forwarding.save_to),
+        )
+        headers += [(k, str(v).encode("latin-1")) for k, v in optional if v is not None]
+        if forwarding.last_event_id is not None:
+            headers.append((b"Last-Event-Id", forwarding.last_event_id))
+        return encode_request(request.method, request.target, headers, request.body)
+
+    def decode_answer(self, status: int, headers: Headers) -> AnswerInfo:
+        """Return what the head of an answer says."""
+        fields = {name.lower(): value for name, value in headers}
+        listed = _listed_in_connection(headers)
+        return AnswerInfo(
+            status=status,
+            is_authentic=SIGNATURE in fields,
+            did_not_run=NOT_RUN in fields or status == 421,
+            is_other_endpoint=status == 421,
+            is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
+            load=_load(fields.get(b"server-load")),
+            weights=_integer(fields.get(b"weight-versions")),
+            passed_headers=[
+                (name, value)
+                for name, value in headers
+                if name.lower() not in _DROPPED_FROM_ANSWERS and name.lower() not in listed
+            ],
+        )
+
+    def refusal_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
+        """Return header fields of an answer of the gateway's own."""
+        headers: Headers = []
+        if request_id:
+            headers.append((b"Request-Id", request_id.encode("latin-1")))
+        if retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.2f" % retry_after_s))
+        return headers
+
+
+def _listed_in_connection(headers: Headers) -> set[bytes]:
+    listed: set[bytes] = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            listed.update(token.strip().lower() for token in value.split(b","))
+    return listed
+
+
+def _key(value: bytes | None) -> str | None:
+    if value is None or not value.lower().startswith(KEY_SCHEME):
+        return None
+    return value[len(KEY_SCHEME) :].strip().decode("latin-1")
+
+
+def _milliseconds(value: bytes | None) -> float | None:
+    try:
+        return float(value) / 1000 if value is not None else None
+    except ValueError:
+        return None
+
+
+def _integer(value: bytes | None) -> int | None:
+    try:
+        return int(value) if value is not None else None
+    except ValueError:
+        return None
+
+
+def _token_counts(value: bytes | None) -> tuple[int, int] | None:
+    if value is None:
+        return None
+    try:
+        prompt, _, output = value.partition(b",")
+        return max(0, int(prompt)), max(0, int(output))
+    except ValueError:
+        return None
+
+
+def _prompt(fields: dict[bytes, bytes], tokens: tuple[int, int] | None) -> Prompt | None:
+    model, listed = fields.get(b"model"), fields.get(b"prompt-prefix")
+    if model is None or tokens is None:
+        return None
+    parts = []
+    try:
+        for entry in (listed or b"").decode("latin-1").split(","):
+            part_id, _, size = entry.strip().partition(":")
+            if part_id:
+                parts.append(PromptPart(part_id, int(size)))
+    except ValueError:
+        parts = []
+    return Prompt(model.decode("latin-1"), tuple(parts), tokens[0], tokens[1])
+
+
+def _load(value: bytes | None) -> tuple[int, int, int] | None:
+    if value is None:
+        return None
+    try:
+        running, waiting, slots = (int(part) for part in value.split(b","))
+    except ValueError:
+        return None
+    return running, waiting, slots
--- a/teaselpath/platform/tests/__init__.py
+++ b/teaselpath/platform/tests/__init__.py
@@ -1,1 +0,0 @@
-"""Tests of teaselpath.platform."""
--- a/tests/test_engine_state.py
+++ b/tests/test_engine_state.py
@@ -9,7 +9,7 @@
 from standins.fleet import Fleet, FleetPlan
 from standins.testing import CacheStoreConfig, EngineConfig, serve
 from teaselpath.agent import KeptCache
-from teaselpath.platform import CacheStoreClient
+from teaselpath.clients import CacheStoreClient
 from teaselpath.prefix import CacheIndex, chain_hashes, chain_seed
 from tests.conftest import HEADERS, MODEL, make_bundle
 
--- a/tests/test_stand_in_protocol.py
+++ b/tests/test_stand_in_protocol.py
@@ -16,7 +16,7 @@
     serve,
 )
 from teaselpath import prefix
-from teaselpath.platform import (
+from teaselpath.clients import (
     CacheStoreClient,
     HostListClient,
     LogClient,
