Gateways exchange status, follow caches and roll out weights

Change: a lease on orders as conditional appends, a rollout plan, status datagrams between gateways, an index of cached parts from the engines' events.

--- a/teaselpath/agent/_claims.py
+++ b/teaselpath/agent/_claims.py
@@ -5,6 +5,7 @@
 
 from result import Ok, Result
 
+from teaselpath.clients import LogRecord
 from teaselpath.control import ControlPlane, LogFollower
 from teaselpath.delivery import (
     AppendDone,
@@ -19,7 +20,6 @@
     RunChunk,
     StoredAnswer,
 )
-from teaselpath.clients import LogRecord
 from teaselpath.results import Code, Failure, Ran
 from teaselpath.wire import Append, Start
 
--- a/teaselpath/agent/_engine_side.py
+++ b/teaselpath/agent/_engine_side.py
@@ -11,8 +11,8 @@
 from teaselpath.agent._kept_cache import KeptCache
 from teaselpath.agent._orders import OrderService
 from teaselpath.bundle import Bundle
-from teaselpath.control import ControlPlane
 from teaselpath.clients import CacheStoreClient
+from teaselpath.control import ControlPlane
 from teaselpath.prefix import CacheIndex
 from teaselpath.wire import Start
 
--- a/teaselpath/agent/_orders.py
+++ b/teaselpath/agent/_orders.py
@@ -9,6 +9,7 @@
 
 from teaselpath.agent._engine import LoadReport
 from teaselpath.bundle import Bundle
+from teaselpath.clients import LogRecord
 from teaselpath.control import ControlPlane
 from teaselpath.orders import (
     GUARD_S,
@@ -23,7 +24,6 @@
     SendOrder,
     WantedState,
 )
-from teaselpath.clients import LogRecord
 from teaselpath.wire import Append
 
 ORDER_TIMEOUT_S = 30.0
--- a/teaselpath/control/_config.py
+++ b/teaselpath/control/_config.py
@@ -17,8 +17,8 @@
     Withdrawn,
     mark_renewal,
 )
-from teaselpath.membership import ConfigChanged
 from teaselpath.clients import LogRecord, Settings
+from teaselpath.membership import ConfigChanged
 from teaselpath.wire import Append, SignedRecord
 
 CONFIG_STREAM = "config"
--- a/teaselpath/control/_plane.py
+++ b/teaselpath/control/_plane.py
@@ -11,6 +11,7 @@
 from result import Err, Ok
 
 from teaselpath.bundle import Bundle, BundleState, KeyIndex, RevocationSet
+from teaselpath.clients import HostListClient, LogClient, LogRecord, Settings
 from teaselpath.control._config import CONFIG_STREAM, ConfigService
 from teaselpath.control._log_follower import LogFollower
 from teaselpath.control._metrics import Metrics
@@ -27,7 +28,6 @@
     PullReceived,
     RevocationAdded,
 )
-from teaselpath.clients import HostListClient, LogClient, LogRecord, Settings
 from teaselpath.records import DecisionLog
 from teaselpath.transport import CurveKeys, KeyAllowList, Node, PeerLost, Received
 from teaselpath.utils import rendezvous_top
--- a/teaselpath/control/tests/test_leaving.py
+++ b/teaselpath/control/tests/test_leaving.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from teaselpath.clients import HostEntry, Settings
 from teaselpath.control import ControlPlane
 from teaselpath.membership import HostList
-from teaselpath.clients import HostEntry, Settings
 from teaselpath.transport import CurveKeys
 
 HOST = "agent-1"
--- a/teaselpath/daemon/_main.py
+++ b/teaselpath/daemon/_main.py
@@ -8,8 +8,8 @@
 from eliot import to_file
 from result import Err
 
-from teaselpath.daemon._process import Process
 from teaselpath.clients import Settings, load_settings
+from teaselpath.daemon._process import Process
 from teaselpath.results import Failure
 
 EXIT_INVALID_SETTINGS = 2
--- a/teaselpath/daemon/_process.py
+++ b/teaselpath/daemon/_process.py
@@ -13,9 +13,9 @@
 from starlette.applications import Starlette
 
 from teaselpath.agent import AgentService
+from teaselpath.clients import Settings, load_settings, read_secret
 from teaselpath.control import ControlPlane, StatusPages
 from teaselpath.entry import EntryApp, EntryService
-from teaselpath.clients import Settings, load_settings, read_secret
 from teaselpath.transport import CurveKeys
 
 EXIT_OK = 0
--- a/teaselpath/daemon/gateway.py
+++ b/teaselpath/daemon/gateway.py
@@ -31,9 +31,7 @@
     log.open()
     http = HttpClient()
     store = PlatformStore(settings.store.address, http)
-    service = GatewayService(
-        settings, store, PlatformRequests(), PlatformEngines(http), http, log
-    )
+    service = GatewayService(settings, store, PlatformRequests(), PlatformEngines(http), http, log)
     gc.freeze()
     await service.run()
 
--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -16,6 +16,7 @@
 )
 from teaselpath.dispatch._budget import RetryWindow
 from teaselpath.dispatch._health import EndpointHealth
+from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.dispatch._placement import (
     Demand,
     EndpointView,
@@ -26,7 +27,6 @@
     choose_endpoint,
     scope_of,
 )
-from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.dispatch._quota import Granted, OverRate, SharedQuota
 
 __all__ = [
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -54,6 +54,7 @@
     :param peers: work of the other gateways, by host.
     :param reported: running and waiting requests as last told, with the event loop time.
     :param switching_until: until when it takes new weights; 0 if it does not.
+    :param own_switch_until: the same, as far as this gateway has ordered it.
     """
 
     endpoint: Endpoint
@@ -64,6 +65,7 @@
     cache: PartCache = field(default_factory=PartCache)
     weights: dict[str, int] = field(default_factory=dict)
     switching_until: float = 0.0
+    own_switch_until: float = 0.0
     full_until: float = 0.0
 
     def requests(self) -> int:
--- a/teaselpath/fleet/__init__.py
+++ b/teaselpath/fleet/__init__.py
@@ -33,8 +33,8 @@
 from teaselpath.fleet._ports import (
     MetadataStore,
     RecordPage,
-    StoreError,
     StoredRecord,
+    StoreError,
     Topic,
 )
 from teaselpath.fleet._prompts import Prompt, PromptPart
--- /dev/null
+++ b/teaselpath/gateway/_caches.py
@@ -0,0 +1,100 @@
+"""Tasks that follow what engines and stores have cached."""
+
+import asyncio
+
+from eliot import log_message
+
+from teaselpath.dispatch import EndpointView, PartCache
+from teaselpath.fleet import CacheChanges, EngineCallError, EngineCalls
+from teaselpath.gateway._state import GatewayState
+
+# Long poll of changes, in seconds; shorter ones count as probes.
+WAIT_S = 0.5
+# Time for an answer beyond the wait, in seconds.
+ANSWER_S = 0.7
+# Least time between two polls of one cache, in seconds.
+INTERVAL_S = 0.15
+# Polls in a row without an answer after which an engine counts as silent.
+SILENT_POLLS = 2
+CHECK_INTERVAL_S = 0.2
+
+
+class CacheWatcher:
+    """Follows one task per engine and store.
+
+    An engine that does not answer its polls is left out of placement.
+    """
+
+    def __init__(self, state: GatewayState, engines: EngineCalls):
+        self.state = state
+        self.engines = engines
+        self.loop = asyncio.get_running_loop()
+        self.tasks: dict[tuple, asyncio.Task] = {}
+
+    async def run(self) -> None:
+        """Keep one follower per cache until cancelled."""
+        try:
+            while True:
+                self._match_tasks()
+                await asyncio.sleep(CHECK_INTERVAL_S)
+        finally:
+            for task in self.tasks.values():
+                task.cancel()
+
+    def _match_tasks(self) -> None:
+        wanted = {}
+        for view in self.state.views.values():
+            if view.weights:
+                wanted[view.endpoint.incarnation, view.endpoint.address] = view
+        for key in [key for key in self.tasks if key not in wanted]:
+            self.tasks.pop(key).cancel()
+        for key, view in wanted.items():
+            if key not in self.tasks:
+                self.tasks[key] = self.loop.create_task(self._follow(view))
+
+    async def _follow(self, view: EndpointView) -> None:
+        cursor, epoch, missed = 0, None, 0
+        while True:
+            started_at = self.loop.time()
+            try:
+                page = await self.engines.follow_cache(
+                    view.endpoint.address, cursor, WAIT_S, started_at + WAIT_S + ANSWER_S
+                )
+            except EngineCallError as error:
+                missed += 1
+                if missed == SILENT_POLLS and not view.health.is_silent:
+                    view.health.is_silent = True
+                    log_message(
+                        "engine_silent", endpoint=view.endpoint.endpoint_id, reason=str(error)
+                    )
+                await asyncio.sleep(INTERVAL_S)
+                continue
+            if view.health.is_silent:
+                view.health.is_silent = False
+                log_message("engine_regained", endpoint=view.endpoint.endpoint_id)
+            missed = 0
+            if epoch != page.epoch or page.has_gap:
+                self._start_over(view, epoch, page)
+            epoch, cursor = page.epoch, page.cursor
+            apply_changes(view.cache, page)
+            pause_s = INTERVAL_S - (self.loop.time() - started_at)
+            if pause_s > 0:
+                await asyncio.sleep(pause_s)
+
+    def _start_over(self, view: EndpointView, epoch: int | None, page: CacheChanges) -> None:
+        if epoch is not None:
+            log_message(
+                "cache_index_cleared",
+                endpoint=view.endpoint.endpoint_id,
+                reason="restart" if epoch != page.epoch else "gap",
+            )
+        view.cache.clear()
+
+
+def apply_changes(cache: PartCache, page: CacheChanges) -> None:
+    """Apply changes in order."""
+    for change in page.changes:
+        if change.tokens > 0:
+            cache.store(change.scope, change.part_id, change.tokens)
+        else:
+            cache.evict(change.scope, change.part_id, 0)
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -125,18 +125,22 @@
         state, now = self.state, exchange.request.received_at
         config = state.config
         if config is None:
-            return self._refuse(exchange, request, Code.NO_BUNDLE, 503, START_RETRY_AFTER_S)
+            self._refuse(exchange, request, Code.NO_BUNDLE, 503, START_RETRY_AFTER_S)
+            return None
         route = config.find_route(request.host, request.path)
         if route is None or not route.backends:
-            return self._refuse(exchange, request, Code.UNKNOWN_ROUTE, 404)
+            self._refuse(exchange, request, Code.UNKNOWN_ROUTE, 404)
+            return None
         workspace = None
         if config.has_workspaces and not route.is_public:
             workspace = state.workspace_of(request.key)
             if workspace is None:
-                return self._refuse(exchange, request, Code.UNKNOWN_KEY, 401)
+                self._refuse(exchange, request, Code.UNKNOWN_KEY, 401)
+                return None
         service = self._choose_service(route)
         if service is None:
-            return self._refuse(exchange, request, Code.NO_ENDPOINT, 503, START_RETRY_AFTER_S)
+            self._refuse(exchange, request, Code.NO_ENDPOINT, 503, START_RETRY_AFTER_S)
+            return None
         time_left_s = request.time_left_s
         time_left_s = DEFAULT_TIME_LEFT_S if time_left_s is None else time_left_s
         deadline = now + min(time_left_s, route.timeout_s)
@@ -146,9 +150,10 @@
             state.quota.set_share(*state.gateways(now))
             grant = state.quota.take(workspace, call.tokens, now)
             if isinstance(grant, OverRate):
-                return self._refuse(
+                self._refuse(
                     exchange, request, Code.RATE_EXCEEDED, 429, grant.retry_after_s, workspace
                 )
+                return None
         state.retry_window(service.name).record_request(now)
         return call
 
@@ -221,9 +226,7 @@
             wanted_weights=wanted.version if wanted else None,
             excluded=frozenset(call.tried),
         )
-        return choose_endpoint(
-            state.candidates(call.service.name), demand, state.topology, now
-        )
+        return choose_endpoint(state.candidates(call.service.name), demand, state.topology, now)
 
     def _may_send_again(self, call: Call, step: SendAgain, now: float) -> bool:
         if call.progress.sends >= MAX_SENDS:
--- /dev/null
+++ b/teaselpath/gateway/_orders.py
@@ -0,0 +1,246 @@
+"""Task that brings engines to the named weights while it holds the lease."""
+
+import asyncio
+import time
+import uuid
+
+import msgspec
+from eliot import log_message
+
+from teaselpath.fleet import (
+    EndpointState,
+    EngineCallError,
+    EngineCalls,
+    StoredRecord,
+    StoreError,
+    Topic,
+    WeightsOrder,
+)
+from teaselpath.gateway._peers import PeerExchange
+from teaselpath.gateway._state import GatewayState
+from teaselpath.rollout import (
+    Action,
+    AskReport,
+    EngineStatus,
+    GaveUp,
+    GiveOrder,
+    LeaseRecord,
+    LeaseState,
+    Loaded,
+    OrderLease,
+    WeightsRollout,
+)
+
+TICK_S = 0.05
+# Time for an engine to answer a report or an order, in seconds.
+CALL_TIMEOUT_S = 0.6
+# Time for which other gateways avoid an engine that was just ordered to load, in seconds.
+SWITCH_S = 0.6
+LEASE_KEY = "orders"
+
+
+def boot_clock() -> float:
+    """Return the time since the start of the host, suspension included, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class WeightsKeeper:
+    """Holds the lease while engines have older weights than named, and orders new ones."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        engines: EngineCalls,
+        lease: OrderLease,
+        peers: PeerExchange,
+        clock=boot_clock,
+    ):
+        self.state = state
+        self.engines = engines
+        self.lease = lease
+        self.peers = peers
+        self.clock = clock
+        self.rollout = WeightsRollout()
+        self.loop = asyncio.get_running_loop()
+        self.calls: set[asyncio.Task] = set()
+        self.lease_call: asyncio.Task | None = None
+
+    async def run(self) -> None:
+        """Follow the plan until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(TICK_S)
+                self._step()
+        finally:
+            for task in self.calls:
+                task.cancel()
+
+    def _step(self) -> None:
+        engines = self._engines()
+        wanted = {model: wanted.version for model, wanted in self.state.wanted.items()}
+        has_work = bool(self.rollout.behind(engines, wanted)) and not self.state.is_stopping
+        plan = self.lease.plan(self.clock(), has_work=has_work, rank=self._rank())
+        if plan in (LeaseState.APPEND, LeaseState.READ) and self.lease_call is None:
+            job = self._append() if plan is LeaseState.APPEND else self._read()
+            self.lease_call = self._spawn(job)
+            self.lease_call.add_done_callback(self._end_lease_call)
+        if not self.lease.is_held(self.clock()):
+            self.rollout.forget()
+            return
+        self._carry_out(self.rollout.plan(engines, wanted, self.loop.time()))
+
+    def _engines(self) -> list[EngineStatus]:
+        return [
+            EngineStatus(
+                view.endpoint.endpoint_id,
+                view.endpoint.started_at_ms,
+                view.weights,
+                view.requests(),
+            )
+            for view in self.state.views.values()
+            if view.weights and view.endpoint.state is EndpointState.READY
+        ]
+
+    def _rank(self) -> int:
+        """Return how many gateways are better placed to hold the lease."""
+        state = self.state
+        own = (not state.store_up, not state.store_is_near, state.settings.host)
+        return sum(
+            (not peer.store_up, not peer.store_is_near, peer.host) < own
+            for peer in self.peers.peers.values()
+            if not peer.is_stopping
+        )
+
+    def _spawn(self, job) -> asyncio.Task:
+        task = self.loop.create_task(job)
+        self.calls.add(task)
+        task.add_done_callback(self.calls.discard)
+        return task
+
+    def _end_lease_call(self, task: asyncio.Task) -> None:
+        self.lease_call = None
+        if not task.cancelled() and task.exception() is not None:
+            log_message("lease_call_failed", reason=repr(task.exception()))
+
+    # lease
+
+    async def _append(self) -> None:
+        lease, sent_at = self.lease, self.clock()
+        end = lease.end
+        record = lease.next_record(uuid.uuid4().hex[:12])
+        value = msgspec.json.encode(record)
+        try:
+            new_end = await self.state.store.append(Topic.LEASE, LEASE_KEY, value, end)
+        except StoreError as error:
+            lease.conflicted()
+            log_message("lease_not_taken", end=end, reason=str(error), unknown=error.is_unknown)
+            if not error.is_conflict:
+                await asyncio.sleep(0.2)
+            return
+        is_new = not record.fence
+        lease.appended(record, new_end, sent_at)
+        if is_new:
+            log_message("lease_taken", fence=lease.fence, took_s=self.clock() - sent_at)
+
+    async def _read(self) -> None:
+        try:
+            page = await self.state.store.follow(Topic.LEASE, None, 0.0)
+        except StoreError as error:
+            log_message("lease_not_read", reason=str(error))
+            await asyncio.sleep(0.2)
+            return
+        record = next((_decode(r) for r in page.records if r.key == LEASE_KEY), None)
+        self.lease.read(page.end, record, self.clock())
+
+    # orders
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case AskReport(key):
+                    self._switch(key)
+                    self._spawn(self._report(key))
+                case GiveOrder():
+                    self._spawn(self._order(action))
+                case Loaded(key, model, version, took_s):
+                    self._finish(key, model, version, took_s)
+                case GaveUp(key, reason):
+                    self._end_switch(key)
+                    log_message("weights_order_gave_up", endpoint=key, reason=reason)
+
+    def _switch(self, key: str) -> None:
+        """Keep requests away from an engine that is about to load."""
+        view = self.state.views.get(key)
+        if view is not None:
+            is_news = view.own_switch_until < self.loop.time()
+            view.own_switch_until = view.switching_until = self.loop.time() + SWITCH_S
+            if is_news:
+                self.peers.news.set()
+
+    def _end_switch(self, key: str) -> None:
+        view = self.state.views.get(key)
+        if view is not None:
+            view.own_switch_until = view.switching_until = 0.0
+            self.peers.news.set()
+
+    def _finish(self, key: str, model: str, version: int, took_s: float) -> None:
+        view = self.state.views.get(key)
+        if view is not None:
+            view.weights[model] = max(version, view.weights.get(model, 0))
+        self._end_switch(key)
+        log_message("weights_loaded", endpoint=key, model=model, version=version, took_s=took_s)
+
+    async def _report(self, key: str) -> None:
+        view = self.state.views.get(key)
+        if view is None:
+            return
+        wanted = {model: wanted.version for model, wanted in self.state.wanted.items()}
+        deadline = self.loop.time() + CALL_TIMEOUT_S
+        try:
+            report = await self.engines.fetch_report(view.endpoint.address, deadline)
+        except EngineCallError as error:
+            log_message("report_failed", endpoint=key, reason=str(error))
+            self._carry_out(self.rollout.report_failed(key, self.loop.time()))
+            return
+        self._carry_out(self.rollout.take_report(key, report, wanted, self.loop.time()))
+
+    async def _order(self, order: GiveOrder) -> None:
+        view = self.state.views.get(order.key)
+        if view is None or not self.lease.is_held(self.clock()):
+            self.rollout.order_answered(order.key, "lease lost", self.loop.time())
+            return
+        message = WeightsOrder(
+            endpoint_id=order.key,
+            address=view.endpoint.address,
+            model=order.model,
+            version=order.version,
+            holder=self.state.settings.host,
+            fence=self.lease.fence,
+            orders_before=order.orders_before,
+        )
+        status: str | None = None
+        reason = ""
+        try:
+            status = await self.engines.send_order(message, self.loop.time() + CALL_TIMEOUT_S)
+        except EngineCallError as error:
+            reason = str(error)
+            status = None if error.is_unknown else "unreachable"
+        log_message(
+            "weights_ordered",
+            endpoint=order.key,
+            model=order.model,
+            version=order.version,
+            fence=message.fence,
+            orders_before=order.orders_before,
+            status=status,
+            reason=reason,
+        )
+        self._carry_out(self.rollout.order_answered(order.key, status, self.loop.time()))
+
+
+def _decode(record: StoredRecord) -> LeaseRecord | None:
+    try:
+        return msgspec.json.decode(record.value, type=LeaseRecord)
+    except msgspec.MsgspecError as error:
+        log_message("record_ignored", key=record.key, offset=record.offset, reason=str(error))
+        return None
--- /dev/null
+++ b/teaselpath/gateway/_peers.py
@@ -0,0 +1,277 @@
+"""Messages between gateways: load, spent quota, weights, and news of the store.
+
+Status goes in datagrams, since only the newest one counts. Records that a peer lacks are fetched
+over HTTP from a peer that has them, so that configuration and endpoint states also reach a gateway
+that the store turns away.
+"""
+
+import asyncio
+
+import msgspec
+from eliot import log_message
+
+from teaselpath.dispatch import Load
+from teaselpath.fleet import StoredRecord
+from teaselpath.gateway._state import GatewayState, Member
+from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout
+from teaselpath.rollout import LeaseRecord, OrderLease
+
+# Interval between status messages, in seconds.
+STATUS_INTERVAL_S = 0.2
+# Shortest time between two messages that news brings forward, in seconds.
+MIN_INTERVAL_S = 0.02
+# Time that the store has to deliver what a peer already knows, in seconds.
+FETCH_AFTER_S = 0.5
+FETCH_TIMEOUT_S = 1.0
+RECORDS_PATH = b"/records"
+# Time for which a seed address is tried, in seconds after the start.
+SEED_PERIOD_S = 20.0
+
+
+class EndpointNote(msgspec.Struct, array_like=True):
+    """Load and weights of one endpoint, as a gateway sees them."""
+
+    endpoint_id: str
+    started_at_ms: int | None
+    requests: int
+    unread_tokens: int
+    memory_tokens: int
+    weights: dict[str, int]
+    # Time for which it still takes new weights, in ms.
+    switching_ms: int
+
+
+class Status(msgspec.Struct, array_like=True):
+    """Status of a gateway."""
+
+    host: str
+    ip: str
+    incarnation: int
+    sequence: int
+    config_version: int
+    wanted: dict[str, int]
+    endpoint_offset: int
+    used: dict[str, float]
+    endpoints: list[EndpointNote]
+    members: list[tuple[str, str, int]]
+    store_up: bool
+    store_is_near: bool
+    is_stopping: bool
+    lease_end: int
+    lease: tuple[str, str, int] | None
+
+
+class RecordSet(msgspec.Struct, array_like=True):
+    """Records of the store that a gateway holds: key, value, offset."""
+
+    operators: list[tuple[str, bytes, int]]
+    endpoints: list[tuple[str, bytes, int]]
+
+
+class PeerExchange(asyncio.DatagramProtocol):
+    """Sends and takes status messages.
+
+    :param state: own state; status of the others is applied to it.
+    :param lease: lease on orders, of which peers bring news.
+    """
+
+    def __init__(self, state: GatewayState, lease: OrderLease, http: HttpClient, clock):
+        self.state = state
+        self.lease = lease
+        self.http = http
+        self.clock = clock
+        self.transport: asyncio.DatagramTransport | None = None
+        self.sequence = 0
+        self.last_sequence: dict[str, tuple[int, int]] = {}
+        self.peers: dict[str, Status] = {}
+        self.behind_since: float | None = None
+        self.news = asyncio.Event()
+        self.encoder = msgspec.msgpack.Encoder()
+        self.decoder = msgspec.msgpack.Decoder(Status)
+        self.loop = asyncio.get_running_loop()
+        self.started_at = self.loop.time()
+
+    # asyncio.DatagramProtocol
+
+    def connection_made(self, transport) -> None:
+        """Keep the transport."""
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr) -> None:
+        """Take a status message."""
+        try:
+            status = self.decoder.decode(data)
+        except msgspec.MsgspecError as error:
+            log_message("peer_message_ignored", address=str(addr), reason=str(error))
+            return
+        if status.host != self.state.settings.host:
+            self._take(status, self.loop.time())
+
+    def error_received(self, exc) -> None:
+        """Note an unreachable peer; its silence says the same."""
+
+    # sending
+
+    async def run(self) -> None:
+        """Send status until cancelled."""
+        while True:
+            self._send(self.loop.time())
+            self.news.clear()
+            try:
+                async with asyncio.timeout(STATUS_INTERVAL_S):
+                    await self.news.wait()
+            except TimeoutError:
+                continue
+            await asyncio.sleep(MIN_INTERVAL_S)
+
+    def _send(self, now: float) -> None:
+        if self.transport is None:
+            return
+        state = self.state
+        self.sequence += 1
+        data = self.encoder.encode(self._status(now))
+        targets = {member.ip for member in state.members.values()}
+        if now - self.started_at < SEED_PERIOD_S or not targets:
+            targets.update(state.settings.seed_ips)
+        targets.discard(state.settings.ip)
+        for ip in targets:
+            self.transport.sendto(data, (ip, state.settings.peer_port))
+
+    def _status(self, now: float) -> Status:
+        state, lease = self.state, self.lease
+        members = [
+            (m.host, m.ip, m.incarnation) for m in state.members.values() if now - m.heard_at < 2.0
+        ]
+        last = lease.last
+        return Status(
+            host=state.settings.host,
+            ip=state.settings.ip,
+            incarnation=state.incarnation,
+            sequence=self.sequence,
+            config_version=state.config.version if state.config else 0,
+            wanted={model: wanted.version for model, wanted in state.wanted.items()},
+            endpoint_offset=state.endpoints.offset,
+            used=state.quota.used,
+            endpoints=[_note(view, now) for view in state.views.values()],
+            members=members,
+            store_up=state.store_up,
+            store_is_near=state.store_is_near,
+            is_stopping=state.is_stopping,
+            lease_end=-1 if lease.end is None else lease.end,
+            lease=(last.holder, last.nonce, last.fence) if last else None,
+        )
+
+    # receiving
+
+    def _take(self, status: Status, now: float) -> None:
+        order = (status.incarnation, status.sequence)
+        if order <= self.last_sequence.get(status.host, (0, 0)):
+            return
+        self.last_sequence[status.host] = order
+        state = self.state
+        member = state.see_member(status.host, status.ip, status.incarnation, now)
+        self._log_contact(member, now)
+        member.heard_at = now
+        self.peers[status.host] = status
+        for host, ip, incarnation in status.members:
+            if host != state.settings.host and host not in state.members:
+                state.see_member(host, ip, incarnation, now)
+        state.quota.merge(status.host, status.incarnation, status.used)
+        for note in status.endpoints:
+            self._take_note(status.host, note, now)
+        if status.lease_end >= 0 and status.lease_end > (self.lease.end or 0):
+            record = LeaseRecord(*status.lease) if status.lease else None
+            self.lease.observe(status.lease_end, record, self.clock())
+
+    def _log_contact(self, member: Member, now: float) -> None:
+        if now - member.heard_at > 2.0:
+            log_message("peer_regained", host=member.host, silent_s=now - member.heard_at)
+
+    def _take_note(self, host: str, note: EndpointNote, now: float) -> None:
+        view = self.state.views.get(note.endpoint_id)
+        if view is None or view.endpoint.started_at_ms != note.started_at_ms:
+            return
+        view.peers[host] = Load(note.requests, note.unread_tokens, note.memory_tokens)
+        for model, version in note.weights.items():
+            view.weights[model] = max(version, view.weights.get(model, 0))
+        if note.switching_ms:
+            view.switching_until = max(view.switching_until, now + note.switching_ms / 1000)
+
+    def drop_silent(self, now: float) -> None:
+        """Forget the load of gateways that are silent."""
+        for host in [h for h in self.peers if now - self.state.members[h].heard_at > 1.5]:
+            log_message("peer_lost", host=host)
+            del self.peers[host]
+            for view in self.state.views.values():
+                view.peers.pop(host, None)
+
+    # records
+
+    async def fetch_missing(self) -> None:
+        """Fetch records from peers that know more, if the store does not deliver them."""
+        while True:
+            await asyncio.sleep(0.2)
+            now = self.loop.time()
+            self.drop_silent(now)
+            ahead = self._peer_ahead()
+            if ahead is None:
+                self.behind_since = None
+                continue
+            if self.behind_since is None:
+                self.behind_since = now
+            patience_s = FETCH_AFTER_S if self.state.store_up else 0.0
+            if now - self.behind_since >= patience_s:
+                await self._fetch(ahead)
+
+    def _peer_ahead(self) -> Status | None:
+        state = self.state
+        own_version = state.config.version if state.config else 0
+        for status in self.peers.values():
+            wants_newer = any(
+                version > (state.wanted[model].version if model in state.wanted else 0)
+                for model, version in status.wanted.items()
+            )
+            lists_newer = status.endpoint_offset > state.endpoints.offset and not state.store_up
+            if status.config_version > own_version or wants_newer or lists_newer:
+                return status
+        return None
+
+    async def _fetch(self, status: Status) -> None:
+        deadline = self.loop.time() + FETCH_TIMEOUT_S
+        address = f"{status.ip}:{self.state.settings.peer_port}"
+        try:
+            response = await self.http.call(address, b"GET", RECORDS_PATH, deadline=deadline)
+            records = msgspec.msgpack.decode(response.body, type=RecordSet)
+        except (ConnectFailed, ConnectionBroken, ReadTimeout, msgspec.MsgspecError) as error:
+            log_message("peer_records_failed", host=status.host, reason=repr(error))
+            return
+        now = self.loop.time()
+        source = f"peer {status.host}"
+        for record in records.operators:
+            self.state.apply_operator_record(StoredRecord(*record), source, now)
+        for record in records.endpoints:
+            self.state.apply_endpoint_record(StoredRecord(*record), source, now)
+        self.state.has_endpoints = self.state.has_endpoints or bool(self.state.views)
+
+    def encode_records(self) -> bytes:
+        """Return the records that this gateway holds, for a peer."""
+        state = self.state
+        return self.encoder.encode(
+            RecordSet(
+                [(r.key, r.value, r.offset) for r in state.records.values()],
+                [(r.key, r.value, r.offset) for r in state.raw_entries.values()],
+            )
+        )
+
+
+def _note(view, now: float) -> EndpointNote:
+    own = view.own
+    return EndpointNote(
+        view.endpoint.endpoint_id,
+        view.endpoint.started_at_ms,
+        own.requests,
+        own.unread_tokens,
+        own.memory_tokens,
+        view.weights,
+        max(0, int((view.own_switch_until - now) * 1000)),
+    )
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -7,12 +7,16 @@
 from eliot import log_message
 
 from teaselpath.fleet import EngineCalls, GatewaySettings, MetadataStore, RequestCodec
+from teaselpath.gateway._caches import CacheWatcher
 from teaselpath.gateway._forward import Forwarder
 from teaselpath.gateway._log import LogSink
 from teaselpath.gateway._metrics import GatewayMetrics
+from teaselpath.gateway._orders import WeightsKeeper, boot_clock
+from teaselpath.gateway._peers import RECORDS_PATH, PeerExchange
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway._watch import StoreWatcher
 from teaselpath.http1 import Exchange, HttpClient, ServerConnection, ServerLimits
+from teaselpath.rollout import OrderLease
 
 # Time after SIGTERM in which new connections still arrive, in seconds: the balancer needs two
 # misses, one per second.
@@ -51,6 +55,10 @@
         self.metrics = GatewayMetrics(settings.host)
         self.forwarder = Forwarder(self.state, codec, http, self.metrics)
         self.watcher = StoreWatcher(self.state)
+        self.lease = OrderLease(settings.host, settings.bounds.lease_s)
+        self.peers = PeerExchange(self.state, self.lease, http, boot_clock)
+        self.keeper = WeightsKeeper(self.state, engines, self.lease, self.peers)
+        self.caches = CacheWatcher(self.state, engines)
         self.connections: set[ServerConnection] = set()
         self.stop_requested = asyncio.Event()
         self.servers: list[asyncio.Server] = []
@@ -61,9 +69,7 @@
         loop.add_signal_handler(signal.SIGTERM, self.stop_requested.set)
         loop.add_signal_handler(signal.SIGINT, self.stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        log_message(
-            "started", host=self.settings.host, incarnation=self.state.incarnation
-        )
+        log_message("started", host=self.settings.host, incarnation=self.state.incarnation)
         await self._listen()
         async with asyncio.TaskGroup() as group:
             tasks = [group.create_task(job) for job in self._jobs()]
@@ -81,6 +87,10 @@
             watcher.follow_endpoints(),
             watcher.follow_members(),
             watcher.expire_lapses(),
+            self.peers.run(),
+            self.peers.fetch_missing(),
+            self.keeper.run(),
+            self.caches.run(),
             self._expire_connections(),
             self.log.run(),
         ]
@@ -92,6 +102,10 @@
         await self._serve(settings.readiness_address, self._answer_readiness, plain)
         await self._serve(f"{settings.ip}:{settings.peer_port}", self._answer_page, plain)
 
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self.peers, local_addr=(settings.ip, settings.peer_port)
+        )
+
     async def _serve(self, address: str, handler, connections) -> None:
         ip, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
@@ -126,6 +140,8 @@
                 body, headers = self.metrics.render()
                 fields = [(k.encode(), v.encode()) for k, v in headers.items()]
                 exchange.respond(200, fields, body)
+            case target if target == RECORDS_PATH:
+                exchange.respond(200, [], self.peers.encode_records())
             case _:
                 exchange.respond(404, [])
 
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -1,6 +1,6 @@
 """What a gateway knows: configuration, endpoints, weights and the other gateways."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from eliot import log_message
 
@@ -20,6 +20,8 @@
 MEMBER_MEMORY_S = 30.0
 # A gateway that was heard within this time shares its counters.
 PEER_HEARD_S = 1.0
+# A store that answers within this time is in the gateway's region.
+NEAR_STORE_S = 0.03
 
 
 @dataclass(slots=True)
@@ -70,6 +72,7 @@
         self.quota = SharedQuota()
         self.retry_windows: dict[str, RetryWindow] = {}
         self.store_up = False
+        self.store_is_near = False
         self.store_lost_at = 0.0
         self.store_returned_at = 0.0
         self.is_stopping = False
@@ -202,8 +205,13 @@
 
     # store
 
-    def record_store_answer(self, now: float) -> None:
-        """Note that the store answered."""
+    def record_store_answer(self, now: float, rtt_s: float | None = None) -> None:
+        """Note that the store answered.
+
+        :param rtt_s: duration of a call that did not wait, in seconds.
+        """
+        if rtt_s is not None:
+            self.store_is_near = rtt_s < NEAR_STORE_S
         if not self.store_up:
             self.store_up = True
             self.store_returned_at = now
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -53,9 +53,7 @@
             beat += 1
             record = MemberRecord(settings.ip, self.state.incarnation, beat)
             try:
-                await self.store.append(
-                    Topic.MEMBERS, settings.host, msgspec.json.encode(record)
-                )
+                await self.store.append(Topic.MEMBERS, settings.host, msgspec.json.encode(record))
                 for delay_s in (0.3, 2.0, MEMBER_INTERVAL_S - 2.3):
                     page = await self.store.follow(Topic.MEMBERS, cursor, 0.0)
                     cursor = page.end
@@ -87,13 +85,15 @@
         loop = asyncio.get_running_loop()
         cursor: int | None = None
         while True:
+            sent_at, wait = loop.time(), wait_s if cursor else 0.0
             try:
-                page = await self.store.follow(topic, cursor, wait_s if cursor else 0.0)
+                page = await self.store.follow(topic, cursor, wait)
             except StoreError as error:
                 self.state.record_store_failure(f"{topic}: {error}", loop.time())
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
-            self.state.record_store_answer(loop.time())
+            rtt_s = None if wait else loop.time() - sent_at
+            self.state.record_store_answer(loop.time(), rtt_s)
             self._apply(topic, page, loop.time())
             if cursor is None or page.end > cursor:
                 cursor = page.end
--- a/teaselpath/platform/_engines.py
+++ b/teaselpath/platform/_engines.py
@@ -93,10 +93,7 @@
         headers = [(b"Wait-Ms", b"%d" % (wait_s * 1000))]
         response = await self._call(address, b"GET", target, deadline, headers)
         page = _decode(response, _Events)
-        changes = [
-            CacheChange(scope, part, tokens)
-            for _, _, scope, part, tokens, _ in page.events
-        ]
+        changes = [CacheChange(scope, part, tokens) for _, _, scope, part, tokens, _ in page.events]
         return CacheChanges(page.boot_epoch, page.next_token, page.lost, changes)
 
     async def _call(
--- a/teaselpath/platform/_store.py
+++ b/teaselpath/platform/_store.py
@@ -59,7 +59,9 @@
         """Return records from ``after`` on, or a listing if ``after`` is None or deleted."""
         if after is None:
             return await self._list(topic)
-        target = f"/-/log-read?topic={_TOPICS[topic]}&part=0&from={after}&waitMs={wait_s * 1000:.0f}"
+        target = (
+            f"/-/log-read?topic={_TOPICS[topic]}&part=0&from={after}&waitMs={wait_s * 1000:.0f}"
+        )
         response = await self._call(b"GET", target, wait_s)
         match response.head.status:
             case 200:
@@ -119,9 +121,7 @@
                 return RecordPage(records, end, is_listing=True)
             after = page.items[-1].key
 
-    async def _call(
-        self, method: bytes, target: str, wait_s: float, body: bytes = b""
-    ) -> Response:
+    async def _call(self, method: bytes, target: str, wait_s: float, body: bytes = b"") -> Response:
         deadline = asyncio.get_running_loop().time() + wait_s + CALL_TIMEOUT_S
         try:
             return await self.http.call(
@@ -136,7 +136,7 @@
 def _decode_records(data: bytes, start: int) -> RecordPage:
     """Return the records of a log read: end and first offset, then length-prefixed records."""
     try:
-        end, _first = struct.unpack_from(">QQ", data)
+        _end, _first = struct.unpack_from(">QQ", data)
         records = []
         position, offset = 16, start
         while position + 4 <= len(data):
--- a/teaselpath/platform/tests/__init__.py
+++ b/teaselpath/platform/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of teaselpath.quota."""
