Copy cached parts between engines and keep them in the store; oldest weights first

Change: placement names a confirmed source to copy from, prompts are saved to the store, engines with the oldest weights are ordered first and run nothing once their time is nearly over.

--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -9,7 +9,7 @@
 
 from teaselpath.dispatch._health import EndpointHealth
 from teaselpath.dispatch._part_cache import PartCache
-from teaselpath.fleet import Endpoint, Prompt
+from teaselpath.fleet import CacheStore, Endpoint, EngineLimits, Prompt
 
 # Tokens that an engine reads per second, until it was observed.
 PREFILL_TOKENS_PER_S = 40_000.0
@@ -25,9 +25,15 @@
 # Requests per slot that an endpoint is given before it counts as full.
 QUEUE_FACTOR = 1.5
 # A copy of cached parts is worth asking for from this many tokens on.
-MIN_FETCH_TOKENS = 2_000
-# Time that a fetch takes per token within a failure domain, in seconds.
-FETCH_S_PER_TOKEN = 3.2e-6
+MIN_FETCH_TOKENS = 256
+# Fetch time across failure domains and regions, as a multiple of that within a domain.
+CROSS_DOMAIN_FETCH = 2.0
+CROSS_REGION_FETCH = 10.0
+# Fixed time of a fetch, in seconds.
+FETCH_SETUP_S = 0.004
+# Time charged per shared token that is read although another engine has it, in seconds: the read
+# takes engine time from all other requests.
+REREAD_COST_S = 30e-6
 # Slow-down of a running batch per request in it, as a fraction of the prefill time.
 BATCH_SLOWDOWN = 0.02
 
@@ -87,13 +93,43 @@
 
     :param scope_prefix: scope of cached parts without the weights version.
     :param wanted_weights: newest named version of the model; None without a model.
+    :param oldest_weights: oldest version that may still run requests.
     :param excluded: endpoints that this request has already tried.
+    :param engine: limits of the service's engines.
+    :param sources: stores from which cached parts can be copied.
     """
 
     prompt: Prompt | None
-    scope_prefix: str
-    wanted_weights: int | None
-    excluded: frozenset[str]
+    scope_prefix: str = ""
+    wanted_weights: int | None = None
+    oldest_weights: int = 0
+    excluded: frozenset[str] = frozenset()
+    engine: EngineLimits | None = None
+    sources: tuple["StoreView", ...] = ()
+
+
+@dataclass(slots=True)
+class StoreView:
+    """What a gateway knows of a store of cached parts."""
+
+    store: CacheStore
+    cache: PartCache = field(default_factory=PartCache)
+    health: EndpointHealth = field(default_factory=EndpointHealth)
+
+
+@dataclass(slots=True, frozen=True)
+class _Source:
+    """Cached parts that can be copied.
+
+    :param owner: endpoint id of an engine; empty for a store.
+    """
+
+    owner: str
+    address: str
+    failure_domain: str
+    weights: int | None
+    tokens: int
+    s_per_token: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -139,6 +175,14 @@
             return CROSS_DOMAIN_RTT_S
         return CROSS_REGION_RTT_S
 
+    def fetch_factor(self, source: str, target: str) -> float:
+        """Return how much longer a copy takes than within one failure domain."""
+        if source == target:
+            return 1.0
+        if self.regions.get(source) == self.regions.get(target):
+            return CROSS_DOMAIN_FETCH
+        return CROSS_REGION_FETCH
+
 
 def scope_of(prefix: str, weights: int | None) -> str:
     """Return the scope of cached parts: isolation and weights version."""
@@ -146,15 +190,11 @@
 
 
 def choose_endpoint(
-    views: list[EndpointView],
-    demand: Demand,
-    topology: Topology,
-    now: float,
-    cache_tokens: int | None = None,
+    views: list[EndpointView], demand: Demand, topology: Topology, now: float
 ) -> Placed | NoPlace:
     """Return the endpoint with the lowest expected time to the first token.
 
-    Endpoints that are suspect or were tried are taken only if there is no other.
+    Suspect endpoints are taken only if there is no other.
     """
     if not views:
         return NoPlace("none_listed", 1.0)
@@ -162,21 +202,19 @@
     sound = [v for v in usable if not v.health.is_suspect(now)] or usable
     if not sound:
         return NoPlace("unreachable", 0.5)
-    settled = [v for v in sound if v.switching_until <= now]
+    settled = [v for v in sound if v.switching_until <= now and not _is_outdated(v, demand)]
     if not settled:
-        return NoPlace("switching", max(0.2, min(v.switching_until for v in sound) - now))
-    open_views = [v for v in settled if not _is_full(v, demand, now, cache_tokens)]
+        return NoPlace("switching", 0.5)
+    open_views = [v for v in settled if not _is_full(v, now)]
     if not open_views:
         return NoPlace("full", 0.5)
-    costs = [(_cost(v, demand, topology, now), i) for i, v in enumerate(open_views)]
-    cost_s, index = min(costs)
-    return _placed(open_views[index], demand, cost_s, now)
+    sources = _sources(views, demand, now)
+    offers = [_offer(view, demand, topology, sources, now) for view in open_views]
+    return min(offers, key=lambda offer: (offer.cost_s, offer.view.endpoint.endpoint_id))
 
 
-def _is_full(view: EndpointView, demand: Demand, now: float, cache_tokens: int | None) -> bool:
-    if view.full_until > now:
-        return True
-    return view.requests() >= QUEUE_FACTOR * max(1, view.endpoint.slots)
+def _is_full(view: EndpointView, now: float) -> bool:
+    return view.full_until > now or view.requests() >= QUEUE_FACTOR * max(1, view.endpoint.slots)
 
 
 def _version(view: EndpointView, demand: Demand) -> int | None:
@@ -185,27 +223,92 @@
     return view.weights.get(demand.prompt.model, view.endpoint.weights_of(demand.prompt.model))
 
 
-def _cost(view: EndpointView, demand: Demand, topology: Topology, now: float) -> float:
+def _is_outdated(view: EndpointView, demand: Demand) -> bool:
+    return demand.prompt is not None and (_version(view, demand) or 0) < demand.oldest_weights
+
+
+def _sources(views: list[EndpointView], demand: Demand, now: float) -> list[_Source]:
+    """Return what engines and stores hold of the prompt, confirmed by their events."""
+    prompt = demand.prompt
+    if prompt is None or demand.engine is None or prompt.shared_tokens < MIN_FETCH_TOKENS:
+        return []
+    sources = []
+    for view in views:
+        if view.health.is_suspect(now) or view.switching_until > now:
+            continue
+        version = _version(view, demand)
+        scope = scope_of(demand.scope_prefix, version)
+        tokens = view.cache.match(scope, prompt, now, confirmed=True)
+        if tokens >= MIN_FETCH_TOKENS:
+            endpoint = view.endpoint
+            sources.append(
+                _Source(
+                    endpoint.endpoint_id,
+                    endpoint.address,
+                    endpoint.failure_domain,
+                    version,
+                    tokens,
+                    demand.engine.fetch_s_per_token,
+                )
+            )
+    versions = {_version(view, demand) for view in views}
+    for kept in demand.sources:
+        for version in versions:
+            scope = scope_of(demand.scope_prefix, version)
+            tokens = kept.cache.match(scope, prompt, now, confirmed=True)
+            if tokens >= MIN_FETCH_TOKENS and not kept.health.is_suspect(now):
+                bits = demand.engine.token_bytes * 8
+                s_per_token = bits / max(1.0, kept.store.link_bits_per_s)
+                store = kept.store
+                sources.append(
+                    _Source("", store.address, store.failure_domain, version, tokens, s_per_token)
+                )
+    return sources
+
+
+def _offer(
+    view: EndpointView, demand: Demand, topology: Topology, sources: list[_Source], now: float
+) -> Placed:
     slots = max(1, view.endpoint.slots)
     requests = view.requests()
     cost = topology.rtt_s(view.endpoint.failure_domain)
     cost += view.health.failure_rate(now) * FAILURE_COST_S
     cost += max(0, requests + 1 - slots) * QUEUE_STEP_S
     if demand.prompt is None:
-        return cost + 0.02 * requests / slots
+        return Placed(view, cost + 0.02 * requests / slots, 0, None, "")
     version = _version(view, demand)
     if demand.wanted_weights is not None and (version or 0) < demand.wanted_weights:
         cost += OLD_WEIGHTS_COST_S
     scope = scope_of(demand.scope_prefix, version)
-    missed = demand.prompt.prompt_tokens - view.cache.match(scope, demand.prompt, now)
-    ahead_s = (max(0, missed) + view.unread_tokens()) / PREFILL_TOKENS_PER_S
-    return cost + ahead_s * (1.0 + BATCH_SLOWDOWN * requests) + 0.002 * requests
-
-
-def _placed(view: EndpointView, demand: Demand, cost_s: float, now: float) -> Placed:
-    version = _version(view, demand)
-    scope = scope_of(demand.scope_prefix, version)
-    cached = 0
-    if demand.prompt is not None:
-        cached = view.cache.match(scope, demand.prompt, now)
-    return Placed(view, cost_s, cached, version, scope)
+    cached = view.cache.match(scope, demand.prompt, now)
+    confirmed = view.cache.match(scope, demand.prompt, now, confirmed=True)
+    fetch_from, fetched_s = None, 0.0
+    others = [s for s in sources if s.weights == version and s.owner != view.endpoint.endpoint_id]
+    reread = max((s.tokens for s in others), default=0) - cached
+    best = _best_source(others, view, topology, cached)
+    if best is not None:
+        fetch_from, fetched_s, cached, reread = best[1].address, best[0], best[1].tokens, 0
+    elif confirmed < cached:
+        reread = 0
+    missed = max(0, demand.prompt.prompt_tokens - cached)
+    ahead_s = (missed + view.unread_tokens()) / PREFILL_TOKENS_PER_S
+    cost += fetched_s + max(0, reread) * REREAD_COST_S
+    cost += ahead_s * (1.0 + BATCH_SLOWDOWN * requests) + 0.002 * requests
+    return Placed(view, cost, cached, version, scope, fetch_from)
+
+
+def _best_source(
+    sources: list[_Source], view: EndpointView, topology: Topology, cached: int
+) -> tuple[float, _Source] | None:
+    """Return the source with the lowest time to copy and read the rest."""
+    best = None
+    for source in sources:
+        gained = source.tokens - cached
+        if gained < MIN_FETCH_TOKENS:
+            continue
+        factor = topology.fetch_factor(source.failure_domain, view.endpoint.failure_domain)
+        fetch_s = FETCH_SETUP_S + gained * source.s_per_token * factor
+        value = fetch_s - gained * (REREAD_COST_S + 1 / PREFILL_TOKENS_PER_S)
+        if value < 0 and (best is None or value < best[0]):
+            best = (value, fetch_s, source)
+    return (best[1], best[2]) if best else None
--- a/teaselpath/fleet/_model.py
+++ b/teaselpath/fleet/_model.py
@@ -62,12 +62,14 @@
     :param slots: requests in a batch.
     :param cache_tokens: memory for running requests and cached prompt parts.
     :param token_bytes: size of one token's memory.
+    :param fetch_s_per_token: time to copy one cached token from a neighbour, in seconds.
     :param models: names of the models.
     """
 
     slots: int
     cache_tokens: int
     token_bytes: int
+    fetch_s_per_token: float
     models: tuple[str, ...]
 
 
@@ -87,12 +89,16 @@
 
 @dataclass(slots=True, frozen=True)
 class CacheStore:
-    """A store of kept prompt parts."""
+    """A store of kept prompt parts.
+
+    :param link_bits_per_s: speed of its link.
+    """
 
     service: str
     address: str
     failure_domain: str
     capacity_tokens: int
+    link_bits_per_s: float
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/gateway/_caches.py
+++ b/teaselpath/gateway/_caches.py
@@ -1,10 +1,11 @@
 """Tasks that follow what engines and stores have cached."""
 
 import asyncio
+from dataclasses import dataclass
 
 from eliot import log_message
 
-from teaselpath.dispatch import EndpointView, PartCache
+from teaselpath.dispatch import EndpointHealth, PartCache
 from teaselpath.fleet import CacheChanges, EngineCallError, EngineCalls
 from teaselpath.gateway._state import GatewayState
 
@@ -19,6 +20,16 @@
 CHECK_INTERVAL_S = 0.2
 
 
+@dataclass(slots=True, frozen=True)
+class _Target:
+    """An engine or store whose cache is followed."""
+
+    name: str
+    address: str
+    cache: PartCache
+    health: EndpointHealth
+
+
 class CacheWatcher:
     """Follows one task per engine and store.
 
@@ -42,53 +53,55 @@
                 task.cancel()
 
     def _match_tasks(self) -> None:
-        wanted = {}
+        wanted: dict[tuple, _Target] = {}
         for view in self.state.views.values():
             if view.weights:
-                wanted[view.endpoint.incarnation, view.endpoint.address] = view
+                endpoint = view.endpoint
+                target = _Target(endpoint.endpoint_id, endpoint.address, view.cache, view.health)
+                wanted[endpoint.incarnation, endpoint.address] = target
+        for address, kept in self.state.cache_stores.items():
+            wanted[address, "store"] = _Target(kept.store.service, address, kept.cache, kept.health)
         for key in [key for key in self.tasks if key not in wanted]:
             self.tasks.pop(key).cancel()
-        for key, view in wanted.items():
+        for key, target in wanted.items():
             if key not in self.tasks:
-                self.tasks[key] = self.loop.create_task(self._follow(view))
+                self.tasks[key] = self.loop.create_task(self._follow(target))
 
-    async def _follow(self, view: EndpointView) -> None:
+    async def _follow(self, target: _Target) -> None:
         cursor, epoch, missed = 0, None, 0
         while True:
             started_at = self.loop.time()
             try:
                 page = await self.engines.follow_cache(
-                    view.endpoint.address, cursor, WAIT_S, started_at + WAIT_S + ANSWER_S
+                    target.address, cursor, WAIT_S, started_at + WAIT_S + ANSWER_S
                 )
             except EngineCallError as error:
                 missed += 1
-                if missed == SILENT_POLLS and not view.health.is_silent:
-                    view.health.is_silent = True
-                    log_message(
-                        "engine_silent", endpoint=view.endpoint.endpoint_id, reason=str(error)
-                    )
+                if missed == SILENT_POLLS and not target.health.is_silent:
+                    target.health.is_silent = True
+                    log_message("engine_silent", endpoint=target.name, reason=str(error))
                 await asyncio.sleep(INTERVAL_S)
                 continue
-            if view.health.is_silent:
-                view.health.is_silent = False
-                log_message("engine_regained", endpoint=view.endpoint.endpoint_id)
+            if target.health.is_silent:
+                target.health.is_silent = False
+                log_message("engine_regained", endpoint=target.name)
             missed = 0
             if epoch != page.epoch or page.has_gap:
-                self._start_over(view, epoch, page)
+                self._start_over(target, epoch, page)
             epoch, cursor = page.epoch, page.cursor
-            apply_changes(view.cache, page)
+            apply_changes(target.cache, page)
             pause_s = INTERVAL_S - (self.loop.time() - started_at)
             if pause_s > 0:
                 await asyncio.sleep(pause_s)
 
-    def _start_over(self, view: EndpointView, epoch: int | None, page: CacheChanges) -> None:
+    def _start_over(self, target: _Target, epoch: int | None, page: CacheChanges) -> None:
         if epoch is not None:
             log_message(
                 "cache_index_cleared",
-                endpoint=view.endpoint.endpoint_id,
+                endpoint=target.name,
                 reason="restart" if epoch != page.epoch else "gap",
             )
-        view.cache.clear()
+        target.cache.clear()
 
 
 def apply_changes(cache: PartCache, page: CacheChanges) -> None:
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -36,7 +36,7 @@
 )
 from teaselpath.gateway._events import EventSplitter
 from teaselpath.gateway._metrics import GatewayMetrics
-from teaselpath.gateway._state import GatewayState
+from teaselpath.gateway._state import GatewayState, WantedWeights
 from teaselpath.http1 import (
     ClientConnection,
     ConnectFailed,
@@ -53,6 +53,10 @@
 START_RETRY_AFTER_S = 1.0
 # Silence after which an idempotent request goes to another endpoint, as a multiple of its target.
 SILENCE_FACTOR = 2.0
+# Part of the time for a rollout after which older weights run no more requests.
+OLD_WEIGHTS_PART = 0.85
+# Shared tokens from which a prompt's parts are kept in the store of cached parts.
+MIN_SAVE_TOKENS = 1_000
 # Largest number of endpoints that one request is sent to, whether they run it or not.
 MAX_SENDS = 4
 
@@ -224,10 +228,18 @@
             prompt=prompt if call.service.engine else None,
             scope_prefix=scope_prefix,
             wanted_weights=wanted.version if wanted else None,
+            oldest_weights=self._oldest_weights(wanted, now),
             excluded=frozenset(call.tried),
+            engine=call.service.engine,
+            sources=tuple(state.cache_stores.values()),
         )
         return choose_endpoint(state.candidates(call.service.name), demand, state.topology, now)
 
+    def _oldest_weights(self, wanted: WantedWeights | None, now: float) -> int:
+        if wanted is None:
+            return 0
+        return wanted.oldest_usable(now, OLD_WEIGHTS_PART * self.state.settings.bounds.weights_s)
+
     def _may_send_again(self, call: Call, step: SendAgain, now: float) -> bool:
         if call.progress.sends >= MAX_SENDS:
             return False
@@ -427,9 +439,22 @@
             priority=min(9, priority) if is_prompt else None,
             last_event_id=last_event_id,
             fetch_from=placed.fetch_from,
+            save_to=self._save_to() if is_prompt else None,
         )
         return self.forwarder.codec.encode_request(call.request, forwarding)
 
+    def _save_to(self) -> str | None:
+        """Return the store that is to keep the prompt's parts, if it lacks them."""
+        prompt, now = self.call.request.prompt, self.loop.time()
+        if prompt is None or prompt.shared_tokens < MIN_SAVE_TOKENS:
+            return None
+        for view in self.forwarder.state.cache_stores.values():
+            if view.health.is_suspect(now):
+                continue
+            if view.cache.match(self.placed.scope, prompt, now) < prompt.shared_tokens:
+                return view.store.address
+        return None
+
     def _head_deadline(self) -> float:
         call = self.call
         if not call.route.is_idempotent or call.progress.runs + 1 >= call.route.max_attempts:
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -4,7 +4,7 @@
 
 from eliot import log_message
 
-from teaselpath.dispatch import EndpointView, RetryWindow, SharedQuota, Topology
+from teaselpath.dispatch import EndpointView, RetryWindow, SharedQuota, StoreView, Topology
 from teaselpath.fleet import (
     EndpointEntry,
     EndpointState,
@@ -43,11 +43,15 @@
 class WantedWeights:
     """Newest version of a model's weights.
 
-    :param named_at: event loop time at which this gateway learned of it.
+    :param named_at: event loop time at which this gateway learned of each version.
     """
 
     version: int
-    named_at: float
+    named_at: dict[int, float]
+
+    def oldest_usable(self, now: float, max_age_s: float) -> int:
+        """Return the newest version that was named longer ago than ``max_age_s``, 0 if none."""
+        return max((v for v, at in self.named_at.items() if now - at > max_age_s), default=0)
 
 
 class GatewayState:
@@ -67,6 +71,7 @@
         self.endpoints = EndpointTable()
         self.views: dict[str, EndpointView] = {}
         self.by_service: dict[str, list[EndpointView]] = {}
+        self.cache_stores: dict[str, StoreView] = {}
         self.raw_entries: dict[str, StoredRecord] = {}
         self.members: dict[str, Member] = {}
         self.quota = SharedQuota()
@@ -104,6 +109,9 @@
         before = self.config.version if self.config else None
         self.config = config
         self.records[record.key] = record
+        self.cache_stores = {
+            s.address: self.cache_stores.get(s.address) or StoreView(s) for s in config.cache_stores
+        }
         self._index_views()
         log_message(
             "config_applied",
@@ -119,7 +127,8 @@
         known = self.wanted.get(model)
         if known is not None and known.version >= version:
             return
-        self.wanted[model] = WantedWeights(version, now)
+        named_at = {**(known.named_at if known else {}), version: now}
+        self.wanted[model] = WantedWeights(version, named_at)
         self.records[record.key] = record
         log_message("weights_named", model=model, version=version, source=source)
 
--- a/teaselpath/http1/_client.py
+++ b/teaselpath/http1/_client.py
@@ -181,7 +181,8 @@
             if self._is_expected(incoming.head):
                 return incoming.head
             self.is_reusable = False
-            await self._until(lambda: incoming.is_complete, deadline)
+            while await self.read_chunk(deadline) is not None:
+                continue
             self.responses.popleft()
 
     async def read_chunk(self, deadline: float) -> bytes | None:
--- a/teaselpath/platform/_config.py
+++ b/teaselpath/platform/_config.py
@@ -20,6 +20,9 @@
 )
 
 CONFIG_KEY = "config"
+BITS_PER_MBIT = 1_000_000
+# Time to copy a cached token if the link's speed is not told, in seconds.
+DEFAULT_FETCH_S_PER_TOKEN = 5e-6
 WEIGHTS_PREFIX = "version/"
 _STATES = {"ready": EndpointState.READY, "draining": EndpointState.LEAVING}
 
@@ -56,6 +59,7 @@
     slots: int = 1
     kv_capacity_tokens: int = 0
     kv_token_bytes: int = 0
+    link_mbps: float = 0
     models: list[_Model] = []
 
 
@@ -66,6 +70,7 @@
     engine: _Engine | None = None
     kv_store_addr: str | None = None
     kv_capacity_tokens: int = 0
+    link_mbps: float = 0
     zone: str = ""
 
 
@@ -126,7 +131,9 @@
     except (msgspec.MsgspecError, ValueError):
         return None
     stores = [
-        CacheStore(s.name, s.kv_store_addr, s.zone, s.kv_capacity_tokens)
+        CacheStore(
+            s.name, s.kv_store_addr, s.zone, s.kv_capacity_tokens, s.link_mbps * BITS_PER_MBIT
+        )
         for s in raw.services
         if s.kv_store_addr
     ]
@@ -208,11 +215,18 @@
             slots=service.engine.slots,
             cache_tokens=service.engine.kv_capacity_tokens,
             token_bytes=service.engine.kv_token_bytes,
+            fetch_s_per_token=_fetch_time(service.engine),
             models=tuple(model.name for model in service.engine.models),
         )
     return Service(service.name, service.health_path, service.max_conns, engine)
 
 
+def _fetch_time(engine: _Engine) -> float:
+    if not engine.link_mbps:
+        return DEFAULT_FETCH_S_PER_TOKEN
+    return engine.kv_token_bytes * 8 / (engine.link_mbps * BITS_PER_MBIT)
+
+
 def _workspace(tenant: _Tenant) -> Workspace:
     return Workspace(
         name=tenant.name,
--- a/teaselpath/rollout/_weights.py
+++ b/teaselpath/rollout/_weights.py
@@ -35,7 +35,7 @@
     """What the gateway knows of an engine when it plans.
 
     :param key: endpoint id.
-    :param requests: requests under way; idle engines go first.
+    :param requests: requests under way; of engines with equally old weights, idle ones go first.
     """
 
     key: str
@@ -134,7 +134,7 @@
     ) -> list[Action]:
         room = max(1, -(-len(engines) // LOADING_PART)) - self._active(now)
         waiting = [(e, m) for e, m in self.behind(engines, wanted) if e.key not in self.changes]
-        waiting.sort(key=lambda pair: (pair[0].requests, pair[0].key))
+        waiting.sort(key=lambda pair: (pair[0].weights[pair[1]], pair[0].requests, pair[0].key))
         actions: list[Action] = []
         for engine, model in waiting[: max(0, room)]:
             self.changes[engine.key] = _Change(
