--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -170,9 +170,9 @@
         self.state.is_stopping = True
         log_message("stopping", running=self.forwarder.running, open=len(self.connections))
         deadline = started_at + self.settings.bounds.stop_s - STOP_MARGIN_S
-        for connection in self.connections:
-            connection.stop_reuse()
         while loop.time() < deadline:
+            for connection in self.connections:
+                connection.stop_reuse()
             await asyncio.sleep(POLL_S)
             if loop.time() < started_at + SETTLE_S:
                 continue
--- a/teaselpath/http1/_server.py
+++ b/teaselpath/http1/_server.py
@@ -119,6 +119,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.is_closing = False
         self.must_close = False
+        self.is_rejecting = False
         self.can_write = asyncio.Event()
         self.loop = asyncio.get_running_loop()
         self._reset_parser()
@@ -169,7 +170,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrived."""
-        if self.is_closing or self.must_close:
+        if self.is_closing or self.is_rejecting:
             return
         if not self.is_reading:
             self.is_reading = True
@@ -302,6 +303,7 @@
     def _reject(self, status: int) -> None:
         """Answer a malformed request once earlier ones are done, and close."""
         self.must_close = True
+        self.is_rejecting = True
         if self.task is None and not self.waiting:
             head = [(b"Content-Length", b"0"), (b"Connection", b"close")]
             self.write(encode_head(status, head))
--- /dev/null
+++ b/teaselpath/http1/tests/conftest.py
@@ -0,0 +1,53 @@
+"""Servers and raw connections for the tests."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from teaselpath.http1 import Exchange, ServerConnection, ServerLimits
+
+
+class Listener:
+    """A server on loopback whose handler echoes the target.
+
+    :ivar requests: targets in the order in which they were handled.
+    """
+
+    def __init__(self) -> None:
+        self.requests: list[bytes] = []
+        self.connections: set[ServerConnection] = set()
+        self.limits = ServerLimits()
+        self.port = 0
+
+    async def answer(self, exchange: Exchange) -> None:
+        """Answer with the target and the body."""
+        self.requests.append(exchange.request.target)
+        exchange.respond(200, [], exchange.request.target + b"|" + exchange.request.body)
+
+    async def open(self, handler: Callable[[Exchange], Awaitable[None]] | None = None):
+        """Start to listen and return the server."""
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: ServerConnection(handler or self.answer, lambda: self.limits, self.connections),
+            "127.0.0.1",
+            0,
+        )
+        self.port = server.sockets[0].getsockname()[1]
+        return server
+
+
+@pytest.fixture
+def listener() -> Listener:
+    """Return a server that is not yet open."""
+    return Listener()
+
+
+async def read_response(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
+    """Return head and body of a response with a length."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = 0
+    for line in head.split(b"\r\n"):
+        if line.lower().startswith(b"content-length:"):
+            length = int(line.partition(b":")[2])
+    return head, await reader.readexactly(length)
--- /dev/null
+++ b/teaselpath/http1/tests/test_server.py
@@ -0,0 +1,116 @@
+"""Server connections: order, framing errors, limits and the graceful stop."""
+
+import asyncio
+
+import pytest
+
+from teaselpath.http1 import ServerLimits
+from teaselpath.http1.tests.conftest import Listener, read_response
+
+GET = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def test_request_after_a_stop_began_is_answered_and_closes_the_connection(listener: Listener):
+    async def scenario():
+        async with await listener.open():
+            reader, writer = await asyncio.open_connection("127.0.0.1", listener.port)
+            writer.write(GET % 1)
+            await read_response(reader)
+            for connection in listener.connections:
+                connection.stop_reuse()
+            writer.write(GET % 2)
+            head, body = await asyncio.wait_for(read_response(reader), 5)
+            rest = await asyncio.wait_for(reader.read(), 5)
+            writer.close()
+            return head, body, rest
+
+    head, body, rest = asyncio.run(scenario())
+    assert b"Connection: close" in head
+    assert body == b"/2|"
+    assert rest == b""
+
+
+def test_pipelined_requests_are_answered_in_order(listener: Listener):
+    async def scenario():
+        async with await listener.open():
+            reader, writer = await asyncio.open_connection("127.0.0.1", listener.port)
+            writer.write(b"".join(GET % i for i in range(10)))
+            bodies = [(await read_response(reader))[1] for _ in range(10)]
+            writer.close()
+            return bodies
+
+    assert asyncio.run(scenario()) == [b"/%d|" % i for i in range(10)]
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", b"400"),
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n",
+            b"400",
+        ),
+        (b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost: h\r\n" + b"A: " + b"x" * 300 + b"\r\n\r\n", b"431"),
+        (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 300\r\n\r\n" + b"x" * 300, b"413"),
+        (b"\x00\x01garbage\r\n\r\n", b"400"),
+    ],
+)
+def test_malformed_request_is_answered_and_nothing_after_it_runs(
+    listener: Listener, data: bytes, status: bytes
+):
+    listener.limits = ServerLimits(header_bytes=200, body_bytes=200)
+
+    async def scenario():
+        async with await listener.open():
+            reader, writer = await asyncio.open_connection("127.0.0.1", listener.port)
+            writer.write(data)
+            answer = await asyncio.wait_for(reader.read(), 5)
+            writer.close()
+            return answer
+
+    answer = asyncio.run(scenario())
+    assert answer.split(b" ")[1] == status
+    assert listener.requests == []
+
+
+def test_handler_is_cancelled_when_the_caller_leaves(listener: Listener):
+    cancelled = asyncio.Event()
+
+    async def wait_forever(exchange):
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+
+    async def scenario():
+        async with await listener.open(wait_forever):
+            _, writer = await asyncio.open_connection("127.0.0.1", listener.port)
+            writer.write(GET % 1)
+            await writer.drain()
+            while not any(connection.task for connection in listener.connections):
+                await asyncio.sleep(0)
+            writer.close()
+            await asyncio.wait_for(cancelled.wait(), 5)
+
+    asyncio.run(scenario())
+
+
+def test_response_that_a_handler_does_not_finish_is_cut(listener: Listener):
+    async def start_only(exchange):
+        exchange.start(200, [])
+        exchange.write(b"half")
+
+    async def scenario():
+        async with await listener.open(start_only):
+            reader, writer = await asyncio.open_connection("127.0.0.1", listener.port)
+            writer.write(GET % 1)
+            answer = await asyncio.wait_for(reader.read(), 5)
+            writer.close()
+            return answer
+
+    answer = asyncio.run(scenario())
+    assert b"half" in answer
+    assert not answer.endswith(b"0\r\n\r\n")
