--- /dev/null
+++ b/teaselpath/dispatch/tests/test_attempts.py
@@ -0,0 +1,82 @@
+"""Repetition: at most one run unless the kind of request allows more, and true refusals."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from teaselpath.dispatch import (
+    Answered,
+    Broken,
+    Fail,
+    NotRun,
+    NotSent,
+    PassOn,
+    Progress,
+    Refuse,
+    SendAgain,
+    next_step,
+)
+from teaselpath.dispatch.tests.conftest import make_route
+from teaselpath.fleet import RequestKind
+
+UNSAFE = make_route(RequestKind.UNSAFE)
+SAFE = make_route(RequestKind.SAFE)
+STREAM = make_route(RequestKind.STREAM)
+RESUMABLE = make_route(RequestKind.STREAM, resumable=True)
+
+OUTCOMES = st.one_of(
+    st.just(NotSent()),
+    st.sampled_from([NotRun(503), NotRun(421), NotRun(429)]),
+    st.sampled_from([Answered(200), Answered(404), Answered(500), Answered(504)]),
+    st.sampled_from([Broken(), Broken(is_timeout=True)]),
+)
+
+
+def ran(outcome) -> bool:
+    return isinstance(outcome, Answered | Broken)
+
+
+@pytest.mark.parametrize("route", [UNSAFE, STREAM], ids=["unsafe", "plain stream"])
+@given(outcomes=st.lists(OUTCOMES, min_size=1, max_size=8))
+def test_request_that_may_run_once_runs_once_and_is_refused_only_if_it_did_not(route, outcomes):
+    progress = Progress()
+    for outcome in outcomes:
+        progress.sends += not isinstance(outcome, NotSent)
+        progress.runs += ran(outcome)
+        step = next_step(route, outcome, progress, 0.0, 5.0)
+        if isinstance(step, SendAgain):
+            assert progress.runs == 0
+            continue
+        assert progress.runs <= 1
+        if isinstance(step, Refuse):
+            assert progress.runs == 0
+        break
+
+
+@pytest.mark.parametrize("route", [SAFE, RESUMABLE], ids=["safe", "resumable"])
+@given(outcomes=st.lists(OUTCOMES, min_size=1, max_size=8))
+def test_idempotent_request_runs_at_most_as_often_as_its_route_allows(route, outcomes):
+    progress = Progress()
+    for outcome in outcomes:
+        progress.sends += not isinstance(outcome, NotSent)
+        progress.runs += ran(outcome)
+        step = next_step(route, outcome, progress, 0.0, 5.0)
+        if isinstance(step, Refuse):
+            assert progress.runs == 0
+        if not isinstance(step, SendAgain):
+            break
+    assert progress.runs <= route.max_attempts
+
+
+def test_own_failure_of_an_endpoint_is_passed_on_when_it_cannot_be_repeated():
+    progress = Progress(runs=1, sends=1)
+    assert next_step(UNSAFE, Answered(500), progress, 0.0, 5.0) == PassOn()
+    assert next_step(SAFE, Answered(500), progress, 0.0, 5.0) == SendAgain(True)
+
+
+def test_first_send_after_a_failed_connection_is_no_repeat():
+    assert next_step(UNSAFE, NotSent(), Progress(), 0.0, 5.0) == SendAgain(False)
+
+
+def test_broken_answer_past_the_deadline_is_a_timeout():
+    assert next_step(UNSAFE, Broken(), Progress(1, 1), 5.0, 5.0) == Fail(504)
--- /dev/null
+++ b/teaselpath/rollout/tests/test_weights.py
@@ -0,0 +1,84 @@
+"""Plan of orders: places, oldest first, lost answers, late copies, restarts."""
+
+from teaselpath.fleet import EngineReport
+from teaselpath.rollout import AskReport, EngineStatus, GaveUp, GiveOrder, Loaded, WeightsRollout
+
+MODEL = "m"
+
+
+def engines(count, version=1):
+    return [EngineStatus(f"e{i}", 1, {MODEL: version}, 0) for i in range(count)]
+
+
+def report(version, *, orders=0, busy=False):
+    return EngineReport(orders, busy, {MODEL: version}, 0, 0)
+
+
+def test_a_third_of_the_engines_loads_at_once():
+    rollout = WeightsRollout()
+    asked = rollout.plan(engines(9), {MODEL: 2}, 0.0)
+    assert len(asked) == 3
+    assert rollout.plan(engines(9), {MODEL: 2}, 0.01) == []
+
+
+def test_engine_with_the_oldest_weights_goes_first():
+    rollout = WeightsRollout()
+    fleet = [*engines(3, version=3), EngineStatus("z", 1, {MODEL: 1}, 9)]
+    assert rollout.plan(fleet, {MODEL: 4}, 0.0)[0] == AskReport("z")
+
+
+def test_order_names_the_orders_before_it():
+    rollout = WeightsRollout()
+    rollout.plan(engines(1), {MODEL: 2}, 0.0)
+    actions = rollout.take_report("e0", report(1, orders=7), {MODEL: 2}, 0.1)
+    assert actions == [GiveOrder("e0", MODEL, 2, 7)]
+
+
+def test_superseded_version_is_skipped():
+    rollout = WeightsRollout()
+    rollout.plan(engines(1), {MODEL: 2}, 0.0)
+    actions = rollout.take_report("e0", report(1), {MODEL: 3}, 0.1)
+    assert actions == [GiveOrder("e0", MODEL, 3, 0)]
+
+
+def test_unanswered_order_is_repeated_only_if_the_engine_did_not_take_it():
+    rollout = WeightsRollout()
+    rollout.plan(engines(1), {MODEL: 2}, 0.0)
+    rollout.take_report("e0", report(1), {MODEL: 2}, 0.1)
+    rollout.order_answered("e0", None, 0.7)
+    assert rollout.take_report("e0", report(1, busy=True, orders=1), {MODEL: 2}, 1.2) == []
+    assert rollout.take_report("e0", report(1), {MODEL: 2}, 1.3) == [GiveOrder("e0", MODEL, 2, 0)]
+
+
+def test_report_from_before_the_order_causes_no_second_order():
+    rollout = WeightsRollout()
+    rollout.plan(engines(1), {MODEL: 2}, 0.0)
+    rollout.take_report("e0", report(1), {MODEL: 2}, 0.1)
+    rollout.order_answered("e0", "accepted", 0.15)
+    assert rollout.take_report("e0", report(1), {MODEL: 2}, 0.3) == []
+
+
+def test_loaded_engine_frees_its_place():
+    rollout = WeightsRollout()
+    rollout.plan(engines(2), {MODEL: 2}, 0.0)
+    rollout.take_report("e0", report(1), {MODEL: 2}, 0.1)
+    rollout.order_answered("e0", "accepted", 0.2)
+    loaded = rollout.take_report("e0", report(2, orders=1), {MODEL: 2}, 1.2)
+    assert loaded == [Loaded("e0", MODEL, 2, 1.2)]
+    fleet = [EngineStatus("e0", 1, {MODEL: 2}, 0), engines(2)[1]]
+    assert rollout.plan(fleet, {MODEL: 2}, 1.3) == [AskReport("e1")]
+
+
+def test_unreachable_engine_does_not_hold_up_the_others():
+    rollout = WeightsRollout()
+    first = rollout.plan(engines(2), {MODEL: 2}, 0.0)
+    assert first == [AskReport("e0")]
+    assert rollout.report_failed("e0", 0.6) == [GaveUp("e0", "unreachable")]
+    assert rollout.plan(engines(2), {MODEL: 2}, 0.7) == [AskReport("e1")]
+
+
+def test_restarted_engine_is_planned_anew():
+    rollout = WeightsRollout()
+    rollout.plan(engines(1), {MODEL: 2}, 0.0)
+    restarted = [EngineStatus("e0", 2, {MODEL: 1}, 0)]
+    assert rollout.plan(restarted, {MODEL: 2}, 0.1) == [AskReport("e0")]
