Long prompts wait at the gateway while every engine has much to read

Change: a waiting room by service and rank; requests that would wait past their deadline are refused when they arrive; load is reserved when an endpoint is chosen. The index of cached parts reads full pages without a pause.

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -18,6 +18,8 @@
 from teaselpath.dispatch._health import EndpointHealth
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.dispatch._placement import (
+    LONG_TOKENS,
+    PREFILL_TOKENS_PER_S,
     Demand,
     EndpointView,
     Load,
@@ -29,8 +31,11 @@
     scope_of,
 )
 from teaselpath.dispatch._quota import Granted, OverRate, SharedQuota
+from teaselpath.dispatch._waiting import Ticket, WaitingRoom
 
 __all__ = [
+    "LONG_TOKENS",
+    "PREFILL_TOKENS_PER_S",
     "Answered",
     "Broken",
     "Demand",
@@ -54,7 +59,9 @@
     "SharedQuota",
     "Step",
     "StoreView",
+    "Ticket",
     "Topology",
+    "WaitingRoom",
     "choose_endpoint",
     "next_step",
     "scope_of",
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -22,6 +22,11 @@
 FAILURE_COST_S = 2.0
 # Time charged for weights that a newer version replaces, in seconds.
 OLD_WEIGHTS_COST_S = 0.25
+# Prompt tokens from which a request counts as long.
+LONG_TOKENS = 4_000
+# Tokens that an engine may still have to read when it is given a long prompt: about a quarter of a
+# second of reading.
+MAX_UNREAD_TOKENS = 10_000
 # Requests per slot that an endpoint is given before it counts as full.
 QUEUE_FACTOR = 1.5
 # A copy of cached parts is worth asking for from this many tokens on.
@@ -153,7 +158,7 @@
 class NoPlace:
     """No endpoint takes the request now.
 
-    :param reason: ``none_listed``, ``unreachable``, ``switching`` or ``full``.
+    :param reason: ``none_listed``, ``unreachable``, ``switching``, ``full`` or ``reading``.
     """
 
     reason: str
@@ -210,9 +215,20 @@
         return NoPlace("full", 0.5)
     sources = _sources(views, demand, now)
     offers = [_offer(view, demand, topology, sources, now) for view in open_views]
+    offers = [offer for offer in offers if not _must_wait(offer, demand)]
+    if not offers:
+        return NoPlace("reading", 0.5)
     return min(offers, key=lambda offer: (offer.cost_s, offer.view.endpoint.endpoint_id))
 
 
+def _must_wait(offer: Placed, demand: Demand) -> bool:
+    """Return whether a long prompt would queue behind others in the engine."""
+    if demand.prompt is None:
+        return False
+    missed = demand.prompt.prompt_tokens - offer.cached_tokens
+    return missed >= LONG_TOKENS and offer.view.unread_tokens() > MAX_UNREAD_TOKENS
+
+
 def _is_full(view: EndpointView, now: float) -> bool:
     return view.full_until > now or view.requests() >= QUEUE_FACTOR * max(1, view.endpoint.slots)
 
--- a/teaselpath/dispatch/tests/test_quota.py
+++ b/teaselpath/dispatch/tests/test_quota.py
@@ -93,7 +93,7 @@
             requests.append(now)
             while window.try_repeat(now, gateways):
                 repeats.append(now)
-    for start in range(0, 30):
+    for start in range(30):
         inside = sum(start <= at < start + window_s for at in repeats)
         asked = sum(start <= at < start + window_s for at in requests)
         assert inside <= ratio * asked + extra
--- a/teaselpath/gateway/_caches.py
+++ b/teaselpath/gateway/_caches.py
@@ -15,6 +15,8 @@
 ANSWER_S = 0.7
 # Least time between two polls of one cache, in seconds.
 INTERVAL_S = 0.15
+# Changes in an answer from which more are likely to be ready.
+FULL_PAGE = 400
 # Polls in a row without an answer after which an engine counts as silent.
 SILENT_POLLS = 2
 CHECK_INTERVAL_S = 0.2
@@ -91,16 +93,18 @@
             epoch, cursor = page.epoch, page.cursor
             apply_changes(target.cache, page)
             pause_s = INTERVAL_S - (self.loop.time() - started_at)
-            if pause_s > 0:
+            if pause_s > 0 and len(page.changes) < FULL_PAGE:
                 await asyncio.sleep(pause_s)
 
     def _start_over(self, target: _Target, epoch: int | None, page: CacheChanges) -> None:
-        if epoch is not None:
-            log_message(
-                "cache_index_cleared",
-                endpoint=target.name,
-                reason="restart" if epoch != page.epoch else "gap",
-            )
+        log_message(
+            "cache_index_cleared",
+            endpoint=target.name,
+            reason="start" if epoch is None else "restart" if epoch != page.epoch else "gap",
+            has_gap=page.has_gap,
+            changes=len(page.changes),
+            cursor=page.cursor,
+        )
         target.cache.clear()
 
 
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -7,6 +7,8 @@
 from eliot import log_message
 
 from teaselpath.dispatch import (
+    LONG_TOKENS,
+    PREFILL_TOKENS_PER_S,
     Answered,
     Broken,
     Demand,
@@ -21,6 +23,8 @@
     Progress,
     Refuse,
     SendAgain,
+    Ticket,
+    WaitingRoom,
     choose_endpoint,
     next_step,
 )
@@ -57,6 +61,14 @@
 OLD_WEIGHTS_PART = 0.85
 # Shared tokens from which a prompt's parts are kept in the store of cached parts.
 MIN_SAVE_TOKENS = 1_000
+# Interval between tries to place the waiting requests, in seconds.
+QUEUE_INTERVAL_S = 0.015
+# Part of a request's time after which a wait for an endpoint ends in a refusal.
+MAX_WAIT_PART = 0.75
+# Longest time that a refusal names, in seconds.
+MAX_RETRY_AFTER_S = 3.0
+# Reasons for which a request is refused at once.
+NOT_WORTH_WAITING = frozenset({"none_listed", "unreachable"})
 # Largest number of endpoints that one request is sent to, whether they run it or not.
 MAX_SENDS = 4
 
@@ -84,7 +96,15 @@
     first_byte_at: float | None = None
     answer: AnswerInfo | None = None
     body: bytes = b""
-    cached_tokens: int = 0
+    placed: Placed | None = None
+    unread: int = 0
+
+    @property
+    def priority(self) -> int:
+        """Return the workspace's priority if it has one, else the route's."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
 
 
 class Forwarder:
@@ -105,6 +125,8 @@
         self.random = random.Random()
         self.loop = asyncio.get_running_loop()
         self.running = 0
+        self.waiting = WaitingRoom()
+        self.waiters: dict[int, tuple[Call, asyncio.Future[Placed]]] = {}
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -199,7 +221,7 @@
         """Send the request to endpoints until there is an answer."""
         while True:
             now = self.loop.time()
-            placed = self._place(call, now)
+            placed = await self._find_place(call, now)
             if isinstance(placed, NoPlace):
                 return self._end_without_place(exchange, call, placed)
             outcome = await self._attempt(exchange, call, placed)
@@ -219,6 +241,80 @@
                 case Fail(status):
                     return self._end_failed(exchange, call, status)
 
+    async def _find_place(self, call: Call, now: float) -> Placed | NoPlace:
+        """Return a reserved endpoint, at once or after a wait."""
+        prompt = call.request.prompt
+        tokens = prompt.prompt_tokens if prompt else 0
+        ticket = Ticket(call.service.name, call.priority, tokens, call.deadline)
+        place = self._place(call, now)
+        if isinstance(place, Placed) and (
+            tokens < LONG_TOKENS or not self.waiting.has_before(ticket)
+        ):
+            self._reserve(call, place)
+            return place
+        if isinstance(place, NoPlace) and place.reason in NOT_WORTH_WAITING:
+            return place
+        return await self._wait(call, ticket, now)
+
+    async def _wait(self, call: Call, ticket: Ticket, now: float) -> Placed | NoPlace:
+        views = self.state.by_service.get(call.service.name, [])
+        backlog = sum(view.unread_tokens() for view in views)
+        speed = PREFILL_TOKENS_PER_S * len(views)
+        if self.waiting.is_hopeless(ticket, backlog, speed, now):
+            wait_s = self.waiting.expected_wait_s(ticket, backlog, speed)
+            return NoPlace("queue", min(MAX_RETRY_AFTER_S, max(0.2, wait_s)))
+        future: asyncio.Future[Placed] = self.loop.create_future()
+        self.waiting.join(ticket)
+        self.waiters[ticket.number] = (call, future)
+        try:
+            async with asyncio.timeout_at(now + MAX_WAIT_PART * (call.deadline - now)):
+                return await future
+        except TimeoutError:
+            return NoPlace("queue", 0.5)
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                self._release(call, future.result())
+            raise
+        finally:
+            self.waiting.leave(ticket)
+            del self.waiters[ticket.number]
+
+    async def run_queue(self) -> None:
+        """Place waiting requests as endpoints become free, until cancelled."""
+        while True:
+            await asyncio.sleep(QUEUE_INTERVAL_S)
+            blocked: set[str] = set()
+            for ticket in self.waiting.in_order():
+                call, future = self.waiters[ticket.number]
+                if future.done() or ticket.service in blocked:
+                    continue
+                place = self._place(call, self.loop.time())
+                if isinstance(place, Placed):
+                    self._reserve(call, place)
+                    future.set_result(place)
+                else:
+                    blocked.add(ticket.service)
+
+    def _reserve(self, call: Call, placed: Placed) -> None:
+        """Count a request at an endpoint from now on."""
+        own = placed.view.own
+        call.unread = 0
+        if call.request.prompt is not None:
+            call.unread = max(0, call.request.prompt.prompt_tokens - placed.cached_tokens)
+            placed.view.cache.expect(placed.scope, call.request.prompt, self.loop.time())
+        call.placed = placed
+        own.requests += 1
+        own.unread_tokens += call.unread
+        own.memory_tokens += call.tokens
+
+    def _release(self, call: Call, placed: Placed) -> None:
+        """End the count of a request at an endpoint."""
+        own = placed.view.own
+        own.requests -= 1
+        own.memory_tokens -= call.tokens
+        own.unread_tokens -= call.unread
+        call.unread = 0
+
     def _place(self, call: Call, now: float) -> Placed | NoPlace:
         state, prompt = self.state, call.request.prompt
         wanted = state.wanted.get(prompt.model) if prompt else None
@@ -261,21 +357,10 @@
         """Send the request to one endpoint and count the outcome."""
         view = placed.view
         started_at = self.loop.time()
-        missed = 0
-        if call.request.prompt is not None:
-            missed = max(0, call.request.prompt.prompt_tokens - placed.cached_tokens)
-            view.cache.expect(placed.scope, call.request.prompt, started_at)
-        call.cached_tokens = placed.cached_tokens
-        attempt = _Attempt(self, exchange, call, placed, missed)
-        view.own.requests += 1
-        view.own.unread_tokens += missed
-        view.own.memory_tokens += call.tokens
         try:
-            outcome = await attempt.run()
+            outcome = await _Attempt(self, exchange, call, placed).run()
         finally:
-            view.own.requests -= 1
-            view.own.memory_tokens -= call.tokens
-            attempt.mark_read()
+            self._release(call, placed)
         now = self.loop.time()
         self._count(call, placed, outcome, now)
         call.attempts.append(
@@ -312,7 +397,7 @@
         return Code.OK if call.answer.status < 500 else Code.ENDPOINT_FAILED
 
     def _end_without_place(self, exchange: Exchange, call: Call, place: NoPlace) -> Code:
-        code = Code.OVERLOADED if place.reason == "full" else Code.NO_ENDPOINT
+        code = Code.OVERLOADED if place.reason == "queue" else Code.NO_ENDPOINT
         call.attempts.append(("", place.reason, 0.0))
         if call.progress.runs == 0:
             return self._end_refused(exchange, call, code, place.retry_after_s)
@@ -340,7 +425,7 @@
         now = self.loop.time()
         config = self.state.config
         first = call.first_byte_at
-        prompt = call.request.prompt
+        prompt, placed = call.request.prompt, call.placed
         log_message(
             "request",
             request_id=call.request.request_id,
@@ -352,7 +437,11 @@
             attempts=call.attempts,
             events=call.splitter.count,
             prompt_tokens=prompt.prompt_tokens if prompt else 0,
-            cached_tokens=call.cached_tokens,
+            prefix=prompt.parts[0].part_id if prompt and prompt.parts else None,
+            cached_tokens=placed.cached_tokens if placed else 0,
+            copied_from=placed.fetch_from if placed else None,
+            weights=placed.weights if placed else None,
+            cost_ms=round(placed.cost_s * 1000, 1) if placed else None,
             first_ms=round((first - call.arrived_at) * 1000, 1) if first else None,
             total_ms=round((now - call.arrived_at) * 1000, 1),
             config_version=config.version if config else None,
@@ -375,20 +464,17 @@
 class _Attempt:
     """One request at one endpoint."""
 
-    def __init__(
-        self, forwarder: Forwarder, exchange: Exchange, call: Call, placed: Placed, missed: int
-    ):
+    def __init__(self, forwarder: Forwarder, exchange: Exchange, call: Call, placed: Placed):
         self.forwarder = forwarder
         self.exchange = exchange
         self.call = call
         self.placed = placed
-        self.unread = missed
         self.loop = forwarder.loop
 
     def mark_read(self) -> None:
         """Note that the engine has read the prompt."""
-        self.placed.view.own.unread_tokens -= self.unread
-        self.unread = 0
+        self.placed.view.own.unread_tokens -= self.call.unread
+        self.call.unread = 0
 
     async def run(self) -> Outcome:
         """Send the request and read the answer."""
@@ -427,16 +513,13 @@
         last_event_id = call.splitter.last_id or call.request.last_event_id
         is_prompt = call.request.prompt is not None and call.service.engine is not None
         workspace = call.workspace
-        priority = call.route.priority
-        if workspace is not None and workspace.priority is not None:
-            priority = workspace.priority
         forwarding = Forwarding(
             time_left_s=max(0.001, call.deadline - self.loop.time()),
             endpoint_id=placed.view.endpoint.endpoint_id,
             workspace=workspace.name if workspace else None,
             scope=placed.scope if is_prompt else None,
             weights=placed.weights if is_prompt else None,
-            priority=min(9, priority) if is_prompt else None,
+            priority=min(9, call.priority) if is_prompt else None,
             last_event_id=last_event_id,
             fetch_from=placed.fetch_from,
             save_to=self._save_to() if is_prompt else None,
