Stop taking connections 2.6 s after SIGTERM; stand-in of the platform; gateway tests

Change: the listener closes once the balancer has turned away. A stand-in of the store and of the engines speaks the platform's wire format with switchable faults; gateways run against it as processes. test_planned_stop_under_load_cuts_no_request fails without the change.

--- /dev/null
+++ b/standins/hosted/_engine.py
@@ -0,0 +1,324 @@
+"""Model engines and plain services with a prompt cache, orders, events and switchable faults."""
+
+import asyncio
+import json
+import time
+from dataclasses import dataclass
+from hashlib import blake2b
+from random import Random
+from urllib.parse import parse_qsl, urlsplit
+
+from teaselpath.http1 import Exchange
+
+EVENT_PAUSE_S = 0.004
+LOAD_S = 0.15
+# Tokens that an engine reads in a second.
+PREFILL_TOKENS_PER_S = 400_000
+MAX_EVENTS = 4_000
+
+
+@dataclass(slots=True)
+class EngineFaults:
+    """What an engine does wrong, as shares of its requests.
+
+    :param errors: answers 500.
+    :param sheds: answers 503 without having run the request.
+    :param cuts: breaks off an answer; streams in the middle of an event.
+    :param extra: sends a second answer after the first, with another id.
+    :param lost: runs the request and closes the connection without an answer.
+    :param mute: never answers.
+    :param orders_unanswered: takes orders and does not answer.
+    """
+
+    errors: float = 0.0
+    sheds: float = 0.0
+    cuts: float = 0.0
+    extra: float = 0.0
+    lost: float = 0.0
+    mute: float = 0.0
+    orders_unanswered: float = 0.0
+
+
+@dataclass(slots=True)
+class Run:
+    """A request that an engine has begun to work on."""
+
+    request_id: str
+    endpoint_id: str
+    service: str
+    tenant: str | None
+    path: str
+    began_at: float
+    weights: int
+    scope: str | None
+    stale_parts: int
+    headers: dict[str, str]
+    ended_at: float | None = None
+
+
+@dataclass(slots=True)
+class _Part:
+    tokens: int
+    weights: int
+
+
+@dataclass(slots=True)
+class Order:
+    """An order as an engine received it."""
+
+    at: float
+    holder: str
+    fence: int
+    version: int
+    status: int
+
+
+class HostedEngine:
+    """A model engine, or a plain service if it has no model.
+
+    :param runs: list shared by all engines; each request that begins is added.
+    """
+
+    def __init__(
+        self,
+        endpoint_id: str,
+        service: str,
+        runs: list[Run],
+        random: Random,
+        *,
+        model: str | None = None,
+        version: int = 1,
+        slots: int = 8,
+    ):
+        self.endpoint_id = endpoint_id
+        self.service = service
+        self.runs = runs
+        self.random = random
+        self.model = model
+        self.version = version
+        self.slots = slots
+        self.faults = EngineFaults()
+        self.parts: dict[tuple[str, str], _Part] = {}
+        self.events: list[list[object]] = []
+        self.changed = asyncio.Event()
+        self.epoch = random.randrange(1 << 30)
+        self.running = 0
+        self.is_loading = False
+        self.orders_taken = 0
+        self.orders: list[Order] = []
+        self.state = "ready"
+        self.born = int(time.time() * 1000)
+        self.beats = 0
+
+    def entry(self, address: str, zone: str) -> dict[str, object]:
+        """Return the entry of this engine in the store."""
+        self.beats += 1
+        models = [{"name": self.model, "version": self.version}] if self.model else []
+        return {
+            "service": self.service,
+            "address": address,
+            "zone": zone,
+            "slots": self.slots,
+            "state": self.state,
+            "models": models,
+            "born": self.born,
+            "seq": self.beats,
+        }
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        parts = urlsplit(exchange.request.target.decode())
+        match parts.path:
+            case "/-/report":
+                self._json(exchange, 200, self._report())
+            case "/-/order":
+                await self._order(exchange)
+            case "/-/kv-events":
+                await self._events(exchange, dict(parse_qsl(parts.query)))
+            case "/-/kv-list":
+                held = [[s, p, part.tokens, self.model] for (s, p), part in self.parts.items()]
+                page = {"bootEpoch": self.epoch, "nextToken": len(self.events), "held": held}
+                self._json(exchange, 200, page)
+            case path:
+                await self._run(exchange, path)
+
+    def _json(self, exchange: Exchange, status: int, body: object) -> None:
+        exchange.respond(
+            status, [(b"Content-Type", b"application/json")], json.dumps(body).encode()
+        )
+
+    def _report(self) -> dict[str, object]:
+        return {
+            "models": [{"name": self.model, "version": self.version, "adapters": []}],
+            "busy": self.is_loading,
+            "seq": self.orders_taken,
+            "running": self.running,
+            "waiting": 0,
+        }
+
+    async def _events(self, exchange: Exchange, query: dict[str, str]) -> None:
+        since = int(query.get("since", 0))
+        wait_s = float(exchange.request.header(b"wait-ms") or 0) / 1000
+        if since >= len(self.events) and wait_s:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self.changed.wait()
+            except TimeoutError:
+                pass
+        page = self.events[since : since + 500]
+        body = {
+            "bootEpoch": self.epoch,
+            "nextToken": since + len(page),
+            "lost": False,
+            "events": page,
+        }
+        self._json(exchange, 200, body)
+
+    async def _order(self, exchange: Exchange) -> None:
+        order = json.loads(exchange.request.body)
+        expected = order.get("expect")
+        if (expected is not None and expected != self.orders_taken) or self.is_loading:
+            status = 409
+        elif order["version"] == self.version:
+            status = 200
+        else:
+            status = 202
+        self.orders.append(
+            Order(time.monotonic(), order["holder"], order["fence"], order["version"], status)
+        )
+        if status == 202:
+            self.orders_taken += 1
+            self.is_loading = True
+            asyncio.get_running_loop().create_task(self._load(order["version"]))
+        if self.random.random() < self.faults.orders_unanswered:
+            await asyncio.sleep(10.0)
+        exchange.respond(status, [])
+
+    async def _load(self, version: int) -> None:
+        while self.running:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(LOAD_S)
+        self.version = version
+        self.parts.clear()
+        self.is_loading = False
+
+    def _refusal(self, headers: dict[str, str]) -> int | None:
+        if headers.get("expect-instance", self.endpoint_id) != self.endpoint_id:
+            return 421
+        if headers.get("expect-version", str(self.version)) != str(self.version):
+            return 421
+        if self.is_loading or self.running >= 4 * self.slots:
+            return 503
+        return 503 if self.random.random() < self.faults.sheds else None
+
+    async def _run(self, exchange: Exchange, path: str) -> None:
+        request = exchange.request
+        headers = {k.decode().lower(): v.decode() for k, v in request.headers}
+        request_id = headers.get("request-id", "")
+        base = [
+            (b"Request-Id", request_id.encode()),
+            (b"Instance-Id", self.endpoint_id.encode()),
+            (b"Server-Load", b"%d,0,%d" % (self.running, self.slots)),
+        ]
+        status = self._refusal(headers)
+        if status is not None:
+            exchange.respond(status, [*base, (b"Not-Run", b"1")])
+            return
+        run = Run(
+            request_id, self.endpoint_id, self.service, headers.get("tenant"), path,
+            time.monotonic(), self.version, headers.get("cache-salt"), 0, headers,
+        )  # fmt: skip
+        self.runs.append(run)
+        self.running += 1
+        try:
+            await self._answer(exchange, run, base)
+        finally:
+            self.running -= 1
+            run.ended_at = time.monotonic()
+
+    async def _answer(self, exchange: Exchange, run: Run, base: list[tuple[bytes, bytes]]) -> None:
+        faults, chance = self.faults, self.random.random
+        if self.model is not None:
+            await self._read_prompt(run)
+        else:
+            await asyncio.sleep(0.005)
+        if chance() < faults.mute:
+            await asyncio.sleep(60.0)
+        if chance() < faults.lost:
+            exchange.abort()
+            return
+        stamp = (b"Response-Stamp", stamp_of(run.request_id).encode())
+        if chance() < faults.errors:
+            exchange.respond(500, [*base, stamp], b"error")
+            return
+        if self.model is not None:
+            await self._stream(exchange, run, [*base, stamp])
+            return
+        body = answer_of(run.request_id)
+        if chance() < faults.cuts:
+            exchange.start(200, [*base, stamp], len(body))
+            exchange.write(body[: len(body) // 2])
+            exchange.abort()
+            return
+        exchange.respond(200, [*base, stamp], body)
+        if chance() < faults.extra:
+            late = b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 5\r\n\r\nother"
+            exchange.connection.write(late)
+
+    async def _read_prompt(self, run: Run) -> None:
+        listed = run.headers.get("prompt-prefix", "")
+        missed, prefix_is_cached = 0, True
+        for entry in filter(None, listed.split(",")):
+            part_id, _, size = entry.partition(":")
+            key = (run.scope or "", part_id)
+            known = self.parts.get(key)
+            if known is not None and prefix_is_cached:
+                run.stale_parts += known.weights != self.version
+                continue
+            prefix_is_cached = False
+            missed += int(size)
+            self.parts[key] = _Part(int(size), self.version)
+            self.events.append(
+                [len(self.events) + 1, "+", run.scope or "", part_id, int(size), self.model]
+            )
+        if missed:
+            self.changed.set()
+            self.changed = asyncio.Event()
+        await asyncio.sleep(0.002 + missed / PREFILL_TOKENS_PER_S)
+
+    async def _stream(
+        self, exchange: Exchange, run: Run, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        events = events_of(run.request_id)
+        first = int(run.headers.get("last-event-id", 0))
+        cut_at = self.random.randrange(1, len(events) + 1)
+        is_cut = self.random.random() < self.faults.cuts
+        exchange.start(200, [*headers, (b"Content-Type", b"text/event-stream")])
+        for number, event in enumerate(events[first:], first + 1):
+            if is_cut and number >= cut_at:
+                exchange.write(event[: len(event) // 2])
+                exchange.abort()
+                return
+            exchange.write(event)
+            await exchange.drain()
+            await asyncio.sleep(EVENT_PAUSE_S)
+        exchange.finish()
+
+
+def stamp_of(request_id: str) -> str:
+    """Return the signature of an answer."""
+    return blake2b(request_id.encode(), key=b"stamp", digest_size=8).hexdigest()
+
+
+def answer_of(request_id: str) -> bytes:
+    """Return the body of a plain answer."""
+    return blake2b(request_id.encode(), key=b"body").hexdigest().encode() * 6
+
+
+def events_of(request_id: str) -> list[bytes]:
+    """Return the events of a stream."""
+    count = 4 + int(stamp_of(request_id), 16) % 9
+    return [
+        b"id: %d\ndata: %s-%d\n\n" % (number, request_id.encode(), number)
+        for number in range(1, count + 1)
+    ]
--- /dev/null
+++ b/standins/hosted/_site.py
@@ -0,0 +1,305 @@
+"""A small deployment: store, engines and gateways as processes of their own, on loopback."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+from random import Random
+
+from standins.hosted._engine import HostedEngine, Run, stamp_of
+from standins.hosted._store import HostedStore
+from teaselpath.http1 import ServerConnection, ServerLimits
+
+BEAT_S = 0.4
+START_TIMEOUT_S = 20.0
+MODEL = "model-a"
+ROOT = Path(__file__).resolve().parents[2]
+signature = stamp_of
+
+
+@dataclass(slots=True)
+class SiteTenant:
+    """A tenant of the configuration."""
+
+    name: str
+    keys: list[str]
+    rate: float = 0
+    burst: float = 0
+    isolated: bool = False
+
+
+@dataclass(slots=True)
+class SiteRoute:
+    """A route of the configuration."""
+
+    name: str
+    prefix: str
+    kind: str
+    service: str
+    resumable: bool = False
+    attempts: int = 2
+    timeout_ms: int = 5000
+    has_prompt: bool = False
+
+
+DEFAULT_ROUTES = [
+    SiteRoute("review", "/review/", "stream", "llm", True, 2, 8000, True),
+    SiteRoute("query", "/query/", "stream", "llm", False, 1, 5000, True),
+    SiteRoute("pay", "/pay/", "unsafe", "desk", False, 1),
+    SiteRoute("lookup", "/lookup/", "safe", "desk"),
+]
+
+
+@dataclass(slots=True)
+class GatewayProcess:
+    """A gateway as a process of its own."""
+
+    name: str
+    ip: str
+    settings: Path
+    process: asyncio.subprocess.Process
+    log: Path
+
+
+@dataclass(slots=True)
+class _Placed:
+    engine: HostedEngine
+    address: str
+    zone: str
+    server: asyncio.Server
+    listed_address: str
+    is_silent: bool = False
+
+
+@dataclass(slots=True)
+class HostedSite:
+    """Runs the stand-ins in this process and gateways as child processes.
+
+    :param folder: folder for settings files and logs.
+    :param zones: region of each zone.
+    """
+
+    folder: Path
+    random: Random
+    zones: dict[str, str] = field(default_factory=lambda: {"a": "north", "b": "south"})
+    routes: list[SiteRoute] = field(default_factory=lambda: list(DEFAULT_ROUTES))
+    tenants: list[SiteTenant] = field(default_factory=lambda: [SiteTenant("office", ["key-1"])])
+    runs: list[Run] = field(default_factory=list)
+    engines: dict[str, _Placed] = field(default_factory=dict)
+    gateways: dict[str, GatewayProcess] = field(default_factory=dict)
+    config_version: int = 0
+    weights: int = 1
+    store: HostedStore = field(init=False)
+    beats: asyncio.Task | None = None
+    ports: dict[str, int] = field(default_factory=dict)
+
+    async def __aenter__(self) -> "HostedSite":
+        """Start the store and the heartbeats."""
+        self.store = HostedStore(self.random)
+        for name in ("front", "ready", "peer"):
+            self.ports[name] = free_port()
+        self.beats = asyncio.get_running_loop().create_task(self._beat())
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """End everything that this site has started."""
+        if self.beats is not None:
+            self.beats.cancel()
+        for gateway in self.gateways.values():
+            if gateway.process.returncode is None:
+                gateway.process.kill()
+                await gateway.process.wait()
+        for placed in self.engines.values():
+            placed.server.close()
+
+    async def _listen(self, handler, address: tuple[str, int] = ("127.0.0.1", 0)):
+        connections: set[ServerConnection] = set()
+        limits = ServerLimits(idle_timeout_s=30.0)
+        server = await asyncio.get_running_loop().create_server(
+            lambda: ServerConnection(handler, lambda: limits, connections), *address
+        )
+        host, port = server.sockets[0].getsockname()
+        return server, f"{host}:{port}"
+
+    # engines
+
+    async def add_engine(
+        self, name: str, service: str, zone: str = "a", *, is_model: bool = False, listed: str = ""
+    ) -> HostedEngine:
+        """Start an engine and list it.
+
+        :param listed: address under which it is listed, as that of a proxy.
+        """
+        engine = HostedEngine(
+            name, service, self.runs, self.random,
+            model=MODEL if is_model else None, version=self.weights,
+        )  # fmt: skip
+        server, address = await self._listen(engine.handle)
+        self.engines[name] = _Placed(engine, address, zone, server, listed or address)
+        self._list(self.engines[name])
+        return engine
+
+    def _list(self, placed: _Placed) -> None:
+        entry = placed.engine.entry(placed.listed_address, placed.zone)
+        self.store.put("keyed.servers", placed.engine.endpoint_id, entry)
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(BEAT_S)
+            for placed in list(self.engines.values()):
+                if not placed.is_silent and self.store.faults.mode == "ok":
+                    self._list(placed)
+
+    def crash_engine(self, name: str) -> None:
+        """End an engine without a word; its entry is removed as after missed heartbeats."""
+        placed = self.engines.pop(name)
+        placed.server.close()
+        self.store.put("keyed.servers", name, None)
+
+    def drain_engine(self, name: str) -> None:
+        """List an engine as leaving."""
+        placed = self.engines[name]
+        placed.engine.state = "draining"
+        self._list(placed)
+
+    # operators
+
+    def write_config(self) -> int:
+        """Write the next version of the configuration."""
+        self.config_version += 1
+        services = sorted({route.service for route in self.routes})
+        config = {
+            "version": self.config_version,
+            "routes": [
+                {
+                    "name": r.name,
+                    "host": "site.example",
+                    "pathPrefix": r.prefix,
+                    "kind": r.kind,
+                    "timeoutMs": r.timeout_ms,
+                    "targetLatencyMs": 1000,
+                    "priority": 0,
+                    "service": r.service,
+                    "maxAttempts": r.attempts,
+                    "sessionAffinity": r.has_prompt,
+                    "resumable": r.resumable,
+                    "gapAimMs": 400,
+                }
+                for r in self.routes
+            ],
+            "services": [
+                {
+                    "name": name,
+                    "healthPath": "/health",
+                    "maxConns": 100,
+                    **({"engine": _ENGINE} if name == "llm" else {}),
+                }
+                for name in services
+            ],
+            "limits": {"idleTimeoutMs": 10_000},
+            "tenants": [
+                {
+                    "name": t.name,
+                    "apiKeys": t.keys,
+                    "plainTokens": 200,
+                    "isolated": t.isolated,
+                    "ratePerS": t.rate,
+                    "burst": t.burst,
+                }
+                for t in self.tenants
+            ],
+        }
+        self.store.put("keyed.op", "config", config)
+        return self.config_version
+
+    def name_weights(self) -> int:
+        """Name the next version of the weights."""
+        self.weights += 1
+        value = {"model": MODEL, "version": self.weights}
+        self.store.put("keyed.op", f"version/{MODEL}", value)
+        return self.weights
+
+    # gateways
+
+    async def start_gateway(
+        self, name: str, ip: str, zone: str = "a", store_address: str = ""
+    ) -> GatewayProcess:
+        """Start a gateway process; it may not be ready yet.
+
+        :param store_address: address of the store, as that of a proxy.
+        """
+        if not store_address:
+            _, store_address = await self._listen(partial(self.store.handle, gateway=name))
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(self._settings(name, ip, zone, store_address)))
+        log = self.folder / f"{name}.log"
+        with log.open("ab") as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "teaselpath.daemon.gateway",
+                stdout=output, stderr=output, cwd=ROOT,
+                env={**os.environ, "TEASELPATH_SETTINGS": str(path)},
+            )  # fmt: skip
+        self.gateways[name] = GatewayProcess(name, ip, path, process, log)
+        return self.gateways[name]
+
+    def _settings(self, name: str, ip: str, zone: str, store_address: str) -> dict[str, object]:
+        return {
+            "nodeName": name,
+            "ip": ip,
+            "zone": zone,
+            "region": self.zones[zone],
+            "zones": self.zones,
+            "listenAddrs": {
+                "front": f"{ip}:{self.ports['front']}",
+                "ready": f"{ip}:{self.ports['ready']}",
+            },
+            "internalPorts": [self.ports["peer"], self.ports["peer"]],
+            "seeds": [],
+            "limits": {"memoryMb": 300, "maxFds": 1024},
+            "bounds": {"graceS": 8, "leaseMs": 600},
+            "platform": {"address": store_address},
+        }
+
+    async def until_ready(self, gateway: GatewayProcess) -> None:
+        """Wait until a gateway reports that it is ready."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not await self.is_ready(gateway):
+                await asyncio.sleep(0.05)
+
+    async def is_ready(self, gateway: GatewayProcess) -> bool:
+        """Return whether a gateway says that it is ready."""
+        try:
+            reader, writer = await asyncio.open_connection(gateway.ip, self.ports["ready"])
+            writer.write(b"GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            answer = await asyncio.wait_for(reader.read(), 2.0)
+            writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return answer.startswith(b"HTTP/1.1 200")
+
+    def signal_gateway(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a gateway of this site."""
+        process = self.gateways[name].process
+        if process.returncode is None:
+            process.send_signal(number)
+
+
+_ENGINE = {
+    "slots": 8,
+    "kvCapacityTokens": 100_000,
+    "kvTokenBytes": 18_432,
+    "linkMbps": 180_000,
+    "models": [{"name": MODEL}],
+}
+
+
+def free_port() -> int:
+    """Return a port that is free on all loopback addresses."""
+    with socket.socket() as probe:
+        probe.bind(("0.0.0.0", 0))
+        return probe.getsockname()[1]
--- /dev/null
+++ b/standins/hosted/_store.py
@@ -0,0 +1,163 @@
+"""Metadata store: topics of keyed records with conditional appends."""
+
+import asyncio
+import base64
+import json
+import struct
+from dataclasses import dataclass, field
+from random import Random
+from urllib.parse import parse_qsl, urlsplit
+
+from teaselpath.http1 import Exchange
+
+MAX_WAIT_S = 30.0
+# Delay of an append whose answer is lost and that takes effect late, in seconds.
+LATE_S = 1.0
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What the store does wrong.
+
+    :param mode: ``ok``, ``busy`` (503), ``reset`` or ``silent``.
+    :param lost: share of the appends that take effect without an answer.
+    :param late: whether those take effect later.
+    :param turned_away: names of the gateways to which ``mode`` applies; empty for all.
+    """
+
+    mode: str = "ok"
+    lost: float = 0.0
+    late: bool = False
+    delay_s: float = 0.0
+    turned_away: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class _Topic:
+    records: list[tuple[str, bytes]] = field(default_factory=list)
+    first: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def newest(self) -> dict[str, tuple[int, bytes]]:
+        found: dict[str, tuple[int, bytes]] = {}
+        for offset, (key, value) in enumerate(self.records):
+            found[key] = (offset, value)
+        return {key: entry for key, entry in found.items() if entry[1]}
+
+
+class HostedStore:
+    """The store; ``handle`` answers its calls."""
+
+    def __init__(self, random: Random):
+        self.random = random
+        self.faults = StoreFaults()
+        self.topics: dict[str, _Topic] = {}
+        self.calls = 0
+
+    def put(self, topic: str, key: str, value: object) -> None:
+        """Write a record as an operator or server does; None removes the key."""
+        data = b"" if value is None else json.dumps(value).encode()
+        self._append(self._topic(topic), [(key, data)])
+
+    def forget_history(self) -> None:
+        """Delete the records of all topics; the newest record of each key is kept."""
+        for topic in self.topics.values():
+            topic.first = len(topic.records)
+
+    async def handle(self, exchange: Exchange, gateway: str = "") -> None:
+        """Answer one call.
+
+        :param gateway: name of the gateway that calls.
+        """
+        self.calls += 1
+        faults = self.faults
+        if faults.mode != "ok" and (not faults.turned_away or gateway in faults.turned_away):
+            await self._refuse(exchange, faults.mode)
+            return
+        if faults.delay_s:
+            await asyncio.sleep(faults.delay_s)
+        parts = urlsplit(exchange.request.target.decode())
+        query = dict(parse_qsl(parts.query))
+        topic = self._topic(query.get("topic", ""))
+        match parts.path:
+            case "/-/log-newest":
+                self._list(exchange, topic, query)
+            case "/-/log-read":
+                await self._read(exchange, topic, query)
+            case "/-/log-append":
+                await self._write(exchange, topic, query)
+            case _:
+                exchange.respond(404, [])
+
+    async def _refuse(self, exchange: Exchange, mode: str) -> None:
+        match mode:
+            case "busy":
+                exchange.respond(503, [])
+            case "silent":
+                await asyncio.sleep(MAX_WAIT_S)
+            case _:
+                exchange.abort()
+
+    def _topic(self, name: str) -> _Topic:
+        return self.topics.setdefault(name, _Topic())
+
+    def _append(self, topic: _Topic, records: list[tuple[str, bytes]]) -> None:
+        topic.records += records
+        topic.changed.set()
+        topic.changed = asyncio.Event()
+
+    def _list(self, exchange: Exchange, topic: _Topic, query: dict[str, str]) -> None:
+        keys = sorted(key for key in topic.newest() if key > query.get("after", ""))
+        newest = topic.newest()
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(newest[key][1]).decode(),
+                "offset": newest[key][0],
+            }
+            for key in keys[:500]
+        ]
+        body = {"items": items, "hasMore": len(keys) > 500, "end": len(topic.records)}
+        exchange.respond(200, [], json.dumps(body).encode())
+
+    async def _read(self, exchange: Exchange, topic: _Topic, query: dict[str, str]) -> None:
+        start = int(query["from"])
+        if start < topic.first:
+            body = json.dumps({"first": topic.first}).encode()
+            exchange.respond(410, [], body)
+            return
+        if start >= len(topic.records):
+            try:
+                async with asyncio.timeout(float(query.get("waitMs", 0)) / 1000):
+                    await topic.changed.wait()
+            except TimeoutError:
+                pass
+        parts = [struct.pack(">QQ", len(topic.records), topic.first)]
+        for key, value in topic.records[start:]:
+            content = bytes([len(key)]) + key.encode() + value
+            parts += [struct.pack(">I", len(content)), content]
+        exchange.respond(200, [], b"".join(parts))
+
+    async def _write(self, exchange: Exchange, topic: _Topic, query: dict[str, str]) -> None:
+        records, body, position = [], exchange.request.body, 0
+        while position < len(body):
+            (length,) = struct.unpack_from(">I", body, position)
+            content = body[position + 4 : position + 4 + length]
+            split = 1 + content[0]
+            records.append((content[1:split].decode(), content[split:]))
+            position += 4 + length
+        is_lost = self.random.random() < self.faults.lost
+        if is_lost and self.faults.late:
+            await asyncio.sleep(LATE_S)
+        at = query.get("at")
+        if at is not None and int(at) != len(topic.records):
+            if not is_lost:
+                exchange.respond(412, [], json.dumps({"end": len(topic.records)}).encode())
+            return
+        self._append(topic, records)
+        if is_lost:
+            exchange.abort()
+            return
+        end = len(topic.records)
+        body = json.dumps({"offset": end - len(records), "end": end}).encode()
+        exchange.respond(200, [], body)
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -18,8 +18,8 @@
 from teaselpath.http1 import Exchange, HttpClient, ServerConnection, ServerLimits
 from teaselpath.rollout import OrderLease
 
-# Time after SIGTERM in which new connections still arrive, in seconds: the balancer needs two
-# misses, one per second.
+# Time after SIGTERM in which new connections are taken, in seconds: the balancer needs two misses,
+# one per second.
 SETTLE_S = 2.6
 # Time before SIGKILL at which the process ends in any case, in seconds.
 STOP_MARGIN_S = 0.8
@@ -99,7 +99,9 @@
     async def _listen(self) -> None:
         settings = self.settings
         plain: set[ServerConnection] = set()
-        await self._serve(settings.caller_address, self.forwarder.handle, self.connections)
+        self.caller_server = await self._serve(
+            settings.caller_address, self.forwarder.handle, self.connections
+        )
         await self._serve(settings.readiness_address, self._answer_readiness, plain)
         await self._serve(f"{settings.ip}:{settings.peer_port}", self._answer_page, plain)
 
@@ -107,7 +109,7 @@
             lambda: self.peers, local_addr=(settings.ip, settings.peer_port)
         )
 
-    async def _serve(self, address: str, handler, connections) -> None:
+    async def _serve(self, address: str, handler, connections) -> asyncio.Server:
         ip, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
@@ -118,6 +120,7 @@
             reuse_address=True,
         )
         self.servers.append(server)
+        return server
 
     def _limits(self) -> ServerLimits:
         config = self.state.config
@@ -177,6 +180,8 @@
             await asyncio.sleep(POLL_S)
             if loop.time() < started_at + SETTLE_S:
                 continue
+            # Later callers connect elsewhere, so that no request is taken that could not end.
+            self.caller_server.close()
             for connection in list(self.connections):
                 connection.close_if_idle()
             if not self.forwarder.running and not self.connections:
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,287 @@
+"""Gateways as processes against the stand-in platform: the whole path and its promises."""
+
+import asyncio
+import itertools
+import signal
+import time
+from collections import Counter
+from contextlib import asynccontextmanager
+from random import Random
+
+import pytest
+
+from standins.hosted import Answer, Caller, HostedSite, SiteTenant
+
+PREFIX = "aa11:2000,bb{}:300"
+WAIT_S = 15.0
+
+
+@asynccontextmanager
+async def open_site(folder, gateways=1, **fields):
+    async with HostedSite(folder, Random(7), **fields) as site:
+        for number in range(3):
+            await site.add_engine(f"llm-{number}", "llm", "ab"[number % 2], is_model=True)
+        for number in range(2):
+            await site.add_engine(f"desk-{number}", "desk", "ab"[number % 2])
+        site.write_config()
+        started = [
+            await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
+            for n in range(gateways)
+        ]
+        for gateway in started:
+            await site.until_ready(gateway)
+        yield site
+
+
+def caller_of(site, name="gw-0", key="key-1") -> Caller:
+    return Caller(f"{site.gateways[name].ip}:{site.ports['front']}", key)
+
+
+async def until(condition, what):
+    deadline = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < deadline, what
+        await asyncio.sleep(0.02)
+
+
+def assert_whole(answers: list[Answer], *, is_stream: bool) -> None:
+    for answer in answers:
+        assert answer.status == 200
+        assert answer.is_whole
+        assert answer.fault(is_stream=is_stream) is None
+
+
+def runs_by_request(site) -> Counter:
+    return Counter(run.request_id for run in site.runs)
+
+
+@pytest.fixture
+def folder(tmp_path):
+    return tmp_path
+
+
+def test_calm_day_serves_all_kinds_through_two_gateways(folder):
+    async def scenario():
+        async with open_site(folder, gateways=2) as site:
+            callers = [caller_of(site, f"gw-{n}") for n in range(2)]
+            streams = [
+                callers[n % 2].ask(f"/{kind}/x", f"{kind}{n}", prefix=PREFIX.format(n))
+                for n, kind in itertools.product(range(12), ("review", "query"))
+            ]
+            plain = [
+                callers[n % 2].ask(f"/{kind}/x", f"{kind}{n}")
+                for n, kind in itertools.product(range(12), ("pay", "lookup"))
+            ]
+            return site, await asyncio.gather(*streams), await asyncio.gather(*plain)
+
+    site, streams, plain = asyncio.run(scenario())
+    assert_whole(streams, is_stream=True)
+    assert_whole(plain, is_stream=False)
+    assert set(runs_by_request(site).values()) == {1}
+    for run in site.runs:
+        assert run.tenant == "office"
+        assert "authorization" not in run.headers
+        assert "key-1" not in str(run.headers)
+
+
+def test_refusals_of_unknown_keys_and_routes(folder):
+    async def scenario():
+        async with open_site(folder) as site:
+            wrong = await caller_of(site, key="nobody").ask("/pay/x", "r1")
+            missing = await caller_of(site).ask("/nowhere/x", "r2")
+            return site, wrong, missing
+
+    site, wrong, missing = asyncio.run(scenario())
+    assert (wrong.status, missing.status) == (401, 404)
+    assert site.runs == []
+
+
+def test_withdrawn_key_and_new_key_follow_the_configuration(folder):
+    async def scenario():
+        async with open_site(folder) as site:
+            old, new = caller_of(site), caller_of(site, key="key-2")
+            site.tenants[0].keys = ["key-2"]
+            site.write_config()
+            deadline = time.monotonic() + WAIT_S
+            while (await new.ask("/lookup/x", "n")).status != 200:
+                assert time.monotonic() < deadline
+            return await old.ask("/lookup/x", "o")
+
+    assert asyncio.run(scenario()).status == 401
+
+
+def test_planned_stop_under_load_cuts_no_request(folder):
+    async def scenario():
+        async with open_site(folder) as site:
+            caller, answers, number = caller_of(site), [], itertools.count()
+            stop = asyncio.Event()
+
+            async def press():
+                while not stop.is_set():
+                    n = next(number)
+                    answers.append(await caller.ask("/query/x", f"q{n}", prefix=PREFIX.format(n)))
+
+            tasks = [asyncio.create_task(press()) for _ in range(4)]
+            await until(lambda: len(answers) > 20, "no load")
+            site.signal_gateway("gw-0", signal.SIGTERM)
+            await site.gateways["gw-0"].process.wait()
+            stop.set()
+            await asyncio.gather(*tasks)
+            return site, answers, site.gateways["gw-0"].process.returncode
+
+    site, answers, code = asyncio.run(scenario())
+    assert code == 0
+    served = [answer for answer in answers if answer.status]
+    assert_whole(served, is_stream=True)
+    ran = runs_by_request(site)
+    assert all(ran[answer.request_id] == 0 for answer in answers if not answer.status)
+
+
+def test_new_weights_reach_all_engines_by_one_holder(folder):
+    async def scenario():
+        async with open_site(folder, gateways=2) as site:
+            engines = [p.engine for p in site.engines.values() if p.engine.model]
+            for _ in range(3):
+                version = site.name_weights()
+                await until(lambda v=version: all(e.version == v for e in engines), "no rollout")
+            return site, [order for e in engines for order in e.orders]
+
+    _, orders = asyncio.run(scenario())
+    accepted = [order for order in orders if order.status == 202]
+    assert len(accepted) == 9
+    assert len({order.holder for order in orders}) == 1
+
+
+def test_cached_parts_of_older_weights_or_isolated_tenants_are_not_used(folder):
+    tenants = [SiteTenant("office", ["key-1"]), SiteTenant("closed", ["key-2"], isolated=True)]
+
+    async def scenario():
+        async with open_site(folder, tenants=tenants) as site:
+            callers = [caller_of(site), caller_of(site, key="key-2")]
+            for round_number in range(3):
+                for n in range(12):
+                    request_id = f"r{round_number}-{n}"
+                    await callers[n % 2].ask("/review/x", request_id, prefix=PREFIX.format(n))
+                site.name_weights()
+            return site
+
+    site = asyncio.run(scenario())
+    assert sum(run.stale_parts for run in site.runs) == 0
+    scopes = {"office": set(), "closed": set()}
+    for run in site.runs:
+        scopes[run.tenant].add(run.scope)
+    assert not scopes["office"] & scopes["closed"]
+
+
+@pytest.mark.parametrize("fault", ["cuts", "lost", "errors", "sheds", "extra"])
+def test_faulty_engines_never_cause_a_wrong_answer_or_a_second_run(folder, fault):
+    async def scenario():
+        async with open_site(folder) as site:
+            for placed in site.engines.values():
+                setattr(placed.engine.faults, fault, 0.3)
+            caller = caller_of(site)
+            kinds = ("review", "query", "pay", "lookup")
+            answers = {
+                kind: await asyncio.gather(
+                    *(
+                        caller.ask(
+                            f"/{kind}/x",
+                            f"{kind}{n}",
+                            prefix=PREFIX.format(n) if kind in ("review", "query") else "",
+                        )
+                        for n in range(25)
+                    )
+                )
+                for kind in kinds
+            }
+            return site, answers
+
+    site, answers = asyncio.run(scenario())
+    ran = runs_by_request(site)
+    for kind, group in answers.items():
+        is_stream = kind in ("review", "query")
+        for answer in group:
+            assert answer.fault(is_stream=is_stream) is None
+            if kind in ("pay", "query"):
+                assert ran[answer.request_id] <= 1
+                assert not (answer.status in (429, 503) and ran[answer.request_id])
+            else:
+                assert ran[answer.request_id] <= 2
+    assert any(a.status == 200 and a.is_whole for group in answers.values() for a in group)
+
+
+def test_resumable_stream_goes_on_at_another_engine(folder):
+    async def scenario():
+        async with open_site(folder) as site:
+            site.engines["llm-0"].engine.faults.cuts = 1.0
+            caller = caller_of(site)
+            return await asyncio.gather(
+                *(caller.ask("/review/x", f"r{n}", prefix=f"p{n}:100") for n in range(20))
+            )
+
+    assert_whole(asyncio.run(scenario()), is_stream=True)
+
+
+def test_caller_that_leaves_frees_its_engine(folder):
+    async def scenario():
+        async with open_site(folder) as site:
+            for placed in site.engines.values():
+                placed.engine.faults.mute = 1.0
+            caller = caller_of(site)
+            await caller.ask("/pay/x", "gone", leave_after_s=0.3)
+            await until(lambda: site.runs and site.runs[0].ended_at, "engine still at work")
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("mode", ["busy", "reset", "silent"])
+def test_gateway_that_the_store_turns_away_learns_from_the_others(folder, mode):
+    async def scenario():
+        async with open_site(folder, gateways=2) as site:
+            caller = caller_of(site, "gw-1", "key-2")
+            site.store.faults.turned_away = {"gw-1"}
+            site.store.faults.mode = mode
+            await asyncio.sleep(0.3)
+            site.tenants[0].keys = ["key-1", "key-2"]
+            site.write_config()
+            deadline = time.monotonic() + WAIT_S
+            while (await caller.ask("/lookup/x", "after")).status != 200:
+                assert time.monotonic() < deadline
+                await asyncio.sleep(0.05)
+
+    asyncio.run(scenario())
+
+
+def test_requests_are_served_while_the_store_is_away_and_leases_lapse(folder):
+    async def scenario():
+        async with open_site(folder) as site:
+            site.store.faults.mode = "reset"
+            await asyncio.sleep(0.7)
+            for name in list(site.engines):
+                site.store.put("keyed.servers", name, None)
+            caller = caller_of(site)
+            during = [await caller.ask("/lookup/x", f"d{n}") for n in range(5)]
+            site.store.faults.mode = "ok"
+            after = []
+            for n in range(20):
+                after.append(await caller.ask("/lookup/x", f"a{n}"))
+                await asyncio.sleep(0.1)
+            return during + after
+
+    assert_whole(asyncio.run(scenario()), is_stream=False)
+
+
+def test_leaving_endpoint_gets_no_new_work(folder):
+    async def scenario():
+        async with open_site(folder) as site:
+            caller = caller_of(site)
+            site.drain_engine("desk-0")
+            deadline = time.monotonic() + WAIT_S
+            while time.monotonic() < deadline:
+                mark = len(site.runs)
+                await asyncio.gather(*(caller.ask("/lookup/x", f"l{n}") for n in range(10)))
+                if all(run.endpoint_id == "desk-1" for run in site.runs[mark:]):
+                    return True
+            return False
+
+    assert asyncio.run(scenario())
