Fewer calls to the store, fewer bytes between regions

Change: long polls from offset 0 on, a pause that gathers changes, status messages name only endpoints with something to tell and cross regions once a second, 429 on a cache poll is no silence. The empty-topic test fails before and passes after.

--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -18,6 +18,9 @@
 # Round trips in seconds by distance; the deployments state 1.4 and 30 ms one way.
 CROSS_DOMAIN_RTT_S = 0.003
 CROSS_REGION_RTT_S = 0.060
+# Time charged per byte of a body that crosses the link between regions, in seconds: the link is
+# narrow and paid by volume.
+CROSS_REGION_S_PER_BYTE = 5e-6
 # Time charged for a failure rate of one, in seconds.
 FAILURE_COST_S = 2.0
 # Time charged for weights that a newer version replaces, in seconds.
@@ -102,6 +105,7 @@
     :param excluded: endpoints that this request has already tried.
     :param engine: limits of the service's engines.
     :param sources: stores from which cached parts can be copied.
+    :param body_bytes: size of the request's body.
     """
 
     prompt: Prompt | None
@@ -111,6 +115,7 @@
     excluded: frozenset[str] = frozenset()
     engine: EngineLimits | None = None
     sources: tuple["StoreView", ...] = ()
+    body_bytes: int = 0
 
 
 @dataclass(slots=True)
@@ -176,10 +181,14 @@
         """Return the round trip to a failure domain, in seconds."""
         if domain == self.failure_domain:
             return 0.0
-        if self.regions.get(domain) == self.regions.get(self.failure_domain):
+        if self.is_near(domain):
             return CROSS_DOMAIN_RTT_S
         return CROSS_REGION_RTT_S
 
+    def is_near(self, domain: str) -> bool:
+        """Return whether a failure domain is in the same region."""
+        return self.regions.get(domain) == self.regions.get(self.failure_domain)
+
     def fetch_factor(self, source: str, target: str) -> float:
         """Return how much longer a copy takes than within one failure domain."""
         if source == target:
@@ -288,6 +297,8 @@
     slots = max(1, view.endpoint.slots)
     requests = view.requests()
     cost = topology.rtt_s(view.endpoint.failure_domain)
+    if not topology.is_near(view.endpoint.failure_domain):
+        cost += demand.body_bytes * CROSS_REGION_S_PER_BYTE
     cost += view.health.failure_rate(now) * FAILURE_COST_S
     cost += max(0, requests + 1 - slots) * QUEUE_STEP_S
     if demand.prompt is None:
--- a/teaselpath/fleet/_calls.py
+++ b/teaselpath/fleet/_calls.py
@@ -120,11 +120,13 @@
     """A call to an engine failed.
 
     :param is_unknown: whether the engine may have taken it.
+    :param is_answer: whether the engine answered, so that it is reachable.
     """
 
-    def __init__(self, reason: str, *, is_unknown: bool):
+    def __init__(self, reason: str, *, is_unknown: bool, is_answer: bool = False):
         super().__init__(reason)
         self.is_unknown = is_unknown
+        self.is_answer = is_answer
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/gateway/_caches.py
+++ b/teaselpath/gateway/_caches.py
@@ -1,4 +1,8 @@
-"""Tasks that follow what engines and stores have cached."""
+"""Tasks that follow what engines and stores have cached.
+
+Where many gateways run, the caches of engines in other regions are not followed: the link between
+regions is narrow and paid by volume, and each gateway would add to it.
+"""
 
 import asyncio
 from dataclasses import dataclass
@@ -9,8 +13,14 @@
 from teaselpath.fleet import CacheChanges, EngineCallError, EngineCalls
 from teaselpath.gateway._state import GatewayState
 
-# Long poll of changes, in seconds; shorter ones count as probes.
+# Long poll of changes, in seconds.
 WAIT_S = 0.5
+# Long poll where many gateways follow the same cache, in seconds; below 0.2 it counts as a probe.
+SHORT_WAIT_S = 0.25
+# Pause between short polls, in seconds: caches take about a dozen polls at once.
+SHORT_WAIT_PAUSE_S = 0.6
+# Gateways from which on polls are short and stay within the region.
+MANY_GATEWAYS = 7
 # Time for an answer beyond the wait, in seconds.
 ANSWER_S = 0.7
 # Least time between two polls of one cache, in seconds.
@@ -57,7 +67,7 @@
     def _match_tasks(self) -> None:
         wanted: dict[tuple, _Target] = {}
         for view in self.state.views.values():
-            if view.weights:
+            if view.weights and self._is_followed(view.endpoint.failure_domain):
                 endpoint = view.endpoint
                 target = _Target(endpoint.endpoint_id, endpoint.address, view.cache, view.health)
                 wanted[endpoint.incarnation, endpoint.address] = target
@@ -69,16 +79,22 @@
             if key not in self.tasks:
                 self.tasks[key] = self.loop.create_task(self._follow(target))
 
+    def _is_followed(self, domain: str) -> bool:
+        is_large = self.state.gateways(self.loop.time())[1] >= MANY_GATEWAYS
+        return not is_large or self.state.topology.is_near(domain)
+
     async def _follow(self, target: _Target) -> None:
         cursor, epoch, missed = 0, None, 0
         while True:
             started_at = self.loop.time()
+            is_crowded = self.state.gateways(started_at)[1] >= MANY_GATEWAYS
+            wait_s = SHORT_WAIT_S if is_crowded else WAIT_S
             try:
                 page = await self.engines.follow_cache(
-                    target.address, cursor, WAIT_S, started_at + WAIT_S + ANSWER_S
+                    target.address, cursor, wait_s, started_at + wait_s + ANSWER_S
                 )
             except EngineCallError as error:
-                missed += 1
+                missed = 0 if error.is_answer else missed + 1
                 if missed == SILENT_POLLS and not target.health.is_silent:
                     target.health.is_silent = True
                     log_message("engine_silent", endpoint=target.name, reason=str(error))
@@ -93,6 +109,8 @@
             epoch, cursor = page.epoch, page.cursor
             apply_changes(target.cache, page)
             pause_s = INTERVAL_S - (self.loop.time() - started_at)
+            if is_crowded:
+                pause_s = SHORT_WAIT_PAUSE_S
             if pause_s > 0 and len(page.changes) < FULL_PAGE:
                 await asyncio.sleep(pause_s)
 
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -328,6 +328,7 @@
             excluded=frozenset(call.tried),
             engine=call.service.engine,
             sources=tuple(state.cache_stores.values()),
+            body_bytes=len(call.request.body),
         )
         return choose_endpoint(state.candidates(call.service.name), demand, state.topology, now)
 
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -17,8 +17,12 @@
 from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout
 from teaselpath.rollout import LeaseRecord, OrderLease
 
-# Interval between status messages, in seconds.
+# Interval between status messages within a region, in seconds.
 STATUS_INTERVAL_S = 0.2
+# Messages within a region per message to another region.
+FAR_STATUS_PERIOD = 5
+# Gateways from which on messages are sent half as often.
+MANY_GATEWAYS = 12
 # Shortest time between two messages that news brings forward, in seconds.
 MIN_INTERVAL_S = 0.02
 # Time that the store has to deliver what a peer already knows, in seconds.
@@ -27,6 +31,10 @@
 RECORDS_PATH = b"/records"
 # Replaced incarnations that are remembered; late datagrams are at most seconds old.
 MAX_RETIRED = 256
+# Messages per message that lists the known members.
+MEMBERS_PERIOD = 10
+# Silence after which a gateway's load is forgotten, in seconds.
+SILENT_S = 2.5
 # Time for which a seed address is tried, in seconds after the start.
 SEED_PERIOD_S = 20.0
 
@@ -51,6 +59,7 @@
     ip: str
     incarnation: int
     sequence: int
+    region: str
     config_version: int
     wanted: dict[str, int]
     endpoint_offset: int
@@ -90,6 +99,7 @@
         self.peers: dict[str, Status] = {}
         self.behind_since: float | None = None
         self.news = asyncio.Event()
+        self.has_news = False
         self.encoder = msgspec.msgpack.Encoder()
         self.decoder = msgspec.msgpack.Decoder(Status)
         self.loop = asyncio.get_running_loop()
@@ -122,29 +132,44 @@
             self._send(self.loop.time())
             self.news.clear()
             try:
-                async with asyncio.timeout(STATUS_INTERVAL_S):
+                async with asyncio.timeout(self._interval_s()):
                     await self.news.wait()
             except TimeoutError:
                 continue
+            self.has_news = True
             await asyncio.sleep(MIN_INTERVAL_S)
 
+    def _interval_s(self) -> float:
+        is_large = len(self.state.members) >= MANY_GATEWAYS
+        return 2 * STATUS_INTERVAL_S if is_large else STATUS_INTERVAL_S
+
     def _send(self, now: float) -> None:
         if self.transport is None:
             return
         state = self.state
         self.sequence += 1
         data = self.encoder.encode(self._status(now))
-        targets = {member.ip for member in state.members.values()}
-        if now - self.started_at < SEED_PERIOD_S or not targets:
+        goes_far = self.has_news or self.sequence % FAR_STATUS_PERIOD == 0
+        self.has_news = False
+        targets = {
+            member.ip for member in state.members.values() if goes_far or self._is_near(member)
+        }
+        if (goes_far and now - self.started_at < SEED_PERIOD_S) or not state.members:
             targets.update(state.settings.seed_ips)
         targets.discard(state.settings.ip)
         for ip in targets:
             self.transport.sendto(data, (ip, state.settings.peer_port))
 
+    def _is_near(self, member: Member) -> bool:
+        peer = self.peers.get(member.host)
+        return peer is None or peer.region == self.state.settings.region
+
     def _status(self, now: float) -> Status:
         state, lease = self.state, self.lease
         members = [
-            (m.host, m.ip, m.incarnation) for m in state.members.values() if now - m.heard_at < 2.0
+            (m.host, m.ip, m.incarnation)
+            for m in state.members.values()
+            if now - m.heard_at < SILENT_S
         ]
         last = lease.last
         return Status(
@@ -152,12 +177,13 @@
             ip=state.settings.ip,
             incarnation=state.incarnation,
             sequence=self.sequence,
+            region=state.settings.region,
             config_version=state.config.version if state.config else 0,
             wanted={model: wanted.version for model, wanted in state.wanted.items()},
             endpoint_offset=state.endpoints.offset,
             used=state.quota.used,
-            endpoints=[_note(view, now) for view in state.views.values()],
-            members=members,
+            endpoints=self._notes(now),
+            members=members if self.sequence % MEMBERS_PERIOD == 0 else [],
             store_up=state.store_up,
             store_is_near=state.store_is_near,
             is_stopping=state.is_stopping,
@@ -165,6 +191,16 @@
             lease=(last.holder, last.nonce, last.fence) if last else None,
         )
 
+    def _notes(self, now: float) -> list[EndpointNote]:
+        """Return the endpoints of which there is something to tell."""
+        return [
+            _note(view, now)
+            for view in self.state.views.values()
+            if view.own.requests
+            or view.own_switch_until > now
+            or any(view.weights.get(m) != v for m, v in view.endpoint.weights)
+        ]
+
     # receiving
 
     def _take(self, status: Status, now: float) -> None:
@@ -179,6 +215,10 @@
             if host != state.settings.host and host not in state.members:
                 state.see_member(host, ip, incarnation, now)
         state.quota.merge(status.host, status.incarnation, status.used)
+        noted = {note.endpoint_id for note in status.endpoints}
+        for key, view in state.views.items():
+            if key not in noted:
+                view.peers.pop(status.host, None)
         for note in status.endpoints:
             self._take_note(status.host, note, now)
         if status.lease_end >= 0 and status.lease_end > (self.lease.end or 0):
@@ -203,7 +243,7 @@
         return True
 
     def _log_contact(self, member: Member, now: float) -> None:
-        if now - member.heard_at > 2.0:
+        if now - member.heard_at > SILENT_S:
             log_message("peer_regained", host=member.host, silent_s=now - member.heard_at)
 
     def _take_note(self, host: str, note: EndpointNote, now: float) -> None:
@@ -218,7 +258,7 @@
 
     def drop_silent(self, now: float) -> None:
         """Forget the load of gateways that are silent."""
-        for host in [h for h in self.peers if now - self.state.members[h].heard_at > 1.5]:
+        for host in [h for h in self.peers if now - self.state.members[h].heard_at > SILENT_S]:
             log_message("peer_lost", host=host)
             del self.peers[host]
             for view in self.state.views.values():
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -19,7 +19,7 @@
 # A gateway that was heard of within this time may still be running and spend quota.
 MEMBER_MEMORY_S = 30.0
 # A gateway that was heard within this time shares its counters.
-PEER_HEARD_S = 1.0
+PEER_HEARD_S = 2.5
 # A store that answers within this time is in the gateway's region.
 NEAR_STORE_S = 0.03
 
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -10,12 +10,14 @@
 
 # Long poll of the operators' topic, in seconds.
 OPERATORS_WAIT_S = 8.0
-# Interval between reads of the endpoint topic, in seconds; endpoints report about each second.
-ENDPOINTS_INTERVAL_S = 0.5
+# Long poll of the endpoint topic, in seconds; it holds a record per change, none per heartbeat.
+ENDPOINTS_WAIT_S = 5.0
+# Pause after records of the endpoint topic, in seconds, so that changes of many come together.
+ENDPOINTS_PAUSE_S = 0.4
 # Pause after a failed call, in seconds.
 RETRY_DELAY_S = 0.3
 # Interval between entries of this gateway in the member topic, in seconds.
-MEMBER_INTERVAL_S = 10.0
+MEMBER_INTERVAL_S = 12.0
 LAPSE_CHECK_S = 0.25
 
 
@@ -43,7 +45,7 @@
 
     async def follow_endpoints(self) -> None:
         """Follow the endpoint list."""
-        await self._follow(Topic.ENDPOINTS, 0.0, ENDPOINTS_INTERVAL_S)
+        await self._follow(Topic.ENDPOINTS, ENDPOINTS_WAIT_S, ENDPOINTS_PAUSE_S)
 
     async def follow_members(self) -> None:
         """Announce this gateway and learn of the others."""
@@ -54,7 +56,7 @@
             record = MemberRecord(settings.ip, self.state.incarnation, beat)
             try:
                 await self.store.append(Topic.MEMBERS, settings.host, msgspec.json.encode(record))
-                for delay_s in (0.3, 2.0, MEMBER_INTERVAL_S - 2.3):
+                for delay_s in (2.0, MEMBER_INTERVAL_S - 2.0):
                     page = await self.store.follow(Topic.MEMBERS, cursor, 0.0)
                     cursor = page.end
                     self._take_members(page.records, loop.time())
@@ -81,24 +83,24 @@
                 continue
             self.state.see_member(record.key, member.ip, member.incarnation, now).listed_at = now
 
-    async def _follow(self, topic: Topic, wait_s: float, interval_s: float) -> None:
+    async def _follow(self, topic: Topic, wait_s: float, pause_s: float) -> None:
         loop = asyncio.get_running_loop()
         cursor: int | None = None
         while True:
-            sent_at, wait = loop.time(), wait_s if cursor else 0.0
+            sent_at, wait = loop.time(), 0.0 if cursor is None else wait_s
             try:
                 page = await self.store.follow(topic, cursor, wait)
             except StoreError as error:
                 self.state.record_store_failure(f"{topic}: {error}", loop.time())
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
-            rtt_s = None if wait else loop.time() - sent_at
+            rtt_s = loop.time() - sent_at if cursor is None else None
             self.state.record_store_answer(loop.time(), rtt_s)
             self._apply(topic, page, loop.time())
             if cursor is None or page.end > cursor:
                 cursor = page.end
-            if interval_s:
-                await asyncio.sleep(interval_s)
+            if pause_s and page.records:
+                await asyncio.sleep(pause_s)
 
     def _apply(self, topic: Topic, page, now: float) -> None:
         state = self.state
--- a/teaselpath/platform/_engines.py
+++ b/teaselpath/platform/_engines.py
@@ -117,8 +117,10 @@
 
 def _decode(response: Response, kind: type[T]) -> T:
     if response.head.status != 200:
-        raise EngineCallError(f"refused with {response.head.status}", is_unknown=False)
+        reason = f"refused with {response.head.status}"
+        raise EngineCallError(reason, is_unknown=False, is_answer=True)
     try:
         return msgspec.json.decode(response.body, type=kind)
     except msgspec.MsgspecError as error:
-        raise EngineCallError(f"unreadable answer: {error}", is_unknown=False) from error
+        reason = f"unreadable answer: {error}"
+        raise EngineCallError(reason, is_unknown=False, is_answer=True) from error
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -285,3 +285,16 @@
             return False
 
     assert asyncio.run(scenario())
+
+
+def test_store_is_not_polled_in_a_loop(folder):
+    async def scenario():
+        async with HostedSite(folder, Random(7)) as site:
+            gateway = await site.start_gateway("gw-0", "127.0.0.2")
+            await until(lambda: site.store.calls >= 4, "gateway does not call the store")
+            await asyncio.sleep(1.0)
+            assert gateway.process.returncode is None
+            return site.store.calls
+
+    # Two listings, two long polls, and the calls about members and the lease.
+    assert asyncio.run(scenario()) <= 12
