--- a/teaselpath/dispatch/_quota.py
+++ b/teaselpath/dispatch/_quota.py
@@ -6,6 +6,8 @@
 
 # Longest wait that a refusal names, in seconds.
 MAX_RETRY_AFTER_S = 8.0
+# Part of the tolerated slack that a bucket holds beyond its burst.
+SLACK_PART = 0.3
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,9 +42,13 @@
     scaled to the part of the gateways that can be.
 
     Answers the load of one workspace that sends beyond its rate through many gateways at once.
+
+    :param slack: tokens beyond rate and burst that the deployment tolerates. A part of them covers
+        the error of the counters, so that requests within the rate are not refused.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, slack: float = 0.0) -> None:
+        self.slack = slack
         self.buckets: dict[str, _Bucket] = {}
         self.used: dict[str, float] = {}
         self.seen: dict[tuple[str, int], dict[str, float]] = {}
@@ -94,7 +100,7 @@
 
     def _bucket(self, workspace: Workspace, now: float) -> _Bucket:
         rate = workspace.rate * self.share
-        capacity = max(1.0, workspace.burst * self.share)
+        capacity = max(1.0, (workspace.burst + SLACK_PART * self.slack) * self.share)
         bucket = self.buckets.get(workspace.name)
         if bucket is None:
             bucket = self.buckets[workspace.name] = _Bucket(capacity, capacity, rate, now)
--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -36,6 +36,9 @@
 CALL_TIMEOUT_S = 0.6
 # Time for which other gateways avoid an engine that was just ordered to load, in seconds.
 SWITCH_S = 0.6
+# Time between the notice that an engine will load and the order, in seconds, in which the other
+# gateways turn to other engines.
+NOTICE_S = 0.08
 LEASE_KEY = "orders"
 
 
@@ -62,6 +65,7 @@
         self.clock = clock
         self.rollout = WeightsRollout()
         self.loop = asyncio.get_running_loop()
+        self.noticed_at: dict[str, float] = {}
         self.calls: set[asyncio.Task] = set()
         self.lease_call: asyncio.Task | None = None
 
@@ -175,6 +179,7 @@
             is_news = view.own_switch_until < self.loop.time()
             view.own_switch_until = view.switching_until = self.loop.time() + SWITCH_S
             if is_news:
+                self.noticed_at[key] = self.loop.time()
                 self.peers.news.set()
 
     def _end_switch(self, key: str) -> None:
@@ -205,6 +210,8 @@
         self._carry_out(self.rollout.take_report(key, report, wanted, self.loop.time()))
 
     async def _order(self, order: GiveOrder) -> None:
+        noticed_at = self.noticed_at.get(order.key, 0.0)
+        await asyncio.sleep(max(0.0, noticed_at + NOTICE_S - self.loop.time()))
         view = self.state.views.get(order.key)
         if view is None or not self.lease.is_held(self.clock()):
             self.rollout.order_answered(order.key, "lease lost", self.loop.time())
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -75,7 +75,7 @@
         self.cache_stores: dict[str, StoreView] = {}
         self.raw_entries: dict[str, StoredRecord] = {}
         self.members: dict[str, Member] = {}
-        self.quota = SharedQuota()
+        self.quota = SharedQuota(settings.bounds.quota_slack)
         self.retry_windows: dict[str, RetryWindow] = {}
         self.store_up = False
         self.store_is_near = False
--- a/teaselpath/rollout/_weights.py
+++ b/teaselpath/rollout/_weights.py
@@ -12,7 +12,7 @@
 # Part of the engines that load at once; the deployments slow down loads beyond a third.
 LOADING_PART = 3
 # Interval between reports of an engine that loads, in seconds.
-POLL_S = 0.12
+POLL_S = 0.08
 # Time after an accepted order in which a report may still show the state before it, in seconds.
 REPORT_LAG_S = 0.35
 # Pause before an engine that could not be reached is tried again, in seconds.
@@ -132,7 +132,7 @@
     def _start(
         self, engines: list[EngineStatus], wanted: dict[str, int], now: float
     ) -> list[Action]:
-        room = max(1, -(-len(engines) // LOADING_PART)) - self._active(now)
+        room = max(1, -(-len(engines) // LOADING_PART)) - self._active()
         waiting = [(e, m) for e, m in self.behind(engines, wanted) if e.key not in self.changes]
         waiting.sort(key=lambda pair: (pair[0].weights[pair[1]], pair[0].requests, pair[0].key))
         actions: list[Action] = []
@@ -143,7 +143,7 @@
             actions.append(AskReport(engine.key))
         return actions
 
-    def _active(self, now: float) -> int:
+    def _active(self) -> int:
         return sum(change.phase is not Phase.FAILED for change in self.changes.values())
 
     def take_report(
