--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -39,6 +39,8 @@
 # Time between the notice that an engine will load and the order, in seconds, in which the other
 # gateways turn to other engines.
 NOTICE_S = 0.08
+# Part of the time for a rollout after which more engines load at once.
+HURRY_PART = 0.35
 LEASE_KEY = "orders"
 
 
@@ -91,7 +93,19 @@
         if not self.lease.is_held(self.clock()):
             self.rollout.forget()
             return
-        self._carry_out(self.rollout.plan(engines, wanted, self.loop.time()))
+        now = self.loop.time()
+        hurry = self._is_late(engines, now)
+        self._carry_out(self.rollout.plan(engines, wanted, now, hurry=hurry))
+
+    def _is_late(self, engines: list[EngineStatus], now: float) -> bool:
+        """Return whether an engine still has weights that should have been replaced."""
+        limit_s = HURRY_PART * self.state.settings.bounds.weights_s
+        return any(
+            version < self.state.wanted[model].oldest_usable(now, limit_s)
+            for engine in engines
+            for model, version in engine.weights.items()
+            if model in self.state.wanted
+        )
 
     def _engines(self) -> list[EngineStatus]:
         return [
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -3,8 +3,9 @@
 import asyncio
 import random
 import signal
+from collections.abc import Awaitable, Callable
 
-from eliot import log_message
+from eliot import log_message, write_traceback
 
 from teaselpath.fleet import EngineCalls, GatewaySettings, MetadataStore, RequestCodec
 from teaselpath.gateway._caches import CacheWatcher
@@ -26,9 +27,25 @@
 POLL_S = 0.05
 EXPIRE_INTERVAL_S = 0.5
 BACKLOG = 512
+# Pause before a failed job starts again, in seconds.
+RESTART_DELAY_S = 0.2
 INCARNATION_BITS = 53
 
 
+Job = Callable[[], Awaitable[None]]
+
+
+async def _keep_running(job: Job) -> None:
+    """Run a job until cancelled; one that fails is logged and started again."""
+    while True:
+        try:
+            await job()
+        except Exception as error:
+            log_message("task_failed", task=job.__qualname__, error=repr(error))
+            write_traceback()
+        await asyncio.sleep(RESTART_DELAY_S)
+
+
 class GatewayService:
     """Runs a gateway until a signal stops it.
 
@@ -73,7 +90,7 @@
         log_message("started", host=self.settings.host, incarnation=self.state.incarnation)
         await self._listen()
         async with asyncio.TaskGroup() as group:
-            tasks = [group.create_task(job) for job in self._jobs()]
+            tasks = [group.create_task(_keep_running(job)) for job in self._jobs()]
             await self.stop_requested.wait()
             await self._drain()
             for task in tasks:
@@ -81,20 +98,20 @@
         log_message("stopped", host=self.settings.host)
         self.log.flush()
 
-    def _jobs(self):
+    def _jobs(self) -> list[Job]:
         watcher = self.watcher
         return [
-            watcher.follow_operators(),
-            watcher.follow_endpoints(),
-            watcher.follow_members(),
-            watcher.expire_lapses(),
-            self.peers.run(),
-            self.peers.fetch_missing(),
-            self.keeper.run(),
-            self.forwarder.run_queue(),
-            self.caches.run(),
-            self._expire_connections(),
-            self.log.run(),
+            watcher.follow_operators,
+            watcher.follow_endpoints,
+            watcher.follow_members,
+            watcher.expire_lapses,
+            self.peers.run,
+            self.peers.fetch_missing,
+            self.keeper.run,
+            self.forwarder.run_queue,
+            self.caches.run,
+            self._expire_connections,
+            self.log.run,
         ]
 
     async def _listen(self) -> None:
--- a/teaselpath/rollout/_weights.py
+++ b/teaselpath/rollout/_weights.py
@@ -9,8 +9,10 @@
 
 from teaselpath.fleet import EngineReport
 
-# Part of the engines that load at once; the deployments slow down loads beyond a third.
-LOADING_PART = 3
+# One engine of this many loads at once, so that the others can take its requests.
+LOADING_PART = 5
+# The same when the time for the rollout is short; the deployments slow down loads beyond a third.
+HURRIED_PART = 3
 # Interval between reports of an engine that loads, in seconds.
 POLL_S = 0.08
 # Time after an accepted order in which a report may still show the state before it, in seconds.
@@ -111,8 +113,18 @@
             if version < wanted.get(model, 0)
         ]
 
-    def plan(self, engines: list[EngineStatus], wanted: dict[str, int], now: float) -> list[Action]:
-        """Return reports to fetch now, and start changes while there is room."""
+    def plan(
+        self,
+        engines: list[EngineStatus],
+        wanted: dict[str, int],
+        now: float,
+        *,
+        hurry: bool = False,
+    ) -> list[Action]:
+        """Return reports to fetch now, and start changes while there is room.
+
+        :param hurry: whether the time for the rollout is short.
+        """
         actions: list[Action] = []
         known = {engine.key: engine for engine in engines}
         for key, change in list(self.changes.items()):
@@ -127,12 +139,13 @@
             elif change.phase is Phase.LOADING and now >= change.due_at:
                 change.due_at = now + POLL_S
                 actions.append(AskReport(key))
-        return actions + self._start(engines, wanted, now)
+        part = HURRIED_PART if hurry else LOADING_PART
+        return actions + self._start(engines, wanted, now, part)
 
     def _start(
-        self, engines: list[EngineStatus], wanted: dict[str, int], now: float
+        self, engines: list[EngineStatus], wanted: dict[str, int], now: float, part: int
     ) -> list[Action]:
-        room = max(1, -(-len(engines) // LOADING_PART)) - self._active()
+        room = max(1, -(-len(engines) // part)) - self._active()
         waiting = [(e, m) for e, m in self.behind(engines, wanted) if e.key not in self.changes]
         waiting.sort(key=lambda pair: (pair[0].weights[pair[1]], pair[0].requests, pair[0].key))
         actions: list[Action] = []
