--- a/teaselpath/cli/_main.py
+++ b/teaselpath/cli/_main.py
@@ -7,6 +7,7 @@
 from teaselpath.cli._load import load
 from teaselpath.cli._nodes import drain, explain, explain_workspace, revoke, rollout, top
 from teaselpath.cli._publish import publish
+from teaselpath.cli._trace import trace
 
 
 @click.group(epilog=EXIT_HELP)
@@ -27,5 +28,6 @@
     explain_workspace,
     top,
     load,
+    trace,
 ):
     main.add_command(_command)
--- a/teaselpath/dispatch/_waiting.py
+++ b/teaselpath/dispatch/_waiting.py
@@ -10,7 +10,7 @@
 from itertools import count
 
 # Part of a request's remaining time that may pass in the queue.
-WAIT_PART = 0.6
+WAIT_PART = 0.5
 
 
 @dataclass(slots=True)
--- a/teaselpath/gateway/_caches.py
+++ b/teaselpath/gateway/_caches.py
@@ -22,7 +22,7 @@
 # Gateways from which on polls are short and stay within the region.
 MANY_GATEWAYS = 7
 # Time for an answer beyond the wait, in seconds.
-ANSWER_S = 0.7
+ANSWER_S = 0.45
 # Least time between two polls of one cache, in seconds.
 INTERVAL_S = 0.15
 # Changes in an answer from which more are likely to be ready.
@@ -98,7 +98,8 @@
                 if missed == SILENT_POLLS and not target.health.is_silent:
                     target.health.is_silent = True
                     log_message("engine_silent", endpoint=target.name, reason=str(error))
-                await asyncio.sleep(INTERVAL_S)
+                # The first miss is checked at once, since requests go on to a silent engine.
+                await asyncio.sleep(0.0 if missed == 1 else INTERVAL_S)
                 continue
             if target.health.is_silent:
                 target.health.is_silent = False
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -64,7 +64,7 @@
 # Interval between tries to place the waiting requests, in seconds.
 QUEUE_INTERVAL_S = 0.015
 # Part of a request's time after which a wait for an endpoint ends in a refusal.
-MAX_WAIT_PART = 0.75
+MAX_WAIT_PART = 0.5
 # Longest time that a refusal names, in seconds.
 MAX_RETRY_AFTER_S = 3.0
 # Reasons for which a request is refused at once.
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -13,7 +13,7 @@
 # Long poll of the endpoint topic, in seconds; it holds a record per change, none per heartbeat.
 ENDPOINTS_WAIT_S = 5.0
 # Pause after records of the endpoint topic, in seconds, so that changes of many come together.
-ENDPOINTS_PAUSE_S = 0.4
+ENDPOINTS_PAUSE_S = 0.8
 # Pause after a failed call, in seconds.
 RETRY_DELAY_S = 0.3
 # Interval between entries of this gateway in the member topic, in seconds.
