Split the forwarder; a place found as a wait ends is not lost; older weights end sooner

Change: the wait returns the place; the limit is 0.75. Queue, call and attempt have modules of their own.

--- /dev/null
+++ b/teaselpath/gateway/_attempt.py
@@ -0,0 +1,175 @@
+"""One request at one endpoint."""
+
+import asyncio
+from dataclasses import dataclass
+
+from teaselpath.dispatch import Answered, Broken, NotRun, NotSent, Outcome, Placed
+from teaselpath.fleet import AnswerInfo, Forwarding, RequestCodec, RequestKind
+from teaselpath.gateway._call import Call
+from teaselpath.gateway._state import GatewayState
+from teaselpath.http1 import (
+    ClientConnection,
+    ConnectFailed,
+    ConnectionBroken,
+    Exchange,
+    HttpClient,
+    ReadTimeout,
+)
+
+# Silence after which an idempotent request goes to another endpoint, as a multiple of its target.
+SILENCE_FACTOR = 2.0
+# Shared tokens from which a prompt's parts are kept in the store of cached parts.
+MIN_SAVE_TOKENS = 1_000
+
+
+@dataclass(slots=True, frozen=True)
+class Tools:
+    """What attempts share."""
+
+    state: GatewayState
+    codec: RequestCodec
+    http: HttpClient
+
+
+def describe_outcome(outcome: Outcome) -> str:
+    """Return an outcome for the log."""
+    match outcome:
+        case Answered(status) | NotRun(status):
+            return f"{type(outcome).__name__} {status}"
+        case Broken(True):
+            return "TimedOut"
+        case _:
+            return type(outcome).__name__
+
+
+class Attempt:
+    """One request at one endpoint."""
+
+    def __init__(self, tools: Tools, exchange: Exchange, call: Call, placed: Placed):
+        self.tools = tools
+        self.exchange = exchange
+        self.call = call
+        self.placed = placed
+        self.loop = asyncio.get_running_loop()
+
+    def mark_read(self) -> None:
+        """Note that the engine has read the prompt."""
+        self.placed.view.own.unread_tokens -= self.call.unread
+        self.call.unread = 0
+
+    async def run(self) -> Outcome:
+        """Send the request and read the answer."""
+        call, endpoint = self.call, self.placed.view.endpoint
+        pool = self.tools.http.pool(endpoint.address)
+        try:
+            connection = await pool.acquire(call.deadline)
+        except ConnectFailed:
+            return NotSent()
+        head = None
+        try:
+            connection.send(
+                call.request.method,
+                self._encode(),
+                self.tools.codec.id_header,
+                call.request.request_id.encode("latin-1") or None,
+            )
+            head = await connection.read_head(self._head_deadline())
+            info = self.tools.codec.decode_answer(head.status, head.headers)
+            outcome = await self._read(connection, info)
+        except ConnectionBroken:
+            outcome = Broken()
+        except ReadTimeout:
+            outcome = Broken(is_timeout=True)
+        except BaseException:
+            connection.close()
+            raise
+        if isinstance(outcome, Broken):
+            connection.close()
+        else:
+            pool.release(connection, head)
+        return outcome
+
+    def _encode(self) -> bytes:
+        call, placed = self.call, self.placed
+        last_event_id = call.splitter.last_id or call.request.last_event_id
+        is_prompt = call.request.prompt is not None and call.service.engine is not None
+        workspace = call.workspace
+        forwarding = Forwarding(
+            time_left_s=max(0.001, call.deadline - self.loop.time()),
+            endpoint_id=placed.view.endpoint.endpoint_id,
+            workspace=workspace.name if workspace else None,
+            scope=placed.scope if is_prompt else None,
+            weights=placed.weights if is_prompt else None,
+            priority=min(9, call.priority) if is_prompt else None,
+            last_event_id=last_event_id,
+            fetch_from=placed.fetch_from,
+            save_to=self._save_to() if is_prompt else None,
+        )
+        return self.tools.codec.encode_request(call.request, forwarding)
+
+    def _save_to(self) -> str | None:
+        """Return the store that is to keep the prompt's parts, if it lacks them."""
+        prompt, now = self.call.request.prompt, self.loop.time()
+        if prompt is None or prompt.shared_tokens < MIN_SAVE_TOKENS:
+            return None
+        for view in self.tools.state.cache_stores.values():
+            if view.health.is_suspect(now):
+                continue
+            if view.cache.match(self.placed.scope, prompt, now) < prompt.shared_tokens:
+                return view.store.address
+        return None
+
+    def _head_deadline(self) -> float:
+        call = self.call
+        if not call.route.is_idempotent or call.progress.runs + 1 >= call.route.max_attempts:
+            return call.deadline
+        return min(call.deadline, self.loop.time() + SILENCE_FACTOR * call.route.target_latency_s)
+
+    async def _read(self, connection: ClientConnection, info: AnswerInfo) -> Outcome:
+        call, view = self.call, self.placed.view
+        self._learn(info)
+        if info.status == 200 and call.route.kind is RequestKind.STREAM and info.is_authentic:
+            return await self._relay(connection, info)
+        body = await connection.read_body(call.deadline)
+        if info.did_not_run:
+            if info.is_other_endpoint:
+                view.health.record_unreachable(self.loop.time())
+            return NotRun(info.status)
+        if info.status < 300 and (not info.is_authentic or info.is_encoded):
+            return Broken()
+        if not self.exchange.is_started:
+            call.answer, call.body = info, body
+        return Answered(info.status)
+
+    def _learn(self, info: AnswerInfo) -> None:
+        view, now = self.placed.view, self.loop.time()
+        if info.load is not None:
+            view.reported = (info.load[0], info.load[1], now)
+        prompt = self.call.request.prompt
+        if info.weights is not None and prompt is not None:
+            known = view.weights.get(prompt.model, 0)
+            view.weights[prompt.model] = max(known, info.weights)
+
+    async def _relay(self, connection: ClientConnection, info: AnswerInfo) -> Outcome:
+        """Pass events on as they arrive, whole events only."""
+        call, exchange = self.call, self.exchange
+        splitter = call.splitter
+        splitter.restart()
+        while True:
+            data = await connection.read_chunk(call.deadline)
+            if data is None:
+                break
+            whole = splitter.feed(data)
+            if not whole:
+                continue
+            if not exchange.is_started:
+                self.mark_read()
+                call.first_byte_at = self.loop.time()
+                call.answer = info
+                exchange.start(200, info.passed_headers)
+            exchange.write(whole)
+            await exchange.drain()
+        if splitter.rest or not exchange.is_started:
+            return Broken()
+        exchange.finish()
+        return Answered(200)
--- /dev/null
+++ b/teaselpath/gateway/_call.py
@@ -0,0 +1,41 @@
+"""A request on its way through the gateway."""
+
+from dataclasses import dataclass, field
+
+from teaselpath.dispatch import Placed, Progress
+from teaselpath.fleet import AnswerInfo, CallerRequest, Route, Service, Workspace
+from teaselpath.gateway._events import EventSplitter
+
+
+@dataclass(slots=True)
+class Call:
+    """A request on its way.
+
+    :param deadline: event loop time at which nobody waits any more.
+    :param tried: endpoints that it was sent to.
+    :param attempts: endpoint, outcome and duration of each attempt, for the log.
+    """
+
+    request: CallerRequest
+    route: Route
+    service: Service
+    workspace: Workspace | None
+    arrived_at: float
+    deadline: float
+    progress: Progress = field(default_factory=Progress)
+    tried: set[str] = field(default_factory=set)
+    attempts: list[tuple[str, str, float]] = field(default_factory=list)
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+    tokens: int = 0
+    first_byte_at: float | None = None
+    answer: AnswerInfo | None = None
+    body: bytes = b""
+    placed: Placed | None = None
+    unread: int = 0
+
+    @property
+    def priority(self) -> int:
+        """Return the workspace's priority if it has one, else the route's."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -2,16 +2,12 @@
 
 import asyncio
 import random
-from dataclasses import dataclass, field
 
 from eliot import log_message
 
 from teaselpath.dispatch import (
-    LONG_TOKENS,
-    PREFILL_TOKENS_PER_S,
     Answered,
     Broken,
-    Demand,
     Fail,
     NoPlace,
     NotRun,
@@ -20,93 +16,27 @@
     OverRate,
     PassOn,
     Placed,
-    Progress,
     Refuse,
     SendAgain,
-    Ticket,
-    WaitingRoom,
-    choose_endpoint,
     next_step,
 )
-from teaselpath.fleet import (
-    AnswerInfo,
-    CallerRequest,
-    Forwarding,
-    RequestCodec,
-    RequestKind,
-    Route,
-    Service,
-    Workspace,
-)
-from teaselpath.gateway._events import EventSplitter
+from teaselpath.fleet import CallerRequest, RequestCodec, Route, Service, Workspace
+from teaselpath.gateway._attempt import Attempt, Tools, describe_outcome
+from teaselpath.gateway._call import Call
 from teaselpath.gateway._metrics import GatewayMetrics
-from teaselpath.gateway._state import GatewayState, WantedWeights
-from teaselpath.http1 import (
-    ClientConnection,
-    ConnectFailed,
-    ConnectionBroken,
-    Exchange,
-    HttpClient,
-    ReadTimeout,
-)
+from teaselpath.gateway._placing import Placer
+from teaselpath.gateway._state import GatewayState
+from teaselpath.http1 import Exchange, HttpClient
 from teaselpath.results import Code
 
 # Time that a caller waits if it does not say, in seconds.
 DEFAULT_TIME_LEFT_S = 30.0
 # Answer to a caller while this gateway knows no configuration, in seconds.
 START_RETRY_AFTER_S = 1.0
-# Silence after which an idempotent request goes to another endpoint, as a multiple of its target.
-SILENCE_FACTOR = 2.0
-# Part of the time for a rollout after which older weights run no more requests.
-OLD_WEIGHTS_PART = 0.85
-# Shared tokens from which a prompt's parts are kept in the store of cached parts.
-MIN_SAVE_TOKENS = 1_000
-# Interval between tries to place the waiting requests, in seconds.
-QUEUE_INTERVAL_S = 0.015
-# Part of a request's time after which a wait for an endpoint ends in a refusal.
-MAX_WAIT_PART = 0.5
-# Longest time that a refusal names, in seconds.
-MAX_RETRY_AFTER_S = 3.0
-# Reasons for which a request is refused at once.
-NOT_WORTH_WAITING = frozenset({"none_listed", "unreachable"})
 # Largest number of endpoints that one request is sent to, whether they run it or not.
 MAX_SENDS = 4
 
 
-@dataclass(slots=True)
-class Call:
-    """A request on its way.
-
-    :param deadline: event loop time at which nobody waits any more.
-    :param tried: endpoints that it was sent to.
-    :param attempts: endpoint, outcome and duration of each attempt, for the log.
-    """
-
-    request: CallerRequest
-    route: Route
-    service: Service
-    workspace: Workspace | None
-    arrived_at: float
-    deadline: float
-    progress: Progress = field(default_factory=Progress)
-    tried: set[str] = field(default_factory=set)
-    attempts: list[tuple[str, str, float]] = field(default_factory=list)
-    splitter: EventSplitter = field(default_factory=EventSplitter)
-    tokens: int = 0
-    first_byte_at: float | None = None
-    answer: AnswerInfo | None = None
-    body: bytes = b""
-    placed: Placed | None = None
-    unread: int = 0
-
-    @property
-    def priority(self) -> int:
-        """Return the workspace's priority if it has one, else the route's."""
-        if self.workspace is not None and self.workspace.priority is not None:
-            return self.workspace.priority
-        return self.route.priority
-
-
 class Forwarder:
     """Answers the requests of callers.
 
@@ -120,13 +50,12 @@
     ):
         self.state = state
         self.codec = codec
-        self.http = http
+        self.tools = Tools(state, codec, http)
+        self.placer = Placer(state)
         self.metrics = metrics
         self.random = random.Random()
         self.loop = asyncio.get_running_loop()
         self.running = 0
-        self.waiting = WaitingRoom()
-        self.waiters: dict[int, tuple[Call, asyncio.Future[Placed]]] = {}
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -221,7 +150,7 @@
         """Send the request to endpoints until there is an answer."""
         while True:
             now = self.loop.time()
-            placed = await self._find_place(call, now)
+            placed = await self.placer.find(call, now)
             if isinstance(placed, NoPlace):
                 return self._end_without_place(exchange, call, placed)
             outcome = await self._attempt(exchange, call, placed)
@@ -241,102 +170,6 @@
                 case Fail(status):
                     return self._end_failed(exchange, call, status)
 
-    async def _find_place(self, call: Call, now: float) -> Placed | NoPlace:
-        """Return a reserved endpoint, at once or after a wait."""
-        prompt = call.request.prompt
-        tokens = prompt.prompt_tokens if prompt else 0
-        ticket = Ticket(call.service.name, call.priority, tokens, call.deadline)
-        place = self._place(call, now)
-        if isinstance(place, Placed) and (
-            tokens < LONG_TOKENS or not self.waiting.has_before(ticket)
-        ):
-            self._reserve(call, place)
-            return place
-        if isinstance(place, NoPlace) and place.reason in NOT_WORTH_WAITING:
-            return place
-        return await self._wait(call, ticket, now)
-
-    async def _wait(self, call: Call, ticket: Ticket, now: float) -> Placed | NoPlace:
-        views = self.state.by_service.get(call.service.name, [])
-        backlog = sum(view.unread_tokens() for view in views)
-        speed = PREFILL_TOKENS_PER_S * len(views)
-        if self.waiting.is_hopeless(ticket, backlog, speed, now):
-            wait_s = self.waiting.expected_wait_s(ticket, backlog, speed)
-            return NoPlace("queue", min(MAX_RETRY_AFTER_S, max(0.2, wait_s)))
-        future: asyncio.Future[Placed] = self.loop.create_future()
-        self.waiting.join(ticket)
-        self.waiters[ticket.number] = (call, future)
-        try:
-            async with asyncio.timeout_at(now + MAX_WAIT_PART * (call.deadline - now)):
-                return await future
-        except TimeoutError:
-            return NoPlace("queue", 0.5)
-        except asyncio.CancelledError:
-            if future.done() and not future.cancelled():
-                self._release(call, future.result())
-            raise
-        finally:
-            self.waiting.leave(ticket)
-            del self.waiters[ticket.number]
-
-    async def run_queue(self) -> None:
-        """Place waiting requests as endpoints become free, until cancelled."""
-        while True:
-            await asyncio.sleep(QUEUE_INTERVAL_S)
-            blocked: set[str] = set()
-            for ticket in self.waiting.in_order():
-                call, future = self.waiters[ticket.number]
-                if future.done() or ticket.service in blocked:
-                    continue
-                place = self._place(call, self.loop.time())
-                if isinstance(place, Placed):
-                    self._reserve(call, place)
-                    future.set_result(place)
-                else:
-                    blocked.add(ticket.service)
-
-    def _reserve(self, call: Call, placed: Placed) -> None:
-        """Count a request at an endpoint from now on."""
-        own = placed.view.own
-        call.unread = 0
-        if call.request.prompt is not None:
-            call.unread = max(0, call.request.prompt.prompt_tokens - placed.cached_tokens)
-            placed.view.cache.expect(placed.scope, call.request.prompt, self.loop.time())
-        call.placed = placed
-        own.requests += 1
-        own.unread_tokens += call.unread
-        own.memory_tokens += call.tokens
-
-    def _release(self, call: Call, placed: Placed) -> None:
-        """End the count of a request at an endpoint."""
-        own = placed.view.own
-        own.requests -= 1
-        own.memory_tokens -= call.tokens
-        own.unread_tokens -= call.unread
-        call.unread = 0
-
-    def _place(self, call: Call, now: float) -> Placed | NoPlace:
-        state, prompt = self.state, call.request.prompt
-        wanted = state.wanted.get(prompt.model) if prompt else None
-        workspace = call.workspace
-        scope_prefix = f"{workspace.name}/" if workspace and workspace.is_isolated else ""
-        demand = Demand(
-            prompt=prompt if call.service.engine else None,
-            scope_prefix=scope_prefix,
-            wanted_weights=wanted.version if wanted else None,
-            oldest_weights=self._oldest_weights(wanted, now),
-            excluded=frozenset(call.tried),
-            engine=call.service.engine,
-            sources=tuple(state.cache_stores.values()),
-            body_bytes=len(call.request.body),
-        )
-        return choose_endpoint(state.candidates(call.service.name), demand, state.topology, now)
-
-    def _oldest_weights(self, wanted: WantedWeights | None, now: float) -> int:
-        if wanted is None:
-            return 0
-        return wanted.oldest_usable(now, OLD_WEIGHTS_PART * self.state.settings.bounds.weights_s)
-
     def _may_send_again(self, call: Call, step: SendAgain, now: float) -> bool:
         if call.progress.sends >= MAX_SENDS:
             return False
@@ -359,13 +192,13 @@
         view = placed.view
         started_at = self.loop.time()
         try:
-            outcome = await _Attempt(self, exchange, call, placed).run()
+            outcome = await Attempt(self.tools, exchange, call, placed).run()
         finally:
-            self._release(call, placed)
+            self.placer.release(call, placed)
         now = self.loop.time()
         self._count(call, placed, outcome, now)
         call.attempts.append(
-            (view.endpoint.endpoint_id, _describe(outcome), round(now - started_at, 4))
+            (view.endpoint.endpoint_id, describe_outcome(outcome), round(now - started_at, 4))
         )
         return outcome
 
@@ -450,146 +283,3 @@
         name = call.workspace.name if call.workspace else ""
         first_s = first - call.arrived_at if first else None
         self.metrics.observe(name, call.route.kind, code.name, first_s, now - call.arrived_at)
-
-
-def _describe(outcome: Outcome) -> str:
-    match outcome:
-        case Answered(status) | NotRun(status):
-            return f"{type(outcome).__name__} {status}"
-        case Broken(True):
-            return "TimedOut"
-        case _:
-            return type(outcome).__name__
-
-
-class _Attempt:
-    """One request at one endpoint."""
-
-    def __init__(self, forwarder: Forwarder, exchange: Exchange, call: Call, placed: Placed):
-        self.forwarder = forwarder
-        self.exchange = exchange
-        self.call = call
-        self.placed = placed
-        self.loop = forwarder.loop
-
-    def mark_read(self) -> None:
-        """Note that the engine has read the prompt."""
-        self.placed.view.own.unread_tokens -= self.call.unread
-        self.call.unread = 0
-
-    async def run(self) -> Outcome:
-        """Send the request and read the answer."""
-        call, endpoint = self.call, self.placed.view.endpoint
-        pool = self.forwarder.http.pool(endpoint.address)
-        try:
-            connection = await pool.acquire(call.deadline)
-        except ConnectFailed:
-            return NotSent()
-        head = None
-        try:
-            connection.send(
-                call.request.method,
-                self._encode(),
-                self.forwarder.codec.id_header,
-                call.request.request_id.encode("latin-1") or None,
-            )
-            head = await connection.read_head(self._head_deadline())
-            info = self.forwarder.codec.decode_answer(head.status, head.headers)
-            outcome = await self._read(connection, info)
-        except ConnectionBroken:
-            outcome = Broken()
-        except ReadTimeout:
-            outcome = Broken(is_timeout=True)
-        except BaseException:
-            connection.close()
-            raise
-        if isinstance(outcome, Broken):
-            connection.close()
-        else:
-            pool.release(connection, head)
-        return outcome
-
-    def _encode(self) -> bytes:
-        call, placed = self.call, self.placed
-        last_event_id = call.splitter.last_id or call.request.last_event_id
-        is_prompt = call.request.prompt is not None and call.service.engine is not None
-        workspace = call.workspace
-        forwarding = Forwarding(
-            time_left_s=max(0.001, call.deadline - self.loop.time()),
-            endpoint_id=placed.view.endpoint.endpoint_id,
-            workspace=workspace.name if workspace else None,
-            scope=placed.scope if is_prompt else None,
-            weights=placed.weights if is_prompt else None,
-            priority=min(9, call.priority) if is_prompt else None,
-            last_event_id=last_event_id,
-            fetch_from=placed.fetch_from,
-            save_to=self._save_to() if is_prompt else None,
-        )
-        return self.forwarder.codec.encode_request(call.request, forwarding)
-
-    def _save_to(self) -> str | None:
-        """Return the store that is to keep the prompt's parts, if it lacks them."""
-        prompt, now = self.call.request.prompt, self.loop.time()
-        if prompt is None or prompt.shared_tokens < MIN_SAVE_TOKENS:
-            return None
-        for view in self.forwarder.state.cache_stores.values():
-            if view.health.is_suspect(now):
-                continue
-            if view.cache.match(self.placed.scope, prompt, now) < prompt.shared_tokens:
-                return view.store.address
-        return None
-
-    def _head_deadline(self) -> float:
-        call = self.call
-        if not call.route.is_idempotent or call.progress.runs + 1 >= call.route.max_attempts:
-            return call.deadline
-        return min(call.deadline, self.loop.time() + SILENCE_FACTOR * call.route.target_latency_s)
-
-    async def _read(self, connection: ClientConnection, info: AnswerInfo) -> Outcome:
-        call, view = self.call, self.placed.view
-        self._learn(info)
-        if info.status == 200 and call.route.kind is RequestKind.STREAM and info.is_authentic:
-            return await self._relay(connection, info)
-        body = await connection.read_body(call.deadline)
-        if info.did_not_run:
-            if info.is_other_endpoint:
-                view.health.record_unreachable(self.loop.time())
-            return NotRun(info.status)
-        if info.status < 300 and (not info.is_authentic or info.is_encoded):
-            return Broken()
-        if not self.exchange.is_started:
-            call.answer, call.body = info, body
-        return Answered(info.status)
-
-    def _learn(self, info: AnswerInfo) -> None:
-        view, now = self.placed.view, self.loop.time()
-        if info.load is not None:
-            view.reported = (info.load[0], info.load[1], now)
-        prompt = self.call.request.prompt
-        if info.weights is not None and prompt is not None:
-            known = view.weights.get(prompt.model, 0)
-            view.weights[prompt.model] = max(known, info.weights)
-
-    async def _relay(self, connection: ClientConnection, info: AnswerInfo) -> Outcome:
-        """Pass events on as they arrive, whole events only."""
-        call, exchange = self.call, self.exchange
-        splitter = call.splitter
-        splitter.restart()
-        while True:
-            data = await connection.read_chunk(call.deadline)
-            if data is None:
-                break
-            whole = splitter.feed(data)
-            if not whole:
-                continue
-            if not exchange.is_started:
-                self.mark_read()
-                call.first_byte_at = self.loop.time()
-                call.answer = info
-                exchange.start(200, info.passed_headers)
-            exchange.write(whole)
-            await exchange.drain()
-        if splitter.rest or not exchange.is_started:
-            return Broken()
-        exchange.finish()
-        return Answered(200)
--- /dev/null
+++ b/teaselpath/gateway/_placing.py
@@ -0,0 +1,139 @@
+"""Endpoints for requests, at once or after a wait, with the load that each reserves."""
+
+import asyncio
+
+from teaselpath.dispatch import (
+    LONG_TOKENS,
+    PREFILL_TOKENS_PER_S,
+    Demand,
+    NoPlace,
+    Placed,
+    Ticket,
+    WaitingRoom,
+    choose_endpoint,
+)
+from teaselpath.gateway._call import Call
+from teaselpath.gateway._state import GatewayState, WantedWeights
+
+# Part of the time for a rollout after which older weights run no more requests; the rest is for
+# requests that wait inside an engine and for gateways that learn late of a version.
+OLD_WEIGHTS_PART = 0.75
+# Interval between tries to place the waiting requests, in seconds.
+QUEUE_INTERVAL_S = 0.015
+# Part of a request's time after which a wait for an endpoint ends in a refusal.
+MAX_WAIT_PART = 0.5
+# Longest time that a refusal names, in seconds.
+MAX_RETRY_AFTER_S = 3.0
+# Reasons for which a request is refused at once.
+NOT_WORTH_WAITING = frozenset({"none_listed", "unreachable"})
+
+
+class Placer:
+    """Finds endpoints and keeps the queue of those that wait for one."""
+
+    def __init__(self, state: GatewayState):
+        self.state = state
+        self.loop = asyncio.get_running_loop()
+        self.waiting = WaitingRoom()
+        self.waiters: dict[int, tuple[Call, asyncio.Future[Placed]]] = {}
+
+    async def find(self, call: Call, now: float) -> Placed | NoPlace:
+        """Return a reserved endpoint, at once or after a wait."""
+        prompt = call.request.prompt
+        tokens = prompt.prompt_tokens if prompt else 0
+        ticket = Ticket(call.service.name, call.priority, tokens, call.deadline)
+        place = self._place(call, now)
+        if isinstance(place, Placed) and (
+            tokens < LONG_TOKENS or not self.waiting.has_before(ticket)
+        ):
+            self._reserve(call, place)
+            return place
+        if isinstance(place, NoPlace) and place.reason in NOT_WORTH_WAITING:
+            return place
+        return await self._wait(call, ticket, now)
+
+    async def _wait(self, call: Call, ticket: Ticket, now: float) -> Placed | NoPlace:
+        views = self.state.by_service.get(call.service.name, [])
+        backlog = sum(view.unread_tokens() for view in views)
+        speed = PREFILL_TOKENS_PER_S * len(views)
+        if self.waiting.is_hopeless(ticket, backlog, speed, now):
+            wait_s = self.waiting.expected_wait_s(ticket, backlog, speed)
+            return NoPlace("queue", min(MAX_RETRY_AFTER_S, max(0.2, wait_s)))
+        future: asyncio.Future[Placed] = self.loop.create_future()
+        self.waiting.join(ticket)
+        self.waiters[ticket.number] = (call, future)
+        try:
+            async with asyncio.timeout_at(now + MAX_WAIT_PART * (call.deadline - now)):
+                return await future
+        except TimeoutError:
+            # The place may have been found in the same step in which the time ended.
+            return NoPlace("queue", 0.5) if future.cancelled() else future.result()
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                self.release(call, future.result())
+            raise
+        finally:
+            self.waiting.leave(ticket)
+            del self.waiters[ticket.number]
+
+    async def run_queue(self) -> None:
+        """Place waiting requests as endpoints become free, until cancelled."""
+        while True:
+            await asyncio.sleep(QUEUE_INTERVAL_S)
+            self.place_waiting()
+
+    def place_waiting(self) -> None:
+        """Place the waiting requests for which there is room, in their order."""
+        blocked: set[str] = set()
+        for ticket in self.waiting.in_order():
+            call, future = self.waiters[ticket.number]
+            if future.done() or ticket.service in blocked:
+                continue
+            place = self._place(call, self.loop.time())
+            if isinstance(place, Placed):
+                self._reserve(call, place)
+                future.set_result(place)
+            else:
+                blocked.add(ticket.service)
+
+    def _reserve(self, call: Call, placed: Placed) -> None:
+        """Count a request at an endpoint from now on."""
+        own = placed.view.own
+        call.unread = 0
+        if call.request.prompt is not None:
+            call.unread = max(0, call.request.prompt.prompt_tokens - placed.cached_tokens)
+            placed.view.cache.expect(placed.scope, call.request.prompt, self.loop.time())
+        call.placed = placed
+        own.requests += 1
+        own.unread_tokens += call.unread
+        own.memory_tokens += call.tokens
+
+    def release(self, call: Call, placed: Placed) -> None:
+        """End the count of a request at an endpoint."""
+        own = placed.view.own
+        own.requests -= 1
+        own.memory_tokens -= call.tokens
+        own.unread_tokens -= call.unread
+        call.unread = 0
+
+    def _place(self, call: Call, now: float) -> Placed | NoPlace:
+        state, prompt = self.state, call.request.prompt
+        wanted = state.wanted.get(prompt.model) if prompt else None
+        workspace = call.workspace
+        scope_prefix = f"{workspace.name}/" if workspace and workspace.is_isolated else ""
+        demand = Demand(
+            prompt=prompt if call.service.engine else None,
+            scope_prefix=scope_prefix,
+            wanted_weights=wanted.version if wanted else None,
+            oldest_weights=self._oldest_weights(wanted, now),
+            excluded=frozenset(call.tried),
+            engine=call.service.engine,
+            sources=tuple(state.cache_stores.values()),
+            body_bytes=len(call.request.body),
+        )
+        return choose_endpoint(state.candidates(call.service.name), demand, state.topology, now)
+
+    def _oldest_weights(self, wanted: WantedWeights | None, now: float) -> int:
+        if wanted is None:
+            return 0
+        return wanted.oldest_usable(now, OLD_WEIGHTS_PART * self.state.settings.bounds.weights_s)
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -108,7 +108,7 @@
             self.peers.run,
             self.peers.fetch_missing,
             self.keeper.run,
-            self.forwarder.run_queue,
+            self.forwarder.placer.run_queue,
             self.caches.run,
             self._expire_connections,
             self.log.run,
--- /dev/null
+++ b/teaselpath/gateway/tests/test_placing.py
@@ -0,0 +1,112 @@
+"""Reservation of endpoints: no load is left behind by callers that leave or wait in vain."""
+
+import asyncio
+
+import pytest
+
+from teaselpath.dispatch import NoPlace, Placed
+from teaselpath.fleet import (
+    Backend,
+    CallerRequest,
+    EngineLimits,
+    Prompt,
+    PromptPart,
+    RequestKind,
+    Route,
+    Service,
+)
+from teaselpath.gateway._call import Call
+from teaselpath.gateway._placing import Placer
+from teaselpath.gateway.tests.conftest import endpoint_record
+
+ENGINE = EngineLimits(4, 100_000, 18_432, 1e-6, ("m",))
+ROUTE = Route(
+    "r", "h", "/", RequestKind.STREAM, (Backend("s", 1.0),), 8.0, 0.8, 0.4, 0, 1, False, False, True
+)
+
+
+def make_call(time_left_s: float = 5.0) -> Call:
+    prompt = Prompt("m", (PromptPart("p", 13_000), PromptPart("o", 4_000)), 17_000, 10)
+    request = CallerRequest(
+        b"POST", b"/", "h", "/", "r1", None, time_left_s, None, prompt, 17_010, [], b""
+    )
+    now = asyncio.get_running_loop().time()
+    service = Service("s", "/health", 10, ENGINE)
+    return Call(request, ROUTE, service, None, now, now + time_left_s, tokens=17_010)
+
+
+@pytest.fixture
+def engine(state):
+    """Return the view of the only engine."""
+    state.apply_endpoint_record(endpoint_record("e", 1), "store", 1.0)
+    return state.views["e"]
+
+
+def load_of(engine) -> tuple[int, int, int]:
+    return engine.own.requests, engine.own.unread_tokens, engine.own.memory_tokens
+
+
+def test_reservation_is_counted_and_released(state, engine):
+    async def scenario():
+        placer, call = Placer(state), make_call()
+        place = await placer.find(call, placer.loop.time())
+        assert isinstance(place, Placed)
+        reserved = load_of(engine)
+        placer.release(call, place)
+        return reserved
+
+    assert asyncio.run(scenario()) == (1, 17_000, 17_010)
+    assert load_of(engine) == (0, 0, 0)
+
+
+def test_long_prompt_waits_until_the_engine_has_read_enough(state, engine):
+    async def scenario():
+        placer, call = Placer(state), make_call()
+        engine.own.unread_tokens = 50_000
+        task = asyncio.create_task(placer.find(call, placer.loop.time()))
+        await asyncio.sleep(0)
+        placer.place_waiting()
+        assert not task.done()
+        engine.own.unread_tokens = 0
+        placer.place_waiting()
+        return await task
+
+    assert isinstance(asyncio.run(scenario()), Placed)
+
+
+def test_caller_that_leaves_while_it_is_placed_frees_the_engine(state, engine):
+    async def scenario():
+        placer, call = Placer(state), make_call()
+        engine.own.unread_tokens = 50_000
+        task = asyncio.create_task(placer.find(call, placer.loop.time()))
+        await asyncio.sleep(0)
+        engine.own.unread_tokens = 0
+        placer.place_waiting()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return placer.waiting.tickets
+
+    assert asyncio.run(scenario()) == {}
+    assert load_of(engine) == (0, 0, 0)
+
+
+def test_wait_that_ends_without_a_place_is_a_refusal(state, engine):
+    async def scenario():
+        placer, call = Placer(state), make_call(time_left_s=4.0)
+        engine.own.unread_tokens = 60_000
+        call.deadline = call.arrived_at + 4.0
+        place = await placer.find(call, placer.loop.time() - 3.9)
+        return place, placer.waiters
+
+    place, waiters = asyncio.run(scenario())
+    assert isinstance(place, NoPlace)
+    assert place.reason == "queue"
+    assert waiters == {}
+
+
+def test_request_without_listed_endpoints_is_refused_at_once(state):
+    async def scenario():
+        placer = Placer(state)
+        return await placer.find(make_call(), placer.loop.time())
+
+    assert asyncio.run(scenario()) == NoPlace("none_listed", 1.0)
