--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -52,12 +52,10 @@
 
     :param requests: requests sent and not answered.
     :param unread_tokens: prompt tokens that are sent and not yet read.
-    :param memory_tokens: tokens of running requests in memory.
     """
 
     requests: int = 0
     unread_tokens: int = 0
-    memory_tokens: int = 0
 
 
 @dataclass(slots=True)
@@ -66,7 +64,6 @@
 
     :param own: work that this gateway has sent.
     :param peers: work of the other gateways, by host.
-    :param reported: running and waiting requests as last told, with the event loop time.
     :param switching_until: until when it takes new weights; 0 if it does not.
     :param own_switch_until: the same, as far as this gateway has ordered it.
     """
@@ -74,13 +71,11 @@
     endpoint: Endpoint
     own: Load = field(default_factory=Load)
     peers: dict[str, Load] = field(default_factory=dict)
-    reported: tuple[int, int, float] = (0, 0, 0.0)
     health: EndpointHealth = field(default_factory=EndpointHealth)
     cache: PartCache = field(default_factory=PartCache)
     weights: dict[str, int] = field(default_factory=dict)
     switching_until: float = 0.0
     own_switch_until: float = 0.0
-    full_until: float = 0.0
 
     def requests(self) -> int:
         """Return the requests under way from all gateways."""
@@ -90,10 +85,6 @@
         """Return the prompt tokens that wait to be read."""
         return self.own.unread_tokens + sum(p.unread_tokens for p in self.peers.values())
 
-    def memory_tokens(self) -> int:
-        """Return the tokens of running requests."""
-        return self.own.memory_tokens + sum(p.memory_tokens for p in self.peers.values())
-
 
 @dataclass(slots=True, frozen=True)
 class Demand:
@@ -219,7 +210,7 @@
     settled = [v for v in sound if v.switching_until <= now and not _is_outdated(v, demand)]
     if not settled:
         return NoPlace("switching", 0.5)
-    open_views = [v for v in settled if not _is_full(v, now)]
+    open_views = [v for v in settled if not _is_full(v)]
     if not open_views:
         return NoPlace("full", 0.5)
     sources = _sources(views, demand, now)
@@ -238,8 +229,8 @@
     return missed >= LONG_TOKENS and offer.view.unread_tokens() > MAX_UNREAD_TOKENS
 
 
-def _is_full(view: EndpointView, now: float) -> bool:
-    return view.full_until > now or view.requests() >= QUEUE_FACTOR * max(1, view.endpoint.slots)
+def _is_full(view: EndpointView) -> bool:
+    return view.requests() >= QUEUE_FACTOR * max(1, view.endpoint.slots)
 
 
 def _version(view: EndpointView, demand: Demand) -> int | None:
--- a/teaselpath/fleet/_calls.py
+++ b/teaselpath/fleet/_calls.py
@@ -63,7 +63,6 @@
 
     :param is_authentic: whether it carries the endpoint's signature.
     :param did_not_run: whether the endpoint states that it did not run the request.
-    :param load: running and waiting requests and slots; None if not told.
     :param weights: version of the weights; None if not told.
     :param passed_headers: header fields that go to the caller as they are.
     """
@@ -73,7 +72,6 @@
     did_not_run: bool
     is_other_endpoint: bool
     is_encoded: bool
-    load: tuple[int, int, int] | None
     weights: int | None
     passed_headers: Headers
 
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -142,9 +142,7 @@
         return Answered(info.status)
 
     def _learn(self, info: AnswerInfo) -> None:
-        view, now = self.placed.view, self.loop.time()
-        if info.load is not None:
-            view.reported = (info.load[0], info.load[1], now)
+        view = self.placed.view
         prompt = self.call.request.prompt
         if info.weights is not None and prompt is not None:
             known = view.weights.get(prompt.model, 0)
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -46,7 +46,6 @@
     started_at_ms: int | None
     requests: int
     unread_tokens: int
-    memory_tokens: int
     weights: dict[str, int]
     # Time for which it still takes new weights, in ms.
     switching_ms: int
@@ -250,7 +249,7 @@
         view = self.state.views.get(note.endpoint_id)
         if view is None or view.endpoint.started_at_ms != note.started_at_ms:
             return
-        view.peers[host] = Load(note.requests, note.unread_tokens, note.memory_tokens)
+        view.peers[host] = Load(note.requests, note.unread_tokens)
         for model, version in note.weights.items():
             view.weights[model] = max(version, view.weights.get(model, 0))
         if note.switching_ms:
@@ -330,7 +329,6 @@
         view.endpoint.started_at_ms,
         own.requests,
         own.unread_tokens,
-        own.memory_tokens,
         view.weights,
         max(0, int((view.own_switch_until - now) * 1000)),
     )
--- a/teaselpath/gateway/_placing.py
+++ b/teaselpath/gateway/_placing.py
@@ -106,13 +106,11 @@
         call.placed = placed
         own.requests += 1
         own.unread_tokens += call.unread
-        own.memory_tokens += call.tokens
 
     def release(self, call: Call, placed: Placed) -> None:
         """End the count of a request at an endpoint."""
         own = placed.view.own
         own.requests -= 1
-        own.memory_tokens -= call.tokens
         own.unread_tokens -= call.unread
         call.unread = 0
 
--- a/teaselpath/gateway/tests/test_placing.py
+++ b/teaselpath/gateway/tests/test_placing.py
@@ -42,8 +42,8 @@
     return state.views["e"]
 
 
-def load_of(engine) -> tuple[int, int, int]:
-    return engine.own.requests, engine.own.unread_tokens, engine.own.memory_tokens
+def load_of(engine) -> tuple[int, int]:
+    return engine.own.requests, engine.own.unread_tokens
 
 
 def test_reservation_is_counted_and_released(state, engine):
@@ -55,8 +55,8 @@
         placer.release(call, place)
         return reserved
 
-    assert asyncio.run(scenario()) == (1, 17_000, 17_010)
-    assert load_of(engine) == (0, 0, 0)
+    assert asyncio.run(scenario()) == (1, 17_000)
+    assert load_of(engine) == (0, 0)
 
 
 def test_long_prompt_waits_until_the_engine_has_read_enough(state, engine):
@@ -87,7 +87,7 @@
         return placer.waiting.tickets
 
     assert asyncio.run(scenario()) == {}
-    assert load_of(engine) == (0, 0, 0)
+    assert load_of(engine) == (0, 0)
 
 
 def test_wait_that_ends_without_a_place_is_a_refusal(state, engine):
--- a/teaselpath/platform/_requests.py
+++ b/teaselpath/platform/_requests.py
@@ -115,7 +115,6 @@
             did_not_run=NOT_RUN in fields or status == 421,
             is_other_endpoint=status == 421,
             is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
-            load=_load(fields.get(b"server-load")),
             weights=_integer(fields.get(b"weight-versions")),
             passed_headers=[
                 (name, value)
@@ -185,13 +184,3 @@
     except ValueError:
         parts = []
     return Prompt(model.decode("latin-1"), tuple(parts), tokens[0], tokens[1])
-
-
-def _load(value: bytes | None) -> tuple[int, int, int] | None:
-    if value is None:
-        return None
-    try:
-        running, waiting, slots = (int(part) for part in value.split(b","))
-    except ValueError:
-        return None
-    return running, waiting, slots
