--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -68,6 +68,8 @@
     store_up: bool
     store_is_near: bool
     is_stopping: bool
+    # Time since each version was named, in ms, by model and version.
+    naming_ages_ms: dict[str, dict[int, int]]
     lease_end: int
     lease: tuple[str, str, int] | None
 
@@ -186,6 +188,10 @@
             store_up=state.store_up,
             store_is_near=state.store_is_near,
             is_stopping=state.is_stopping,
+            naming_ages_ms={
+                model: {v: int((now - at) * 1000) for v, at in list(w.named_at.items())[-4:]}
+                for model, w in state.wanted.items()
+            },
             lease_end=-1 if lease.end is None else lease.end,
             lease=(last.holder, last.nonce, last.fence) if last else None,
         )
@@ -214,6 +220,7 @@
             if host != state.settings.host and host not in state.members:
                 state.see_member(host, ip, incarnation, now)
         state.quota.merge(status.host, status.incarnation, status.used)
+        self._take_ages(status, now)
         noted = {note.endpoint_id for note in status.endpoints}
         for key, view in state.views.items():
             if key not in noted:
@@ -224,6 +231,14 @@
             record = LeaseRecord(*status.lease) if status.lease else None
             self.lease.observe(status.lease_end, record, self.clock())
 
+    def _take_ages(self, status: Status, now: float) -> None:
+        """Take the times of namings; a gateway that started later learns of them here."""
+        for model, ages_ms in status.naming_ages_ms.items():
+            wanted = self.state.wanted.get(model)
+            for version, age_ms in ages_ms.items():
+                if wanted is not None and version <= wanted.version:
+                    wanted.note_age(version, now - age_ms / 1000)
+
     def _is_newer(self, status: Status) -> bool:
         """Return whether a message follows the last one of its gateway.
 
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -50,6 +50,10 @@
     version: int
     named_at: dict[int, float]
 
+    def note_age(self, version: int, named_at: float) -> None:
+        """Take an earlier time of a naming, as another gateway knows it."""
+        self.named_at[version] = min(named_at, self.named_at.get(version, named_at))
+
     def oldest_usable(self, now: float, max_age_s: float) -> int:
         """Return the newest version that was named longer ago than ``max_age_s``, 0 if none."""
         return max((v for v, at in self.named_at.items() if now - at > max_age_s), default=0)
--- a/teaselpath/gateway/tests/test_peers.py
+++ b/teaselpath/gateway/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from teaselpath.fleet import StoredRecord
 from teaselpath.gateway._peers import PeerExchange
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway.tests.conftest import SETTINGS, endpoint_record
@@ -59,3 +60,20 @@
         return own.peers
 
     assert asyncio.run(scenario()) == {}
+
+
+def test_gateway_that_started_later_learns_when_weights_were_named():
+    async def scenario():
+        own, other = make_exchange(), make_exchange("gw-1")
+        now = own.loop.time()
+        value = b'{"model":"m","version":2}'
+        own.state.apply_operator_record(StoredRecord("version/m", value, 1), "store", now)
+        other.state.apply_operator_record(StoredRecord("version/m", value, 1), "store", now - 9.5)
+        before = own.state.wanted["m"].oldest_usable(now, 9.0)
+        other.sequence = 1
+        status = other._status(now)
+        status.host, status.incarnation = "gw-1", 5
+        own.datagram_received(other.encoder.encode(status), None)
+        return before, own.state.wanted["m"].oldest_usable(now + 0.1, 9.0)
+
+    assert asyncio.run(scenario()) == (0, 2)
