--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -77,6 +77,10 @@
     switching_until: float = 0.0
     own_switch_until: float = 0.0
 
+    def learn_weights(self, model: str, version: int) -> None:
+        """Take the version of a model's weights; an older one than known changes nothing."""
+        self.weights[model] = max(version, self.weights.get(model, 0))
+
     def requests(self) -> int:
         """Return the requests under way from all gateways."""
         return self.own.requests + sum(load.requests for load in self.peers.values())
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -142,11 +142,9 @@
         return Answered(info.status)
 
     def _learn(self, info: AnswerInfo) -> None:
-        view = self.placed.view
         prompt = self.call.request.prompt
         if info.weights is not None and prompt is not None:
-            known = view.weights.get(prompt.model, 0)
-            view.weights[prompt.model] = max(known, info.weights)
+            self.placed.view.learn_weights(prompt.model, info.weights)
 
     async def _relay(self, connection: ClientConnection, info: AnswerInfo) -> Outcome:
         """Pass events on as they arrive, whole events only."""
--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -83,7 +83,7 @@
 
     def _step(self) -> None:
         engines = self._engines()
-        wanted = {model: wanted.version for model, wanted in self.state.wanted.items()}
+        wanted = self.state.wanted_versions()
         has_work = bool(self.rollout.behind(engines, wanted)) and not self.state.is_stopping
         plan = self.lease.plan(self.clock(), has_work=has_work, rank=self._rank())
         if plan in (LeaseState.APPEND, LeaseState.READ) and self.lease_call is None:
@@ -205,7 +205,7 @@
     def _finish(self, key: str, model: str, version: int, took_s: float) -> None:
         view = self.state.views.get(key)
         if view is not None:
-            view.weights[model] = max(version, view.weights.get(model, 0))
+            view.learn_weights(model, version)
         self._end_switch(key)
         log_message("weights_loaded", endpoint=key, model=model, version=version, took_s=took_s)
 
@@ -213,7 +213,7 @@
         view = self.state.views.get(key)
         if view is None:
             return
-        wanted = {model: wanted.version for model, wanted in self.state.wanted.items()}
+        wanted = self.state.wanted_versions()
         deadline = self.loop.time() + CALL_TIMEOUT_S
         try:
             report = await self.engines.fetch_report(view.endpoint.address, deadline)
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -180,7 +180,7 @@
             sequence=self.sequence,
             region=state.settings.region,
             config_version=state.config.version if state.config else 0,
-            wanted={model: wanted.version for model, wanted in state.wanted.items()},
+            wanted=state.wanted_versions(),
             endpoint_offset=state.endpoints.offset,
             used=state.quota.used,
             endpoints=self._notes(now),
@@ -266,7 +266,7 @@
             return
         view.peers[host] = Load(note.requests, note.unread_tokens)
         for model, version in note.weights.items():
-            view.weights[model] = max(version, view.weights.get(model, 0))
+            view.learn_weights(model, version)
         if note.switching_ms:
             view.switching_until = max(view.switching_until, now + note.switching_ms / 1000)
 
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -137,6 +137,10 @@
         self.records[record.key] = record
         log_message("weights_named", model=model, version=version, source=source)
 
+    def wanted_versions(self) -> dict[str, int]:
+        """Return the newest named version of each model's weights."""
+        return {model: wanted.version for model, wanted in self.wanted.items()}
+
     # endpoints
 
     def may_be_lapse(self, now: float) -> bool:
@@ -200,7 +204,7 @@
         else:
             view.endpoint = endpoint
             for model, version in endpoint.weights:
-                view.weights[model] = max(version, view.weights.get(model, 0))
+                view.learn_weights(model, version)
         self._index_views()
 
     def _index_views(self) -> None:
