Fault run: executions are dated by their arrival at the stand-in

Cause: each execution had the instant at which its caller sent the request, so a request that waited at an entry while its engine's agent restarted counted as work of the process that had left. Also an engine that ends while its load is asked no longer ends the run.

--- a/benchmarks/fault_history.py
+++ b/benchmarks/fault_history.py
@@ -1,8 +1,7 @@
 """History of the fault run: what callers, engines and services saw, as events.
 
-The stand-ins report no instants of their executions, so each execution has the instant at which its
-request was sent. The workspace of a run at an engine is found by the cache salt; a service sees no
-workspace, so that of the caller is taken.
+Each execution has the instant at which its request reached the stand-in. The workspace of a run at
+an engine is found by the cache salt; a service sees no workspace, so that of the caller is taken.
 """
 
 from collections import defaultdict
@@ -161,7 +160,7 @@
     for entry in audit.requests:
         request_id = entry["request_id"]
         attempt = by_id.get(request_id)
-        at = attempt.sent if attempt else 0.0
+        at = entry["received_at"]
         if "salt" in entry:
             workspace = salts.find(entry["salt"], request_id)
             events += _reuse_events(entry, host, at, workspace, salts)
--- a/benchmarks/fault_kinds.py
+++ b/benchmarks/fault_kinds.py
@@ -86,13 +86,22 @@
     """Choose an engine, mostly the busiest one: prefixes gather the load on few engines."""
     nodes = [node for node in run.cluster.agents("engine") if node.name not in run.busy]
     if nodes and run.random.random() < BUSIEST_SHARE:
-        get = run.cluster.fleet.get
-        loads = await asyncio.gather(*(get(node.endpoint_url + "/load") for node in nodes))
-        most = max(load["running"] for load in loads)
-        nodes = [n for n, load in zip(nodes, loads, strict=True) if load["running"] == most]
+        loads = await asyncio.gather(*(_running(run, node) for node in nodes))
+        most = max(loads)
+        nodes = [n for n, load in zip(nodes, loads, strict=True) if load == most]
     return run.take(nodes)
 
 
+async def _running(run: FaultRun, node: Node) -> int:
+    """Return the requests that an engine runs; 0 if it ends while it is asked."""
+    try:
+        load = await run.cluster.fleet.get(node.endpoint_url + "/load")
+    except (aiohttp.ClientError, OSError) as error:
+        print(f"{node.name} ended while it was asked for its load: {error!r}", flush=True)
+        return 0
+    return load["running"]
+
+
 Fault = Callable[[FaultRun, list[Node]], Awaitable[None]]
 
 
--- a/standins/engine/_core.py
+++ b/standins/engine/_core.py
@@ -32,6 +32,7 @@
     """A request in the batch or in its queue.
 
     :param priority: lower is admitted first.
+    :param received_at: monotonic time of its arrival; the clock is the same in all processes.
     :param reused: cached blocks taken over at admission.
     :param finish_reason: ``stop``, ``length``, ``cancelled`` or ``crashed``; empty while running.
     """
@@ -42,6 +43,7 @@
     max_tokens: int
     priority: int
     model: str
+    received_at: float = 0.0
     arrived: int = 0
     weights: str = ""
     incarnation: str = ""
--- a/standins/engine/_server.py
+++ b/standins/engine/_server.py
@@ -1,6 +1,7 @@
 """HTTP part of the model engine."""
 
 import asyncio
+import time
 from collections import deque
 from collections.abc import AsyncIterator
 from time import monotonic
@@ -153,6 +154,7 @@
                 max_tokens=int(body.get("max_tokens", 16)),
                 priority=int(body.get("priority", 0)),
                 model=model or self.core.model,
+                received_at=time.monotonic(),
             )
         except (TypeError, ValueError, KeyError, AttributeError) as error:
             raise json_error(400, f"malformed request: {error}") from error
@@ -343,6 +345,7 @@
 def _audit_entry(sequence: Sequence) -> dict[str, Any]:
     return {
         "request_id": sequence.request_id,
+        "received_at": sequence.received_at,
         "salt": sequence.salt.hex(),
         "model": sequence.model,
         "weights": sequence.weights,
--- a/standins/service/_core.py
+++ b/standins/service/_core.py
@@ -31,9 +31,16 @@
                 self.records[name][number] = {"id": number, "revision": 0, "value": value}
 
     def execute(
-        self, method: str, collection: str, record_id: str, value: Any, request_id: str, key: str
+        self,
+        method: str,
+        collection: str,
+        record_id: str,
+        value: Any,
+        request_id: str,
+        key: str,
+        received_at: float = 0.0,
     ) -> tuple[int, dict[str, Any]]:
-        """Carry out a call; return the HTTP status and the body."""
+        """Carry out a call that came at ``received_at``; return the HTTP status and the body."""
         if collection not in self.records:
             return 404, {"error": {"message": f"no collection {collection}"}}
         records = self.records[collection]
@@ -62,6 +69,7 @@
                 "collection": collection,
                 "id": record_id,
                 "request_id": request_id,
+                "received_at": received_at,
                 "idempotency_key": key,
             }
         )
--- a/standins/service/_server.py
+++ b/standins/service/_server.py
@@ -1,6 +1,7 @@
 """HTTP part of the plain service."""
 
 import asyncio
+import time
 
 import msgspec
 from aiohttp import web
@@ -72,6 +73,7 @@
         if request.method not in ("GET", "POST", "PUT", "DELETE"):
             raise json_error(405, f"method {request.method}")
         data = await request.read()
+        received_at = time.monotonic()
         value = await _http.read_json(request) if data else None
         request_id = request.headers.get("X-Request-Id", "")
         headers = _http.header_list(request)
@@ -89,6 +91,7 @@
             value,
             request_id,
             request.headers.get("Idempotency-Key", ""),
+            received_at,
         )
         self._crash("after")
         await asyncio.sleep((faults.slow_reply_ms or 0.0) / 1000)
--- a/tests/test_fault_checks.py
+++ b/tests/test_fault_checks.py
@@ -7,7 +7,7 @@
 from benchmarks.fault_cluster import OVERLOADED, WORKSPACES
 from benchmarks.fault_history import Audit, make_events, name_unknown
 from benchmarks.fault_kinds import Rates
-from teaselpath.history import History, check_all
+from teaselpath.history import ExecutionStarted, History, check_all
 from teaselpath.results import Code, Ran
 
 RATE, BURST = WORKSPACES[OVERLOADED]
@@ -27,7 +27,7 @@
 
 
 def service_audit(*request_ids, by_key=None):
-    requests = [{"request_id": request_id} for request_id in request_ids]
+    requests = [{"request_id": request_id, "received_at": 1.1} for request_id in request_ids]
     return Audit(NODE, requests, dict.fromkeys(request_ids, "b"), [], by_key or {})
 
 
@@ -67,3 +67,11 @@
     audits = [service_audit("r1", by_key={"k": 1}), service_audit("r2", by_key={"k": 1})]
     found = [invariant for invariant, _ in check_bookings([first, second], audits)]
     assert found == ["P10", "P8"]
+
+
+def test_execution_is_dated_by_its_arrival_at_the_endpoint():
+    attempt = booking("r1", 0, "ran", sent=1.0)
+    audit = service_audit("r1")
+    audit.requests[0]["received_at"] = 4.5
+    events = make_events([attempt], [audit])
+    assert [e.at for e in events if isinstance(e, ExecutionStarted)] == [4.5]
