Long placements are announced, engines keep memory for cached parts, stores are shared by region

Load: many gateways that send long prompts with shared parts to the same engines. Change: each long prompt is announced to all gateways as it is placed (work, memory, parts, copies); an engine's memory is given to running prompts up to 0.6; prompts have a home region and a spread that all gateways compute alike; parts are saved to the freest store of the engine's region, whose link is counted; stores go before engines as sources.

--- a/benchmarks/bench_placement.py
+++ b/benchmarks/bench_placement.py
@@ -71,7 +71,7 @@
         self.view.cache.store(SCOPE, part.part_id, part.tokens)
         while sum(self.cache.values()) > CACHE_TOKENS:
             dropped, _ = self.cache.popitem(last=False)
-            self.view.cache.evict(SCOPE, dropped, 0)
+            self.view.cache.evict(SCOPE, dropped)
 
 
 @dataclass
--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -14,6 +14,7 @@
     Step,
     next_step,
 )
+from teaselpath.dispatch._backlog import Backlog
 from teaselpath.dispatch._budget import RetryWindow
 from teaselpath.dispatch._health import EndpointHealth
 from teaselpath.dispatch._part_cache import PartCache
@@ -37,6 +38,7 @@
     "LONG_TOKENS",
     "PREFILL_TOKENS_PER_S",
     "Answered",
+    "Backlog",
     "Broken",
     "Demand",
     "EndpointHealth",
--- /dev/null
+++ b/teaselpath/dispatch/tests/test_part_cache.py
@@ -0,0 +1,39 @@
+"""What engines and stores are expected to have."""
+
+from teaselpath.dispatch import PartCache
+from teaselpath.dispatch.tests.conftest import make_prompt
+
+PROMPT = make_prompt()
+SHARED = PROMPT.parts[:-1]
+
+
+def match(cache, now, *, confirmed):
+    return cache.match("v1", PROMPT, now, confirmed=confirmed)
+
+
+def test_sent_prompt_is_expected_for_a_while_but_not_confirmed():
+    cache = PartCache()
+    cache.expect("v1", SHARED, 10.0)
+    assert match(cache, 11.5, confirmed=False) == 13_300
+    assert match(cache, 11.5, confirmed=True) == 0
+    assert match(cache, 13.5, confirmed=False) == 0
+
+
+def test_store_whose_events_are_not_followed_has_what_was_saved():
+    store = PartCache(is_store=True)
+    store.expect("v1", SHARED, 10.0)
+    assert match(store, 10.5, confirmed=True) == 0
+    assert match(store, 11.5, confirmed=True) == 13_300
+    assert match(store, 19.5, confirmed=True) == 13_300
+    assert match(store, 20.5, confirmed=True) == 0
+
+
+def test_events_decide_for_a_store_that_is_followed():
+    store = PartCache(is_store=True)
+    store.is_followed = True
+    store.expect("v1", SHARED, 10.0)
+    assert match(store, 11.5, confirmed=True) == 0
+    store.store("v1", "p1", 13_300)
+    assert match(store, 11.5, confirmed=True) == 13_300
+    store.evict("v1", "p1")
+    assert match(store, 11.5, confirmed=True) == 0
--- a/teaselpath/dispatch/tests/test_placement.py
+++ b/teaselpath/dispatch/tests/test_placement.py
@@ -1,6 +1,6 @@
 """Choice of an endpoint: caches, copies, weights, load, distance."""
 
-from teaselpath.dispatch import Demand, NoPlace, Placed, StoreView, choose_endpoint, scope_of
+from teaselpath.dispatch import Demand, Load, NoPlace, Placed, StoreView, choose_endpoint, scope_of
 from teaselpath.dispatch.tests.conftest import ENGINE, make_prompt, make_view
 from teaselpath.fleet import CacheStore
 
@@ -61,7 +61,7 @@
 
 def test_expected_parts_attract_but_are_no_source_of_copies(topology):
     views = [make_view("e1"), make_view("e2")]
-    views[1].cache.expect(scope_of("", 1), make_prompt(), NOW)
+    views[1].cache.expect(scope_of("", 1), make_prompt().parts, NOW)
     placed = place(views, topology)
     assert isinstance(placed, Placed)
     assert placed.view is views[1]
@@ -87,8 +87,7 @@
 def test_full_engines_refuse(topology):
     view = make_view("e1", slots=2)
     view.own.requests = 1
-    view.peers["other"] = view.own
-    view.own.requests = 3
+    view.peers["other"] = Load(requests=2)
     placed = place([view], topology)
     assert isinstance(placed, NoPlace)
     assert placed.reason == "full"
@@ -108,3 +107,74 @@
     placed = place(views, topology, prompt=None)
     assert isinstance(placed, Placed)
     assert placed.view is views[1]
+
+
+def kept(address="10.9.9.9:80", domain="a"):
+    return StoreView(CacheStore("kept", address, domain, 3_000_000, 48e9))
+
+
+def test_all_gateways_spread_unknown_prompts_alike(topology):
+    names = [f"e{n}" for n in range(8)]
+    chosen = []
+    for order in (names, names[::-1]):
+        views = [make_view(name) for name in order]
+        prompts = [make_prompt(f"p{n}") for n in range(24)]
+        chosen.append([place(views, topology, prompt=p).view.endpoint.endpoint_id for p in prompts])
+    assert chosen[0] == chosen[1]
+    assert len(set(chosen[0])) >= 6
+
+
+def test_memory_for_cached_parts_is_not_given_to_running_prompts(topology):
+    view = make_view("e1")
+    view.own.held_tokens = 50_000
+    view.peers["other"] = Load(requests=2, held_tokens=40_000)
+    placed = place([view], topology)
+    assert placed == NoPlace("reading", 0.5)
+    short = place([view], topology, prompt=make_prompt("p2", 100, 200))
+    assert isinstance(short, Placed)
+
+
+def test_idle_engine_takes_a_prompt_of_any_size(topology):
+    placed = place([make_view("e1")], topology, prompt=make_prompt("p1", 100_000, 50_000))
+    assert isinstance(placed, Placed)
+
+
+def test_store_is_a_source_before_an_engine_that_may_evict(topology):
+    store, views = kept(), [make_view("e1"), make_view("e22")]
+    for cache in (store.cache, views[1].cache):
+        cache.store(scope_of("", 1), "p1", 13_300)
+    views[1].own.unread_tokens = 80_000
+    placed = place(views, topology, sources=(store,))
+    assert isinstance(placed, Placed)
+    assert placed.fetch_from == store.store.address
+
+
+def test_store_with_a_long_queue_is_no_source(topology):
+    store = kept()
+    store.cache.store(scope_of("", 1), "p1", 13_300)
+    store.link.add(1.5, NOW)
+    placed = place([make_view("e1")], topology, sources=(store,))
+    assert isinstance(placed, Placed)
+    assert (placed.fetch_from, placed.save_to) == (None, None)
+
+
+def test_parts_that_an_engine_reads_are_saved_to_the_freest_store_of_its_region(topology):
+    stores = kept("10.9.9.1:80"), kept("10.9.9.2:80", "b"), kept("10.9.9.3:80", "c")
+    stores[0].link.add(0.5, NOW)
+    placed = place([make_view("e1")], topology, sources=stores)
+    assert isinstance(placed, Placed)
+    assert placed.save_to == "10.9.9.2:80"
+    stores[0].cache.store(scope_of("", 1), "p1", 13_300)
+    placed = place([make_view("e1")], topology, sources=stores)
+    assert isinstance(placed, Placed)
+    assert placed.save_to is None
+
+
+def test_unknown_prompt_is_read_in_its_home_region(topology):
+    views = [make_view(f"e{n}", "ac"[n % 2]) for n in range(8)]
+    regions = set()
+    for n in range(16):
+        placed = place(views, topology, prompt=make_prompt(f"p{n}"))
+        assert isinstance(placed, Placed)
+        regions.add(placed.view.endpoint.failure_domain)
+    assert regions == {"a", "c"}
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -18,8 +18,6 @@
 
 # Silence after which an idempotent request goes to another endpoint, as a multiple of its target.
 SILENCE_FACTOR = 2.0
-# Shared tokens from which a prompt's parts are kept in the store of cached parts.
-MIN_SAVE_TOKENS = 1_000
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,8 +52,11 @@
 
     def mark_read(self) -> None:
         """Note that the engine has read the prompt."""
-        self.placed.view.own.unread_tokens -= self.call.unread
-        self.call.unread = 0
+        call, view = self.call, self.placed.view
+        view.own.unread_tokens -= call.unread
+        if call.backlog_mark is not None:
+            view.backlog.mark_done(call.backlog_mark, self.loop.time())
+        call.unread, call.backlog_mark = 0, None
 
     async def run(self) -> Outcome:
         """Send the request and read the answer."""
@@ -103,22 +104,10 @@
             priority=min(9, call.priority) if is_prompt else None,
             last_event_id=last_event_id,
             fetch_from=placed.fetch_from,
-            save_to=self._save_to() if is_prompt else None,
+            save_to=placed.save_to if is_prompt else None,
         )
         return self.tools.codec.encode_request(call.request, forwarding)
 
-    def _save_to(self) -> str | None:
-        """Return the store that is to keep the prompt's parts, if it lacks them."""
-        prompt, now = self.call.request.prompt, self.loop.time()
-        if prompt is None or prompt.shared_tokens < MIN_SAVE_TOKENS:
-            return None
-        for view in self.tools.state.cache_stores.values():
-            if view.health.is_suspect(now):
-                continue
-            if view.cache.match(self.placed.scope, prompt, now) < prompt.shared_tokens:
-                return view.store.address
-        return None
-
     def _head_deadline(self) -> float:
         call = self.call
         if not call.route.is_idempotent or call.progress.runs + 1 >= call.route.max_attempts:
--- a/teaselpath/gateway/_caches.py
+++ b/teaselpath/gateway/_caches.py
@@ -9,7 +9,7 @@
 
 from eliot import log_message
 
-from teaselpath.dispatch import EndpointHealth, PartCache
+from teaselpath.dispatch import EndpointHealth, PartCache, StoreView
 from teaselpath.fleet import CacheChanges, EngineCallError, EngineCalls
 from teaselpath.gateway._state import GatewayState
 
@@ -71,7 +71,7 @@
                 endpoint = view.endpoint
                 target = _Target(endpoint.endpoint_id, endpoint.address, view.cache, view.health)
                 wanted[endpoint.incarnation, endpoint.address] = target
-        for address, kept in self.state.cache_stores.items():
+        for address, kept in self._followed_stores():
             wanted[address, "store"] = _Target(kept.store.service, address, kept.cache, kept.health)
         for key in [key for key in self.tasks if key not in wanted]:
             self.tasks.pop(key).cancel()
@@ -79,6 +79,12 @@
             if key not in self.tasks:
                 self.tasks[key] = self.loop.create_task(self._follow(target))
 
+    def _followed_stores(self) -> list[tuple[str, StoreView]]:
+        """Return the stores of this region, or all if it has none."""
+        stores = list(self.state.cache_stores.items())
+        near = [s for s in stores if self._is_followed(s[1].store.failure_domain)]
+        return near or stores
+
     def _is_followed(self, domain: str) -> bool:
         is_large = self.state.gateways(self.loop.time())[1] >= MANY_GATEWAYS
         return not is_large or self.state.topology.is_near(domain)
@@ -108,6 +114,7 @@
             if epoch != page.epoch or page.has_gap:
                 self._start_over(target, epoch, page)
             epoch, cursor = page.epoch, page.cursor
+            target.cache.is_followed = True
             apply_changes(target.cache, page)
             pause_s = INTERVAL_S - (self.loop.time() - started_at)
             if is_crowded:
@@ -133,4 +140,4 @@
         if change.tokens > 0:
             cache.store(change.scope, change.part_id, change.tokens)
         else:
-            cache.evict(change.scope, change.part_id, 0)
+            cache.evict(change.scope, change.part_id)
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -14,6 +14,8 @@
     :param deadline: event loop time at which nobody waits any more.
     :param tried: endpoints that it was sent to.
     :param attempts: endpoint, outcome and duration of each attempt, for the log.
+    :param unread: prompt tokens that the engine has still to read.
+    :param backlog_mark: mark of the prompt in the engine's backlog; None if it is not counted.
     """
 
     request: CallerRequest
@@ -32,6 +34,7 @@
     body: bytes = b""
     placed: Placed | None = None
     unread: int = 0
+    backlog_mark: float | None = None
 
     @property
     def priority(self) -> int:
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from eliot import log_message
 
@@ -25,7 +26,7 @@
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._placing import Placer
-from teaselpath.gateway._state import GatewayState
+from teaselpath.gateway._state import GatewayState, LongPlacement
 from teaselpath.http1 import Exchange, HttpClient
 from teaselpath.results import Code
 
@@ -43,15 +44,21 @@
     :param state: what this gateway knows.
     :param codec: translation of requests and answers.
     :param http: connections to endpoints.
+    :param announce: tells the other gateways of a long prompt that was placed.
     """
 
     def __init__(
-        self, state: GatewayState, codec: RequestCodec, http: HttpClient, metrics: GatewayMetrics
+        self,
+        state: GatewayState,
+        codec: RequestCodec,
+        http: HttpClient,
+        metrics: GatewayMetrics,
+        announce: Callable[[LongPlacement], None],
     ):
         self.state = state
         self.codec = codec
         self.tools = Tools(state, codec, http)
-        self.placer = Placer(state)
+        self.placer = Placer(state, announce)
         self.metrics = metrics
         self.random = random.Random()
         self.loop = asyncio.get_running_loop()
@@ -274,6 +281,8 @@
             prefix=prompt.parts[0].part_id if prompt and prompt.parts else None,
             cached_tokens=placed.cached_tokens if placed else 0,
             copied_from=placed.fetch_from if placed else None,
+            saved_to=placed.save_to if placed else None,
+            scope=placed.scope if placed else None,
             weights=placed.weights if placed else None,
             cost_ms=round(placed.cost_s * 1000, 1) if placed else None,
             first_ms=round((first - call.arrived_at) * 1000, 1) if first else None,
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -1,8 +1,9 @@
 """Messages between gateways: load, spent quota, weights, and news of the store.
 
-Status goes in datagrams, since only the newest one counts. Records that a peer lacks are fetched
-over HTTP from a peer that has them, so that configuration and endpoint states also reach a gateway
-that the store turns away.
+Status goes in datagrams, since only the newest one counts. Each long prompt is announced to all
+gateways as it is placed: it keeps an engine busy, and its parts are there for others. Records that
+a peer lacks are fetched over HTTP from a peer that has them, so that configuration and endpoint
+states also reach a gateway that the store turns away.
 """
 
 import asyncio
@@ -13,7 +14,7 @@
 
 from teaselpath.dispatch import Load
 from teaselpath.fleet import StoredRecord
-from teaselpath.gateway._state import GatewayState, Member
+from teaselpath.gateway._state import GatewayState, LongPlacement, Member
 from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout
 from teaselpath.rollout import LeaseRecord, OrderLease
 
@@ -45,13 +46,20 @@
     endpoint_id: str
     started_at_ms: int | None
     requests: int
-    unread_tokens: int
+    held_tokens: int
     weights: dict[str, int]
     # Time for which it still takes new weights, in ms.
     switching_ms: int
 
 
-class Status(msgspec.Struct, array_like=True):
+class PlacementNote(msgspec.Struct, array_like=True, tag="placement"):
+    """A long prompt that a gateway has just sent to an engine."""
+
+    host: str
+    placement: LongPlacement
+
+
+class Status(msgspec.Struct, array_like=True, tag="status"):
     """Status of a gateway."""
 
     host: str
@@ -102,7 +110,7 @@
         self.news = asyncio.Event()
         self.has_news = False
         self.encoder = msgspec.msgpack.Encoder()
-        self.decoder = msgspec.msgpack.Decoder(Status)
+        self.decoder = msgspec.msgpack.Decoder(Status | PlacementNote)
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
 
@@ -113,14 +121,19 @@
         self.transport = transport
 
     def datagram_received(self, data: bytes, addr) -> None:
-        """Take a status message."""
+        """Take a message of another gateway."""
         try:
-            status = self.decoder.decode(data)
+            message = self.decoder.decode(data)
         except msgspec.MsgspecError as error:
             log_message("peer_message_ignored", address=str(addr), reason=str(error))
             return
-        if status.host != self.state.settings.host:
-            self._take(status, self.loop.time())
+        if message.host == self.state.settings.host:
+            return
+        match message:
+            case Status():
+                self._take(message, self.loop.time())
+            case PlacementNote(host, placement):
+                self._take_placement(host, placement, self.loop.time())
 
     def error_received(self, exc) -> None:
         """Note an unreachable peer; its silence says the same."""
@@ -161,6 +174,14 @@
         for ip in targets:
             self.transport.sendto(data, (ip, state.settings.peer_port))
 
+    def announce(self, placement: LongPlacement) -> None:
+        """Tell all gateways of a long prompt that was placed."""
+        if self.transport is None:
+            return
+        data = self.encoder.encode(PlacementNote(self.state.settings.host, placement))
+        for ip in {member.ip for member in self.state.members.values()}:
+            self.transport.sendto(data, (ip, self.state.settings.peer_port))
+
     def _is_near(self, member: Member) -> bool:
         peer = self.peers.get(member.host)
         return peer is None or peer.region == self.state.settings.region
@@ -264,12 +285,19 @@
         view = self.state.views.get(note.endpoint_id)
         if view is None or view.endpoint.started_at_ms != note.started_at_ms:
             return
-        view.peers[host] = Load(note.requests, note.unread_tokens)
+        view.peers[host] = Load(note.requests, held_tokens=note.held_tokens)
         for model, version in note.weights.items():
             view.learn_weights(model, version)
         if note.switching_ms:
             view.switching_until = max(view.switching_until, now + note.switching_ms / 1000)
 
+    def _take_placement(self, host: str, placement: LongPlacement, now: float) -> None:
+        if self.state.take_placement(placement, now) is None or host not in self.peers:
+            return
+        load = self.state.views[placement.endpoint_id].peers.setdefault(host, Load())
+        load.requests += 1
+        load.held_tokens += placement.prompt_tokens
+
     def drop_silent(self, now: float) -> None:
         """Forget the load of gateways that are silent."""
         for host in [h for h in self.peers if now - self.state.members[h].heard_at > SILENT_S]:
@@ -343,7 +371,7 @@
         view.endpoint.endpoint_id,
         view.endpoint.started_at_ms,
         own.requests,
-        own.unread_tokens,
+        own.held_tokens,
         view.weights,
         max(0, int((view.own_switch_until - now) * 1000)),
     )
--- a/teaselpath/gateway/_placing.py
+++ b/teaselpath/gateway/_placing.py
@@ -1,6 +1,7 @@
 """Endpoints for requests, at once or after a wait, with the load that each reserves."""
 
 import asyncio
+from collections.abc import Callable
 
 from teaselpath.dispatch import (
     LONG_TOKENS,
@@ -13,7 +14,7 @@
     choose_endpoint,
 )
 from teaselpath.gateway._call import Call
-from teaselpath.gateway._state import GatewayState, WantedWeights
+from teaselpath.gateway._state import GatewayState, LongPlacement, WantedWeights
 
 # Part of the time for a rollout after which older weights run no more requests; the rest is for
 # requests that wait inside an engine and for gateways that learn late of a version.
@@ -26,13 +27,19 @@
 MAX_RETRY_AFTER_S = 3.0
 # Reasons for which a request is refused at once.
 NOT_WORTH_WAITING = frozenset({"none_listed", "unreachable"})
+# Prompt tokens from which the other gateways are told of a placement.
+NOTED_TOKENS = 2_000
 
 
 class Placer:
-    """Finds endpoints and keeps the queue of those that wait for one."""
+    """Finds endpoints and keeps the queue of those that wait for one.
 
-    def __init__(self, state: GatewayState):
+    :param announce: tells the other gateways of a long prompt that was placed.
+    """
+
+    def __init__(self, state: GatewayState, announce: Callable[[LongPlacement], None]):
         self.state = state
+        self.announce = announce
         self.loop = asyncio.get_running_loop()
         self.waiting = WaitingRoom()
         self.waiters: dict[int, tuple[Call, asyncio.Future[Placed]]] = {}
@@ -54,7 +61,7 @@
 
     async def _wait(self, call: Call, ticket: Ticket, now: float) -> Placed | NoPlace:
         views = self.state.by_service.get(call.service.name, [])
-        backlog = sum(view.unread_tokens() for view in views)
+        backlog = sum(view.unread_tokens(now) for view in views)
         speed = PREFILL_TOKENS_PER_S * len(views)
         if self.waiting.is_hopeless(ticket, backlog, speed, now):
             wait_s = self.waiting.expected_wait_s(ticket, backlog, speed)
@@ -98,21 +105,41 @@
 
     def _reserve(self, call: Call, placed: Placed) -> None:
         """Count a request at an endpoint from now on."""
-        own = placed.view.own
-        call.unread = 0
-        if call.request.prompt is not None:
-            call.unread = max(0, call.request.prompt.prompt_tokens - placed.cached_tokens)
-            placed.view.cache.expect(placed.scope, call.request.prompt, self.loop.time())
+        view, prompt, now = placed.view, call.request.prompt, self.loop.time()
+        call.unread, call.backlog_mark = 0, None
         call.placed = placed
-        own.requests += 1
-        own.unread_tokens += call.unread
+        if prompt is not None:
+            call.unread = max(0, prompt.prompt_tokens - placed.cached_tokens)
+            view.cache.expect(placed.scope, prompt.parts, now)
+            if prompt.prompt_tokens >= NOTED_TOKENS:
+                note = LongPlacement(
+                    view.endpoint.endpoint_id,
+                    view.endpoint.started_at_ms,
+                    prompt.prompt_tokens,
+                    call.unread,
+                    placed.scope,
+                    [(part.part_id, part.tokens) for part in prompt.parts[:-1]],
+                    placed.fetch_from,
+                    placed.fetched_tokens,
+                    placed.save_to,
+                )
+                call.backlog_mark = self.state.take_placement(note, now)
+                view.own.held_tokens += prompt.prompt_tokens
+                self.announce(note)
+        view.own.requests += 1
+        view.own.unread_tokens += call.unread
 
     def release(self, call: Call, placed: Placed) -> None:
         """End the count of a request at an endpoint."""
-        own = placed.view.own
-        own.requests -= 1
-        own.unread_tokens -= call.unread
-        call.unread = 0
+        view = placed.view
+        view.own.requests -= 1
+        view.own.unread_tokens -= call.unread
+        prompt = call.request.prompt
+        if prompt is not None and prompt.prompt_tokens >= NOTED_TOKENS:
+            view.own.held_tokens -= prompt.prompt_tokens
+        if call.backlog_mark is not None:
+            view.backlog.drop(call.unread / PREFILL_TOKENS_PER_S)
+        call.unread, call.backlog_mark = 0, None
 
     def _place(self, call: Call, now: float) -> Placed | NoPlace:
         state, prompt = self.state, call.request.prompt
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -71,10 +71,10 @@
         self.log = log
         self.state = GatewayState(settings, store, random.getrandbits(INCARNATION_BITS))
         self.metrics = GatewayMetrics(settings.host)
-        self.forwarder = Forwarder(self.state, codec, http, self.metrics)
         self.watcher = StoreWatcher(self.state)
         self.lease = OrderLease(settings.host, settings.bounds.lease_s)
         self.peers = PeerExchange(self.state, self.lease, http, boot_clock)
+        self.forwarder = Forwarder(self.state, codec, http, self.metrics, self.peers.announce)
         self.keeper = WeightsKeeper(self.state, engines, self.lease, self.peers)
         self.caches = CacheWatcher(self.state, engines)
         self.connections: set[ServerConnection] = set()
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -4,14 +4,23 @@
 
 from eliot import log_message
 
-from teaselpath.dispatch import EndpointView, RetryWindow, SharedQuota, StoreView, Topology
+from teaselpath.dispatch import (
+    PREFILL_TOKENS_PER_S,
+    EndpointView,
+    RetryWindow,
+    SharedQuota,
+    StoreView,
+    Topology,
+)
 from teaselpath.fleet import (
     EndpointEntry,
     EndpointState,
     EndpointTable,
+    EngineLimits,
     FleetConfig,
     GatewaySettings,
     MetadataStore,
+    PromptPart,
     StoredRecord,
     Workspace,
 )
@@ -59,6 +68,28 @@
         return max((v for v, at in self.named_at.items() if now - at > max_age_s), default=0)
 
 
+@dataclass(slots=True, frozen=True)
+class LongPlacement:
+    """A long prompt that a gateway sends to an engine.
+
+    :param unread_tokens: tokens that the engine will read.
+    :param parts: shared parts with their tokens.
+    :param copied_from: address of the engine or store from which it may copy parts.
+    :param copied_tokens: tokens that it is expected to copy.
+    :param saved_to: address of the store that is to keep the parts.
+    """
+
+    endpoint_id: str
+    started_at_ms: int | None
+    prompt_tokens: int
+    unread_tokens: int
+    scope: str
+    parts: list[tuple[str, int]]
+    copied_from: str | None
+    copied_tokens: int
+    saved_to: str | None
+
+
 class GatewayState:
     """State of one gateway process, owned by its event loop.
 
@@ -221,6 +252,34 @@
             if view.endpoint.state is EndpointState.READY
         ]
 
+    def take_placement(self, placement: LongPlacement, now: float) -> float | None:
+        """Count a long prompt that this or another gateway sends to an engine.
+
+        Returns the mark of the prompt in the engine's backlog, None for an unknown engine.
+        """
+        view = self.views.get(placement.endpoint_id)
+        if view is None or view.endpoint.started_at_ms != placement.started_at_ms:
+            return None
+        parts = [PromptPart(part_id, tokens) for part_id, tokens in placement.parts]
+        view.cache.expect(placement.scope, parts, now)
+        copies = {
+            placement.copied_from: placement.copied_tokens,
+            placement.saved_to: sum(part.tokens for part in parts),
+        }
+        for address, tokens in copies.items():
+            kept = self.cache_stores.get(address or "")
+            engine = self._engine_limits(view.endpoint.service)
+            if kept is not None and engine is not None:
+                domain = view.endpoint.failure_domain
+                kept.link.add(kept.copy_s(tokens, domain, engine, self.topology), now)
+                if address == placement.saved_to:
+                    kept.cache.expect(placement.scope, parts, now)
+        return view.backlog.add(placement.unread_tokens / PREFILL_TOKENS_PER_S, now)
+
+    def _engine_limits(self, service: str) -> EngineLimits | None:
+        found = self.config.services.get(service) if self.config else None
+        return found.engine if found else None
+
     # store
 
     def record_store_answer(self, now: float, rtt_s: float | None = None) -> None:
--- a/teaselpath/gateway/tests/test_peers.py
+++ b/teaselpath/gateway/tests/test_peers.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from teaselpath.fleet import StoredRecord
-from teaselpath.gateway._peers import PeerExchange
-from teaselpath.gateway._state import GatewayState
+from teaselpath.gateway._peers import PeerExchange, PlacementNote
+from teaselpath.gateway._state import GatewayState, LongPlacement
 from teaselpath.gateway.tests.conftest import SETTINGS, endpoint_record
 from teaselpath.http1 import HttpClient
 from teaselpath.platform import PlatformStore
@@ -77,3 +77,32 @@
         return before, own.state.wanted["m"].oldest_usable(now + 0.1, 9.0)
 
     assert asyncio.run(scenario()) == (0, 2)
+
+
+def placement_of(started_at_ms=1):
+    parts = [("p", 13_000)]
+    return LongPlacement("e", started_at_ms, 17_000, 17_000, "v1", parts, None, 0, None)
+
+
+def test_placement_of_a_peer_counts_at_once():
+    async def scenario():
+        own = make_exchange()
+        own.state.apply_endpoint_record(endpoint_record("e", 1), "store", 1.0)
+        own.datagram_received(status_of(make_exchange("gw-1"), "gw-1", 5, 1), None)
+        note = own.encoder.encode(PlacementNote("gw-1", placement_of()))
+        own.datagram_received(note, None)
+        view, now = own.state.views["e"], own.loop.time()
+        return view.requests(), view.held_tokens(), view.unread_tokens(now) > 16_000
+
+    assert asyncio.run(scenario()) == (1, 17_000, True)
+
+
+def test_placement_at_an_earlier_start_of_an_engine_counts_nowhere():
+    async def scenario():
+        own = make_exchange()
+        own.state.apply_endpoint_record(endpoint_record("e", 1), "store", 1.0)
+        note = own.encoder.encode(PlacementNote("gw-1", placement_of(started_at_ms=7)))
+        own.datagram_received(note, None)
+        return own.state.views["e"].unread_tokens(own.loop.time())
+
+    assert asyncio.run(scenario()) == 0
--- a/teaselpath/gateway/tests/test_placing.py
+++ b/teaselpath/gateway/tests/test_placing.py
@@ -42,26 +42,36 @@
     return state.views["e"]
 
 
+@pytest.fixture
+def announced() -> list:
+    """Return the placements that other gateways were told of."""
+    return []
+
+
 def load_of(engine) -> tuple[int, int]:
     return engine.own.requests, engine.own.unread_tokens
 
 
-def test_reservation_is_counted_and_released(state, engine):
+def test_reservation_is_counted_and_released(state, engine, announced):
     async def scenario():
-        placer, call = Placer(state), make_call()
+        placer, call = Placer(state, announced.append), make_call()
         place = await placer.find(call, placer.loop.time())
         assert isinstance(place, Placed)
         reserved = load_of(engine)
+        assert engine.backlog.wait_s(placer.loop.time()) > 0.4
         placer.release(call, place)
+        assert engine.backlog.wait_s(placer.loop.time()) == 0.0
         return reserved
 
     assert asyncio.run(scenario()) == (1, 17_000)
     assert load_of(engine) == (0, 0)
+    assert engine.own.held_tokens == 0
+    assert [(p.endpoint_id, p.unread_tokens) for p in announced] == [("e", 17_000)]
 
 
-def test_long_prompt_waits_until_the_engine_has_read_enough(state, engine):
+def test_long_prompt_waits_until_the_engine_has_read_enough(state, engine, announced):
     async def scenario():
-        placer, call = Placer(state), make_call()
+        placer, call = Placer(state, announced.append), make_call()
         engine.own.unread_tokens = 50_000
         task = asyncio.create_task(placer.find(call, placer.loop.time()))
         await asyncio.sleep(0)
@@ -74,9 +84,9 @@
     assert isinstance(asyncio.run(scenario()), Placed)
 
 
-def test_caller_that_leaves_while_it_is_placed_frees_the_engine(state, engine):
+def test_caller_that_leaves_while_it_is_placed_frees_the_engine(state, engine, announced):
     async def scenario():
-        placer, call = Placer(state), make_call()
+        placer, call = Placer(state, announced.append), make_call()
         engine.own.unread_tokens = 50_000
         task = asyncio.create_task(placer.find(call, placer.loop.time()))
         await asyncio.sleep(0)
@@ -90,9 +100,9 @@
     assert load_of(engine) == (0, 0)
 
 
-def test_wait_that_ends_without_a_place_is_a_refusal(state, engine):
+def test_wait_that_ends_without_a_place_is_a_refusal(state, engine, announced):
     async def scenario():
-        placer, call = Placer(state), make_call(time_left_s=4.0)
+        placer, call = Placer(state, announced.append), make_call(time_left_s=4.0)
         engine.own.unread_tokens = 60_000
         call.deadline = call.arrived_at + 4.0
         place = await placer.find(call, placer.loop.time() - 3.9)
@@ -104,9 +114,9 @@
     assert waiters == {}
 
 
-def test_request_without_listed_endpoints_is_refused_at_once(state):
+def test_request_without_listed_endpoints_is_refused_at_once(state, announced):
     async def scenario():
-        placer = Placer(state)
+        placer = Placer(state, announced.append)
         return await placer.find(make_call(), placer.loop.time())
 
     assert asyncio.run(scenario()) == NoPlace("none_listed", 1.0)
