--- a/standins/hosted/_site.py
+++ b/standins/hosted/_site.py
@@ -13,7 +13,8 @@
 
 from standins.hosted._engine import HostedEngine, Run, stamp_of
 from standins.hosted._store import HostedStore
-from teaselpath.http1 import ServerConnection, ServerLimits
+from teaselpath.fleet import CallerLimits
+from teaselpath.http1 import ServerConnection
 
 BEAT_S = 0.4
 START_TIMEOUT_S = 20.0
@@ -120,7 +121,7 @@
 
     async def _listen(self, handler, address: tuple[str, int] = ("127.0.0.1", 0)):
         connections: set[ServerConnection] = set()
-        limits = ServerLimits(idle_timeout_s=30.0)
+        limits = CallerLimits(idle_timeout_s=30.0)
         server = await asyncio.get_running_loop().create_server(
             lambda: ServerConnection(handler, lambda: limits, connections), *address
         )
--- a/teaselpath/daemon/gateway.py
+++ b/teaselpath/daemon/gateway.py
@@ -30,7 +30,7 @@
     log = LogSink()
     log.open()
     http = HttpClient()
-    store = PlatformStore(settings.store.address, http)
+    store = PlatformStore(settings.store_address, http)
     service = GatewayService(settings, store, PlatformRequests(), PlatformEngines(http), http, log)
     gc.freeze()
     await service.run()
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -287,10 +287,10 @@
     if demand.prompt is None:
         return False
     tokens = demand.prompt.prompt_tokens
-    if demand.engine is not None and tokens >= LONG_TOKENS:
-        held = offer.view.held_tokens()
-        if held and held + tokens > HELD_PART * demand.engine.cache_tokens:
-            return True
+    memory = demand.engine.cache_tokens if demand.engine is not None else 0
+    held = offer.view.held_tokens()
+    if memory and held and tokens >= LONG_TOKENS and held + tokens > HELD_PART * memory:
+        return True
     missed = tokens - offer.cached_tokens
     return missed >= LONG_TOKENS and offer.view.unread_tokens(now) > MAX_UNREAD_TOKENS
 
--- a/teaselpath/dispatch/tests/test_many_gateways.py
+++ b/teaselpath/dispatch/tests/test_many_gateways.py
@@ -33,7 +33,7 @@
 ANSWER_S = 1.0
 LIMITS = EngineLimits(32, CACHE_TOKENS, 18_432, 0.8e-6, (MODEL,))
 TOPOLOGY = Topology("a", {"a": "north"})
-STORE = CacheStore("kept", "10.9.9.9:80", "a", 3_000_000, 45e9)
+STORE = CacheStore("kept", "10.9.9.9:80", "a", 45e9)
 SCOPE = scope_of("", 1)
 
 
--- a/teaselpath/dispatch/tests/test_placement.py
+++ b/teaselpath/dispatch/tests/test_placement.py
@@ -2,7 +2,7 @@
 
 from teaselpath.dispatch import Demand, Load, NoPlace, Placed, StoreView, choose_endpoint, scope_of
 from teaselpath.dispatch.tests.conftest import ENGINE, make_prompt, make_view
-from teaselpath.fleet import CacheStore
+from teaselpath.fleet import CacheStore, EngineLimits
 
 NOW = 100.0
 
@@ -52,7 +52,7 @@
 
 
 def test_store_of_kept_parts_is_a_source(topology):
-    store = StoreView(CacheStore("kept", "10.9.9.9:80", "a", 3_000_000, 48e9))
+    store = StoreView(CacheStore("kept", "10.9.9.9:80", "a", 48e9))
     store.cache.store(scope_of("", 1), "p1", 13_300)
     placed = place([make_view("e1")], topology, sources=(store,))
     assert isinstance(placed, Placed)
@@ -110,7 +110,7 @@
 
 
 def kept(address="10.9.9.9:80", domain="a"):
-    return StoreView(CacheStore("kept", address, domain, 3_000_000, 48e9))
+    return StoreView(CacheStore("kept", address, domain, 48e9))
 
 
 def test_all_gateways_spread_unknown_prompts_alike(topology):
@@ -178,3 +178,11 @@
         assert isinstance(placed, Placed)
         regions.add(placed.view.endpoint.failure_domain)
     assert regions == {"a", "c"}
+
+
+def test_engine_whose_memory_is_not_known_is_not_limited_by_it(topology):
+    view = make_view("e1")
+    view.own.held_tokens = 90_000
+    unknown = EngineLimits(16, 0, 18_432, 0.8e-6, ("m",))
+    placed = choose_endpoint([view], Demand(make_prompt(), engine=unknown), topology, NOW)
+    assert isinstance(placed, Placed)
--- a/teaselpath/fleet/__init__.py
+++ b/teaselpath/fleet/__init__.py
@@ -38,7 +38,7 @@
     Topic,
 )
 from teaselpath.fleet._prompts import Prompt, PromptPart
-from teaselpath.fleet._settings import Bounds, GatewaySettings, StoreLimits
+from teaselpath.fleet._settings import Bounds, GatewaySettings
 
 __all__ = [
     "AnswerInfo",
@@ -69,7 +69,6 @@
     "Route",
     "Service",
     "StoreError",
-    "StoreLimits",
     "StoredRecord",
     "Topic",
     "WeightsOrder",
--- a/teaselpath/fleet/_model.py
+++ b/teaselpath/fleet/_model.py
@@ -29,7 +29,6 @@
 
     :param timeout_s: longest time to the end of an answer.
     :param target_latency_s: time within which an answer (a stream's first event) is on time.
-    :param max_pause_s: longest pause between events of a stream that is on time.
     :param priority: rank; 0 is the most urgent.
     :param max_attempts: endpoints on which one request may run.
     :param has_prompt: whether requests describe the prompt and its shared parts.
@@ -42,7 +41,6 @@
     backends: tuple[Backend, ...]
     timeout_s: float
     target_latency_s: float
-    max_pause_s: float
     priority: int
     max_attempts: int
     is_public: bool
@@ -77,13 +75,10 @@
 class Service:
     """A group of equivalent endpoints.
 
-    :param max_connections: connections that one endpoint takes from all callers together.
     :param engine: limits of its model engines; None for a plain service.
     """
 
     name: str
-    health_path: str
-    max_connections: int
     engine: EngineLimits | None
 
 
@@ -97,7 +92,6 @@
     service: str
     address: str
     failure_domain: str
-    capacity_tokens: int
     link_bits_per_s: float
 
 
--- a/teaselpath/fleet/_settings.py
+++ b/teaselpath/fleet/_settings.py
@@ -7,7 +7,6 @@
 class Bounds:
     """Bounds that the deployment states.
 
-    :param drain_s: time for which a leaving endpoint still serves.
     :param stop_s: time between SIGTERM and SIGKILL.
     :param retry_ratio: arrivals beyond the first, as a fraction of the requests of a window.
     :param retry_extra: arrivals beyond the first that are allowed in any window.
@@ -18,7 +17,6 @@
     :param stable_s: time after a disturbance from which a host counts as undisturbed again.
     """
 
-    drain_s: float
     stop_s: float
     retry_ratio: float
     retry_extra: float
@@ -29,15 +27,6 @@
     stable_s: float
 
 
-@dataclass(slots=True, frozen=True)
-class StoreLimits:
-    """Address and limits of the metadata store."""
-
-    address: str
-    writes_per_s: float
-    reads_per_s: float
-
-
 @dataclass(slots=True, frozen=True)
 class GatewaySettings:
     """Settings of one gateway process.
@@ -48,6 +37,7 @@
     :param peer_port: port of all gateways for messages between them.
     :param seed_ips: IP addresses of hosts that may run a gateway.
     :param failure_domains: region of each failure domain.
+    :param store_address: address of the metadata store, IP:PORT.
     """
 
     host: str
@@ -59,8 +49,5 @@
     readiness_address: str
     peer_port: int
     seed_ips: tuple[str, ...]
-    memory_mb: int
-    max_descriptors: int
-    store: StoreLimits
+    store_address: str
     bounds: Bounds
-    checks_fences: bool
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -248,7 +248,7 @@
                 view.peers.pop(status.host, None)
         for note in status.endpoints:
             self._take_note(status.host, note, now)
-        if status.lease_end >= 0 and status.lease_end > (self.lease.end or 0):
+        if status.lease_end > (self.lease.end or 0):
             record = LeaseRecord(*status.lease) if status.lease else None
             self.lease.observe(status.lease_end, record, self.clock())
 
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -7,7 +7,7 @@
 
 from eliot import log_message, write_traceback
 
-from teaselpath.fleet import EngineCalls, GatewaySettings, MetadataStore, RequestCodec
+from teaselpath.fleet import CallerLimits, EngineCalls, GatewaySettings, MetadataStore, RequestCodec
 from teaselpath.gateway._caches import CacheWatcher
 from teaselpath.gateway._forward import Forwarder
 from teaselpath.gateway._log import LogSink
@@ -16,7 +16,7 @@
 from teaselpath.gateway._peers import RECORDS_PATH, PeerExchange
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway._watch import StoreWatcher
-from teaselpath.http1 import Exchange, HttpClient, ServerConnection, ServerLimits
+from teaselpath.http1 import Exchange, HttpClient, ServerConnection
 from teaselpath.rollout import OrderLease
 
 # Time after SIGTERM in which new connections are taken, in seconds: the balancer needs two misses,
@@ -140,17 +140,9 @@
         self.servers.append(server)
         return server
 
-    def _limits(self) -> ServerLimits:
+    def _limits(self) -> CallerLimits:
         config = self.state.config
-        if config is None:
-            return ServerLimits()
-        limits = config.limits
-        return ServerLimits(
-            limits.header_bytes,
-            limits.body_bytes,
-            limits.header_timeout_s,
-            limits.idle_timeout_s,
-        )
+        return CallerLimits() if config is None else config.limits
 
     async def _answer_readiness(self, exchange: Exchange) -> None:
         exchange.respond(200 if self.state.is_ready() else 503, [])
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -292,7 +292,8 @@
         if not self.store_up:
             self.store_up = True
             self.store_returned_at = now
-            log_message("store_regained", away_s=now - self.store_lost_at)
+            away_s = now - self.store_lost_at if self.store_lost_at else None
+            log_message("store_regained", away_s=away_s)
 
     def record_store_failure(self, reason: str, now: float) -> None:
         """Note that a call to the store failed."""
--- a/teaselpath/gateway/tests/conftest.py
+++ b/teaselpath/gateway/tests/conftest.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from teaselpath.fleet import Bounds, GatewaySettings, StoredRecord, StoreLimits
+from teaselpath.fleet import Bounds, GatewaySettings, StoredRecord
 from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import HttpClient
 from teaselpath.platform import PlatformStore
@@ -19,11 +19,8 @@
     readiness_address="127.0.0.2:2",
     peer_port=3,
     seed_ips=(),
-    memory_mb=100,
-    max_descriptors=100,
-    store=StoreLimits("127.0.0.1:9", 400, 2000),
-    bounds=Bounds(3.0, 8.0, 0.2, 50.0, 10.0, 0.0, 3.0, 10.0, 4.0),
-    checks_fences=False,
+    store_address="127.0.0.1:9",
+    bounds=Bounds(8.0, 0.2, 50.0, 10.0, 0.0, 3.0, 10.0, 4.0),
 )
 
 
--- a/teaselpath/gateway/tests/test_placing.py
+++ b/teaselpath/gateway/tests/test_placing.py
@@ -21,7 +21,7 @@
 
 ENGINE = EngineLimits(4, 100_000, 18_432, 1e-6, ("m",))
 ROUTE = Route(
-    "r", "h", "/", RequestKind.STREAM, (Backend("s", 1.0),), 8.0, 0.8, 0.4, 0, 1, False, False, True
+    "r", "h", "/", RequestKind.STREAM, (Backend("s", 1.0),), 8.0, 0.8, 0, 1, False, False, True
 )
 
 
@@ -31,7 +31,7 @@
         b"POST", b"/", "h", "/", "r1", None, time_left_s, None, prompt, 17_010, [], b""
     )
     now = asyncio.get_running_loop().time()
-    service = Service("s", "/health", 10, ENGINE)
+    service = Service("s", ENGINE)
     return Call(request, ROUTE, service, None, now, now + time_left_s, tokens=17_010)
 
 
--- a/teaselpath/http1/_messages.py
+++ b/teaselpath/http1/_messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from typing import Protocol
 
 # Header fields that concern one connection only (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
@@ -31,20 +32,24 @@
     return None
 
 
-@dataclass(slots=True)
-class ServerLimits:
-    """Limits of what a caller may send.
+class ServerLimits(Protocol):
+    """Limits of what a caller may send."""
 
-    :param header_bytes: size of a request's head.
-    :param body_bytes: size of a request's body.
-    :param header_timeout_s: time from the first byte of a request to the end of its head.
-    :param idle_timeout_s: time for which a connection without a request stays open.
-    """
+    @property
+    def header_bytes(self) -> int:
+        """Return the largest size of a request's head."""
+
+    @property
+    def body_bytes(self) -> int:
+        """Return the largest size of a request's body."""
+
+    @property
+    def header_timeout_s(self) -> float:
+        """Return the time from the first byte of a request to the end of its head."""
 
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
+    @property
+    def idle_timeout_s(self) -> float:
+        """Return the time for which a connection without a request stays open."""
 
 
 @dataclass(slots=True)
--- a/teaselpath/http1/tests/conftest.py
+++ b/teaselpath/http1/tests/conftest.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from teaselpath.http1 import Exchange, ServerConnection, ServerLimits
+from teaselpath.fleet import CallerLimits
+from teaselpath.http1 import Exchange, ServerConnection
 
 
 class Listener:
@@ -17,7 +18,7 @@
     def __init__(self) -> None:
         self.requests: list[bytes] = []
         self.connections: set[ServerConnection] = set()
-        self.limits = ServerLimits()
+        self.limits = CallerLimits()
         self.port = 0
 
     async def answer(self, exchange: Exchange) -> None:
--- a/teaselpath/http1/tests/test_server.py
+++ b/teaselpath/http1/tests/test_server.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from teaselpath.http1 import ServerLimits
+from teaselpath.fleet import CallerLimits
 from teaselpath.http1.tests.conftest import Listener, read_response
 
 GET = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -60,7 +60,7 @@
 def test_malformed_request_is_answered_and_nothing_after_it_runs(
     listener: Listener, data: bytes, status: bytes
 ):
-    listener.limits = ServerLimits(header_bytes=200, body_bytes=200)
+    listener.limits = CallerLimits(header_bytes=200, body_bytes=200)
 
     async def scenario():
         async with await listener.open():
--- a/teaselpath/platform/_config.py
+++ b/teaselpath/platform/_config.py
@@ -65,11 +65,8 @@
 
 class _Service(msgspec.Struct, rename="camel"):
     name: str
-    health_path: str = "/health"
-    max_conns: int = 100
     engine: _Engine | None = None
     kv_store_addr: str | None = None
-    kv_capacity_tokens: int = 0
     link_mbps: float = 0
     zone: str = ""
 
@@ -131,9 +128,7 @@
     except (msgspec.MsgspecError, ValueError):
         return None
     stores = [
-        CacheStore(
-            s.name, s.kv_store_addr, s.zone, s.kv_capacity_tokens, s.link_mbps * BITS_PER_MBIT
-        )
+        CacheStore(s.name, s.kv_store_addr, s.zone, s.link_mbps * BITS_PER_MBIT)
         for s in raw.services
         if s.kv_store_addr
     ]
@@ -199,7 +194,6 @@
         backends=backends,
         timeout_s=route.timeout_ms / 1000,
         target_latency_s=route.target_latency_ms / 1000,
-        max_pause_s=route.gap_aim_ms / 1000,
         priority=route.priority,
         max_attempts=route.max_attempts,
         is_public=route.public,
@@ -218,7 +212,7 @@
             fetch_s_per_token=_fetch_time(service.engine),
             models=tuple(model.name for model in service.engine.models),
         )
-    return Service(service.name, service.health_path, service.max_conns, engine)
+    return Service(service.name, engine)
 
 
 def _fetch_time(engine: _Engine) -> float:
--- a/teaselpath/platform/_settings.py
+++ b/teaselpath/platform/_settings.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from teaselpath.fleet import Bounds, GatewaySettings, StoreLimits
+from teaselpath.fleet import Bounds, GatewaySettings
 from teaselpath.results import Code, Failure
 
 SETTINGS_VARIABLE = "TEASELPATH_SETTINGS"
@@ -17,13 +17,7 @@
     ready: str
 
 
-class _MachineLimits(msgspec.Struct, rename="camel"):
-    memory_mb: int
-    max_fds: int
-
-
 class _Bounds(msgspec.Struct, rename="camel"):
-    drain_ms: float = 3000
     grace_s: float = 8
     budget_ratio: float = 0.2
     budget_extra: float = 50
@@ -32,13 +26,10 @@
     lease_ms: float = 3000
     version_ms: float = 10_000
     stable_window_ms: float = 4000
-    require_fence: bool = False
 
 
 class _Store(msgspec.Struct, rename="camel"):
     address: str
-    writes_per_s: float = 400
-    reads_per_s: float = 2000
 
 
 class _File(msgspec.Struct, rename="camel"):
@@ -49,7 +40,6 @@
     zones: dict[str, str]
     listen_addrs: _Addresses
     internal_ports: tuple[int, int]
-    limits: _MachineLimits
     platform: _Store
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     # Addresses of the control interface of hosts that may be down; only the IP is used.
@@ -85,13 +75,8 @@
         readiness_address=file.listen_addrs.ready,
         peer_port=file.internal_ports[0],
         seed_ips=tuple(seed.rpartition(":")[0] for seed in file.seeds),
-        memory_mb=file.limits.memory_mb,
-        max_descriptors=file.limits.max_fds,
-        store=StoreLimits(
-            file.platform.address, file.platform.writes_per_s, file.platform.reads_per_s
-        ),
+        store_address=file.platform.address,
         bounds=Bounds(
-            drain_s=bounds.drain_ms / 1000,
             stop_s=bounds.grace_s,
             retry_ratio=bounds.budget_ratio,
             retry_extra=bounds.budget_extra,
@@ -101,5 +86,4 @@
             weights_s=bounds.version_ms / 1000,
             stable_s=bounds.stable_window_ms / 1000,
         ),
-        checks_fences=bounds.require_fence,
     )
