P11: work of a restarted endpoint is not work of the process that left

Case allowed; work before the end of the old process is still found (test). Ruled out: late work of the leaving process (log: exit 0, nothing started after leaving).

--- a/teaselpath/history/_nodes.py
+++ b/teaselpath/history/_nodes.py
@@ -99,13 +99,13 @@
 
 @checker("P11")
 def check_leaving(history: History) -> Found:
-    """A leaving endpoint gets no new work after the limit, until it is ready again."""
+    """A leaving endpoint gets no new work after the limit, until its process ends or is ready."""
     leaving: dict[str, EndpointLeaving] = {}
     for event in history.events:
         match event:
             case EndpointLeaving():
                 leaving.setdefault(event.node, event)
-            case ProcessReady():
+            case ProcessReady() | ProcessStopped():
                 leaving.pop(event.node, None)
             case ExecutionStarted():
                 left = leaving.get(event.node)
--- a/teaselpath/history/tests/test_checkers.py
+++ b/teaselpath/history/tests/test_checkers.py
@@ -187,3 +187,13 @@
     events = [answered(50, "r1", 4001, "not_run"), answered(45, "r3", 4001, "not_run")]
     (violation,) = CHECKERS["P9"](History([*GOOD, *events]))
     assert violation.at == 45
+
+
+def test_work_of_a_restarted_endpoint_is_allowed_before_it_is_polled_as_ready():
+    """A start is seen at the next poll only; work before the end of the old process is not allowed."""
+    leaving = EndpointLeaving(at=50, node="g1")
+    stopped = ProcessStopped(at=52, node="g1")
+    restarted = [leaving, stopped, started(53.5, "x"), ProcessReady(at=54, node="g1", role="agent")]
+    assert list(CHECKERS["P11"](History(restarted))) == []
+    late = [leaving, started(53.5, "x"), ProcessStopped(at=54, node="g1")]
+    assert len(list(CHECKERS["P11"](History(late)))) == 1
