--- a/teaselpath/history/tests/test_checkers.py
+++ b/teaselpath/history/tests/test_checkers.py
@@ -190,7 +190,7 @@
 
 
 def test_work_of_a_restarted_endpoint_is_allowed_before_it_is_polled_as_ready():
-    """A start is seen at the next poll only; work before the end of the old process is not allowed."""
+    """A start is seen at the next poll only; work before the end of the old process counts."""
     leaving = EndpointLeaving(at=50, node="g1")
     stopped = ProcessStopped(at=52, node="g1")
     restarted = [leaving, stopped, started(53.5, "x"), ProcessReady(at=54, node="g1", role="agent")]
