--- a/teaselpath/dispatch/_quota.py
+++ b/teaselpath/dispatch/_quota.py
@@ -20,10 +20,15 @@
     """The request is beyond the rate.
 
     :param retry_after_s: time until the bucket holds enough, at the present use.
+    :param level: tokens that the bucket holds.
+    :param rate: tokens per second that fill it.
+    :param share: part of the gateways that is heard.
     """
 
     retry_after_s: float
     level: float
+    rate: float
+    share: float
 
 
 @dataclass(slots=True)
@@ -70,7 +75,7 @@
         if bucket.level < needed:
             fill_rate = max(1.0, bucket.rate)
             wait_s = min(MAX_RETRY_AFTER_S, (needed - bucket.level) / fill_rate)
-            return OverRate(wait_s, bucket.level)
+            return OverRate(wait_s, bucket.level, bucket.rate, self.share)
         bucket.level -= tokens
         self.used[workspace.name] = self.used.get(workspace.name, 0.0) + tokens
         return Granted()
--- a/teaselpath/dispatch/_waiting.py
+++ b/teaselpath/dispatch/_waiting.py
@@ -1,16 +1,21 @@
 """Requests that wait for an endpoint.
 
 Answers bursts of long prompts on engines that read one prompt after the other: a long prompt waits
-at the gateway while every engine still has much to read, so that short requests, which go to an
-engine at once, wait behind one long prompt at most. A request that would wait past its deadline is
-refused when it arrives.
+at the gateway while every engine still has much to read or its memory is taken, so that short
+requests, which go to an engine at once, wait behind one long prompt at most. A request that would
+wait too long is refused when it arrives; how long follows from what the engines still have to read
+and from the pace at which waiting requests have found an engine.
 """
 
+from collections import deque
 from dataclasses import dataclass
 from itertools import count
 
 # Part of a request's remaining time that may pass in the queue.
 WAIT_PART = 0.5
+# Time over which the pace of a queue is measured, in seconds; shorter ones say little.
+PACE_S = 3.0
+MIN_PACE_S = 1.0
 
 
 @dataclass(slots=True)
@@ -30,12 +35,34 @@
     number: int = 0
 
 
+@dataclass(slots=True)
+class _Pace:
+    """Pace of one service's queue.
+
+    :param since: since when requests have been waiting without a break.
+    :param placed: time and tokens of requests that found an engine.
+    """
+
+    since: float
+    placed: deque[tuple[float, int]]
+
+    def tokens_per_s(self, now: float) -> float | None:
+        """Return the tokens placed per second, None if it was not measured for long enough."""
+        while self.placed and self.placed[0][0] < now - PACE_S:
+            self.placed.popleft()
+        span_s = min(PACE_S, now - self.since)
+        if span_s < MIN_PACE_S:
+            return None
+        return sum(tokens for _, tokens in self.placed) / span_s
+
+
 class WaitingRoom:
     """Waiting requests in the order in which they are tried."""
 
     def __init__(self) -> None:
         self.tickets: dict[int, Ticket] = {}
         self.numbers = count(1)
+        self.paces: dict[str, _Pace] = {}
 
     def has_before(self, ticket: Ticket) -> bool:
         """Return whether requests of the same service go before this new one."""
@@ -43,35 +70,55 @@
             t.service == ticket.service and t.rank <= ticket.rank for t in self.tickets.values()
         )
 
-    def expected_wait_s(self, ticket: Ticket, backlog_tokens: int, tokens_per_s: float) -> float:
+    def expected_wait_s(
+        self, ticket: Ticket, backlog_tokens: int, tokens_per_s: float, now: float
+    ) -> float:
         """Return the expected wait of a new request.
 
         :param backlog_tokens: tokens that the engines still have to read.
         :param tokens_per_s: tokens that all engines together read in a second.
         """
-        ahead = backlog_tokens + sum(
+        ahead = sum(
             t.tokens
             for t in self.tickets.values()
             if t.service == ticket.service and t.rank <= ticket.rank
         )
-        return ahead / tokens_per_s if tokens_per_s > 0 else float("inf")
+        wait_s = _time_for(backlog_tokens + ahead, tokens_per_s)
+        pace = self.paces.get(ticket.service)
+        measured = pace.tokens_per_s(now) if pace is not None else None
+        if measured is not None:
+            wait_s = max(wait_s, _time_for(ahead, measured))
+        return wait_s
 
     def is_hopeless(
         self, ticket: Ticket, backlog_tokens: int, tokens_per_s: float, now: float
     ) -> bool:
         """Return whether a new request would wait past its deadline."""
-        wait_s = self.expected_wait_s(ticket, backlog_tokens, tokens_per_s)
+        wait_s = self.expected_wait_s(ticket, backlog_tokens, tokens_per_s, now)
         return wait_s > WAIT_PART * (ticket.deadline - now)
 
-    def join(self, ticket: Ticket) -> None:
+    def join(self, ticket: Ticket, now: float) -> None:
         """Add a request at the end of its rank."""
         ticket.number = next(self.numbers)
         self.tickets[ticket.number] = ticket
+        self.paces.setdefault(ticket.service, _Pace(now, deque()))
+
+    def record_placed(self, ticket: Ticket, now: float) -> None:
+        """Note that a waiting request found an engine."""
+        self.paces[ticket.service].placed.append((now, ticket.tokens))
 
     def leave(self, ticket: Ticket) -> None:
         """Remove a request that was placed, refused or given up."""
         self.tickets.pop(ticket.number, None)
+        if all(t.service != ticket.service for t in self.tickets.values()):
+            self.paces.pop(ticket.service, None)
 
     def in_order(self) -> list[Ticket]:
         """Return the waiting requests, the next one to try first."""
         return sorted(self.tickets.values(), key=lambda t: (t.rank, t.number))
+
+
+def _time_for(tokens: int, tokens_per_s: float) -> float:
+    if tokens <= 0:
+        return 0.0
+    return tokens / tokens_per_s if tokens_per_s > 0 else float("inf")
--- a/teaselpath/dispatch/tests/test_waiting.py
+++ b/teaselpath/dispatch/tests/test_waiting.py
@@ -64,13 +64,14 @@
             elif room.is_hopeless(ticket, int(backlog), PREFILL_TOKENS_PER_S * len(engines), now):
                 result.refused += 1
             else:
-                room.join(ticket)
+                room.join(ticket, now)
                 waiting[ticket.number] = now
         for ticket in room.in_order():
             engine = free_engine(now, MAX_BACKLOG_S)
             if engine is None:
                 break
             result.long.append(engine.read(LONG, now) - waiting.pop(ticket.number))
+            room.record_placed(ticket, now)
             room.leave(ticket)
     return result
 
@@ -97,18 +98,56 @@
 def test_request_that_would_wait_past_its_deadline_is_refused_on_arrival():
     room = WaitingRoom()
     for _ in range(10):
-        room.join(Ticket("llm", 1, LONG, 100.0))
+        room.join(Ticket("llm", 1, LONG, 100.0), 0.0)
     late = Ticket("llm", 1, LONG, 2.0)
     assert room.is_hopeless(late, 0, PREFILL_TOKENS_PER_S, 0.0)
-    assert room.expected_wait_s(late, 0, PREFILL_TOKENS_PER_S) == pytest.approx(4.25)
+    assert room.expected_wait_s(late, 0, PREFILL_TOKENS_PER_S, 0.0) == pytest.approx(4.25)
 
 
 def test_more_urgent_requests_go_first_and_others_in_order():
     room = WaitingRoom()
     tickets = [Ticket("llm", rank, LONG, 9.0) for rank in (1, 0, 1)]
     for ticket in tickets:
-        room.join(ticket)
+        room.join(ticket, 0.0)
     assert room.in_order() == [tickets[1], tickets[0], tickets[2]]
     assert not room.has_before(Ticket("desk", 5, 0, 9.0))
     room.leave(tickets[1])
     assert room.in_order() == [tickets[0], tickets[2]]
+
+
+def play_without_memory(*, by_pace: bool) -> tuple[int, list[float]]:
+    """Play engines whose memory frees one place a second, at three long prompts a second.
+
+    Returns how many were served, and how long the others waited before they were refused.
+    """
+    room, served, refused = WaitingRoom(), 0, []
+    waiting: dict[int, float] = {}
+    deadline_s, patience_s = 8.0, 4.0
+    for tick in range(300):
+        now = tick / 10
+        for ticket in [t for t in room.in_order() if now - waiting[t.number] > patience_s]:
+            refused.append(now - waiting.pop(ticket.number))
+            room.leave(ticket)
+        if tick % 10 == 0 and room.in_order():
+            first = room.in_order()[0]
+            room.record_placed(first, now)
+            room.leave(first)
+            del waiting[first.number]
+            served += 1
+        if tick % 10 in (1, 4, 7):
+            ticket = Ticket("llm", 1, LONG, now + deadline_s)
+            if by_pace and room.is_hopeless(ticket, 0, 1e9, now):
+                refused.append(0.0)
+            else:
+                room.join(ticket, now)
+                waiting[ticket.number] = now
+    return served, refused
+
+
+def test_requests_that_the_pace_of_the_queue_leaves_no_chance_are_refused_on_arrival():
+    served, refused = play_without_memory(by_pace=True)
+    served_without, refused_without = play_without_memory(by_pace=False)
+    assert served == served_without
+    assert min(refused_without) > 4.0
+    at_once = sum(wait_s == 0.0 for wait_s in refused)
+    assert at_once >= 0.75 * len(refused)
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -112,9 +112,7 @@
             state.quota.set_share(*state.gateways(now))
             grant = state.quota.take(workspace, call.tokens, now)
             if isinstance(grant, OverRate):
-                self._refuse(
-                    exchange, request, Code.RATE_EXCEEDED, 429, grant.retry_after_s, workspace
-                )
+                self._refuse(exchange, request, Code.RATE_EXCEEDED, 429, grant, workspace)
                 return None
         state.retry_window(service.name).record_request(now)
         return call
@@ -134,9 +132,18 @@
         request: CallerRequest,
         code: Code,
         status: int,
-        retry_after_s: float | None = None,
+        why: OverRate | float | None = None,
         workspace: Workspace | None = None,
     ) -> None:
+        retry_after_s = why.retry_after_s if isinstance(why, OverRate) else why
+        inputs = {}
+        if isinstance(why, OverRate):
+            inputs = {
+                "tokens": request.tokens,
+                "level": round(why.level),
+                "rate": round(why.rate),
+                "share": round(why.share, 3),
+            }
         exchange.respond(status, self.codec.refusal_headers(request.request_id, retry_after_s))
         config = self.state.config
         name = workspace.name if workspace else None
@@ -150,6 +157,7 @@
             reason=code.name,
             retry_after_s=retry_after_s,
             config_version=config.version if config else None,
+            **inputs,
         )
         self.metrics.count_refusal(name or "", code.name)
 
--- a/teaselpath/gateway/_placing.py
+++ b/teaselpath/gateway/_placing.py
@@ -64,10 +64,10 @@
         backlog = sum(view.unread_tokens(now) for view in views)
         speed = PREFILL_TOKENS_PER_S * len(views)
         if self.waiting.is_hopeless(ticket, backlog, speed, now):
-            wait_s = self.waiting.expected_wait_s(ticket, backlog, speed)
+            wait_s = self.waiting.expected_wait_s(ticket, backlog, speed, now)
             return NoPlace("queue", min(MAX_RETRY_AFTER_S, max(0.2, wait_s)))
         future: asyncio.Future[Placed] = self.loop.create_future()
-        self.waiting.join(ticket)
+        self.waiting.join(ticket, now)
         self.waiters[ticket.number] = (call, future)
         try:
             async with asyncio.timeout_at(now + MAX_WAIT_PART * (call.deadline - now)):
@@ -96,9 +96,11 @@
             call, future = self.waiters[ticket.number]
             if future.done() or ticket.service in blocked:
                 continue
-            place = self._place(call, self.loop.time())
+            now = self.loop.time()
+            place = self._place(call, now)
             if isinstance(place, Placed):
                 self._reserve(call, place)
+                self.waiting.record_placed(ticket, now)
                 future.set_result(place)
             else:
                 blocked.add(ticket.service)
