--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -29,19 +29,23 @@
     StoreView,
     Topology,
     choose_endpoint,
+    home_key,
     scope_of,
 )
+from teaselpath.dispatch._pool import MAX_CANDIDATES, EndpointPool
 from teaselpath.dispatch._quota import Granted, OverRate, SharedQuota
 from teaselpath.dispatch._waiting import Ticket, WaitingRoom
 
 __all__ = [
     "LONG_TOKENS",
+    "MAX_CANDIDATES",
     "PREFILL_TOKENS_PER_S",
     "Answered",
     "Backlog",
     "Broken",
     "Demand",
     "EndpointHealth",
+    "EndpointPool",
     "EndpointView",
     "Fail",
     "Granted",
@@ -65,6 +69,7 @@
     "Topology",
     "WaitingRoom",
     "choose_endpoint",
+    "home_key",
     "next_step",
     "scope_of",
 ]
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -295,18 +295,17 @@
     return missed >= LONG_TOKENS and offer.view.unread_tokens(now) > MAX_UNREAD_TOKENS
 
 
-def _home_key(demand: Demand) -> bytes:
+def home_key(prompt: Prompt, scope_prefix: str) -> bytes:
     """Return what prompts with the same last shared part have in common."""
-    if demand.prompt is None or not demand.prompt.parts:
-        return b""
-    return f"{demand.scope_prefix}{demand.prompt.parts[-2:][0].part_id}".encode()
+    part_id = prompt.parts[-2:][0].part_id if prompt.parts else ""
+    return f"{scope_prefix}{part_id}".encode()
 
 
 def _ranks(views: list[EndpointView], demand: Demand) -> dict[str, float]:
     """Return the rank of each engine for the prompt, from 0 to 1; the highest is its home."""
     if demand.prompt is None:
         return {}
-    key = _home_key(demand)
+    key = home_key(demand.prompt, demand.scope_prefix)
     ids = [view.endpoint.endpoint_id for view in views]
     return {name: rendezvous_rank(key, name) / 2**64 for name in ids}
 
--- a/teaselpath/gateway/_caches.py
+++ b/teaselpath/gateway/_caches.py
@@ -9,9 +9,10 @@
 
 from eliot import log_message
 
-from teaselpath.dispatch import EndpointHealth, PartCache, StoreView
+from teaselpath.dispatch import EndpointHealth, EndpointView, PartCache, StoreView
 from teaselpath.fleet import CacheChanges, EngineCallError, EngineCalls
 from teaselpath.gateway._state import GatewayState
+from teaselpath.utils import rendezvous_top
 
 # Long poll of changes, in seconds.
 WAIT_S = 0.5
@@ -21,6 +22,9 @@
 SHORT_WAIT_PAUSE_S = 0.6
 # Gateways from which on polls are short and stay within the region.
 MANY_GATEWAYS = 7
+# Engines that one gateway follows at most; each poll costs it about 0.2 ms a second, and an engine
+# takes about a dozen polls at once.
+MAX_FOLLOWED = 64
 # Time for an answer beyond the wait, in seconds.
 ANSWER_S = 0.45
 # Least time between two polls of one cache, in seconds.
@@ -66,12 +70,12 @@
 
     def _match_tasks(self) -> None:
         wanted: dict[tuple, _Target] = {}
-        for view in self.state.views.values():
-            if view.weights and self._is_followed(view.endpoint.failure_domain):
-                endpoint = view.endpoint
-                target = _Target(endpoint.endpoint_id, endpoint.address, view.cache, view.health)
-                wanted[endpoint.incarnation, endpoint.address] = target
-        for address, kept in self._followed_stores():
+        is_large = self.state.gateways(self.loop.time())[1] >= MANY_GATEWAYS
+        for view in self._followed_engines(is_large):
+            endpoint = view.endpoint
+            target = _Target(endpoint.endpoint_id, endpoint.address, view.cache, view.health)
+            wanted[endpoint.incarnation, endpoint.address] = target
+        for address, kept in self._followed_stores(is_large):
             wanted[address, "store"] = _Target(kept.store.service, address, kept.cache, kept.health)
         for key in [key for key in self.tasks if key not in wanted]:
             self.tasks.pop(key).cancel()
@@ -79,16 +83,25 @@
             if key not in self.tasks:
                 self.tasks[key] = self.loop.create_task(self._follow(target))
 
-    def _followed_stores(self) -> list[tuple[str, StoreView]]:
-        """Return the stores of this region, or all if it has none."""
+    def _followed_engines(self, is_large: bool) -> list[EndpointView]:
+        """Return the engines whose events are followed: of this region, and a part of very many."""
+        engines = [view for view in self.state.views.values() if view.weights]
+        if is_large:
+            is_near = self.state.topology.is_near
+            engines = [view for view in engines if is_near(view.endpoint.failure_domain)]
+        if len(engines) <= MAX_FOLLOWED:
+            return engines
+        known = {view.endpoint.endpoint_id: view for view in engines}
+        chosen = rendezvous_top(self.state.settings.host.encode(), known, MAX_FOLLOWED)
+        return [known[name] for name in chosen]
+
+    def _followed_stores(self, is_large: bool) -> list[tuple[str, StoreView]]:
+        """Return the stores of this region, or all if it has none or gateways are few."""
         stores = list(self.state.cache_stores.items())
-        near = [s for s in stores if self._is_followed(s[1].store.failure_domain)]
+        is_near = self.state.topology.is_near
+        near = [s for s in stores if not is_large or is_near(s[1].store.failure_domain)]
         return near or stores
 
-    def _is_followed(self, domain: str) -> bool:
-        is_large = self.state.gateways(self.loop.time())[1] >= MANY_GATEWAYS
-        return not is_large or self.state.topology.is_near(domain)
-
     async def _follow(self, target: _Target) -> None:
         cursor, epoch, missed = 0, None, 0
         while True:
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -106,6 +106,7 @@
         self.last_sequence: dict[str, tuple[int, int]] = {}
         self.retired: deque[tuple[str, int]] = deque(maxlen=MAX_RETIRED)
         self.peers: dict[str, Status] = {}
+        self.loaded: dict[str, set[str]] = {}
         self.behind_since: float | None = None
         self.news = asyncio.Event()
         self.has_news = False
@@ -242,10 +243,7 @@
                 state.see_member(host, ip, incarnation, now)
         state.quota.merge(status.host, status.incarnation, status.used)
         self._take_ages(status, now)
-        noted = {note.endpoint_id for note in status.endpoints}
-        for key, view in state.views.items():
-            if key not in noted:
-                view.peers.pop(status.host, None)
+        self._forget_load(status.host, keep={note.endpoint_id for note in status.endpoints})
         for note in status.endpoints:
             self._take_note(status.host, note, now)
         if status.lease_end > (self.lease.end or 0):
@@ -286,6 +284,7 @@
         if view is None or view.endpoint.started_at_ms != note.started_at_ms:
             return
         view.peers[host] = Load(note.requests, held_tokens=note.held_tokens)
+        self.loaded.setdefault(host, set()).add(note.endpoint_id)
         for model, version in note.weights.items():
             view.learn_weights(model, version)
         if note.switching_ms:
@@ -294,17 +293,26 @@
     def _take_placement(self, host: str, placement: LongPlacement, now: float) -> None:
         if self.state.take_placement(placement, now) is None or host not in self.peers:
             return
+        self.loaded.setdefault(host, set()).add(placement.endpoint_id)
         load = self.state.views[placement.endpoint_id].peers.setdefault(host, Load())
         load.requests += 1
         load.held_tokens += placement.prompt_tokens
 
+    def _forget_load(self, host: str, keep: set[str]) -> None:
+        """Drop the load of a gateway at all endpoints but some."""
+        loaded = self.loaded.pop(host, set())
+        self.loaded[host] = loaded & keep
+        for key in loaded - keep:
+            view = self.state.views.get(key)
+            if view is not None:
+                view.peers.pop(host, None)
+
     def drop_silent(self, now: float) -> None:
         """Forget the load of gateways that are silent."""
         for host in [h for h in self.peers if now - self.state.members[h].heard_at > SILENT_S]:
             log_message("peer_lost", host=host)
             del self.peers[host]
-            for view in self.state.views.values():
-                view.peers.pop(host, None)
+            self._forget_load(host, keep=set())
 
     # records
 
--- a/teaselpath/gateway/_placing.py
+++ b/teaselpath/gateway/_placing.py
@@ -5,6 +5,7 @@
 
 from teaselpath.dispatch import (
     LONG_TOKENS,
+    MAX_CANDIDATES,
     PREFILL_TOKENS_PER_S,
     Demand,
     NoPlace,
@@ -12,6 +13,7 @@
     Ticket,
     WaitingRoom,
     choose_endpoint,
+    home_key,
 )
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._state import GatewayState, LongPlacement, WantedWeights
@@ -60,7 +62,7 @@
         return await self._wait(call, ticket, now)
 
     async def _wait(self, call: Call, ticket: Ticket, now: float) -> Placed | NoPlace:
-        views = self.state.by_service.get(call.service.name, [])
+        views = self.state.pool(call.service.name).views.values()
         backlog = sum(view.unread_tokens(now) for view in views)
         speed = PREFILL_TOKENS_PER_S * len(views)
         if self.waiting.is_hopeless(ticket, backlog, speed, now):
@@ -158,7 +160,12 @@
             sources=tuple(state.cache_stores.values()),
             body_bytes=len(call.request.body),
         )
-        return choose_endpoint(state.candidates(call.service.name), demand, state.topology, now)
+        key = home_key(prompt, scope_prefix) if prompt else call.request.request_id.encode()
+        pool = state.pool(call.service.name)
+        place = choose_endpoint(pool.candidates(key), demand, state.topology, now)
+        if isinstance(place, NoPlace) and len(pool.views) > MAX_CANDIDATES:
+            place = choose_endpoint(pool.candidates(key, draw=1), demand, state.topology, now)
+        return place
 
     def _oldest_weights(self, wanted: WantedWeights | None, now: float) -> int:
         if wanted is None:
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -6,6 +6,7 @@
 
 from teaselpath.dispatch import (
     PREFILL_TOKENS_PER_S,
+    EndpointPool,
     EndpointView,
     RetryWindow,
     SharedQuota,
@@ -14,7 +15,6 @@
 )
 from teaselpath.fleet import (
     EndpointEntry,
-    EndpointState,
     EndpointTable,
     EngineLimits,
     FleetConfig,
@@ -106,7 +106,7 @@
         self.wanted: dict[str, WantedWeights] = {}
         self.endpoints = EndpointTable()
         self.views: dict[str, EndpointView] = {}
-        self.by_service: dict[str, list[EndpointView]] = {}
+        self.pools: dict[str, EndpointPool] = {}
         self.cache_stores: dict[str, StoreView] = {}
         self.raw_entries: dict[str, StoredRecord] = {}
         self.members: dict[str, Member] = {}
@@ -148,7 +148,6 @@
         self.cache_stores = {
             s.address: self.cache_stores.get(s.address) or StoreView(s) for s in config.cache_stores
         }
-        self._index_views()
         log_message(
             "config_applied",
             version=config.version,
@@ -228,29 +227,22 @@
     def _refresh_view(self, key: str) -> None:
         endpoint = self.endpoints.get(key)
         view = self.views.get(key)
+        if view is not None and (endpoint is None or endpoint.service != view.endpoint.service):
+            self.pool(view.endpoint.service).remove(key)
         if endpoint is None:
             self.views.pop(key, None)
-        elif view is None or view.endpoint.incarnation != endpoint.incarnation:
-            self.views[key] = EndpointView(endpoint, weights=dict(endpoint.weights))
+            return
+        if view is None or view.endpoint.incarnation != endpoint.incarnation:
+            view = self.views[key] = EndpointView(endpoint, weights=dict(endpoint.weights))
         else:
             view.endpoint = endpoint
             for model, version in endpoint.weights:
                 view.learn_weights(model, version)
-        self._index_views()
-
-    def _index_views(self) -> None:
-        index: dict[str, list[EndpointView]] = {}
-        for view in self.views.values():
-            index.setdefault(view.endpoint.service, []).append(view)
-        self.by_service = index
-
-    def candidates(self, service: str) -> list[EndpointView]:
-        """Return the endpoints that may get new requests of a service."""
-        return [
-            view
-            for view in self.by_service.get(service, ())
-            if view.endpoint.state is EndpointState.READY
-        ]
+        self.pool(endpoint.service).put(view)
+
+    def pool(self, service: str) -> EndpointPool:
+        """Return the endpoints of a service."""
+        return self.pools.setdefault(service, EndpointPool())
 
     def take_placement(self, placement: LongPlacement, now: float) -> float | None:
         """Count a long prompt that this or another gateway sends to an engine.
--- /dev/null
+++ b/teaselpath/gateway/tests/test_caches.py
@@ -0,0 +1,25 @@
+"""Which caches a gateway follows."""
+
+import asyncio
+
+from teaselpath.gateway._caches import MAX_FOLLOWED, CacheWatcher
+from teaselpath.gateway.tests.conftest import endpoint_record
+
+
+def followed(state, count: int) -> list[str]:
+    async def scenario():
+        for number in range(count):
+            state.apply_endpoint_record(endpoint_record(f"e{number}", number + 1), "store", 1.0)
+        watcher = CacheWatcher(state, engines=None)
+        return [view.endpoint.endpoint_id for view in watcher._followed_engines(is_large=True)]
+
+    return asyncio.run(scenario())
+
+
+def test_all_engines_of_the_region_are_followed(state):
+    state.apply_endpoint_record(endpoint_record("far", 1000, zone="b"), "store", 1.0)
+    assert followed(state, 5) == [f"e{n}" for n in range(5)]
+
+
+def test_a_part_of_very_many_engines_is_followed(state):
+    assert len(set(followed(state, 3 * MAX_FOLLOWED))) == MAX_FOLLOWED
--- a/teaselpath/gateway/tests/test_peers.py
+++ b/teaselpath/gateway/tests/test_peers.py
@@ -106,3 +106,18 @@
         return own.state.views["e"].unread_tokens(own.loop.time())
 
     assert asyncio.run(scenario()) == 0
+
+
+def test_load_of_a_peer_ends_with_a_status_that_no_longer_names_it():
+    async def scenario():
+        own, other = make_exchange(), make_exchange("gw-1")
+        for exchange in (own, other):
+            exchange.state.apply_endpoint_record(endpoint_record("e", 1), "store", 1.0)
+        other.state.views["e"].own.requests = 3
+        own.datagram_received(status_of(other, "gw-1", 5, 1), None)
+        loaded = own.state.views["e"].requests()
+        other.state.views["e"].own.requests = 0
+        own.datagram_received(status_of(other, "gw-1", 5, 2), None)
+        return loaded, own.state.views["e"].requests()
+
+    assert asyncio.run(scenario()) == (3, 0)
--- a/teaselpath/gateway/tests/test_state.py
+++ b/teaselpath/gateway/tests/test_state.py
@@ -25,7 +25,7 @@
     now = up(state)
     state.apply_endpoint_record(endpoint_record("e", 1), "store", now)
     state.apply_endpoint_record(StoredRecord("e", b"", 2), "store", now)
-    assert state.candidates("s") == []
+    assert state.pool("s").candidates(b"") == []
 
 
 def test_lapse_during_an_outage_keeps_the_endpoint_until_after_the_return(state):
@@ -34,11 +34,11 @@
     state.record_store_failure("cut", now)
     state.record_store_answer(now + 10.0)
     state.apply_endpoint_record(StoredRecord("e", b"", 2), "store", now + 10.1)
-    assert len(state.candidates("s")) == 1
+    assert len(state.pool("s").candidates(b"")) == 1
     state.expire_lapses(now + 12.0)
-    assert len(state.candidates("s")) == 1
+    assert len(state.pool("s").candidates(b"")) == 1
     state.expire_lapses(now + 12.7)
-    assert state.candidates("s") == []
+    assert state.pool("s").candidates(b"") == []
 
 
 def test_entry_that_returns_after_a_lapse_stays(state):
@@ -49,16 +49,16 @@
     state.apply_endpoint_record(StoredRecord("e", b"", 2), "store", now + 10.1)
     state.apply_endpoint_record(endpoint_record("e", 3), "store", now + 11.0)
     state.expire_lapses(now + 20.0)
-    assert len(state.candidates("s")) == 1
+    assert len(state.pool("s").candidates(b"")) == 1
 
 
 def test_stale_listing_does_not_remove_newer_entries(state):
     now = up(state)
     state.apply_endpoint_record(endpoint_record("e", 7), "store", now)
     state.keep_only(set(), 5, now)
-    assert len(state.candidates("s")) == 1
+    assert len(state.pool("s").candidates(b"")) == 1
     state.keep_only(set(), 9, now)
-    assert state.candidates("s") == []
+    assert state.pool("s").candidates(b"") == []
 
 
 @pytest.mark.parametrize(
@@ -74,12 +74,12 @@
 )
 def test_entry_that_cannot_be_read_names_no_endpoint(state, fields):
     state.apply_endpoint_record(endpoint_record("e", 1, **fields), "store", up(state))
-    assert state.candidates("s") == []
+    assert state.pool("s").candidates(b"") == []
 
 
 def test_torn_entry_names_no_endpoint(state):
     state.apply_endpoint_record(StoredRecord("e", b'{"service":"s","addr', 1), "store", 1.0)
-    assert state.candidates("s") == []
+    assert state.pool("s").candidates(b"") == []
 
 
 def test_restart_under_the_same_id_is_a_new_endpoint(state):
