Orders of new weights wait until an engine's queue is empty, 0.8 s at most

Change: the engine gets no new requests (as before), and the order goes out once its requests fit its slots.

--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -39,6 +39,9 @@
 # Time between the notice that an engine will load and the order, in seconds, in which the other
 # gateways turn to other engines.
 NOTICE_S = 0.08
+# Longest time that an order waits for an engine's queue to empty, in seconds: the order makes the
+# engine refuse what has not started.
+MAX_DRAIN_S = 0.8
 # Part of the time for a rollout after which more engines load at once.
 HURRY_PART = 0.35
 LEASE_KEY = "orders"
@@ -223,9 +226,19 @@
             return
         self._carry_out(self.rollout.take_report(key, report, wanted, self.loop.time()))
 
+    async def _drain(self, key: str, deadline: float) -> None:
+        """Wait until an engine that gets no new requests has started all that it has."""
+        while self.loop.time() < deadline:
+            view = self.state.views.get(key)
+            if view is None or view.requests() <= view.endpoint.slots:
+                return
+            self._switch(key)
+            await asyncio.sleep(TICK_S)
+
     async def _order(self, order: GiveOrder) -> None:
         noticed_at = self.noticed_at.get(order.key, 0.0)
         await asyncio.sleep(max(0.0, noticed_at + NOTICE_S - self.loop.time()))
+        await self._drain(order.key, noticed_at + MAX_DRAIN_S)
         view = self.state.views.get(order.key)
         if view is None or not self.lease.is_held(self.clock()):
             self.rollout.order_answered(order.key, "lease lost", self.loop.time())
--- a/teaselpath/gateway/tests/test_caches.py
+++ b/teaselpath/gateway/tests/test_caches.py
@@ -4,13 +4,15 @@
 
 from teaselpath.gateway._caches import MAX_FOLLOWED, CacheWatcher
 from teaselpath.gateway.tests.conftest import endpoint_record
+from teaselpath.http1 import HttpClient
+from teaselpath.platform import PlatformEngines
 
 
 def followed(state, count: int) -> list[str]:
     async def scenario():
         for number in range(count):
             state.apply_endpoint_record(endpoint_record(f"e{number}", number + 1), "store", 1.0)
-        watcher = CacheWatcher(state, engines=None)
+        watcher = CacheWatcher(state, PlatformEngines(HttpClient()))
         return [view.endpoint.endpoint_id for view in watcher._followed_engines(is_large=True)]
 
     return asyncio.run(scenario())
