Streams with an encoded body are not passed on

Cause: the check for encoded bodies covered plain answers only. Test with a stand-in engine that encodes: failed before (a caller got 200 with bytes that are not the engine's events), passes now.

--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -27,6 +27,7 @@
     :param extra: sends a second answer after the first, with another id.
     :param lost: runs the request and closes the connection without an answer.
     :param mute: never answers.
+    :param encoded: answers with an encoded body, as a proxy in front of the engine would.
     :param orders_unanswered: takes orders and does not answer.
     """
 
@@ -36,6 +37,7 @@
     extra: float = 0.0
     lost: float = 0.0
     mute: float = 0.0
+    encoded: float = 0.0
     orders_unanswered: float = 0.0
 
 
@@ -251,6 +253,11 @@
         if chance() < faults.errors:
             exchange.respond(500, [*base, stamp], b"error")
             return
+        if chance() < faults.encoded:
+            # Encoded bytes may hold what looks like the end of an event.
+            coding = (b"Content-Encoding", b"gzip")
+            exchange.respond(200, [*base, stamp, coding], b"id: 1\ndata: \x1f\x8b\x08\n\n")
+            return
         if self.model is not None:
             await self._stream(exchange, run, [*base, stamp])
             return
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -117,7 +117,8 @@
     async def _read(self, connection: ClientConnection, info: AnswerInfo) -> Outcome:
         call, view = self.call, self.placed.view
         self._learn(info)
-        if info.status == 200 and call.route.kind is RequestKind.STREAM and info.is_authentic:
+        is_stream = call.route.kind is RequestKind.STREAM
+        if info.status == 200 and is_stream and info.is_authentic and not info.is_encoded:
             return await self._relay(connection, info)
         body = await connection.read_body(call.deadline)
         if info.did_not_run:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -173,7 +173,7 @@
     assert not scopes["office"] & scopes["closed"]
 
 
-@pytest.mark.parametrize("fault", ["cuts", "lost", "errors", "sheds", "extra"])
+@pytest.mark.parametrize("fault", ["cuts", "lost", "errors", "sheds", "extra", "encoded"])
 def test_faulty_engines_never_cause_a_wrong_answer_or_a_second_run(folder, fault):
     async def scenario():
         async with open_site(folder) as site:
