--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -313,14 +313,16 @@
 def _keeping_store(
     stores: tuple[StoreView, ...], offer: Placed, prompt: Prompt, topology: Topology, now: float
 ) -> StoreView | None:
-    """Return the store that is to keep a prompt's parts; None if one of the region has them."""
-    sound = [s for s in stores if s.is_usable(now)]
+    """Return the store that is to keep a prompt's parts; None if one of the region has them.
+
+    A copy across regions would take the store's link ten times as long.
+    """
     domain = offer.view.endpoint.failure_domain
-    near = [s for s in sound if topology.share_region(s.store.failure_domain, domain)]
-    chosen = near or sound
-    if any(s.cache.match(offer.scope, prompt, now) >= prompt.shared_tokens for s in chosen):
+    near = [s for s in stores if topology.share_region(s.store.failure_domain, domain)]
+    if any(s.cache.match(offer.scope, prompt, now) >= prompt.shared_tokens for s in near):
         return None
-    return min(chosen, key=lambda s: (s.link.wait_s(now), s.store.address), default=None)
+    usable = [s for s in near if s.is_usable(now)]
+    return min(usable, key=lambda s: (s.link.wait_s(now), s.store.address), default=None)
 
 
 def _with_save(offer: Placed, demand: Demand, topology: Topology, now: float) -> Placed:
--- a/teaselpath/dispatch/tests/test_placement.py
+++ b/teaselpath/dispatch/tests/test_placement.py
@@ -186,3 +186,9 @@
     unknown = EngineLimits(16, 0, 18_432, 0.8e-6, ("m",))
     placed = choose_endpoint([view], Demand(make_prompt(), engine=unknown), topology, NOW)
     assert isinstance(placed, Placed)
+
+
+def test_parts_are_not_saved_across_regions(topology):
+    placed = place([make_view("e1")], topology, sources=(kept(domain="c"),))
+    assert isinstance(placed, Placed)
+    assert placed.save_to is None
