--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -18,8 +18,10 @@
 from teaselpath.dispatch._budget import RetryWindow
 from teaselpath.dispatch._health import EndpointHealth
 from teaselpath.dispatch._part_cache import PartCache
-from teaselpath.dispatch._placement import (
-    LONG_TOKENS,
+from teaselpath.dispatch._placement import LONG_TOKENS, choose_endpoint, home_key
+from teaselpath.dispatch._pool import MAX_CANDIDATES, EndpointPool
+from teaselpath.dispatch._quota import Granted, OverRate, SharedQuota
+from teaselpath.dispatch._views import (
     PREFILL_TOKENS_PER_S,
     Demand,
     EndpointView,
@@ -28,12 +30,8 @@
     Placed,
     StoreView,
     Topology,
-    choose_endpoint,
-    home_key,
     scope_of,
 )
-from teaselpath.dispatch._pool import MAX_CANDIDATES, EndpointPool
-from teaselpath.dispatch._quota import Granted, OverRate, SharedQuota
 from teaselpath.dispatch._waiting import Ticket, WaitingRoom
 
 __all__ = [
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -9,21 +9,22 @@
 nor crowd on one engine.
 """
 
-from dataclasses import dataclass, field, replace
-
-from teaselpath.dispatch._backlog import Backlog
-from teaselpath.dispatch._health import EndpointHealth
-from teaselpath.dispatch._part_cache import PartCache
-from teaselpath.fleet import CacheStore, Endpoint, EngineLimits, Prompt
+from teaselpath.dispatch._copies import REREAD_COST_S, Source, best_source, find_sources, with_save
+from teaselpath.dispatch._views import (
+    PREFILL_TOKENS_PER_S,
+    Demand,
+    EndpointView,
+    NoPlace,
+    Placed,
+    Topology,
+    scope_of,
+    version_of,
+)
+from teaselpath.fleet import Prompt
 from teaselpath.utils import rendezvous_rank
 
-# Tokens that an engine reads per second, until it was observed.
-PREFILL_TOKENS_PER_S = 40_000.0
 # Time that a queued request waits for each one ahead of it beyond the slots, in seconds.
 QUEUE_STEP_S = 0.06
-# Round trips in seconds by distance; the deployments state 1.4 and 30 ms one way.
-CROSS_DOMAIN_RTT_S = 0.003
-CROSS_REGION_RTT_S = 0.060
 # Time charged per byte of a body that crosses the link between regions, in seconds: the link is
 # narrow and paid by volume.
 CROSS_REGION_S_PER_BYTE = 5e-6
@@ -36,26 +37,13 @@
 # Tokens that an engine may still have to read when it is given a long prompt: about a quarter of a
 # second of reading.
 MAX_UNREAD_TOKENS = 10_000
+# Part of an engine's memory that running prompts may take; the rest is for cached parts.
+HELD_PART = 0.6
 # Requests per slot that an endpoint is given before it counts as full.
 QUEUE_FACTOR = 1.5
-# A copy of cached parts is worth asking for from this many tokens on.
-MIN_FETCH_TOKENS = 256
-# Fetch time across failure domains and regions, as a multiple of that within a domain.
-CROSS_DOMAIN_FETCH = 2.0
-CROSS_REGION_FETCH = 10.0
-# Fixed time of a fetch, in seconds.
-FETCH_SETUP_S = 0.004
-# Time charged per shared token that is read although another engine has it, in seconds: the read
-# takes engine time from all other requests.
-REREAD_COST_S = 30e-6
 # Time charged per shared token that is read outside the prompt's home region, in seconds: the home
 # region may have it.
 AWAY_COST_S = 15e-6
-# Time charged per token that is copied from an engine, in seconds: about a fifth of what it costs
-# if the engine has evicted the token meanwhile.
-EVICTED_COST_S = 10e-6
-# Part of an engine's memory that running prompts may take; the rest is for cached parts.
-HELD_PART = 0.6
 # Time charged per token that is copied, in seconds: the copy takes memory from other parts.
 COPY_COST_S = 2e-6
 # Largest difference between engines by the prompt's hash alone, in seconds: about the error of the
@@ -63,193 +51,6 @@
 SPREAD_S = 0.03
 # Slow-down of a running batch per request in it, as a fraction of the prefill time.
 BATCH_SLOWDOWN = 0.02
-# Shared tokens from which a prompt's parts are kept in a store of cached parts.
-MIN_SAVE_TOKENS = 1_000
-# Work on a store's link from which it is given no more parts, in seconds; copies that would wait
-# two seconds are not started.
-MAX_LINK_WAIT_S = 1.2
-
-
-@dataclass(slots=True)
-class Load:
-    """Work that is under way at an endpoint.
-
-    :param requests: requests sent and not answered.
-    :param unread_tokens: prompt tokens that are sent and not yet read.
-    :param held_tokens: prompt tokens of long prompts, read or not.
-    """
-
-    requests: int = 0
-    unread_tokens: int = 0
-    held_tokens: int = 0
-
-
-@dataclass(slots=True)
-class EndpointView:
-    """What a gateway knows of an endpoint.
-
-    :param own: work that this gateway has sent.
-    :param peers: work of the other gateways, by host; what is unread is in the backlog.
-    :param backlog: what it has still to read of the long prompts of all gateways.
-    :param switching_until: until when it takes new weights; 0 if it does not.
-    :param own_switch_until: the same, as far as this gateway has ordered it.
-    """
-
-    endpoint: Endpoint
-    own: Load = field(default_factory=Load)
-    peers: dict[str, Load] = field(default_factory=dict)
-    backlog: Backlog = field(default_factory=Backlog)
-    health: EndpointHealth = field(default_factory=EndpointHealth)
-    cache: PartCache = field(default_factory=PartCache)
-    weights: dict[str, int] = field(default_factory=dict)
-    switching_until: float = 0.0
-    own_switch_until: float = 0.0
-
-    def learn_weights(self, model: str, version: int) -> None:
-        """Take the version of a model's weights; an older one than known changes nothing."""
-        self.weights[model] = max(version, self.weights.get(model, 0))
-
-    def requests(self) -> int:
-        """Return the requests under way from all gateways."""
-        return self.own.requests + sum(load.requests for load in self.peers.values())
-
-    def held_tokens(self) -> int:
-        """Return the prompt tokens of the long prompts under way from all gateways."""
-        return self.own.held_tokens + sum(load.held_tokens for load in self.peers.values())
-
-    def unread_tokens(self, now: float) -> int:
-        """Return the prompt tokens that wait to be read."""
-        return max(self.own.unread_tokens, int(self.backlog.wait_s(now) * PREFILL_TOKENS_PER_S))
-
-
-@dataclass(slots=True, frozen=True)
-class Demand:
-    """What a request needs.
-
-    :param scope_prefix: scope of cached parts without the weights version.
-    :param wanted_weights: newest named version of the model; None without a model.
-    :param oldest_weights: oldest version that may still run requests.
-    :param excluded: endpoints that this request has already tried.
-    :param engine: limits of the service's engines.
-    :param sources: stores from which cached parts can be copied.
-    :param body_bytes: size of the request's body.
-    """
-
-    prompt: Prompt | None
-    scope_prefix: str = ""
-    wanted_weights: int | None = None
-    oldest_weights: int = 0
-    excluded: frozenset[str] = frozenset()
-    engine: EngineLimits | None = None
-    sources: tuple["StoreView", ...] = ()
-    body_bytes: int = 0
-
-
-@dataclass(slots=True)
-class StoreView:
-    """What a gateway knows of a store of cached parts.
-
-    :param link: copies to and from the store, which go one after the other.
-    """
-
-    store: CacheStore
-    cache: PartCache = field(default_factory=lambda: PartCache(is_store=True))
-    health: EndpointHealth = field(default_factory=EndpointHealth)
-    link: Backlog = field(default_factory=Backlog)
-
-    def is_usable(self, now: float) -> bool:
-        """Return whether the store can take and give parts soon."""
-        return not self.health.is_suspect(now) and self.link.wait_s(now) < MAX_LINK_WAIT_S
-
-    def copy_s(self, tokens: int, domain: str, engine: EngineLimits, topology: "Topology") -> float:
-        """Return the time of a copy to or from an engine of a failure domain, in seconds."""
-        bits = tokens * engine.token_bytes * 8
-        factor = topology.fetch_factor(self.store.failure_domain, domain)
-        return factor * bits / max(1.0, self.store.link_bits_per_s)
-
-
-@dataclass(slots=True, frozen=True)
-class _Source:
-    """Cached parts that can be copied.
-
-    :param owner: endpoint id of an engine; empty for a store.
-    :param wait_s: time until its link is free, in seconds.
-    """
-
-    owner: str
-    address: str
-    failure_domain: str
-    weights: int | None
-    tokens: int
-    s_per_token: float
-    wait_s: float = 0.0
-
-
-@dataclass(slots=True, frozen=True)
-class Placed:
-    """The chosen endpoint.
-
-    :param cached_tokens: leading prompt tokens that it is expected to have.
-    :param fetch_from: address of an engine or store from which it may copy parts.
-    :param fetched_tokens: tokens that it is expected to copy.
-    :param save_to: address of the store that is to keep the shared parts.
-    :param weights: version of its weights; None for a plain service.
-    """
-
-    view: EndpointView
-    cost_s: float
-    cached_tokens: int
-    weights: int | None
-    scope: str
-    fetch_from: str | None = None
-    fetched_tokens: int = 0
-    save_to: str | None = None
-
-
-@dataclass(slots=True, frozen=True)
-class NoPlace:
-    """No endpoint takes the request now.
-
-    :param reason: ``none_listed``, ``unreachable``, ``switching``, ``full`` or ``reading``.
-    """
-
-    reason: str
-    retry_after_s: float
-
-
-@dataclass(slots=True)
-class Topology:
-    """Where this gateway is, and the region of each failure domain."""
-
-    failure_domain: str
-    regions: dict[str, str]
-
-    def rtt_s(self, domain: str) -> float:
-        """Return the round trip to a failure domain, in seconds."""
-        if domain == self.failure_domain:
-            return 0.0
-        if self.is_near(domain):
-            return CROSS_DOMAIN_RTT_S
-        return CROSS_REGION_RTT_S
-
-    def is_near(self, domain: str) -> bool:
-        """Return whether a failure domain is in the same region."""
-        return self.share_region(domain, self.failure_domain)
-
-    def share_region(self, domain: str, other: str) -> bool:
-        """Return whether two failure domains are in one region."""
-        return self.regions.get(domain) == self.regions.get(other)
-
-    def fetch_factor(self, source: str, target: str) -> float:
-        """Return how much longer a copy takes than within one failure domain."""
-        if source == target:
-            return 1.0
-        return CROSS_DOMAIN_FETCH if self.share_region(source, target) else CROSS_REGION_FETCH
-
-
-def scope_of(prefix: str, weights: int | None) -> str:
-    """Return the scope of cached parts: isolation and weights version."""
-    return f"{prefix}v{weights}"
 
 
 def choose_endpoint(
@@ -271,7 +72,7 @@
     open_views = [v for v in settled if not _is_full(v)]
     if not open_views:
         return NoPlace("full", 0.5)
-    sources = _sources(views, demand, now)
+    sources = find_sources(views, demand, now)
     ranks = _ranks(views, demand)
     home = max(views, key=lambda view: ranks.get(view.endpoint.endpoint_id, 0.0))
     offers = [_offer(view, demand, topology, sources, ranks, home, now) for view in open_views]
@@ -279,7 +80,7 @@
     if not offers:
         return NoPlace("reading", 0.5)
     best = min(offers, key=lambda offer: (offer.cost_s, offer.view.endpoint.endpoint_id))
-    return _with_save(best, demand, topology, now)
+    return with_save(best, demand, topology, now)
 
 
 def _must_wait(offer: Placed, demand: Demand, now: float) -> bool:
@@ -310,96 +111,19 @@
     return {name: rendezvous_rank(key, name) / 2**64 for name in ids}
 
 
-def _keeping_store(
-    stores: tuple[StoreView, ...], offer: Placed, prompt: Prompt, topology: Topology, now: float
-) -> StoreView | None:
-    """Return the store that is to keep a prompt's parts; None if one of the region has them.
-
-    A copy across regions would take the store's link ten times as long.
-    """
-    domain = offer.view.endpoint.failure_domain
-    near = [s for s in stores if topology.share_region(s.store.failure_domain, domain)]
-    if any(s.cache.match(offer.scope, prompt, now) >= prompt.shared_tokens for s in near):
-        return None
-    usable = [s for s in near if s.is_usable(now)]
-    return min(usable, key=lambda s: (s.link.wait_s(now), s.store.address), default=None)
-
-
-def _with_save(offer: Placed, demand: Demand, topology: Topology, now: float) -> Placed:
-    """Name the store that is to keep the shared parts, if the engine reads them."""
-    prompt = demand.prompt
-    if prompt is None or demand.engine is None or prompt.shared_tokens < MIN_SAVE_TOKENS:
-        return offer
-    if offer.cached_tokens >= prompt.shared_tokens:
-        return offer
-    store = _keeping_store(demand.sources, offer, prompt, topology, now)
-    return offer if store is None else replace(offer, save_to=store.store.address)
-
-
 def _is_full(view: EndpointView) -> bool:
     return view.requests() >= QUEUE_FACTOR * max(1, view.endpoint.slots)
 
 
-def _version(view: EndpointView, demand: Demand) -> int | None:
-    if demand.prompt is None:
-        return None
-    return view.weights.get(demand.prompt.model, view.endpoint.weights_of(demand.prompt.model))
-
-
 def _is_outdated(view: EndpointView, demand: Demand) -> bool:
-    return demand.prompt is not None and (_version(view, demand) or 0) < demand.oldest_weights
-
-
-def _sources(views: list[EndpointView], demand: Demand, now: float) -> list[_Source]:
-    """Return what engines and stores hold of the prompt, confirmed by their events."""
-    prompt = demand.prompt
-    if prompt is None or demand.engine is None or prompt.shared_tokens < MIN_FETCH_TOKENS:
-        return []
-    sources = []
-    for view in views:
-        if view.health.is_suspect(now) or view.switching_until > now:
-            continue
-        version = _version(view, demand)
-        scope = scope_of(demand.scope_prefix, version)
-        tokens = view.cache.match(scope, prompt, now, confirmed=True)
-        if tokens >= MIN_FETCH_TOKENS:
-            endpoint = view.endpoint
-            sources.append(
-                _Source(
-                    endpoint.endpoint_id,
-                    endpoint.address,
-                    endpoint.failure_domain,
-                    version,
-                    tokens,
-                    demand.engine.fetch_s_per_token,
-                )
-            )
-    versions = {_version(view, demand) for view in views}
-    for kept in demand.sources:
-        for version in versions:
-            scope = scope_of(demand.scope_prefix, version)
-            tokens = kept.cache.match(scope, prompt, now, confirmed=True)
-            if tokens >= MIN_FETCH_TOKENS and kept.is_usable(now):
-                store = kept.store
-                sources.append(
-                    _Source(
-                        "",
-                        store.address,
-                        store.failure_domain,
-                        version,
-                        tokens,
-                        demand.engine.token_bytes * 8 / max(1.0, store.link_bits_per_s),
-                        kept.link.wait_s(now),
-                    )
-                )
-    return sources
+    return demand.prompt is not None and (version_of(view, demand) or 0) < demand.oldest_weights
 
 
 def _offer(
     view: EndpointView,
     demand: Demand,
     topology: Topology,
-    sources: list[_Source],
+    sources: list[Source],
     ranks: dict[str, float],
     home: EndpointView,
     now: float,
@@ -413,7 +137,7 @@
     cost += max(0, requests + 1 - slots) * QUEUE_STEP_S
     if demand.prompt is None:
         return Placed(view, cost + 0.02 * requests / slots, 0, None, "")
-    version = _version(view, demand)
+    version = version_of(view, demand)
     if demand.wanted_weights is not None and (version or 0) < demand.wanted_weights:
         cost += OLD_WEIGHTS_COST_S
     scope = scope_of(demand.scope_prefix, version)
@@ -422,7 +146,7 @@
     fetch_from, fetched, fetched_s = None, 0, 0.0
     others = [s for s in sources if s.weights == version and s.owner != view.endpoint.endpoint_id]
     reread = max((s.tokens for s in others), default=0) - cached
-    best = _best_source(others, view, topology, cached)
+    best = best_source(others, view, topology, cached)
     if best is not None:
         fetched = best[1].tokens - cached
         fetched_s = best[0] + fetched * COPY_COST_S
@@ -438,22 +162,3 @@
     cost += fetched_s + max(0, reread) * REREAD_COST_S
     cost += ahead_s * (1.0 + BATCH_SLOWDOWN * requests) + 0.002 * requests
     return Placed(view, cost, cached, version, scope, fetch_from, fetched)
-
-
-def _best_source(
-    sources: list[_Source], view: EndpointView, topology: Topology, cached: int
-) -> tuple[float, _Source] | None:
-    """Return the source with the lowest time to copy and read the rest."""
-    best = None
-    for source in sources:
-        gained = source.tokens - cached
-        if gained < MIN_FETCH_TOKENS:
-            continue
-        factor = topology.fetch_factor(source.failure_domain, view.endpoint.failure_domain)
-        fetch_s = FETCH_SETUP_S + source.wait_s + gained * source.s_per_token * factor
-        if source.owner:
-            fetch_s += gained * EVICTED_COST_S
-        value = fetch_s - gained * (REREAD_COST_S + 1 / PREFILL_TOKENS_PER_S)
-        if value < 0 and (best is None or value < best[0]):
-            best = (value, fetch_s, source)
-    return (best[1], best[2]) if best else None
--- a/teaselpath/dispatch/_pool.py
+++ b/teaselpath/dispatch/_pool.py
@@ -8,7 +8,7 @@
 from bisect import bisect, insort
 from hashlib import blake2b
 
-from teaselpath.dispatch._placement import EndpointView
+from teaselpath.dispatch._views import EndpointView
 from teaselpath.fleet import EndpointState
 
 # Endpoints that one request is offered at a time; the services of the known sites are smaller.
