Soak: the calm end waits for fifty requests, and tells how long the soak itself stood still

All processes of a run fell silent at once: gateways heard nothing of each other for 4.7 to 7.1 s, the soak's own fault times slipped by 6 s. Change: the calm end is counted in requests (50, at least 0.98 served, within 30 s) instead of in whatever begins within 2 s; no request is still a failure.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -42,7 +42,8 @@
         statuses = dict(sorted(report.statuses.items()))
         click.echo(
             f"seed {plan.seed}: {len(report.faults)} faults, answers {statuses}, "
-            f"calm end {report.calm_served:.3f}, broken {len(report.broken)}"
+            f"calm end {report.calm_served:.3f}, longest stall {report.longest_stall_s:.2f} s, "
+            f"broken {len(report.broken)}"
         )
         for line in report.broken[:10]:
             click.echo(f"  {line}")
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -18,6 +18,11 @@
 KINDS = ("review", "query", "pay", "lookup")
 # Time after the last fault in which the site settles before the calm end is judged, in seconds.
 SETTLE_S = 6.0
+# Interval at which the soak looks whether it is late itself, in seconds.
+STALL_CHECK_S = 0.05
+# Requests that the calm end needs, and the longest time to wait for them, in seconds.
+CALM_REQUESTS = 50
+CALM_LIMIT_S = 30.0
 CALM_S = 2.0
 # Share of the requests of the calm end that must be served.
 CALM_SERVED = 0.98
@@ -46,6 +51,8 @@
 
     :param broken: promises that were broken.
     :param faults: faults as they began: time and description.
+    :param longest_stall_s: longest time for which the soak's own process did nothing; callers and
+        stand-ins stood still, too.
     """
 
     seed: int
@@ -53,6 +60,7 @@
     faults: list[tuple[float, str]]
     statuses: Counter[int] = field(default_factory=Counter)
     calm_served: float = 0.0
+    longest_stall_s: float = 0.0
 
 
 class _Soak:
@@ -69,6 +77,15 @@
         self.running: set[asyncio.Task] = set()
         self.watchers: list[asyncio.Task] = []
         self.names = itertools.count(100)
+        self.longest_stall_s = 0.0
+
+    async def watch_stalls(self) -> None:
+        """Measure how late this process runs."""
+        while True:
+            began_at = time.monotonic()
+            await asyncio.sleep(STALL_CHECK_S)
+            late_s = time.monotonic() - began_at - STALL_CHECK_S
+            self.longest_stall_s = max(self.longest_stall_s, late_s)
 
     async def start(self) -> None:
         site = self.site
@@ -243,13 +260,15 @@
         """Return what a settled site still does wrong, and the share that it serves."""
         await asyncio.sleep(SETTLE_S)
         mark = time.monotonic()
-        await asyncio.sleep(CALM_S)
-        calm = [a for a in self.asked if a.began_at >= mark]
+        calm: list[Asked] = []
+        while len(calm) < CALM_REQUESTS and time.monotonic() < mark + CALM_LIMIT_S:
+            await asyncio.sleep(CALM_S)
+            calm = [a for a in self.asked if a.began_at >= mark]
         served = sum(a.answer.status == 200 and a.answer.is_whole for a in calm)
         left = sum(not a.answer.is_whole and a.answer.status in (0, 200) for a in calm)
         share = (served + left) / max(1, len(calm))
         broken = []
-        if share < CALM_SERVED or not calm:
+        if share < CALM_SERVED or len(calm) < CALM_REQUESTS:
             broken.append(f"calm end: {served} of {len(calm)} served")
         models = [p.engine for p in self.site.engines.values() if p.engine.model]
         behind = [e.endpoint_id for e in models if e.version != self.site.weights]
@@ -263,6 +282,7 @@
     tenants = [SiteTenant("office", ["key-a"]), SiteTenant("closed", ["key-b"], isolated=True)]
     async with HostedSite(folder, Random(plan.seed + 1), tenants=tenants) as site:
         soak = _Soak(plan, site)
+        soak.watchers.append(asyncio.create_task(soak.watch_stalls()))
         await soak.start()
         load = [asyncio.create_task(soak.press(n)) for n in range(plan.callers)]
         await soak.inject()
@@ -275,4 +295,4 @@
             proxy.close()
         broken += check_promises(site, soak.asked, TURN_S)
         statuses = Counter(entry.answer.status for entry in soak.asked)
-        return SoakReport(plan.seed, broken, soak.faults, statuses, share)
+        return SoakReport(plan.seed, broken, soak.faults, statuses, share, soak.longest_stall_s)
