--- a/teaselpath/gateway/_caches.py
+++ b/teaselpath/gateway/_caches.py
@@ -22,8 +22,8 @@
 SHORT_WAIT_PAUSE_S = 0.6
 # Gateways from which on polls are short and stay within the region.
 MANY_GATEWAYS = 7
-# Engines that one gateway follows at most; each poll costs it about 0.2 ms a second, and an engine
-# takes about a dozen polls at once.
+# Engines that one gateway follows at most, so that its work and the polls that an engine gets do
+# not grow with the fleet; an engine takes about a dozen polls at once.
 MAX_FOLLOWED = 64
 # Time for an answer beyond the wait, in seconds.
 ANSWER_S = 0.45
