--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -69,12 +69,12 @@
     process: subprocess.Popen | None = None
 
 
-def free_ports(count: int) -> list[int]:
+def free_ports(count: int, address: str = ADDRESS) -> list[int]:
     """Return ports that are free at this moment."""
     with ExitStack() as stack:
         sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
         for item in sockets:
-            item.bind((ADDRESS, 0))
+            item.bind((address, 0))
         return [item.getsockname()[1] for item in sockets]
 
 
--- a/standins/hosted/_site.py
+++ b/standins/hosted/_site.py
@@ -4,13 +4,13 @@
 import json
 import os
 import signal
-import socket
 import sys
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 from random import Random
 
+from standins.fleet import free_ports
 from standins.hosted._engine import HostedEngine, Run, stamp_of
 from standins.hosted._store import HostedStore
 from teaselpath.fleet import CallerLimits
@@ -103,8 +103,9 @@
     async def __aenter__(self) -> "HostedSite":
         """Start the store and the heartbeats."""
         self.store = HostedStore(self.random)
-        for name in ("front", "ready", "peer"):
-            self.ports[name] = free_port()
+        # All gateways listen at the same ports, each at its own loopback address.
+        names = ("front", "ready", "peer")
+        self.ports = dict(zip(names, free_ports(len(names), "0.0.0.0"), strict=True))
         self.beats = asyncio.get_running_loop().create_task(self._beat())
         return self
 
@@ -303,10 +304,3 @@
     "linkMbps": 180_000,
     "models": [{"name": MODEL}],
 }
-
-
-def free_port() -> int:
-    """Return a port that is free on all loopback addresses."""
-    with socket.socket() as probe:
-        probe.bind(("0.0.0.0", 0))
-        return probe.getsockname()[1]
--- a/standins/hosted/_store.py
+++ b/standins/hosted/_store.py
@@ -107,8 +107,8 @@
         topic.changed = asyncio.Event()
 
     def _list(self, exchange: Exchange, topic: _Topic, query: dict[str, str]) -> None:
-        keys = sorted(key for key in topic.newest() if key > query.get("after", ""))
         newest = topic.newest()
+        keys = sorted(key for key in newest if key > query.get("after", ""))
         items = [
             {
                 "key": key,
