One owner of reserved load; twins and unread fields of the gateway go

Cause, from reading the change once more: the load of a placed request was counted in Placer._reserve and taken back in two other places (Placer.release, Attempt.mark_read); one silence limit had two constants; the datagram loop, the readiness flag, the question whether many gateways run and the speed of a store's link stood twice; the size of a request's header fields was added up anew for each field, the due weights anew for each engine; fields were decoded or counted that nothing reads (a listing of caches, slots and models of a service, running and waiting of a report, has_prompt, counters of a connection). Change: dispatch.Reservation counts and takes back; each of the others stands once; the fields are gone. No decision, bound or assertion changes; test fixtures lose the arguments of dropped fields.

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -21,6 +21,7 @@
 from teaselpath.dispatch._placement import LONG_TOKENS, choose_endpoint, home_key
 from teaselpath.dispatch._pool import MAX_CANDIDATES, EndpointPool
 from teaselpath.dispatch._quota import Granted, OverRate, SharedQuota
+from teaselpath.dispatch._reservation import Reservation
 from teaselpath.dispatch._views import (
     PREFILL_TOKENS_PER_S,
     Demand,
@@ -58,6 +59,7 @@
     "Placed",
     "Progress",
     "Refuse",
+    "Reservation",
     "RetryWindow",
     "SendAgain",
     "SharedQuota",
--- a/teaselpath/dispatch/_attempts.py
+++ b/teaselpath/dispatch/_attempts.py
@@ -21,7 +21,6 @@
     """The endpoint says that it did not run the request."""
 
     status: int
-    retry_after_s: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/dispatch/_copies.py
+++ b/teaselpath/dispatch/_copies.py
@@ -83,7 +83,7 @@
                         store.failure_domain,
                         version,
                         tokens,
-                        demand.engine.token_bytes * 8 / max(1.0, store.link_bits_per_s),
+                        kept.s_per_token(demand.engine),
                         kept.link.wait_s(now),
                     )
                 )
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -111,11 +111,14 @@
         """Return whether the store can take and give parts soon."""
         return not self.health.is_suspect(now) and self.link.wait_s(now) < MAX_LINK_WAIT_S
 
+    def s_per_token(self, engine: EngineLimits) -> float:
+        """Return the time to copy one token within the store's failure domain, in seconds."""
+        return engine.token_bytes * 8 / max(1.0, self.store.link_bits_per_s)
+
     def copy_s(self, tokens: int, domain: str, engine: EngineLimits, topology: "Topology") -> float:
         """Return the time of a copy to or from an engine of a failure domain, in seconds."""
-        bits = tokens * engine.token_bytes * 8
         factor = topology.fetch_factor(self.store.failure_domain, domain)
-        return factor * bits / max(1.0, self.store.link_bits_per_s)
+        return factor * tokens * self.s_per_token(engine)
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/dispatch/tests/conftest.py
+++ b/teaselpath/dispatch/tests/conftest.py
@@ -16,14 +16,14 @@
 
 MODEL = "m"
 DOMAINS = {"a": "north", "b": "north", "c": "south"}
-ENGINE = EngineLimits(16, 160_000, 18_432, 0.8e-6, (MODEL,))
+ENGINE = EngineLimits(160_000, 18_432, 0.8e-6)
 
 
 def make_route(kind: RequestKind, *, resumable: bool = False, max_attempts: int = 2) -> Route:
     """Return a route with the given kind."""
     return Route(
         "r", "h", "/p/", kind, (Backend("s", 1.0),), 8.0, 0.8, 1, max_attempts, False,
-        resumable, True,
+        resumable,
     )  # fmt: skip
 
 
--- a/teaselpath/dispatch/tests/test_many_gateways.py
+++ b/teaselpath/dispatch/tests/test_many_gateways.py
@@ -31,7 +31,7 @@
 STATUS_S = 0.4
 # Time that a running request keeps its memory after its prompt was read, in seconds.
 ANSWER_S = 1.0
-LIMITS = EngineLimits(32, CACHE_TOKENS, 18_432, 0.8e-6, (MODEL,))
+LIMITS = EngineLimits(CACHE_TOKENS, 18_432, 0.8e-6)
 TOPOLOGY = Topology("a", {"a": "north"})
 STORE = CacheStore("kept", "10.9.9.9:80", "a", 45e9)
 SCOPE = scope_of("", 1)
--- a/teaselpath/dispatch/tests/test_placement.py
+++ b/teaselpath/dispatch/tests/test_placement.py
@@ -183,7 +183,7 @@
 def test_engine_whose_memory_is_not_known_is_not_limited_by_it(topology):
     view = make_view("e1")
     view.own.held_tokens = 90_000
-    unknown = EngineLimits(16, 0, 18_432, 0.8e-6, ("m",))
+    unknown = EngineLimits(0, 18_432, 0.8e-6)
     placed = choose_endpoint([view], Demand(make_prompt(), engine=unknown), topology, NOW)
     assert isinstance(placed, Placed)
 
--- a/teaselpath/fleet/_calls.py
+++ b/teaselpath/fleet/_calls.py
@@ -87,8 +87,6 @@
     orders: int
     is_busy: bool
     weights: dict[str, int]
-    running: int
-    waiting: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -173,6 +171,6 @@
         """Send an order; return ``accepted``, ``done``, ``busy``, ``fenced`` or ``invalid``."""
 
     async def follow_cache(
-        self, address: str, cursor: int | None, wait_s: float, deadline: float
+        self, address: str, cursor: int, wait_s: float, deadline: float
     ) -> CacheChanges:
-        """Return changes after a cursor, or a full listing if it is None."""
+        """Return changes after a cursor; 0 for all that the cache still tells."""
--- a/teaselpath/fleet/_endpoints.py
+++ b/teaselpath/fleet/_endpoints.py
@@ -116,11 +116,6 @@
             self.entries[key] = replace(self.entries[key], endpoint=None)
         return gone
 
-    def of_service(self, service: str) -> list[Endpoint]:
-        """Return the listed endpoints of a service, also those that leave."""
-        found = (entry.endpoint for entry in self.entries.values())
-        return [e for e in found if e is not None and e.service == service]
-
     def get(self, key: str) -> Endpoint | None:
         """Return a listed endpoint."""
         entry = self.entries.get(key)
--- a/teaselpath/fleet/_model.py
+++ b/teaselpath/fleet/_model.py
@@ -31,7 +31,6 @@
     :param target_latency_s: time within which an answer (a stream's first event) is on time.
     :param priority: rank; 0 is the most urgent.
     :param max_attempts: endpoints on which one request may run.
-    :param has_prompt: whether requests describe the prompt and its shared parts.
     """
 
     name: str
@@ -45,7 +44,6 @@
     max_attempts: int
     is_public: bool
     is_resumable: bool
-    has_prompt: bool
 
     @property
     def is_idempotent(self) -> bool:
@@ -57,18 +55,14 @@
 class EngineLimits:
     """What all model engines of a service have.
 
-    :param slots: requests in a batch.
     :param cache_tokens: memory for running requests and cached prompt parts.
     :param token_bytes: size of one token's memory.
     :param fetch_s_per_token: time to copy one cached token from a neighbour, in seconds.
-    :param models: names of the models.
     """
 
-    slots: int
     cache_tokens: int
     token_bytes: int
     fetch_s_per_token: float
-    models: tuple[str, ...]
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -50,14 +50,6 @@
         self.placed = placed
         self.loop = asyncio.get_running_loop()
 
-    def mark_read(self) -> None:
-        """Note that the engine has read the prompt."""
-        call, view = self.call, self.placed.view
-        view.own.unread_tokens -= call.unread
-        if call.backlog_mark is not None:
-            view.backlog.mark_done(call.backlog_mark, self.loop.time())
-        call.unread, call.backlog_mark = 0, None
-
     async def run(self) -> Outcome:
         """Send the request and read the answer."""
         call, endpoint = self.call, self.placed.view.endpoint
@@ -149,8 +141,9 @@
             if not whole:
                 continue
             if not exchange.is_started:
-                self.mark_read()
                 call.first_byte_at = self.loop.time()
+                if call.reservation is not None:
+                    call.reservation.mark_read(call.first_byte_at)
                 call.answer = info
                 exchange.start(200, info.passed_headers)
             exchange.write(whole)
--- a/teaselpath/gateway/_caches.py
+++ b/teaselpath/gateway/_caches.py
@@ -70,7 +70,7 @@
 
     def _match_tasks(self) -> None:
         wanted: dict[tuple, _Target] = {}
-        is_large = self.state.gateways(self.loop.time())[1] >= MANY_GATEWAYS
+        is_large = self._is_large()
         for view in self._followed_engines(is_large):
             endpoint = view.endpoint
             target = _Target(endpoint.endpoint_id, endpoint.address, view.cache, view.health)
@@ -83,6 +83,10 @@
             if key not in self.tasks:
                 self.tasks[key] = self.loop.create_task(self._follow(target))
 
+    def _is_large(self) -> bool:
+        """Return whether many gateways follow the same caches."""
+        return self.state.gateways(self.loop.time())[1] >= MANY_GATEWAYS
+
     def _followed_engines(self, is_large: bool) -> list[EndpointView]:
         """Return the engines whose events are followed: of this region, and a part of very many."""
         engines = [view for view in self.state.views.values() if view.weights]
@@ -106,8 +110,8 @@
         cursor, epoch, missed = 0, None, 0
         while True:
             started_at = self.loop.time()
-            is_crowded = self.state.gateways(started_at)[1] >= MANY_GATEWAYS
-            wait_s = SHORT_WAIT_S if is_crowded else WAIT_S
+            is_large = self._is_large()
+            wait_s = SHORT_WAIT_S if is_large else WAIT_S
             try:
                 page = await self.engines.follow_cache(
                     target.address, cursor, wait_s, started_at + wait_s + ANSWER_S
@@ -130,7 +134,7 @@
             target.cache.is_followed = True
             apply_changes(target.cache, page)
             pause_s = INTERVAL_S - (self.loop.time() - started_at)
-            if is_crowded:
+            if is_large:
                 pause_s = SHORT_WAIT_PAUSE_S
             if pause_s > 0 and len(page.changes) < FULL_PAGE:
                 await asyncio.sleep(pause_s)
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from teaselpath.dispatch import Placed, Progress
+from teaselpath.dispatch import Placed, Progress, Reservation
 from teaselpath.fleet import AnswerInfo, CallerRequest, Route, Service, Workspace
 from teaselpath.gateway._events import EventSplitter
 
@@ -14,8 +14,7 @@
     :param deadline: event loop time at which nobody waits any more.
     :param tried: endpoints that it was sent to.
     :param attempts: endpoint, outcome and duration of each attempt, for the log.
-    :param unread: prompt tokens that the engine has still to read.
-    :param backlog_mark: mark of the prompt in the engine's backlog; None if it is not counted.
+    :param reservation: its load at the endpoint of the present attempt; None between attempts.
     """
 
     request: CallerRequest
@@ -33,8 +32,7 @@
     answer: AnswerInfo | None = None
     body: bytes = b""
     placed: Placed | None = None
-    unread: int = 0
-    backlog_mark: float | None = None
+    reservation: Reservation | None = None
 
     @property
     def priority(self) -> int:
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -112,7 +112,18 @@
             state.quota.set_share(*state.gateways(now))
             grant = state.quota.take(workspace, call.tokens, now)
             if isinstance(grant, OverRate):
-                self._refuse(exchange, request, Code.RATE_EXCEEDED, 429, grant, workspace)
+                self._refuse(
+                    exchange,
+                    request,
+                    Code.RATE_EXCEEDED,
+                    429,
+                    grant.retry_after_s,
+                    workspace,
+                    tokens=request.tokens,
+                    level=round(grant.level),
+                    rate=round(grant.rate),
+                    share=round(grant.share, 3),
+                )
                 return None
         state.retry_window(service.name).record_request(now)
         return call
@@ -132,18 +143,14 @@
         request: CallerRequest,
         code: Code,
         status: int,
-        why: OverRate | float | None = None,
+        retry_after_s: float | None = None,
         workspace: Workspace | None = None,
+        **inputs: float | None,
     ) -> None:
-        retry_after_s = why.retry_after_s if isinstance(why, OverRate) else why
-        inputs = {}
-        if isinstance(why, OverRate):
-            inputs = {
-                "tokens": request.tokens,
-                "level": round(why.level),
-                "rate": round(why.rate),
-                "share": round(why.share, 3),
-            }
+        """Answer a request that is not admitted.
+
+        :param inputs: what decided the refusal, for the log.
+        """
         exchange.respond(status, self.codec.refusal_headers(request.request_id, retry_after_s))
         config = self.state.config
         name = workspace.name if workspace else None
@@ -209,7 +216,7 @@
         try:
             outcome = await Attempt(self.tools, exchange, call, placed).run()
         finally:
-            self.placer.release(call, placed)
+            self.placer.release(call)
         now = self.loop.time()
         self._count(call, placed, outcome, now)
         call.attempts.append(
--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -103,12 +103,8 @@
     def _is_late(self, engines: list[EngineStatus], now: float) -> bool:
         """Return whether an engine still has weights that should have been replaced."""
         limit_s = HURRY_PART * self.state.settings.bounds.weights_s
-        return any(
-            version < self.state.wanted[model].oldest_usable(now, limit_s)
-            for engine in engines
-            for model, version in engine.weights.items()
-            if model in self.state.wanted
-        )
+        due = {m: wanted.oldest_usable(now, limit_s) for m, wanted in self.state.wanted.items()}
+        return bool(self.rollout.behind(engines, due))
 
     def _engines(self) -> list[EngineStatus]:
         return [
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -14,7 +14,7 @@
 
 from teaselpath.dispatch import Load
 from teaselpath.fleet import StoredRecord
-from teaselpath.gateway._state import GatewayState, LongPlacement, Member
+from teaselpath.gateway._state import PEER_HEARD_S, GatewayState, LongPlacement, Member
 from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout
 from teaselpath.rollout import LeaseRecord, OrderLease
 
@@ -34,8 +34,6 @@
 MAX_RETIRED = 256
 # Messages per message that lists the known members.
 MEMBERS_PERIOD = 10
-# Silence after which a gateway's load is forgotten, in seconds.
-SILENT_S = 2.5
 # Time for which a seed address is tried, in seconds after the start.
 SEED_PERIOD_S = 20.0
 
@@ -159,8 +157,6 @@
         return 2 * STATUS_INTERVAL_S if is_large else STATUS_INTERVAL_S
 
     def _send(self, now: float) -> None:
-        if self.transport is None:
-            return
         state = self.state
         self.sequence += 1
         data = self.encoder.encode(self._status(now))
@@ -171,17 +167,18 @@
         }
         if (goes_far and now - self.started_at < SEED_PERIOD_S) or not state.members:
             targets.update(state.settings.seed_ips)
-        targets.discard(state.settings.ip)
-        for ip in targets:
-            self.transport.sendto(data, (ip, state.settings.peer_port))
+        self._send_to(targets, data)
 
     def announce(self, placement: LongPlacement) -> None:
         """Tell all gateways of a long prompt that was placed."""
-        if self.transport is None:
-            return
         data = self.encoder.encode(PlacementNote(self.state.settings.host, placement))
-        for ip in {member.ip for member in self.state.members.values()}:
-            self.transport.sendto(data, (ip, self.state.settings.peer_port))
+        self._send_to({member.ip for member in self.state.members.values()}, data)
+
+    def _send_to(self, ips: set[str], data: bytes) -> None:
+        settings = self.state.settings
+        if self.transport is not None:
+            for ip in ips - {settings.ip}:
+                self.transport.sendto(data, (ip, settings.peer_port))
 
     def _is_near(self, member: Member) -> bool:
         peer = self.peers.get(member.host)
@@ -192,7 +189,7 @@
         members = [
             (m.host, m.ip, m.incarnation)
             for m in state.members.values()
-            if now - m.heard_at < SILENT_S
+            if now - m.heard_at < PEER_HEARD_S
         ]
         last = lease.last
         return Status(
@@ -276,7 +273,7 @@
         return True
 
     def _log_contact(self, member: Member, now: float) -> None:
-        if now - member.heard_at > SILENT_S:
+        if now - member.heard_at > PEER_HEARD_S:
             log_message("peer_regained", host=member.host, silent_s=now - member.heard_at)
 
     def _take_note(self, host: str, note: EndpointNote, now: float) -> None:
@@ -309,7 +306,8 @@
 
     def drop_silent(self, now: float) -> None:
         """Forget the load of gateways that are silent."""
-        for host in [h for h in self.peers if now - self.state.members[h].heard_at > SILENT_S]:
+        members = self.state.members
+        for host in [h for h in self.peers if now - members[h].heard_at > PEER_HEARD_S]:
             log_message("peer_lost", host=host)
             del self.peers[host]
             self._forget_load(host, keep=set())
@@ -360,7 +358,6 @@
             self.state.apply_operator_record(StoredRecord(*record), source, now)
         for record in records.endpoints:
             self.state.apply_endpoint_record(StoredRecord(*record), source, now)
-        self.state.has_endpoints = self.state.has_endpoints or bool(self.state.views)
 
     def encode_records(self) -> bytes:
         """Return the records that this gateway holds, for a peer."""
--- a/teaselpath/gateway/_placing.py
+++ b/teaselpath/gateway/_placing.py
@@ -10,6 +10,7 @@
     Demand,
     NoPlace,
     Placed,
+    Reservation,
     Ticket,
     WaitingRoom,
     choose_endpoint,
@@ -79,7 +80,7 @@
             return NoPlace("queue", 0.5) if future.cancelled() else future.result()
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
-                self.release(call, future.result())
+                self.release(call)
             raise
         finally:
             self.waiting.leave(ticket)
@@ -110,40 +111,33 @@
     def _reserve(self, call: Call, placed: Placed) -> None:
         """Count a request at an endpoint from now on."""
         view, prompt, now = placed.view, call.request.prompt, self.loop.time()
-        call.unread, call.backlog_mark = 0, None
-        call.placed = placed
+        reservation = Reservation(view)
         if prompt is not None:
-            call.unread = max(0, prompt.prompt_tokens - placed.cached_tokens)
+            reservation.unread_tokens = max(0, prompt.prompt_tokens - placed.cached_tokens)
             view.cache.expect(placed.scope, prompt.parts, now)
             if prompt.prompt_tokens >= NOTED_TOKENS:
                 note = LongPlacement(
                     view.endpoint.endpoint_id,
                     view.endpoint.started_at_ms,
                     prompt.prompt_tokens,
-                    call.unread,
+                    reservation.unread_tokens,
                     placed.scope,
                     [(part.part_id, part.tokens) for part in prompt.parts[:-1]],
                     placed.fetch_from,
                     placed.fetched_tokens,
                     placed.save_to,
                 )
-                call.backlog_mark = self.state.take_placement(note, now)
-                view.own.held_tokens += prompt.prompt_tokens
+                reservation.held_tokens = prompt.prompt_tokens
+                reservation.backlog_mark = self.state.take_placement(note, now)
                 self.announce(note)
-        view.own.requests += 1
-        view.own.unread_tokens += call.unread
+        reservation.begin()
+        call.placed, call.reservation = placed, reservation
 
-    def release(self, call: Call, placed: Placed) -> None:
-        """End the count of a request at an endpoint."""
-        view = placed.view
-        view.own.requests -= 1
-        view.own.unread_tokens -= call.unread
-        prompt = call.request.prompt
-        if prompt is not None and prompt.prompt_tokens >= NOTED_TOKENS:
-            view.own.held_tokens -= prompt.prompt_tokens
-        if call.backlog_mark is not None:
-            view.backlog.drop(call.unread / PREFILL_TOKENS_PER_S)
-        call.unread, call.backlog_mark = 0, None
+    def release(self, call: Call) -> None:
+        """End the count of a request at its endpoint."""
+        if call.reservation is not None:
+            call.reservation.end()
+            call.reservation = None
 
     def _place(self, call: Call, now: float) -> Placed | NoPlace:
         state, prompt = self.state, call.request.prompt
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -239,6 +239,7 @@
             for model, version in endpoint.weights:
                 view.learn_weights(model, version)
         self.pool(endpoint.service).put(view)
+        self.has_endpoints = True
 
     def pool(self, service: str) -> EndpointPool:
         """Return the endpoints of a service."""
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -112,4 +112,3 @@
             state.keep_only({r.key for r in page.records if r.value}, page.end, now)
         for record in page.records:
             state.apply_endpoint_record(record, "store", now)
-        state.has_endpoints = state.has_endpoints or bool(state.views)
--- a/teaselpath/gateway/tests/test_placing.py
+++ b/teaselpath/gateway/tests/test_placing.py
@@ -19,10 +19,8 @@
 from teaselpath.gateway._placing import Placer
 from teaselpath.gateway.tests.conftest import endpoint_record
 
-ENGINE = EngineLimits(4, 100_000, 18_432, 1e-6, ("m",))
-ROUTE = Route(
-    "r", "h", "/", RequestKind.STREAM, (Backend("s", 1.0),), 8.0, 0.8, 0, 1, False, False, True
-)
+ENGINE = EngineLimits(100_000, 18_432, 1e-6)
+ROUTE = Route("r", "h", "/", RequestKind.STREAM, (Backend("s", 1.0),), 8.0, 0.8, 0, 1, False, False)
 
 
 def make_call(time_left_s: float = 5.0) -> Call:
@@ -59,7 +57,7 @@
         assert isinstance(place, Placed)
         reserved = load_of(engine)
         assert engine.backlog.wait_s(placer.loop.time()) > 0.4
-        placer.release(call, place)
+        placer.release(call)
         assert engine.backlog.wait_s(placer.loop.time()) == 0.0
         return reserved
 
--- a/teaselpath/http1/_client.py
+++ b/teaselpath/http1/_client.py
@@ -22,15 +22,7 @@
 
 
 class ConnectionBroken(Exception):
-    """The connection ended, or sent bytes that are no response, before the response was whole.
-
-    :param has_response: whether a byte of the response had arrived.
-    """
-
-    def __init__(self, reason: str, has_response: bool = False):
-        super().__init__(reason)
-        self.reason = reason
-        self.has_response = has_response
+    """The connection ended, or sent bytes that are no response, before the response was whole."""
 
 
 class ReadTimeout(Exception):
@@ -68,8 +60,6 @@
         self.is_busy = False
         self.error = ""
         self.idle_until = 0.0
-        self.uses = 0
-        self.got_bytes = False
         self.id_header = b""
         self.expected_id: bytes | None = None
         self.method = b""
@@ -87,7 +77,6 @@
         if not self.is_busy:
             self._fail("bytes outside a response")
             return
-        self.got_bytes = True
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -161,8 +150,6 @@
         if self.is_lost or self.transport is None:
             raise ConnectionBroken(self.error)
         self.is_busy = True
-        self.got_bytes = False
-        self.uses += 1
         self.method = method
         self.id_header = id_header
         self.expected_id = expected_id
@@ -231,7 +218,7 @@
     async def _until(self, condition, deadline: float) -> None:
         while not condition():
             if self.is_lost:
-                raise ConnectionBroken(self.error, self.got_bytes)
+                raise ConnectionBroken(self.error)
             left = deadline - self.loop.time()
             if left <= 0:
                 raise ReadTimeout
@@ -275,24 +262,21 @@
         self.address = address
         self.limits = limits
         self.idle: list[ClientConnection] = []
-        self.opened = 0
         self.loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
         self.host, self.port = host, int(port)
 
-    async def acquire(self, deadline: float, *, fresh: bool = False) -> ClientConnection:
+    async def acquire(self, deadline: float) -> ClientConnection:
         """Return an idle connection, or a new one.
 
-        :param fresh: never reuse a connection.
         :raises ConnectFailed: if no connection could be established.
         """
-        if not fresh:
-            now = self.loop.time()
-            while self.idle:
-                connection = self.idle.pop()
-                if not connection.is_lost and now < connection.idle_until:
-                    return connection
-                connection.close()
+        now = self.loop.time()
+        while self.idle:
+            connection = self.idle.pop()
+            if not connection.is_lost and now < connection.idle_until:
+                return connection
+            connection.close()
         return await self._open(deadline)
 
     async def _open(self, deadline: float) -> ClientConnection:
@@ -306,7 +290,6 @@
                 )
         except (OSError, TimeoutError) as error:
             raise ConnectFailed(f"cannot connect to {self.address}: {error!r}") from error
-        self.opened += 1
         return connection
 
     def release(self, connection: ClientConnection, head: ResponseHead | None) -> None:
--- a/teaselpath/http1/_server.py
+++ b/teaselpath/http1/_server.py
@@ -132,10 +132,9 @@
         self.target = b""
         self.headers: Headers = []
         self.body: list[bytes] = []
-        self.head_bytes = 0
+        self.field_bytes = 0
         self.body_bytes = 0
         self.is_reading = False
-        self.has_head = False
 
     # asyncio.Protocol
 
@@ -176,8 +175,6 @@
             self.is_reading = True
             if self.task is None:
                 self._set_timer(self.get_limits().header_timeout_s)
-        if not self.has_head:
-            self.head_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except _TooLarge as error:
@@ -202,12 +199,12 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
         self.headers.append((name, value))
-        if sum(len(n) + len(v) for n, v in self.headers) > self.get_limits().header_bytes:
+        self.field_bytes += len(name) + len(value)
+        if self.field_bytes > self.get_limits().header_bytes:
             raise _TooLarge(431)
 
     def on_headers_complete(self) -> None:
         """Allow the body as long as the connection may stay idle."""
-        self.has_head = True
         if self.task is None:
             self._set_timer(self.get_limits().idle_timeout_s)
 
--- a/teaselpath/platform/_config.py
+++ b/teaselpath/platform/_config.py
@@ -39,28 +39,19 @@
     kind: str
     timeout_ms: float = 30_000
     target_latency_ms: float = 1000
-    gap_aim_ms: float = 1000
     priority: int = 5
     service: str | None = None
     # Services that share the route's requests, by weight; replaces ``service``.
     backends: list[_Backend] = []
     max_attempts: int = 1
     public: bool = False
-    # Marks routes whose requests describe their prompt.
-    session_affinity: bool = False
     resumable: bool = False
 
 
-class _Model(msgspec.Struct):
-    name: str
-
-
 class _Engine(msgspec.Struct, rename="camel"):
-    slots: int = 1
     kv_capacity_tokens: int = 0
     kv_token_bytes: int = 0
     link_mbps: float = 0
-    models: list[_Model] = []
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -198,7 +189,6 @@
         max_attempts=route.max_attempts,
         is_public=route.public,
         is_resumable=route.resumable,
-        has_prompt=route.session_affinity,
     )
 
 
@@ -206,11 +196,9 @@
     engine = None
     if service.engine is not None:
         engine = EngineLimits(
-            slots=service.engine.slots,
             cache_tokens=service.engine.kv_capacity_tokens,
             token_bytes=service.engine.kv_token_bytes,
             fetch_s_per_token=_fetch_time(service.engine),
-            models=tuple(model.name for model in service.engine.models),
         )
     return Service(service.name, engine)
 
--- a/teaselpath/platform/_engines.py
+++ b/teaselpath/platform/_engines.py
@@ -27,8 +27,6 @@
     # Number of orders accepted since the start.
     seq: int = 0
     busy: bool = False
-    running: int = 0
-    waiting: int = 0
     models: list[_Model] = []
 
 
@@ -41,12 +39,6 @@
     events: list[tuple[int, str, str, str, int, str]] = []
 
 
-class _Listing(msgspec.Struct, rename="camel"):
-    boot_epoch: int
-    next_token: int
-    held: list[tuple[str, str, int, str]] = []
-
-
 class PlatformEngines:
     """Calls to model engines and cache stores besides requests."""
 
@@ -58,7 +50,7 @@
         response = await self._call(address, b"GET", b"/-/report", deadline)
         report = _decode(response, _Report)
         weights = {model.name: model.version for model in report.models}
-        return EngineReport(report.seq, report.busy, weights, report.running, report.waiting)
+        return EngineReport(report.seq, report.busy, weights)
 
     async def send_order(self, order: WeightsOrder, deadline: float) -> str:
         """Send an order to load weights; running requests finish first."""
@@ -82,13 +74,9 @@
         return _ORDER_STATUS.get(response.head.status, "invalid")
 
     async def follow_cache(
-        self, address: str, cursor: int | None, wait_s: float, deadline: float
+        self, address: str, cursor: int, wait_s: float, deadline: float
     ) -> CacheChanges:
-        """Return changes after a cursor, or a full listing if it is None."""
-        if cursor is None:
-            listing = _decode(await self._call(address, b"GET", b"/-/kv-list", deadline), _Listing)
-            changes = [CacheChange(salt, part, tokens) for salt, part, tokens, _ in listing.held]
-            return CacheChanges(listing.boot_epoch, listing.next_token, True, changes)
+        """Return changes after a cursor; 0 for all that the cache still tells."""
         target = b"/-/kv-events?since=%d" % cursor
         headers = [(b"Wait-Ms", b"%d" % (wait_s * 1000))]
         response = await self._call(address, b"GET", target, deadline, headers)
--- a/teaselpath/rollout/_lease.py
+++ b/teaselpath/rollout/_lease.py
@@ -120,9 +120,4 @@
     def read(self, end: int, record: LeaseRecord | None, now: float) -> None:
         """Take a reading of the store; it ends doubt about earlier appends."""
         self.tainted = False
-        if self.end is None:
-            self.end = end
-            self.last = record
-            self.seen_at = now
-        else:
-            self.observe(end, record, now)
+        self.observe(end, record, now)
--- a/teaselpath/rollout/tests/test_weights.py
+++ b/teaselpath/rollout/tests/test_weights.py
@@ -11,7 +11,7 @@
 
 
 def report(version, *, orders=0, busy=False):
-    return EngineReport(orders, busy, {MODEL: version}, 0, 0)
+    return EngineReport(orders, busy, {MODEL: version})
 
 
 def test_a_fifth_of_the_engines_loads_at_once_and_a_third_if_time_is_short():
