http1: limit what a server may send, pause reading, tell late copies apart

Change: limits on heads, framing, interim and skipped responses and complete bodies; reading pauses above a high-water mark; a response without an id is accepted on a fresh connection only, a reply to a control call only without an id.

--- a/teaselpath/daemon/gateway.py
+++ b/teaselpath/daemon/gateway.py
@@ -29,7 +29,7 @@
 async def _run(settings: GatewaySettings) -> None:
     log = LogSink()
     log.open()
-    http = HttpClient()
+    http = HttpClient(id_header=PlatformRequests.id_header)
     store = PlatformStore(settings.store_address, http)
     service = GatewayService(settings, store, PlatformRequests(), PlatformEngines(http), http, log)
     gc.freeze()
--- a/teaselpath/http1/__init__.py
+++ b/teaselpath/http1/__init__.py
@@ -8,6 +8,7 @@
     HttpClient,
     PoolLimits,
     ReadTimeout,
+    ResponseLimits,
 )
 from teaselpath.http1._messages import (
     HOP_BY_HOP,
@@ -32,6 +33,7 @@
     "Request",
     "Response",
     "ResponseHead",
+    "ResponseLimits",
     "ServerConnection",
     "ServerLimits",
     "encode_request",
--- a/teaselpath/http1/_client.py
+++ b/teaselpath/http1/_client.py
@@ -30,6 +30,27 @@
     """The response did not arrive before the deadline."""
 
 
+@dataclass(slots=True, frozen=True)
+class ResponseLimits:
+    """Limits of what a server may send, so that none fills the memory or holds a request.
+
+    :param head_bytes: bytes without data of a body, in sequence: a head with its field names and
+        values, interim responses, chunk extensions, trailer fields.
+    :param interim_responses: interim (1xx) responses before one response.
+    :param skipped_bytes: bytes of responses to other requests before the expected one.
+    :param body_bytes: body of a response that is read as a whole.
+    :param high_water_bytes: data of bodies that is buffered before reading is paused.
+    :param low_water_bytes: buffered data at which reading is resumed.
+    """
+
+    head_bytes: int = 65_536
+    interim_responses: int = 16
+    skipped_bytes: int = 262_144
+    body_bytes: int = 8_388_608
+    high_water_bytes: int = 262_144
+    low_water_bytes: int = 65_536
+
+
 class _IncomingResponse:
     """A response that is being received."""
 
@@ -46,11 +67,22 @@
     """A connection that carries one request at a time.
 
     Data that arrives while no response is expected closes the connection. A response whose id
-    differs from that of the current request is skipped, and the connection is not reused.
+    differs from that of the current request is skipped, and the connection is not reused. A server
+    that exceeds the limits is cut off; reading pauses while the data of a body is not taken.
+
+    :param id_header: name of the header field with the id of a request, in lower case.
+    :ivar buffered_bytes: data of bodies that was received and not yet read.
+    :ivar overhead_bytes: bytes received since the last data of a body.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop):
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        limits: ResponseLimits | None = None,
+        id_header: bytes = b"",
+    ):
         self.loop = loop
+        self.limits = limits or ResponseLimits()
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.responses: deque[_IncomingResponse] = deque()
@@ -61,7 +93,13 @@
         self.is_busy = False
         self.error = ""
         self.idle_until = 0.0
-        self.id_header = b""
+        self.buffered_bytes = 0
+        self.overhead_bytes = 0
+        self.interim_responses = 0
+        self.skipped_bytes = 0
+        self.is_paused = False
+        self.has_carried_request = False
+        self.id_header = id_header
         self.expected_id: bytes | None = None
         self.method = b""
 
@@ -78,10 +116,18 @@
         if not self.is_busy:
             self._fail("bytes outside a response")
             return
+        self.overhead_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._fail(f"no valid response: {error}")
+            # httptools wraps exceptions that callbacks raise.
+            cause = error.__context__
+            excess = isinstance(cause, _LimitExceeded)
+            self._fail(str(cause) if excess else f"no valid response: {error}")
+        if self.overhead_bytes > self.limits.head_bytes:
+            self._fail(f"more than {self.limits.head_bytes} bytes of head or framing")
+        if self.buffered_bytes > self.limits.high_water_bytes and not self.is_lost:
+            self._pause_reading()
         self._wake()
 
     def eof_received(self) -> bool:
@@ -109,6 +155,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
         assert self.current is not None
+        if self.current.head.status:
+            # Trailer fields are not forwarded.
+            return
         self.current.head.headers.append((name, value))
         lower = name.lower()
         if lower in (b"content-length", b"transfer-encoding"):
@@ -123,6 +172,11 @@
             self.current.has_framing = True
         if status >= 200:
             self.responses.append(self.current)
+            self.interim_responses = 0
+        else:
+            self.interim_responses += 1
+            if self.interim_responses > self.limits.interim_responses:
+                raise _LimitExceeded(f"more than {self.limits.interim_responses} interim responses")
         if not self.current.has_framing or not self.parser.should_keep_alive():
             self.is_reusable = False
 
@@ -130,6 +184,8 @@
         """Collect the body."""
         assert self.current is not None
         self.current.chunks.append(data)
+        self.buffered_bytes += len(data)
+        self.overhead_bytes = 0
 
     def on_message_complete(self) -> None:
         """Mark the response as complete."""
@@ -145,16 +201,19 @@
         """Send a request.
 
         :param id_header: name of the header field with the id of the request, in lower case.
-        :param expected_id: expected value of that field; responses without the field are accepted.
-            None accepts any response.
+        :param expected_id: expected value of that field; None for a request without an id, whose
+            response has none either. On a connection that has carried another request, a response
+            without the field may be a late copy of an earlier one and is not accepted.
         :raises ConnectionBroken: if the connection is already closed.
         """
         if self.is_lost or self.transport is None:
             raise ConnectionBroken(self.error)
         self.is_busy = True
         self.method = method
-        self.id_header = id_header
+        self.id_header = id_header or self.id_header
         self.expected_id = expected_id
+        self.overhead_bytes = 0
+        self.skipped_bytes = 0
         self.transport.write(data)
 
     async def read_head(self, deadline: float) -> ResponseHead:
@@ -170,8 +229,9 @@
             if self._is_expected(incoming.head):
                 return incoming.head
             self.is_reusable = False
-            while await self.read_chunk(deadline) is not None:
-                continue
+            while (chunk := await self.read_chunk(deadline)) is not None:
+                self.skipped_bytes += len(chunk)
+                self._check_skipped()
             self.responses.popleft()
 
     async def read_chunk(self, deadline: float) -> bytes | None:
@@ -182,18 +242,30 @@
         if incoming.chunks:
             data = b"".join(incoming.chunks)
             incoming.chunks.clear()
+            self.buffered_bytes -= len(data)
+            if self.is_paused and self.buffered_bytes <= self.limits.low_water_bytes:
+                self._resume_reading()
             return data
         return None
 
-    async def read_body(self, deadline: float) -> bytes:
-        """Return the complete body."""
+    async def read_body(self, deadline: float, max_bytes: int | None = None) -> bytes:
+        """Return the complete body.
+
+        :param max_bytes: largest accepted size; None for the limit of the connection.
+        :raises ConnectionBroken: if the body is larger, or incomplete.
+        """
+        limit = self.limits.body_bytes if max_bytes is None else max_bytes
         if self.method == b"HEAD":
             # The parser waits for a body if the response has a Content-Length.
             self.is_reusable = False
             return b""
-        chunks = []
+        chunks, size = [], 0
         while (chunk := await self.read_chunk(deadline)) is not None:
             chunks.append(chunk)
+            size += len(chunk)
+            if size > limit:
+                self._fail(f"a body of more than {limit} bytes")
+                raise ConnectionBroken(self.error)
         return b"".join(chunks)
 
     def end_request(self) -> None:
@@ -204,6 +276,7 @@
         if self.transport is not None and self.transport.get_write_buffer_size():
             self.is_reusable = False
         self.is_busy = False
+        self.has_carried_request = True
 
     def abort(self) -> None:
         """Abort the connection, so that the server cancels the current request."""
@@ -213,10 +286,26 @@
             self.transport.abort()
 
     def _is_expected(self, head: ResponseHead) -> bool:
+        found = head.header(self.id_header) if self.id_header else None
         if self.expected_id is None:
-            return True
-        found = head.header(self.id_header)
-        return found is None or found == self.expected_id
+            return found is None
+        if found is None:
+            return not self.has_carried_request
+        return found == self.expected_id
+
+    def _check_skipped(self) -> None:
+        if self.skipped_bytes > self.limits.skipped_bytes:
+            self._fail(f"more than {self.limits.skipped_bytes} bytes of other responses")
+
+    def _pause_reading(self) -> None:
+        if self.transport is not None and not self.is_paused:
+            self.is_paused = True
+            self.transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        self.is_paused = False
+        if self.transport is not None and not self.is_lost:
+            self.transport.resume_reading()
 
     async def _wait_until(self, condition, deadline: float) -> None:
         while not condition():
@@ -243,27 +332,35 @@
         self._wake()
 
 
+class _LimitExceeded(Exception):
+    """A server has sent more than it may."""
+
+
 @dataclass(slots=True)
 class PoolLimits:
     """Limits of the connections to one address.
 
     :param connect_timeout_s: time to establish a connection.
     :param default_idle_s: idle timeout of servers that announce none.
+    :param response: limits of the responses on a connection.
     """
 
     connect_timeout_s: float = 0.5
     default_idle_s: float = 4.0
+    response: ResponseLimits = ResponseLimits()
 
 
 class ConnectionPool:
     """Connections to one address.
 
     :param address: IP:PORT.
+    :param id_header: name of the header field with the id of a request, in lower case.
     """
 
-    def __init__(self, address: str, limits: PoolLimits):
+    def __init__(self, address: str, limits: PoolLimits, id_header: bytes = b""):
         self.address = address
         self.limits = limits
+        self.id_header = id_header
         self.idle: list[ClientConnection] = []
         self.loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
@@ -289,7 +386,9 @@
         try:
             async with asyncio.timeout(remaining_s):
                 _, connection = await self.loop.create_connection(
-                    lambda: ClientConnection(self.loop), self.host, self.port
+                    lambda: ClientConnection(self.loop, self.limits.response, self.id_header),
+                    self.host,
+                    self.port,
                 )
         except (OSError, TimeoutError) as error:
             raise ConnectFailed(f"cannot connect to {self.address}: {error!r}") from error
@@ -332,17 +431,23 @@
 
 
 class HttpClient:
-    """Client that returns complete responses, with one pool per address."""
+    """Client that returns complete responses, with one pool per address.
 
-    def __init__(self, limits: PoolLimits | None = None):
+    :param id_header: name of the header field with the id of a request, in lower case, that a
+        response to another request on the same connection carries.
+    """
+
+    def __init__(self, limits: PoolLimits | None = None, id_header: bytes = b""):
         self.limits = limits or PoolLimits()
+        self.id_header = id_header
         self.pools: dict[str, ConnectionPool] = {}
 
     def pool(self, address: str) -> ConnectionPool:
         """Return the pool of an address; create it if necessary."""
         pool = self.pools.get(address)
         if pool is None:
-            pool = self.pools[address] = ConnectionPool(address, self.limits)
+            pool = ConnectionPool(address, self.limits, self.id_header)
+            self.pools[address] = pool
         return pool
 
     async def call(
@@ -354,10 +459,12 @@
         deadline: float,
         headers: Headers | None = None,
         body: bytes = b"",
+        max_body_bytes: int | None = None,
     ) -> Response:
         """Send a request and return the complete response.
 
         :param deadline: event loop time.
+        :param max_body_bytes: largest accepted body; None for the limit of all connections.
         :raises ConnectFailed: if nothing was sent.
         :raises ConnectionBroken: if the response is incomplete or invalid.
         :raises ReadTimeout: at the deadline.
@@ -369,7 +476,7 @@
         try:
             connection.send(method, encode_request(method, target, fields, body))
             head = await connection.read_head(deadline)
-            content = await connection.read_body(deadline)
+            content = await connection.read_body(deadline, max_body_bytes)
         except BaseException:
             connection.abort()
             raise
