--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -5,11 +5,13 @@
 import msgspec
 from eliot import log_message
 
-from teaselpath.fleet import StoreError, Topic
+from teaselpath.exchange import TopicPolls
+from teaselpath.fleet import RecordPage, StoreError, Topic
 from teaselpath.gateway._state import GatewayState
 
-# Duration of a long poll of the operators' topic, in seconds.
-OPERATORS_WAIT_S = 8.0
+# Duration of a long poll of the operators' topic, in seconds. A connection can go silent without a
+# reset; the poll on it then delays a new configuration by this time and the timeout at most.
+OPERATORS_WAIT_S = 4.0
 # Duration of a long poll of the endpoint topic, in seconds, unless an endpoint changes: the topic
 # has no records of heartbeats.
 ENDPOINTS_WAIT_S = 5.0
@@ -40,6 +42,9 @@
     def __init__(self, state: GatewayState):
         self.state = state
         self.store = state.store
+        self.polls = TopicPolls()
+        # Polls in flight, which another topic's answer may end.
+        self.calls: dict[Topic, asyncio.Task[RecordPage]] = {}
 
     async def follow_operators(self) -> None:
         """Follow configuration and announced weights."""
@@ -91,13 +96,20 @@
         loop = asyncio.get_running_loop()
         cursor: int | None = None
         while True:
-            sent_at, poll_wait_s = loop.time(), 0.0 if cursor is None else wait_s
+            sent_at = loop.time()
+            poll_wait_s = self.polls.begin(topic, wait_s, sent_at)
             try:
-                page = await self.store.poll(topic, cursor, poll_wait_s)
+                page = await self._poll(topic, cursor, 0.0 if cursor is None else poll_wait_s)
             except StoreError as error:
+                self.polls.record_failure(topic)
                 self.state.record_store_failure(f"{topic}: {error}", loop.time())
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
+            if page is None:
+                log_message("poll_restarted", topic=topic, after_s=loop.time() - sent_at)
+                continue
+            for other in self.polls.record_answer(topic, loop.time()):
+                self.calls[Topic(other)].cancel()
             rtt_s = loop.time() - sent_at if cursor is None else None
             self.state.record_store_success(loop.time(), rtt_s)
             self._apply(topic, page, loop.time())
@@ -106,6 +118,18 @@
             if pause_s and page.records:
                 await asyncio.sleep(pause_s)
 
+    async def _poll(self, topic: Topic, cursor: int | None, wait_s: float) -> RecordPage | None:
+        """Return the answer to a poll; None if the answer on another topic has ended it."""
+        call = self.calls[topic] = asyncio.get_running_loop().create_task(
+            self.store.poll(topic, cursor, wait_s)
+        )
+        try:
+            await asyncio.wait([call])
+        finally:
+            # The follower itself may be cancelled.
+            call.cancel()
+        return None if call.cancelled() else call.result()
+
     def _apply(self, topic: Topic, page, now: float) -> None:
         state = self.state
         if topic is Topic.OPERATORS:
