Exchange in large fleets: relays between regions, readers of the store, small statuses

Cause: at 68 gateways each sent its status, with the list of all members in each tenth, to all others and announced each long prompt to all, and each polled the store. Change: teaselpath.exchange, pure code. From 12 other gateways on, statuses to another region go to one relay by rendezvous hash, which passes them on; the interval within a region grows with it; two gateways of each failure domain follow the store, the others fetch newer records from them. Member lists go to one gateway by random choice; counters are sent as they change; endpoints are numbers.

--- a/teaselpath/dispatch/_quota.py
+++ b/teaselpath/dispatch/_quota.py
@@ -1,5 +1,6 @@
 """Rate limits of workspaces over all gateways, from counters that the gateways exchange."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from teaselpath.fleet import Workspace
@@ -93,13 +94,19 @@
         bucket.level = min(bucket.capacity, bucket.level + tokens)
         self.used[workspace.name] = self.used.get(workspace.name, 0.0) - tokens
 
-    def merge(self, peer: str, incarnation: int, used: dict[str, float]) -> None:
+    def merge(
+        self, peer: str, incarnation: int, used: Mapping[str, float], *, is_complete: bool = True
+    ) -> None:
         """Subtract what another gateway has charged since its last message.
 
-        The first counters of an incarnation are only recorded, as the baseline.
+        The first complete counters of an incarnation are only recorded, as the baseline.
+
+        :param is_complete: whether the counters of all workspaces are included.
         """
         previous = self.peer_totals.get((peer, incarnation))
         if previous is None:
+            if not is_complete:
+                return
             for key in [key for key in self.peer_totals if key[0] == peer]:
                 del self.peer_totals[key]
             self.peer_totals[peer, incarnation] = dict(used)
--- a/teaselpath/exchange/__init__.py
+++ b/teaselpath/exchange/__init__.py
@@ -1,5 +1,25 @@
 """Decisions on the exchange of gateways with the store and with each other, without I/O."""
 
+from teaselpath.exchange._fanout import (
+    CROSS_REGION_INTERVAL_S,
+    Fanout,
+    Peer,
+    is_large_fleet,
+    plan_fanout,
+    select_readers,
+    select_relays,
+    status_interval_s,
+)
 from teaselpath.exchange._polls import TopicPolls
 
-__all__ = ["TopicPolls"]
+__all__ = [
+    "CROSS_REGION_INTERVAL_S",
+    "Fanout",
+    "Peer",
+    "TopicPolls",
+    "is_large_fleet",
+    "plan_fanout",
+    "select_readers",
+    "select_relays",
+    "status_interval_s",
+]
--- a/teaselpath/fleet/_endpoints.py
+++ b/teaselpath/fleet/_endpoints.py
@@ -2,9 +2,14 @@
 
 from dataclasses import dataclass, replace
 from enum import StrEnum
+from functools import lru_cache
+from hashlib import blake2b
 
 # Grace period after an outage of the store in which lapsed entries may be listed again, in seconds.
 LAPSE_GRACE_S = 2.5
+# Size of an endpoint's number, which is a hash: collisions are improbable among thousands.
+NUMBER_BYTES = 6
+MAX_CACHED_NUMBERS = 16_384
 
 
 class EndpointState(StrEnum):
@@ -38,6 +43,11 @@
         """Key that distinguishes two starts of an endpoint, also with the same id."""
         return self.endpoint_id, self.started_at_ms
 
+    @property
+    def number(self) -> int:
+        """Number that stands for this start of the endpoint in messages between gateways."""
+        return _number(self.endpoint_id, self.started_at_ms)
+
     def weights_of(self, model: str) -> int | None:
         """Return the version of a model's weights, None if it does not serve the model."""
         for name, version in self.weights:
@@ -46,6 +56,12 @@
         return None
 
 
+@lru_cache(maxsize=MAX_CACHED_NUMBERS)
+def _number(endpoint_id: str, started_at_ms: int | None) -> int:
+    key = f"{endpoint_id}/{started_at_ms}".encode()
+    return int.from_bytes(blake2b(key, digest_size=NUMBER_BYTES).digest(), "big")
+
+
 @dataclass(slots=True, frozen=True)
 class EndpointEntry:
     """A record of the endpoint list.
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -1,58 +1,89 @@
 """Exchange of load, spent quota, weights versions and store records between gateways.
 
 Status messages are sent as datagrams, since a newer one replaces an older one. The placement of
-each long prompt is announced to all gateways at once, because it occupies an engine and its parts
-become available in that engine's cache. Records that a gateway lacks are fetched over HTTP from a
-peer that has them, so that configuration and endpoint states also reach a gateway whose requests
-the store refuses.
+each long prompt is announced at once, because it occupies an engine and its parts become available
+in that engine's cache. Records that a gateway lacks are fetched over HTTP from a peer that has
+them, so that configuration and endpoint states also reach a gateway that does not follow the store
+or whose requests the store refuses. ``teaselpath.exchange`` decides who receives a message, and
+which gateways follow the store.
 """
 
 import asyncio
+import random
 from collections import deque
+from collections.abc import Iterable
+from urllib.parse import parse_qsl
 
 import msgspec
 from eliot import log_message
 
-from teaselpath.dispatch import Load
+from teaselpath.dispatch import EndpointView, Load
+from teaselpath.exchange import (
+    CROSS_REGION_INTERVAL_S,
+    Peer,
+    is_large_fleet,
+    plan_fanout,
+    select_readers,
+    select_relays,
+    status_interval_s,
+)
 from teaselpath.fleet import StoredRecord
-from teaselpath.gateway._state import PEER_TIMEOUT_S, GatewayState, LongPlacement, Member
+from teaselpath.gateway._state import GatewayState, LongPlacement, Member
 from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout
 from teaselpath.rollout import LeaseRecord, OrderLease
 
-# Interval between status messages within a region, in seconds.
-STATUS_INTERVAL_S = 0.2
-# One status message out of this many is also sent to other regions.
-STATUSES_PER_CROSS_REGION_STATUS = 5
-# Number of other gateways from which the status interval is doubled.
-SLOW_STATUS_MIN_PEERS = 12
 # Shortest interval between status messages that are sent early for an urgent update, in seconds.
 MIN_STATUS_INTERVAL_S = 0.02
 # Records that a peer already has are fetched from it if the store has not delivered them within
-# this time, in seconds.
+# this time, in seconds. A gateway that does not follow the store fetches them without delay.
 FETCH_DELAY_S = 0.5
 FETCH_TIMEOUT_S = 1.0
+# Pause after a fetch of endpoint records only, in seconds, so that the next one returns the changes
+# of several endpoints together.
+ENDPOINTS_FETCH_PAUSE_S = 0.6
+# Largest answer with the records of a peer, in bytes.
+MAX_RECORDS_BYTES = 16 << 20
 RECORDS_PATH = b"/records"
 # Number of replaced incarnations that are recorded so that their datagrams are discarded; delayed
 # datagrams are at most seconds old.
 MAX_REPLACED_INCARNATIONS = 256
-# One status message out of this many lists the known members.
-STATUSES_PER_MEMBER_LIST = 10
+# One status message out of this many lists the known members, and goes to one gateway by random
+# choice; a list in each message would grow with the square of the fleet.
+STATUSES_PER_MEMBER_LIST = 5
+# Expected number of gateways that send their member list to a gateway that has started.
+MEMBER_LIST_SENDERS = 3
 # Period after start-up in which messages are also sent to the seed addresses, in seconds.
 SEED_PERIOD_S = 20.0
+# One status message out of this many contains the counters of all workspaces, the others only those
+# that have changed lately.
+STATUSES_PER_COMPLETE_COUNTERS = 6
+# Number of status intervals for which a changed counter is sent, so that a lost message is made up
+# for.
+COUNTER_INTERVALS = 2.5
+# Statuses of other regions in one datagram; a status has a few hundred bytes.
+MAX_RELAYED_STATUSES = 16
+# Interval between two checks of the peers, in seconds.
+CHECK_INTERVAL_S = 0.2
+# Time after a failed call to the store for which a gateway does not follow it for others, in
+# seconds.
+STORE_DISTRUST_S = 10.0
 
 
 class EndpointStatus(msgspec.Struct, array_like=True):
-    """Load and weights versions of one endpoint, as recorded by a gateway."""
+    """Load and weights versions of one endpoint, as recorded by a gateway.
 
-    endpoint_id: str
-    started_at_ms: int | None
+    :param endpoint_number: ``Endpoint.number`` of this start of the endpoint.
+    :param held_tokens: prompt tokens of the gateway's long prompts in flight at the endpoint.
+    :param weights: versions that differ from those in the record of the endpoint.
+    :param switching_ms: remaining time in ms for which gateways avoid the endpoint, because it is
+        about to load weights.
+    """
+
+    endpoint_number: int
     requests: int
-    # Prompt tokens of the gateway's long prompts in flight at the endpoint.
-    held_tokens: int
-    weights: dict[str, int]
-    # Remaining time in ms for which gateways avoid the endpoint, because it is about to load
-    # weights.
-    switching_ms: int
+    held_tokens: int = 0
+    weights: dict[str, int] = {}
+    switching_ms: int = 0
 
 
 class PlacementMessage(msgspec.Struct, array_like=True, tag="placement"):
@@ -63,31 +94,60 @@
 
 
 class Status(msgspec.Struct, array_like=True, tag="status"):
-    """Status of a gateway."""
+    """Status of a gateway.
+
+    :param wanted: newest announced weights version by model.
+    :param used: tokens charged since start-up by workspace.
+    :param has_all_counters: whether ``used`` names each workspace with a charge.
+    :param members: host, IP address, incarnation and failure domain of other gateways.
+    :param store_up: whether the gateway reaches the store.
+    :param naming_ages_ms: time since the announcement of each weights version, in ms, by model and
+        version.
+    :param lease_end: offset at which the lease topic ends; -1 if unknown.
+    :param lease: holder, nonce and fence of the newest known lease record.
+    """
 
     host: str
     ip: str
+    domain: str
     incarnation: int
     sequence: int
-    region: str
     config_version: int
-    # Newest announced weights version by model.
     wanted: dict[str, int]
     endpoint_offset: int
-    used: dict[str, float]
+    used: dict[str, int]
+    has_all_counters: bool
     endpoints: list[EndpointStatus]
-    members: list[tuple[str, str, int]]
+    members: list[tuple[str, str, int, str]]
     store_up: bool
     store_is_near: bool
     is_stopping: bool
-    # Time since the announcement of each weights version, in ms, by model and version.
     naming_ages_ms: dict[str, dict[int, int]]
-    # Offset at which the lease topic ends; -1 if unknown.
     lease_end: int
-    # Holder, nonce and fence of the newest known lease record.
     lease: tuple[str, str, int] | None
 
 
+class StatusToRelay(msgspec.Struct, array_like=True, tag="relay_status"):
+    """Status that the recipient passes on to the gateways of its region."""
+
+    status: Status
+
+
+class PlacementToRelay(msgspec.Struct, array_like=True, tag="relay_placement"):
+    """Placement that the recipient passes on to the gateways of its region."""
+
+    message: PlacementMessage
+
+
+class RelayedStatuses(msgspec.Struct, array_like=True, tag="relayed"):
+    """Statuses of gateways of other regions."""
+
+    statuses: list[Status]
+
+
+Message = Status | PlacementMessage | StatusToRelay | PlacementToRelay | RelayedStatuses
+
+
 class RecordSet(msgspec.Struct, array_like=True):
     """Records of the store that a gateway has: key, value, offset."""
 
@@ -103,7 +163,9 @@
     :param clock: clock of the lease.
     :ivar statuses: newest status of each reachable gateway, by host.
     :ivar endpoints_with_load: ids of the endpoints at which each gateway has reported load.
-    :ivar sends_to_all_regions: whether the next status is also sent to other regions.
+    :ivar is_urgent: whether the next status is sent to each gateway of all regions.
+    :ivar to_relay: statuses to pass on to this region, by host.
+    :ivar counters: last sent counter of each workspace, and the time at which it changed.
     """
 
     def __init__(self, state: GatewayState, lease: OrderLease, http: HttpClient, clock):
@@ -119,9 +181,15 @@
         self.endpoints_with_load: dict[str, set[str]] = {}
         self.behind_since: float | None = None
         self.urgent_update = asyncio.Event()
-        self.sends_to_all_regions = False
+        self.is_urgent = False
+        self.to_relay: dict[str, Status] = {}
+        self.counters: dict[str, tuple[int, float]] = {}
+        self.crossed_regions_at = 0.0
+        self.crossings = 0
+        self.fetched_from: str | None = None
+        self.random = random.Random()
         self.encoder = msgspec.msgpack.Encoder()
-        self.decoder = msgspec.msgpack.Decoder(Status | PlacementMessage)
+        self.decoder = msgspec.msgpack.Decoder(Message)
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
 
@@ -138,13 +206,21 @@
         except msgspec.MsgspecError as error:
             log_message("peer_message_ignored", address=str(addr), reason=str(error))
             return
-        if message.host == self.state.settings.host:
-            return
+        now = self.loop.time()
         match message:
             case Status():
-                self._handle_status(message, self.loop.time())
-            case PlacementMessage(host, placement):
-                self._handle_placement(host, placement, self.loop.time())
+                self._handle_status(message, now)
+            case PlacementMessage():
+                self._handle_placement(message, now)
+            case RelayedStatuses(statuses):
+                for status in statuses:
+                    self._handle_status(status, now)
+            case StatusToRelay(status):
+                self.to_relay[status.host] = status
+                self._handle_status(status, now)
+            case PlacementToRelay(placement_message):
+                self._send_to(self._near_ips(now), self.encoder.encode(placement_message))
+                self._handle_placement(placement_message, now)
 
     def error_received(self, exc) -> None:
         """Ignore the error; an unreachable peer is detected by its missing messages."""
@@ -161,66 +237,157 @@
                     await self.urgent_update.wait()
             except TimeoutError:
                 continue
-            self.sends_to_all_regions = True
+            self.is_urgent = True
             await asyncio.sleep(MIN_STATUS_INTERVAL_S)
 
     def _interval_s(self) -> float:
-        is_large = len(self.state.members) >= SLOW_STATUS_MIN_PEERS
-        return 2 * STATUS_INTERVAL_S if is_large else STATUS_INTERVAL_S
+        region = self.state.settings.region
+        return status_interval_s(
+            sum(self._region_of(member) in (region, "") for member in self.state.members.values())
+        )
 
     def _send(self, now: float) -> None:
-        state = self.state
+        settings = self.state.settings
         self.sequence += 1
-        data = self.encoder.encode(self._status(now))
-        crosses_regions = (
-            self.sends_to_all_regions or self.sequence % STATUSES_PER_CROSS_REGION_STATUS == 0
+        is_urgent, self.is_urgent = self.is_urgent, False
+        crosses = is_urgent or now - self.crossed_regions_at >= CROSS_REGION_INTERVAL_S - 0.01
+        peers = self._peers(now)
+        fanout = plan_fanout(
+            peers, settings.host, settings.region, crosses_regions=crosses, is_urgent=is_urgent
         )
-        self.sends_to_all_regions = False
-        targets = {
-            member.ip
-            for member in state.members.values()
-            if crosses_regions or self._is_in_region(member)
-        }
-        if (crosses_regions and now - self.started_at < SEED_PERIOD_S) or not state.members:
+        status = self._status(now, crosses_regions=crosses)
+        self._send_to(fanout.direct, self.encoder.encode(status))
+        if crosses:
+            self.crossed_regions_at = now
+            self.crossings += 1
+        self._send_to_relays(fanout.relays, status, peers)
+        self._relay_statuses(now)
+        self._send_member_list(status, now, has_seed_turn=crosses)
+
+    def _send_to_relays(self, relays: frozenset[str], status: Status, peers: list[Peer]) -> None:
+        """Send a status to relays, with the load at the endpoints of their regions only."""
+        regions = {peer.ip: peer.region for peer in peers}
+        for ip in relays:
+            numbers = {
+                view.endpoint.number
+                for view in self.state.views.values()
+                if self._region_of_domain(view.endpoint.failure_domain) == regions[ip]
+            }
+            reduced = msgspec.structs.replace(
+                status, endpoints=[e for e in status.endpoints if e.endpoint_number in numbers]
+            )
+            self._send_to([ip], self.encoder.encode(StatusToRelay(reduced)))
+
+    def _relay_statuses(self, now: float) -> None:
+        """Pass the statuses of other regions on to this region."""
+        statuses = list(self.to_relay.values())
+        self.to_relay.clear()
+        near = self._near_ips(now) if statuses else []
+        for start in range(0, len(statuses), MAX_RELAYED_STATUSES):
+            part = RelayedStatuses(statuses[start : start + MAX_RELAYED_STATUSES])
+            self._send_to(near, self.encoder.encode(part))
+
+    def _send_member_list(self, status: Status, now: float, *, has_seed_turn: bool) -> None:
+        """Send the member list to one gateway by random choice, and at first to the seeds."""
+        state = self.state
+        targets: set[str] = set()
+        if state.members and self.sequence % STATUSES_PER_MEMBER_LIST == 0:
+            targets.add(self.random.choice(list(state.members.values())).ip)
+        if (has_seed_turn and now - self.started_at < SEED_PERIOD_S) or not state.members:
             targets.update(state.settings.seed_ips)
-        self._send_to(targets, data)
+        if targets:
+            self._send_to(targets, self.encoder.encode(self._with_members(status, now)))
+
+    def _with_members(self, status: Status, now: float) -> Status:
+        members = [
+            (m.host, m.ip, m.incarnation, m.failure_domain)
+            for m in self.state.members.values()
+            if now - m.last_contact_at < self.state.peer_timeout_s()
+        ]
+        return msgspec.structs.replace(status, members=members)
+
+    def _greet(self, member: Member, now: float) -> None:
+        """Send the status with all counters to a gateway that has started.
+
+        About ``MEMBER_LIST_SENDERS`` of all gateways add the member list, which the store may not
+        give it.
+        """
+        self.sequence += 1
+        status = self._status(now, has_all_counters=True)
+        if self.random.random() * len(self.state.members) < MEMBER_LIST_SENDERS:
+            status = self._with_members(status, now)
+        self._send_to([member.ip], self.encoder.encode(status))
 
     def announce(self, placement: LongPlacement) -> None:
-        """Send the placement of a long prompt to all gateways."""
-        data = self.encoder.encode(PlacementMessage(self.state.settings.host, placement))
-        self._send_to({member.ip for member in self.state.members.values()}, data)
+        """Send the placement of a long prompt.
 
-    def _send_to(self, ips: set[str], data: bytes) -> None:
+        In a large fleet the gateways of this region and of the engine's region receive it.
+        """
+        settings, now = self.state.settings, self.loop.time()
+        message = PlacementMessage(settings.host, placement)
+        data = self.encoder.encode(message)
+        if not is_large_fleet(len(self.state.members)):
+            self._send_to({member.ip for member in self.state.members.values()}, data)
+            return
+        self._send_to(self._near_ips(now), data)
+        view = self.state.views.get(placement.endpoint_id)
+        region = self._region_of_domain(view.endpoint.failure_domain) if view else settings.region
+        if region != settings.region:
+            far = [peer for peer in self._peers(now) if peer.region == region]
+            data = self.encoder.encode(PlacementToRelay(message))
+            self._send_to(select_relays(far, settings.host), data)
+
+    def _send_to(self, ips: Iterable[str], data: bytes) -> None:
         settings = self.state.settings
         if self.transport is not None:
-            for ip in ips - {settings.ip}:
-                self.transport.sendto(data, (ip, settings.peer_port))
+            for ip in ips:
+                if ip != settings.ip:
+                    self.transport.sendto(data, (ip, settings.peer_port))
+
+    def _peers(self, now: float) -> list[Peer]:
+        timeout_s = self.state.peer_timeout_s()
+        return [
+            Peer(m.host, m.ip, self._region_of(m), now - m.last_contact_at < timeout_s)
+            for m in self.state.members.values()
+        ]
+
+    def _near_ips(self, now: float) -> list[str]:
+        region = self.state.settings.region
+        return [peer.ip for peer in self._peers(now) if peer.region in (region, "")]
+
+    def _region_of(self, member: Member) -> str:
+        return self._region_of_domain(member.failure_domain)
 
-    def _is_in_region(self, member: Member) -> bool:
-        peer = self.statuses.get(member.host)
-        return peer is None or peer.region == self.state.settings.region
+    def _region_of_domain(self, domain: str) -> str:
+        return self.state.settings.regions.get(domain, "")
 
-    def _status(self, now: float) -> Status:
+    def _status(
+        self, now: float, *, crosses_regions: bool = False, has_all_counters: bool = False
+    ) -> Status:
         state, lease = self.state, self.lease
-        members = [
-            (m.host, m.ip, m.incarnation)
-            for m in state.members.values()
-            if now - m.last_contact_at < PEER_TIMEOUT_S
-        ]
         last = lease.last
+        # Messages to other regions, which are fewer, have a count of their own.
+        number = self.crossings if crosses_regions else self.sequence
+        # The first message of all has them, too: counters before it would be lost.
+        has_all_counters = has_all_counters or number % STATUSES_PER_COMPLETE_COUNTERS in (0, 1)
+        changed_since = 0.0
+        if not has_all_counters:
+            interval_s = CROSS_REGION_INTERVAL_S if crosses_regions else self._interval_s()
+            changed_since = now - COUNTER_INTERVALS * interval_s
         return Status(
             host=state.settings.host,
             ip=state.settings.ip,
+            domain=state.settings.failure_domain,
             incarnation=state.incarnation,
             sequence=self.sequence,
-            region=state.settings.region,
             config_version=state.config.version if state.config else 0,
             wanted=state.announced_versions(),
             endpoint_offset=state.endpoints.offset,
-            used=state.quota.used,
+            used=self._used(now, changed_since),
+            has_all_counters=has_all_counters,
             endpoints=self._endpoint_statuses(now),
-            members=members if self.sequence % STATUSES_PER_MEMBER_LIST == 0 else [],
-            store_up=state.store_up,
+            members=[],
+            store_up=state.reaches_store(now, STORE_DISTRUST_S),
             store_is_near=state.store_is_near,
             is_stopping=state.is_stopping,
             # Only the four versions recorded last are sent for each model.
@@ -232,6 +399,14 @@
             lease=(last.holder, last.nonce, last.fence) if last else None,
         )
 
+    def _used(self, now: float, changed_since: float) -> dict[str, int]:
+        """Return the counters of workspaces that have changed since a time."""
+        for name, total in self.state.quota.used.items():
+            sent = self.counters.get(name)
+            if sent is None or sent[0] != int(total):
+                self.counters[name] = (int(total), now)
+        return {n: total for n, (total, at) in self.counters.items() if at >= changed_since}
+
     def _endpoint_statuses(self, now: float) -> list[EndpointStatus]:
         """Return the status of endpoints with something to report.
 
@@ -240,32 +415,47 @@
         return [
             _endpoint_status(view, now)
             for view in self.state.views.values()
-            if view.own.requests
-            or view.own_loading_until > now
-            or any(view.weights.get(m) != v for m, v in view.endpoint.weights)
+            if view.own.requests or view.own_loading_until > now or _newer_weights(view)
         ]
 
     # receiving
 
     def _handle_status(self, status: Status, now: float) -> None:
-        if not self._record_if_newer(status):
-            return
         state = self.state
-        member = state.record_member(status.host, status.ip, status.incarnation, now)
+        if status.host == state.settings.host or not self._record_if_newer(status):
+            return
+        before = state.members.get(status.host)
+        is_new = before is None or before.incarnation != status.incarnation
+        member = state.record_member(status.host, status.ip, status.incarnation, now, status.domain)
         self._log_if_regained(member, now)
+        is_new = is_new or not member.last_contact_at
         member.last_contact_at = now
         self.statuses[status.host] = status
-        for host, ip, incarnation in status.members:
+        for host, ip, incarnation, domain in status.members:
             if host != state.settings.host and host not in state.members:
-                state.record_member(host, ip, incarnation, now)
-        state.quota.merge(status.host, status.incarnation, status.used)
+                state.record_member(host, ip, incarnation, now, domain)
+        state.quota.merge(
+            status.host, status.incarnation, status.used, is_complete=status.has_all_counters
+        )
         self._apply_announcement_ages(status, now)
-        self._discard_load(status.host, keep={e.endpoint_id for e in status.endpoints})
+        views = {e.endpoint_number: self._view(e) for e in status.endpoints}
+        self._discard_load(
+            status.host, keep={view.endpoint.endpoint_id for view in views.values() if view}
+        )
         for endpoint_status in status.endpoints:
-            self._apply_endpoint_status(status.host, endpoint_status, now)
+            view = views[endpoint_status.endpoint_number]
+            if view is not None:
+                self._apply_endpoint_status(status.host, endpoint_status, view, now)
         if status.lease_end > (self.lease.end or 0):
             record = LeaseRecord(*status.lease) if status.lease else None
             self.lease.observe(status.lease_end, record, self.clock())
+        if is_new and self._region_of(member) in (state.settings.region, ""):
+            self._greet(member, now)
+
+    def _view(self, endpoint_status: EndpointStatus) -> EndpointView | None:
+        """Return the view of an endpoint; None for another start of it, or if it is unknown."""
+        endpoint_id = self.state.endpoint_ids.get(endpoint_status.endpoint_number)
+        return None if endpoint_id is None else self.state.views.get(endpoint_id)
 
     def _apply_announcement_ages(self, status: Status, now: float) -> None:
         """Record the announcement times in the status of a peer.
@@ -296,23 +486,23 @@
         return True
 
     def _log_if_regained(self, member: Member, now: float) -> None:
-        if now - member.last_contact_at > PEER_TIMEOUT_S:
+        if now - member.last_contact_at > self.state.peer_timeout_s():
             log_message("peer_regained", host=member.host, silent_s=now - member.last_contact_at)
 
     def _apply_endpoint_status(
-        self, host: str, endpoint_status: EndpointStatus, now: float
+        self, host: str, endpoint_status: EndpointStatus, view: EndpointView, now: float
     ) -> None:
-        view = self.state.views.get(endpoint_status.endpoint_id)
-        if view is None or view.endpoint.started_at_ms != endpoint_status.started_at_ms:
-            return
         view.peers[host] = Load(endpoint_status.requests, held_tokens=endpoint_status.held_tokens)
-        self.endpoints_with_load.setdefault(host, set()).add(endpoint_status.endpoint_id)
+        self.endpoints_with_load.setdefault(host, set()).add(view.endpoint.endpoint_id)
         for model, version in endpoint_status.weights.items():
             view.record_weights(model, version)
         if endpoint_status.switching_ms:
             view.loading_until = max(view.loading_until, now + endpoint_status.switching_ms / 1000)
 
-    def _handle_placement(self, host: str, placement: LongPlacement, now: float) -> None:
+    def _handle_placement(self, message: PlacementMessage, now: float) -> None:
+        host, placement = message.host, message.placement
+        if host == self.state.settings.host:
+            return
         if self.state.apply_placement(placement, now) is None or host not in self.statuses:
             return
         self.endpoints_with_load.setdefault(host, set()).add(placement.endpoint_id)
@@ -331,8 +521,8 @@
 
     def discard_unreachable(self, now: float) -> None:
         """Discard the load of gateways that are unreachable."""
-        members = self.state.members
-        for host in [h for h in self.statuses if now - members[h].last_contact_at > PEER_TIMEOUT_S]:
+        members, timeout_s = self.state.members, self.state.peer_timeout_s()
+        for host in [h for h in self.statuses if now - members[h].last_contact_at > timeout_s]:
             log_message("peer_lost", host=host)
             del self.statuses[host]
             self._discard_load(host, keep=set())
@@ -345,40 +535,100 @@
         Discards the load of unreachable peers, too. Runs until cancelled.
         """
         while True:
-            # Interval between two checks of the peers, in seconds.
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(CHECK_INTERVAL_S)
             now = self.loop.time()
             self.discard_unreachable(now)
+            self.update_reading(now)
             ahead = self._peer_ahead()
             if ahead is None:
-                self.behind_since = None
+                self.behind_since = self.fetched_from = None
                 continue
             if self.behind_since is None:
                 self.behind_since = now
-            delay_s = FETCH_DELAY_S if self.state.store_up else 0.0
-            if now - self.behind_since >= delay_s:
-                await self._fetch(ahead)
+            follows_store = self.state.reads_store and self.state.store_up
+            if now - self.behind_since < (FETCH_DELAY_S if follows_store else 0.0):
+                continue
+            await self._fetch(ahead)
+            if not self._lacks_operator_records(ahead):
+                await asyncio.sleep(ENDPOINTS_FETCH_PAUSE_S)
+
+    def update_reading(self, now: float) -> None:
+        """Decide whether this gateway follows the store, and who follows it otherwise.
+
+        A gateway that does not follow the store takes over from the readers of its failure domain
+        whether the store is available.
+        """
+        state, settings = self.state, self.state.settings
+        reachable = [h for h in self.statuses if h in state.members]
+        candidates = [
+            host
+            for host in reachable
+            if state.members[host].failure_domain == settings.failure_domain
+            and self.statuses[host].store_up
+            and not self.statuses[host].is_stopping
+        ]
+        if state.reaches_store(now, STORE_DISTRUST_S) and not state.is_stopping:
+            candidates.append(settings.host)
+        readers = select_readers(settings.failure_domain, candidates)
+        reads = not is_large_fleet(len(reachable)) or not readers or settings.host in readers
+        if reads != state.reads_store:
+            state.reads_store = reads
+            log_message("store_reading_changed", reads_store=reads, readers=readers)
+        if not reads:
+            state.record_store_success(now)
 
     def _peer_ahead(self) -> Status | None:
+        """Return a peer that has newer records than this gateway, one that is near if possible."""
+        settings = self.state.settings
+        ahead = [
+            status
+            for status in self.statuses.values()
+            if self._lacks_operator_records(status) or self._lacks_endpoint_records(status)
+        ]
+        return min(
+            ahead,
+            key=lambda status: (
+                # A peer whose last answer left this gateway behind comes last.
+                status.host == self.fetched_from,
+                status.domain != settings.failure_domain,
+                self._region_of_domain(status.domain) != settings.region,
+                status.host,
+            ),
+            default=None,
+        )
+
+    def _lacks_operator_records(self, status: Status) -> bool:
         state = self.state
+        has_newer_weights = any(
+            version > (state.announced[model].version if model in state.announced else 0)
+            for model, version in status.wanted.items()
+        )
         own_version = state.config.version if state.config else 0
-        for status in self.statuses.values():
-            has_newer_weights = any(
-                version > (state.announced[model].version if model in state.announced else 0)
-                for model, version in status.wanted.items()
-            )
-            has_newer_endpoints = (
-                status.endpoint_offset > state.endpoints.offset and not state.store_up
-            )
-            if status.config_version > own_version or has_newer_weights or has_newer_endpoints:
-                return status
-        return None
+        return status.config_version > own_version or has_newer_weights
+
+    def _lacks_endpoint_records(self, status: Status) -> bool:
+        state = self.state
+        return status.endpoint_offset > state.endpoints.offset and not (
+            state.reads_store and state.store_up
+        )
 
     async def _fetch(self, status: Status) -> None:
+        """Fetch the records of a peer that are newer than those of this gateway.
+
+        All of its records are fetched if the newer ones of another peer did not suffice.
+        """
+        state = self.state
         deadline = self.loop.time() + FETCH_TIMEOUT_S
-        address = f"{status.ip}:{self.state.settings.peer_port}"
+        address = f"{status.ip}:{state.settings.peer_port}"
+        target = RECORDS_PATH
+        if self.fetched_from is None:
+            operators = max((r.offset for r in state.operator_records.values()), default=-1)
+            target += b"?operators=%d&endpoints=%d" % (operators, state.endpoints.offset)
+        self.fetched_from = status.host
         try:
-            response = await self.http.call(address, b"GET", RECORDS_PATH, deadline=deadline)
+            response = await self.http.call(
+                address, b"GET", target, deadline=deadline, max_body_bytes=MAX_RECORDS_BYTES
+            )
             records = msgspec.msgpack.decode(response.body, type=RecordSet)
         except (ConnectFailed, ConnectionBroken, ReadTimeout, msgspec.MsgspecError) as error:
             log_message("peer_records_failed", host=status.host, reason=repr(error))
@@ -386,28 +636,46 @@
         now = self.loop.time()
         source = f"peer {status.host}"
         for record in records.operators:
-            self.state.apply_operator_record(StoredRecord(*record), source, now)
-        for record in records.endpoints:
-            self.state.apply_endpoint_record(StoredRecord(*record), source, now)
+            state.apply_operator_record(StoredRecord(*record), source, now)
+        for record in sorted(records.endpoints, key=lambda record: record[2]):
+            state.apply_endpoint_record(StoredRecord(*record), source, now)
 
-    def encode_records(self) -> bytes:
-        """Return the encoded store records of this gateway, for a peer."""
+    def encode_records(self, query: bytes = b"") -> bytes:
+        """Return the encoded store records of this gateway, for a peer.
+
+        :param query: offsets after which the peer needs records, by topic; all without one.
+        """
         state = self.state
+        after = {name: int(value) for name, value in parse_qsl(query.decode())}
+        after_operators, after_endpoints = after.get("operators", -1), after.get("endpoints", -1)
         return self.encoder.encode(
             RecordSet(
-                [(r.key, r.value, r.offset) for r in state.operator_records.values()],
-                [(r.key, r.value, r.offset) for r in state.endpoint_records.values()],
+                [
+                    (r.key, r.value, r.offset)
+                    for r in state.operator_records.values()
+                    if r.offset > after_operators
+                ],
+                [
+                    (r.key, r.value, r.offset)
+                    for r in state.endpoint_records.values()
+                    if r.offset > after_endpoints
+                ],
             )
         )
 
 
-def _endpoint_status(view, now: float) -> EndpointStatus:
+def _newer_weights(view: EndpointView) -> dict[str, int]:
+    """Return the weights versions that differ from the record of the endpoint."""
+    recorded = dict(view.endpoint.weights)
+    return {m: version for m, version in view.weights.items() if recorded.get(m) != version}
+
+
+def _endpoint_status(view: EndpointView, now: float) -> EndpointStatus:
     own = view.own
     return EndpointStatus(
-        view.endpoint.endpoint_id,
-        view.endpoint.started_at_ms,
+        view.endpoint.number,
         own.requests,
         own.held_tokens,
-        view.weights,
+        _newer_weights(view),
         max(0, int((view.own_loading_until - now) * 1000)),
     )
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -158,8 +158,9 @@
                 body, headers = self.metrics.render()
                 fields = [(k.encode(), v.encode()) for k, v in headers.items()]
                 exchange.respond(200, fields, body)
-            case target if target == RECORDS_PATH:
-                exchange.respond(200, [], self.peers.encode_records())
+            case target if target.partition(b"?")[0] == RECORDS_PATH:
+                query = target.partition(b"?")[2]
+                exchange.respond(200, [], self.peers.encode_records(query))
             case _:
                 exchange.respond(404, [])
 
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -13,6 +13,7 @@
     StoreView,
     Topology,
 )
+from teaselpath.exchange import is_large_fleet
 from teaselpath.fleet import (
     EndpointEntry,
     EndpointTable,
@@ -22,6 +23,7 @@
     MetadataStore,
     PromptPart,
     StoredRecord,
+    Topic,
     Workspace,
 )
 
@@ -29,8 +31,9 @@
 # quota, in seconds.
 MEMBER_EXPIRY_S = 30.0
 # A gateway that sent a message within this time is reachable, and the quota that it has used is
-# known, in seconds.
+# known, in seconds. In a large fleet, messages are fewer and pass through relays.
 PEER_TIMEOUT_S = 2.5
+LARGE_FLEET_PEER_TIMEOUT_S = 4.0
 # A store that answers within this time is assumed to be in the region of this gateway, in seconds.
 NEAR_STORE_RTT_S = 0.03
 
@@ -43,6 +46,7 @@
     :param last_contact_at: event loop time of its last message; 0 if there was none.
     :param listed_at: event loop time at which its record was last read from the store, or at which
         a peer first listed this incarnation or its first message arrived.
+    :param failure_domain: empty if unknown.
     """
 
     host: str
@@ -50,6 +54,7 @@
     incarnation: int
     last_contact_at: float = 0.0
     listed_at: float = 0.0
+    failure_domain: str = ""
 
 
 @dataclass(slots=True)
@@ -101,6 +106,11 @@
     """State of one gateway process, owned by its event loop.
 
     Versions and offsets only increase: older records from the store or from peers are ignored.
+
+    :ivar endpoint_ids: id of each known endpoint by its number.
+    :ivar reads_store: whether this gateway follows the store itself; others receive its records
+        from peers.
+    :ivar store_failed_at: time at which a call of this gateway to the store last failed.
     """
 
     def __init__(self, settings: GatewaySettings, store: MetadataStore, incarnation: int):
@@ -113,6 +123,7 @@
         self.announced: dict[str, AnnouncedWeights] = {}
         self.endpoints = EndpointTable()
         self.views: dict[str, EndpointView] = {}
+        self.endpoint_ids: dict[int, str] = {}
         self.pools: dict[str, EndpointPool] = {}
         self.cache_stores: dict[str, StoreView] = {}
         self.endpoint_records: dict[str, StoredRecord] = {}
@@ -123,6 +134,8 @@
         self.store_is_near = False
         self.store_lost_at = 0.0
         self.store_regained_at = 0.0
+        self.store_failed_at: float | None = None
+        self.reads_store = True
         self.is_stopping = False
         self.has_had_endpoints = False
 
@@ -174,6 +187,12 @@
         self.operator_records[record.key] = record
         log_message("weights_named", model=model, version=version, source=source)
 
+    def newest_offset(self, topic: Topic) -> int:
+        """Return the offset of the newest applied record of a followed topic; -1 without one."""
+        if topic is Topic.ENDPOINTS:
+            return self.endpoints.offset
+        return max((r.offset for r in self.operator_records.values()), default=-1)
+
     def announced_versions(self) -> dict[str, int]:
         """Return the newest announced version of each model's weights."""
         return {model: announced.version for model, announced in self.announced.items()}
@@ -226,6 +245,8 @@
         lapse = self.may_be_lapse(now)
         for key in self.endpoints.remove_unlisted(keys | newer, now, may_be_lapse=lapse):
             log_message("endpoint_unlisted", endpoint=key, end=end, may_be_lapse=lapse)
+            # A removal that the topic no longer contains, for peers that receive the records.
+            self.endpoint_records[key] = StoredRecord(key, b"", end - 1)
             self._refresh_view(key)
 
     def expire_lapses(self, now: float) -> None:
@@ -240,6 +261,8 @@
     def _refresh_view(self, key: str) -> None:
         endpoint = self.endpoints.get(key)
         view = self.views.get(key)
+        if view is not None:
+            self.endpoint_ids.pop(view.endpoint.number, None)
         if view is not None and (endpoint is None or endpoint.service != view.endpoint.service):
             self.pool(view.endpoint.service).remove(key)
         if endpoint is None:
@@ -251,6 +274,7 @@
             view.endpoint = endpoint
             for model, version in endpoint.weights:
                 view.record_weights(model, version)
+        self.endpoint_ids[endpoint.number] = key
         self.pool(endpoint.service).put(view)
         self.has_had_endpoints = True
 
@@ -306,28 +330,48 @@
 
     def record_store_failure(self, reason: str, now: float) -> None:
         """Record that a call to the store failed."""
+        self.store_failed_at = now
         if self.store_up:
             self.store_up = False
             self.store_lost_at = now
             log_message("store_lost", reason=reason)
 
+    def reaches_store(self, now: float, distrust_s: float) -> bool:
+        """Return whether the store is up and no call of this gateway failed lately.
+
+        :param distrust_s: time after a failed call for which the result is False, in seconds.
+        """
+        failed_at = self.store_failed_at
+        return self.store_up and (failed_at is None or now - failed_at > distrust_s)
+
     # other gateways
 
-    def record_member(self, host: str, ip: str, incarnation: int, now: float) -> Member:
-        """Record a gateway that sent a message, or that the store or a peer lists."""
+    def record_member(
+        self, host: str, ip: str, incarnation: int, now: float, failure_domain: str = ""
+    ) -> Member:
+        """Record a gateway that sent a message, or that the store or a peer lists.
+
+        :param failure_domain: empty if unknown.
+        """
         member = self.members.get(host)
         if member is None or member.incarnation != incarnation:
             last_contact_at = member.last_contact_at if member else 0.0
             member = Member(host, ip, incarnation, last_contact_at, now)
             self.members[host] = member
             log_message("member_listed", host=host, ip=ip, incarnation=incarnation)
+        member.failure_domain = failure_domain or member.failure_domain
         return member
 
+    def peer_timeout_s(self) -> float:
+        """Return the time without a message after which a gateway counts as unreachable."""
+        return LARGE_FLEET_PEER_TIMEOUT_S if is_large_fleet(len(self.members)) else PEER_TIMEOUT_S
+
     def count_gateways(self, now: float) -> tuple[int, int]:
         """Return the numbers of reachable and of possibly running gateways, including this one."""
         reachable = possible = 1
+        timeout_s = self.peer_timeout_s()
         for member in self.members.values():
-            if now - member.last_contact_at < PEER_TIMEOUT_S:
+            if now - member.last_contact_at < timeout_s:
                 reachable += 1
             if now - max(member.last_contact_at, member.listed_at) < MEMBER_EXPIRY_S:
                 possible += 1
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -5,7 +5,7 @@
 import msgspec
 from eliot import log_message
 
-from teaselpath.exchange import TopicPolls
+from teaselpath.exchange import TopicPolls, is_large_fleet
 from teaselpath.fleet import RecordPage, StoreError, Topic
 from teaselpath.gateway._state import GatewayState
 
@@ -18,10 +18,17 @@
 # Pause after records of the endpoint topic, in seconds, so that the next poll returns the changes
 # of several endpoints together.
 ENDPOINTS_PAUSE_S = 0.8
+# Duration of the long polls of a gateway that follows the store for others, in seconds: so long do
+# they get no records if the store stops to answer that gateway.
+READER_WAIT_S = 2.5
+# Interval at which a gateway that does not follow the store checks whether it should, in seconds.
+IDLE_CHECK_S = 0.1
 # Delay before a failed call is retried, in seconds.
 RETRY_DELAY_S = 0.3
 # Interval at which this gateway renews its entry in the member topic, in seconds.
 MEMBER_INTERVAL_S = 12.0
+# The same in a large fleet, in which gateways also learn of each other from their messages.
+LARGE_FLEET_MEMBER_INTERVAL_S = 24.0
 LAPSE_CHECK_INTERVAL_S = 0.25
 
 
@@ -31,6 +38,7 @@
     ip: str
     incarnation: int
     beat: int = 0
+    domain: str = ""
 
 
 class StoreWatcher:
@@ -60,12 +68,17 @@
         loop = asyncio.get_running_loop()
         while True:
             beat += 1
-            record = MemberRecord(settings.ip, self.state.incarnation, beat)
+            record = MemberRecord(
+                settings.ip, self.state.incarnation, beat, settings.failure_domain
+            )
             try:
                 await self.store.append(Topic.MEMBERS, settings.host, msgspec.json.encode(record))
+                is_large = is_large_fleet(len(self.state.members))
+                interval_s = LARGE_FLEET_MEMBER_INTERVAL_S if is_large else MEMBER_INTERVAL_S
                 # The second read, 2 s after the first, returns gateways that have registered at
                 # about the same time as this one.
-                for delay_s in (2.0, MEMBER_INTERVAL_S - 2.0):
+                delays_s = (interval_s,) if is_large and beat > 1 else (2.0, interval_s - 2.0)
+                for delay_s in delays_s:
                     page = await self.store.poll(Topic.MEMBERS, cursor, 0.0)
                     cursor = page.end
                     self._apply_members(page.records, loop.time())
@@ -90,12 +103,21 @@
             except msgspec.MsgspecError as error:
                 log_message("record_ignored", key=record.key, reason=str(error))
                 continue
-            self.state.record_member(record.key, member.ip, member.incarnation, now).listed_at = now
+            self.state.record_member(
+                record.key, member.ip, member.incarnation, now, member.domain
+            ).listed_at = now
 
     async def _follow(self, topic: Topic, wait_s: float, pause_s: float) -> None:
         loop = asyncio.get_running_loop()
         cursor: int | None = None
         while True:
+            if cursor is not None and not self.state.reads_store:
+                await asyncio.sleep(IDLE_CHECK_S)
+                continue
+            if cursor is not None:
+                cursor = max(cursor, self.state.newest_offset(topic) + 1)
+            if is_large_fleet(len(self.state.members)):
+                wait_s = min(wait_s, READER_WAIT_S)
             sent_at = loop.time()
             poll_wait_s = self.polls.begin(topic, wait_s, sent_at)
             try:
