Streams: complete events count as progress, slow callers pause the engine

Cause: a stream that trickled comments or parts of events was held until its deadline although it may go on elsewhere, an event without end was buffered without limit, and a caller that read nothing held its handler beyond the deadline. Change: AttemptLimits, pure code: a stalled stream that may run again ends after 4 times the pause that is on time (1.5 s at least); one that may not waits until its deadline. Events have a size limit. The stand-in engines stall and send without end.

--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -11,9 +11,13 @@
 from teaselpath.http1 import Exchange
 
 EVENT_INTERVAL_S = 0.004
+# Interval between the comments of a stalled stream, in seconds.
+STALL_INTERVAL_S = 0.1
 WEIGHTS_LOAD_S = 0.15
 PREFILL_TOKENS_PER_S = 400_000
 MAX_EVENTS = 4_000
+# Bytes that a faulty engine sends at most, so that a test cannot fill the memory of the machine.
+MAX_FLOOD_BYTES = 256 << 20
 
 
 @dataclass(slots=True)
@@ -28,6 +32,8 @@
     :param lost: runs the request and closes the connection without an answer.
     :param mute: runs the request and holds back the answer for 60 s.
     :param encoded: replies with a compressed body, as a proxy in front of the engine would.
+    :param stalls: sends the first event of a stream and then a comment now and then, without end.
+    :param floods: sends bytes without end: in the head, or after the first event of a stream.
     :param orders_unanswered: carries out an order, but holds back the reply for 10 s.
     """
 
@@ -38,6 +44,8 @@
     lost: float = 0.0
     mute: float = 0.0
     encoded: float = 0.0
+    stalls: float = 0.0
+    floods: float = 0.0
     orders_unanswered: float = 0.0
 
 
@@ -84,6 +92,7 @@
     """A model engine, or a plain service if it has no model.
 
     :param runs: list shared by all engines, to which each started request is appended.
+    :ivar flooded_bytes: bytes sent by the fault ``floods``.
     """
 
     def __init__(
@@ -116,6 +125,7 @@
         self.state = "ready"
         self.started_at_ms = int(time.time() * 1000)
         self.heartbeats = 0
+        self.flooded_bytes = 0
 
     def entry(self, address: str, zone: str) -> dict[str, object]:
         """Return the record of this engine for the metadata store, with the next heartbeat."""
@@ -266,6 +276,9 @@
         if self.model is not None:
             await self._stream(exchange, run, [*base, stamp])
             return
+        if chance() < faults.floods:
+            exchange.connection.write(b"HTTP/1.1 200 OK\r\n")
+            await self._repeat(exchange, b"Filler: bytes\r\n" * 512, 0.0)
         body = answer_of(run.request_id)
         if chance() < faults.cuts:
             exchange.start(200, [*base, stamp], len(body))
@@ -298,6 +311,14 @@
             self.changed = asyncio.Event()
         await asyncio.sleep(0.002 + uncached_tokens / PREFILL_TOKENS_PER_S)
 
+    async def _repeat(self, exchange: Exchange, block: bytes, pause_s: float) -> None:
+        """Send a block of raw bytes again and again until the caller closes the connection."""
+        for _ in range(MAX_FLOOD_BYTES // len(block)):
+            exchange.connection.write(block)
+            self.flooded_bytes += len(block)
+            await exchange.drain()
+            await asyncio.sleep(pause_s)
+
     async def _stream(
         self, exchange: Exchange, run: Run, headers: list[tuple[bytes, bytes]]
     ) -> None:
@@ -306,6 +327,12 @@
         cut_at = self.random.randrange(1, len(events) + 1)
         is_cut = self.random.random() < self.faults.cuts
         exchange.start(200, [*headers, (b"Content-Type", b"text/event-stream")])
+        if self.random.random() < self.faults.stalls:
+            exchange.write(events[first])
+            await self._repeat(exchange, b"8\r\n: alive\n\r\n", STALL_INTERVAL_S)
+        if self.random.random() < self.faults.floods:
+            exchange.write(events[first])
+            await self._repeat(exchange, b"2000\r\n" + b"x" * 8_192 + b"\r\n", 0.0)
         for number, event in enumerate(events[first:], first + 1):
             if is_cut and number >= cut_at:
                 exchange.write(event[: len(event) // 2])
--- /dev/null
+++ b/teaselpath/dispatch/_progress.py
@@ -0,0 +1,45 @@
+"""Time limits of an attempt at an endpoint.
+
+Only complete events count as progress of a stream: an endpoint in trouble may send a byte, a
+comment or a part of an event now and then. A slow endpoint is not cut off as long as events arrive,
+nor is one without events whose request may not run again: its caller waits until the request's
+deadline.
+"""
+
+from teaselpath.fleet import Route
+
+# Timeout for the head of the answer and for the first event, as a multiple of the route's target
+# latency.
+FIRST_EVENT_TIMEOUT_FACTOR = 2.0
+# Timeout for a further event, as a multiple of the longest pause that is still on time, and its
+# least value in seconds. Callers give up a stream after eight such pauses, or two seconds at least.
+STALL_TIMEOUT_FACTOR = 4.0
+MIN_STALL_TIMEOUT_S = 1.5
+
+
+class AttemptLimits:
+    """Time limits of one attempt.
+
+    :param runs: attempts that ran or may have run before this one.
+    :param started_at: time at which the attempt began, in seconds.
+    :param deadline: time at which the request ends.
+    :ivar progress_deadline: time until which the answer, or the next event, has to arrive.
+    """
+
+    __slots__ = ("can_run_again", "deadline", "progress_deadline", "route")
+
+    def __init__(self, route: Route, runs: int, started_at: float, deadline: float):
+        self.route = route
+        self.deadline = deadline
+        self.can_run_again = route.is_idempotent and runs + 1 < route.max_attempts
+        self.progress_deadline = self._limited(
+            started_at + FIRST_EVENT_TIMEOUT_FACTOR * route.target_latency_s
+        )
+
+    def record_event(self, now: float) -> None:
+        """Record that a complete event has arrived."""
+        stall_s = max(MIN_STALL_TIMEOUT_S, STALL_TIMEOUT_FACTOR * self.route.event_gap_s)
+        self.progress_deadline = self._limited(now + stall_s)
+
+    def _limited(self, limit: float) -> float:
+        return min(limit, self.deadline) if self.can_run_again else self.deadline
--- /dev/null
+++ b/teaselpath/dispatch/tests/test_progress.py
@@ -0,0 +1,57 @@
+"""Time limits of attempts: stalled streams end or go on elsewhere, slow ones go on."""
+
+import pytest
+
+from teaselpath.dispatch import AttemptLimits
+from teaselpath.fleet import Backend, RequestKind, Route
+
+GAP_S = 0.4
+
+
+def make_route(*, is_resumable=True, max_attempts=2):
+    return Route(
+        "r", "h", "/", RequestKind.STREAM, (Backend("s", 1.0),), 8.0, 0.8, 1, max_attempts,
+        False, is_resumable, GAP_S,
+    )  # fmt: skip
+
+
+def is_cut(limits, pauses_s, started_at=0.0):
+    """Return whether a stream with these pauses before its events exceeds its limits."""
+    now = started_at
+    for pause_s in pauses_s:
+        if now + pause_s > limits.progress_deadline:
+            return True
+        now += pause_s
+        limits.record_event(now)
+    return False
+
+
+def test_slow_stream_goes_on():
+    limits = AttemptLimits(make_route(), 0, 0.0, 20.0)
+    assert not is_cut(limits, [1.5] + [1.55] * 10)
+
+
+def test_stalled_stream_is_given_up_before_its_caller_leaves():
+    limits = AttemptLimits(make_route(), 0, 0.0, 20.0)
+    limits.record_event(1.0)
+    # The caller leaves after eight pauses that are still on time.
+    assert 1.0 + 4 * GAP_S <= limits.progress_deadline < 1.0 + 8 * GAP_S - 1.0
+
+
+@pytest.mark.parametrize(
+    ("route", "runs"),
+    [(make_route(is_resumable=False), 0), (make_route(), 1), (make_route(max_attempts=1), 0)],
+    ids=["not-resumable", "last-attempt", "single-attempt"],
+)
+def test_stream_that_cannot_go_on_elsewhere_has_until_its_deadline(route, runs):
+    limits = AttemptLimits(route, runs, 0.0, 8.0)
+    assert limits.progress_deadline == 8.0
+    limits.record_event(1.0)
+    assert limits.progress_deadline == 8.0
+
+
+def test_no_limit_exceeds_the_deadline():
+    limits = AttemptLimits(make_route(), 0, 0.0, 1.0)
+    assert limits.progress_deadline == 1.0
+    limits.record_event(0.9)
+    assert limits.progress_deadline == 1.0
--- a/teaselpath/fleet/_model.py
+++ b/teaselpath/fleet/_model.py
@@ -33,6 +33,8 @@
     :param max_attempts: largest number of attempts that may run a request, if it is idempotent;
         attempts that did not run it do not count.
     :param is_public: whether its requests need no workspace's key.
+    :param event_gap_s: longest pause between the events of a stream that is still on time; 0 if
+        not stated.
     """
 
     name: str
@@ -46,6 +48,7 @@
     max_attempts: int
     is_public: bool
     is_resumable: bool
+    event_gap_s: float = 0.0
 
     @property
     def is_idempotent(self) -> bool:
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -3,9 +3,20 @@
 import asyncio
 from dataclasses import dataclass
 
-from teaselpath.dispatch import Answered, Broken, NotRun, NotSent, Outcome, Placed
+from eliot import log_message
+
+from teaselpath.dispatch import (
+    Answered,
+    AttemptLimits,
+    Broken,
+    NotRun,
+    NotSent,
+    Outcome,
+    Placed,
+)
 from teaselpath.fleet import AnswerInfo, Forwarding, RequestCodec, RequestKind
 from teaselpath.gateway._call import Call
+from teaselpath.gateway._events import EventTooLong
 from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import (
     ClientConnection,
@@ -15,10 +26,7 @@
     HttpClient,
     ReadTimeout,
 )
-
-# Timeout for the head of the answer to an idempotent request that has attempts left, as a multiple
-# of the route's target latency. After it the request is sent to another endpoint.
-HEAD_TIMEOUT_FACTOR = 2.0
+from teaselpath.results import Code
 
 
 @dataclass(slots=True, frozen=True)
@@ -50,6 +58,7 @@
         self.call = call
         self.placed = placed
         self.loop = asyncio.get_running_loop()
+        self.limits = AttemptLimits(call.route, call.progress.runs, self.loop.time(), call.deadline)
 
     async def run(self) -> Outcome:
         """Send the request, read the answer and return the outcome."""
@@ -67,11 +76,14 @@
                 self.context.codec.id_header,
                 call.request.request_id.encode("latin-1") or None,
             )
-            head = await connection.read_head(self._head_deadline())
+            head = await connection.read_head(self.limits.progress_deadline)
             info = self.context.codec.decode_answer(head.status, head.headers)
             outcome = await self._read_answer(connection, info)
-        except ConnectionBroken:
+        except (ConnectionBroken, EventTooLong) as error:
             outcome = Broken()
+            # A server that closes its connection is part of the line on the request.
+            if not connection.is_lost or connection.has_exceeded_limits:
+                self._log_invalid_answer(str(error))
         except ReadTimeout:
             outcome = Broken(is_timeout=True)
         except BaseException:
@@ -102,12 +114,13 @@
         )
         return self.context.codec.encode_request(call.request, forwarding)
 
-    def _head_deadline(self) -> float:
-        call = self.call
-        if not call.route.is_idempotent or call.progress.runs + 1 >= call.route.max_attempts:
-            return call.deadline
-        return min(
-            call.deadline, self.loop.time() + HEAD_TIMEOUT_FACTOR * call.route.target_latency_s
+    def _log_invalid_answer(self, reason: str) -> None:
+        log_message(
+            "invalid_answer",
+            request_id=self.call.request.request_id,
+            endpoint=self.placed.view.endpoint.endpoint_id,
+            code=int(Code.ENDPOINT_PROTOCOL),
+            reason=reason,
         )
 
     async def _read_answer(self, connection: ClientConnection, info: AnswerInfo) -> Outcome:
@@ -136,12 +149,15 @@
             self.placed.view.record_weights(prompt.model, info.weights)
 
     async def _relay_events(self, connection: ClientConnection, info: AnswerInfo) -> Outcome:
-        """Forward events to the caller as they arrive, complete events only."""
+        """Forward events to the caller as they arrive, complete events only.
+
+        Reading from the endpoint pauses while the caller does not take the events.
+        """
         call, exchange = self.call, self.exchange
         splitter = call.splitter
         splitter.restart()
         while True:
-            data = await connection.read_chunk(call.deadline)
+            data = await connection.read_chunk(self.limits.progress_deadline)
             if data is None:
                 break
             complete_events = splitter.feed(data)
@@ -154,8 +170,20 @@
                 call.answer = info
                 exchange.start(200, info.forwarded_headers)
             exchange.write(complete_events)
-            await exchange.drain()
+            await self._drain()
+            self.limits.record_event(self.loop.time())
         if splitter.rest or not exchange.is_started:
             return Broken()
         exchange.finish()
         return Answered(200)
+
+    async def _drain(self) -> None:
+        """Wait until the caller has taken enough of the events.
+
+        :raises ReadTimeout: at the request's deadline.
+        """
+        try:
+            async with asyncio.timeout_at(self.call.deadline):
+                await self.exchange.drain()
+        except TimeoutError as error:
+            raise ReadTimeout from error
--- a/teaselpath/gateway/_events.py
+++ b/teaselpath/gateway/_events.py
@@ -1,5 +1,12 @@
 """Splitting of server-sent event streams at event boundaries."""
 
+# Largest event; a longer one is not an event of an engine but an answer in trouble.
+MAX_EVENT_BYTES = 262_144
+
+
+class EventTooLong(Exception):
+    """An event is longer than the limit."""
+
 
 class EventSplitter:
     """Splits a byte stream into complete events.
@@ -15,9 +22,14 @@
         self.count = 0
 
     def feed(self, data: bytes) -> bytes:
-        """Return the bytes up to the end of the last complete event; buffer the rest."""
+        """Return the bytes up to the end of the last complete event; buffer the rest.
+
+        :raises EventTooLong: if the rest exceeds ``MAX_EVENT_BYTES``.
+        """
         data = self.rest + data
         end = data.rfind(b"\n\n")
+        if len(data) - max(0, end) > MAX_EVENT_BYTES:
+            raise EventTooLong(f"an event of more than {MAX_EVENT_BYTES} bytes")
         if end < 0:
             self.rest = data
             return b""
--- a/teaselpath/gateway/tests/test_events.py
+++ b/teaselpath/gateway/tests/test_events.py
@@ -2,10 +2,11 @@
 
 from itertools import pairwise
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from teaselpath.gateway._events import EventSplitter
+from teaselpath.gateway._events import MAX_EVENT_BYTES, EventSplitter, EventTooLong
 
 STREAM = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(1, 9))
 
@@ -29,3 +30,14 @@
     splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
     splitter.restart()
     assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+
+
+@pytest.mark.parametrize("chunk", [b"x" * 1_000, b": comment\n" * 100], ids=["line", "comments"])
+def test_event_without_end_is_rejected(chunk):
+    """An engine in trouble may send bytes that never complete an event."""
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\ndata: a\n\n")
+    for _ in range(MAX_EVENT_BYTES // len(chunk) - 1):
+        assert splitter.feed(chunk) == b""
+    with pytest.raises(EventTooLong):
+        splitter.feed(chunk * 3)
--- a/teaselpath/http1/_client.py
+++ b/teaselpath/http1/_client.py
@@ -73,6 +73,7 @@
     :param id_header: name of the header field with the id of a request, in lower case.
     :ivar buffered_bytes: data of bodies that was received and not yet read.
     :ivar overhead_bytes: bytes received since the last data of a body.
+    :ivar has_exceeded_limits: whether the server was cut off because it exceeded a limit.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         self.interim_responses = 0
         self.skipped_bytes = 0
         self.is_paused = False
+        self.has_exceeded_limits = False
         self.has_carried_request = False
         self.id_header = id_header
         self.expected_id: bytes | None = None
@@ -122,10 +124,12 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # httptools wraps exceptions that callbacks raise.
             cause = error.__context__
-            excess = isinstance(cause, _LimitExceeded)
-            self._fail(str(cause) if excess else f"no valid response: {error}")
+            if isinstance(cause, _LimitExceeded):
+                self._fail_limit(str(cause))
+            else:
+                self._fail(f"no valid response: {error}")
         if self.overhead_bytes > self.limits.head_bytes:
-            self._fail(f"more than {self.limits.head_bytes} bytes of head or framing")
+            self._fail_limit(f"more than {self.limits.head_bytes} bytes of head or framing")
         if self.buffered_bytes > self.limits.high_water_bytes and not self.is_lost:
             self._pause_reading()
         self._wake()
@@ -264,7 +268,7 @@
             chunks.append(chunk)
             size += len(chunk)
             if size > limit:
-                self._fail(f"a body of more than {limit} bytes")
+                self._fail_limit(f"a body of more than {limit} bytes")
                 raise ConnectionBroken(self.error)
         return b"".join(chunks)
 
@@ -295,7 +299,7 @@
 
     def _check_skipped(self) -> None:
         if self.skipped_bytes > self.limits.skipped_bytes:
-            self._fail(f"more than {self.limits.skipped_bytes} bytes of other responses")
+            self._fail_limit(f"more than {self.limits.skipped_bytes} bytes of other responses")
 
     def _pause_reading(self) -> None:
         if self.transport is not None and not self.is_paused:
@@ -326,6 +330,10 @@
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
 
+    def _fail_limit(self, reason: str) -> None:
+        self.has_exceeded_limits = True
+        self._fail(reason)
+
     def _fail(self, reason: str) -> None:
         self.error = self.error or reason
         self.abort()
--- a/teaselpath/platform/_config.py
+++ b/teaselpath/platform/_config.py
@@ -46,6 +46,8 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
+    # Longest pause between the events of a stream that is still on time.
+    gap_aim_ms: float = 0
 
 
 class _Engine(msgspec.Struct, rename="camel"):
@@ -194,6 +196,7 @@
         max_attempts=route.max_attempts,
         is_public=route.public,
         is_resumable=route.resumable,
+        event_gap_s=route.gap_aim_ms / 1000,
     )
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 from contextlib import asynccontextmanager
+from pathlib import Path
 from random import Random
 
 import pytest
@@ -176,7 +177,10 @@
     assert not scopes["office"] & scopes["closed"]
 
 
-@pytest.mark.parametrize("fault", ["cuts", "lost", "errors", "sheds", "extra", "encoded"])
+FAULTS = ["cuts", "lost", "errors", "sheds", "extra", "encoded", "floods"]
+
+
+@pytest.mark.parametrize("fault", FAULTS)
 def test_faulty_engines_never_cause_a_wrong_answer_or_a_second_run(folder, fault):
     async def scenario():
         async with open_site(folder) as site:
@@ -225,6 +229,72 @@
     assert_whole(asyncio.run(scenario()), is_stream=True)
 
 
+def test_stalled_stream_continues_on_another_engine(folder):
+    """Comments and single bytes are no progress; the caller gets each event once, in order."""
+
+    async def scenario():
+        async with open_site(folder) as site:
+            site.engines["llm-0"].engine.faults.stalls = 1.0
+            caller = make_caller(site)
+            answers = await asyncio.gather(
+                *(caller.send("/review/x", f"r{n}", prefix=f"p{n}:100") for n in range(6))
+            )
+            await wait_until(
+                lambda: all(run.ended_at for run in site.runs), "an engine still runs a request"
+            )
+            return answers
+
+    assert_whole(asyncio.run(scenario()), is_stream=True)
+
+
+def test_stalled_stream_that_may_not_run_again_ends_at_its_deadline(folder):
+    async def scenario():
+        async with open_site(folder) as site:
+            for placed in site.engines.values():
+                placed.engine.faults.stalls = 1.0
+            caller = make_caller(site)
+            answer = await caller.send("/query/x", "q", prefix="p:100", timeout_s=1.0)
+            await wait_until(
+                lambda: all(run.ended_at for run in site.runs), "an engine still runs the request"
+            )
+            return site, answer
+
+    site, answer = asyncio.run(scenario())
+    assert not answer.is_complete
+    assert runs_by_request(site)["q"] == 1
+
+
+@pytest.mark.parametrize("path", ["/query/x", "/pay/x", "/lookup/x"])
+def test_answers_without_end_do_not_fill_the_memory(folder, path):
+    """Each engine sends bytes until the gateway closes, in a head or in a body."""
+
+    async def scenario():
+        async with open_site(folder) as site:
+            for placed in site.engines.values():
+                placed.engine.faults.floods = 1.0
+            caller = make_caller(site)
+            pid = next(iter(site.gateways.values())).process.pid
+            before = peak_memory_bytes(pid)
+            prefix = "p:100" if path == "/query/x" else ""
+            answers = [await caller.send(path, f"f{n}", prefix=prefix) for n in range(4)]
+            flooded = sum(engine.flooded_bytes for engine in site.all_engines)
+            return answers, peak_memory_bytes(pid) - before, flooded
+
+    answers, growth, flooded = asyncio.run(scenario())
+    assert not any(answer.status == 200 and answer.is_complete for answer in answers)
+    assert growth <= 24 << 20
+    # Up to eight attempts, each with what the sockets buffer.
+    assert flooded <= 8 * (16 << 20)
+
+
+def peak_memory_bytes(pid: int) -> int:
+    """Return the largest resident memory of a process so far."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) * 1024
+    raise AssertionError("the process has ended")
+
+
 def test_disconnected_caller_frees_its_engine(folder):
     async def scenario():
         async with open_site(folder) as site:
