Planned stops that overlap: someone accepts connections, unfinished requests get an answer

Closing also reset connections in the kernel's backlog and kept connections with an unread request, and requests still in flight at the end got no answer. Change: plan_stop, pure code: a listener closes while others of the domain, or of the next, are ready; if all stop, half close first and the others go on until a successor is ready, and late in the stop refuse what they could not finish, as not run. The listener accepts its backlog before it closes; unread requests keep a connection open; unfinished requests get 502, or 503 if not sent.

--- a/teaselpath/exchange/__init__.py
+++ b/teaselpath/exchange/__init__.py
@@ -11,14 +11,18 @@
     status_interval_s,
 )
 from teaselpath.exchange._polls import TopicPolls
+from teaselpath.exchange._stop import StopPeer, StopPhase, plan_stop
 
 __all__ = [
     "CROSS_REGION_INTERVAL_S",
     "Fanout",
     "Peer",
+    "StopPeer",
+    "StopPhase",
     "TopicPolls",
     "is_large_fleet",
     "plan_fanout",
+    "plan_stop",
     "select_readers",
     "select_relays",
     "status_interval_s",
--- /dev/null
+++ b/teaselpath/exchange/_stop.py
@@ -0,0 +1,76 @@
+"""Phases of a planned stop, so that stops that overlap leave a gateway that accepts connections.
+
+The load balancer turns away from a gateway that is not ready, but not if fewer than half of the
+gateways of its failure domain are: it then uses all of them. If none of a domain is ready, it uses
+the nearest domains. A stopping gateway therefore closes its listener only while others take its
+place. If all stop at the same time, half of them, chosen by name, close at once, so that their
+successors start early; the others accept connections until a successor is ready, or until the time
+is left that they need to finish. Late in the stop they refuse new requests at once, as not run.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+# Time after the start of a stop in which new connections are accepted in any case, in seconds: the
+# load balancer probes once per second and removes a gateway after two failed probes.
+LISTEN_GRACE_S = 2.6
+# Remaining time with which requests are still served, in seconds: most end within it.
+MIN_SERVICE_TIME_S = 3.8
+# Remaining time at which the listener closes in any case, in seconds.
+CLOSE_TIME_S = 1.2
+
+
+class StopPhase(Enum):
+    """What a stopping gateway does with new connections and requests.
+
+    ``SERVE``: accepts and serves; ``REFUSE``: accepts and refuses requests as not run; ``CLOSE``:
+    accepts no connection.
+    """
+
+    SERVE = "serve"
+    REFUSE = "refuse"
+    CLOSE = "close"
+
+
+@dataclass(slots=True, frozen=True)
+class StopPeer:
+    """Another reachable gateway."""
+
+    host: str
+    domain: str
+    is_ready: bool
+
+
+def plan_stop(
+    host: str, domain: str, peers: Iterable[StopPeer], age_s: float, grace_s: float
+) -> StopPhase:
+    """Return the phase of a stop.
+
+    :param host: name of the own host.
+    :param domain: own failure domain.
+    :param age_s: time since the stop began, in seconds.
+    :param grace_s: duration after which the process is killed, in seconds.
+    """
+    remaining_s = grace_s - age_s
+    if age_s < LISTEN_GRACE_S and remaining_s > CLOSE_TIME_S:
+        return StopPhase.SERVE
+    peers = list(peers)
+    if remaining_s <= CLOSE_TIME_S or _is_avoided(domain, peers) or _closes_first(host, peers):
+        return StopPhase.CLOSE
+    return StopPhase.SERVE if remaining_s >= MIN_SERVICE_TIME_S else StopPhase.REFUSE
+
+
+def _is_avoided(domain: str, peers: list[StopPeer]) -> bool:
+    """Return whether the load balancer sends connections to other gateways only."""
+    own_domain = [peer for peer in peers if peer.domain == domain]
+    ready = sum(peer.is_ready for peer in own_domain)
+    if ready:
+        return 2 * ready >= len(own_domain) + 1
+    return any(peer.is_ready for peer in peers)
+
+
+def _closes_first(host: str, peers: list[StopPeer]) -> bool:
+    """Return whether this gateway makes room for its successor while others still accept."""
+    stopping = sorted([host, *(peer.host for peer in peers if not peer.is_ready)])
+    return stopping.index(host) < len(stopping) // 2
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -15,6 +15,7 @@
     :param tried: ids of the endpoints of its attempts, including failed connections; they are
         excluded from placement.
     :param attempts: endpoint, outcome and duration of each attempt, for the log.
+    :param was_sent: whether an attempt is in flight, or ran or may have run.
     :param tokens: tokens charged to the workspace's quota.
     :param reservation: its load at the endpoint of the current attempt; None between attempts.
     """
@@ -29,6 +30,7 @@
     tried: set[str] = field(default_factory=set)
     attempts: list[tuple[str, str, float]] = field(default_factory=list)
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    was_sent: bool = False
     tokens: int = 0
     first_byte_at: float | None = None
     answer: AnswerInfo | None = None
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -34,6 +34,8 @@
 DEFAULT_CALLER_TIMEOUT_S = 30.0
 # Retry-After while this gateway has no configuration, or no service for a route, in seconds.
 UNCONFIGURED_RETRY_AFTER_S = 1.0
+# Shortest Retry-After of a refusal by a stopping gateway, in seconds.
+MIN_RETRY_AFTER_S = 0.2
 # Limit on the number of times one request is sent, including sends after which the endpoint did not
 # run it; failed connection attempts do not count.
 MAX_SENDS = 4
@@ -65,6 +67,8 @@
         self.random = random.Random()
         self.loop = asyncio.get_running_loop()
         self.running = 0
+        self.tasks: set[asyncio.Task] = set()
+        self.is_ending = False
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request of a caller."""
@@ -77,14 +81,35 @@
         if call is None:
             return
         self.running += 1
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
         # Logged if this handler raises or is cancelled because the caller disconnects.
         code = Code.CALLER_GONE
         try:
             code = await self._serve(exchange, call)
+        except asyncio.CancelledError:
+            if not self.is_ending or exchange.connection.is_closing:
+                raise
+            code = self._end_unfinished(exchange, call)
         finally:
             self.running -= 1
+            self.tasks.discard(task)
             self._log(call, code)
 
+    def end_unfinished(self) -> None:
+        """End all requests in flight with a final answer, because the process ends."""
+        self.is_ending = True
+        for task in self.tasks:
+            task.cancel()
+
+    def _end_unfinished(self, exchange: Exchange, call: Call) -> Code:
+        # An attempt that the cancellation has interrupted may have run.
+        if call.was_sent or exchange.is_started:
+            return self._respond_failed(exchange, call, 502)
+        wait_s = max(MIN_RETRY_AFTER_S, self.state.successor_at - self.loop.time())
+        return self._respond_refused(exchange, call, Code.STOPPING, wait_s)
+
     def _admit(self, exchange: Exchange, request: CallerRequest) -> Call | None:
         """Return the call, or respond with a refusal and return None."""
         state, now = self.state, exchange.request.received_at
@@ -92,6 +117,10 @@
         if config is None:
             self._refuse(exchange, request, Code.NO_BUNDLE, 503, UNCONFIGURED_RETRY_AFTER_S)
             return None
+        if state.refuses_requests:
+            wait_s = max(MIN_RETRY_AFTER_S, state.successor_at - now)
+            self._refuse(exchange, request, Code.STOPPING, 503, wait_s)
+            return None
         route = config.find_route(request.host, request.path)
         if route is None or not route.backends:
             self._refuse(exchange, request, Code.UNKNOWN_ROUTE, 404)
@@ -218,12 +247,14 @@
         """Send the request to one endpoint and record the outcome."""
         view = placed.view
         started_at = self.loop.time()
+        call.was_sent = True
         try:
             outcome = await Attempt(self.context, exchange, call, placed).run()
         finally:
             self.placer.release(call)
         now = self.loop.time()
         self._record_outcome(call, placed, outcome, now)
+        call.was_sent = call.progress.runs > 0
         call.attempts.append(
             (view.endpoint.endpoint_id, describe_outcome(outcome), round(now - started_at, 4))
         )
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -21,10 +21,10 @@
 from teaselpath.exchange import (
     CROSS_REGION_INTERVAL_S,
     Peer,
+    StopPeer,
     is_large_fleet,
     plan_fanout,
     select_readers,
-    select_relays,
     status_interval_s,
 )
 from teaselpath.fleet import StoredRecord
@@ -319,23 +319,23 @@
         self._send_to([member.ip], self.encoder.encode(status))
 
     def announce(self, placement: LongPlacement) -> None:
-        """Send the placement of a long prompt.
-
-        In a large fleet the gateways of this region and of the engine's region receive it.
-        """
+        """Send the placement of a long prompt to all gateways, in a large fleet through relays."""
         settings, now = self.state.settings, self.loop.time()
         message = PlacementMessage(settings.host, placement)
         data = self.encoder.encode(message)
-        if not is_large_fleet(len(self.state.members)):
-            self._send_to({member.ip for member in self.state.members.values()}, data)
-            return
-        self._send_to(self._near_ips(now), data)
-        view = self.state.views.get(placement.endpoint_id)
-        region = self._region_of_domain(view.endpoint.failure_domain) if view else settings.region
-        if region != settings.region:
-            far = [peer for peer in self._peers(now) if peer.region == region]
-            data = self.encoder.encode(PlacementToRelay(message))
-            self._send_to(select_relays(far, settings.host), data)
+        fanout = plan_fanout(self._peers(now), settings.host, settings.region, crosses_regions=True)
+        self._send_to(fanout.direct, data)
+        if fanout.relays:
+            self._send_to(fanout.relays, self.encoder.encode(PlacementToRelay(message)))
+
+    def stop_peers(self) -> list[StopPeer]:
+        """Return the reachable gateways, for the phases of a planned stop."""
+        members = self.state.members
+        return [
+            StopPeer(status.host, status.domain, not status.is_stopping)
+            for status in self.statuses.values()
+            if status.host in members
+        ]
 
     def _send_to(self, ips: Iterable[str], data: bytes) -> None:
         settings = self.state.settings
@@ -486,8 +486,9 @@
         return True
 
     def _log_if_regained(self, member: Member, now: float) -> None:
-        if now - member.last_contact_at > self.state.peer_timeout_s():
-            log_message("peer_regained", host=member.host, silent_s=now - member.last_contact_at)
+        silent_s = now - member.last_contact_at
+        if member.last_contact_at and silent_s > self.state.peer_timeout_s():
+            log_message("peer_regained", host=member.host, silent_s=silent_s)
 
     def _apply_endpoint_status(
         self, host: str, endpoint_status: EndpointStatus, view: EndpointView, now: float
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -7,6 +7,7 @@
 
 from eliot import log_message, write_traceback
 
+from teaselpath.exchange import StopPhase, plan_stop
 from teaselpath.fleet import CallerLimits, EngineCalls, GatewaySettings, MetadataStore, RequestCodec
 from teaselpath.gateway._caches import CacheWatcher
 from teaselpath.gateway._forward import Forwarder
@@ -16,14 +17,15 @@
 from teaselpath.gateway._peers import RECORDS_PATH, PeerExchange
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway._watch import StoreWatcher
-from teaselpath.http1 import Exchange, HttpClient, ServerConnection
+from teaselpath.http1 import Exchange, HttpClient, Listener, ServerConnection
 from teaselpath.rollout import OrderLease
 
-# Period after SIGTERM in which new connections are still accepted, in seconds: the load balancer
-# probes once per second and removes a gateway after two failed probes.
-LISTEN_GRACE_S = 2.6
 # Draining ends this long before SIGKILL, even with requests in flight, in seconds.
 KILL_MARGIN_S = 0.8
+# Time in which requests that are unfinished then get a final answer, in seconds.
+FINAL_ANSWER_S = 0.15
+# Time from the end of a process until its successor serves requests, in seconds.
+SUCCESSOR_START_S = 1.5
 DRAIN_POLL_INTERVAL_S = 0.05
 # Interval at which expired idle connections to endpoints and stores are closed, in seconds.
 EXPIRE_INTERVAL_S = 0.5
@@ -121,9 +123,8 @@
     async def _listen(self) -> None:
         settings = self.settings
         undrained: set[ServerConnection] = set()
-        self.caller_server = await self._serve(
-            settings.caller_address, self.forwarder.handle, self.connections
-        )
+        self.caller_listener = Listener(self._make_connection)
+        await self.caller_listener.open(settings.caller_address)
         await self._serve(settings.readiness_address, self._handle_readiness, undrained)
         await self._serve(f"{settings.ip}:{settings.peer_port}", self._handle_internal, undrained)
 
@@ -131,6 +132,9 @@
             lambda: self.peers, local_addr=(settings.ip, settings.peer_port)
         )
 
+    def _make_connection(self) -> ServerConnection:
+        return ServerConnection(self.forwarder.handle, self._limits, self.connections)
+
     async def _serve(self, address: str, handler, connections) -> asyncio.Server:
         ip, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
@@ -187,24 +191,41 @@
 
         Return once no request is in flight and no connection is open, or at the deadline.
         """
-        loop = asyncio.get_running_loop()
+        loop, state = asyncio.get_running_loop(), self.state
         started_at = loop.time()
-        self.state.is_stopping = True
+        state.is_stopping = True
+        self.peers.urgent_update.set()
         log_message("stopping", running=self.forwarder.running, open=len(self.connections))
-        deadline = started_at + self.settings.bounds.shutdown_grace_s - KILL_MARGIN_S
-        while loop.time() < deadline:
+        grace_s = self.settings.bounds.shutdown_grace_s
+        deadline = started_at + grace_s - KILL_MARGIN_S
+        state.successor_at = deadline + SUCCESSOR_START_S
+        phase = StopPhase.SERVE
+        while loop.time() < deadline - FINAL_ANSWER_S:
             for connection in self.connections:
                 connection.stop_reuse()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-            if loop.time() < started_at + LISTEN_GRACE_S:
+            if phase is not StopPhase.CLOSE:
+                phase = await self._change_phase(phase, loop.time() - started_at, grace_s)
                 continue
-            # The load balancer now sends new connections to other gateways. Stop accepting, since a
-            # request accepted now might not finish in time.
-            self.caller_server.close()
             for connection in list(self.connections):
                 connection.close_if_idle()
             if not self.forwarder.running and not self.connections:
                 break
+        unfinished = self.forwarder.running
+        self.forwarder.end_unfinished()
+        await asyncio.sleep(FINAL_ANSWER_S if unfinished else 0.0)
         for server in self.servers:
             server.close()
-        log_message("drained", unfinished=self.forwarder.running)
+        log_message("drained", unfinished=unfinished)
+
+    async def _change_phase(self, before: StopPhase, age_s: float, grace_s: float) -> StopPhase:
+        settings = self.settings
+        peers = self.peers.stop_peers()
+        phase = plan_stop(settings.host, settings.failure_domain, peers, age_s, grace_s)
+        if phase is not before:
+            ready = sum(peer.is_ready for peer in peers)
+            log_message("stop_phase", phase=phase.value, after_s=age_s, ready_peers=ready)
+        self.state.refuses_requests = phase is StopPhase.REFUSE
+        if phase is StopPhase.CLOSE:
+            await self.caller_listener.close()
+        return phase
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -110,6 +110,9 @@
     :ivar endpoint_ids: id of each known endpoint by its number.
     :ivar reads_store: whether this gateway follows the store itself; others receive its records
         from peers.
+    :ivar refuses_requests: whether new requests are refused, because the process ends before they
+        would.
+    :ivar successor_at: time at which a successor of this process is expected, in seconds.
     :ivar store_failed_at: time at which a call of this gateway to the store last failed.
     """
 
@@ -137,6 +140,8 @@
         self.store_failed_at: float | None = None
         self.reads_store = True
         self.is_stopping = False
+        self.refuses_requests = False
+        self.successor_at = 0.0
         self.has_had_endpoints = False
 
     def is_ready(self) -> bool:
--- a/teaselpath/http1/__init__.py
+++ b/teaselpath/http1/__init__.py
@@ -10,6 +10,7 @@
     ReadTimeout,
     ResponseLimits,
 )
+from teaselpath.http1._listener import Listener
 from teaselpath.http1._messages import (
     HOP_BY_HOP,
     Request,
@@ -28,6 +29,7 @@
     "ConnectionPool",
     "Exchange",
     "HttpClient",
+    "Listener",
     "PoolLimits",
     "ReadTimeout",
     "Request",
--- a/teaselpath/http1/_server.py
+++ b/teaselpath/http1/_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import select
 from collections import deque
 from collections.abc import Awaitable, Callable
 
@@ -262,11 +263,23 @@
 
     def close_if_idle(self) -> bool:
         """Close the connection if no request is being received, queued or handled."""
-        if self.task is not None or self.pipelined or self.is_reading:
+        if self.task is not None or self.pipelined or self.is_reading or self._has_unread_data():
             return False
         self._close()
         return True
 
+    def _has_unread_data(self) -> bool:
+        """Return whether the kernel holds data that was not read; closing would reset the caller.
+
+        The end of the connection counts as data and is read next.
+        """
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if sock is None or sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _run_next(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
