--- a/teaselpath/exchange/_stop.py
+++ b/teaselpath/exchange/_stop.py
@@ -16,9 +16,9 @@
 # load balancer probes once per second and removes a gateway after two failed probes.
 LISTEN_GRACE_S = 2.6
 # Remaining time with which requests are still served, in seconds: most end within it.
-MIN_SERVICE_TIME_S = 3.8
+MIN_SERVICE_TIME_S = 2.4
 # Remaining time at which the listener closes in any case, in seconds.
-CLOSE_TIME_S = 1.2
+CLOSE_TIME_S = 1.0
 
 
 class StopPhase(Enum):
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -332,7 +332,10 @@
         """Return the reachable gateways, for the phases of a planned stop."""
         members = self.state.members
         return [
-            StopPeer(status.host, status.domain, not status.is_stopping)
+            # A gateway that has just started serves nothing without a configuration.
+            StopPeer(
+                status.host, status.domain, not status.is_stopping and status.config_version > 0
+            )
             for status in self.statuses.values()
             if status.host in members
         ]
