Stop: requests on open connections are refused late in a stop, too; stale endpoint lists are corrected

Cause 2: a gateway that restarts while reads of the store are stale listed an endpoint that had left, and asked its peers only if the store was down. It now fetches endpoint records from a peer that stays ahead for 1.5 s; a removal seen in a listing is passed on as a record. The test plays it.

--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -81,7 +81,7 @@
     eligible = [v for v in healthy if v.loading_until <= now and not _is_outdated(v, demand)]
     if not eligible:
         return NoEndpoint("switching", 0.5)
-    available = [v for v in eligible if not _is_full(v)]
+    available = [v for v in eligible if not _is_full(v, now)]
     if not available:
         return NoEndpoint("full", 0.5)
     sources = find_sources(views, demand, now)
@@ -142,8 +142,8 @@
     return {name: rendezvous_rank(key, name) / 2**64 for name in ids}
 
 
-def _is_full(view: EndpointView) -> bool:
-    return view.requests() >= MAX_REQUESTS_PER_SLOT * max(1, view.endpoint.slots)
+def _is_full(view: EndpointView, now: float) -> bool:
+    return view.requests(now) >= MAX_REQUESTS_PER_SLOT * max(1, view.endpoint.slots)
 
 
 def _is_outdated(view: EndpointView, demand: Demand) -> bool:
@@ -160,7 +160,7 @@
     now: float,
 ) -> Placed:
     slots = max(1, view.endpoint.slots)
-    requests = view.requests()
+    requests = view.requests(now)
     cost = topology.rtt_s(view.endpoint.failure_domain)
     if not topology.is_own_region(view.endpoint.failure_domain):
         cost += demand.body_bytes * CROSS_REGION_COST_S_PER_BYTE
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -16,6 +16,8 @@
 # Transfer time across failure domains and regions, as a multiple of that within a domain.
 CROSS_DOMAIN_TRANSFER_FACTOR = 2.0
 CROSS_REGION_TRANSFER_FACTOR = 10.0
+# Age up to which the load that an endpoint stated counts, in seconds: requests last about as long.
+MAX_STATED_AGE_S = 0.3
 # A store is not used while the queueing time on its link is at least this, in seconds. It is less
 # than the two seconds of queueing with which a transfer is not started.
 MAX_LINK_WAIT_S = 1.2
@@ -48,6 +50,8 @@
     :param loading_until: time until which it is expected to be loading weights; 0 if no load is
         expected.
     :param own_loading_until: the same, only for weights that this gateway ordered it to load.
+    :param stated_requests: requests that it was running or had queued by its last answer.
+    :param stated_at: time at which that answer arrived.
     """
 
     endpoint: Endpoint
@@ -59,14 +63,28 @@
     weights: dict[str, int] = field(default_factory=dict)
     loading_until: float = 0.0
     own_loading_until: float = 0.0
+    stated_requests: int = 0
+    stated_at: float = float("-inf")
 
     def record_weights(self, model: str, version: int) -> None:
         """Record the version of a model's weights; versions older than the recorded are ignored."""
         self.weights[model] = max(version, self.weights.get(model, 0))
 
-    def requests(self) -> int:
-        """Return the number of requests in flight from all gateways."""
-        return self.own.requests + sum(load.requests for load in self.peers.values())
+    def record_stated_requests(self, requests: int, now: float) -> None:
+        """Record the number of requests that an answer of the endpoint states."""
+        self.stated_requests = requests
+        self.stated_at = now
+
+    def requests(self, now: float | None = None) -> int:
+        """Return the number of requests in flight from all gateways.
+
+        The counts of other gateways are up to a second old. What the endpoint itself stated
+        shortly before ``now`` replaces a lower sum.
+        """
+        known = self.own.requests + sum(load.requests for load in self.peers.values())
+        if now is not None and now - self.stated_at < MAX_STATED_AGE_S:
+            return max(known, self.stated_requests)
+        return known
 
     def held_tokens(self) -> int:
         """Return the prompt tokens of the long prompts in flight from all gateways."""
--- a/teaselpath/dispatch/tests/test_placement.py
+++ b/teaselpath/dispatch/tests/test_placement.py
@@ -101,6 +101,18 @@
     assert placed.reason == "full"
 
 
+def test_load_that_an_endpoint_states_counts_while_it_is_fresh(topology):
+    """Its answers show requests of gateways whose messages have not arrived yet."""
+    full, idle = make_view("e-full", slots=4), make_view("e-idle", slots=4)
+    full.record_stated_requests(6, 10.0)
+    demand = Demand(None)
+    assert choose_endpoint([full], demand, topology, 10.1) == NoEndpoint("full", 0.5)
+    chosen = choose_endpoint([full, idle], demand, topology, 10.1)
+    assert isinstance(chosen, Placed)
+    assert chosen.view is idle
+    assert isinstance(choose_endpoint([full], demand, topology, 10.5), Placed)
+
+
 def test_nearest_endpoint_is_chosen_if_all_else_is_equal(topology):
     views = [make_view("e1", "c"), make_view("e2", "b"), make_view("e3", "a")]
     placed = choose(views, topology, prompt=None)
--- a/teaselpath/exchange/__init__.py
+++ b/teaselpath/exchange/__init__.py
@@ -11,7 +11,7 @@
     status_interval_s,
 )
 from teaselpath.exchange._polls import TopicPolls
-from teaselpath.exchange._stop import StopPeer, StopPhase, plan_stop
+from teaselpath.exchange._stop import StopPeer, StopPhase, plan_stop, refuses_requests
 
 __all__ = [
     "CROSS_REGION_INTERVAL_S",
@@ -23,6 +23,7 @@
     "is_large_fleet",
     "plan_fanout",
     "plan_stop",
+    "refuses_requests",
     "select_readers",
     "select_relays",
     "status_interval_s",
--- a/teaselpath/exchange/_fanout.py
+++ b/teaselpath/exchange/_fanout.py
@@ -21,7 +21,7 @@
 # Interval between status messages within a region, in seconds, if it has few gateways.
 STATUS_INTERVAL_S = 0.2
 # The interval grows by one STATUS_INTERVAL_S with each further number of gateways in the region.
-PEERS_PER_STATUS_INTERVAL = 12
+PEERS_PER_STATUS_INTERVAL = 24
 # Longest interval, in seconds. A gateway counts as unreachable after three of them.
 MAX_STATUS_INTERVAL_S = 0.8
 # Interval between status messages to another region, in seconds.
--- a/teaselpath/exchange/_stop.py
+++ b/teaselpath/exchange/_stop.py
@@ -58,7 +58,15 @@
     peers = list(peers)
     if remaining_s <= CLOSE_TIME_S or _is_avoided(domain, peers) or _closes_first(host, peers):
         return StopPhase.CLOSE
-    return StopPhase.SERVE if remaining_s >= MIN_SERVICE_TIME_S else StopPhase.REFUSE
+    return StopPhase.REFUSE if refuses_requests(age_s, grace_s) else StopPhase.SERVE
+
+
+def refuses_requests(age_s: float, grace_s: float) -> bool:
+    """Return whether new requests are refused, because too little time is left to finish them.
+
+    That also holds for requests on connections that stay open after the listener has closed.
+    """
+    return age_s >= LISTEN_GRACE_S and grace_s - age_s < MIN_SERVICE_TIME_S
 
 
 def _is_avoided(domain: str, peers: list[StopPeer]) -> bool:
--- a/teaselpath/exchange/tests/test_stop.py
+++ b/teaselpath/exchange/tests/test_stop.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from teaselpath.exchange import StopPeer, StopPhase, plan_stop
+from teaselpath.exchange import StopPeer, StopPhase, plan_stop, refuses_requests
 
 GRACE_S = 8.0
 DOMAINS = ("a", "a", "b", "c")
@@ -65,6 +65,14 @@
     ]  # fmt: skip
 
 
+def test_requests_on_open_connections_are_refused_after_the_listener_has_closed():
+    for age_s in (5.7, 6.9, 7.1, 7.9):
+        assert refuses_requests(age_s, GRACE_S)
+    assert not refuses_requests(2.7, GRACE_S)
+    # Without time for that, requests that cross the stop are still served.
+    assert not refuses_requests(0.5, 2.0)
+
+
 @pytest.mark.parametrize("grace_s", [0.5, 2.0, 3.0])
 def test_short_grace_period_leaves_time_to_finish(grace_s):
     assert plan_stop("gw-0", "a", [], grace_s - 1.0, grace_s) is StopPhase.CLOSE
--- a/teaselpath/fleet/_calls.py
+++ b/teaselpath/fleet/_calls.py
@@ -69,6 +69,7 @@
     :param is_encoded: whether the body has a content encoding.
     :param weights: version of the weights; None if not stated.
     :param forwarded_headers: header fields that are forwarded to the caller unchanged.
+    :param requests: requests that the endpoint was running or had queued; None if not stated.
     """
 
     status: int
@@ -78,6 +79,7 @@
     is_encoded: bool
     weights: int | None
     forwarded_headers: Headers
+    requests: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -126,6 +126,8 @@
     async def _read_answer(self, connection: ClientConnection, info: AnswerInfo) -> Outcome:
         call, view = self.call, self.placed.view
         self._record_weights(info)
+        if info.requests is not None and not info.is_misdirected:
+            view.record_stated_requests(info.requests, self.loop.time())
         is_stream = call.route.kind is RequestKind.STREAM
         if info.status == 200 and is_stream and info.has_stamp and not info.is_encoded:
             return await self._relay_events(connection, info)
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -27,7 +27,7 @@
     select_readers,
     status_interval_s,
 )
-from teaselpath.fleet import StoredRecord
+from teaselpath.fleet import StoredRecord, Topic
 from teaselpath.gateway._state import GatewayState, LongPlacement, Member
 from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout
 from teaselpath.rollout import LeaseRecord, OrderLease
@@ -37,6 +37,10 @@
 # Records that a peer already has are fetched from it if the store has not delivered them within
 # this time, in seconds. A gateway that does not follow the store fetches them without delay.
 FETCH_DELAY_S = 0.5
+# The same for endpoint records, in seconds: a gateway that follows the store gets them together, up
+# to a second late. Reads of the store can be stale, so that a gateway that has restarted would use
+# endpoints that its peers know to have left.
+ENDPOINTS_FETCH_DELAY_S = 1.5
 FETCH_TIMEOUT_S = 1.0
 # Pause after a fetch of endpoint records only, in seconds, so that the next one returns the changes
 # of several endpoints together.
@@ -180,6 +184,7 @@
         self.statuses: dict[str, Status] = {}
         self.endpoints_with_load: dict[str, set[str]] = {}
         self.behind_since: float | None = None
+        self.behind_at: tuple[int, int] = (0, 0)
         self.urgent_update = asyncio.Event()
         self.is_urgent = False
         self.to_relay: dict[str, Status] = {}
@@ -543,19 +548,33 @@
             now = self.loop.time()
             self.discard_unreachable(now)
             self.update_reading(now)
-            ahead = self._peer_ahead()
+            ahead = self.peer_to_fetch_from(now)
             if ahead is None:
-                self.behind_since = self.fetched_from = None
-                continue
-            if self.behind_since is None:
-                self.behind_since = now
-            follows_store = self.state.reads_store and self.state.store_up
-            if now - self.behind_since < (FETCH_DELAY_S if follows_store else 0.0):
                 continue
             await self._fetch(ahead)
             if not self._lacks_operator_records(ahead):
                 await asyncio.sleep(ENDPOINTS_FETCH_PAUSE_S)
 
+    def peer_to_fetch_from(self, now: float) -> Status | None:
+        """Return the peer to fetch records from now.
+
+        None if no peer has newer ones, or the store may still deliver them.
+        """
+        state = self.state
+        ahead = self._peer_ahead()
+        if ahead is None:
+            self.behind_since = self.fetched_from = None
+            return None
+        # A gateway that receives records is not behind since the first of them was missing.
+        position = (state.newest_offset(Topic.OPERATORS), state.endpoints.offset)
+        if self.behind_since is None or position != self.behind_at:
+            self.behind_since, self.behind_at = now, position
+        delay_s = 0.0
+        if state.reads_store and state.store_up:
+            lacks_operators = self._lacks_operator_records(ahead)
+            delay_s = FETCH_DELAY_S if lacks_operators else ENDPOINTS_FETCH_DELAY_S
+        return ahead if now - self.behind_since >= delay_s else None
+
     def update_reading(self, now: float) -> None:
         """Decide whether this gateway follows the store, and who follows it otherwise.
 
@@ -587,13 +606,15 @@
         ahead = [
             status
             for status in self.statuses.values()
-            if self._lacks_operator_records(status) or self._lacks_endpoint_records(status)
+            if self._lacks_operator_records(status)
+            or status.endpoint_offset > self.state.endpoints.offset
         ]
         return min(
             ahead,
             key=lambda status: (
                 # A peer whose last answer left this gateway behind comes last.
                 status.host == self.fetched_from,
+                not self._lacks_operator_records(status),
                 status.domain != settings.failure_domain,
                 self._region_of_domain(status.domain) != settings.region,
                 status.host,
@@ -610,12 +631,6 @@
         own_version = state.config.version if state.config else 0
         return status.config_version > own_version or has_newer_weights
 
-    def _lacks_endpoint_records(self, status: Status) -> bool:
-        state = self.state
-        return status.endpoint_offset > state.endpoints.offset and not (
-            state.reads_store and state.store_up
-        )
-
     async def _fetch(self, status: Status) -> None:
         """Fetch the records of a peer that are newer than those of this gateway.
 
@@ -626,7 +641,7 @@
         address = f"{status.ip}:{state.settings.peer_port}"
         target = RECORDS_PATH
         if self.fetched_from is None:
-            operators = max((r.offset for r in state.operator_records.values()), default=-1)
+            operators = state.newest_offset(Topic.OPERATORS)
             target += b"?operators=%d&endpoints=%d" % (operators, state.endpoints.offset)
         self.fetched_from = status.host
         try:
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -7,7 +7,7 @@
 
 from eliot import log_message, write_traceback
 
-from teaselpath.exchange import StopPhase, plan_stop
+from teaselpath.exchange import StopPhase, plan_stop, refuses_requests
 from teaselpath.fleet import CallerLimits, EngineCalls, GatewaySettings, MetadataStore, RequestCodec
 from teaselpath.gateway._caches import CacheWatcher
 from teaselpath.gateway._forward import Forwarder
@@ -204,8 +204,10 @@
             for connection in self.connections:
                 connection.stop_reuse()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+            age_s = loop.time() - started_at
+            state.refuses_requests = refuses_requests(age_s, grace_s)
             if phase is not StopPhase.CLOSE:
-                phase = await self._change_phase(phase, loop.time() - started_at, grace_s)
+                phase = await self._change_phase(phase, age_s, grace_s)
                 continue
             for connection in list(self.connections):
                 connection.close_if_idle()
@@ -225,7 +227,6 @@
         if phase is not before:
             ready = sum(peer.is_ready for peer in peers)
             log_message("stop_phase", phase=phase.value, after_s=age_s, ready_peers=ready)
-        self.state.refuses_requests = phase is StopPhase.REFUSE
         if phase is StopPhase.CLOSE:
             await self.caller_listener.close()
         return phase
--- a/teaselpath/gateway/tests/test_peers.py
+++ b/teaselpath/gateway/tests/test_peers.py
@@ -2,8 +2,16 @@
 
 import asyncio
 
+import msgspec
+import pytest
+
 from teaselpath.fleet import StoredRecord
-from teaselpath.gateway._peers import PeerExchange, PlacementMessage
+from teaselpath.gateway._peers import (
+    ENDPOINTS_FETCH_DELAY_S,
+    PeerExchange,
+    PlacementMessage,
+    RecordSet,
+)
 from teaselpath.gateway._state import GatewayState, LongPlacement
 from teaselpath.gateway.tests.conftest import SETTINGS, endpoint_record
 from teaselpath.http1 import HttpClient
@@ -121,3 +129,39 @@
         return loaded, own.state.views["e"].requests()
 
     assert asyncio.run(scenario()) == (3, 0)
+
+
+@pytest.mark.parametrize(
+    ("reads_store", "delay_s"), [(True, ENDPOINTS_FETCH_DELAY_S), (False, 0.0)]
+)
+def test_removal_that_a_stale_read_hides_is_fetched_from_a_peer(reads_store, delay_s):
+    """A gateway that has restarted lists an endpoint that has left; its peers know better."""
+
+    async def scenario():
+        own, other = make_exchange(), make_exchange("gw-1")
+        now = own.loop.time()
+        for exchange in (own, other):
+            exchange.state.record_store_success(now)
+            exchange.state.apply_endpoint_record(endpoint_record("e", 1), "store", now)
+        # The listing that the peer read no longer holds the endpoint; the removal was trimmed.
+        other.state.store_regained_at = now - 60.0
+        other.state.remove_unlisted(set(), 9, now)
+        other.state.apply_endpoint_record(endpoint_record("f", 9), "store", now)
+        own.state.store_regained_at = now - 60.0
+        own.state.reads_store = reads_store
+        own.datagram_received(status_of(other, "gw-1", 5, 1), None)
+        early = own.peer_to_fetch_from(now)
+        found = own.peer_to_fetch_from(now + ENDPOINTS_FETCH_DELAY_S)
+        query = b"endpoints=%d" % own.state.endpoints.offset
+        for key, value, offset in endpoint_records(other.encode_records(query)):
+            own.state.apply_endpoint_record(StoredRecord(key, value, offset), "peer", now)
+        return early is None, found.host, set(own.state.views)
+
+    was_early, host, views = asyncio.run(scenario())
+    assert was_early == (delay_s > 0)
+    assert host == "gw-1"
+    assert views == {"f"}
+
+
+def endpoint_records(encoded):
+    return msgspec.msgpack.decode(encoded, type=RecordSet).endpoints
--- a/teaselpath/platform/_requests.py
+++ b/teaselpath/platform/_requests.py
@@ -117,6 +117,7 @@
             is_misdirected=status == 421,
             is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
             weights=_parse_integer(fields.get(b"weight-versions")),
+            requests=_parse_load(fields.get(b"server-load")),
             forwarded_headers=[
                 (name, value)
                 for name, value in headers
@@ -162,6 +163,15 @@
         return None
 
 
+def _parse_load(value: bytes | None) -> int | None:
+    """Return the number of running and waiting requests; the slots follow them."""
+    try:
+        running, waiting, _slots = (value or b"").split(b",")
+        return max(0, int(running)) + max(0, int(waiting))
+    except ValueError:
+        return None
+
+
 def _parse_token_counts(value: bytes | None) -> tuple[int, int] | None:
     if value is None:
         return None
