--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -18,6 +18,9 @@
 CROSS_REGION_TRANSFER_FACTOR = 10.0
 # Age up to which the load that an endpoint stated counts, in seconds: requests last about as long.
 MAX_STATED_AGE_S = 0.3
+# Time for which an engine is avoided that refuses requests although it has free slots, in seconds.
+# Loading takes longer; then the next request shows whether it still does.
+UNEXPECTED_LOAD_S = 0.3
 # A store is not used while the queueing time on its link is at least this, in seconds. It is less
 # than the two seconds of queueing with which a transfer is not started.
 MAX_LINK_WAIT_S = 1.2
@@ -75,6 +78,20 @@
         self.stated_requests = requests
         self.stated_at = now
 
+    def record_not_run(self, requests: int | None, now: float) -> None:
+        """Record that the endpoint refused a request with a prompt as not run.
+
+        An engine that refuses although it has free slots is loading weights: an order whose answer
+        was lost, or that it carried out late. All gateways avoid it for a short time, since their
+        requests would be refused, too.
+
+        :param requests: requests that it stated to run or to have queued; None if not stated.
+        """
+        if requests is not None and requests < self.endpoint.slots:
+            until = now + UNEXPECTED_LOAD_S
+            self.own_loading_until = max(self.own_loading_until, until)
+            self.loading_until = max(self.loading_until, until)
+
     def requests(self, now: float | None = None) -> int:
         """Return the number of requests in flight from all gateways.
 
--- a/teaselpath/dispatch/tests/test_placement.py
+++ b/teaselpath/dispatch/tests/test_placement.py
@@ -113,6 +113,17 @@
     assert isinstance(choose_endpoint([full], demand, topology, 10.5), Placed)
 
 
+def test_engine_that_refuses_with_free_slots_is_avoided_as_loading(topology):
+    """It carries out an order late; each request to it would only spend the retry budget."""
+    loading, other = make_view("e-loading", slots=4), make_view("e-other", domain="c", slots=4)
+    loading.record_not_run(1, NOW)
+    assert choose([loading, other], topology).view is other
+    assert choose([loading], topology) == NoEndpoint("switching", 0.5)
+    full = make_view("e-full", slots=4)
+    full.record_not_run(6, NOW)
+    assert isinstance(choose([full], topology), Placed)
+
+
 def test_nearest_endpoint_is_chosen_if_all_else_is_equal(topology):
     views = [make_view("e1", "c"), make_view("e2", "b"), make_view("e3", "a")]
     placed = choose(views, topology, prompt=None)
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -140,6 +140,8 @@
             # another weights version.
             if info.is_misdirected:
                 view.health.record_unreachable(self.loop.time())
+            elif call.service.engine is not None:
+                view.record_not_run(info.requests, self.loop.time())
             return NotRun(info.status)
         # Something between gateway and endpoint has generated or re-encoded the answer.
         if info.status < 300 and (not info.has_stamp or info.is_encoded):
