An attempt is given up only if the retry budget allows to send the request elsewhere

Change: at its limit an attempt takes a retry from the budget first; without one it goes on and asks again each 0.25 s until the request's deadline.

--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -11,6 +11,8 @@
 from teaselpath.http1 import Exchange
 
 EVENT_INTERVAL_S = 0.004
+# Delay of a slow answer in seconds, longer than twice the target latency of the routes.
+SLOW_START_S = 2.6
 # Interval between the comments of a stalled stream, in seconds.
 STALL_INTERVAL_S = 0.1
 WEIGHTS_LOAD_S = 0.15
@@ -34,6 +36,7 @@
     :param encoded: replies with a compressed body, as a proxy in front of the engine would.
     :param stalls: sends the first event of a stream and then a comment now and then, without end.
     :param floods: sends bytes without end: in the head, or after the first event of a stream.
+    :param slow: begins the answer ``SLOW_START_S`` late.
     :param orders_unanswered: carries out an order, but holds back the reply for 10 s.
     """
 
@@ -46,6 +49,7 @@
     encoded: float = 0.0
     stalls: float = 0.0
     floods: float = 0.0
+    slow: float = 0.0
     orders_unanswered: float = 0.0
 
 
@@ -261,6 +265,8 @@
             await asyncio.sleep(0.005)
         if chance() < faults.mute:
             await asyncio.sleep(60.0)
+        if chance() < faults.slow:
+            await asyncio.sleep(SLOW_START_S)
         if chance() < faults.lost:
             exchange.abort()
             return
--- a/standins/hosted/_site.py
+++ b/standins/hosted/_site.py
@@ -83,12 +83,14 @@
 
     :param folder: directory for settings files and logs.
     :param zones: region of each zone.
+    :param bounds: bounds in the settings of the gateways that differ from the defaults.
     """
 
     folder: Path
     random: Random
     zones: dict[str, str] = field(default_factory=lambda: {"a": "north", "b": "south"})
     routes: list[SiteRoute] = field(default_factory=lambda: list(DEFAULT_ROUTES))
+    bounds: dict[str, float] = field(default_factory=dict)
     tenants: list[SiteTenant] = field(default_factory=lambda: [SiteTenant("office", ["key-1"])])
     runs: list[Run] = field(default_factory=list)
     engines: dict[str, _ListedEngine] = field(default_factory=dict)
@@ -272,7 +274,7 @@
             "internalPorts": [self.ports["peer"], self.ports["peer"]],
             "seeds": [],
             "limits": {"memoryMb": 300, "maxFds": 1024},
-            "bounds": {"graceS": 8, "leaseMs": 600},
+            "bounds": {"graceS": 8, "leaseMs": 600, **self.bounds},
             "platform": {"address": store_address},
         }
 
--- a/teaselpath/dispatch/_progress.py
+++ b/teaselpath/dispatch/_progress.py
@@ -3,7 +3,8 @@
 Only complete events count as progress of a stream: an endpoint in trouble may send a byte, a
 comment or a part of an event now and then. A slow endpoint is not cut off as long as events arrive,
 nor is one without events whose request may not run again: its caller waits until the request's
-deadline.
+deadline. Without a retry budget an attempt goes on beyond its limits: in an overload, engines are
+late but not lost, and giving up their work would serve nobody.
 """
 
 from teaselpath.fleet import Route
@@ -15,6 +16,9 @@
 # least value in seconds. Callers give up a stream after eight such pauses, or two seconds at least.
 STALL_TIMEOUT_FACTOR = 4.0
 MIN_STALL_TIMEOUT_S = 1.5
+# Interval at which an attempt that has exceeded its limit checks whether the retry budget allows to
+# send the request elsewhere, in seconds.
+RETRY_CHECK_INTERVAL_S = 0.25
 
 
 class AttemptLimits:
@@ -41,5 +45,9 @@
         stall_s = max(MIN_STALL_TIMEOUT_S, STALL_TIMEOUT_FACTOR * self.route.event_gap_s)
         self.progress_deadline = self._limited(now + stall_s)
 
+    def extend(self, now: float) -> None:
+        """Wait on, because the request cannot be sent elsewhere now."""
+        self.progress_deadline = min(self.deadline, now + RETRY_CHECK_INTERVAL_S)
+
     def _limited(self, limit: float) -> float:
         return min(limit, self.deadline) if self.can_run_again else self.deadline
--- a/teaselpath/dispatch/tests/test_progress.py
+++ b/teaselpath/dispatch/tests/test_progress.py
@@ -50,6 +50,14 @@
     assert limits.progress_deadline == 8.0
 
 
+def test_extended_attempt_goes_on_until_the_deadline_at_most():
+    limits = AttemptLimits(make_route(), 0, 0.0, 2.0)
+    limits.extend(1.7)
+    assert 1.7 < limits.progress_deadline < 2.0
+    limits.extend(1.9)
+    assert limits.progress_deadline == 2.0
+
+
 def test_no_limit_exceeds_the_deadline():
     limits = AttemptLimits(make_route(), 0, 0.0, 1.0)
     assert limits.progress_deadline == 1.0
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -1,7 +1,9 @@
 """One attempt to run a request at an endpoint."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import TypeVar
 
 from eliot import log_message
 
@@ -29,15 +31,21 @@
 )
 from teaselpath.results import Code
 
+T = TypeVar("T")
+
 
 @dataclass(slots=True, frozen=True)
 class AttemptContext:
-    """Objects that all attempts share."""
+    """Objects that all attempts share.
+
+    :param acquire_retry: takes a retry of a request from the budget; returns whether it could.
+    """
 
     state: GatewayState
     codec: RequestCodec
     http: HttpClient
     metrics: GatewayMetrics
+    acquire_retry: Callable[[Call], bool]
 
 
 def describe_outcome(outcome: Outcome) -> str:
@@ -78,7 +86,7 @@
                 self.context.codec.id_header,
                 call.request.request_id.encode("latin-1") or None,
             )
-            head = await connection.read_head(self.limits.progress_deadline)
+            head = await self._with_progress(connection.read_head)
             info = self.context.codec.decode_answer(head.status, head.headers)
             outcome = await self._read_answer(connection, info)
         except (ConnectionBroken, EventTooLong) as error:
@@ -126,6 +134,23 @@
             reason=reason,
         )
 
+    async def _with_progress(self, read: Callable[[float], Awaitable[T]]) -> T:
+        """Read within the limits of the attempt.
+
+        :raises ReadTimeout: at the deadline, or if the request can be sent elsewhere.
+        """
+        while True:
+            try:
+                return await read(self.limits.progress_deadline)
+            except ReadTimeout:
+                now, call = self.loop.time(), self.call
+                if now >= call.deadline:
+                    raise
+                call.has_retry = call.has_retry or self.context.acquire_retry(call)
+                if call.has_retry:
+                    raise
+                self.limits.extend(now)
+
     async def _read_answer(self, connection: ClientConnection, info: AnswerInfo) -> Outcome:
         call, view = self.call, self.placed.view
         self._record_weights(info)
@@ -164,7 +189,7 @@
         splitter = call.splitter
         splitter.restart()
         while True:
-            data = await connection.read_chunk(self.limits.progress_deadline)
+            data = await self._with_progress(connection.read_chunk)
             if data is None:
                 break
             complete_events = splitter.feed(data)
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -16,6 +16,7 @@
         excluded from placement.
     :param attempts: endpoint, outcome and duration of each attempt, for the log.
     :param was_sent: whether an attempt is in flight, or ran or may have run.
+    :param has_retry: whether a retry was taken from the budget and not used yet.
     :param tokens: tokens charged to the workspace's quota.
     :param reservation: its load at the endpoint of the current attempt; None between attempts.
     """
@@ -31,6 +32,7 @@
     attempts: list[tuple[str, str, float]] = field(default_factory=list)
     splitter: EventSplitter = field(default_factory=EventSplitter)
     was_sent: bool = False
+    has_retry: bool = False
     tokens: int = 0
     first_byte_at: float | None = None
     answer: AnswerInfo | None = None
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -61,7 +61,7 @@
     ):
         self.state = state
         self.codec = codec
-        self.context = AttemptContext(state, codec, http, metrics)
+        self.context = AttemptContext(state, codec, http, metrics, self._acquire_retry)
         self.placer = Placer(state, announce)
         self.metrics = metrics
         self.random = random.Random()
@@ -231,6 +231,12 @@
             return False
         if not step.is_retry:
             return True
+        has_retry = call.has_retry or self._acquire_retry(call)
+        call.has_retry = False
+        return has_retry
+
+    def _acquire_retry(self, call: Call) -> bool:
+        now = self.loop.time()
         _, gateways = self.state.count_gateways(now)
         return self.state.retry_budget(call.service.name).try_acquire(now, gateways)
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -303,6 +303,23 @@
     assert_whole(asyncio.run(scenario()), is_stream=True)
 
 
+def test_late_answer_is_awaited_without_a_retry_budget(folder):
+    """Giving up the work of a late engine serves nobody if the request cannot run elsewhere."""
+
+    async def scenario():
+        bounds = {"budgetRatio": 0.0, "budgetExtra": 0.0}
+        async with open_site(folder, bounds=bounds) as site:
+            for placed in site.engines.values():
+                placed.engine.faults.slow = 1.0
+            caller = make_caller(site)
+            answer = await caller.send("/review/x", "late", prefix="p:100")
+            return site, answer
+
+    site, answer = asyncio.run(scenario())
+    assert_whole([answer], is_stream=True)
+    assert runs_by_request(site)["late"] == 1
+
+
 def test_stalled_stream_that_may_not_run_again_ends_at_its_deadline(folder):
     async def scenario():
         async with open_site(folder) as site:
