Fetches of records from peers: only newer ones while a peer stays ahead, from any near peer

Cause: with 3,000 engines one of them always changes, so a gateway that does not follow the store was behind again after each fetch and took that for an incomplete answer: it asked for all records, a megabyte, and all gateways asked the same peer. Change: all records are fetched only if an answer lacked what the status of that peer stated; the peer is drawn from the nearest ones that are ahead.

--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -169,6 +169,7 @@
     :ivar endpoints_with_load: ids of the endpoints at which each gateway has reported load.
     :ivar is_urgent: whether the next status is sent to each gateway of all regions.
     :ivar to_relay: statuses to pass on to this region, by host.
+    :ivar incomplete_from: host of the peer whose last answer lacked records that it has.
     :ivar counters: last sent counter of each workspace, and the time at which it changed.
     """
 
@@ -191,7 +192,7 @@
         self.counters: dict[str, tuple[int, float]] = {}
         self.crossed_regions_at = 0.0
         self.crossings = 0
-        self.fetched_from: str | None = None
+        self.incomplete_from: str | None = None
         self.random = random.Random()
         self.encoder = msgspec.msgpack.Encoder()
         self.decoder = msgspec.msgpack.Decoder(Message)
@@ -563,7 +564,7 @@
         state = self.state
         ahead = self._peer_ahead()
         if ahead is None:
-            self.behind_since = self.fetched_from = None
+            self.behind_since = self.incomplete_from = None
             return None
         # A gateway that receives records is not behind since the first of them was missing.
         position = (state.newest_offset(Topic.OPERATORS), state.endpoints.offset)
@@ -603,25 +604,27 @@
     def _peer_ahead(self) -> Status | None:
         """Return a peer that has newer records than this gateway, one that is near if possible."""
         settings = self.state.settings
-        ahead = [
-            status
-            for status in self.statuses.values()
-            if self._lacks_operator_records(status)
-            or status.endpoint_offset > self.state.endpoints.offset
-        ]
+        ahead = [status for status in self.statuses.values() if self._lacks_records(status)]
         return min(
             ahead,
             key=lambda status: (
-                # A peer whose last answer left this gateway behind comes last.
-                status.host == self.fetched_from,
+                # A peer whose last answer lacked records comes last.
+                status.host == self.incomplete_from,
                 not self._lacks_operator_records(status),
                 status.domain != settings.failure_domain,
                 self._region_of_domain(status.domain) != settings.region,
-                status.host,
+                # Spreads the requests of the gateways over the peers that are ahead.
+                self.random.random(),
             ),
             default=None,
         )
 
+    def _lacks_records(self, status: Status) -> bool:
+        return (
+            self._lacks_operator_records(status)
+            or status.endpoint_offset > self.state.endpoints.offset
+        )
+
     def _lacks_operator_records(self, status: Status) -> bool:
         state = self.state
         has_newer_weights = any(
@@ -634,16 +637,16 @@
     async def _fetch(self, status: Status) -> None:
         """Fetch the records of a peer that are newer than those of this gateway.
 
-        All of its records are fetched if the newer ones of another peer did not suffice.
+        All records are fetched if the newer ones of a peer did not include what its status stated.
         """
         state = self.state
         deadline = self.loop.time() + FETCH_TIMEOUT_S
         address = f"{status.ip}:{state.settings.peer_port}"
         target = RECORDS_PATH
-        if self.fetched_from is None:
+        if self.incomplete_from is None:
             operators = state.newest_offset(Topic.OPERATORS)
             target += b"?operators=%d&endpoints=%d" % (operators, state.endpoints.offset)
-        self.fetched_from = status.host
+        self.incomplete_from = None
         try:
             response = await self.http.call(
                 address, b"GET", target, deadline=deadline, max_body_bytes=MAX_RECORDS_BYTES
@@ -658,6 +661,8 @@
             state.apply_operator_record(StoredRecord(*record), source, now)
         for record in sorted(records.endpoints, key=lambda record: record[2]):
             state.apply_endpoint_record(StoredRecord(*record), source, now)
+        if self._lacks_records(status):
+            self.incomplete_from = status.host
 
     def encode_records(self, query: bytes = b"") -> bytes:
         """Return the encoded store records of this gateway, for a peer.
--- a/teaselpath/gateway/tests/test_large_fleet.py
+++ b/teaselpath/gateway/tests/test_large_fleet.py
@@ -17,7 +17,7 @@
 from teaselpath.gateway._peers import PeerExchange
 from teaselpath.gateway._state import GatewayState, LongPlacement
 from teaselpath.gateway.tests.conftest import endpoint_record
-from teaselpath.http1 import HttpClient
+from teaselpath.http1 import HttpClient, Response, ResponseHead
 from teaselpath.platform import PlatformStore
 from teaselpath.rollout import OrderLease
 
@@ -280,7 +280,7 @@
         reader.state.apply_endpoint_record(endpoint_record("e", 7), "store", fleet.clock.now)
         fleet.run(2.0)
         others = [g for g in fleet.gateways if not g.state.reads_store]
-        ahead = [g.exchange._peer_ahead() for g in others]
+        ahead = [g.exchange.peer_to_fetch_from(fleet.clock.now) for g in others]
         encoded = reader.exchange.encode_records(b"operators=3&endpoints=7")
         return {a.host if a else None for a in ahead}, reader.state.settings.host, encoded
 
@@ -319,3 +319,56 @@
     assert far_messages == 1
     # All gateways but the sender, which counts its own placement when it reserves the engine.
     assert counted == 71
+
+
+class RecordClient:
+    """HTTP client stand-in that answers with the records of a gateway.
+
+    :ivar targets: requested paths with their queries.
+    """
+
+    def __init__(self, peer: Gateway):
+        self.peer = peer
+        self.targets: list[bytes] = []
+
+    async def call(self, address, method, target, **options):
+        self.targets.append(target)
+        query = target.partition(b"?")[2]
+        return Response(ResponseHead(200), self.peer.exchange.encode_records(query))
+
+
+def test_only_newer_records_are_fetched_while_a_peer_stays_ahead():
+    """With thousands of endpoints one of them always changes; all records are a megabyte."""
+
+    async def scenario():
+        fleet = Fleet(72)
+        reader, own = fleet.readers()[0], fleet.gateways[-1]
+        own.state.reads_store = False
+        client = own.exchange.http = RecordClient(reader)
+        for offset in range(1, 6):
+            reader.state.apply_endpoint_record(
+                endpoint_record(f"e{offset}", offset), "store", fleet.clock.now
+            )
+            reader.exchange.sequence += 1
+            status = reader.exchange._status(fleet.clock.now)
+            await own.exchange._fetch(status)
+        return client.targets, set(own.state.views)
+
+    targets, views = asyncio.run(scenario())
+    assert views == {f"e{n}" for n in range(1, 6)}
+    assert targets == [b"/records?operators=-1&endpoints=%d" % n for n in (-1, 1, 2, 3, 4)]
+
+
+def test_all_records_are_fetched_if_newer_ones_did_not_suffice():
+    async def scenario():
+        fleet = Fleet(72)
+        reader, own = fleet.readers()[0], fleet.gateways[-1]
+        client = own.exchange.http = RecordClient(reader)
+        reader.exchange.sequence += 1
+        status = reader.exchange._status(fleet.clock.now)
+        status.endpoint_offset = 9
+        await own.exchange._fetch(status)
+        await own.exchange._fetch(status)
+        return client.targets
+
+    assert asyncio.run(scenario()) == [b"/records?operators=-1&endpoints=-1", b"/records"]
