Tests: a silent engine keeps its running requests; a restarted gateway uses nothing that was withdrawn

Neither can happen here: a poll without an answer concerns new requests only, and a gateway that the store turns away gets configuration and endpoints from a peer before it is ready. The stand-in engines leave polls unanswered; gateways can be started with seeds.

--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -37,6 +37,7 @@
     :param stalls: sends the first event of a stream and then a comment now and then, without end.
     :param floods: sends bytes without end: in the head, or after the first event of a stream.
     :param slow: begins the answer ``SLOW_START_S`` late.
+    :param polls_unanswered: holds back the answer to a poll of cache events for 10 s.
     :param orders_unanswered: carries out an order, but holds back the reply for 10 s.
     """
 
@@ -50,6 +51,7 @@
     stalls: float = 0.0
     floods: float = 0.0
     slow: float = 0.0
+    polls_unanswered: float = 0.0
     orders_unanswered: float = 0.0
 
 
@@ -178,6 +180,8 @@
         }
 
     async def _events(self, exchange: Exchange, query: dict[str, str]) -> None:
+        if self.random.random() < self.faults.polls_unanswered:
+            await asyncio.sleep(10.0)
         since = int(query.get("since", 0))
         wait_s = float(exchange.request.header(b"wait-ms") or 0) / 1000
         if since >= len(self.events) and wait_s:
--- a/standins/hosted/_site.py
+++ b/standins/hosted/_site.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
@@ -240,16 +241,22 @@
     # gateways
 
     async def start_gateway(
-        self, name: str, ip: str, zone: str = "a", store_address: str = ""
+        self,
+        name: str,
+        ip: str,
+        zone: str = "a",
+        store_address: str = "",
+        seeds: Sequence[str] = (),
     ) -> GatewayProcess:
         """Start a gateway process without waiting until it is ready.
 
+        :param seeds: addresses of hosts that may run other gateways, IP:PORT.
         :param store_address: address at which the gateway reaches the store, such as that of a
             proxy; by default a listener of its own.
         """
         store_address = store_address or await self.open_store_address(name)
         path = self.folder / f"{name}.json"
-        path.write_text(json.dumps(self._settings(name, ip, zone, store_address)))
+        path.write_text(json.dumps(self._settings(name, ip, zone, store_address, seeds)))
         log = self.folder / f"{name}.log"
         with log.open("ab") as output:
             process = await asyncio.create_subprocess_exec(
@@ -260,7 +267,9 @@
         self.gateways[name] = GatewayProcess(name, ip, path, process, log)
         return self.gateways[name]
 
-    def _settings(self, name: str, ip: str, zone: str, store_address: str) -> dict[str, object]:
+    def _settings(
+        self, name: str, ip: str, zone: str, store_address: str, seeds: Sequence[str]
+    ) -> dict[str, object]:
         return {
             "nodeName": name,
             "ip": ip,
@@ -272,7 +281,7 @@
                 "ready": f"{ip}:{self.ports['ready']}",
             },
             "internalPorts": [self.ports["peer"], self.ports["peer"]],
-            "seeds": [],
+            "seeds": list(seeds),
             "limits": {"memoryMb": 300, "maxFds": 1024},
             "bounds": {"graceS": 8, "leaseMs": 600, **self.bounds},
             "platform": {"address": store_address},
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -383,6 +383,61 @@
     asyncio.run(scenario())
 
 
+def test_engine_that_leaves_polls_unanswered_keeps_its_running_requests(folder):
+    """It counts as silent for new requests; what it runs is neither given up nor sent again."""
+
+    async def scenario():
+        async with open_site(folder) as site:
+            for placed in site.engines.values():
+                placed.engine.faults.polls_unanswered = 1.0
+                placed.engine.faults.slow = 1.0
+            caller = make_caller(site)
+            answer = await caller.send("/query/x", "running", prefix="p:100")
+            log = site.gateways["gw-0"].log.read_text()
+            return site, answer, "engine_silent" in log
+
+    site, answer, was_silent = asyncio.run(scenario())
+    assert was_silent
+    assert_whole([answer], is_stream=True)
+    assert runs_by_request(site)["running"] == 1
+
+
+@pytest.mark.parametrize("mode", ["busy", "silent"])
+def test_restarted_gateway_uses_no_withdrawn_key_and_no_endpoint_that_has_left(folder, mode):
+    """The store turns the restarted gateway away; its peer knows what has been withdrawn."""
+
+    async def scenario():
+        async with open_site(folder, gateways=2) as site:
+            site.tenants[0].keys = ["key-2"]
+            site.write_config()
+            site.drain_engine("desk-0")
+            await wait_until_refused(site, "gw-0")
+            site.store.faults.affected_gateways = {"gw-1"}
+            site.store.faults.mode = mode
+            site.signal_gateway("gw-1", signal.SIGKILL)
+            await site.gateways["gw-1"].process.wait()
+            restarted = await site.start_gateway("gw-1", "127.0.0.3", "b", seeds=["127.0.0.2:1"])
+            await site.wait_until_ready(restarted)
+            old, new = make_caller(site, "gw-1"), make_caller(site, "gw-1", "key-2")
+            refused = [await old.send("/lookup/x", f"old{n}") for n in range(5)]
+            served = [await new.send("/lookup/x", f"new{n}") for n in range(10)]
+            return site, refused, served
+
+    site, refused, served = asyncio.run(scenario())
+    assert {answer.status for answer in refused} == {401}
+    assert_whole(served, is_stream=False)
+    engines = {run.endpoint_id for run in site.runs if run.request_id.startswith("new")}
+    assert len(engines) == 1
+
+
+async def wait_until_refused(site, name):
+    """Wait until a gateway refuses the key that the configuration no longer has."""
+    deadline = time.monotonic() + WAIT_S
+    while (await make_caller(site, name).send("/lookup/x", "w")).status != 401:
+        assert time.monotonic() < deadline
+        await asyncio.sleep(0.05)
+
+
 @pytest.mark.parametrize("mode", ["busy", "reset", "silent"])
 def test_gateway_without_store_access_is_updated_by_its_peers(folder, mode):
     async def scenario():
