--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -18,6 +18,8 @@
 ROUTES = ("review", "query", "pay", "lookup")
 # Grace period between the last fault and the start of the recovery phase.
 SETTLE_TIME_S = 6.0
+# Mean interval between faults of the answers of engines, in seconds.
+ANSWER_FAULT_INTERVAL_S = 1.5
 # Interval at which the delay of this process's own event loop is measured.
 STALL_CHECK_INTERVAL_S = 0.05
 # Minimum number of requests in the recovery phase, and the time limit to reach it.
@@ -163,6 +165,9 @@
     async def inject_faults(self) -> None:
         """Start faults at random times; each runs as a separate task."""
         until = time.monotonic() + self.plan.fault_s
+        answers = asyncio.create_task(self.disturb_answers(until))
+        self.fault_tasks.add(answers)
+        answers.add_done_callback(self.fault_tasks.discard)
         kinds: list[Callable[[], Coroutine[None, None, None]]] = [
             self.fault_link,
             self.fault_link,
@@ -227,6 +232,22 @@
         await asyncio.sleep(self.random.uniform(0.5, 3.0))
         setattr(faults, fault, 0.0)
 
+    async def disturb_answers(self, until: float) -> None:
+        """Make engines stall, send without end, begin late or leave polls unanswered.
+
+        Draws from a random source of its own, so that the other faults of a seed stay the same.
+        """
+        source = Random(self.plan.seed + 2)
+        while time.monotonic() < until:
+            await asyncio.sleep(source.expovariate(1 / ANSWER_FAULT_INTERVAL_S))
+            name = source.choice(sorted(self.site.engines))
+            fault = source.choice(["stalls", "floods", "slow", "polls_unanswered"])
+            self.record_fault(f"{fault}: {name}")
+            faults = self.site.engines[name].engine.faults
+            setattr(faults, fault, 0.3)
+            await asyncio.sleep(source.uniform(0.5, 2.0))
+            setattr(faults, fault, 0.0)
+
     async def fault_process(self) -> None:
         name = self.random.choice(sorted(self.site.gateways))
         match self.random.choice(["stop", "kill", "pause", "reload"]):
