Stop: long prompts are refused once the balancer has turned away

Change: from 2.6 s after SIGTERM on, requests with long prompts get 503, not run. The retry time is short if another gateway is ready.

--- a/teaselpath/exchange/_stop.py
+++ b/teaselpath/exchange/_stop.py
@@ -17,6 +17,8 @@
 LISTEN_GRACE_S = 2.6
 # Remaining time with which requests are still served, in seconds: most end within it.
 MIN_SERVICE_TIME_S = 2.4
+# The same for requests with long prompts, which wait for an engine and produce many events.
+MIN_LONG_SERVICE_TIME_S = 5.4
 # Remaining time at which the listener closes in any case, in seconds.
 CLOSE_TIME_S = 1.0
 
@@ -61,12 +63,15 @@
     return StopPhase.REFUSE if refuses_requests(age_s, grace_s) else StopPhase.SERVE
 
 
-def refuses_requests(age_s: float, grace_s: float) -> bool:
+def refuses_requests(age_s: float, grace_s: float, *, is_long: bool = False) -> bool:
     """Return whether new requests are refused, because too little time is left to finish them.
 
     That also holds for requests on connections that stay open after the listener has closed.
+
+    :param is_long: whether the requests have long prompts, whose streams would be broken off.
     """
-    return age_s >= LISTEN_GRACE_S and grace_s - age_s < MIN_SERVICE_TIME_S
+    time_s = MIN_LONG_SERVICE_TIME_S if is_long else MIN_SERVICE_TIME_S
+    return age_s >= LISTEN_GRACE_S and grace_s - age_s < time_s
 
 
 def _is_avoided(domain: str, peers: list[StopPeer]) -> bool:
--- a/teaselpath/exchange/tests/test_stop.py
+++ b/teaselpath/exchange/tests/test_stop.py
@@ -69,6 +69,9 @@
     for age_s in (5.7, 6.9, 7.1, 7.9):
         assert refuses_requests(age_s, GRACE_S)
     assert not refuses_requests(2.7, GRACE_S)
+    # A long prompt that was taken 3.7 s after SIGTERM was broken off 3.3 s later.
+    assert refuses_requests(3.7, GRACE_S, is_long=True)
+    assert not refuses_requests(2.5, GRACE_S, is_long=True)
     # Without time for that, requests that cross the stop are still served.
     assert not refuses_requests(0.5, 2.0)
 
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -7,6 +7,7 @@
 from eliot import log_message
 
 from teaselpath.dispatch import (
+    LONG_PROMPT_TOKENS,
     Answered,
     Broken,
     Fail,
@@ -117,7 +118,9 @@
         if config is None:
             self._refuse(exchange, request, Code.NO_BUNDLE, 503, UNCONFIGURED_RETRY_AFTER_S)
             return None
-        if state.refuses_requests:
+        prompt = request.prompt
+        is_long = prompt is not None and prompt.prompt_tokens >= LONG_PROMPT_TOKENS
+        if state.refuses_requests or (state.refuses_long_prompts and is_long):
             wait_s = max(MIN_RETRY_AFTER_S, state.successor_at - now)
             self._refuse(exchange, request, Code.STOPPING, 503, wait_s)
             return None
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -206,6 +206,9 @@
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
             age_s = loop.time() - started_at
             state.refuses_requests = refuses_requests(age_s, grace_s)
+            state.refuses_long_prompts = refuses_requests(age_s, grace_s, is_long=True)
+            has_ready_peer = any(peer.is_ready for peer in self.peers.stop_peers())
+            state.successor_at = started_at if has_ready_peer else deadline + SUCCESSOR_START_S
             if phase is not StopPhase.CLOSE:
                 phase = await self._change_phase(phase, age_s, grace_s)
                 continue
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -112,7 +112,9 @@
         from peers.
     :ivar refuses_requests: whether new requests are refused, because the process ends before they
         would.
-    :ivar successor_at: time at which a successor of this process is expected, in seconds.
+    :ivar refuses_long_prompts: the same for requests with long prompts.
+    :ivar successor_at: time at which a caller finds another gateway or a successor of this process,
+        in seconds.
     :ivar store_failed_at: time at which a call of this gateway to the store last failed.
     """
 
@@ -141,6 +143,7 @@
         self.reads_store = True
         self.is_stopping = False
         self.refuses_requests = False
+        self.refuses_long_prompts = False
         self.successor_at = 0.0
         self.has_had_endpoints = False
 
