--- a/teaselpath/cli/_main.py
+++ b/teaselpath/cli/_main.py
@@ -6,6 +6,7 @@
 from teaselpath.cli._files import check, diff, keygen, sign
 from teaselpath.cli._load import load
 from teaselpath.cli._nodes import drain, explain, explain_workspace, revoke, rollout, top
+from teaselpath.cli._outcomes import outcomes
 from teaselpath.cli._publish import publish
 from teaselpath.cli._trace import trace
 
@@ -28,6 +29,7 @@
     explain_workspace,
     top,
     load,
+    outcomes,
     trace,
 ):
     main.add_command(_command)
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -17,6 +17,7 @@
 from teaselpath.fleet import AnswerInfo, Forwarding, RequestCodec, RequestKind
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._events import EventTooLong
+from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import (
     ClientConnection,
@@ -36,6 +37,7 @@
     state: GatewayState
     codec: RequestCodec
     http: HttpClient
+    metrics: GatewayMetrics
 
 
 def describe_outcome(outcome: Outcome) -> str:
@@ -115,6 +117,7 @@
         return self.context.codec.encode_request(call.request, forwarding)
 
     def _log_invalid_answer(self, reason: str) -> None:
+        self.context.metrics.count_invalid_answer(self.call.service.name)
         log_message(
             "invalid_answer",
             request_id=self.call.request.request_id,
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -61,7 +61,7 @@
     ):
         self.state = state
         self.codec = codec
-        self.context = AttemptContext(state, codec, http)
+        self.context = AttemptContext(state, codec, http, metrics)
         self.placer = Placer(state, announce)
         self.metrics = metrics
         self.random = random.Random()
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -24,6 +24,9 @@
         )
         self.requests = make(Counter, "requests_total", "Requests by workspace, kind and result")
         self.refusals = make(Counter, "refusals_total", "Requests refused at arrival, by reason")
+        self.invalid_answers = make(
+            Counter, "invalid_answers_total", "Answers that are invalid or exceed a limit"
+        )
         self.running = make(Gauge, "running", "Requests under way")
         self.config_version = make(Gauge, "config_version", "Configuration in force")
         self.store_up = make(Gauge, "store_up", "1 if the last call to the store succeeded")
@@ -46,6 +49,10 @@
         """Count a request that was refused at admission."""
         self.refusals.inc({"workspace": workspace, "reason": reason})
 
+    def count_invalid_answer(self, service: str) -> None:
+        """Count an answer of an endpoint that is invalid or exceeds a limit."""
+        self.invalid_answers.inc({"service": service})
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in text format and the HTTP header fields that describe it."""
         return render(self.registry, ["text/plain"])
--- a/teaselpath/platform/_engines.py
+++ b/teaselpath/platform/_engines.py
@@ -15,6 +15,8 @@
 
 T = TypeVar("T")
 
+# Largest answer to a call, in bytes; a page of cache events has some hundred KB at most.
+MAX_ANSWER_BYTES = 2 << 20
 _ORDER_STATUS = {200: "done", 202: "accepted", 409: "busy", 412: "fenced", 421: "elsewhere"}
 
 
@@ -101,7 +103,13 @@
     ) -> Response:
         try:
             return await self.http.call(
-                address, method, target, deadline=deadline, headers=headers, body=body
+                address,
+                method,
+                target,
+                deadline=deadline,
+                headers=headers,
+                body=body,
+                max_body_bytes=MAX_ANSWER_BYTES,
             )
         except ConnectFailed as error:
             raise EngineCallError(str(error), is_outcome_unknown=False) from error
