Gateway: tell an engine that ended from an answer that broke off, and name the parts it was at work on

The logs could not distinguish a part that crashes engines from a caller, a prefix, or engines that crash by themselves.

- EngineEndDetector: after a connection was lost within an answer it asks whether a process listens at the address; an idle connection proves it without a new one.
- Log line engine_ended with the unanswered requests and their parts, field parts of the request line, metric engine_ends_total.

No decision changes.

--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -18,6 +18,7 @@
 )
 from teaselpath.fleet import AnswerInfo, Forwarding, RequestCodec, RequestKind
 from teaselpath.gateway._call import Call
+from teaselpath.gateway._engine_ends import BrokenRun, EngineEndDetector
 from teaselpath.gateway._events import EventTooLong
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._state import GatewayState
@@ -38,6 +39,7 @@
 class AttemptContext:
     """Objects that all attempts share.
 
+    :param detector: finds out which engines end while they run requests.
     :param acquire_retry: takes a retry of a request from the budget; returns whether it could.
     """
 
@@ -45,6 +47,7 @@
     codec: RequestCodec
     http: HttpClient
     metrics: GatewayMetrics
+    detector: EngineEndDetector
     acquire_retry: Callable[[Call], bool]
 
 
@@ -68,7 +71,11 @@
         self.call = call
         self.placed = placed
         self.loop = asyncio.get_running_loop()
-        self.limits = AttemptLimits(call.route, call.progress.runs, self.loop.time(), call.deadline)
+        self.started_at = self.loop.time()
+        self.events_before = call.splitter.count
+        self.limits = AttemptLimits(call.route, call.progress.runs, self.started_at, call.deadline)
+        # Set if the connection was lost within the answer: whether the engine has ended.
+        self.engine_end: asyncio.Task[bool] | None = None
 
     async def run(self) -> Outcome:
         """Send the request, read the answer and return the outcome."""
@@ -94,6 +101,8 @@
             # A server that closes its connection is part of the line on the request.
             if not connection.is_lost or connection.has_exceeded_limits:
                 self._log_invalid_answer(str(error))
+            else:
+                self._record_broken()
         except ReadTimeout:
             outcome = Broken(is_timeout=True)
         except BaseException:
@@ -105,6 +114,18 @@
             pool.release(connection, head)
         return outcome
 
+    def _record_broken(self) -> None:
+        call = self.call
+        if call.request.prompt is None or call.service.engine is None:
+            return
+        run = BrokenRun(
+            call.request.request_id,
+            call.request.prompt.shared_keys,
+            call.splitter.count - self.events_before,
+            self.loop.time() - self.started_at,
+        )
+        self.engine_end = self.context.detector.record_broken(self.placed.view, run)
+
     def _encode(self) -> bytes:
         call, placed = self.call, self.placed
         last_event_id = call.splitter.last_id or call.request.last_event_id
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -25,6 +25,7 @@
 from teaselpath.fleet import CallerRequest, RequestCodec, Route, Service, Workspace
 from teaselpath.gateway._attempt import Attempt, AttemptContext, describe_outcome
 from teaselpath.gateway._call import Call
+from teaselpath.gateway._engine_ends import EngineEndDetector
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._placement import Placer
 from teaselpath.gateway._state import GatewayState, LongPlacement
@@ -40,6 +41,8 @@
 # Limit on the number of times one request is sent, including sends after which the endpoint did not
 # run it; failed connection attempts do not count.
 MAX_SENDS = 4
+# Parts of a prompt that the log line of its request lists.
+MAX_LOGGED_PARTS = 8
 
 
 class Forwarder:
@@ -62,7 +65,10 @@
     ):
         self.state = state
         self.codec = codec
-        self.context = AttemptContext(state, codec, http, metrics, self._acquire_retry)
+        self.detector = EngineEndDetector(http, metrics, lambda end: None)
+        self.context = AttemptContext(
+            state, codec, http, metrics, self.detector, self._acquire_retry
+        )
         self.placer = Placer(state, announce)
         self.metrics = metrics
         self.random = random.Random()
@@ -339,6 +345,7 @@
             events=call.splitter.count,
             prompt_tokens=prompt.prompt_tokens if prompt else 0,
             prefix=prompt.parts[0].part_id if prompt and prompt.parts else None,
+            parts=[part.part_id for part in prompt.parts[:MAX_LOGGED_PARTS]] if prompt else None,
             cached_tokens=placed.cached_tokens if placed else 0,
             copied_from=placed.fetch_from if placed else None,
             saved_to=placed.save_to if placed else None,
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -27,6 +27,9 @@
         self.invalid_answers = make(
             Counter, "invalid_answers_total", "Answers that are invalid or exceed a limit"
         )
+        self.engine_ends = make(
+            Counter, "engine_ends_total", "Engines that ended while they ran requests, by service"
+        )
         self.running = make(Gauge, "running", "Requests under way")
         self.config_version = make(Gauge, "config_version", "Configuration in force")
         self.store_up = make(Gauge, "store_up", "1 if the last call to the store succeeded")
@@ -53,6 +56,10 @@
         """Count an answer of an endpoint that is invalid or exceeds a limit."""
         self.invalid_answers.inc({"service": service})
 
+    def count_engine_end(self, service: str) -> None:
+        """Count an engine that ended while it ran requests of this gateway."""
+        self.engine_ends.inc({"service": service})
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in text format and the HTTP header fields that describe it."""
         return render(self.registry, ["text/plain"])
--- a/teaselpath/http1/_client.py
+++ b/teaselpath/http1/_client.py
@@ -19,7 +19,14 @@
 
 
 class ConnectFailed(Exception):
-    """No connection could be established, so nothing was sent."""
+    """No connection could be established, so nothing was sent.
+
+    :param is_refused: whether the host replied that no process listens at the address.
+    """
+
+    def __init__(self, reason: str, *, is_refused: bool = False):
+        super().__init__(reason)
+        self.is_refused = is_refused
 
 
 class ConnectionBroken(Exception):
@@ -399,9 +406,29 @@
                     self.port,
                 )
         except (OSError, TimeoutError) as error:
-            raise ConnectFailed(f"cannot connect to {self.address}: {error!r}") from error
+            raise ConnectFailed(
+                f"cannot connect to {self.address}: {error!r}",
+                is_refused=isinstance(error, ConnectionRefusedError),
+            ) from error
         return connection
 
+    async def is_refused(self, deadline: float) -> bool:
+        """Return whether no process listens at the address.
+
+        An idle connection that is open proves the contrary; without one, a connection is opened and
+        kept. A host that does not reply is no proof.
+        """
+        if any(not connection.is_lost for connection in self.idle):
+            return False
+        try:
+            connection = await self._open(deadline)
+        except ConnectFailed as error:
+            return error.is_refused
+        idle_s = max(0.0, self.limits.default_idle_s - IDLE_MARGIN_S)
+        connection.idle_until = self.loop.time() + idle_s
+        self.idle.append(connection)
+        return False
+
     def release(self, connection: ClientConnection, head: ResponseHead | None) -> None:
         """Return a connection to the pool after a response; close it if it cannot be reused."""
         connection.end_request()
