--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from standins.hosted._client import Answer, Caller
-from standins.hosted._engine import EngineFaults, HostedEngine, Run
+from standins.hosted._engine import EngineFaults, HostedEngine, Run, shared_parts_of
 from standins.hosted._site import (
     GatewayProcess,
     HostedSite,
@@ -28,4 +28,5 @@
     "SiteTenant",
     "StoreFaults",
     "expected_signature",
+    "shared_parts_of",
 ]
--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -3,12 +3,13 @@
 import asyncio
 import json
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from hashlib import blake2b
 from random import Random
 from urllib.parse import parse_qsl, urlsplit
 
-from teaselpath.http1 import Exchange
+from teaselpath.http1 import Exchange, encode_head
 
 EVENT_INTERVAL_S = 0.004
 # Delay of a slow answer in seconds, longer than twice the target latency of the routes.
@@ -16,6 +17,7 @@
 # Interval between the comments of a stalled stream, in seconds.
 STALL_INTERVAL_S = 0.1
 WEIGHTS_LOAD_S = 0.15
+CLOSE = (b"Connection", b"close")
 PREFILL_TOKENS_PER_S = 400_000
 MAX_EVENTS = 4_000
 # Bytes that a faulty engine sends at most, so that a test cannot fill the memory of the machine.
@@ -37,6 +39,7 @@
     :param stalls: sends the first event of a stream and then a comment now and then, without end.
     :param floods: sends bytes without end: in the head, or after the first event of a stream.
     :param slow: begins the answer ``SLOW_START_S`` late.
+    :param unframed: replies with neither a length nor chunks; the answer ends with its connection.
     :param polls_unanswered: holds back the answer to a poll of cache events for 10 s.
     :param orders_unanswered: carries out an order, but holds back the reply for 10 s.
     """
@@ -51,6 +54,7 @@
     stalls: float = 0.0
     floods: float = 0.0
     slow: float = 0.0
+    unframed: float = 0.0
     polls_unanswered: float = 0.0
     orders_unanswered: float = 0.0
 
@@ -98,6 +102,8 @@
     """A model engine, or a plain service if it has no model.
 
     :param runs: list shared by all engines, to which each started request is appended.
+    :ivar deadly_parts: ids of prompt parts that end the process as it begins an answer on them.
+    :ivar end_process: ends the process of this engine.
     :ivar flooded_bytes: bytes sent by the fault ``floods``.
     """
 
@@ -120,6 +126,8 @@
         self.version = version
         self.slots = slots
         self.faults = EngineFaults()
+        self.deadly_parts: set[str] = set()
+        self.end_process: Callable[[], None] = _never_ends
         self.parts: dict[tuple[str, str], _Part] = {}
         self.events: list[list[object]] = []
         self.changed = asyncio.Event()
@@ -265,6 +273,9 @@
         faults, chance = self.faults, self.random.random
         if self.model is not None:
             await self._prefill(run)
+            if not self.deadly_parts.isdisjoint(shared_parts_of(run.headers)):
+                self.end_process()
+                return
         else:
             await asyncio.sleep(0.005)
         if chance() < faults.mute:
@@ -283,13 +294,18 @@
             coding = (b"Content-Encoding", b"gzip")
             exchange.respond(200, [*base, stamp, coding], b"id: 1\ndata: \x1f\x8b\x08\n\n")
             return
+        is_unframed = chance() < faults.unframed
         if self.model is not None:
-            await self._stream(exchange, run, [*base, stamp])
+            await self._stream(exchange, run, [*base, stamp], is_unframed=is_unframed)
             return
         if chance() < faults.floods:
             exchange.connection.write(b"HTTP/1.1 200 OK\r\n")
             await self._repeat(exchange, b"Filler: bytes\r\n" * 512, 0.0)
         body = answer_of(run.request_id)
+        if is_unframed:
+            exchange.connection.write(encode_head(200, [*base, stamp, CLOSE]) + body)
+            exchange.abort()
+            return
         if chance() < faults.cuts:
             exchange.start(200, [*base, stamp], len(body))
             exchange.write(body[: len(body) // 2])
@@ -330,13 +346,25 @@
             await asyncio.sleep(pause_s)
 
     async def _stream(
-        self, exchange: Exchange, run: Run, headers: list[tuple[bytes, bytes]]
+        self,
+        exchange: Exchange,
+        run: Run,
+        headers: list[tuple[bytes, bytes]],
+        *,
+        is_unframed: bool,
     ) -> None:
         events = events_of(run.request_id)
         first = int(run.headers.get("last-event-id", 0))
         cut_at = self.random.randrange(1, len(events) + 1)
         is_cut = self.random.random() < self.faults.cuts
-        exchange.start(200, [*headers, (b"Content-Type", b"text/event-stream")])
+        headers = [*headers, (b"Content-Type", b"text/event-stream")]
+        if is_unframed:
+            sent = events[first:cut_at] if is_cut else events[first:]
+            rest = events[cut_at][:-4] if is_cut and first <= cut_at < len(events) else b""
+            exchange.connection.write(encode_head(200, [*headers, CLOSE]) + b"".join(sent) + rest)
+            exchange.abort()
+            return
+        exchange.start(200, headers)
         if self.random.random() < self.faults.stalls:
             exchange.write(events[first])
             await self._repeat(exchange, b"8\r\n: alive\n\r\n", STALL_INTERVAL_S)
@@ -354,6 +382,16 @@
         exchange.finish()
 
 
+def _never_ends() -> None:
+    """Ignore the end of a process that nothing can end."""
+
+
+def shared_parts_of(headers: dict[str, str]) -> list[str]:
+    """Return the ids of the parts of a prompt except the last one."""
+    entries = headers.get("prompt-prefix", "").split(",")
+    return [entry.partition(":")[0].strip() for entry in entries[:-1]]
+
+
 def stamp_of(request_id: str) -> str:
     """Return the signature that the answer to a request carries."""
     return blake2b(request_id.encode(), key=b"stamp", digest_size=8).hexdigest()
--- a/standins/hosted/_site.py
+++ b/standins/hosted/_site.py
@@ -75,6 +75,7 @@
     zone: str
     server: asyncio.Server
     listed_address: str
+    connections: set[ServerConnection]
     skips_heartbeats: bool = False
 
 
@@ -123,8 +124,13 @@
         for listed_engine in self.engines.values():
             listed_engine.server.close()
 
-    async def _listen(self, handler, address: tuple[str, int] = ("127.0.0.1", 0)):
-        connections: set[ServerConnection] = set()
+    async def _listen(
+        self,
+        handler,
+        address: tuple[str, int] = ("127.0.0.1", 0),
+        connections: set[ServerConnection] | None = None,
+    ):
+        connections = set() if connections is None else connections
         limits = CallerLimits(idle_timeout_s=30.0)
         server = await asyncio.get_running_loop().create_server(
             lambda: ServerConnection(handler, lambda: limits, connections), *address
@@ -152,9 +158,39 @@
             name, service, self.runs, self.random,
             model=MODEL if is_model else None, version=self.weights,
         )  # fmt: skip
-        server, address = await self._listen(engine.handle)
+        connections: set[ServerConnection] = set()
+        server, address = await self._listen(engine.handle, connections=connections)
         self.all_engines.append(engine)
-        self.engines[name] = _ListedEngine(engine, address, zone, server, listed_address or address)
+        self.engines[name] = _ListedEngine(
+            engine, address, zone, server, listed_address or address, connections
+        )
+        self._register(self.engines[name])
+        return engine
+
+    def end_engine_process(self, name: str) -> None:
+        """Close everything that the process of an engine has open; its record stays for a while."""
+        listed_engine = self.engines[name]
+        listed_engine.skips_heartbeats = True
+        listed_engine.server.close()
+        for connection in list(listed_engine.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    async def restart_engine(self, name: str) -> HostedEngine:
+        """Start the process of an engine again, at its address, as a new incarnation."""
+        before = self.engines.pop(name)
+        engine = HostedEngine(
+            name, before.engine.service, self.runs, self.random,
+            model=before.engine.model, version=self.weights,
+        )  # fmt: skip
+        engine.started_at_ms = max(engine.started_at_ms, before.engine.started_at_ms + 1)
+        host, _, port = before.address.rpartition(":")
+        connections: set[ServerConnection] = set()
+        server, address = await self._listen(engine.handle, (host, int(port)), connections)
+        self.all_engines.append(engine)
+        self.engines[name] = _ListedEngine(
+            engine, address, before.zone, server, before.listed_address, connections
+        )
         self._register(self.engines[name])
         return engine
 
--- a/teaselpath/http1/__init__.py
+++ b/teaselpath/http1/__init__.py
@@ -17,6 +17,7 @@
     Response,
     ResponseHead,
     ServerLimits,
+    encode_head,
     encode_request,
 )
 from teaselpath.http1._server import Exchange, ServerConnection
@@ -39,5 +40,6 @@
     "ResponseLimits",
     "ServerConnection",
     "ServerLimits",
+    "encode_head",
     "encode_request",
 ]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -285,6 +285,40 @@
     assert_whole(asyncio.run(scenario()), is_stream=True)
 
 
+@pytest.mark.parametrize("path", ["/review/x", "/query/x", "/pay/x"])
+def test_answer_without_framing_is_complete_when_its_connection_ends(folder, path):
+    async def scenario():
+        async with open_site(folder) as site:
+            for engine in site.all_engines:
+                engine.faults.unframed = 1.0
+            caller = make_caller(site)
+            prefix = "" if path.startswith("/pay") else "{}:100,{}:50"
+            return [
+                await caller.send(path, f"u{n}", prefix=prefix.format(f"aa{n}", f"bb{n}"))
+                for n in range(6)
+            ]
+
+    assert_whole(asyncio.run(scenario()), is_stream=not path.startswith("/pay"))
+
+
+def test_stream_without_framing_that_ends_inside_an_event_continues_elsewhere(folder):
+    async def scenario():
+        async with open_site(folder) as site:
+            for engine in site.all_engines[:1]:
+                engine.faults.unframed = engine.faults.cuts = 1.0
+            caller = make_caller(site)
+            sends = [caller.send("/review/x", f"v{n}", prefix=f"aa{n}:100,bb:50") for n in range(9)]
+            return site, [await send for send in sends]
+
+    site, answers = asyncio.run(scenario())
+    assert any(count > 1 for count in runs_by_request(site).values())
+    for answer in answers:
+        assert answer.fault(is_stream=True) is None
+        if answer.status == 200 and not answer.is_complete:
+            assert runs_by_request(site)[answer.request_id] == 2
+    assert sum(answer.is_complete for answer in answers) >= 6
+
+
 def test_stalled_stream_continues_on_another_engine(folder):
     """Comments and single bytes are no progress; the caller gets each event once, in order."""
 
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,117 @@
+"""End-to-end tests of gateways whose engines end when they begin to answer on a prompt part."""
+
+import asyncio
+import itertools
+from contextlib import asynccontextmanager
+from random import Random
+
+import pytest
+
+from standins.hosted import Answer, Caller, HostedSite, shared_parts_of
+
+ENGINES = 6
+GATEWAYS = 3
+RESTART_S = 0.8
+DEADLY = "dead01"
+# Engines that may end, and requests with the part that may then reach engines.
+MAX_ENDS = 5
+MAX_LATE_SENDS = 3
+
+
+class CrashingSite:
+    """A hosted site whose engines end on a part, and start again a little later."""
+
+    def __init__(self, site: HostedSite, deadly: set[str]):
+        self.site = site
+        self.deadly = deadly
+        self.ends: list[str] = []
+        self.tasks: set[asyncio.Task] = set()
+        self.numbers = itertools.count()
+
+    def prepare(self, name: str) -> None:
+        """Make an engine end on the deadly parts."""
+        engine = self.site.engines[name].engine
+        engine.deadly_parts = self.deadly
+
+        def end_process() -> None:
+            task = asyncio.get_running_loop().create_task(self.restart(name))
+            self.tasks.add(task)
+
+        engine.end_process = end_process
+
+    async def restart(self, name: str) -> None:
+        """End an engine, and start it again."""
+        self.ends.append(name)
+        self.site.end_engine_process(name)
+        await asyncio.sleep(RESTART_S)
+        await self.site.restart_engine(name)
+        self.prepare(name)
+
+    def caller(self, gateway: int, key: str = "key-1") -> Caller:
+        """Return a caller of a gateway."""
+        ip = self.site.gateways[f"gw-{gateway}"].ip
+        return Caller(f"{ip}:{self.site.ports['front']}", key)
+
+    async def send(self, gateway: int, *parts: str, timeout_s: float = 8.0) -> Answer:
+        """Send a request with shared parts and one of its own."""
+        n = next(self.numbers)
+        prefix = ",".join([f"{part}:100" for part in parts] + [f"ff{n:04x}:50"])
+        return await self.caller(gateway).send(
+            "/review/x", f"r{n}", prefix=prefix, tokens="300,10", timeout_s=timeout_s
+        )
+
+    def deadly_sends(self) -> int:
+        """Return the number of requests with a deadly part that reached an engine."""
+        return sum(not self.deadly.isdisjoint(shared_parts_of(r.headers)) for r in self.site.runs)
+
+
+@asynccontextmanager
+async def open_crashing_site(folder, deadly=(DEADLY,), gateways=GATEWAYS):
+    async with HostedSite(folder, Random(11)) as site:
+        crashing = CrashingSite(site, set(deadly))
+        for number in range(ENGINES):
+            await site.add_engine(f"llm-{number}", "llm", "ab"[number % 2], is_model=True)
+            crashing.prepare(f"llm-{number}")
+        site.write_config()
+        for n in range(gateways):
+            await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
+        for gateway in site.gateways.values():
+            await site.wait_until_ready(gateway)
+        yield crashing
+
+
+async def send_sound_load(crashing, stop, answers):
+    for n in itertools.count():
+        if stop.is_set():
+            return
+        answers.append(await crashing.send(n % GATEWAYS, "aa11", f"bb{n % 4}"))
+        await asyncio.sleep(0.02)
+
+
+@pytest.fixture
+def folder(tmp_path):
+    return tmp_path
+
+
+def test_part_that_crashes_engines_is_not_sent_to_engine_after_engine(folder):
+    async def scenario():
+        async with open_crashing_site(folder) as crashing:
+            stop, sound = asyncio.Event(), []
+            load = asyncio.create_task(send_sound_load(crashing, stop, sound))
+            deadly = []
+            for n in range(24):
+                deadly.append(await crashing.send(n % GATEWAYS, "aa11", DEADLY))
+                await asyncio.sleep(0.1)
+            before = len(sound)
+            late = [await crashing.send(n % GATEWAYS, "aa11", f"bb{n % 4}") for n in range(12)]
+            stop.set()
+            await load
+            return crashing, deadly, late, len(sound) - before
+
+    crashing, deadly, late, _ = asyncio.run(scenario())
+    assert len(crashing.ends) <= MAX_ENDS
+    assert crashing.deadly_sends() <= MAX_ENDS + MAX_LATE_SENDS
+    assert {answer.status for answer in late} == {200}
+    refused = deadly[-6:]
+    assert {answer.status for answer in refused} == {503}
+    assert all(answer.retry_after_s > 60 for answer in refused)
