Quarantine: a prompt part that crashes engines is tried alone, judged and refused

Callers saw streams cut and 502 on all routes of a service, while a part of some prompts ended engine after engine: nothing related the ends of engines to what their requests had in common, and a request whose engine had ended was sent to the next one.

teaselpath.quarantine (no I/O) keeps evidence by part: engines that ended, alone, before they answered, and answers, which clear a part. From the second end on, requests with the part run one at a time over all gateways, by claims; after the third, one of them in such a trial, a verdict refuses the requests that hold all judged parts. An answer takes its parts out of a verdict. Evidence travels at once, verdicts lie in the store and go to gateways that start or were cut off; neither grows with the requests.

--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -61,6 +61,8 @@
 # Largest cost difference between engines by the prompt's hash alone, in seconds: about the error of
 # a gateway's load estimates.
 MAX_HASH_COST_S = 0.03
+# Cost per request in flight that is lost if a request ends its engine, in seconds.
+ENDANGERED_REQUEST_COST_S = 0.05
 # Slow-down of prefill per request in flight at the engine, as a fraction of the prefill time.
 BATCH_SLOWDOWN_FACTOR = 0.02
 
@@ -95,7 +97,12 @@
     if not candidates:
         return NoEndpoint("reading", 0.5)
     best = min(
-        candidates, key=lambda candidate: (candidate.cost_s, candidate.view.endpoint.endpoint_id)
+        candidates,
+        key=lambda candidate: (
+            candidate.cost_s
+            + demand.endangers_engine * candidate.view.requests(now) * ENDANGERED_REQUEST_COST_S,
+            candidate.view.endpoint.endpoint_id,
+        ),
     )
     return add_save_target(best, demand, topology, now)
 
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -131,6 +131,8 @@
     :param engine: limits of the service's engines.
     :param cache_stores: stores that cached parts can be fetched from and saved to.
     :param body_bytes: size of the request body.
+    :param endangers_engine: whether the request may end its engine, so that one with few requests is
+        chosen.
     """
 
     prompt: Prompt | None
@@ -141,6 +143,7 @@
     engine: EngineLimits | None = None
     cache_stores: tuple["StoreView", ...] = ()
     body_bytes: int = 0
+    endangers_engine: bool = False
 
 
 @dataclass(slots=True)
--- a/teaselpath/fleet/_ports.py
+++ b/teaselpath/fleet/_ports.py
@@ -52,6 +52,7 @@
     ENDPOINTS = "endpoints"
     LEASE = "lease"
     MEMBERS = "members"
+    VERDICTS = "verdicts"
 
 
 class MetadataStore(Protocol):
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -21,6 +21,7 @@
 from teaselpath.gateway._engine_ends import BrokenRun, EngineEndDetector
 from teaselpath.gateway._events import EventTooLong
 from teaselpath.gateway._metrics import GatewayMetrics
+from teaselpath.gateway._quarantine import PROVING_EVENTS, QuarantineGate
 from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import (
     ClientConnection,
@@ -40,6 +41,7 @@
     """Objects that all attempts share.
 
     :param detector: finds out which engines end while they run requests.
+    :param gate: quarantine of prompt parts, which learns of answers.
     :param acquire_retry: takes a retry of a request from the budget; returns whether it could.
     """
 
@@ -48,6 +50,7 @@
     http: HttpClient
     metrics: GatewayMetrics
     detector: EngineEndDetector
+    gate: QuarantineGate
     acquire_retry: Callable[[Call], bool]
 
 
@@ -73,6 +76,7 @@
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
         self.events_before = call.splitter.count
+        self.has_proved = False
         self.limits = AttemptLimits(call.route, call.progress.runs, self.started_at, call.deadline)
         # Set if the connection was lost within the answer: whether the engine has ended.
         self.engine_end: asyncio.Task[bool] | None = None
@@ -123,6 +127,7 @@
             call.request.prompt.shared_keys,
             call.splitter.count - self.events_before,
             self.loop.time() - self.started_at,
+            call.trial is not None,
         )
         self.engine_end = self.context.detector.record_broken(self.placed.view, run)
 
@@ -194,8 +199,16 @@
             return Broken()
         if not self.exchange.is_started:
             call.answer, call.answer_body = info, body
+        if info.status < 300:
+            self._record_proof()
         return Answered(info.status)
 
+    def _record_proof(self) -> None:
+        """Record once that the engine answers this request."""
+        if not self.has_proved and self.call.service.engine is not None:
+            self.has_proved = True
+            self.context.gate.record_answer(self.call)
+
     def _record_weights(self, info: AnswerInfo) -> None:
         prompt = self.call.request.prompt
         if info.weights is not None and prompt is not None:
@@ -225,8 +238,11 @@
             exchange.write(complete_events)
             await self._drain()
             self.limits.record_event(self.loop.time())
+            if splitter.count - self.events_before >= PROVING_EVENTS:
+                self._record_proof()
         if splitter.rest or not exchange.is_started:
             return Broken()
+        self._record_proof()
         exchange.finish()
         return Answered(200)
 
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -5,6 +5,7 @@
 from teaselpath.dispatch import Placed, Progress, Reservation
 from teaselpath.fleet import AnswerInfo, CallerRequest, Route, Service, Workspace
 from teaselpath.gateway._events import EventSplitter
+from teaselpath.quarantine import Claim
 
 
 @dataclass(slots=True)
@@ -17,6 +18,8 @@
     :param attempts: endpoint, outcome and duration of each attempt, for the log.
     :param was_sent: whether an attempt is in flight, or ran or may have run.
     :param has_retry: whether a retry was taken from the budget and not used yet.
+    :param lost_engine: whether the engine of its last attempt ended before it answered.
+    :param trial: its claim, if it is sent to find out whether its prompt crashes engines.
     :param tokens: tokens charged to the workspace's quota.
     :param reservation: its load at the endpoint of the current attempt; None between attempts.
     """
@@ -33,6 +36,8 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     was_sent: bool = False
     has_retry: bool = False
+    lost_engine: bool = False
+    trial: Claim | None = None
     tokens: int = 0
     first_byte_at: float | None = None
     answer: AnswerInfo | None = None
--- a/teaselpath/gateway/_engine_ends.py
+++ b/teaselpath/gateway/_engine_ends.py
@@ -13,6 +13,7 @@
 from teaselpath.dispatch import EndpointView
 from teaselpath.fleet import EndpointState
 from teaselpath.gateway._metrics import GatewayMetrics
+from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import HttpClient
 
 # Time in which the connections of a process that has ended are closed, in seconds, that of another
@@ -66,12 +67,18 @@
 class EngineEndDetector:
     """Finds out which engines have ended, and reports each with the requests that it ran.
 
+    :param state: state of this gateway, with the endpoints that are listed.
     :param report: called once for each engine that has ended.
     """
 
     def __init__(
-        self, http: HttpClient, metrics: GatewayMetrics, report: Callable[[EngineEnd], None]
+        self,
+        state: GatewayState,
+        http: HttpClient,
+        metrics: GatewayMetrics,
+        report: Callable[[EngineEnd], None],
     ):
+        self.state = state
         self.http = http
         self.metrics = metrics
         self.report = report
@@ -101,7 +108,8 @@
         finally:
             del self.suspicions[endpoint.number]
         # An engine that was told to leave ends without a fault.
-        is_planned = view.endpoint.state is not EndpointState.READY
+        is_listed = self.state.views.get(endpoint.endpoint_id) is view
+        is_planned = not is_listed or view.endpoint.state is not EndpointState.READY
         if has_ended and not is_planned:
             end = EngineEnd(
                 endpoint.endpoint_id, endpoint.number, suspicion.at, tuple(suspicion.runs)
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -28,6 +28,7 @@
 from teaselpath.gateway._engine_ends import EngineEndDetector
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._placement import Placer
+from teaselpath.gateway._quarantine import Quarantined, QuarantineGate
 from teaselpath.gateway._state import GatewayState, LongPlacement
 from teaselpath.http1 import Exchange, HttpClient
 from teaselpath.results import Code
@@ -53,6 +54,7 @@
     :param http: client for calls to endpoints.
     :param metrics: metrics of this gateway.
     :param announce: sends the placement of a long prompt to the other gateways.
+    :param gate: quarantine of prompt parts.
     """
 
     def __init__(
@@ -62,12 +64,14 @@
         http: HttpClient,
         metrics: GatewayMetrics,
         announce: Callable[[LongPlacement], None],
+        gate: QuarantineGate,
     ):
         self.state = state
         self.codec = codec
-        self.detector = EngineEndDetector(http, metrics, lambda end: None)
+        self.gate = gate
+        detector = EngineEndDetector(state, http, metrics, gate.handle_end)
         self.context = AttemptContext(
-            state, codec, http, metrics, self.detector, self._acquire_retry
+            state, codec, http, metrics, detector, gate, self._acquire_retry
         )
         self.placer = Placer(state, announce)
         self.metrics = metrics
@@ -100,6 +104,7 @@
                 raise
             code = self._end_unfinished(exchange, call)
         finally:
+            self.gate.end_trial(call)
             self.running -= 1
             self.tasks.discard(task)
             self._log(call, code)
@@ -212,10 +217,16 @@
     async def _serve(self, exchange: Exchange, call: Call) -> Code:
         """Send the request to endpoints until the caller has a response; return its result code."""
         while True:
-            now = self.loop.time()
-            placed = await self.placer.acquire(call, now)
+            quarantined = await self.gate.admit(call)
+            if quarantined is not None:
+                return self._end_quarantined(exchange, call, quarantined)
+            placed = await self.placer.acquire(call, self.loop.time())
             if isinstance(placed, NoEndpoint):
                 return self._end_unplaced(exchange, call, placed)
+            if not self.gate.may_send(call):
+                self.placer.release(call)
+                self.gate.end_trial(call)
+                continue
             outcome = await self._attempt(exchange, call, placed)
             now = self.loop.time()
             # The attempt has relayed a complete stream.
@@ -263,10 +274,13 @@
         view = placed.view
         started_at = self.loop.time()
         call.was_sent = True
+        attempt = Attempt(self.context, exchange, call, placed)
         try:
-            outcome = await Attempt(self.context, exchange, call, placed).run()
+            outcome = await attempt.run()
         finally:
             self.placer.release(call)
+        call.lost_engine = attempt.engine_end is not None and await attempt.engine_end
+        self.gate.end_trial(call)
         now = self.loop.time()
         self._record_outcome(call, placed, outcome, now)
         call.was_sent = call.progress.runs > 0
@@ -310,6 +324,15 @@
             return self._respond_refused(exchange, call, code, no_endpoint.retry_after_s)
         return self._respond_failed(exchange, call, 502)
 
+    def _end_quarantined(self, exchange: Exchange, call: Call, quarantined: Quarantined) -> Code:
+        call.attempts.append(("", quarantined.reason, 0.0))
+        if call.progress.runs == 0:
+            return self._respond_refused(
+                exchange, call, quarantined.code, quarantined.retry_after_s
+            )
+        self._respond_failed(exchange, call, 502)
+        return quarantined.code
+
     def _respond_refused(
         self, exchange: Exchange, call: Call, code: Code, retry_after_s: float
     ) -> Code:
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -30,6 +30,10 @@
         self.engine_ends = make(
             Counter, "engine_ends_total", "Engines that ended while they ran requests, by service"
         )
+        self.quarantined = make(
+            Counter, "quarantine_total", "Trials, verdicts and requests not sent for their parts"
+        )
+        self.verdicts = make(Gauge, "verdicts", "Verdicts on prompt parts in force")
         self.running = make(Gauge, "running", "Requests under way")
         self.config_version = make(Gauge, "config_version", "Configuration in force")
         self.store_up = make(Gauge, "store_up", "1 if the last call to the store succeeded")
@@ -60,6 +64,10 @@
         """Count an engine that ended while it ran requests of this gateway."""
         self.engine_ends.inc({"service": service})
 
+    def count_quarantined(self, event: str) -> None:
+        """Count an event of the quarantine: a trial, a verdict, a request that was not sent."""
+        self.quarantined.inc({"event": event})
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in text format and the HTTP header fields that describe it."""
         return render(self.registry, ["text/plain"])
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -12,6 +12,7 @@
 import random
 from collections import deque
 from collections.abc import Iterable
+from typing import Protocol
 from urllib.parse import parse_qsl
 
 import msgspec
@@ -30,6 +31,7 @@
 from teaselpath.fleet import StoredRecord, Topic
 from teaselpath.gateway._state import GatewayState, LongPlacement, Member
 from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout
+from teaselpath.quarantine import QuarantineUpdate
 from teaselpath.rollout import LeaseRecord, OrderLease
 
 # Shortest interval between status messages that are sent early for an urgent update, in seconds.
@@ -151,7 +153,24 @@
     statuses: list[Status]
 
 
-Message = Status | PlacementMessage | StatusToRelay | PlacementToRelay | RelayedStatuses
+Message = (
+    Status
+    | PlacementMessage
+    | StatusToRelay
+    | PlacementToRelay
+    | RelayedStatuses
+    | QuarantineUpdate
+)
+
+
+class UpdateReceiver(Protocol):
+    """Receiver of updates of the quarantine."""
+
+    def handle_update(self, update: QuarantineUpdate, ip: str) -> None:
+        """Apply an update of the gateway at an address."""
+
+    def greet(self, ip: str) -> None:
+        """Send what is known to a gateway that has started or was cut off."""
 
 
 class RecordSet(msgspec.Struct, array_like=True):
@@ -169,6 +188,7 @@
     :param clock: clock of the lease.
     :ivar statuses: newest status of each reachable gateway, by host.
     :ivar endpoints_with_load: ids of the endpoints at which each gateway has reported load.
+    :ivar gate: receiver of updates of the quarantine, set once it exists.
     :ivar is_urgent: whether the next status is sent to each gateway of all regions.
     :ivar to_relay: statuses to pass on to this region, by host.
     :ivar incomplete_from: host of the peer whose last answer lacked records that it has.
@@ -180,6 +200,7 @@
         self.lease = lease
         self.http = http
         self.clock = clock
+        self.gate: UpdateReceiver | None = None
         self.transport: asyncio.DatagramTransport | None = None
         self.sequence = 0
         self.last_sequence: dict[str, tuple[int, int]] = {}
@@ -229,6 +250,8 @@
             case PlacementToRelay(placement_message):
                 self._send_to(self._near_ips(), self.encoder.encode(placement_message))
                 self._handle_placement(placement_message, now)
+            case QuarantineUpdate() if self.gate is not None:
+                self.gate.handle_update(message, addr[0])
 
     def error_received(self, exc) -> None:
         """Ignore the error; an unreachable peer is detected by its missing messages."""
@@ -337,6 +360,19 @@
         if fanout.relays:
             self._send_to(fanout.relays, self.encoder.encode(PlacementToRelay(message)))
 
+    def publish(self, update: QuarantineUpdate) -> None:
+        """Send an update of the quarantine to all gateways, without relays."""
+        ips = [member.ip for member in self.state.members.values()]
+        self._send_to(ips, self.encoder.encode(update))
+
+    def send_update(self, ip: str, update: QuarantineUpdate) -> None:
+        """Send an update of the quarantine to one gateway."""
+        self._send_to([ip], self.encoder.encode(update))
+
+    def reachable_ips(self) -> list[str]:
+        """Return the addresses of the reachable gateways."""
+        return [peer.ip for peer in self._peers(self.loop.time()) if peer.is_reachable]
+
     def stop_peers(self) -> list[StopPeer]:
         """Return the reachable gateways, for the phases of a planned stop."""
         members = self.state.members
@@ -442,8 +478,11 @@
         before = state.members.get(status.host)
         is_new = before is None or before.incarnation != status.incarnation
         member = state.record_member(status.host, status.ip, status.incarnation, now, status.domain)
+        was_silent = now - member.last_contact_at > self.state.peer_timeout_s()
         self._log_if_regained(member, now)
         is_new = is_new or not member.last_contact_at
+        if self.gate is not None and (is_new or was_silent):
+            self.gate.greet(status.ip)
         member.last_contact_at = now
         self.statuses[status.host] = status
         for host, ip, incarnation, domain in status.members or ():
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -163,6 +163,7 @@
             engine=call.service.engine,
             cache_stores=tuple(state.cache_stores.values()),
             body_bytes=len(call.request.body),
+            endangers_engine=call.trial is not None,
         )
         key = affinity_key(prompt, scope_prefix) if prompt else call.request.request_id.encode()
         pool = state.pool(call.service.name)
--- /dev/null
+++ b/teaselpath/gateway/_quarantine.py
@@ -0,0 +1,423 @@
+"""Quarantine of prompt parts at one gateway: holds, trials, exchange with others and the store."""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+from eliot import log_message
+
+from teaselpath.fleet import MetadataStore, StoredRecord, StoreError, Topic
+from teaselpath.gateway._call import Call
+from teaselpath.gateway._engine_ends import EngineEnd
+from teaselpath.gateway._metrics import GatewayMetrics
+from teaselpath.quarantine import (
+    SETTLE_S,
+    SUSPECT_ENDS,
+    Admit,
+    ClaimNote,
+    Hold,
+    Quarantine,
+    QuarantineUpdate,
+    Reject,
+    SoundNote,
+    Try,
+    Verdict,
+    VerdictNote,
+    claim_note,
+    verdict_note,
+)
+from teaselpath.results import Code
+
+# Events of an attempt from which its engine has proved to answer on the prompt.
+PROVING_EVENTS = 2
+# Longest time for which a request waits for a trial, in seconds and as a fraction of the time that
+# it has left.
+MAX_HOLD_S = 1.2
+MAX_HOLD_FRACTION = 0.25
+HOLD_POLL_INTERVAL_S = 0.02
+# Retry-After of a request that was held, in seconds, if the trial is not known to end later.
+HOLD_RETRY_AFTER_S = 0.5
+# Time after the start in which a gateway learns verdicts before it sends prompts, in seconds. If
+# neither the store nor a peer is reached by then, it serves without them.
+INFORM_S = 2.5
+UNINFORMED_RETRY_AFTER_S = 0.3
+# Interval at which a gateway tells others everything that it knows, in seconds, and their number.
+GOSSIP_INTERVAL_S = 1.0
+GOSSIP_TARGETS = 2
+# Interval at which verdicts are read from the store, and delay after a failed call, in seconds.
+READ_INTERVAL_S = 24.0
+RETRY_DELAY_S = 1.0
+
+
+class VerdictRecord(msgspec.Struct):
+    """Verdict in the store.
+
+    :param issued_at_ms: Unix time.
+    :param expires_at_ms: Unix time.
+    :param is_lifted: whether it was lifted, by an operator or by answers on its parts.
+    """
+
+    parts: list[str]
+    issued_at_ms: int
+    expires_at_ms: int
+    ends: int
+    strikes: int
+    host: str
+    is_lifted: bool = False
+
+
+class UpdateChannel(Protocol):
+    """Messages to other gateways."""
+
+    def publish(self, update: QuarantineUpdate) -> None:
+        """Send an update to all gateways at once."""
+
+    def send_update(self, ip: str, update: QuarantineUpdate) -> None:
+        """Send an update to one gateway."""
+
+    def reachable_ips(self) -> list[str]:
+        """Return the addresses of the reachable gateways."""
+
+
+@dataclass(slots=True, frozen=True)
+class Quarantined:
+    """A request that is not sent, because of the parts of its prompt."""
+
+    code: Code
+    retry_after_s: float
+    reason: str
+
+
+class QuarantineGate:
+    """Decides which requests are sent, and keeps evidence, trials and verdicts up to date.
+
+    :param host: own host.
+    :ivar unwritten: records that the store does not have yet, by verdict.
+    """
+
+    def __init__(
+        self, host: str, store: MetadataStore, metrics: GatewayMetrics, channel: UpdateChannel
+    ):
+        self.quarantine = Quarantine(host)
+        self.store = store
+        self.metrics = metrics
+        self.channel = channel
+        self.loop = asyncio.get_running_loop()
+        self.started_at = self.loop.time()
+        self.has_read = False
+        self.unwritten: dict[str, VerdictRecord] = {}
+        self.must_write = asyncio.Event()
+        self.random = random.Random()
+
+    # requests
+
+    def is_informed(self) -> bool:
+        """Return whether the verdicts are known, or cannot be learned soon."""
+        return self.has_read or self.loop.time() - self.started_at > INFORM_S
+
+    async def admit(self, call: Call) -> Quarantined | None:
+        """Wait until a request may be sent; return why it may not.
+
+        A request with suspect parts is sent as a trial, ``call.trial``.
+        """
+        prompt = call.request.prompt
+        if prompt is None or call.service.engine is None or call.trial is not None:
+            return None
+        if not self.is_informed():
+            return Quarantined(Code.NO_BUNDLE, UNINFORMED_RETRY_AFTER_S, "uninformed")
+        now = self.loop.time()
+        hold_until = now + min(MAX_HOLD_S, MAX_HOLD_FRACTION * (call.deadline - now))
+        while True:
+            now = self.loop.time()
+            decision = self.quarantine.decide(prompt.shared_keys, now, is_resend=call.lost_engine)
+            match decision:
+                case Admit():
+                    return None
+                case Reject(verdict):
+                    self.metrics.count_quarantined("verdict")
+                    reason = f"verdict {verdict.verdict_id}"
+                    return Quarantined(Code.PART_QUARANTINED, verdict.expires_at - now, reason)
+                case Try(parts) | Hold(parts) if call.lost_engine and self._are_suspect(parts, now):
+                    self.metrics.count_quarantined("not_resent")
+                    return Quarantined(Code.PART_SUSPECT, HOLD_RETRY_AFTER_S, "not resent")
+                case Try(parts):
+                    if await self._claim_trial(call, parts):
+                        return None
+                case Hold(_, until) if now >= hold_until:
+                    self.metrics.count_quarantined("held")
+                    wait_s = max(HOLD_RETRY_AFTER_S, until - now)
+                    return Quarantined(Code.PART_SUSPECT, wait_s, "trial of another request")
+            await asyncio.sleep(HOLD_POLL_INTERVAL_S)
+
+    def may_send(self, call: Call) -> bool:
+        """Return whether an admitted request may still be sent, after it was queued."""
+        prompt = call.request.prompt
+        if prompt is None or call.service.engine is None:
+            return True
+        decision = self.quarantine.decide(
+            prompt.shared_keys, self.loop.time(), is_resend=call.lost_engine
+        )
+        if call.trial is not None:
+            return not isinstance(decision, Reject)
+        return isinstance(decision, Admit)
+
+    def _are_suspect(self, parts: frozenset[str], now: float) -> bool:
+        return any(self.quarantine.count_ends(part, now) >= SUSPECT_ENDS for part in parts)
+
+    async def _claim_trial(self, call: Call, parts: frozenset[str]) -> bool:
+        claim = self.quarantine.claim(parts, self.loop.time())
+        self._publish_claims(claim_note(claim, self.loop.time()))
+        try:
+            await asyncio.sleep(SETTLE_S)
+        except asyncio.CancelledError:
+            self._release(claim.number)
+            raise
+        running = self.quarantine.begin_trial(claim, self.loop.time())
+        if running is None:
+            self._release(claim.number)
+            return False
+        call.trial = running
+        self._publish_claims(claim_note(running, self.loop.time()))
+        self.metrics.count_quarantined("trial")
+        log_message(
+            "trial_started", request_id=call.request.request_id, parts=sorted(running.parts)
+        )
+        return True
+
+    def end_trial(self, call: Call) -> None:
+        """End the trial of a request, if it was one."""
+        if call.trial is not None:
+            self._release(call.trial.number)
+            call.trial = None
+
+    def _release(self, number: int) -> None:
+        self.quarantine.trials.release(self.quarantine.host, number)
+        self._publish_claims(ClaimNote(self.quarantine.host, number, [], False, 0))
+
+    def _publish_claims(self, *claims: ClaimNote) -> None:
+        self.channel.publish(QuarantineUpdate(self.quarantine.host, claims=list(claims)))
+
+    # evidence
+
+    def record_answer(self, call: Call) -> None:
+        """Record that an engine answers a request, so that the parts of its prompt are sound."""
+        prompt = call.request.prompt
+        if prompt is None:
+            return
+        before = self.quarantine.table.verdicts.copy()
+        cleared = self.quarantine.record_sound(prompt.shared_keys, self.loop.time())
+        if not cleared:
+            return
+        log_message("parts_cleared", request_id=call.request.request_id, parts=cleared)
+        notes = [SoundNote(part, 0) for part in cleared]
+        self.channel.publish(QuarantineUpdate(self.quarantine.host, sound=notes))
+        for verdict in before.values():
+            if verdict.verdict_id not in self.quarantine.table.verdicts:
+                self._log_lifted(verdict, "answer")
+                self._write(verdict, is_lifted=True)
+
+    def handle_end(self, end: EngineEnd) -> None:
+        """Record the end of an engine as evidence, and judge the parts of a trial."""
+        now = self.loop.time()
+        notes, trials = [], []
+        for run in end.runs:
+            if run.events >= PROVING_EVENTS or not run.parts:
+                continue
+            note = self.quarantine.record_end(end.number, end.at, run.parts, is_trial=run.is_trial)
+            if note is not None:
+                notes.append(note)
+            if run.is_trial:
+                trials.append(run.parts)
+        verdicts = [v for parts in trials if (v := self.quarantine.judge(parts, now)) is not None]
+        if notes:
+            self.channel.publish(
+                QuarantineUpdate(
+                    self.quarantine.host,
+                    ends=notes,
+                    verdicts=[verdict_note(verdict, now) for verdict in verdicts],
+                )
+            )
+            self._log_suspects(sorted({part for note in notes for part in note.parts}), now)
+        for verdict in verdicts:
+            self._log_issued(verdict, now)
+            self._write(verdict)
+
+    def _log_suspects(self, parts: list[str], now: float) -> None:
+        suspects = [part for part in parts if self.quarantine.count_ends(part, now) >= SUSPECT_ENDS]
+        if suspects:
+            log_message(
+                "parts_suspected",
+                parts=suspects,
+                ends=[self.quarantine.count_ends(part, now) for part in suspects],
+            )
+
+    def _log_issued(self, verdict: Verdict, now: float) -> None:
+        self.metrics.count_quarantined("verdict_issued")
+        ages = {
+            part: [
+                round(now - end.at, 2) for end in self.quarantine.evidence.ends_of(part).values()
+            ]
+            for part in sorted(verdict.parts)
+        }
+        log_message(
+            "verdict_issued",
+            verdict=verdict.verdict_id,
+            parts=sorted(verdict.parts),
+            ends=verdict.ends,
+            end_ages_s=ages,
+            strikes=verdict.strikes,
+            duration_s=verdict.expires_at - verdict.issued_at,
+        )
+
+    def _log_lifted(self, verdict: Verdict, reason: str) -> None:
+        self.metrics.count_quarantined("verdict_lifted")
+        log_message(
+            "verdict_lifted",
+            verdict=verdict.verdict_id,
+            parts=sorted(verdict.parts),
+            age_s=round(self.loop.time() - verdict.issued_at, 2),
+            reason=reason,
+        )
+
+    # other gateways
+
+    def handle_update(self, update: QuarantineUpdate, ip: str) -> None:
+        """Apply an update of another gateway, and tell it of answers that it does not know of."""
+        known = set(self.quarantine.table.verdicts)
+        answers = self.quarantine.apply(update, self.loop.time())
+        self.has_read = self.has_read or update.is_complete
+        if answers:
+            self.channel.send_update(ip, QuarantineUpdate(self.quarantine.host, sound=answers))
+        for verdict_id, verdict in self.quarantine.table.verdicts.items():
+            if verdict_id not in known:
+                self._log_learned(verdict, f"peer {update.host}")
+
+    def _log_learned(self, verdict: Verdict, source: str) -> None:
+        log_message(
+            "verdict_learned",
+            verdict=verdict.verdict_id,
+            parts=sorted(verdict.parts),
+            age_s=round(self.loop.time() - verdict.issued_at, 2),
+            issued_by=verdict.host,
+            source=source,
+        )
+
+    def greet(self, ip: str) -> None:
+        """Tell a gateway that has started, or was cut off, everything that is known."""
+        if self.quarantine.has_news():
+            self.channel.send_update(ip, self.quarantine.snapshot(self.loop.time()))
+
+    async def gossip(self) -> None:
+        """Tell a few gateways everything that is known, so that lost messages are made up for."""
+        while True:
+            await asyncio.sleep(GOSSIP_INTERVAL_S)
+            self.quarantine.expire(self.loop.time())
+            if not self.quarantine.has_news():
+                continue
+            ips = self.channel.reachable_ips()
+            snapshot = self.quarantine.snapshot(self.loop.time())
+            for ip in self.random.sample(ips, min(GOSSIP_TARGETS, len(ips))):
+                self.channel.send_update(ip, snapshot)
+
+    # store
+
+    async def follow_store(self) -> None:
+        """Read the verdicts of the store and write those of this gateway, until cancelled."""
+        while True:
+            try:
+                page = await self.store.poll(Topic.VERDICTS, None, 0.0)
+                for record in page.records:
+                    self._apply_record(record)
+                self.has_read = True
+                await self._write_records()
+            except StoreError as error:
+                log_message("verdicts_not_synchronized", reason=str(error))
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
+            try:
+                async with asyncio.timeout(READ_INTERVAL_S):
+                    await self.must_write.wait()
+            except TimeoutError:
+                pass
+
+    async def _write_records(self) -> None:
+        self.must_write.clear()
+        while self.unwritten:
+            verdict_id, record = next(iter(self.unwritten.items()))
+            await self.store.append(Topic.VERDICTS, verdict_id, msgspec.json.encode(record))
+            if self.unwritten.get(verdict_id) is record:
+                del self.unwritten[verdict_id]
+
+    def _apply_record(self, record: StoredRecord) -> None:
+        if not record.value:
+            return
+        try:
+            stored = msgspec.json.decode(record.value, type=VerdictRecord)
+        except msgspec.MsgspecError as error:
+            log_message("record_ignored", key=record.key, reason=str(error))
+            return
+        now_ms = int(time.time() * 1000)
+        note = VerdictNote(
+            record.key,
+            [] if stored.is_lifted else stored.parts,
+            max(0, now_ms - stored.issued_at_ms),
+            max(0, stored.expires_at_ms - now_ms),
+            stored.ends,
+            stored.strikes,
+            stored.host,
+        )
+        known = record.key in self.quarantine.table.verdicts
+        update = QuarantineUpdate(self.quarantine.host, verdicts=[note])
+        self.quarantine.apply(update, self.loop.time())
+        verdict = self.quarantine.table.verdicts.get(record.key)
+        if verdict is not None and not known:
+            self._log_learned(verdict, "store")
+
+    def _write(self, verdict: Verdict, *, is_lifted: bool = False) -> None:
+        now, now_ms = self.loop.time(), int(time.time() * 1000)
+        self.unwritten[verdict.verdict_id] = VerdictRecord(
+            sorted(verdict.parts),
+            # A record of a lifted verdict counts from when it was lifted.
+            now_ms - (0 if is_lifted else int((now - verdict.issued_at) * 1000)),
+            now_ms + int((verdict.expires_at - now) * 1000),
+            verdict.ends,
+            verdict.strikes,
+            verdict.host,
+            is_lifted,
+        )
+        self.must_write.set()
+
+    # operators
+
+    def describe(self) -> list[dict[str, object]]:
+        """Return the verdicts in force, for operators."""
+        now = self.loop.time()
+        return [
+            {
+                "verdict": verdict.verdict_id,
+                "parts": sorted(verdict.parts),
+                "ends": verdict.ends,
+                "strikes": verdict.strikes,
+                "issued_by": verdict.host,
+                "age_s": round(now - verdict.issued_at, 1),
+                "left_s": round(verdict.expires_at - now, 1),
+            }
+            for verdict in self.quarantine.table.in_force(now)
+        ]
+
+    def lift(self, verdict_id: str) -> bool:
+        """Lift a verdict at all gateways and in the store; return whether it was known."""
+        now = self.loop.time()
+        verdict = self.quarantine.lift(verdict_id, now)
+        if verdict is None:
+            return False
+        note = VerdictNote(verdict_id, [], 0, 0, 0, 0, "")
+        sound = [SoundNote(part, 0) for part in verdict.parts]
+        update = QuarantineUpdate(self.quarantine.host, verdicts=[note], sound=sound)
+        self.channel.publish(update)
+        self._log_lifted(verdict, "operator")
+        self._write(verdict, is_lifted=True)
+        return True
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -5,6 +5,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+import msgspec
 from eliot import log_message, write_traceback
 
 from teaselpath.exchange import StopPeer, StopPhase, plan_stop, refuses_requests
@@ -15,6 +16,7 @@
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._orders import WeightsKeeper, boot_clock
 from teaselpath.gateway._peers import RECORDS_PATH, PeerExchange
+from teaselpath.gateway._quarantine import QuarantineGate
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway._watch import StoreWatcher
 from teaselpath.http1 import LISTEN_BACKLOG, Exchange, HttpClient, Listener, ServerConnection
@@ -29,6 +31,8 @@
 DRAIN_POLL_INTERVAL_S = 0.05
 # Interval at which expired idle connections to endpoints and stores are closed, in seconds.
 EXPIRE_INTERVAL_S = 0.5
+# Verdicts on prompt parts, for operators.
+VERDICTS_PATH = b"/verdicts"
 # Delay before a failed job is restarted, in seconds.
 RESTART_DELAY_S = 0.2
 # Incarnations are also written as JSON numbers, which every reader decodes exactly up to 53 bits.
@@ -78,7 +82,11 @@
         self.watcher = StoreWatcher(self.state)
         self.lease = OrderLease(settings.host, settings.bounds.lease_handover_s)
         self.peers = PeerExchange(self.state, self.lease, http, boot_clock)
-        self.forwarder = Forwarder(self.state, codec, http, self.metrics, self.peers.announce)
+        self.gate = QuarantineGate(settings.host, store, self.metrics, self.peers)
+        self.peers.gate = self.gate
+        self.forwarder = Forwarder(
+            self.state, codec, http, self.metrics, self.peers.announce, self.gate
+        )
         self.keeper = WeightsKeeper(self.state, engines, self.lease, self.peers)
         self.caches = CacheWatcher(self.state, engines)
         self.connections: set[ServerConnection] = set()
@@ -112,6 +120,8 @@
             self.peers.run,
             self.peers.fetch_missing,
             self.keeper.run,
+            self.gate.gossip,
+            self.gate.follow_store,
             self.forwarder.placer.run_queue,
             self.caches.run,
             self._expire_connections,
@@ -148,7 +158,8 @@
         return CallerLimits() if config is None else config.limits
 
     async def _handle_readiness(self, exchange: Exchange) -> None:
-        exchange.respond(200 if self.state.is_ready() else 503, [])
+        is_ready = self.state.is_ready() and self.gate.is_informed()
+        exchange.respond(200 if is_ready else 503, [])
 
     async def _handle_internal(self, exchange: Exchange) -> None:
         match exchange.request.target:
@@ -160,12 +171,28 @@
             case target if target.partition(b"?")[0] == RECORDS_PATH:
                 query = target.partition(b"?")[2]
                 exchange.respond(200, [], self.peers.encode_records(query))
+            case target if target.startswith(VERDICTS_PATH):
+                self._handle_verdicts(exchange)
             case _:
                 exchange.respond(404, [])
 
+    def _handle_verdicts(self, exchange: Exchange) -> None:
+        """List the verdicts on prompt parts, or lift one."""
+        request = exchange.request
+        verdict_id = request.target.removeprefix(VERDICTS_PATH).lstrip(b"/").decode("latin-1")
+        match request.method:
+            case b"GET" if not verdict_id:
+                fields = [(b"Content-Type", b"application/json")]
+                exchange.respond(200, fields, msgspec.json.encode(self.gate.describe()))
+            case b"DELETE" if verdict_id:
+                exchange.respond(204 if self.gate.lift(verdict_id) else 404, [])
+            case _:
+                exchange.respond(405, [])
+
     def _update_gauges(self) -> None:
         state, now = self.state, asyncio.get_running_loop().time()
         reachable, possible = state.count_gateways(now)
+        self.metrics.verdicts.set({}, len(self.gate.describe()))
         self.metrics.running.set({}, self.forwarder.running)
         self.metrics.config_version.set({}, state.config.version if state.config else 0)
         self.metrics.store_up.set({}, int(state.store_up))
--- a/teaselpath/platform/_store.py
+++ b/teaselpath/platform/_store.py
@@ -26,6 +26,7 @@
     Topic.ENDPOINTS: "keyed.servers",
     Topic.LEASE: "keyed.lease",
     Topic.MEMBERS: "keyed.members",
+    Topic.VERDICTS: "keyed.verdicts",
 }
 
 
--- /dev/null
+++ b/teaselpath/quarantine/__init__.py
@@ -0,0 +1,51 @@
+"""Quarantine of prompt parts that crash engines. Does no I/O.
+
+Engines that end while they run requests are evidence against the parts of the prompts that had no
+answer yet; an answer is proof that all parts of its prompt are sound. Between the two stands a
+trial: one request with a suspect part at a time, over all gateways.
+"""
+
+from teaselpath.quarantine._core import (
+    SUSPECT_ENDS,
+    Admit,
+    Decision,
+    Hold,
+    Quarantine,
+    Reject,
+    Try,
+    claim_note,
+    verdict_note,
+)
+from teaselpath.quarantine._evidence import EvidenceLedger
+from teaselpath.quarantine._messages import (
+    ClaimNote,
+    EndNote,
+    QuarantineUpdate,
+    SoundNote,
+    VerdictNote,
+)
+from teaselpath.quarantine._trials import SETTLE_S, Claim, TrialBoard
+from teaselpath.quarantine._verdicts import Verdict, VerdictTable
+
+__all__ = [
+    "SETTLE_S",
+    "SUSPECT_ENDS",
+    "Admit",
+    "Claim",
+    "ClaimNote",
+    "Decision",
+    "EndNote",
+    "EvidenceLedger",
+    "Hold",
+    "Quarantine",
+    "QuarantineUpdate",
+    "Reject",
+    "SoundNote",
+    "TrialBoard",
+    "Try",
+    "Verdict",
+    "VerdictNote",
+    "VerdictTable",
+    "claim_note",
+    "verdict_note",
+]
--- /dev/null
+++ b/teaselpath/quarantine/_evidence.py
@@ -0,0 +1,114 @@
+"""Evidence for and against prompt parts.
+
+Times are in seconds, from the steady clock of this gateway.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+# Ends of engines within this time of each other count once, in seconds: what ends several engines
+# together, such as the loss of a failure domain, is not a request.
+GROUP_S = 0.25
+# Age at which the end of an engine is no longer counted, in seconds.
+EVIDENCE_S = 300.0
+# Time for which a part counts as sound after an answer, in seconds.
+SOUND_S = 600.0
+# Parts with ended engines, and parts with answers, that are kept in memory.
+MAX_SUSPECTS = 512
+MAX_SOUND_PARTS = 8_192
+
+
+@dataclass(slots=True, frozen=True)
+class PartEnd:
+    """End of an engine that had not answered a request with a part.
+
+    :param is_trial: whether that request was the only one with a suspect part that it ran.
+    """
+
+    at: float
+    is_trial: bool
+
+
+@dataclass(slots=True)
+class _Suspect:
+    ends: dict[int, PartEnd] = field(default_factory=dict)
+
+
+class EvidenceLedger:
+    """Ends of engines and answers, by part.
+
+    :ivar suspects: parts with evidence against them, the most recent last.
+    :ivar sound_at: time of the last answer on each part, the most recent last.
+    """
+
+    def __init__(self) -> None:
+        self.suspects: OrderedDict[str, _Suspect] = OrderedDict()
+        self.sound_at: OrderedDict[str, float] = OrderedDict()
+
+    def record_end(self, part: str, number: int, at: float, *, is_trial: bool) -> bool:
+        """Record that an engine ended before it answered a request with a part.
+
+        :param number: number of the engine's start.
+        :returns: False if the part was answered on since.
+        """
+        if self.sound_at.get(part, float("-inf")) >= at:
+            return False
+        suspect = self.suspects.setdefault(part, _Suspect())
+        known = suspect.ends.get(number)
+        if known is not None:
+            at, is_trial = min(at, known.at), is_trial or known.is_trial
+        suspect.ends[number] = PartEnd(at, is_trial)
+        self.suspects.move_to_end(part)
+        while len(self.suspects) > MAX_SUSPECTS:
+            self.suspects.popitem(last=False)
+        return True
+
+    def record_sound(self, part: str, at: float) -> bool:
+        """Record that an engine has answered on a part.
+
+        :returns: whether there was evidence against it.
+        """
+        if at > self.sound_at.get(part, float("-inf")):
+            self.sound_at[part] = at
+            self.sound_at.move_to_end(part)
+            while len(self.sound_at) > MAX_SOUND_PARTS:
+                self.sound_at.popitem(last=False)
+        suspect = self.suspects.get(part)
+        if suspect is None:
+            return False
+        suspect.ends = {n: end for n, end in suspect.ends.items() if end.at > at}
+        if not suspect.ends:
+            del self.suspects[part]
+        return True
+
+    def was_sound(self, part: str, now: float) -> bool:
+        """Return whether the part was answered on lately."""
+        return now - self.sound_at.get(part, float("-inf")) < SOUND_S
+
+    def count_ends(self, part: str, now: float) -> int:
+        """Return the number of times that engines ended since the part was last answered on."""
+        suspect = self.suspects.get(part)
+        if suspect is None:
+            return 0
+        count, last = 0, float("-inf")
+        for at in sorted(end.at for end in suspect.ends.values() if now - end.at < EVIDENCE_S):
+            if at - last >= GROUP_S:
+                count, last = count + 1, at
+        return count
+
+    def failed_trial(self, part: str) -> bool:
+        """Return whether an engine ended in a trial of the part."""
+        suspect = self.suspects.get(part)
+        return suspect is not None and any(end.is_trial for end in suspect.ends.values())
+
+    def ends_of(self, part: str) -> dict[int, PartEnd]:
+        """Return the ends of engines since the part was last answered on, by number."""
+        suspect = self.suspects.get(part)
+        return suspect.ends if suspect is not None else {}
+
+    def expire(self, now: float) -> None:
+        """Discard evidence that is no longer counted."""
+        for part in list(self.suspects):
+            ends = self.suspects[part].ends
+            if all(now - end.at >= EVIDENCE_S for end in ends.values()):
+                del self.suspects[part]
