Quarantine: a failed trial counts only if the engine ran no other suspect; two of them make a verdict

For callers a wrong verdict is as bad as a crash: all their requests with the part are refused.

A verdict now takes two failed trials. Trials on an engine that also ran another suspect do not count, and are judged after the other gateways have reported what else the engine ran. Verdicts first last 300 s.

--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -131,8 +131,7 @@
     :param engine: limits of the service's engines.
     :param cache_stores: stores that cached parts can be fetched from and saved to.
     :param body_bytes: size of the request body.
-    :param endangers_engine: whether the request may end its engine, so that one with few requests is
-        chosen.
+    :param endangers_engine: whether the request may end its engine, which should run few others.
     """
 
     prompt: Prompt | None
--- a/teaselpath/gateway/_quarantine.py
+++ b/teaselpath/gateway/_quarantine.py
@@ -14,6 +14,7 @@
 from teaselpath.gateway._engine_ends import EngineEnd
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.quarantine import (
+    JUDGE_DELAY_S,
     SETTLE_S,
     SUSPECT_ENDS,
     Admit,
@@ -188,10 +189,14 @@
         return True
 
     def end_trial(self, call: Call) -> None:
-        """End the trial of a request, if it was one."""
-        if call.trial is not None:
-            self._release(call.trial.number)
-            call.trial = None
+        """End the trial of a request, if it was one; after the end of its engine, once judged."""
+        if call.trial is None:
+            return
+        number, call.trial = call.trial.number, None
+        if call.lost_engine:
+            self.loop.call_later(JUDGE_DELAY_S, self._release, number)
+        else:
+            self._release(number)
 
     def _release(self, number: int) -> None:
         self.quarantine.trials.release(self.quarantine.host, number)
@@ -222,7 +227,7 @@
     def handle_end(self, end: EngineEnd) -> None:
         """Record the end of an engine as evidence, and judge the parts of a trial."""
         now = self.loop.time()
-        notes, trials = [], []
+        notes = []
         for run in end.runs:
             if run.events >= PROVING_EVENTS or not run.parts:
                 continue
@@ -230,18 +235,18 @@
             if note is not None:
                 notes.append(note)
             if run.is_trial:
-                trials.append(run.parts)
-        verdicts = [v for parts in trials if (v := self.quarantine.judge(parts, now)) is not None]
+                self.loop.call_later(JUDGE_DELAY_S, self._judge, run.parts)
         if notes:
-            self.channel.publish(
-                QuarantineUpdate(
-                    self.quarantine.host,
-                    ends=notes,
-                    verdicts=[verdict_note(verdict, now) for verdict in verdicts],
-                )
-            )
+            self.channel.publish(QuarantineUpdate(self.quarantine.host, ends=notes))
             self._log_suspects(sorted({part for note in notes for part in note.parts}), now)
-        for verdict in verdicts:
+
+    def _judge(self, parts: tuple[str, ...]) -> None:
+        """Judge the parts of a failed trial."""
+        now = self.loop.time()
+        verdict = self.quarantine.judge(parts, now)
+        if verdict is not None:
+            notes = [verdict_note(verdict, now)]
+            self.channel.publish(QuarantineUpdate(self.quarantine.host, verdicts=notes))
             self._log_issued(verdict, now)
             self._write(verdict)
 
--- a/teaselpath/quarantine/__init__.py
+++ b/teaselpath/quarantine/__init__.py
@@ -24,10 +24,11 @@
     SoundNote,
     VerdictNote,
 )
-from teaselpath.quarantine._trials import SETTLE_S, Claim, TrialBoard
+from teaselpath.quarantine._trials import JUDGE_DELAY_S, SETTLE_S, Claim, TrialBoard
 from teaselpath.quarantine._verdicts import Verdict, VerdictTable
 
 __all__ = [
+    "JUDGE_DELAY_S",
     "SETTLE_S",
     "SUSPECT_ENDS",
     "Admit",
--- a/teaselpath/quarantine/_core.py
+++ b/teaselpath/quarantine/_core.py
@@ -2,7 +2,7 @@
 
 A part becomes a suspect with the second engine that ends before it answered on it. Its requests
 then run one at a time over all gateways, until an answer clears the part or a third engine has
-ended, at least one of them in such a trial.
+ended, at least two of them in such trials: one can end by itself, or by another request.
 """
 
 from dataclasses import dataclass
@@ -18,10 +18,11 @@
 from teaselpath.quarantine._trials import CLAIM_S, Claim, TrialBoard
 from teaselpath.quarantine._verdicts import Verdict, VerdictTable
 
-# Ends of engines after which the requests with a part run one at a time, and after which it is
-# judged.
+# Ends of engines after which the requests with a part run one at a time; ends, and failed trials
+# among them, after which it is judged.
 SUSPECT_ENDS = 2
 VERDICT_ENDS = 3
+VERDICT_TRIALS = 2
 # Parts of one prompt or one ended engine that are observed; a prompt seldom has more than a few.
 MAX_OBSERVED_PARTS = 64
 # Ends and answers in one message, the most recent ones.
@@ -110,6 +111,9 @@
         ends = self.evidence.count_ends(part, now)
         return ends + SUSPECT_ENDS if self.table.names(part) else ends
 
+    def _count_failed_trials(self, part: str) -> int:
+        return self.evidence.count_failed_trials(part) + self.table.names(part)
+
     def claim(self, parts: frozenset[str], now: float) -> Claim:
         """Claim a trial of parts for this gateway."""
         self.claim_number += 1
@@ -135,11 +139,8 @@
 
         :returns: note for the other gateways; None if all parts have been answered on since.
         """
-        counted = [
-            part
-            for part in dict.fromkeys(parts[:MAX_OBSERVED_PARTS])
-            if self.evidence.record_end(part, number, at, is_trial=is_trial)
-        ]
+        observed = parts[:MAX_OBSERVED_PARTS]
+        counted = self.evidence.record_end(number, at, observed, is_trial=is_trial)
         return EndNote(number, 0, counted, is_trial) if counted else None
 
     def judge(self, parts: tuple[str, ...], now: float) -> Verdict | None:
@@ -154,7 +155,7 @@
         counts = {
             part: self.count_ends(part, now)
             for part in observed
-            if self.evidence.failed_trial(part)
+            if self._count_failed_trials(part) >= VERDICT_TRIALS
         }
         most = max(counts.values(), default=0)
         if most < VERDICT_ENDS:
@@ -196,20 +197,16 @@
 
     def snapshot(self, now: float) -> QuarantineUpdate:
         """Return everything that another gateway has to know, the most recent if it is much."""
-        ends: dict[tuple[int, bool], EndNote] = {}
-        for part in reversed(self.evidence.suspects):
-            for number, end in self.evidence.ends_of(part).items():
-                age_ms = _milliseconds(now - end.at)
-                note = ends.setdefault(
-                    (number, end.is_trial), EndNote(number, age_ms, [], end.is_trial)
-                )
-                if len(note.parts) < MAX_OBSERVED_PARTS:
-                    note.parts.append(part)
-        recent = sorted(ends.values(), key=lambda note: note.age_ms)[:MAX_NOTES]
+        ends = [
+            EndNote(number, _milliseconds(now - engine.at), parts, run.is_trial)
+            for number, engine in reversed(self.evidence.engines.items())
+            for run in engine.runs
+            if (parts := [part for part in sorted(run.parts) if self._counts(part, number)])
+        ]
         claims = {(c.host, c.number): c for c in self.trials.claims.values() if c.until > now}
         return QuarantineUpdate(
             self.host,
-            ends=recent,
+            ends=ends[:MAX_NOTES],
             claims=[claim_note(claim, now) for claim in claims.values()],
             verdicts=[verdict_note(verdict, now) for verdict in self.table.verdicts.values()]
             + [
@@ -219,6 +216,9 @@
             is_complete=True,
         )
 
+    def _counts(self, part: str, number: int) -> bool:
+        return number in self.evidence.ends_of(part)
+
     def apply(self, update: QuarantineUpdate, now: float) -> list[SoundNote]:
         """Apply what another gateway knows.
 
@@ -231,10 +231,11 @@
             self.record_sound((note.part,), now - note.age_ms / 1000)
         for end in update.ends:
             at = now - end.age_ms / 1000
-            for part in end.parts[:MAX_OBSERVED_PARTS]:
-                if not self.evidence.record_end(part, end.number, at, is_trial=end.is_trial):
-                    age_ms = _milliseconds(now - self.evidence.sound_at[part])
-                    answers.append(SoundNote(part, age_ms))
+            observed = end.parts[:MAX_OBSERVED_PARTS]
+            counted = self.evidence.record_end(end.number, at, observed, is_trial=end.is_trial)
+            for part in set(observed).difference(counted):
+                age_ms = _milliseconds(now - self.evidence.sound_at[part])
+                answers.append(SoundNote(part, age_ms))
         for claim in update.claims:
             if claim.host != self.host:
                 self._apply_claim(claim, now)
--- a/teaselpath/quarantine/_evidence.py
+++ b/teaselpath/quarantine/_evidence.py
@@ -4,6 +4,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 # Ends of engines within this time of each other count once, in seconds: what ends several engines
@@ -16,6 +17,9 @@
 # Parts with ended engines, and parts with answers, that are kept in memory.
 MAX_SUSPECTS = 512
 MAX_SOUND_PARTS = 8_192
+# Ended engines that are kept in memory, and requests of each.
+MAX_ENGINES = 128
+MAX_RUNS = 32
 
 
 @dataclass(slots=True, frozen=True)
@@ -34,23 +38,62 @@
     ends: dict[int, PartEnd] = field(default_factory=dict)
 
 
+@dataclass(slots=True, frozen=True)
+class EndedRun:
+    """A request that an engine had not answered when it ended."""
+
+    parts: frozenset[str]
+    is_trial: bool
+
+
+@dataclass(slots=True)
+class EndedEngine:
+    """An engine that ended, with the requests that it had not answered.
+
+    :param at: time of the end.
+    """
+
+    at: float
+    runs: set[EndedRun] = field(default_factory=set)
+
+
 class EvidenceLedger:
     """Ends of engines and answers, by part.
 
+    :ivar engines: ended engines by number, the most recent last.
     :ivar suspects: parts with evidence against them, the most recent last.
     :ivar sound_at: time of the last answer on each part, the most recent last.
     """
 
     def __init__(self) -> None:
+        self.engines: OrderedDict[int, EndedEngine] = OrderedDict()
         self.suspects: OrderedDict[str, _Suspect] = OrderedDict()
         self.sound_at: OrderedDict[str, float] = OrderedDict()
 
-    def record_end(self, part: str, number: int, at: float, *, is_trial: bool) -> bool:
-        """Record that an engine ended before it answered a request with a part.
+    def record_end(
+        self, number: int, at: float, parts: Iterable[str], *, is_trial: bool
+    ) -> list[str]:
+        """Record that an engine ended before it answered a request.
 
         :param number: number of the engine's start.
-        :returns: False if the part was answered on since.
+        :returns: parts that count; the others were answered on since.
         """
+        observed = frozenset(parts)
+        counted = [
+            part
+            for part in sorted(observed)
+            if self._record_part(part, number, at, is_trial=is_trial)
+        ]
+        if counted:
+            engine = self.engines.setdefault(number, EndedEngine(at))
+            engine.at = min(at, engine.at)
+            if len(engine.runs) < MAX_RUNS:
+                engine.runs.add(EndedRun(observed, is_trial))
+            while len(self.engines) > MAX_ENGINES:
+                self.engines.popitem(last=False)
+        return counted
+
+    def _record_part(self, part: str, number: int, at: float, *, is_trial: bool) -> bool:
         if self.sound_at.get(part, float("-inf")) >= at:
             return False
         suspect = self.suspects.setdefault(part, _Suspect())
@@ -96,10 +139,25 @@
                 count, last = count + 1, at
         return count
 
-    def failed_trial(self, part: str) -> bool:
-        """Return whether an engine ended in a trial of the part."""
-        suspect = self.suspects.get(part)
-        return suspect is not None and any(end.is_trial for end in suspect.ends.values())
+    def count_failed_trials(self, part: str) -> int:
+        """Return the number of trials of the part in which the engine ended.
+
+        An engine that also ran another request with a suspect part may have ended by that one.
+        """
+        return sum(
+            end.is_trial and not self._has_other_suspects(number, part)
+            for number, end in self.ends_of(part).items()
+        )
+
+    def _has_other_suspects(self, number: int, part: str) -> bool:
+        engine = self.engines.get(number)
+        runs = engine.runs if engine is not None else ()
+        return any(
+            len(self.ends_of(other)) > 1
+            for run in runs
+            if part not in run.parts
+            for other in run.parts
+        )
 
     def ends_of(self, part: str) -> dict[int, PartEnd]:
         """Return the ends of engines since the part was last answered on, by number."""
@@ -112,3 +170,5 @@
             ends = self.suspects[part].ends
             if all(now - end.at >= EVIDENCE_S for end in ends.values()):
                 del self.suspects[part]
+        for number in [n for n, e in self.engines.items() if now - e.at >= EVIDENCE_S]:
+            del self.engines[number]
--- a/teaselpath/quarantine/_trials.py
+++ b/teaselpath/quarantine/_trials.py
@@ -11,6 +11,8 @@
 CLAIM_S = 3.0
 # Time in which the claims of other gateways arrive, in seconds.
 SETTLE_S = 0.1
+# Time after the end of an engine in which other gateways report what else it ran, in seconds.
+JUDGE_DELAY_S = 0.15
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/quarantine/_verdicts.py
+++ b/teaselpath/quarantine/_verdicts.py
@@ -9,7 +9,7 @@
 
 # Duration of the first verdict on a part, in seconds. It doubles with each further one, since each
 # costs the engine that ended.
-VERDICT_S = 600.0
+VERDICT_S = 300.0
 MAX_VERDICT_S = 86_400.0
 MAX_VERDICTS = 256
 
