--- a/teaselpath/cli/_main.py
+++ b/teaselpath/cli/_main.py
@@ -9,6 +9,7 @@
 from teaselpath.cli._outcomes import outcomes
 from teaselpath.cli._publish import publish
 from teaselpath.cli._trace import trace
+from teaselpath.cli._verdicts import verdicts
 
 
 @click.group(epilog=EXIT_HELP)
@@ -31,5 +32,6 @@
     load,
     outcomes,
     trace,
+    verdicts,
 ):
     main.add_command(_command)
--- /dev/null
+++ b/teaselpath/cli/_verdicts.py
@@ -0,0 +1,66 @@
+"""The verdicts command: lists and lifts verdicts on prompt parts at the gateways."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import click
+import msgspec
+
+from teaselpath.cli._common import EXIT_FAULTS, EXIT_UNREACHABLE, fail, json_option
+from teaselpath.cli._tables import print_rows
+
+TIMEOUT_S = 5.0
+COLUMNS = ("verdict", "parts", "ends", "strikes", "issued_by", "age_s", "left_s")
+
+gateway_option = click.option(
+    "--gateway",
+    "address",
+    required=True,
+    help="IP:PORT of a gateway, first of its internal ports; any gateway will do.",
+)
+
+
+@click.group()
+def verdicts() -> None:
+    """List or lift verdicts on prompt parts that crash engines."""
+
+
+@verdicts.command("list")
+@gateway_option
+@json_option
+def list_verdicts(address: str, as_json: bool) -> None:
+    """List the verdicts in force."""
+    status, body = _request("GET", address, "/verdicts")
+    if status != 200:
+        fail(EXIT_FAULTS, f"{address} answers {status}")
+    found: list[dict[str, Any]] = msgspec.json.decode(body)
+    print_rows(as_json, COLUMNS, [[verdict[name] for name in COLUMNS] for verdict in found])
+
+
+@verdicts.command("lift")
+@click.argument("verdict_id")
+@gateway_option
+def lift_verdict(verdict_id: str, address: str) -> None:
+    """Lift a verdict at all gateways. Its parts need new evidence to be judged again."""
+    status, _ = _request("DELETE", address, f"/verdicts/{verdict_id}")
+    if status == 404:
+        fail(EXIT_FAULTS, f"{address} knows no verdict {verdict_id}")
+    if status != 204:
+        fail(EXIT_FAULTS, f"{address} answers {status}")
+    click.echo(f"lifted {verdict_id}")
+
+
+def _request(method: str, address: str, path: str) -> tuple[int, bytes]:
+    async def send() -> tuple[int, bytes]:
+        timeout = aiohttp.ClientTimeout(TIMEOUT_S)
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.request(method, f"http://{address}{path}") as response,
+        ):
+            return response.status, await response.read()
+
+    try:
+        return asyncio.run(send())
+    except (aiohttp.ClientError, TimeoutError) as error:
+        fail(EXIT_UNREACHABLE, f"{address} cannot be reached: {error}")
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import itertools
+import json
 from contextlib import asynccontextmanager
 from random import Random
 
 import pytest
+from click.testing import CliRunner
 
 from standins.hosted import Answer, Caller, HostedSite, shared_parts_of
+from teaselpath.cli import main
 
 ENGINES = 6
 GATEWAYS = 3
@@ -115,3 +118,59 @@
     refused = deadly[-6:]
     assert {answer.status for answer in refused} == {503}
     assert all(answer.retry_after_s > 60 for answer in refused)
+
+
+async def send_until_refused(crashing):
+    for n in range(40):
+        answer = await crashing.send(n % GATEWAYS, "aa11", DEADLY)
+        if answer.retry_after_s and answer.retry_after_s > 60:
+            return
+        await asyncio.sleep(0.1)
+    pytest.fail("no verdict after 40 requests")
+
+
+def test_verdict_survives_the_restart_of_every_gateway(folder):
+    async def scenario():
+        async with open_crashing_site(folder) as crashing:
+            await send_until_refused(crashing)
+            site = crashing.site
+            await asyncio.sleep(0.5)
+            for gateway in site.gateways.values():
+                gateway.process.kill()
+                await gateway.process.wait()
+            for n in range(GATEWAYS):
+                await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
+            for gateway in site.gateways.values():
+                await site.wait_until_ready(gateway)
+            ends = len(crashing.ends)
+            answers = [await crashing.send(n % GATEWAYS, "aa11", DEADLY) for n in range(6)]
+            return answers, len(crashing.ends) - ends
+
+    answers, ends = asyncio.run(scenario())
+    assert [answer.status for answer in answers] == [503] * 6
+    assert ends == 0
+
+
+def test_operator_lists_and_lifts_a_verdict(folder):
+    async def scenario():
+        async with open_crashing_site(folder) as crashing:
+            await send_until_refused(crashing)
+            site = crashing.site
+            address = f"{site.gateways['gw-0'].ip}:{site.ports['peer']}"
+            runner = CliRunner()
+            arguments = ["verdicts", "list", "--json", "--gateway", address]
+            listed = await asyncio.to_thread(runner.invoke, main, arguments)
+            verdict = json.loads(listed.output)[0]
+            arguments = ["verdicts", "lift", verdict["verdict"], "--gateway", address]
+            lifted = await asyncio.to_thread(runner.invoke, main, arguments)
+            crashing.deadly.clear()
+            await asyncio.sleep(0.5)
+            answers = [await crashing.send(n % GATEWAYS, "aa11", DEADLY) for n in range(6)]
+            again = await asyncio.to_thread(runner.invoke, main, arguments)
+            return verdict, lifted, answers, again
+
+    verdict, lifted, answers, again = asyncio.run(scenario())
+    assert any(part.endswith(DEADLY) for part in verdict["parts"])
+    assert lifted.exit_code == 0
+    assert [answer.status for answer in answers] == [200] * 6
+    assert again.exit_code == 1
