Gateway: decode and log the limits that endpoints state

Endpoints state how many requests a second they take from all gateways; nothing read it, and no log line named the requests that reach an endpoint. Now: endpoint_limit_changed and endpoint_limit_invalid, endpoint_limits every 4 s, gauge limited_endpoints. A limit goes no further than to the gateway, as the load does. No decision changes.

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -15,6 +15,7 @@
     next_step,
 )
 from teaselpath.dispatch._backlog import Backlog
+from teaselpath.dispatch._endpoint_limit import SEND_WINDOW_S, EndpointLimit
 from teaselpath.dispatch._health import EndpointHealth
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.dispatch._placement import LONG_PROMPT_TOKENS, affinity_key, choose_endpoint
@@ -40,12 +41,14 @@
     "LONG_PROMPT_TOKENS",
     "MAX_CANDIDATES",
     "PREFILL_TOKENS_PER_S",
+    "SEND_WINDOW_S",
     "Answered",
     "AttemptLimits",
     "Backlog",
     "Broken",
     "Demand",
     "EndpointHealth",
+    "EndpointLimit",
     "EndpointPool",
     "EndpointView",
     "Fail",
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from teaselpath.dispatch._backlog import Backlog
+from teaselpath.dispatch._endpoint_limit import EndpointLimit
 from teaselpath.dispatch._health import EndpointHealth
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.fleet import CacheStore, Endpoint, EngineLimits, Prompt
@@ -53,6 +54,7 @@
     :param loading_until: time until which it is expected to be loading weights; 0 if no load is
         expected.
     :param own_loading_until: the same, only for weights that this gateway ordered it to load.
+    :param limit: limit that it states on the requests from all gateways.
     :param stated_requests: requests that it was running or had queued by its last answer.
     :param stated_at: time at which that answer arrived.
     """
@@ -66,6 +68,7 @@
     weights: dict[str, int] = field(default_factory=dict)
     loading_until: float = 0.0
     own_loading_until: float = 0.0
+    limit: EndpointLimit = field(default_factory=EndpointLimit)
     stated_requests: int = 0
     stated_at: float = float("-inf")
 
--- a/teaselpath/fleet/_calls.py
+++ b/teaselpath/fleet/_calls.py
@@ -70,6 +70,9 @@
     :param weights: version of the weights; None if not stated.
     :param forwarded_headers: header fields that are forwarded to the caller unchanged.
     :param requests: requests that the endpoint was running or had queued; None if not stated.
+    :param limit_per_s: requests per second that the endpoint takes from all gateways together; None
+        if it states no limit.
+    :param invalid_limit: text of a limit that is no decimal number; None if there is none.
     """
 
     status: int
@@ -80,6 +83,8 @@
     weights: int | None
     forwarded_headers: Headers
     requests: int | None = None
+    limit_per_s: float | None = None
+    invalid_limit: str | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -97,6 +97,7 @@
                 self.context.codec.id_header,
                 call.request.request_id.encode("latin-1") or None,
             )
+            self.placed.view.limit.record_send(self.loop.time())
             head = await self._with_progress(connection.read_head)
             info = self.context.codec.decode_answer(head.status, head.headers)
             outcome = await self._read_answer(connection, info)
@@ -180,6 +181,7 @@
     async def _read_answer(self, connection: ClientConnection, info: AnswerInfo) -> Outcome:
         call, view = self.call, self.placed.view
         self._record_weights(info)
+        self._record_limit(info)
         if info.requests is not None and not info.is_misdirected:
             view.record_stated_requests(info.requests, self.loop.time())
         is_stream = call.route.kind is RequestKind.STREAM
@@ -209,6 +211,30 @@
             self.has_proved = True
             self.context.gate.record_answer(self.call)
 
+    def _record_limit(self, info: AnswerInfo) -> None:
+        """Record the limit that an answer states, or that it states none."""
+        view, now = self.placed.view, self.loop.time()
+        if info.is_misdirected:
+            return
+        if info.invalid_limit is not None:
+            log_message(
+                "endpoint_limit_invalid",
+                endpoint=view.endpoint.endpoint_id,
+                text=info.invalid_limit,
+            )
+            return
+        # A refusal may come from in front of the endpoint, which knows of no limit.
+        if info.limit_per_s is None and not info.has_stamp:
+            return
+        if view.limit.record_statement(info.limit_per_s, now):
+            log_message(
+                "endpoint_limit_changed",
+                endpoint=view.endpoint.endpoint_id,
+                service=view.endpoint.service,
+                limit_per_s=info.limit_per_s,
+                sent_in_4_s=view.limit.count_sends(now),
+            )
+
     def _record_weights(self, info: AnswerInfo) -> None:
         prompt = self.call.request.prompt
         if info.weights is not None and prompt is not None:
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -34,6 +34,9 @@
             Counter, "quarantine_total", "Trials, verdicts and requests not sent for their parts"
         )
         self.verdicts = make(Gauge, "verdicts", "Verdicts on prompt parts in force")
+        self.limited_endpoints = make(
+            Gauge, "limited_endpoints", "Endpoints that state a limit, by service"
+        )
         self.running = make(Gauge, "running", "Requests under way")
         self.config_version = make(Gauge, "config_version", "Configuration in force")
         self.store_up = make(Gauge, "store_up", "1 if the last call to the store succeeded")
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -12,6 +12,7 @@
 from teaselpath.fleet import CallerLimits, EngineCalls, GatewaySettings, MetadataStore, RequestCodec
 from teaselpath.gateway._caches import CacheWatcher
 from teaselpath.gateway._forward import Forwarder
+from teaselpath.gateway._limits import report_limited_endpoints
 from teaselpath.gateway._log import LogSink
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._orders import WeightsKeeper, boot_clock
@@ -125,6 +126,7 @@
             self.forwarder.placer.run_queue,
             self.caches.run,
             self._expire_connections,
+            self._report_limits,
             self.log.run,
         ]
 
@@ -193,6 +195,9 @@
         state, now = self.state, asyncio.get_running_loop().time()
         reachable, possible = state.count_gateways(now)
         self.metrics.verdicts.set({}, len(self.gate.describe()))
+        for service, pool in state.pools.items():
+            limited = sum(view.limit.rate is not None for view in pool.views.values())
+            self.metrics.limited_endpoints.set({"service": service}, limited)
         self.metrics.running.set({}, self.forwarder.running)
         self.metrics.config_version.set({}, state.config.version if state.config else 0)
         self.metrics.store_up.set({}, int(state.store_up))
@@ -205,6 +210,9 @@
             for pool in self.http.pools.values():
                 pool.close_expired()
 
+    async def _report_limits(self) -> None:
+        await report_limited_endpoints(self.state)
+
     def _ignore_reload(self) -> None:
         log_message("reload_ignored", reason="the settings hold nothing that changes while running")
 
--- a/teaselpath/platform/_requests.py
+++ b/teaselpath/platform/_requests.py
@@ -1,5 +1,7 @@
 """Translation of the header fields of requests and answers."""
 
+import re
+from math import isfinite
 from urllib.parse import urlsplit
 
 from teaselpath.fleet import AnswerInfo, CallerRequest, Forwarding, Prompt, PromptPart
@@ -15,6 +17,7 @@
 RESPONSE_STAMP = b"response-stamp"
 NOT_RUN = b"not-run"
 KEY_SCHEME = b"token "
+_DECIMAL = re.compile(rb"\d{1,12}(\.\d{0,12})?")
 
 # Fields that are not forwarded from callers; the gateway sets some of them itself.
 _NOT_FORWARDED_FIELDS = frozenset(
@@ -40,7 +43,7 @@
     }
 )
 _REMOVED_FROM_REQUESTS = HOP_BY_HOP | _NOT_FORWARDED_FIELDS
-_REMOVED_FROM_ANSWERS = HOP_BY_HOP | {b"content-length", b"server-load"}
+_REMOVED_FROM_ANSWERS = HOP_BY_HOP | {b"content-length", b"server-limit", b"server-load"}
 
 
 class PlatformRequests:
@@ -110,6 +113,9 @@
         """Return the information in the head of an answer."""
         fields = {name.lower(): value for name, value in headers}
         options = _connection_options(headers)
+        limit_text = fields.get(b"server-limit")
+        limit_per_s = _parse_rate(limit_text)
+        is_invalid = limit_text is not None and limit_per_s is None
         return AnswerInfo(
             status=status,
             has_stamp=RESPONSE_STAMP in fields,
@@ -118,6 +124,8 @@
             is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
             weights=_parse_integer(fields.get(b"weight-versions")),
             requests=_parse_load(fields.get(b"server-load")),
+            limit_per_s=limit_per_s,
+            invalid_limit=repr((limit_text or b"")[:32]) if is_invalid else None,
             forwarded_headers=[
                 (name, value)
                 for name, value in headers
@@ -163,6 +171,14 @@
         return None
 
 
+def _parse_rate(value: bytes | None) -> float | None:
+    """Return a rate; None unless it is a finite decimal number of at least 0."""
+    if value is None or not _DECIMAL.fullmatch(value.strip()):
+        return None
+    rate = float(value)
+    return rate if isfinite(rate) else None
+
+
 def _parse_load(value: bytes | None) -> int | None:
     """Return the number of running and waiting requests; the slots follow them."""
     try:
