--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -103,6 +103,9 @@
 
     :param runs: list shared by all engines, to which each started request is appended.
     :ivar deadly_parts: ids of prompt parts that end the process as it begins an answer on them.
+    :ivar limit: value of the header field with the requests per second that it takes; None for no
+        such field.
+    :ivar arrivals: times at which requests reached it, those that it refused included.
     :ivar end_process: ends the process of this engine.
     :ivar flooded_bytes: bytes sent by the fault ``floods``.
     """
@@ -126,6 +129,8 @@
         self.version = version
         self.slots = slots
         self.faults = EngineFaults()
+        self.limit: str | None = None
+        self.arrivals: list[float] = []
         self.deadly_parts: set[str] = set()
         self.end_process: Callable[[], None] = _never_ends
         self.parts: dict[tuple[str, str], _Part] = {}
@@ -253,6 +258,9 @@
             (b"Instance-Id", self.endpoint_id.encode()),
             (b"Server-Load", b"%d,0,%d" % (self.running, self.slots)),
         ]
+        if self.limit is not None:
+            base.append((b"Server-Limit", self.limit.encode()))
+        self.arrivals.append(time.monotonic())
         status = self._refusal(headers)
         if status is not None:
             exchange.respond(status, [*base, (b"Not-Run", b"1")])
