Limits that endpoints state hold for all gateways together, split by demand

An endpoint in need got two to four times the requests that it had stated to take, since nothing read its limit. Each gateway obeying it for itself would not do: the log showed one gateway with nearly all requests for one engine, and four unequal ones for others.

Each gateway tells the others, with its status, the limits that it heard and how many requests a second it would send to those endpoints. All split each limit by these figures; of a low limit only as many gateways get a part as the endpoint takes requests in a second. The part of a silent gateway is left to it for 10 s. Placement prefers endpoints without a limit; once none has room, a request waits for at most half its time, or is refused at once with a time of its own to return; streams that continue come first.

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -15,7 +15,12 @@
     next_step,
 )
 from teaselpath.dispatch._backlog import Backlog
-from teaselpath.dispatch._endpoint_limit import SEND_WINDOW_S, EndpointLimit
+from teaselpath.dispatch._endpoint_limit import (
+    SEND_WINDOW_S,
+    EndpointLimit,
+    first_level,
+    split_limit,
+)
 from teaselpath.dispatch._health import EndpointHealth
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.dispatch._placement import LONG_PROMPT_TOKENS, affinity_key, choose_endpoint
@@ -25,6 +30,7 @@
 from teaselpath.dispatch._quota import Granted, OverRate, SharedQuota
 from teaselpath.dispatch._reservation import Reservation
 from teaselpath.dispatch._retry_budget import SlidingRetryBudget
+from teaselpath.dispatch._return_times import ReturnTimes
 from teaselpath.dispatch._views import (
     PREFILL_TOKENS_PER_S,
     Demand,
@@ -68,6 +74,7 @@
     "RequestQueue",
     "Resend",
     "Reservation",
+    "ReturnTimes",
     "SharedQuota",
     "SlidingRetryBudget",
     "Step",
@@ -75,6 +82,8 @@
     "Topology",
     "affinity_key",
     "choose_endpoint",
+    "first_level",
     "next_step",
     "scope_of",
+    "split_limit",
 ]
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -12,6 +12,8 @@
 none is overloaded.
 """
 
+from dataclasses import replace
+
 from teaselpath.dispatch._transfers import (
     RECOMPUTE_COST_S_PER_TOKEN,
     Source,
@@ -63,6 +65,8 @@
 MAX_HASH_COST_S = 0.03
 # Cost per request in flight that is lost if a request ends its engine, in seconds.
 ENDANGERED_REQUEST_COST_S = 0.05
+# Cost of an endpoint that states a limit, in seconds: others take what they can.
+LIMITED_COST_S = 0.05
 # Slow-down of prefill per request in flight at the engine, as a fraction of the prefill time.
 BATCH_SLOWDOWN_FACTOR = 0.02
 
@@ -96,14 +100,21 @@
     candidates = [candidate for candidate in candidates if not _must_wait(candidate, demand, now)]
     if not candidates:
         return NoEndpoint("reading", 0.5)
-    best = min(
-        candidates,
-        key=lambda candidate: (
-            candidate.cost_s
-            + demand.endangers_engine * candidate.view.requests(now) * ENDANGERED_REQUEST_COST_S,
-            candidate.view.endpoint.endpoint_id,
-        ),
-    )
+
+    def sort_key(candidate: Placed) -> tuple[float, str]:
+        endangered = candidate.view.requests(now) if demand.endangers_engine else 0
+        cost_s = candidate.cost_s + endangered * ENDANGERED_REQUEST_COST_S
+        return cost_s, candidate.view.endpoint.endpoint_id
+
+    wanted = min(candidates, key=sort_key).view
+    permitted = [candidate for candidate in candidates if candidate.view.limit.can_send(now)]
+    if not permitted:
+        if any(view.limit.rate is None for view in available):
+            # Such an engine will have read its backlog before long.
+            return NoEndpoint("reading", 0.5, wanted)
+        wait_s = min(candidate.view.limit.wait_s(now) for candidate in candidates)
+        return NoEndpoint("limited", wait_s, wanted)
+    best = replace(min(permitted, key=sort_key), wanted=wanted)
     return add_save_target(best, demand, topology, now)
 
 
@@ -173,6 +184,8 @@
         cost += demand.body_bytes * CROSS_REGION_COST_S_PER_BYTE
     cost += view.health.failure_rate(now) * FAILURE_COST_S
     cost += max(0, requests + 1 - slots) * QUEUED_REQUEST_COST_S
+    if view.limit.rate is not None:
+        cost += LIMITED_COST_S
     if demand.prompt is None:
         # Cost of a plain endpoint with one request per slot: 0.02 s.
         return Placed(view, cost + 0.02 * requests / slots, 0, None, "")
--- a/teaselpath/dispatch/_queue.py
+++ b/teaselpath/dispatch/_queue.py
@@ -73,6 +73,13 @@
             for r in self.queued.values()
         )
 
+    def count_ahead(self, request: QueuedRequest) -> int:
+        """Return the number of requests of the same service that are ahead of this new one."""
+        return sum(
+            r.service == request.service and r.priority <= request.priority
+            for r in self.queued.values()
+        )
+
     def expected_wait_s(
         self, request: QueuedRequest, backlog_tokens: int, tokens_per_s: float, now: float
     ) -> float:
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -97,7 +97,6 @@
                 self.context.codec.id_header,
                 call.request.request_id.encode("latin-1") or None,
             )
-            self.placed.view.limit.record_send(self.loop.time())
             head = await self._with_progress(connection.read_head)
             info = self.context.codec.decode_answer(head.status, head.headers)
             outcome = await self._read_answer(connection, info)
@@ -193,7 +192,7 @@
             # another weights version.
             if info.is_misdirected:
                 view.health.record_unreachable(self.loop.time())
-            elif call.service.engine is not None:
+            elif call.service.engine is not None and info.limit_per_s is None:
                 view.record_not_run(info.requests, self.loop.time())
             return NotRun(info.status)
         # Something between gateway and endpoint has generated or re-encoded the answer.
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -318,7 +318,8 @@
         return Code.OK if call.answer.status < 500 else Code.ENDPOINT_FAILED
 
     def _end_unplaced(self, exchange: Exchange, call: Call, no_endpoint: NoEndpoint) -> Code:
-        code = Code.OVERLOADED if no_endpoint.reason == "queue" else Code.NO_ENDPOINT
+        is_overload = no_endpoint.reason in ("queue", "limited")
+        code = Code.OVERLOADED if is_overload else Code.NO_ENDPOINT
         call.attempts.append(("", no_endpoint.reason, 0.0))
         if call.progress.runs == 0:
             return self._respond_refused(exchange, call, code, no_endpoint.retry_after_s)
--- a/teaselpath/gateway/_limits.py
+++ b/teaselpath/gateway/_limits.py
@@ -1,26 +1,80 @@
-"""Limits that endpoints state, as one gateway reports them."""
+"""This gateway's part of the limits that endpoints state."""
 
 import asyncio
 
 from eliot import log_message
 
-from teaselpath.dispatch import SEND_WINDOW_S
+from teaselpath.dispatch import SEND_WINDOW_S, EndpointView, first_level, split_limit
+from teaselpath.exchange import is_large_fleet
 from teaselpath.gateway._state import GatewayState
 
+# Interval at which limits are split anew, in seconds.
+SPLIT_INTERVAL_S = 0.1
+# Time in which the other gateways learn of a changed demand, in seconds, and the same in a large
+# fleet.
+DEMAND_DELAY_S = 0.3
+LARGE_FLEET_DEMAND_DELAY_S = 2.0
+# Time for which the part of a silent gateway is left to it, in seconds: it may be cut off from this
+# one only.
+SILENT_S = 10.0
+# Time for which a gateway that was listed but sent nothing counts, in seconds.
+LISTED_S = 5.0
 
-async def report_limited_endpoints(state: GatewayState) -> None:
-    """Log the sends of this gateway to endpoints that state a limit, until cancelled."""
-    loop = asyncio.get_running_loop()
-    while True:
-        await asyncio.sleep(SEND_WINDOW_S)
-        now = loop.time()
-        limited = [view for view in state.views.values() if view.limit.rate is not None]
-        if limited:
-            log_message(
-                "endpoint_limits",
-                window_s=SEND_WINDOW_S,
-                sends={
-                    view.endpoint.endpoint_id: (view.limit.rate, view.limit.count_sends(now))
-                    for view in limited
-                },
+
+class LimitKeeper:
+    """Splits the limits of endpoints with the other gateways."""
+
+    def __init__(self, state: GatewayState):
+        self.state = state
+        self.loop = asyncio.get_running_loop()
+
+    async def run(self) -> None:
+        """Split limits, and log the sends of this gateway, until cancelled."""
+        logged_at = self.loop.time()
+        while True:
+            await asyncio.sleep(SPLIT_INTERVAL_S)
+            now = self.loop.time()
+            limited = [v for v in self.state.views.values() if v.limit.rate is not None]
+            if not limited:
+                continue
+            self.split(limited, now)
+            if now - logged_at >= SEND_WINDOW_S:
+                logged_at = now
+                _log_limits(limited, now)
+
+    def split(self, limited: list[EndpointView], now: float) -> None:
+        """Set this gateway's part of each limit."""
+        host = self.state.settings.host
+        is_large = is_large_fleet(len(self.state.members))
+        delay_s = LARGE_FLEET_DEMAND_DELAY_S if is_large else DEMAND_DELAY_S
+        peers = self._possible_peers(now)
+        for view in limited:
+            limit, endpoint_id = view.limit, view.endpoint.endpoint_id
+            wants = {peer: limit.peer_wants.get(peer, 0.0) for peer in peers}
+            wants[host] = limit.known_wants(now, delay_s)
+            share = split_limit(host, endpoint_id, limit.usable_rate, wants)
+            limit.set_share(share, first_level(host, endpoint_id), now)
+
+    def _possible_peers(self, now: float) -> list[str]:
+        """Return the other gateways that may send requests."""
+        return [
+            member.host
+            for member in self.state.members.values()
+            if now - member.last_contact_at < SILENT_S
+            or (not member.last_contact_at and now - member.listed_at < LISTED_S)
+        ]
+
+
+def _log_limits(limited: list[EndpointView], now: float) -> None:
+    log_message(
+        "endpoint_limits",
+        window_s=SEND_WINDOW_S,
+        sends={
+            view.endpoint.endpoint_id: (
+                view.limit.rate,
+                round(view.limit.own_rate, 2),
+                view.limit.count_sends(now),
             )
+            for view in limited
+        },
+    )
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -82,6 +82,10 @@
     :param endpoint_number: ``Endpoint.number`` of this start of the endpoint.
     :param held_tokens: prompt tokens of the gateway's long prompts in flight at the endpoint.
     :param weights: versions that differ from those in the record of the endpoint.
+    :param limit_per_s: requests per second that the endpoint states to take from all gateways;
+        below 0 if it states no limit.
+    :param limit_age_ms: time since that statement, in ms; below 0 if it is not reported.
+    :param wanted_per_s: requests per second that this gateway would send to it without a limit.
     :param switching_ms: remaining time in ms for which gateways avoid the endpoint, because it is
         about to load weights.
     """
@@ -91,6 +95,9 @@
     held_tokens: int = 0
     weights: dict[str, int] = {}
     switching_ms: int = 0
+    limit_per_s: float = -1.0
+    limit_age_ms: int = -1
+    wanted_per_s: float = 0.0
 
 
 class PlacementMessage(msgspec.Struct, array_like=True, tag="placement"):
@@ -303,9 +310,11 @@
                 for view in self.state.views.values()
                 if self._region_of_domain(view.endpoint.failure_domain) == regions[ip]
             }
-            reduced = msgspec.structs.replace(
-                status, endpoints=[e for e in status.endpoints if e.endpoint_number in numbers]
-            )
+            # Each gateway has to know the demand of all others for an endpoint with a limit.
+            needed = [
+                e for e in status.endpoints if e.endpoint_number in numbers or e.limit_age_ms >= 0
+            ]
+            reduced = msgspec.structs.replace(status, endpoints=needed)
             self._send_to([ip], self.encoder.encode(StatusToRelay(reduced)))
 
     def _relay_statuses(self) -> None:
@@ -466,7 +475,10 @@
         return [
             _endpoint_status(view, now)
             for view in self.state.views.values()
-            if view.own.requests or view.own_loading_until > now or _newer_weights(view)
+            if view.own.requests
+            or view.own_loading_until > now
+            or view.limit.is_reported(now)
+            or _newer_weights(view)
         ]
 
     # receiving
@@ -552,9 +564,27 @@
         self.endpoints_with_load.setdefault(host, set()).add(view.endpoint.endpoint_id)
         for model, version in endpoint_status.weights.items():
             view.record_weights(model, version)
+        self._apply_limit(host, endpoint_status, view, now)
         if endpoint_status.switching_ms:
             view.loading_until = max(view.loading_until, now + endpoint_status.switching_ms / 1000)
 
+    def _apply_limit(
+        self, host: str, endpoint_status: EndpointStatus, view: EndpointView, now: float
+    ) -> None:
+        if endpoint_status.limit_age_ms < 0:
+            view.limit.peer_wants.pop(host, None)
+            return
+        view.limit.peer_wants[host] = endpoint_status.wanted_per_s
+        rate = endpoint_status.limit_per_s if endpoint_status.limit_per_s >= 0.0 else None
+        if view.limit.record_statement(rate, now - endpoint_status.limit_age_ms / 1000):
+            log_message(
+                "endpoint_limit_changed",
+                endpoint=view.endpoint.endpoint_id,
+                service=view.endpoint.service,
+                limit_per_s=rate,
+                source=f"peer {host}",
+            )
+
     def _handle_placement(self, message: PlacementMessage, now: float) -> None:
         host, placement = message.host, message.placement
         if host == self.state.settings.host:
@@ -748,4 +778,14 @@
         own.held_tokens,
         _newer_weights(view),
         max(0, int((view.own_loading_until - now) * 1000)),
+        *_limit_status(view, now),
     )
+
+
+def _limit_status(view: EndpointView, now: float) -> tuple[float, int, float]:
+    """Return limit, age of its statement in ms, and own demand, as in ``EndpointStatus``."""
+    limit = view.limit
+    if not limit.is_reported(now):
+        return -1.0, -1, 0.0
+    rate = -1.0 if limit.rate is None else limit.rate
+    return rate, int((now - limit.stated_at) * 1000), limit.tell_wants(now)
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -13,6 +13,7 @@
     QueuedRequest,
     RequestQueue,
     Reservation,
+    ReturnTimes,
     affinity_key,
     choose_endpoint,
 )
@@ -31,6 +32,8 @@
 MAX_RETRY_AFTER_S = 3.0
 # Reasons for which a request is refused without queueing.
 IMMEDIATE_REFUSALS = frozenset({"none_listed", "unreachable"})
+# Priority in the queue of streams that continue; lower numbers come first.
+RESUMED_PRIORITY = -1
 # Placements of prompts with at least this many tokens are announced to the other gateways.
 # LONG_TOKENS is a different threshold, for queueing.
 ANNOUNCE_MIN_TOKENS = 2_000
@@ -47,14 +50,19 @@
         self.announce = announce
         self.loop = asyncio.get_running_loop()
         self.queue = RequestQueue()
+        self.return_times: dict[str, ReturnTimes] = {}
         self.queued_calls: dict[int, tuple[Call, asyncio.Future[Placed]]] = {}
 
     async def acquire(self, call: Call, now: float) -> Placed | NoEndpoint:
         """Reserve an endpoint for a request, queueing it if necessary."""
         prompt = call.request.prompt
         tokens = prompt.prompt_tokens if prompt else 0
-        queued_request = QueuedRequest(call.service.name, call.priority, tokens, call.deadline)
+        # A stream that goes on elsewhere comes first: its caller has a part of the answer.
+        priority = RESUMED_PRIORITY if call.splitter.count else call.priority
+        queued_request = QueuedRequest(call.service.name, priority, tokens, call.deadline)
         choice = self._place(call, now)
+        if choice.wanted is not None:
+            choice.wanted.limit.record_want(now)
         if isinstance(choice, Placed) and (
             tokens < LONG_PROMPT_TOKENS or not self.queue.has_requests_ahead(queued_request)
         ):
@@ -62,8 +70,31 @@
             return choice
         if isinstance(choice, NoEndpoint) and choice.reason in IMMEDIATE_REFUSALS:
             return choice
+        if isinstance(choice, NoEndpoint) and choice.reason == "limited":
+            refusal = self._refuse_limited(queued_request, choice, now)
+            if refusal is not None:
+                return refusal
         return await self._wait_for_endpoint(call, queued_request, now)
 
+    def _refuse_limited(
+        self, queued_request: QueuedRequest, choice: NoEndpoint, now: float
+    ) -> NoEndpoint | None:
+        """Return a refusal if the limits of all endpoints leave no room in time.
+
+        Its Retry-After is when there will be room behind the requests that wait and the callers
+        that were refused before.
+        """
+        service = queued_request.service
+        rate = sum(view.limit.own_rate for view in self.state.pool(service).views.values())
+        ahead = self.queue.count_ahead(queued_request)
+        wait_s = choice.retry_after_s + (ahead / rate if rate > 0.0 else 0.0)
+        if wait_s <= MAX_WAIT_FRACTION * (queued_request.deadline - now):
+            return None
+        if wait_s == float("inf"):
+            return NoEndpoint("limited", MAX_RETRY_AFTER_S)
+        returns = self.return_times.setdefault(service, ReturnTimes())
+        return NoEndpoint("limited", max(0.2, returns.book(wait_s, rate, now)))
+
     async def _wait_for_endpoint(
         self, call: Call, queued_request: QueuedRequest, now: float
     ) -> Placed | NoEndpoint:
@@ -121,6 +152,7 @@
         """Reserve the load of a request at its endpoint."""
         view, prompt, now = placed.view, call.request.prompt, self.loop.time()
         reservation = Reservation(view)
+        view.limit.record_send(now)
         if prompt is not None:
             reservation.pending_prefill_tokens = max(0, prompt.prompt_tokens - placed.cached_tokens)
             view.cache.record_expected(placed.scope, prompt.parts, now)
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -12,7 +12,7 @@
 from teaselpath.fleet import CallerLimits, EngineCalls, GatewaySettings, MetadataStore, RequestCodec
 from teaselpath.gateway._caches import CacheWatcher
 from teaselpath.gateway._forward import Forwarder
-from teaselpath.gateway._limits import report_limited_endpoints
+from teaselpath.gateway._limits import LimitKeeper
 from teaselpath.gateway._log import LogSink
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._orders import WeightsKeeper, boot_clock
@@ -126,7 +126,7 @@
             self.forwarder.placer.run_queue,
             self.caches.run,
             self._expire_connections,
-            self._report_limits,
+            LimitKeeper(self.state).run,
             self.log.run,
         ]
 
@@ -210,9 +210,6 @@
             for pool in self.http.pools.values():
                 pool.close_expired()
 
-    async def _report_limits(self) -> None:
-        await report_limited_endpoints(self.state)
-
     def _ignore_reload(self) -> None:
         log_message("reload_ignored", reason="the settings hold nothing that changes while running")
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -11,6 +11,7 @@
 from standins.hosted import Caller, HostedSite
 
 GATEWAYS = 3
+CALLERS = 16
 LIMIT_PER_S = 2.0
 # Bounds of the users' rule: time after the first statement from which requests count, window and
 # requests in it, in seconds.
@@ -36,7 +37,7 @@
 
 
 async def send_load(site, path, seconds, answers, gateways=range(GATEWAYS)):
-    """Send some ten times the limit for a while."""
+    """Send for a while, with more callers at a time than find room before their deadline."""
     stop_at = time.monotonic() + seconds
     callers = [
         Caller(f"{site.gateways[f'gw-{n}'].ip}:{site.ports['front']}", "key-1") for n in gateways
@@ -50,7 +51,7 @@
             answers.append(await caller.send(path, f"l{n}", prefix=prefix))
             await asyncio.sleep(0.1)
 
-    await asyncio.gather(*(send_one_after_another(c) for c in callers for _ in range(2)))
+    await asyncio.gather(*(send_one_after_another(c) for c in callers for _ in range(CALLERS)))
 
 
 def most_in_window(engine) -> int:
