--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -82,3 +82,52 @@
     assert all(answer.retry_after_s > 0 for answer in refused)
     served = len(answers) - len(refused)
     assert served >= 2 * LIMIT_PER_S * SETTLED_S
+
+
+def test_limit_ends_with_answers_that_state_none(folder):
+    async def scenario():
+        async with open_limited_site(folder, "0.5") as site:
+            limited, free = [], []
+            await send_load(site, "/lookup/x", 3.0, limited)
+            for number in range(2):
+                site.engines[f"desk-{number}"].engine.limit = None
+            # The parts of the limit still let a request through now and then, whose answer ends it.
+            await send_load(site, "/lookup/x", 8.0, [])
+            await send_load(site, "/lookup/x", 2.0, free)
+            return limited, free
+
+    limited, free = asyncio.run(scenario())
+    assert any(answer.status == 503 for answer in limited)
+    assert {answer.status for answer in free} == {200}
+
+
+@pytest.mark.parametrize("text", ["nan", "-1", "inf", "1e3", "", "2,5", "9" * 40])
+def test_text_that_is_no_rate_does_not_limit(folder, text):
+    async def scenario():
+        async with open_limited_site(folder, text) as site:
+            answers = []
+            await send_load(site, "/lookup/x", 1.5, answers)
+            return answers, (folder / "gw-0.log").read_text()
+
+    answers, log = asyncio.run(scenario())
+    assert {answer.status for answer in answers} == {200}
+    assert "endpoint_limit_invalid" in log
+
+
+def test_limit_holds_while_gateways_are_killed_and_start_again(folder):
+    async def scenario():
+        async with open_limited_site(folder, str(LIMIT_PER_S)) as site:
+            answers = []
+            load = asyncio.create_task(send_load(site, "/lookup/x", 12.0, answers))
+            for n in (0, 1):
+                await asyncio.sleep(3.0)
+                gateway = site.gateways[f"gw-{n}"]
+                gateway.process.kill()
+                await gateway.process.wait()
+                await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
+            await load
+            return site
+
+    site = asyncio.run(scenario())
+    for number in range(2):
+        assert most_in_window(site.engines[f"desk-{number}"].engine) <= ALLOWED
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -174,3 +174,18 @@
     assert lifted.exit_code == 0
     assert [answer.status for answer in answers] == [200] * 6
     assert again.exit_code == 1
+
+
+@pytest.mark.parametrize("mode", ["reset", "silent"])
+def test_part_is_judged_at_all_gateways_while_the_store_is_away(folder, mode):
+    async def scenario():
+        async with open_crashing_site(folder) as crashing:
+            crashing.site.store.faults.mode = mode
+            await send_until_refused(crashing)
+            await asyncio.sleep(0.5)
+            answers = [await crashing.send(n % GATEWAYS, "aa11", DEADLY) for n in range(6)]
+            return answers, len(crashing.ends)
+
+    answers, ends = asyncio.run(scenario())
+    assert [answer.status for answer in answers] == [503] * 6
+    assert ends <= MAX_ENDS
