Soak: a prompt part that ends engines, and endpoints that state limits

From a random time on, one stream in twenty holds a part that ends its engine, also in the recovery phase if five engines have ended; at most three may then reach engines. Engines and services state limits for a while.

--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -9,6 +9,7 @@
 from standins.hosted._site import (
     GatewayProcess,
     HostedSite,
+    ListedEngine,
     SiteRoute,
     SiteTenant,
     expected_signature,
@@ -23,6 +24,7 @@
     "HostedEngine",
     "HostedSite",
     "HostedStore",
+    "ListedEngine",
     "Run",
     "SiteRoute",
     "SiteTenant",
--- a/standins/hosted/_site.py
+++ b/standins/hosted/_site.py
@@ -69,7 +69,9 @@
 
 
 @dataclass(slots=True)
-class _ListedEngine:
+class ListedEngine:
+    """An engine that the store lists, with its listener and connections."""
+
     engine: HostedEngine
     address: str
     zone: str
@@ -95,7 +97,7 @@
     bounds: dict[str, float] = field(default_factory=dict)
     tenants: list[SiteTenant] = field(default_factory=lambda: [SiteTenant("office", ["key-1"])])
     runs: list[Run] = field(default_factory=list)
-    engines: dict[str, _ListedEngine] = field(default_factory=dict)
+    engines: dict[str, ListedEngine] = field(default_factory=dict)
     all_engines: list[HostedEngine] = field(default_factory=list)
     gateways: dict[str, GatewayProcess] = field(default_factory=dict)
     config_version: int = 0
@@ -161,7 +163,7 @@
         connections: set[ServerConnection] = set()
         server, address = await self._listen(engine.handle, connections=connections)
         self.all_engines.append(engine)
-        self.engines[name] = _ListedEngine(
+        self.engines[name] = ListedEngine(
             engine, address, zone, server, listed_address or address, connections
         )
         self._register(self.engines[name])
@@ -188,13 +190,13 @@
         connections: set[ServerConnection] = set()
         server, address = await self._listen(engine.handle, (host, int(port)), connections)
         self.all_engines.append(engine)
-        self.engines[name] = _ListedEngine(
+        self.engines[name] = ListedEngine(
             engine, address, before.zone, server, before.listed_address, connections
         )
         self._register(self.engines[name])
         return engine
 
-    def _register(self, listed_engine: _ListedEngine) -> None:
+    def _register(self, listed_engine: ListedEngine) -> None:
         entry = listed_engine.engine.entry(listed_engine.listed_address, listed_engine.zone)
         self.store.put("keyed.servers", listed_engine.engine.endpoint_id, entry)
 
--- a/standins/soak/_proxy.py
+++ b/standins/soak/_proxy.py
@@ -39,8 +39,9 @@
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def open(self) -> "FaultyProxy":
-        """Start listening."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Start listening; at the same address as before, if there was one."""
+        port = int(self.address.rpartition(":")[2] or 0)
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
         return self
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from random import Random
 
-from standins.hosted import Caller, HostedSite, SiteTenant
+from standins.hosted import Caller, HostedSite, ListedEngine, SiteTenant
 from standins.soak._checks import SentRequest, check_guarantees
 from standins.soak._proxy import FaultyProxy, LinkFault
 
@@ -29,6 +29,17 @@
 # Minimum fraction of the requests of the recovery phase that must be served.
 MIN_SERVED_FRACTION = 0.98
 RESTART_DELAY_S = 0.3
+# Prompt part that ends engines, the fraction of the streams that hold it, and the time until an
+# engine is back, in seconds.
+DEADLY_PART = "dead"
+DEADLY_FRACTION = 0.05
+ENGINE_RESTART_S = 1.0
+# Ends of engines after which gateways refuse the part, and requests with it that may still reach
+# engines in the recovery phase.
+COUNTED_ENDS = 5
+MAX_LATE_SENDS = 3
+# Mean interval between limits that engines state, in seconds.
+LIMIT_INTERVAL_S = 4.0
 
 
 @dataclass(slots=True)
@@ -82,6 +93,8 @@
         self.watchers: list[asyncio.Task] = []
         self.new_engine_numbers = itertools.count(100)
         self.longest_stall_s = 0.0
+        self.engine_ends = 0
+        self.deadly_from = float("inf")
 
     async def watch_stalls(self) -> None:
         """Measure the longest delay of the event loop."""
@@ -116,6 +129,34 @@
         )
         proxy.target = self.site.engines[name].address
         self.proxies[name] = proxy
+        self.prepare_engine(name)
+
+    def prepare_engine(self, name: str) -> None:
+        """Make an engine end on the deadly part."""
+        listed_engine = self.site.engines[name]
+        listed_engine.engine.deadly_parts = {DEADLY_PART}
+
+        def end_process() -> None:
+            task = asyncio.get_running_loop().create_task(self.end_engine(name, listed_engine))
+            self.fault_tasks.add(task)
+            task.add_done_callback(self.fault_tasks.discard)
+
+        listed_engine.engine.end_process = end_process
+
+    async def end_engine(self, name: str, listed_engine: ListedEngine) -> None:
+        """End the process of an engine, and start it again unless it was replaced meanwhile."""
+        if self.site.engines.get(name) is not listed_engine or listed_engine.skips_heartbeats:
+            return
+        self.engine_ends += 1
+        self.record_fault(f"ended by a request: {name}")
+        proxy = self.proxies[name]
+        proxy.close()
+        self.site.end_engine_process(name)
+        await asyncio.sleep(ENGINE_RESTART_S)
+        if self.site.engines.get(name) is listed_engine:
+            await self.site.restart_engine(name)
+            await proxy.open()
+            self.prepare_engine(name)
 
     async def _restart_on_exit(self, name: str) -> None:
         """Restart a gateway whenever its process has exited, as the platform does."""
@@ -134,6 +175,7 @@
     async def send_requests(self, number: int) -> None:
         """Send requests one after another over persistent connections."""
         random = Random(f"{self.plan.seed}-{number}")
+        parts = Random(f"{self.plan.seed}-{number}-parts")
         tenants = self.site.tenants
         callers: dict[tuple[str, str], Caller] = {}
         while not self.stop.is_set():
@@ -149,6 +191,10 @@
             prefix = ""
             if kind in ("review", "query"):
                 prefix = f"s{random.randrange(6)}:2000,o{request_id}:200"
+            is_deadly = kind == "review" and parts.random() < DEADLY_FRACTION
+            if is_deadly and time.monotonic() >= self.deadly_from:
+                request_id = f"{DEADLY_PART}-{request_id}"
+                prefix = prefix.replace(",", f",{DEADLY_PART}:100,")
             began_at = time.monotonic()
             answer = await callers[name, key].send(
                 f"/{kind}/x", request_id, prefix=prefix, timeout_s=6.0,
@@ -168,6 +214,11 @@
         answers = asyncio.create_task(self.disturb_answers(until))
         self.fault_tasks.add(answers)
         answers.add_done_callback(self.fault_tasks.discard)
+        limits = asyncio.create_task(self.limit_engines(until))
+        self.fault_tasks.add(limits)
+        limits.add_done_callback(self.fault_tasks.discard)
+        source = Random(self.plan.seed + 3)
+        self.deadly_from = time.monotonic() + source.uniform(0.1, 0.5) * self.plan.fault_s
         kinds: list[Callable[[], Coroutine[None, None, None]]] = [
             self.fault_link,
             self.fault_link,
@@ -185,6 +236,9 @@
             task.add_done_callback(self.fault_tasks.discard)
             await asyncio.sleep(self.random.expovariate(1 / self.plan.fault_interval_s))
         await asyncio.gather(*self.fault_tasks)
+        if self.engine_ends < COUNTED_ENDS:
+            # In the recovery phase the part is sent only if it must be known by then.
+            self.deadly_from = float("inf")
 
     def record_fault(self, text: str) -> None:
         self.faults.append((round(time.monotonic() - self.started_at, 2), text))
@@ -248,6 +302,18 @@
             await asyncio.sleep(source.uniform(0.5, 2.0))
             setattr(faults, fault, 0.0)
 
+    async def limit_engines(self, until: float) -> None:
+        """Make engines and services state limits for a while."""
+        source = Random(self.plan.seed + 4)
+        while time.monotonic() < until:
+            await asyncio.sleep(source.expovariate(1 / LIMIT_INTERVAL_S))
+            name = source.choice(sorted(self.site.engines))
+            engine = self.site.engines[name].engine
+            engine.limit = source.choice(["0", "0.5", "2", "5.5", "40", "none"])
+            self.record_fault(f"limit of {engine.limit}: {name}")
+            await asyncio.sleep(source.uniform(0.5, 3.0))
+            engine.limit = None
+
     async def fault_process(self) -> None:
         name = self.random.choice(sorted(self.site.gateways))
         match self.random.choice(["stop", "kill", "pause", "reload"]):
@@ -290,16 +356,23 @@
         phase_start = time.monotonic()
         recent: list[SentRequest] = []
         while (
-            len(recent) < RECOVERY_REQUESTS and time.monotonic() < phase_start + RECOVERY_TIMEOUT_S
+            len(recent) < RECOVERY_REQUESTS + RECOVERY_REQUESTS // 5
+            and time.monotonic() < phase_start + RECOVERY_TIMEOUT_S
         ):
             await asyncio.sleep(RECOVERY_POLL_INTERVAL_S)
             recent = [a for a in self.requests if a.began_at >= phase_start]
+        deadly = [a for a in recent if a.answer.request_id.startswith(DEADLY_PART)]
+        recent = [a for a in recent if a not in deadly]
         served = sum(a.answer.status == 200 and a.answer.is_complete for a in recent)
         disconnected = sum(not a.answer.is_complete and a.answer.status in (0, 200) for a in recent)
         served_fraction = (served + disconnected) / max(1, len(recent))
         broken = []
         if served_fraction < MIN_SERVED_FRACTION or len(recent) < RECOVERY_REQUESTS:
             broken.append(f"after recovery: {served} of {len(recent)} served")
+        late = {a.answer.request_id for a in deadly}
+        late_sends = sum(run.request_id in late for run in self.site.runs)
+        if late_sends > MAX_LATE_SENDS:
+            broken.append(f"{late_sends} requests with the deadly part reached engines")
         models = [p.engine for p in self.site.engines.values() if p.engine.model]
         outdated = [e.endpoint_id for e in models if e.version != self.site.weights]
         if outdated:
