Gateway: messages and fetching of records in files of their own

The messages are in _peer_messages.py, fetching of store records and the choice of the store's readers in _peer_records.py. No change of behaviour; tests of the gateway pass.

--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -1,11 +1,9 @@
-"""Exchange of load, spent quota, weights versions and store records between gateways.
+"""Exchange of load, spent quota, weights versions, limits and evidence between gateways.
 
 Status messages are sent as datagrams, since a newer one replaces an older one. The placement of
 each long prompt is announced at once, because it occupies an engine and its parts become available
-in that engine's cache. Records that a gateway lacks are fetched over HTTP from a peer that has
-them, so that configuration and endpoint states also reach a gateway that does not follow the store
-or whose requests the store refuses. ``teaselpath.exchange`` decides who receives a message, and
-which gateways follow the store.
+in that engine's cache; so is what the quarantine learns. ``teaselpath.exchange`` decides who
+receives a message.
 """
 
 import asyncio
@@ -13,7 +11,6 @@
 from collections import deque
 from collections.abc import Iterable
 from typing import Protocol
-from urllib.parse import parse_qsl
 
 import msgspec
 from eliot import log_message
@@ -23,14 +20,23 @@
     CROSS_REGION_INTERVAL_S,
     Peer,
     StopPeer,
-    is_large_fleet,
     plan_fanout,
-    select_readers,
     status_interval_s,
 )
-from teaselpath.fleet import StoredRecord, Topic
+from teaselpath.gateway._peer_messages import (
+    EndpointStatus,
+    Message,
+    PlacementMessage,
+    PlacementToRelay,
+    RelayedStatuses,
+    Status,
+    StatusToRelay,
+    describe_endpoint,
+    newer_weights,
+)
+from teaselpath.gateway._peer_records import STORE_DISTRUST_S, RecordFetcher
 from teaselpath.gateway._state import GatewayState, LongPlacement, Member
-from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout
+from teaselpath.http1 import HttpClient
 from teaselpath.quarantine import QuarantineUpdate
 from teaselpath.rollout import LeaseRecord, OrderLease
 
@@ -38,20 +44,6 @@
 MIN_STATUS_INTERVAL_S = 0.02
 # Deviation of timers from their interval that is ignored, in seconds.
 TIMER_TOLERANCE_S = 0.01
-# Records that a peer already has are fetched from it if the store has not delivered them within
-# this time, in seconds. A gateway that does not follow the store fetches them without delay.
-FETCH_DELAY_S = 0.5
-# The same for endpoint records, in seconds: a gateway that follows the store gets them together, up
-# to a second late. Reads of the store can be stale, so that a gateway that has restarted would use
-# endpoints that its peers know to have left.
-ENDPOINTS_FETCH_DELAY_S = 1.5
-FETCH_TIMEOUT_S = 1.0
-# Pause after a fetch of endpoint records only, in seconds, so that the next one returns the changes
-# of several endpoints together.
-ENDPOINTS_FETCH_PAUSE_S = 0.6
-# Largest answer with the records of a peer, in bytes.
-MAX_RECORDS_BYTES = 16 << 20
-RECORDS_PATH = b"/records"
 # Number of replaced incarnations that are recorded so that their datagrams are discarded; delayed
 # datagrams are at most seconds old.
 MAX_REPLACED_INCARNATIONS = 256
@@ -69,105 +61,6 @@
 COUNTER_INTERVALS = 2.5
 # Statuses of other regions in one datagram; a status has a few hundred bytes.
 MAX_RELAYED_STATUSES = 16
-# Interval between two checks of the peers, in seconds.
-CHECK_INTERVAL_S = 0.2
-# Time after a failed call to the store for which a gateway does not follow it for others, in
-# seconds.
-STORE_DISTRUST_S = 10.0
-
-
-class EndpointStatus(msgspec.Struct, array_like=True):
-    """Load and weights versions of one endpoint, as recorded by a gateway.
-
-    :param endpoint_number: ``Endpoint.number`` of this start of the endpoint.
-    :param held_tokens: prompt tokens of the gateway's long prompts in flight at the endpoint.
-    :param weights: versions that differ from those in the record of the endpoint.
-    :param limit_per_s: requests per second that the endpoint states to take from all gateways;
-        below 0 if it states no limit.
-    :param limit_age_ms: time since that statement, in ms; below 0 if it is not reported.
-    :param wanted_per_s: requests per second that this gateway would send to it without a limit.
-    :param switching_ms: remaining time in ms for which gateways avoid the endpoint, because it is
-        about to load weights.
-    """
-
-    endpoint_number: int
-    requests: int
-    held_tokens: int = 0
-    weights: dict[str, int] = {}
-    switching_ms: int = 0
-    limit_per_s: float = -1.0
-    limit_age_ms: int = -1
-    wanted_per_s: float = 0.0
-
-
-class PlacementMessage(msgspec.Struct, array_like=True, tag="placement"):
-    """A long prompt that a gateway has just sent to an engine."""
-
-    host: str
-    placement: LongPlacement
-
-
-class Status(msgspec.Struct, array_like=True, tag="status"):
-    """Status of a gateway.
-
-    :param wanted: newest announced weights version by model.
-    :param used: tokens charged since start-up by workspace.
-    :param has_all_counters: whether ``used`` names each workspace with a charge.
-    :param members: host, IP address, incarnation and failure domain of other gateways; None if the
-        message does not list them.
-    :param store_up: whether the gateway reaches the store.
-    :param naming_ages_ms: time since the announcement of each weights version, in ms, by model and
-        version.
-    :param lease_end: offset at which the lease topic ends; -1 if unknown.
-    :param lease: holder, nonce and fence of the newest known lease record.
-    """
-
-    host: str
-    ip: str
-    domain: str
-    incarnation: int
-    sequence: int
-    config_version: int
-    wanted: dict[str, int]
-    endpoint_offset: int
-    used: dict[str, int]
-    has_all_counters: bool
-    endpoints: list[EndpointStatus]
-    members: list[tuple[str, str, int, str]] | None
-    store_up: bool
-    store_is_near: bool
-    is_stopping: bool
-    naming_ages_ms: dict[str, dict[int, int]]
-    lease_end: int
-    lease: tuple[str, str, int] | None
-
-
-class StatusToRelay(msgspec.Struct, array_like=True, tag="relay_status"):
-    """Status that the recipient passes on to the gateways of its region."""
-
-    status: Status
-
-
-class PlacementToRelay(msgspec.Struct, array_like=True, tag="relay_placement"):
-    """Placement that the recipient passes on to the gateways of its region."""
-
-    message: PlacementMessage
-
-
-class RelayedStatuses(msgspec.Struct, array_like=True, tag="relayed"):
-    """Statuses of gateways of other regions."""
-
-    statuses: list[Status]
-
-
-Message = (
-    Status
-    | PlacementMessage
-    | StatusToRelay
-    | PlacementToRelay
-    | RelayedStatuses
-    | QuarantineUpdate
-)
 
 
 class UpdateReceiver(Protocol):
@@ -180,13 +73,6 @@
         """Send what is known to a gateway that has started or was cut off."""
 
 
-class RecordSet(msgspec.Struct, array_like=True):
-    """Records of the store that a gateway has: key, value, offset."""
-
-    operators: list[tuple[str, bytes, int]]
-    endpoints: list[tuple[str, bytes, int]]
-
-
 class PeerExchange(asyncio.DatagramProtocol):
     """Sends and receives status messages.
 
@@ -195,17 +81,16 @@
     :param clock: clock of the lease.
     :ivar statuses: newest status of each reachable gateway, by host.
     :ivar endpoints_with_load: ids of the endpoints at which each gateway has reported load.
+    :ivar records: fetches records of the store from peers.
     :ivar gate: receiver of updates of the quarantine, set once it exists.
     :ivar is_urgent: whether the next status is sent to each gateway of all regions.
     :ivar to_relay: statuses to pass on to this region, by host.
-    :ivar incomplete_from: host of the peer whose last answer lacked records that it has.
     :ivar counters: last sent counter of each workspace, and the time at which it changed.
     """
 
     def __init__(self, state: GatewayState, lease: OrderLease, http: HttpClient, clock):
         self.state = state
         self.lease = lease
-        self.http = http
         self.clock = clock
         self.gate: UpdateReceiver | None = None
         self.transport: asyncio.DatagramTransport | None = None
@@ -214,15 +99,13 @@
         self.replaced: deque[tuple[str, int]] = deque(maxlen=MAX_REPLACED_INCARNATIONS)
         self.statuses: dict[str, Status] = {}
         self.endpoints_with_load: dict[str, set[str]] = {}
-        self.behind_since: float | None = None
-        self.behind_at: tuple[int, int] = (0, 0)
+        self.records = RecordFetcher(state, http, self.statuses, self.discard_unreachable)
         self.urgent_update = asyncio.Event()
         self.is_urgent = False
         self.to_relay: dict[str, Status] = {}
         self.counters: dict[str, tuple[int, float]] = {}
         self.crossed_regions_at = 0.0
         self.crossings = 0
-        self.incomplete_from: str | None = None
         self.random = random.Random()
         self.encoder = msgspec.msgpack.Encoder()
         self.decoder = msgspec.msgpack.Decoder(Message)
@@ -473,12 +356,12 @@
         That is load or a weights order of this gateway, or weights that differ from their record.
         """
         return [
-            _endpoint_status(view, now)
+            describe_endpoint(view, now)
             for view in self.state.views.values()
             if view.own.requests
             or view.own_loading_until > now
             or view.limit.is_reported(now)
-            or _newer_weights(view)
+            or newer_weights(view)
         ]
 
     # receiving
@@ -612,180 +495,3 @@
             log_message("peer_lost", host=host)
             del self.statuses[host]
             self._discard_load(host, keep=set())
-
-    # records
-
-    async def fetch_missing(self) -> None:
-        """Fetch newer records from peers if the store does not deliver them.
-
-        Discards the load of unreachable peers, too. Runs until cancelled.
-        """
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            now = self.loop.time()
-            self.discard_unreachable(now)
-            self.update_reading(now)
-            ahead = self.peer_to_fetch_from(now)
-            if ahead is None:
-                continue
-            await self._fetch(ahead)
-            if not self._lacks_operator_records(ahead):
-                await asyncio.sleep(ENDPOINTS_FETCH_PAUSE_S)
-
-    def peer_to_fetch_from(self, now: float) -> Status | None:
-        """Return the peer to fetch records from now.
-
-        None if no peer has newer ones, or the store may still deliver them.
-        """
-        state = self.state
-        ahead = self._peer_ahead()
-        if ahead is None:
-            self.behind_since = self.incomplete_from = None
-            return None
-        # A gateway that receives records is not behind since the first of them was missing.
-        position = (state.newest_offset(Topic.OPERATORS), state.endpoints.offset)
-        if self.behind_since is None or position != self.behind_at:
-            self.behind_since, self.behind_at = now, position
-        delay_s = 0.0
-        if state.reads_store and state.store_up:
-            lacks_operators = self._lacks_operator_records(ahead)
-            delay_s = FETCH_DELAY_S if lacks_operators else ENDPOINTS_FETCH_DELAY_S
-        return ahead if now - self.behind_since >= delay_s else None
-
-    def update_reading(self, now: float) -> None:
-        """Decide whether this gateway follows the store, and who follows it otherwise.
-
-        A gateway that does not follow the store takes over from the readers of its failure domain
-        whether the store is available.
-        """
-        state, settings = self.state, self.state.settings
-        reachable = [h for h in self.statuses if h in state.members]
-        candidates = [
-            host
-            for host in reachable
-            if state.members[host].failure_domain == settings.failure_domain
-            and self.statuses[host].store_up
-            and not self.statuses[host].is_stopping
-        ]
-        if state.reaches_store(now, STORE_DISTRUST_S) and not state.is_stopping:
-            candidates.append(settings.host)
-        readers = select_readers(settings.failure_domain, candidates)
-        reads = not is_large_fleet(len(reachable)) or not readers or settings.host in readers
-        if reads != state.reads_store:
-            state.reads_store = reads
-            log_message("store_reading_changed", reads_store=reads, readers=readers)
-        if not reads:
-            state.record_store_success(now)
-
-    def _peer_ahead(self) -> Status | None:
-        """Return a peer that has newer records than this gateway, one that is near if possible."""
-        settings = self.state.settings
-        ahead = [status for status in self.statuses.values() if self._lacks_records(status)]
-        return min(
-            ahead,
-            key=lambda status: (
-                # A peer whose last answer lacked records comes last.
-                status.host == self.incomplete_from,
-                not self._lacks_operator_records(status),
-                status.domain != settings.failure_domain,
-                self._region_of_domain(status.domain) != settings.region,
-                # Spreads the requests of the gateways over the peers that are ahead.
-                self.random.random(),
-            ),
-            default=None,
-        )
-
-    def _lacks_records(self, status: Status) -> bool:
-        return (
-            self._lacks_operator_records(status)
-            or status.endpoint_offset > self.state.endpoints.offset
-        )
-
-    def _lacks_operator_records(self, status: Status) -> bool:
-        state = self.state
-        has_newer_weights = any(
-            version > (state.announced[model].version if model in state.announced else 0)
-            for model, version in status.wanted.items()
-        )
-        own_version = state.config.version if state.config else 0
-        return status.config_version > own_version or has_newer_weights
-
-    async def _fetch(self, status: Status) -> None:
-        """Fetch the records of a peer that are newer than those of this gateway.
-
-        All records are fetched if the newer ones of a peer did not include what its status stated.
-        """
-        state = self.state
-        deadline = self.loop.time() + FETCH_TIMEOUT_S
-        address = f"{status.ip}:{state.settings.peer_port}"
-        target = RECORDS_PATH
-        if self.incomplete_from is None:
-            operators = state.newest_offset(Topic.OPERATORS)
-            target += b"?operators=%d&endpoints=%d" % (operators, state.endpoints.offset)
-        self.incomplete_from = None
-        try:
-            response = await self.http.call(
-                address, b"GET", target, deadline=deadline, max_body_bytes=MAX_RECORDS_BYTES
-            )
-            records = msgspec.msgpack.decode(response.body, type=RecordSet)
-        except (ConnectFailed, ConnectionBroken, ReadTimeout, msgspec.MsgspecError) as error:
-            log_message("peer_records_failed", host=status.host, reason=repr(error))
-            return
-        now = self.loop.time()
-        source = f"peer {status.host}"
-        for record in records.operators:
-            state.apply_operator_record(StoredRecord(*record), source, now)
-        for record in sorted(records.endpoints, key=lambda record: record[2]):
-            state.apply_endpoint_record(StoredRecord(*record), source, now)
-        if self._lacks_records(status):
-            self.incomplete_from = status.host
-
-    def encode_records(self, query: bytes = b"") -> bytes:
-        """Return the encoded store records of this gateway, for a peer.
-
-        :param query: offsets after which the peer needs records, by topic; all without one.
-        """
-        state = self.state
-        after = {name: int(value) for name, value in parse_qsl(query.decode())}
-        after_operators, after_endpoints = after.get("operators", -1), after.get("endpoints", -1)
-        return self.encoder.encode(
-            RecordSet(
-                [
-                    (r.key, r.value, r.offset)
-                    for r in state.operator_records.values()
-                    if r.offset > after_operators
-                ],
-                [
-                    (r.key, r.value, r.offset)
-                    for r in state.endpoint_records.values()
-                    if r.offset > after_endpoints
-                ],
-            )
-        )
-
-
-def _newer_weights(view: EndpointView) -> dict[str, int]:
-    """Return the weights versions that differ from the record of the endpoint."""
-    recorded = dict(view.endpoint.weights)
-    return {m: version for m, version in view.weights.items() if recorded.get(m) != version}
-
-
-def _endpoint_status(view: EndpointView, now: float) -> EndpointStatus:
-    own = view.own
-    return EndpointStatus(
-        view.endpoint.number,
-        own.requests,
-        own.held_tokens,
-        _newer_weights(view),
-        max(0, int((view.own_loading_until - now) * 1000)),
-        *_limit_status(view, now),
-    )
-
-
-def _limit_status(view: EndpointView, now: float) -> tuple[float, int, float]:
-    """Return limit, age of its statement in ms, and own demand, as in ``EndpointStatus``."""
-    limit = view.limit
-    if not limit.is_reported(now):
-        return -1.0, -1, 0.0
-    rate = -1.0 if limit.rate is None else limit.rate
-    return rate, int((now - limit.stated_at) * 1000), limit.tell_wants(now)
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -16,7 +16,8 @@
 from teaselpath.gateway._log import LogSink
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._orders import WeightsKeeper, boot_clock
-from teaselpath.gateway._peers import RECORDS_PATH, PeerExchange
+from teaselpath.gateway._peer_records import RECORDS_PATH
+from teaselpath.gateway._peers import PeerExchange
 from teaselpath.gateway._quarantine import QuarantineGate
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway._watch import StoreWatcher
@@ -119,7 +120,7 @@
             watcher.follow_members,
             watcher.expire_lapses,
             self.peers.run,
-            self.peers.fetch_missing,
+            self.peers.records.run,
             self.keeper.run,
             self.gate.gossip,
             self.gate.follow_store,
@@ -172,7 +173,7 @@
                 exchange.respond(200, fields, body)
             case target if target.partition(b"?")[0] == RECORDS_PATH:
                 query = target.partition(b"?")[2]
-                exchange.respond(200, [], self.peers.encode_records(query))
+                exchange.respond(200, [], self.peers.records.encode_records(query))
             case target if target.startswith(VERDICTS_PATH):
                 self._handle_verdicts(exchange)
             case _:
--- a/teaselpath/gateway/tests/test_large_fleet.py
+++ b/teaselpath/gateway/tests/test_large_fleet.py
@@ -108,7 +108,7 @@
             self.next_send_at = now + self.exchange._interval_s()
         if now >= self.next_check_at:
             self.exchange.discard_unreachable(now)
-            self.exchange.update_reading(now)
+            self.exchange.records.update_reading(now)
             self.next_check_at = now + CHECK_INTERVAL_S
 
 
@@ -280,8 +280,8 @@
         reader.state.apply_endpoint_record(endpoint_record("e", 7), "store", fleet.clock.now)
         fleet.run(2.0)
         others = [g for g in fleet.gateways if not g.state.reads_store]
-        ahead = [g.exchange.peer_to_fetch_from(fleet.clock.now) for g in others]
-        encoded = reader.exchange.encode_records(b"operators=3&endpoints=7")
+        ahead = [g.exchange.records.peer_to_fetch_from(fleet.clock.now) for g in others]
+        encoded = reader.exchange.records.encode_records(b"operators=3&endpoints=7")
         return {a.host if a else None for a in ahead}, reader.state.settings.host, encoded
 
     hosts, reader_host, encoded = in_loop(scenario)
@@ -334,7 +334,7 @@
     async def call(self, address, method, target, **options):
         self.targets.append(target)
         query = target.partition(b"?")[2]
-        return Response(ResponseHead(200), self.peer.exchange.encode_records(query))
+        return Response(ResponseHead(200), self.peer.exchange.records.encode_records(query))
 
 
 def test_only_newer_records_are_fetched_while_a_peer_stays_ahead():
@@ -344,14 +344,14 @@
         fleet = Fleet(72)
         reader, own = fleet.readers()[0], fleet.gateways[-1]
         own.state.reads_store = False
-        client = own.exchange.http = RecordClient(reader)
+        client = own.exchange.records.http = RecordClient(reader)
         for offset in range(1, 6):
             reader.state.apply_endpoint_record(
                 endpoint_record(f"e{offset}", offset), "store", fleet.clock.now
             )
             reader.exchange.sequence += 1
             status = reader.exchange._status(fleet.clock.now)
-            await own.exchange._fetch(status)
+            await own.exchange.records._fetch(status)
         return client.targets, set(own.state.views)
 
     targets, views = asyncio.run(scenario())
@@ -363,12 +363,12 @@
     async def scenario():
         fleet = Fleet(72)
         reader, own = fleet.readers()[0], fleet.gateways[-1]
-        client = own.exchange.http = RecordClient(reader)
+        client = own.exchange.records.http = RecordClient(reader)
         reader.exchange.sequence += 1
         status = reader.exchange._status(fleet.clock.now)
         status.endpoint_offset = 9
-        await own.exchange._fetch(status)
-        await own.exchange._fetch(status)
+        await own.exchange.records._fetch(status)
+        await own.exchange.records._fetch(status)
         return client.targets
 
     assert asyncio.run(scenario()) == [b"/records?operators=-1&endpoints=-1", b"/records"]
--- a/teaselpath/gateway/tests/test_peers.py
+++ b/teaselpath/gateway/tests/test_peers.py
@@ -6,12 +6,9 @@
 import pytest
 
 from teaselpath.fleet import StoredRecord
-from teaselpath.gateway._peers import (
-    ENDPOINTS_FETCH_DELAY_S,
-    PeerExchange,
-    PlacementMessage,
-    RecordSet,
-)
+from teaselpath.gateway._peer_messages import PlacementMessage, RecordSet
+from teaselpath.gateway._peer_records import ENDPOINTS_FETCH_DELAY_S
+from teaselpath.gateway._peers import PeerExchange
 from teaselpath.gateway._state import GatewayState, LongPlacement
 from teaselpath.gateway.tests.conftest import SETTINGS, endpoint_record
 from teaselpath.http1 import HttpClient
@@ -150,10 +147,10 @@
         own.state.store_regained_at = now - 60.0
         own.state.reads_store = reads_store
         own.datagram_received(status_of(other, "gw-1", 5, 1), None)
-        early = own.peer_to_fetch_from(now)
-        found = own.peer_to_fetch_from(now + ENDPOINTS_FETCH_DELAY_S)
+        early = own.records.peer_to_fetch_from(now)
+        found = own.records.peer_to_fetch_from(now + ENDPOINTS_FETCH_DELAY_S)
         query = b"endpoints=%d" % own.state.endpoints.offset
-        for key, value, offset in endpoint_records(other.encode_records(query)):
+        for key, value, offset in endpoint_records(other.records.encode_records(query)):
             own.state.apply_endpoint_record(StoredRecord(key, value, offset), "peer", now)
         return early is None, found.host, set(own.state.views)
 
