Limits: a gateway counts the lowest demand for itself that others may count for it

Each counted its own demand of 2 s ago and the newest of the others: while demand falls, own parts are too large everywhere.

Now the lowest of the demands told in that time counts: no other gateway counts less for this one, so the parts add up to 1 at most, whether demand rises or falls.

--- a/teaselpath/dispatch/_endpoint_limit.py
+++ b/teaselpath/dispatch/_endpoint_limit.py
@@ -24,6 +24,8 @@
 # Gateways that get a part of a limit, as a time: as many as the endpoint takes requests in it, in
 # seconds. Each may hold a request.
 HELD_S = 1.0
+# Own demands that are remembered; more are told in a time in which others learn them.
+MAX_TOLD = 64
 # Time after its end for which a limit is still reported as ended, in seconds.
 REPORTED_S = 5.0
 
@@ -71,7 +73,7 @@
         self.sends: deque[float] = deque()
         self.wants: deque[float] = deque()
         self.peer_wants: dict[str, float] = {}
-        self.told_wants: deque[tuple[float, float]] = deque([(float("-inf"), 0.0)], maxlen=16)
+        self.told_wants: deque[tuple[float, float]] = deque([(float("-inf"), 0.0)])
 
     # statements
 
@@ -162,17 +164,20 @@
         """Return the own demand for a message to the others, and remember it."""
         wanted = round(self.wanted_per_s(now), 2)
         self.told_wants.append((now, wanted))
+        if len(self.told_wants) > MAX_TOLD:
+            self.told_wants.popleft()
         return wanted
 
     def known_wants(self, now: float, delay_s: float) -> float:
-        """Return the own demand that the others have known for ``delay_s``.
+        """Return the lowest own demand that another gateway may count for this one.
 
-        A gateway that counted its newest demand would take a part that the others still use.
+        A gateway that counted more for itself than others do would take a part of theirs.
+
+        :param delay_s: time in which the others learn what they are told.
         """
-        return max(
-            ((at, wanted) for at, wanted in self.told_wants if at <= now - delay_s),
-            default=self.told_wants[0],
-        )[1]
+        while len(self.told_wants) > 1 and self.told_wants[1][0] <= now - delay_s:
+            self.told_wants.popleft()
+        return min(wanted for _, wanted in self.told_wants)
 
 
 def _count_since(times: deque[float], since: float) -> int:
--- a/teaselpath/dispatch/tests/test_endpoint_limit.py
+++ b/teaselpath/dispatch/tests/test_endpoint_limit.py
@@ -28,10 +28,10 @@
     is_up: bool = True
     backlog: int = 0
 
-    def split(self, now):
+    def split(self, now, delay_s):
         peers = [host for host, at in self.heard_at.items() if now - at < SILENT_S]
         wants = {peer: self.limit.peer_wants.get(peer, 0.0) for peer in peers}
-        wants[self.host] = self.limit.known_wants(now, DELAY_S)
+        wants[self.host] = self.limit.known_wants(now, delay_s)
         share = split_limit(self.host, "e", self.limit.usable_rate, wants)
         self.limit.set_share(share, first_level(self.host, "e"), now)
 
@@ -42,7 +42,8 @@
     :param demand: requests per second of each gateway, by time.
     """
 
-    def __init__(self, random, count, rate, demand, loss=0.05):
+    def __init__(self, random, count, rate, demand, loss=0.05, status_s=STATUS_S, delay_s=DELAY_S):
+        self.status_s, self.delay_s = status_s, delay_s
         self.random, self.rate, self.demand, self.loss = random, rate, demand, loss
         self.gateways = [Gateway(f"gw-{n}") for n in range(count)]
         self.messages = []
@@ -64,8 +65,8 @@
 
     def _step(self, n, gateway, tick, now):
         if tick % int(SPLIT_S / TICK_S) == n % int(SPLIT_S / TICK_S):
-            gateway.split(now)
-        if tick % int(STATUS_S / TICK_S) == n % int(STATUS_S / TICK_S):
+            gateway.split(now, self.delay_s)
+        if tick % int(self.status_s / TICK_S) == n % int(self.status_s / TICK_S):
             wanted = gateway.limit.tell_wants(now)
             for other in self.gateways:
                 is_cut = (gateway.host in self.cut) != (other.host in self.cut)
@@ -130,6 +131,17 @@
     assert fleet.most_in_window() <= fleet.allowed()
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("period_s", [2.0, 5.0])
+def test_sum_holds_while_demand_comes_and_goes_in_a_fleet_that_learns_of_it_late(seed, period_s):
+    fleet = Fleet(
+        Random(seed), 24, 8.0, lambda n, now: 1.0 if now % (2 * period_s) < period_s else 0.05,
+        status_s=0.8, delay_s=2.0,
+    )  # fmt: skip
+    fleet.run(24.0)
+    assert fleet.most_in_window() <= fleet.allowed()
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_sum_holds_when_all_gateways_begin_to_send_at_once(seed):
     fleet = Fleet(Random(seed), 24, 6.0, lambda n, now: 0.0 if now < 9.0 else 5.0)
