Limits: large fleets use more of a limit

Demand was counted over 4 s, so the lowest of a few seconds is far below the mean, and close demands moved the parts from gateway to gateway.

Demand is counted over 8 s, parts go to as many gateways as the endpoint takes requests in 1.5 s, ranked by powers of four of their demand, and large fleets learn of demand within 1.5 s.

--- a/teaselpath/dispatch/_endpoint_limit.py
+++ b/teaselpath/dispatch/_endpoint_limit.py
@@ -12,18 +12,21 @@
 
 from teaselpath.utils import rendezvous_rank
 
-# Window in which own sends, and requests that would have been sent, are counted, in seconds.
+# Window in which own sends are counted, in seconds.
 SEND_WINDOW_S = 4.0
+# Window in which requests that would have been sent are counted, in seconds. It is longer, since the
+# lowest count of some seconds is used.
+WANT_WINDOW_S = 8.0
 # Lowest rate, in requests per second. An endpoint that states less gets this much all the same:
 # only an answer can say that it no longer needs relief.
 MIN_RATE_PER_S = 0.25
 # Part that a gateway may send at once, in seconds of it, if that is more than a request.
-BURST_S = 1.0
+BURST_S = 0.5
 # Part of a limit that is split evenly, so that each gateway can begin to send.
 EVEN_FRACTION = 0.1
 # Gateways that get a part of a limit, as a time: as many as the endpoint takes requests in it, in
 # seconds. Each may hold a request.
-HELD_S = 1.0
+HELD_S = 1.5
 # Own demands that are remembered; more are told in a time in which others learn them.
 MAX_TOLD = 64
 # Time after its end for which a limit is still reported as ended, in seconds.
@@ -158,7 +161,7 @@
 
     def wanted_per_s(self, now: float) -> float:
         """Return the requests per second for which the endpoint was the best choice."""
-        return _count_since(self.wants, now - SEND_WINDOW_S) / SEND_WINDOW_S
+        return _count_since(self.wants, now - WANT_WINDOW_S) / WANT_WINDOW_S
 
     def tell_wants(self, now: float) -> float:
         """Return the own demand for a message to the others, and remember it."""
@@ -203,7 +206,7 @@
         key = endpoint_id.encode()
         ranked = sorted(
             weights,
-            key=lambda name: (frexp(weights[name])[1], rendezvous_rank(key, name)),
+            key=lambda name: (frexp(weights[name])[1] // 2, rendezvous_rank(key, name)),
             reverse=True,
         )
         weights = {name: weights[name] for name in ranked[:owners]}
--- a/teaselpath/dispatch/tests/test_endpoint_limit.py
+++ b/teaselpath/dispatch/tests/test_endpoint_limit.py
@@ -136,7 +136,7 @@
 def test_sum_holds_while_demand_comes_and_goes_in_a_fleet_that_learns_of_it_late(seed, period_s):
     fleet = Fleet(
         Random(seed), 24, 8.0, lambda n, now: 1.0 if now % (2 * period_s) < period_s else 0.05,
-        status_s=0.8, delay_s=2.0,
+        status_s=0.8, delay_s=1.5,
     )  # fmt: skip
     fleet.run(24.0)
     assert fleet.most_in_window() <= fleet.allowed()
--- a/teaselpath/gateway/_limits.py
+++ b/teaselpath/gateway/_limits.py
@@ -13,7 +13,7 @@
 # Time in which the other gateways learn of a changed demand, in seconds, and the same in a large
 # fleet.
 DEMAND_DELAY_S = 0.3
-LARGE_FLEET_DEMAND_DELAY_S = 2.0
+LARGE_FLEET_DEMAND_DELAY_S = 1.5
 # Time for which the part of a silent gateway is left to it, in seconds: it may be cut off from this
 # one only.
 SILENT_S = 10.0
