--- a/teaselpath/dispatch/_endpoint_limit.py
+++ b/teaselpath/dispatch/_endpoint_limit.py
@@ -14,8 +14,8 @@
 
 # Window in which own sends are counted, in seconds.
 SEND_WINDOW_S = 4.0
-# Window in which requests that would have been sent are counted, in seconds. It is longer, since the
-# lowest count of some seconds is used.
+# Window in which requests that would have been sent are counted, in seconds. It is longer, since
+# the lowest count of some seconds is used.
 WANT_WINDOW_S = 8.0
 # Lowest rate, in requests per second. An endpoint that states less gets this much all the same:
 # only an answer can say that it no longer needs relief.
