--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -282,6 +282,8 @@
         call.lost_engine = attempt.engine_end is not None and await attempt.engine_end
         self.gate.end_trial(call)
         now = self.loop.time()
+        if call.lost_engine:
+            view.health.record_unreachable(now)
         self._record_outcome(call, placed, outcome, now)
         call.was_sent = call.progress.runs > 0
         call.attempts.append(
