Quarantine: all suspect parts of a request are judged together; each failed trial counts

1. test_part_is_judged_at_all_gateways_while_the_store_is_away failed 2 of 8 times (mode reset) with 6 ended engines, 5 are allowed. Traced: its engines end 0.16 s after each other, in trials, and ends within 0.25 s counted once. Trials of a part run one after another, so each counts now. All suspect parts of the request are judged together now, so that only requests that hold them all are refused; an answer takes a sound one out.

--- a/teaselpath/quarantine/_core.py
+++ b/teaselpath/quarantine/_core.py
@@ -146,23 +146,23 @@
     def judge(self, parts: tuple[str, ...], now: float) -> Verdict | None:
         """Issue a verdict on the parts of a failed trial if the evidence suffices.
 
-        Where it fits several parts, those that no engine has answered on are judged if there are
-        any, and else all of them together.
+        All suspect parts of the request are judged together, also those with fewer ends: a part
+        that several deadly ones come with has more ends than each of them. Those that no engine
+        has answered on are judged alone if there are any.
         """
         observed = frozenset(parts[:MAX_OBSERVED_PARTS])
         if self.table.find(observed, now) is not None:
             return None
-        counts = {
-            part: self.count_ends(part, now)
-            for part in observed
-            if self._count_failed_trials(part) >= VERDICT_TRIALS
-        }
-        most = max(counts.values(), default=0)
-        if most < VERDICT_ENDS:
+        counts = {part: self.count_ends(part, now) for part in observed}
+        suspects = {part for part, count in counts.items() if count >= SUSPECT_ENDS}
+        ends = max(
+            (counts[p] for p in suspects if self._count_failed_trials(p) >= VERDICT_TRIALS),
+            default=0,
+        )
+        if ends < VERDICT_ENDS:
             return None
-        judged = {part for part, count in counts.items() if count == most}
-        unproven = {part for part in judged if not self.evidence.was_sound(part, now)}
-        return self.table.issue(frozenset(unproven or judged), most, self.host, now)
+        unproven = {part for part in suspects if not self.evidence.was_sound(part, now)}
+        return self.table.issue(frozenset(unproven or suspects), ends, self.host, now)
 
     def record_sound(self, parts: tuple[str, ...], at: float) -> list[str]:
         """Record that an engine has answered on parts; return those that were suspects."""
--- a/teaselpath/quarantine/_evidence.py
+++ b/teaselpath/quarantine/_evidence.py
@@ -129,12 +129,13 @@
         return now - self.sound_at.get(part, float("-inf")) < SOUND_S
 
     def count_ends(self, part: str, now: float) -> int:
-        """Return the number of times that engines ended since the part was last answered on."""
-        suspect = self.suspects.get(part)
-        if suspect is None:
-            return 0
-        count, last = 0, float("-inf")
-        for at in sorted(end.at for end in suspect.ends.values() if now - end.at < EVIDENCE_S):
+        """Return the number of times that engines ended since the part was last answered on.
+
+        Trials of a part run one after another, so each counts, however soon it fails.
+        """
+        ends = [end for end in self.ends_of(part).values() if now - end.at < EVIDENCE_S]
+        count, last = sum(end.is_trial for end in ends), float("-inf")
+        for at in sorted(end.at for end in ends if not end.is_trial):
             if at - last >= GROUP_S:
                 count, last = count + 1, at
         return count
