Limits and quarantine: terms of the field, synchronization with the store in a file of its own

Demand, share and token bucket instead of wants and parts; VerdictSynchronizer takes the store out of QuarantineGate. No change of behaviour; tests of gateway, dispatch and quarantine pass.

--- a/teaselpath/dispatch/_endpoint_limit.py
+++ b/teaselpath/dispatch/_endpoint_limit.py
@@ -1,9 +1,8 @@
 """Limit on the requests per second that an endpoint takes from all gateways together.
 
-An endpoint states it in its answers for as long as it needs relief. The gateways split it by what
-they would send to the endpoint without a limit, and each sends its part evenly: at no time does it
-hold more than a request, or ``BURST_S`` of its part. Times are in seconds, from the steady clock of
-this gateway.
+An endpoint states it in its answers for as long as it is overloaded. The gateways split it by their
+demand for the endpoint, and each has a token bucket for its share, with room for one request or
+``BURST_S`` of the share. Times are in seconds, from the steady clock of this gateway.
 """
 
 from collections import deque
@@ -14,54 +13,54 @@
 
 # Window in which own sends are counted, in seconds.
 SEND_WINDOW_S = 4.0
-# Window in which requests that would have been sent are counted, in seconds. It is longer, since
-# the lowest count of some seconds is used.
-WANT_WINDOW_S = 8.0
+# Window in which demand is counted, in seconds. It is longer than the delay between gateways, over
+# which the lowest count is used.
+DEMAND_WINDOW_S = 8.0
 # Lowest rate, in requests per second. An endpoint that states less gets this much all the same:
-# only an answer can say that it no longer needs relief.
+# only an answer can end the limit.
 MIN_RATE_PER_S = 0.25
-# Part that a gateway may send at once, in seconds of it, if that is more than a request.
+# Capacity of a token bucket, in seconds of the share; at least one request.
 BURST_S = 0.5
-# Part of a limit that is split evenly, so that each gateway can begin to send.
+# Fraction of the demand that is split evenly, so that each gateway can begin to send.
 EVEN_FRACTION = 0.1
-# Gateways that get a part of a limit, as a time: as many as the endpoint takes requests in it, in
-# seconds. Each may hold a request.
+# Time in which an endpoint takes as many requests as there are gateways with a share of its limit,
+# in seconds. The bucket of each holds a request.
 HELD_S = 1.5
-# Own demands that are remembered; more are told in a time in which others learn them.
-MAX_TOLD = 64
+# Reports of the own demand that are kept; fewer are sent within the delay between gateways.
+MAX_REPORTS = 64
 # Time after its end for which a limit is still reported as ended, in seconds.
 REPORTED_S = 5.0
 
 
 class EndpointLimit:
-    """Newest statement of an endpoint about its limit, and this gateway's part of it.
+    """Newest limit that an endpoint has stated, and this gateway's share of it.
 
     :ivar rate: requests per second; None if the endpoint states no limit.
     :ivar stated_at: time of that statement.
     :ivar changed_at: time at which the limit last began, changed or ended.
-    :ivar own_rate: part of this gateway, in requests per second.
-    :ivar owned_at: time at which this gateway last had a part.
-    :ivar is_split: whether this gateway has got its part since the limit began.
-    :ivar level: requests that may be sent now.
+    :ivar own_rate: share of this gateway, in requests per second.
+    :ivar owned_at: time at which this gateway last had a share.
+    :ivar is_split: whether the share was set since the limit began.
+    :ivar level: requests in the token bucket.
     :ivar sends: times of the sends of this gateway in the last ``SEND_WINDOW_S``.
-    :ivar wants: times at which the endpoint was the best choice for a request, sent there or not.
-    :ivar peer_wants: wanted requests per second of other gateways, by host.
-    :ivar told_wants: time and value of the own wanted requests per second, as told to the others.
+    :ivar demands: times at which the endpoint was the best choice for a request, sent there or not.
+    :ivar peer_demand: demand of other gateways in requests per second, by host.
+    :ivar reported_demand: time and value of the latest reports of the own demand.
     """
 
     __slots__ = (
         "changed_at",
+        "demands",
         "is_split",
         "level",
         "level_at",
         "own_rate",
         "owned_at",
-        "peer_wants",
+        "peer_demand",
         "rate",
+        "reported_demand",
         "sends",
         "stated_at",
-        "told_wants",
-        "wants",
     )
 
     def __init__(self) -> None:
@@ -74,9 +73,9 @@
         self.level = 0.0
         self.level_at = float("-inf")
         self.sends: deque[float] = deque()
-        self.wants: deque[float] = deque()
-        self.peer_wants: dict[str, float] = {}
-        self.told_wants: deque[tuple[float, float]] = deque([(float("-inf"), 0.0)])
+        self.demands: deque[float] = deque()
+        self.peer_demand: dict[str, float] = {}
+        self.reported_demand: deque[tuple[float, float]] = deque([(float("-inf"), 0.0)])
 
     # statements
 
@@ -96,7 +95,7 @@
         return True
 
     def is_reported(self, now: float) -> bool:
-        """Return whether the other gateways are told of the limit, or of its end."""
+        """Return whether messages to other gateways contain the limit, or its end."""
         return self.rate is not None or now - self.changed_at < REPORTED_S
 
     @property
@@ -104,13 +103,13 @@
         """Return the requests per second that all gateways together may send."""
         return max(MIN_RATE_PER_S, self.rate or 0.0)
 
-    # this gateway's part
+    # share of this gateway
 
     def set_share(self, share: float, first_level: float, now: float) -> None:
-        """Set this gateway's part of the limit.
+        """Set the share of this gateway.
 
         :param share: from 0 to 1.
-        :param first_level: requests that it holds when the limit begins.
+        :param first_level: level of the token bucket when the limit begins.
         """
         self._refill(now)
         if not self.is_split:
@@ -154,33 +153,33 @@
 
     # demand
 
-    def record_want(self, now: float) -> None:
+    def record_demand(self, now: float) -> None:
         """Record that the endpoint was the best choice for a request."""
-        self.wants.append(now)
-        self.wanted_per_s(now)
+        self.demands.append(now)
+        self.demand_per_s(now)
 
-    def wanted_per_s(self, now: float) -> float:
+    def demand_per_s(self, now: float) -> float:
         """Return the requests per second for which the endpoint was the best choice."""
-        return _count_since(self.wants, now - WANT_WINDOW_S) / WANT_WINDOW_S
+        return _count_since(self.demands, now - DEMAND_WINDOW_S) / DEMAND_WINDOW_S
 
-    def tell_wants(self, now: float) -> float:
-        """Return the own demand for a message to the others, and remember it."""
-        wanted = round(self.wanted_per_s(now), 2)
-        self.told_wants.append((now, wanted))
-        if len(self.told_wants) > MAX_TOLD:
-            self.told_wants.popleft()
-        return wanted
+    def report_demand(self, now: float) -> float:
+        """Return the own demand for a message to the other gateways, and record the report."""
+        demand = round(self.demand_per_s(now), 2)
+        self.reported_demand.append((now, demand))
+        if len(self.reported_demand) > MAX_REPORTS:
+            self.reported_demand.popleft()
+        return demand
 
-    def known_wants(self, now: float, delay_s: float) -> float:
-        """Return the lowest own demand that another gateway may count for this one.
+    def settled_demand(self, now: float, delay_s: float) -> float:
+        """Return the lowest own demand that another gateway may assume.
 
-        A gateway that counted more for itself than others do would take a part of theirs.
+        A higher value would give this gateway a share that others use as well.
 
-        :param delay_s: time in which the others learn what they are told.
+        :param delay_s: time in which a report reaches all gateways.
         """
-        while len(self.told_wants) > 1 and self.told_wants[1][0] <= now - delay_s:
-            self.told_wants.popleft()
-        return min(wanted for _, wanted in self.told_wants)
+        while len(self.reported_demand) > 1 and self.reported_demand[1][0] <= now - delay_s:
+            self.reported_demand.popleft()
+        return min(demand for _, demand in self.reported_demand)
 
 
 def _count_since(times: deque[float], since: float) -> int:
@@ -189,18 +188,18 @@
     return len(times)
 
 
-def split_limit(host: str, endpoint_id: str, rate: float, wants: Mapping[str, float]) -> float:
-    """Return a gateway's part of an endpoint's limit, from 0 to 1.
+def split_limit(host: str, endpoint_id: str, rate: float, demand: Mapping[str, float]) -> float:
+    """Return a gateway's share of an endpoint's limit, from 0 to 1.
 
-    Gateways with the same ``wants`` get parts with a sum of 1. Of a limit that is low for the
-    number of gateways, only some get a part, since each may hold a request: those with most demand,
-    and by rendezvous hash those with about the same.
+    The shares that gateways compute from the same ``demand`` add up to 1. If the limit is low for
+    the number of gateways, only those with the highest demand get a share; a rendezvous hash
+    decides between about equal ones, so that shares rarely move.
 
-    :param wants: wanted requests per second of each gateway that may be running, by host.
+    :param demand: demand in requests per second of each gateway that may be running, by host.
     """
-    total = sum(wants.values())
-    even = (EVEN_FRACTION * total if total else 1.0) / len(wants)
-    weights = {name: wanted + even for name, wanted in wants.items()}
+    total = sum(demand.values())
+    even = (EVEN_FRACTION * total if total else 1.0) / len(demand)
+    weights = {name: own + even for name, own in demand.items()}
     owners = max(1, int(HELD_S * rate))
     if owners < len(weights):
         key = endpoint_id.encode()
@@ -214,8 +213,8 @@
 
 
 def first_level(host: str, endpoint_id: str) -> float:
-    """Return the requests that a gateway holds when a limit begins, from 0 to 1.
+    """Return the level of a gateway's token bucket when a limit begins, from 0 to 1.
 
-    It differs between gateways, so that their first requests do not come at the same time.
+    It differs between gateways, so that they do not send their first requests at the same time.
     """
     return rendezvous_rank(endpoint_id.encode(), host) / 2**64
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -106,15 +106,15 @@
         cost_s = candidate.cost_s + endangered * ENDANGERED_REQUEST_COST_S
         return cost_s, candidate.view.endpoint.endpoint_id
 
-    wanted = min(candidates, key=sort_key).view
+    first_choice = min(candidates, key=sort_key).view
     permitted = [candidate for candidate in candidates if candidate.view.limit.can_send(now)]
     if not permitted:
         if any(view.limit.rate is None for view in available):
             # Such an engine will have read its backlog before long.
-            return NoEndpoint("reading", 0.5, wanted)
+            return NoEndpoint("reading", 0.5, first_choice)
         wait_s = min(candidate.view.limit.wait_s(now) for candidate in candidates)
-        return NoEndpoint("limited", wait_s, wanted)
-    best = replace(min(permitted, key=sort_key), wanted=wanted)
+        return NoEndpoint("limited", wait_s, first_choice)
+    best = replace(min(permitted, key=sort_key), first_choice=first_choice)
     return add_save_target(best, demand, topology, now)
 
 
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -187,7 +187,7 @@
     :param fetch_from: address of an engine or store from which it may fetch parts.
     :param fetched_tokens: tokens that it is expected to fetch.
     :param save_to: address of the store to which it saves the shared parts.
-    :param wanted: the endpoint that would have been chosen if none stated a limit.
+    :param first_choice: the endpoint that would have been chosen if none stated a limit.
     """
 
     view: EndpointView
@@ -198,7 +198,7 @@
     fetch_from: str | None = None
     fetched_tokens: int = 0
     save_to: str | None = None
-    wanted: EndpointView | None = None
+    first_choice: EndpointView | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -208,15 +208,15 @@
     :param reason: ``none_listed``: the service has no ready endpoint; ``unreachable``: the request
         was already sent to all of them; ``switching``: all load weights or have outdated ones;
         ``full``: all have too many requests; ``reading``: all have too much prefill backlog or too
-        little KV cache capacity for the prompt; ``limited``: this gateway has used its part of the
-        limits that all state. The gateway adds ``queue``: the wait in its queue
+        little KV cache capacity for the prompt; ``limited``: this gateway has used its shares of
+        the limits that all state. The gateway adds ``queue``: the wait in its queue
         is or would be too long.
-    :param wanted: as in ``Placed``.
+    :param first_choice: as in ``Placed``.
     """
 
     reason: str
     retry_after_s: float
-    wanted: EndpointView | None = None
+    first_choice: EndpointView | None = None
 
 
 @dataclass(slots=True)
--- a/teaselpath/dispatch/tests/test_endpoint_limit.py
+++ b/teaselpath/dispatch/tests/test_endpoint_limit.py
@@ -30,9 +30,9 @@
 
     def split(self, now, delay_s):
         peers = [host for host, at in self.heard_at.items() if now - at < SILENT_S]
-        wants = {peer: self.limit.peer_wants.get(peer, 0.0) for peer in peers}
-        wants[self.host] = self.limit.known_wants(now, delay_s)
-        share = split_limit(self.host, "e", self.limit.usable_rate, wants)
+        demands = {peer: self.limit.peer_demand.get(peer, 0.0) for peer in peers}
+        demands[self.host] = self.limit.settled_demand(now, delay_s)
+        share = split_limit(self.host, "e", self.limit.usable_rate, demands)
         self.limit.set_share(share, first_level(self.host, "e"), now)
 
 
@@ -67,14 +67,14 @@
         if tick % int(SPLIT_S / TICK_S) == n % int(SPLIT_S / TICK_S):
             gateway.split(now, self.delay_s)
         if tick % int(self.status_s / TICK_S) == n % int(self.status_s / TICK_S):
-            wanted = gateway.limit.tell_wants(now)
+            demand = gateway.limit.report_demand(now)
             for other in self.gateways:
                 is_cut = (gateway.host in self.cut) != (other.host in self.cut)
                 if other is not gateway and not is_cut and self.random.random() >= self.loss:
                     delay_s = self.random.uniform(0.001, 0.06)
-                    self.messages.append((now + delay_s, other, gateway.host, wanted))
+                    self.messages.append((now + delay_s, other, gateway.host, demand))
         if self.random.random() < self.demand(n, now) * TICK_S:
-            gateway.limit.record_want(now)
+            gateway.limit.record_demand(now)
             gateway.backlog = min(gateway.backlog + 1, 3)
         while gateway.backlog and gateway.limit.can_send(now):
             gateway.backlog -= 1
@@ -84,9 +84,9 @@
     def _deliver(self, now):
         due = [m for m in self.messages if m[0] <= now]
         self.messages = [m for m in self.messages if m[0] > now]
-        for _, gateway, host, wanted in due:
+        for _, gateway, host, demand in due:
             gateway.heard_at[host] = now
-            gateway.limit.peer_wants[host] = wanted
+            gateway.limit.peer_demand[host] = demand
 
     def most_in_window(self, excused=()):
         times = [at for at, host in self.sends if at >= SETTLED_S and host not in excused]
--- a/teaselpath/gateway/_limits.py
+++ b/teaselpath/gateway/_limits.py
@@ -1,4 +1,4 @@
-"""This gateway's part of the limits that endpoints state."""
+"""This gateway's shares of the limits that endpoints state."""
 
 import asyncio
 
@@ -8,14 +8,12 @@
 from teaselpath.exchange import is_large_fleet
 from teaselpath.gateway._state import GatewayState
 
-# Interval at which limits are split anew, in seconds.
+# Interval at which shares are computed, in seconds.
 SPLIT_INTERVAL_S = 0.1
-# Time in which the other gateways learn of a changed demand, in seconds, and the same in a large
-# fleet.
+# Time in which a report of demand reaches all gateways, in seconds, and the same in a large fleet.
 DEMAND_DELAY_S = 0.3
 LARGE_FLEET_DEMAND_DELAY_S = 1.5
-# Time for which the part of a silent gateway is left to it, in seconds: it may be cut off from this
-# one only.
+# Time for which a silent gateway keeps its share, in seconds: it may be cut off from this one only.
 SILENT_S = 10.0
 # Time for which a gateway that was listed but sent nothing counts, in seconds.
 LISTED_S = 5.0
@@ -43,16 +41,16 @@
                 _log_limits(limited, now)
 
     def split(self, limited: list[EndpointView], now: float) -> None:
-        """Set this gateway's part of each limit."""
+        """Set this gateway's share of each limit."""
         host = self.state.settings.host
         is_large = is_large_fleet(len(self.state.members))
         delay_s = LARGE_FLEET_DEMAND_DELAY_S if is_large else DEMAND_DELAY_S
         peers = self._possible_peers(now)
         for view in limited:
             limit, endpoint_id = view.limit, view.endpoint.endpoint_id
-            wants = {peer: limit.peer_wants.get(peer, 0.0) for peer in peers}
-            wants[host] = limit.known_wants(now, delay_s)
-            share = split_limit(host, endpoint_id, limit.usable_rate, wants)
+            demand = {peer: limit.peer_demand.get(peer, 0.0) for peer in peers}
+            demand[host] = limit.settled_demand(now, delay_s)
+            share = split_limit(host, endpoint_id, limit.usable_rate, demand)
             limit.set_share(share, first_level(host, endpoint_id), now)
 
     def _possible_peers(self, now: float) -> list[str]:
--- a/teaselpath/gateway/_peer_messages.py
+++ b/teaselpath/gateway/_peer_messages.py
@@ -16,7 +16,7 @@
     :param limit_per_s: requests per second that the endpoint states to take from all gateways;
         below 0 if it states no limit.
     :param limit_age_ms: time since that statement, in ms; below 0 if it is not reported.
-    :param wanted_per_s: requests per second that this gateway would send to it without a limit.
+    :param demand_per_s: requests per second that this gateway would send to it without a limit.
     :param switching_ms: remaining time in ms for which gateways avoid the endpoint, because it is
         about to load weights.
     """
@@ -28,7 +28,7 @@
     switching_ms: int = 0
     limit_per_s: float = -1.0
     limit_age_ms: int = -1
-    wanted_per_s: float = 0.0
+    demand_per_s: float = 0.0
 
 
 class PlacementMessage(msgspec.Struct, array_like=True, tag="placement"):
@@ -133,4 +133,4 @@
     if not limit.is_reported(now):
         return -1.0, -1, 0.0
     rate = -1.0 if limit.rate is None else limit.rate
-    return rate, int((now - limit.stated_at) * 1000), limit.tell_wants(now)
+    return rate, int((now - limit.stated_at) * 1000), limit.report_demand(now)
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -455,9 +455,9 @@
         self, host: str, endpoint_status: EndpointStatus, view: EndpointView, now: float
     ) -> None:
         if endpoint_status.limit_age_ms < 0:
-            view.limit.peer_wants.pop(host, None)
+            view.limit.peer_demand.pop(host, None)
             return
-        view.limit.peer_wants[host] = endpoint_status.wanted_per_s
+        view.limit.peer_demand[host] = endpoint_status.demand_per_s
         rate = endpoint_status.limit_per_s if endpoint_status.limit_per_s >= 0.0 else None
         if view.limit.record_statement(rate, now - endpoint_status.limit_age_ms / 1000):
             log_message(
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -61,8 +61,8 @@
         priority = RESUMED_PRIORITY if call.splitter.count else call.priority
         queued_request = QueuedRequest(call.service.name, priority, tokens, call.deadline)
         choice = self._place(call, now)
-        if choice.wanted is not None:
-            choice.wanted.limit.record_want(now)
+        if choice.first_choice is not None:
+            choice.first_choice.limit.record_demand(now)
         if isinstance(choice, Placed) and (
             tokens < LONG_PROMPT_TOKENS or not self.queue.has_requests_ahead(queued_request)
         ):
--- a/teaselpath/gateway/_quarantine.py
+++ b/teaselpath/gateway/_quarantine.py
@@ -2,17 +2,16 @@
 
 import asyncio
 import random
-import time
 from dataclasses import dataclass
 from typing import Protocol
 
-import msgspec
 from eliot import log_message
 
-from teaselpath.fleet import MetadataStore, StoredRecord, StoreError, Topic
+from teaselpath.fleet import MetadataStore
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._engine_ends import EngineEnd
 from teaselpath.gateway._metrics import GatewayMetrics
+from teaselpath.gateway._verdict_store import VerdictSynchronizer
 from teaselpath.quarantine import (
     JUDGE_DELAY_S,
     SETTLE_S,
@@ -48,26 +47,6 @@
 # Interval at which a gateway tells others everything that it knows, in seconds, and their number.
 GOSSIP_INTERVAL_S = 1.0
 GOSSIP_TARGETS = 2
-# Interval at which verdicts are read from the store, and delay after a failed call, in seconds.
-READ_INTERVAL_S = 24.0
-RETRY_DELAY_S = 1.0
-
-
-class VerdictRecord(msgspec.Struct):
-    """Verdict in the store.
-
-    :param issued_at_ms: Unix time.
-    :param expires_at_ms: Unix time.
-    :param is_lifted: whether it was lifted, by an operator or by answers on its parts.
-    """
-
-    parts: list[str]
-    issued_at_ms: int
-    expires_at_ms: int
-    ends: int
-    strikes: int
-    host: str
-    is_lifted: bool = False
 
 
 class UpdateChannel(Protocol):
@@ -96,28 +75,28 @@
     """Decides which requests are sent, and keeps evidence, trials and verdicts up to date.
 
     :param host: own host.
-    :ivar unwritten: records that the store does not have yet, by verdict.
+    :ivar has_snapshot: whether a peer has sent everything that it knows.
+    :ivar synchronizer: reads and writes the verdicts of the store.
     """
 
     def __init__(
         self, host: str, store: MetadataStore, metrics: GatewayMetrics, channel: UpdateChannel
     ):
         self.quarantine = Quarantine(host)
-        self.store = store
         self.metrics = metrics
         self.channel = channel
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
-        self.has_read = False
-        self.unwritten: dict[str, VerdictRecord] = {}
-        self.must_write = asyncio.Event()
+        self.has_snapshot = False
+        self.synchronizer = VerdictSynchronizer(self.quarantine, store, self._log_learned)
         self.random = random.Random()
 
     # requests
 
     def is_informed(self) -> bool:
         """Return whether the verdicts are known, or cannot be learned soon."""
-        return self.has_read or self.loop.time() - self.started_at > INFORM_S
+        is_late = self.loop.time() - self.started_at > INFORM_S
+        return self.synchronizer.has_read or self.has_snapshot or is_late
 
     async def admit(self, call: Call) -> Quarantined | None:
         """Wait until a request may be sent; return why it may not.
@@ -222,7 +201,7 @@
         for verdict in before.values():
             if verdict.verdict_id not in self.quarantine.table.verdicts:
                 self._log_lifted(verdict, "answer")
-                self._write(verdict, is_lifted=True)
+                self.synchronizer.write(verdict, is_lifted=True)
 
     def handle_end(self, end: EngineEnd) -> None:
         """Record the end of an engine as evidence, and judge the parts of a trial."""
@@ -248,7 +227,7 @@
             notes = [verdict_note(verdict, now)]
             self.channel.publish(QuarantineUpdate(self.quarantine.host, verdicts=notes))
             self._log_issued(verdict, now)
-            self._write(verdict)
+            self.synchronizer.write(verdict)
 
     def _log_suspects(self, parts: list[str], now: float) -> None:
         suspects = [part for part in parts if self.quarantine.count_ends(part, now) >= SUSPECT_ENDS]
@@ -293,7 +272,7 @@
         """Apply an update of another gateway, and tell it of answers that it does not know of."""
         known = set(self.quarantine.table.verdicts)
         answers = self.quarantine.apply(update, self.loop.time())
-        self.has_read = self.has_read or update.is_complete
+        self.has_snapshot = self.has_snapshot or update.is_complete
         if answers:
             self.channel.send_update(ip, QuarantineUpdate(self.quarantine.host, sound=answers))
         for verdict_id, verdict in self.quarantine.table.verdicts.items():
@@ -327,74 +306,6 @@
             for ip in self.random.sample(ips, min(GOSSIP_TARGETS, len(ips))):
                 self.channel.send_update(ip, snapshot)
 
-    # store
-
-    async def follow_store(self) -> None:
-        """Read the verdicts of the store and write those of this gateway, until cancelled."""
-        while True:
-            try:
-                page = await self.store.poll(Topic.VERDICTS, None, 0.0)
-                for record in page.records:
-                    self._apply_record(record)
-                self.has_read = True
-                await self._write_records()
-            except StoreError as error:
-                log_message("verdicts_not_synchronized", reason=str(error))
-                await asyncio.sleep(RETRY_DELAY_S)
-                continue
-            try:
-                async with asyncio.timeout(READ_INTERVAL_S):
-                    await self.must_write.wait()
-            except TimeoutError:
-                pass
-
-    async def _write_records(self) -> None:
-        self.must_write.clear()
-        while self.unwritten:
-            verdict_id, record = next(iter(self.unwritten.items()))
-            await self.store.append(Topic.VERDICTS, verdict_id, msgspec.json.encode(record))
-            if self.unwritten.get(verdict_id) is record:
-                del self.unwritten[verdict_id]
-
-    def _apply_record(self, record: StoredRecord) -> None:
-        if not record.value:
-            return
-        try:
-            stored = msgspec.json.decode(record.value, type=VerdictRecord)
-        except msgspec.MsgspecError as error:
-            log_message("record_ignored", key=record.key, reason=str(error))
-            return
-        now_ms = int(time.time() * 1000)
-        note = VerdictNote(
-            record.key,
-            [] if stored.is_lifted else stored.parts,
-            max(0, now_ms - stored.issued_at_ms),
-            max(0, stored.expires_at_ms - now_ms),
-            stored.ends,
-            stored.strikes,
-            stored.host,
-        )
-        known = record.key in self.quarantine.table.verdicts
-        update = QuarantineUpdate(self.quarantine.host, verdicts=[note])
-        self.quarantine.apply(update, self.loop.time())
-        verdict = self.quarantine.table.verdicts.get(record.key)
-        if verdict is not None and not known:
-            self._log_learned(verdict, "store")
-
-    def _write(self, verdict: Verdict, *, is_lifted: bool = False) -> None:
-        now, now_ms = self.loop.time(), int(time.time() * 1000)
-        self.unwritten[verdict.verdict_id] = VerdictRecord(
-            sorted(verdict.parts),
-            # A record of a lifted verdict counts from when it was lifted.
-            now_ms - (0 if is_lifted else int((now - verdict.issued_at) * 1000)),
-            now_ms + int((verdict.expires_at - now) * 1000),
-            verdict.ends,
-            verdict.strikes,
-            verdict.host,
-            is_lifted,
-        )
-        self.must_write.set()
-
     # operators
 
     def describe(self) -> list[dict[str, object]]:
@@ -424,5 +335,5 @@
         update = QuarantineUpdate(self.quarantine.host, verdicts=[note], sound=sound)
         self.channel.publish(update)
         self._log_lifted(verdict, "operator")
-        self._write(verdict, is_lifted=True)
+        self.synchronizer.write(verdict, is_lifted=True)
         return True
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -123,7 +123,7 @@
             self.peers.records.run,
             self.keeper.run,
             self.gate.gossip,
-            self.gate.follow_store,
+            self.gate.synchronizer.run,
             self.forwarder.placer.run_queue,
             self.caches.run,
             self._expire_connections,
