--- a/teaselpath/dispatch/_endpoint_limit.py
+++ b/teaselpath/dispatch/_endpoint_limit.py
@@ -75,7 +75,7 @@
         self.sends: deque[float] = deque()
         self.demands: deque[float] = deque()
         self.peer_demand: dict[str, float] = {}
-        self.reported_demand: deque[tuple[float, float]] = deque([(float("-inf"), 0.0)])
+        self.reported_demand: deque[tuple[float, float]] = deque()
 
     # statements
 
@@ -91,6 +91,7 @@
             return False
         if self.rate is None:
             self.level, self.own_rate, self.is_split = 0.0, 0.0, False
+            self.reported_demand.clear()
         self.rate, self.changed_at = rate, at
         return True
 
@@ -170,15 +171,18 @@
             self.reported_demand.popleft()
         return demand
 
-    def settled_demand(self, now: float, delay_s: float) -> float:
+    def settled_demand(self, now: float, delay_s: float) -> float | None:
         """Return the lowest own demand that another gateway may assume.
 
-        A higher value would give this gateway a share that others use as well.
+        A higher value would give this gateway a share that others use as well. None until the
+        first report since the limit began has reached all gateways.
 
         :param delay_s: time in which a report reaches all gateways.
         """
         while len(self.reported_demand) > 1 and self.reported_demand[1][0] <= now - delay_s:
             self.reported_demand.popleft()
+        if not self.reported_demand or self.reported_demand[0][0] > now - delay_s:
+            return None
         return min(demand for _, demand in self.reported_demand)
 
 
--- a/teaselpath/dispatch/tests/test_endpoint_limit.py
+++ b/teaselpath/dispatch/tests/test_endpoint_limit.py
@@ -30,8 +30,12 @@
 
     def split(self, now, delay_s):
         peers = [host for host, at in self.heard_at.items() if now - at < SILENT_S]
-        demands = {peer: self.limit.peer_demand.get(peer, 0.0) for peer in peers}
-        demands[self.host] = self.limit.settled_demand(now, delay_s)
+        own_demand = self.limit.settled_demand(now, delay_s)
+        if own_demand is None:
+            demands = dict.fromkeys([self.host, *peers], 1.0)
+        else:
+            demands = {peer: self.limit.peer_demand.get(peer, 0.0) for peer in peers}
+            demands[self.host] = own_demand
         share = split_limit(self.host, "e", self.limit.usable_rate, demands)
         self.limit.set_share(share, first_level(self.host, "e"), now)
 
--- a/teaselpath/gateway/_limits.py
+++ b/teaselpath/gateway/_limits.py
@@ -48,8 +48,13 @@
         peers = self._possible_peers(now)
         for view in limited:
             limit, endpoint_id = view.limit, view.endpoint.endpoint_id
-            demand = {peer: limit.peer_demand.get(peer, 0.0) for peer in peers}
-            demand[host] = limit.settled_demand(now, delay_s)
+            own_demand = limit.settled_demand(now, delay_s)
+            if own_demand is None:
+                # The others do not know the demand of this gateway yet, nor it theirs.
+                demand = dict.fromkeys([host, *peers], 1.0)
+            else:
+                demand = {peer: limit.peer_demand.get(peer, 0.0) for peer in peers}
+                demand[host] = own_demand
             share = split_limit(host, endpoint_id, limit.usable_rate, demand)
             limit.set_share(share, first_level(host, endpoint_id), now)
 
