Quarantine: crowded engines do not keep a deadly part from being judged

- A failed trial counts unless another request of the engine had a part under which as many engines ended, or the tried request one, outside the judged parts, under which several did.
- An engine that ended by the parts of a verdict does not count against other parts.

--- a/teaselpath/quarantine/_core.py
+++ b/teaselpath/quarantine/_core.py
@@ -108,11 +108,21 @@
 
         A part with an earlier verdict that was not cleared is a suspect from the start.
         """
-        ends = self.evidence.count_ends(part, now)
+        ends = self.evidence.count_ends(part, now, self._explained(part, now))
         return ends + SUSPECT_ENDS if self.table.names(part) else ends
 
-    def _count_failed_trials(self, part: str) -> int:
-        return self.evidence.count_failed_trials(part) + self.table.names(part)
+    def _count_failed_trials(self, part: str, judged: frozenset[str], now: float) -> int:
+        failed = self.evidence.count_failed_trials(part, judged, self._explained(part, now))
+        return failed + self.table.names(part)
+
+    def _explained(self, part: str, now: float) -> set[int]:
+        """Return the numbers of engines that ended by a verdict's parts, without this part."""
+        verdicts = [v for v in self.table.in_force(now) if part not in v.parts]
+        return {
+            number
+            for number in self.evidence.ends_of(part)
+            if any(self.evidence.ended_with(number, verdict.parts) for verdict in verdicts)
+        }
 
     def claim(self, parts: frozenset[str], now: float) -> Claim:
         """Claim a trial of parts for this gateway."""
@@ -154,15 +164,19 @@
         if self.table.find(observed, now) is not None:
             return None
         counts = {part: self.count_ends(part, now) for part in observed}
-        suspects = {part for part, count in counts.items() if count >= SUSPECT_ENDS}
+        suspects = frozenset(part for part, count in counts.items() if count >= SUSPECT_ENDS)
         ends = max(
-            (counts[p] for p in suspects if self._count_failed_trials(p) >= VERDICT_TRIALS),
+            (
+                counts[part]
+                for part in suspects
+                if self._count_failed_trials(part, suspects, now) >= VERDICT_TRIALS
+            ),
             default=0,
         )
         if ends < VERDICT_ENDS:
             return None
-        unproven = {part for part in suspects if not self.evidence.was_sound(part, now)}
-        return self.table.issue(frozenset(unproven or suspects), ends, self.host, now)
+        unproven = frozenset(part for part in suspects if not self.evidence.was_sound(part, now))
+        return self.table.issue(unproven or suspects, ends, self.host, now)
 
     def record_sound(self, parts: tuple[str, ...], at: float) -> list[str]:
         """Record that an engine has answered on parts; return those that were suspects."""
--- a/teaselpath/quarantine/_evidence.py
+++ b/teaselpath/quarantine/_evidence.py
@@ -4,7 +4,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 # Ends of engines within this time of each other count once, in seconds: what ends several engines
@@ -128,37 +128,59 @@
         """Return whether the part was answered on lately."""
         return now - self.sound_at.get(part, float("-inf")) < SOUND_S
 
-    def count_ends(self, part: str, now: float) -> int:
+    def count_ends(self, part: str, now: float, explained: Container[int] = ()) -> int:
         """Return the number of times that engines ended since the part was last answered on.
 
         Trials of a part run one after another, so each counts, however soon it fails.
+
+        :param explained: numbers of engines that ended for another reason.
         """
-        ends = [end for end in self.ends_of(part).values() if now - end.at < EVIDENCE_S]
+        ends = [
+            end
+            for number, end in self.ends_of(part).items()
+            if number not in explained and now - end.at < EVIDENCE_S
+        ]
         count, last = sum(end.is_trial for end in ends), float("-inf")
         for at in sorted(end.at for end in ends if not end.is_trial):
             if at - last >= GROUP_S:
                 count, last = count + 1, at
         return count
 
-    def count_failed_trials(self, part: str) -> int:
-        """Return the number of trials of the part in which the engine ended.
+    def count_failed_trials(
+        self, part: str, judged: frozenset[str], explained: Container[int] = ()
+    ) -> int:
+        """Return the number of trials that prove that a part of ``judged`` ends engines.
 
-        An engine that also ran another request with a suspect part may have ended by that one.
+        An engine may have ended by another request, with a part under which as many engines ended,
+        or by another part of the tried request under which several did.
+
+        :param part: one of the judged parts.
+        :param explained: numbers of engines that ended for another reason.
         """
+        ends = self.ends_of(part)
         return sum(
-            end.is_trial and not self._has_other_suspects(number, part)
-            for number, end in self.ends_of(part).items()
+            end.is_trial
+            and number not in explained
+            and self._most_ends(number, part, judged, in_trial=False) < len(ends)
+            and self._most_ends(number, part, judged, in_trial=True) <= 1
+            for number, end in ends.items()
         )
 
-    def _has_other_suspects(self, number: int, part: str) -> bool:
+    def _most_ends(self, number: int, part: str, judged: frozenset[str], *, in_trial: bool) -> int:
+        """Return the most ends of a part that an ended engine was at work on.
+
+        :param judged: parts that are left out.
+        :param in_trial: whether the requests with ``part`` are searched, or the others.
+        """
         engine = self.engines.get(number)
         runs = engine.runs if engine is not None else ()
-        return any(
-            len(self.ends_of(other)) > 1
-            for run in runs
-            if part not in run.parts
-            for other in run.parts
-        )
+        others = (p for run in runs if (part in run.parts) == in_trial for p in run.parts - judged)
+        return max((len(self.ends_of(other)) for other in others), default=0)
+
+    def ended_with(self, number: int, parts: frozenset[str]) -> bool:
+        """Return whether an ended engine had not answered a request with all these parts."""
+        engine = self.engines.get(number)
+        return engine is not None and any(parts <= run.parts for run in engine.runs)
 
     def ends_of(self, part: str) -> dict[int, PartEnd]:
         """Return the ends of engines since the part was last answered on, by number."""
--- a/teaselpath/quarantine/tests/test_core.py
+++ b/teaselpath/quarantine/tests/test_core.py
@@ -197,3 +197,22 @@
     assert verdict is not None
     assert verdict.parts == {HOT, "m/dead2"}
     assert not isinstance(quarantine.decide((HOT, "m/own"), 5.1), Reject)
+
+
+def test_end_that_a_verdict_explains_does_not_count_against_other_parts(quarantine):
+    for number in range(3):
+        quarantine.record_end(number, float(number), (HOT, DEADLY), is_trial=False)
+    assert quarantine.count_ends(HOT, 3.0) == 3
+    quarantine.table.issue(frozenset({DEADLY}), 3, "gw-1", 3.0)
+    assert quarantine.count_ends(HOT, 3.1) == 0
+    assert quarantine.decide((HOT,), 3.1) == Admit()
+    assert quarantine.count_ends(DEADLY, 3.1) >= 3
+
+
+def test_failed_trial_counts_beside_requests_under_which_fewer_engines_ended(quarantine):
+    for number in range(5):
+        quarantine.record_end(number, float(number), (DEADLY,), is_trial=number > 0)
+        for other in range(8):
+            part = f"m/new{number // 2}-{other}"
+            quarantine.record_end(number, float(number), (part,), is_trial=False)
+    assert quarantine.judge((DEADLY,), 5.0) is not None
--- a/teaselpath/quarantine/tests/test_fleet.py
+++ b/teaselpath/quarantine/tests/test_fleet.py
@@ -15,14 +15,16 @@
 COUNTED_ENDS, MAX_LATE_SENDS, SETTLED_S = 5, 3, 4.0
 
 
-def play(fleet, seconds, *, deadly=(), disturb=None):
+def play(
+    fleet, seconds, *, deadly=(), disturb=None, sound_per_s=SOUND_PER_S, deadly_per_s=DEADLY_PER_S
+):
     """Send load; requests with deadly parts share their first part with sound ones."""
     random = fleet.random
     for tick in range(int(seconds / TICK_S)):
-        if random.random() < SOUND_PER_S * TICK_S:
+        if random.random() < sound_per_s * TICK_S:
             fleet.send(random.choice(SHARED), f"m/own{random.randrange(200)}")
         for part in deadly:
-            if random.random() < DEADLY_PER_S * TICK_S:
+            if random.random() < deadly_per_s * TICK_S:
                 fleet.send(random.choice(SHARED[:2]), part)
         if disturb is not None:
             disturb(fleet, tick * TICK_S)
@@ -51,6 +53,18 @@
     assert share_served(fleet, done) > 0.9
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_deadly_part_is_found_among_many_requests_that_no_engine_has_answered(seed):
+    fleet = SimulatedFleet(Random(seed), GATEWAYS, ENGINES, {DEADLY})
+    play(fleet, 3.0, sound_per_s=150.0)
+    play(fleet, 10.0, deadly=[DEADLY], sound_per_s=150.0, deadly_per_s=6.0)
+    done, sends = len(fleet.done), len(fleet.deadly_sends)
+    play(fleet, 6.0, deadly=[DEADLY], sound_per_s=150.0, deadly_per_s=6.0)
+    assert len(fleet.deadly_sends) - sends <= MAX_LATE_SENDS
+    assert late_sends(fleet) <= MAX_LATE_SENDS
+    assert share_served(fleet, done) > 0.9
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_several_deadly_parts_are_found(seed):
     deadly = [f"{DEADLY}{n}" for n in range(3)]
