--- a/teaselpath/gateway/_quarantine.py
+++ b/teaselpath/gateway/_quarantine.py
@@ -199,9 +199,12 @@
         notes = [SoundNote(part, 0) for part in cleared]
         self.channel.publish(QuarantineUpdate(self.quarantine.host, sound=notes))
         for verdict in before.values():
-            if verdict.verdict_id not in self.quarantine.table.verdicts:
+            after = self.quarantine.table.verdicts.get(verdict.verdict_id)
+            if after is None:
                 self._log_lifted(verdict, "answer")
                 self.synchronizer.write(verdict, is_lifted=True)
+            elif after.parts != verdict.parts:
+                self.synchronizer.write(after)
 
     def handle_end(self, end: EngineEnd) -> None:
         """Record the end of an engine as evidence, and judge the parts of a trial."""
