--- a/teaselpath/dispatch/tests/test_placement.py
+++ b/teaselpath/dispatch/tests/test_placement.py
@@ -229,3 +229,47 @@
     placed = choose([make_view("e1")], topology, cache_stores=(make_store(domain="c"),))
     assert isinstance(placed, Placed)
     assert placed.save_to is None
+
+
+def limit_engine(view, rate, share=1.0, level=0.0):
+    view.limit.record_statement(rate, NOW)
+    view.limit.set_share(share, level, NOW)
+
+
+def test_engine_without_a_limit_is_preferred_and_the_demand_for_the_other_is_known(topology):
+    views = [make_view("e1"), make_view("e2")]
+    views[0].cache.record_stored(scope_of("", 1), "p1", 13_300)
+    limit_engine(views[0], 4.0, level=0.5)
+    placed = choose(views, topology)
+    assert isinstance(placed, Placed)
+    assert placed.view is views[1]
+    assert placed.first_choice is views[0]
+
+
+def test_limited_engine_takes_a_request_that_its_share_has_room_for(topology):
+    views = [make_view("e1"), make_view("e2")]
+    views[0].cache.record_stored(scope_of("", 1), "p1", 13_300)
+    limit_engine(views[0], 4.0, level=1.0)
+    placed = choose(views, topology)
+    assert isinstance(placed, Placed)
+    assert placed.view is views[0]
+
+
+def test_request_is_refused_with_the_time_of_the_next_room_if_all_engines_are_limited(topology):
+    views = [make_view("e1"), make_view("e2")]
+    limit_engine(views[0], 4.0, share=0.5, level=0.5)
+    limit_engine(views[1], 1.0, share=0.5)
+    choice = choose(views, topology)
+    assert choice == NoEndpoint("limited", 0.25, choice.first_choice)
+
+
+def test_request_that_may_end_its_engine_goes_to_one_with_few_others(topology):
+    views = [make_view("e1"), make_view("e2")]
+    views[0].cache.record_stored(scope_of("", 1), "p1", 13_300)
+    views[0].own.requests = 12
+    placed = choose(views, topology, endangers_engine=True)
+    assert isinstance(placed, Placed)
+    assert placed.view is views[1]
+    placed = choose(views, topology)
+    assert isinstance(placed, Placed)
+    assert placed.view is views[0]
--- a/teaselpath/gateway/tests/test_placement.py
+++ b/teaselpath/gateway/tests/test_placement.py
@@ -118,3 +118,35 @@
         return await placer.acquire(make_call(), placer.loop.time())
 
     assert asyncio.run(scenario()) == NoEndpoint("none_listed", 1.0)
+
+
+def test_requests_beyond_a_limit_are_refused_at_once_with_times_of_their_own(
+    state, engine, announced
+):
+    async def scenario():
+        placer = Placer(state, announced.append)
+        now = placer.loop.time()
+        engine.limit.record_statement(0.5, now)
+        engine.limit.set_share(1.0, 0.0, now)
+        return [await placer.acquire(make_call(2.0), now) for _ in range(3)]
+
+    refusals = asyncio.run(scenario())
+    assert [refusal.reason for refusal in refusals] == ["limited"] * 3
+    first, second, third = (refusal.retry_after_s for refusal in refusals)
+    assert first == pytest.approx(2.0, abs=0.1)
+    assert second - first == pytest.approx(2.0, abs=0.1)
+    assert third - second == pytest.approx(2.0, abs=0.1)
+
+
+def test_request_waits_for_a_limit_that_has_room_in_time(state, engine, announced):
+    async def scenario():
+        placer = Placer(state, announced.append)
+        now = placer.loop.time()
+        engine.limit.record_statement(5.0, now)
+        engine.limit.set_share(1.0, 0.9, now)
+        queue = asyncio.create_task(placer.run_queue())
+        choice = await placer.acquire(make_call(2.0), now)
+        queue.cancel()
+        return choice
+
+    assert isinstance(asyncio.run(scenario()), Placed)
