--- a/teaselpath/gateway/tests/test_engine_ends.py
+++ b/teaselpath/gateway/tests/test_engine_ends.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from teaselpath.gateway._engine_ends import BrokenRun, EngineEndDetector
+from teaselpath.gateway._engine_ends import BrokenRun, EngineEnd, EngineEndDetector
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway.tests.conftest import endpoint_record
 from teaselpath.http1 import HttpClient
@@ -22,7 +22,7 @@
 async def detect(state, address, **fields):
     """Break off two answers of an engine; return what is reported and the verdicts on its end."""
     state.apply_endpoint_record(endpoint_record("e", 1, address=address, **fields), "store", 1.0)
-    ends = []
+    ends: list[EngineEnd] = []
     detector = EngineEndDetector(state, HttpClient(), GatewayMetrics("gw-0"), ends.append)
     view = state.views["e"]
     found = [await task for task in [detector.record_broken(view, run) for run in RUNS]]
@@ -59,7 +59,7 @@
         server.close()
         await server.wait_closed()
         state.apply_endpoint_record(endpoint_record("e", 1, address=address), "store", 1.0)
-        ends = []
+        ends: list[EngineEnd] = []
         detector = EngineEndDetector(state, HttpClient(), GatewayMetrics("gw-0"), ends.append)
         task = detector.record_broken(state.views["e"], RUNS[0])
         leaving = endpoint_record("e", 2, address=address, state="draining")
