--- a/teaselpath/exchange/_polls.py
+++ b/teaselpath/exchange/_polls.py
@@ -7,30 +7,18 @@
 that were sent before it.
 """
 
-from dataclasses import dataclass
-
-
-@dataclass(slots=True)
-class _Poll:
-    """A poll in flight.
-
-    :param sent_at: time in seconds.
-    """
-
-    sent_at: float
-
 
 class TopicPolls:
     """Polls of several topics of one store.
 
     Times are in seconds, from one steady clock.
 
-    :ivar in_flight: poll in flight by topic.
+    :ivar in_flight: send time of the poll in flight by topic.
     :ivar unanswered: topics whose last poll had no answer.
     """
 
     def __init__(self) -> None:
-        self.in_flight: dict[str, _Poll] = {}
+        self.in_flight: dict[str, float] = {}
         self.unanswered: set[str] = set()
         self.is_lost = False
 
@@ -40,7 +28,7 @@
         :param wait_s: duration of the long poll in a calm store.
         :returns: duration for this poll; 0 to return at once.
         """
-        self.in_flight[topic] = _Poll(now)
+        self.in_flight[topic] = now
         return 0.0 if topic in self.unanswered else wait_s
 
     def record_answer(self, topic: str, now: float) -> list[str]:
@@ -48,13 +36,14 @@
 
         :returns: topics whose polls are to be ended and sent again.
         """
-        poll = self.in_flight.pop(topic, None)
+        answered_sent_at = self.in_flight.pop(topic, now)
         self.unanswered.discard(topic)
         if not self.is_lost:
             return []
         self.is_lost = False
-        sent_at = poll.sent_at if poll is not None else now
-        hanging = [other for other, p in self.in_flight.items() if p.sent_at <= sent_at]
+        hanging = [
+            other for other, sent_at in self.in_flight.items() if sent_at <= answered_sent_at
+        ]
         for other in hanging:
             del self.in_flight[other]
             self.unanswered.add(other)
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -216,7 +216,7 @@
             if exchange.is_finished:
                 return Code.OK
             step = next_step(call.route, outcome, call.progress, now, call.deadline)
-            if isinstance(step, Resend) and not self._can_resend(call, step, now):
+            if isinstance(step, Resend) and not self._can_resend(call, step):
                 step = self._step_without_resend(call, outcome)
             match step:
                 case Resend():
@@ -229,7 +229,7 @@
                 case Fail(status):
                     return self._respond_failed(exchange, call, status)
 
-    def _can_resend(self, call: Call, step: Resend, now: float) -> bool:
+    def _can_resend(self, call: Call, step: Resend) -> bool:
         if call.progress.sends >= MAX_SENDS:
             return False
         if not step.is_retry:
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -227,7 +227,7 @@
                 self.to_relay[status.host] = status
                 self._handle_status(status, now)
             case PlacementToRelay(placement_message):
-                self._send_to(self._near_ips(now), self.encoder.encode(placement_message))
+                self._send_to(self._near_ips(), self.encoder.encode(placement_message))
                 self._handle_placement(placement_message, now)
 
     def error_received(self, exc) -> None:
@@ -249,10 +249,7 @@
             await asyncio.sleep(MIN_STATUS_INTERVAL_S)
 
     def _interval_s(self) -> float:
-        region = self.state.settings.region
-        return status_interval_s(
-            sum(self._region_of(member) in (region, "") for member in self.state.members.values())
-        )
+        return status_interval_s(sum(map(self._is_near, self.state.members.values())))
 
     def _send(self, now: float) -> None:
         settings = self.state.settings
@@ -271,7 +268,7 @@
             self.crossed_regions_at = now
             self.crossings += 1
         self._send_to_relays(fanout.relays, status, peers)
-        self._relay_statuses(now)
+        self._relay_statuses()
         self._send_member_list(status, now, has_seed_turn=crosses)
 
     def _send_to_relays(self, relays: frozenset[str], status: Status, peers: list[Peer]) -> None:
@@ -288,11 +285,11 @@
             )
             self._send_to([ip], self.encoder.encode(StatusToRelay(reduced)))
 
-    def _relay_statuses(self, now: float) -> None:
+    def _relay_statuses(self) -> None:
         """Pass the statuses of other regions on to this region."""
         statuses = list(self.to_relay.values())
         self.to_relay.clear()
-        near = self._near_ips(now) if statuses else []
+        near = self._near_ips() if statuses else []
         for start in range(0, len(statuses), MAX_RELAYED_STATUSES):
             part = RelayedStatuses(statuses[start : start + MAX_RELAYED_STATUSES])
             self._send_to(near, self.encoder.encode(part))
@@ -366,9 +363,12 @@
             for m in self.state.members.values()
         ]
 
-    def _near_ips(self, now: float) -> list[str]:
-        region = self.state.settings.region
-        return [peer.ip for peer in self._peers(now) if peer.region in (region, "")]
+    def _near_ips(self) -> list[str]:
+        return [member.ip for member in self.state.members.values() if self._is_near(member)]
+
+    def _is_near(self, member: Member) -> bool:
+        """Return whether a gateway is in this region, or its region is unknown."""
+        return self._region_of(member) in (self.state.settings.region, "")
 
     def _region_of(self, member: Member) -> str:
         return self._region_of_domain(member.failure_domain)
@@ -465,7 +465,7 @@
             record = LeaseRecord(*status.lease) if status.lease else None
             self.lease.observe(status.lease_end, record, self.clock())
         knows_few = status.members is not None and 2 * len(status.members) < len(state.members)
-        if knows_few or (is_new and self._region_of(member) in (state.settings.region, "")):
+        if knows_few or (is_new and self._is_near(member)):
             self._greet(member, now, lists_members=knows_few)
 
     def _view(self, endpoint_status: EndpointStatus) -> EndpointView | None:
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -7,7 +7,7 @@
 
 from eliot import log_message, write_traceback
 
-from teaselpath.exchange import StopPhase, plan_stop, refuses_requests
+from teaselpath.exchange import StopPeer, StopPhase, plan_stop, refuses_requests
 from teaselpath.fleet import CallerLimits, EngineCalls, GatewaySettings, MetadataStore, RequestCodec
 from teaselpath.gateway._caches import CacheWatcher
 from teaselpath.gateway._forward import Forwarder
@@ -17,7 +17,7 @@
 from teaselpath.gateway._peers import RECORDS_PATH, PeerExchange
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway._watch import StoreWatcher
-from teaselpath.http1 import Exchange, HttpClient, Listener, ServerConnection
+from teaselpath.http1 import LISTEN_BACKLOG, Exchange, HttpClient, Listener, ServerConnection
 from teaselpath.rollout import OrderLease
 
 # Draining ends this long before SIGKILL, even with requests in flight, in seconds.
@@ -29,8 +29,6 @@
 DRAIN_POLL_INTERVAL_S = 0.05
 # Interval at which expired idle connections to endpoints and stores are closed, in seconds.
 EXPIRE_INTERVAL_S = 0.5
-# Connections that the kernel queues until they are accepted.
-LISTEN_BACKLOG = 512
 # Delay before a failed job is restarted, in seconds.
 RESTART_DELAY_S = 0.2
 # Incarnations are also written as JSON numbers, which every reader decodes exactly up to 53 bits.
@@ -123,7 +121,9 @@
     async def _listen(self) -> None:
         settings = self.settings
         undrained: set[ServerConnection] = set()
-        self.caller_listener = Listener(self._make_connection)
+        self.caller_listener = Listener(
+            lambda: ServerConnection(self.forwarder.handle, self._limits, self.connections)
+        )
         await self.caller_listener.open(settings.caller_address)
         await self._serve(settings.readiness_address, self._handle_readiness, undrained)
         await self._serve(f"{settings.ip}:{settings.peer_port}", self._handle_internal, undrained)
@@ -132,13 +132,9 @@
             lambda: self.peers, local_addr=(settings.ip, settings.peer_port)
         )
 
-    def _make_connection(self) -> ServerConnection:
-        return ServerConnection(self.forwarder.handle, self._limits, self.connections)
-
-    async def _serve(self, address: str, handler, connections) -> asyncio.Server:
+    async def _serve(self, address: str, handler, connections) -> None:
         ip, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(
+        server = await asyncio.get_running_loop().create_server(
             lambda: ServerConnection(handler, self._limits, connections),
             ip,
             int(port),
@@ -146,7 +142,6 @@
             reuse_address=True,
         )
         self.servers.append(server)
-        return server
 
     def _limits(self) -> CallerLimits:
         config = self.state.config
@@ -198,7 +193,6 @@
         log_message("stopping", running=self.forwarder.running, open=len(self.connections))
         grace_s = self.settings.bounds.shutdown_grace_s
         deadline = started_at + grace_s - KILL_MARGIN_S
-        state.successor_at = deadline + SUCCESSOR_START_S
         phase = StopPhase.SERVE
         while loop.time() < deadline - FINAL_ANSWER_S:
             for connection in self.connections:
@@ -207,10 +201,11 @@
             age_s = loop.time() - started_at
             state.refuses_requests = refuses_requests(age_s, grace_s)
             state.refuses_long_prompts = refuses_requests(age_s, grace_s, is_long=True)
-            has_ready_peer = any(peer.is_ready for peer in self.peers.stop_peers())
+            peers = self.peers.stop_peers()
+            has_ready_peer = any(peer.is_ready for peer in peers)
             state.successor_at = started_at if has_ready_peer else deadline + SUCCESSOR_START_S
             if phase is not StopPhase.CLOSE:
-                phase = await self._change_phase(phase, age_s, grace_s)
+                phase = await self._change_phase(phase, peers, age_s, grace_s)
                 continue
             for connection in list(self.connections):
                 connection.close_if_idle()
@@ -223,9 +218,10 @@
             server.close()
         log_message("drained", unfinished=unfinished)
 
-    async def _change_phase(self, before: StopPhase, age_s: float, grace_s: float) -> StopPhase:
+    async def _change_phase(
+        self, before: StopPhase, peers: list[StopPeer], age_s: float, grace_s: float
+    ) -> StopPhase:
         settings = self.settings
-        peers = self.peers.stop_peers()
         phase = plan_stop(settings.host, settings.failure_domain, peers, age_s, grace_s)
         if phase is not before:
             ready = sum(peer.is_ready for peer in peers)
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -116,10 +116,11 @@
                 continue
             if cursor is not None:
                 cursor = max(cursor, self.state.newest_offset(topic) + 1)
-            if is_large_fleet(len(self.state.members)):
-                wait_s = min(wait_s, READER_WAIT_S)
+            is_large = is_large_fleet(len(self.state.members))
             sent_at = loop.time()
-            poll_wait_s = self.polls.begin(topic, wait_s, sent_at)
+            poll_wait_s = self.polls.begin(
+                topic, min(wait_s, READER_WAIT_S) if is_large else wait_s, sent_at
+            )
             try:
                 page = await self._poll(topic, cursor, 0.0 if cursor is None else poll_wait_s)
             except StoreError as error:
--- a/teaselpath/http1/__init__.py
+++ b/teaselpath/http1/__init__.py
@@ -10,7 +10,7 @@
     ReadTimeout,
     ResponseLimits,
 )
-from teaselpath.http1._listener import Listener
+from teaselpath.http1._listener import LISTEN_BACKLOG, Listener
 from teaselpath.http1._messages import (
     HOP_BY_HOP,
     Request,
@@ -23,6 +23,7 @@
 
 __all__ = [
     "HOP_BY_HOP",
+    "LISTEN_BACKLOG",
     "ClientConnection",
     "ConnectFailed",
     "ConnectionBroken",
