Observability: ends of connections that leave a request without an answer

Cause: a handler that raised anything but a cancellation ended in an aborted exchange without a line of ours, and a connection that was closed with requests queued behind it, a part of a request, or bytes that the kernel held unread looked like any other end. So the reports of LOST could not be traced. Change, no change of behaviour: a server connection reports to an observer that its handler raised, and each end that is not clean, with its cause (http1/_ends.py, which knows nothing of gateways); the gateway writes handler_failed and connection_ended and counts both; request_ended_by_stop tells what a stop cuts.

--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -116,6 +116,14 @@
             task.cancel()
 
     def _end_unfinished(self, exchange: Exchange, call: Call) -> Code:
+        log_message(
+            "request_ended_by_stop",
+            request_id=call.request.request_id,
+            was_sent=call.was_sent,
+            is_started=exchange.is_started,
+            age_s=round(self.loop.time() - call.arrived_at, 3),
+            time_left_s=round(call.deadline - self.loop.time(), 3),
+        )
         # An attempt that the cancellation has interrupted may have run.
         if call.was_sent or exchange.is_started:
             return self._respond_failed(exchange, call, 502)
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -27,6 +27,12 @@
         self.invalid_answers = make(
             Counter, "invalid_answers_total", "Answers that are invalid or exceed a limit"
         )
+        self.connection_ends = make(
+            Counter, "connection_ends_total", "Ends of connections that left something, by cause"
+        )
+        self.handler_failures = make(
+            Counter, "handler_failures_total", "Requests whose handler raised"
+        )
         self.engine_ends = make(
             Counter, "engine_ends_total", "Engines that ended while they ran requests, by service"
         )
@@ -63,6 +69,14 @@
         """Count an answer of an endpoint that is invalid or exceeds a limit."""
         self.invalid_answers.inc({"service": service})
 
+    def count_connection_end(self, cause: str) -> None:
+        """Count the end of a caller's connection that left something unanswered."""
+        self.connection_ends.inc({"cause": cause})
+
+    def count_handler_failure(self) -> None:
+        """Count a request whose handler raised."""
+        self.handler_failures.inc({})
+
     def count_engine_end(self, service: str) -> None:
         """Count an engine that ended while it ran requests of this gateway."""
         self.engine_ends.inc({"service": service})
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -11,6 +11,7 @@
 from teaselpath.exchange import StopPeer, StopPhase, plan_stop, refuses_requests
 from teaselpath.fleet import CallerLimits, EngineCalls, GatewaySettings, MetadataStore, RequestCodec
 from teaselpath.gateway._caches import CacheWatcher
+from teaselpath.gateway._connections import ConnectionReporter
 from teaselpath.gateway._forward import Forwarder
 from teaselpath.gateway._limits import LimitKeeper
 from teaselpath.gateway._log import LogSink
@@ -92,6 +93,7 @@
         self.keeper = WeightsKeeper(self.state, engines, self.lease, self.peers)
         self.caches = CacheWatcher(self.state, engines)
         self.connections: set[ServerConnection] = set()
+        self.reporter = ConnectionReporter(codec.id_header, self.metrics)
         self.stop_requested = asyncio.Event()
         self.servers: list[asyncio.Server] = []
 
@@ -135,7 +137,9 @@
         settings = self.settings
         undrained: set[ServerConnection] = set()
         self.caller_listener = Listener(
-            lambda: ServerConnection(self.forwarder.handle, self._limits, self.connections)
+            lambda: ServerConnection(
+                self.forwarder.handle, self._limits, self.connections, self.reporter
+            )
         )
         await self.caller_listener.open(settings.caller_address)
         await self._serve(settings.readiness_address, self._handle_readiness, undrained)
@@ -148,7 +152,7 @@
     async def _serve(self, address: str, handler, connections) -> None:
         ip, _, port = address.rpartition(":")
         server = await asyncio.get_running_loop().create_server(
-            lambda: ServerConnection(handler, self._limits, connections),
+            lambda: ServerConnection(handler, self._limits, connections, self.reporter),
             ip,
             int(port),
             backlog=LISTEN_BACKLOG,
--- a/teaselpath/http1/__init__.py
+++ b/teaselpath/http1/__init__.py
@@ -10,6 +10,7 @@
     ReadTimeout,
     ResponseLimits,
 )
+from teaselpath.http1._ends import ConnectionEnd, ConnectionObserver, EndCause
 from teaselpath.http1._listener import LISTEN_BACKLOG, Listener
 from teaselpath.http1._messages import (
     HOP_BY_HOP,
@@ -28,7 +29,10 @@
     "ClientConnection",
     "ConnectFailed",
     "ConnectionBroken",
+    "ConnectionEnd",
+    "ConnectionObserver",
     "ConnectionPool",
+    "EndCause",
     "Exchange",
     "HttpClient",
     "Listener",
--- a/teaselpath/http1/_server.py
+++ b/teaselpath/http1/_server.py
@@ -2,12 +2,19 @@
 
 import asyncio
 import contextlib
-import select
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 
 import httptools
 
+from teaselpath.http1._ends import (
+    ConnectionEnd,
+    ConnectionObserver,
+    EndCause,
+    count_unread_bytes,
+    has_unread_data,
+)
 from teaselpath.http1._messages import (
     HOP_BY_HOP,
     Headers,
@@ -103,6 +110,7 @@
     :param handler: coroutine function that responds to an exchange.
     :param limits: function that returns the current limits.
     :param connections: set of all open connections, updated by this class.
+    :param observer: learns of failed handlers and of ends that leave something unanswered.
     """
 
     def __init__(
@@ -110,13 +118,17 @@
         handler: Handler,
         limits: Callable[[], ServerLimits],
         connections: set["ServerConnection"],
+        observer: ConnectionObserver | None = None,
     ):
         self.handler = handler
+        self.observer = observer
         self.get_limits = limits
         self.connections = connections
         self.transport: asyncio.Transport | None = None
         self.pipelined: deque[Request] = deque()
         self.task: asyncio.Task | None = None
+        self.exchange: Exchange | None = None
+        self.end_cause = EndCause.CALLER_RESET
         self.timer: asyncio.TimerHandle | None = None
         self.is_closing = False
         self.must_close = False
@@ -148,6 +160,8 @@
 
     def connection_lost(self, exc) -> None:
         """Cancel the running handler, since the caller can no longer receive its response."""
+        if not self.is_closing:
+            self._report_end(self.end_cause)
         self.is_closing = True
         self.connections.discard(self)
         self.can_write.set()
@@ -158,6 +172,7 @@
 
     def eof_received(self) -> bool:
         """Close the connection; half-closed connections are not supported."""
+        self.end_cause = EndCause.CALLER_EOF
         return False
 
     def pause_writing(self) -> None:
@@ -253,9 +268,7 @@
     def close_after_flush(self) -> None:
         """Close the connection after the data that is already buffered has been sent."""
         self.must_close = True
-        if self.transport is not None and not self.is_closing:
-            self.is_closing = True
-            self.transport.close()
+        self._close(EndCause.ABORTED)
 
     def stop_reuse(self) -> None:
         """Close the connection after the current response, or the next one if it is idle."""
@@ -263,22 +276,18 @@
 
     def close_if_idle(self) -> bool:
         """Close the connection if no request is being received, queued or handled."""
-        if self.task is not None or self.pipelined or self.is_reading or self._has_unread_data():
+        if (
+            self.task is not None
+            or self.pipelined
+            or self.is_reading
+            or has_unread_data(self._socket())
+        ):
             return False
-        self._close()
+        self._close(EndCause.IDLE)
         return True
 
-    def _has_unread_data(self) -> bool:
-        """Return whether the kernel holds data that was not read; closing would reset the caller.
-
-        The end of the connection counts as data and is read next.
-        """
-        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
-        if sock is None or sock.fileno() < 0:
-            return False
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+    def _socket(self) -> socket.socket | None:
+        return self.transport.get_extra_info("socket") if self.transport is not None else None
 
     def _run_next(self) -> None:
         if self.timer is not None:
@@ -287,25 +296,33 @@
         request = self.pipelined.popleft()
         if self.transport is not None and len(self.pipelined) < MAX_PIPELINED:
             self.transport.resume_reading()
-        self.task = self.loop.create_task(self._run(Exchange(self, request)))
+        self.exchange = Exchange(self, request)
+        self.task = self.loop.create_task(self._run(self.exchange))
 
     async def _run(self, exchange: Exchange) -> None:
         try:
             await self.handler(exchange)
         except asyncio.CancelledError:
-            self.close_after_flush()
+            self._close(EndCause.STOPPED)
+            raise
+        except Exception as error:
+            if self.observer is not None:
+                self.observer.on_handler_failed(exchange.request, error)
+            if not exchange.is_finished:
+                self._close(EndCause.HANDLER_FAILED)
             raise
         finally:
             self.task = None
             if not exchange.is_finished:
                 exchange.abort()
+            self.exchange = None
         self._on_handled(exchange)
 
     def _on_handled(self, exchange: Exchange) -> None:
         if self.is_closing:
             return
         if self.must_close or not exchange.request.keep_alive:
-            self._close()
+            self._close(EndCause.AFTER_RESPONSE)
         elif self.pipelined:
             self._run_next()
         else:
@@ -326,15 +343,37 @@
 
     def _close_when_done(self) -> None:
         if self.task is None:
-            self._close()
+            self._close(EndCause.REJECTED)
         else:
-            self.task.add_done_callback(lambda _: self._close())
+            self.task.add_done_callback(lambda _: self._close(EndCause.REJECTED))
 
-    def _close(self) -> None:
+    def _close(self, cause: EndCause) -> None:
+        """Close the connection after the data that is already buffered has been sent."""
         if self.transport is not None and not self.is_closing:
             self.is_closing = True
+            self._report_end(cause)
             self.transport.close()
 
+    def _report_end(self, cause: EndCause) -> None:
+        """Report what the end of the connection leaves unanswered, if anything."""
+        if self.observer is None or self.transport is None:
+            return
+        exchange = self.exchange
+        cut, unanswered = None, tuple(self.pipelined)
+        if exchange is not None and not exchange.is_started:
+            unanswered = (exchange.request, *unanswered)
+        elif exchange is not None and (not exchange.is_finished or cause is EndCause.ABORTED):
+            cut = exchange.request
+        end = ConnectionEnd(
+            cause,
+            cut,
+            unanswered,
+            self.is_reading and cause is not EndCause.REJECTED,
+            count_unread_bytes(self._socket()),
+        )
+        if not end.is_clean:
+            self.observer.on_end(end)
+
     def _set_timer(self, delay_s: float) -> None:
         if self.timer is not None:
             self.timer.cancel()
@@ -348,7 +387,7 @@
             with contextlib.suppress(RuntimeError):
                 self._reject(408)
         else:
-            self._close()
+            self._close(EndCause.IDLE)
 
 
 class _TooLarge(Exception):
