--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -1,13 +1,11 @@
-"""Forwarding of requests: admission, attempts, retries and the answer to the caller."""
+"""Forwarding of requests: attempts, retries and the answer to the caller."""
 
 import asyncio
-import random
 from collections.abc import Callable
 
 from eliot import log_message
 
 from teaselpath.dispatch import (
-    LONG_PROMPT_TOKENS,
     Answered,
     Broken,
     Fail,
@@ -16,13 +14,13 @@
     NotRun,
     NotSent,
     Outcome,
-    OverRate,
     Placed,
     Refuse,
     Resend,
     next_step,
 )
-from teaselpath.fleet import CallerRequest, RequestCodec, Route, Service, Workspace
+from teaselpath.fleet import RequestCodec
+from teaselpath.gateway._admission import MIN_RETRY_AFTER_S, Admission
 from teaselpath.gateway._attempt import Attempt, AttemptContext, describe_outcome
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._engine_ends import EngineEndDetector
@@ -33,12 +31,6 @@
 from teaselpath.http1 import Exchange, HttpClient
 from teaselpath.results import Code
 
-# Time limit of a request that states none, in seconds.
-DEFAULT_CALLER_TIMEOUT_S = 30.0
-# Retry-After while this gateway has no configuration, or no service for a route, in seconds.
-UNCONFIGURED_RETRY_AFTER_S = 1.0
-# Shortest Retry-After of a refusal by a stopping gateway, in seconds.
-MIN_RETRY_AFTER_S = 0.2
 # Limit on the number of times one request is sent, including sends after which the endpoint did not
 # run it; failed connection attempts do not count.
 MAX_SENDS = 4
@@ -47,7 +39,7 @@
 
 
 class Forwarder:
-    """Admits the requests of callers, forwards them to endpoints and returns the answers.
+    """Forwards the requests of callers to endpoints and returns the answers.
 
     :param state: state of this gateway.
     :param codec: translation of requests and answers.
@@ -74,8 +66,8 @@
             state, codec, http, metrics, detector, gate, self._acquire_retry
         )
         self.placer = Placer(state, announce)
+        self.admission = Admission(state, codec, metrics)
         self.metrics = metrics
-        self.random = random.Random()
         self.loop = asyncio.get_running_loop()
         self.running = 0
         self.tasks: set[asyncio.Task] = set()
@@ -83,12 +75,7 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request of a caller."""
-        raw = exchange.request
-        request = self.codec.decode_request(raw.method, raw.target, raw.headers, raw.body)
-        if request is None:
-            exchange.respond(400, [])
-            return
-        call = self._admit(exchange, request)
+        call = self.admission.admit(exchange)
         if call is None:
             return
         self.running += 1
@@ -130,98 +117,6 @@
         wait_s = max(MIN_RETRY_AFTER_S, self.state.successor_at - self.loop.time())
         return self._respond_refused(exchange, call, Code.STOPPING, wait_s)
 
-    def _admit(self, exchange: Exchange, request: CallerRequest) -> Call | None:
-        """Return the call, or respond with a refusal and return None."""
-        state, now = self.state, exchange.request.received_at
-        config = state.config
-        if config is None:
-            self._refuse(exchange, request, Code.NO_BUNDLE, 503, UNCONFIGURED_RETRY_AFTER_S)
-            return None
-        prompt = request.prompt
-        is_long = prompt is not None and prompt.prompt_tokens >= LONG_PROMPT_TOKENS
-        if state.refuses_requests or (state.refuses_long_prompts and is_long):
-            wait_s = max(MIN_RETRY_AFTER_S, state.successor_at - now)
-            self._refuse(exchange, request, Code.STOPPING, 503, wait_s)
-            return None
-        route = config.find_route(request.host, request.path)
-        if route is None or not route.backends:
-            self._refuse(exchange, request, Code.UNKNOWN_ROUTE, 404)
-            return None
-        workspace = None
-        if config.has_workspaces and not route.is_public:
-            workspace = state.workspace_of(request.key)
-            if workspace is None:
-                self._refuse(exchange, request, Code.UNKNOWN_KEY, 401)
-                return None
-        service = self._choose_service(route)
-        if service is None:
-            self._refuse(exchange, request, Code.NO_ENDPOINT, 503, UNCONFIGURED_RETRY_AFTER_S)
-            return None
-        time_left_s = request.time_left_s
-        time_left_s = DEFAULT_CALLER_TIMEOUT_S if time_left_s is None else time_left_s
-        deadline = now + min(time_left_s, route.timeout_s)
-        call = Call(request, route, service, workspace, now, deadline)
-        if workspace is not None:
-            call.tokens = workspace.plain_tokens if request.tokens is None else request.tokens
-            state.quota.set_reachable_fraction(*state.count_gateways(now))
-            grant = state.quota.charge(workspace, call.tokens, now)
-            if isinstance(grant, OverRate):
-                self._refuse(
-                    exchange,
-                    request,
-                    Code.RATE_EXCEEDED,
-                    429,
-                    grant.retry_after_s,
-                    workspace,
-                    tokens=request.tokens,
-                    level=round(grant.level),
-                    rate=round(grant.rate),
-                    share=round(grant.reachable_fraction, 3),
-                )
-                return None
-        state.retry_budget(service.name).record_request(now)
-        return call
-
-    def _choose_service(self, route: Route) -> Service | None:
-        assert self.state.config is not None
-        backends = route.backends
-        chosen = backends[0]
-        if len(backends) > 1:
-            weights = [b.weight for b in backends]
-            chosen = self.random.choices(backends, weights)[0]
-        return self.state.config.services.get(chosen.service)
-
-    def _refuse(
-        self,
-        exchange: Exchange,
-        request: CallerRequest,
-        code: Code,
-        status: int,
-        retry_after_s: float | None = None,
-        workspace: Workspace | None = None,
-        **inputs: float | None,
-    ) -> None:
-        """Respond to a request that is not admitted.
-
-        :param inputs: values on which the refusal is based, for the log.
-        """
-        exchange.respond(status, self.codec.own_response_headers(request.request_id, retry_after_s))
-        config = self.state.config
-        name = workspace.name if workspace else None
-        log_message(
-            "request_refused",
-            request_id=request.request_id,
-            path=request.path,
-            workspace=name,
-            status=status,
-            code=int(code),
-            reason=code.name,
-            retry_after_s=retry_after_s,
-            config_version=config.version if config else None,
-            **inputs,
-        )
-        self.metrics.count_refusal(name or "", code.name)
-
     async def _serve(self, exchange: Exchange, call: Call) -> Code:
         """Send the request to endpoints until the caller has a response; return its result code."""
         while True:
