Gateway: a request whose handling raises gets a response

What callers saw: a whole request, then the end of the connection, with neither an answer nor a refusal; behind an answer that was complete, a pipelined request got nothing either, and its connection stayed open for ever. Cause: the server connection aborts an exchange whose handler raises, and the forwarder let every exception through; where a handler raised after its response, nobody went on with the next request. Change: nothing was sent to an endpoint: 503 with a short Retry-After, and the quota is refunded; it may have run: the answer if it had arrived, else 502; the stream has begun: it is cut. The exception is raised again for handler_failed, and the connection goes on if the response is complete. Code INTERNAL_ERROR. Which step raised in the report is not known: see handler_failed from now on.

--- a/teaselpath/gateway/_admission.py
+++ b/teaselpath/gateway/_admission.py
@@ -35,13 +35,23 @@
         self.random = random.Random()
 
     def admit(self, exchange: Exchange) -> Call | None:
-        """Return the call of a request, or respond with a refusal and return None."""
+        """Return the call of a request, or respond with a refusal and return None.
+
+        An exception is raised again once the caller has its refusal.
+        """
         raw = exchange.request
-        request = self.codec.decode_request(raw.method, raw.target, raw.headers, raw.body)
-        if request is None:
-            exchange.respond(400, [])
-            return None
-        return self._decide(exchange, request)
+        try:
+            request = self.codec.decode_request(raw.method, raw.target, raw.headers, raw.body)
+            if request is None:
+                exchange.respond(400, [])
+                return None
+            return self._decide(exchange, request)
+        except Exception:
+            if not exchange.is_started:
+                request_id = (raw.header(self.codec.id_header) or b"").decode("latin-1")
+                headers = self.codec.own_response_headers(request_id, MIN_RETRY_AFTER_S)
+                exchange.respond(503, headers)
+            raise
 
     def _decide(self, exchange: Exchange, request: CallerRequest) -> Call | None:
         """Return the call, or respond with a refusal and return None."""
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -74,7 +74,10 @@
         self.is_ending = False
 
     async def handle(self, exchange: Exchange) -> None:
-        """Handle one request of a caller."""
+        """Handle one request of a caller.
+
+        An exception is raised again once the caller has its response.
+        """
         call = self.admission.admit(exchange)
         if call is None:
             return
@@ -90,12 +93,25 @@
             if not self.is_ending or exchange.connection.is_closing:
                 raise
             code = self._end_unfinished(exchange, call)
+        except Exception:
+            code = Code.INTERNAL_ERROR
+            self._respond_to_error(exchange, call)
+            raise
         finally:
             self.gate.end_trial(call)
             self.running -= 1
             self.tasks.discard(task)
             self._log(call, code)
 
+    def _respond_to_error(self, exchange: Exchange, call: Call) -> None:
+        """Respond to a request whose handling has raised, unless the response is complete."""
+        if exchange.is_finished:
+            return
+        if call.was_sent or exchange.is_started:
+            self._respond_failed(exchange, call, 502)
+        else:
+            self._respond_refused(exchange, call, Code.INTERNAL_ERROR, MIN_RETRY_AFTER_S)
+
     def end_unfinished(self) -> None:
         """End all requests in flight with a final answer, because the process ends."""
         self.is_ending = True
--- a/teaselpath/http1/_server.py
+++ b/teaselpath/http1/_server.py
@@ -306,11 +306,11 @@
             self._close(EndCause.STOPPED)
             raise
         except Exception as error:
-            if self.observer is not None:
-                self.observer.on_handler_failed(exchange.request, error)
+            if self.observer is None:
+                raise
+            self.observer.on_handler_failed(exchange.request, error)
             if not exchange.is_finished:
                 self._close(EndCause.HANDLER_FAILED)
-            raise
         finally:
             self.task = None
             if not exchange.is_finished:
--- a/teaselpath/results/_codes.py
+++ b/teaselpath/results/_codes.py
@@ -83,6 +83,7 @@
     PEER_TIMEOUT = 8003
     UNTRUSTED_PEER = 8004
     STOPPING = 8005
+    INTERNAL_ERROR = 8006
 
 
 _HTTP_STATUS = {
