Stop: a gateway sends what it can expect to finish, and begins no answer that may be cut

Cause: an obligation was taken on without a look at what may end it: requests were admitted by the age of the stop alone, whatever their deadline and whatever such requests take, once and for all: not again after the queue or before a retry.

--- a/teaselpath/exchange/__init__.py
+++ b/teaselpath/exchange/__init__.py
@@ -11,12 +11,15 @@
     status_interval_s,
 )
 from teaselpath.exchange._polls import TopicPolls
-from teaselpath.exchange._stop import StopPeer, StopPhase, plan_stop, refuses_requests
+from teaselpath.exchange._service_times import ServiceTimes
+from teaselpath.exchange._stop import Stop, StopPeer, StopPhase, plan_stop, refuses_requests
 
 __all__ = [
     "CROSS_REGION_INTERVAL_S",
     "Fanout",
     "Peer",
+    "ServiceTimes",
+    "Stop",
     "StopPeer",
     "StopPhase",
     "TopicPolls",
--- a/teaselpath/exchange/_stop.py
+++ b/teaselpath/exchange/_stop.py
@@ -5,7 +5,12 @@
 the nearest domains. A stopping gateway therefore closes its listener only while others take its
 place. If all stop at the same time, half of them, chosen by name, close at once, so that their
 successors start early; the others accept connections until a successor is ready, or until the time
-is left that they need to finish. Late in the stop they refuse new requests at once, as not run.
+is left that they need to finish.
+
+Once the load balancer has had the time to turn away, a request is sent only if its answer can be
+expected before the end of the stop; it is refused at once otherwise, as not run. What is only
+expected is not promised: the answer to such a request is held back until it is complete, so that it
+can still be replaced by a failure.
 """
 
 from collections.abc import Iterable
@@ -21,6 +26,12 @@
 MIN_LONG_SERVICE_TIME_S = 5.4
 # Remaining time at which the listener closes in any case, in seconds.
 CLOSE_TIME_S = 1.0
+# Quantile of the observed times of like requests that has to fit into the remaining time, if
+# another gateway can take the request, and if none can: then a refusal costs the caller more.
+CAUTIOUS_QUANTILE = 1.0
+URGENT_QUANTILE = 0.8
+# The observed time is multiplied by this factor.
+EXPECTED_TIME_MARGIN = 1.5
 
 
 class StopPhase(Enum):
@@ -44,6 +55,53 @@
     is_ready: bool
 
 
+@dataclass(slots=True)
+class Stop:
+    """Planned stop of this gateway, and what it may still take on.
+
+    :param started_at: event loop time of the signal, in seconds.
+    :param grace_s: duration after which the process is killed, in seconds.
+    :param ends_at: event loop time at which requests in flight are ended, in seconds.
+    :ivar has_ready_peer: whether another gateway can take requests.
+    :ivar successor_at: event loop time at which a caller finds another gateway, in seconds.
+    """
+
+    started_at: float
+    grace_s: float
+    ends_at: float
+    has_ready_peer: bool = False
+    successor_at: float = 0.0
+
+    @property
+    def quantile(self) -> float:
+        """Return the quantile of the observed times to which ``can_take`` refers."""
+        return CAUTIOUS_QUANTILE if self.has_ready_peer else URGENT_QUANTILE
+
+    def can_take(
+        self, now: float, deadline: float, observed_s: float | None, *, is_long: bool
+    ) -> bool:
+        """Return whether a request may be sent to an endpoint, for the first time or again.
+
+        :param deadline: event loop time at which its caller stops waiting, in seconds.
+        :param observed_s: time that like requests take; None if unknown.
+        :param is_long: whether it has a long prompt.
+        """
+        if now - self.started_at < LISTEN_GRACE_S or deadline <= self.ends_at:
+            return True
+        if refuses_requests(now - self.started_at, self.grace_s, is_long=is_long):
+            return False
+        if observed_s is None:
+            return not self.has_ready_peer
+        return now + EXPECTED_TIME_MARGIN * observed_s <= self.ends_at
+
+    def must_hold(self, now: float, deadline: float) -> bool:
+        """Return whether an answer that begins now may outlast the stop.
+
+        It is held back until it is complete.
+        """
+        return now - self.started_at >= LISTEN_GRACE_S and deadline > self.ends_at
+
+
 def plan_stop(
     host: str, domain: str, peers: Iterable[StopPeer], age_s: float, grace_s: float
 ) -> StopPhase:
--- a/teaselpath/exchange/tests/test_stop.py
+++ b/teaselpath/exchange/tests/test_stop.py
@@ -1,8 +1,11 @@
 """Planned stops of one, half and all gateways: someone accepts connections as long as possible."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from teaselpath.exchange import StopPeer, StopPhase, plan_stop, refuses_requests
+from teaselpath.exchange import Stop, StopPeer, StopPhase, plan_stop, refuses_requests
+from teaselpath.exchange._stop import LISTEN_GRACE_S
 
 GRACE_S = 8.0
 DOMAINS = ("a", "a", "b", "c")
@@ -79,3 +82,45 @@
 @pytest.mark.parametrize("grace_s", [0.5, 2.0, 3.0])
 def test_short_grace_period_leaves_time_to_finish(grace_s):
     assert plan_stop("gw-0", "a", [], grace_s - 1.0, grace_s) is StopPhase.CLOSE
+
+
+def make_stop(has_ready_peer):
+    """Return a stop that began at 5 s and ends requests at 12.05 s."""
+    return Stop(5.0, GRACE_S, 12.05, has_ready_peer=has_ready_peer)
+
+
+@pytest.mark.parametrize("has_ready_peer", [False, True])
+def test_request_that_likes_of_it_would_outlast_is_not_sent(has_ready_peer):
+    """Sent 4.3 s after SIGTERM, when such requests took 2.7 s, and cut 2.7 s later."""
+    stop = make_stop(has_ready_peer)
+    assert not stop.can_take(9.32, 14.32, 2.7, is_long=False)
+    assert stop.can_take(9.32, 14.32, 0.3, is_long=False)
+    # Its caller stops waiting before the end.
+    assert stop.can_take(9.32, 11.0, 2.7, is_long=False)
+    # It may cross the turn of the balancer.
+    assert stop.can_take(7.5, 14.32, 6.0, is_long=False)
+
+
+def test_request_of_which_nothing_is_known_goes_where_there_is_another_gateway():
+    assert not make_stop(True).can_take(9.0, 14.0, None, is_long=False)
+    assert make_stop(False).can_take(9.0, 14.0, None, is_long=False)
+
+
+@given(
+    age_s=st.floats(LISTEN_GRACE_S + 0.01, GRACE_S),
+    time_left_s=st.floats(0.0, 30.0),
+    observed_s=st.none() | st.floats(0.0, 30.0),
+    has_ready_peer=st.booleans(),
+    is_long=st.booleans(),
+)
+def test_what_is_taken_late_ends_in_time_or_is_held(
+    age_s, time_left_s, observed_s, has_ready_peer, is_long
+):
+    """A response that has begun cannot be taken back, so it must not begin on an expectation."""
+    stop = make_stop(has_ready_peer)
+    now, deadline = 5.0 + age_s, 5.0 + age_s + time_left_s
+    if not stop.can_take(now, deadline, observed_s, is_long=is_long):
+        return
+    assert deadline <= stop.ends_at or stop.must_hold(now, deadline)
+    if deadline > stop.ends_at and observed_s is not None:
+        assert now + observed_s <= stop.ends_at
--- a/teaselpath/gateway/_admission.py
+++ b/teaselpath/gateway/_admission.py
@@ -4,7 +4,8 @@
 
 from eliot import log_message
 
-from teaselpath.dispatch import LONG_PROMPT_TOKENS, OverRate
+from teaselpath.dispatch import OverRate
+from teaselpath.exchange import ServiceTimes
 from teaselpath.fleet import CallerRequest, RequestCodec, Route, Service, Workspace
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._metrics import GatewayMetrics
@@ -26,9 +27,17 @@
     :param state: state of this gateway.
     :param codec: translation of requests and answers.
     :param metrics: metrics of this gateway.
+    :param times: how long requests take.
     """
 
-    def __init__(self, state: GatewayState, codec: RequestCodec, metrics: GatewayMetrics):
+    def __init__(
+        self,
+        state: GatewayState,
+        codec: RequestCodec,
+        metrics: GatewayMetrics,
+        times: ServiceTimes,
+    ):
+        self.times = times
         self.state = state
         self.codec = codec
         self.metrics = metrics
@@ -60,12 +69,6 @@
         if config is None:
             self._refuse(exchange, request, Code.NO_BUNDLE, 503, UNCONFIGURED_RETRY_AFTER_S)
             return None
-        prompt = request.prompt
-        is_long = prompt is not None and prompt.prompt_tokens >= LONG_PROMPT_TOKENS
-        if state.refuses_requests or (state.refuses_long_prompts and is_long):
-            wait_s = max(MIN_RETRY_AFTER_S, state.successor_at - now)
-            self._refuse(exchange, request, Code.STOPPING, 503, wait_s)
-            return None
         route = config.find_route(request.host, request.path)
         if route is None or not route.backends:
             self._refuse(exchange, request, Code.UNKNOWN_ROUTE, 404)
@@ -84,6 +87,9 @@
         time_left_s = DEFAULT_CALLER_TIMEOUT_S if time_left_s is None else time_left_s
         deadline = now + min(time_left_s, route.timeout_s)
         call = Call(request, route, service, workspace, now, deadline)
+        if not self.has_time(call, now):
+            self._refuse(exchange, request, Code.STOPPING, 503, self.stop_wait_s(now))
+            return None
         if workspace is not None:
             call.tokens = workspace.plain_tokens if request.tokens is None else request.tokens
             state.quota.set_reachable_fraction(*state.count_gateways(now))
@@ -105,6 +111,19 @@
         state.retry_budget(service.name).record_request(now)
         return call
 
+    def has_time(self, call: Call, now: float) -> bool:
+        """Return whether the answer can be expected before a stop of this gateway ends."""
+        stop = self.state.stop
+        if stop is None:
+            return True
+        observed_s = self.times.quantile_s(call.kind, stop.quantile, now, without=call.number)
+        return stop.can_take(now, call.deadline, observed_s, is_long=call.kind[1])
+
+    def stop_wait_s(self, now: float) -> float:
+        """Return the time after which a caller finds another gateway, in seconds."""
+        stop = self.state.stop
+        return max(MIN_RETRY_AFTER_S, stop.successor_at - now if stop is not None else 0.0)
+
     def _choose_service(self, route: Route) -> Service | None:
         assert self.state.config is not None
         backends = route.backends
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from teaselpath.dispatch import Placed, Progress, Reservation
+from teaselpath.dispatch import LONG_PROMPT_TOKENS, Placed, Progress, Reservation
 from teaselpath.fleet import AnswerInfo, CallerRequest, Route, Service, Workspace
 from teaselpath.gateway._events import EventSplitter
 from teaselpath.quarantine import Claim
@@ -13,6 +13,7 @@
     """A request in flight.
 
     :param deadline: event loop time at which the caller stops waiting.
+    :param number: its number among the requests whose time is observed; 0 before admission.
     :param tried: ids of the endpoints of its attempts, including failed connections; they are
         excluded from placement.
     :param attempts: endpoint, outcome and duration of each attempt, for the log.
@@ -30,6 +31,7 @@
     workspace: Workspace | None
     arrived_at: float
     deadline: float
+    number: int = 0
     progress: Progress = field(default_factory=Progress)
     tried: set[str] = field(default_factory=set)
     attempts: list[tuple[str, str, float]] = field(default_factory=list)
@@ -45,6 +47,12 @@
     placed: Placed | None = None
     reservation: Reservation | None = None
 
+    @property
+    def kind(self) -> tuple[str, bool]:
+        """Return what requests that take a similar time have in common: route, long prompt."""
+        prompt = self.request.prompt
+        return self.route.name, prompt is not None and prompt.prompt_tokens >= LONG_PROMPT_TOKENS
+
     @property
     def priority(self) -> int:
         """Return the workspace's priority if it has one, else the route's."""
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -19,11 +19,13 @@
     Resend,
     next_step,
 )
+from teaselpath.exchange import ServiceTimes
 from teaselpath.fleet import RequestCodec
 from teaselpath.gateway._admission import MIN_RETRY_AFTER_S, Admission
 from teaselpath.gateway._attempt import Attempt, AttemptContext, describe_outcome
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._engine_ends import EngineEndDetector
+from teaselpath.gateway._held import HeldExchange
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._placement import Placer
 from teaselpath.gateway._quarantine import Quarantined, QuarantineGate
@@ -66,7 +68,8 @@
             state, codec, http, metrics, detector, gate, self._acquire_retry
         )
         self.placer = Placer(state, announce)
-        self.admission = Admission(state, codec, metrics)
+        self.times = ServiceTimes()
+        self.admission = Admission(state, codec, metrics, self.times)
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
         self.running = 0
@@ -81,7 +84,9 @@
         call = self.admission.admit(exchange)
         if call is None:
             return
+        exchange = self._hold(exchange, call)
         self.running += 1
+        call.number = self.times.begin(call.kind, call.arrived_at)
         task = asyncio.current_task()
         assert task is not None
         self.tasks.add(task)
@@ -100,9 +105,20 @@
         finally:
             self.gate.end_trial(call)
             self.running -= 1
+            self.times.end(
+                call.kind, call.number, self.loop.time(), was_sent=call.placed is not None
+            )
             self.tasks.discard(task)
             self._log(call, code)
 
+    def _hold(self, exchange: Exchange, call: Call) -> Exchange:
+        """Return the exchange, or one that holds back an answer that may outlast the process."""
+        stop = self.state.stop
+        if stop is None or not stop.must_hold(call.arrived_at, call.deadline):
+            return exchange
+        headers = self.codec.own_response_headers(call.request.request_id, None)
+        return HeldExchange(exchange, (502, headers))
+
     def _respond_to_error(self, exchange: Exchange, call: Call) -> None:
         """Respond to a request whose handling has raised, unless the response is complete."""
         if exchange.is_finished:
@@ -130,7 +146,13 @@
         # An attempt that the cancellation has interrupted may have run.
         if call.was_sent or exchange.is_started:
             return self._respond_failed(exchange, call, 502)
-        wait_s = max(MIN_RETRY_AFTER_S, self.state.successor_at - self.loop.time())
+        return self._end_stopping(exchange, call)
+
+    def _end_stopping(self, exchange: Exchange, call: Call) -> Code:
+        """Respond to a request that this gateway cannot send before it ends."""
+        if call.progress.runs:
+            return self._respond_failed(exchange, call, 502)
+        wait_s = self.admission.stop_wait_s(self.loop.time())
         return self._respond_refused(exchange, call, Code.STOPPING, wait_s)
 
     async def _serve(self, exchange: Exchange, call: Call) -> Code:
@@ -146,6 +168,10 @@
                 self.placer.release(call)
                 self.gate.end_trial(call)
                 continue
+            # The end of a stop has come nearer while the request waited, or was sent elsewhere.
+            if not exchange.is_started and not self.admission.has_time(call, self.loop.time()):
+                self.placer.release(call)
+                return self._end_stopping(exchange, call)
             outcome = await self._attempt(exchange, call, placed)
             now = self.loop.time()
             # The attempt has relayed a complete stream.
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -8,7 +8,7 @@
 import msgspec
 from eliot import log_message, write_traceback
 
-from teaselpath.exchange import StopPeer, StopPhase, plan_stop, refuses_requests
+from teaselpath.exchange import Stop, StopPeer, StopPhase, plan_stop
 from teaselpath.fleet import CallerLimits, EngineCalls, GatewaySettings, MetadataStore, RequestCodec
 from teaselpath.gateway._caches import CacheWatcher
 from teaselpath.gateway._connections import ConnectionReporter
@@ -225,22 +225,21 @@
         """
         loop, state = asyncio.get_running_loop(), self.state
         started_at = loop.time()
-        state.is_stopping = True
-        self.peers.urgent_update.set()
         log_message("stopping", running=self.forwarder.running, open=len(self.connections))
         grace_s = self.settings.bounds.shutdown_grace_s
         deadline = started_at + grace_s - KILL_MARGIN_S
+        stop = state.stop = Stop(started_at, grace_s, ends_at=deadline - FINAL_ANSWER_S)
+        self.peers.urgent_update.set()
         phase = StopPhase.SERVE
-        while loop.time() < deadline - FINAL_ANSWER_S:
+        while loop.time() < stop.ends_at:
             for connection in self.connections:
                 connection.stop_reuse()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
             age_s = loop.time() - started_at
-            state.refuses_requests = refuses_requests(age_s, grace_s)
-            state.refuses_long_prompts = refuses_requests(age_s, grace_s, is_long=True)
             peers = self.peers.stop_peers()
-            has_ready_peer = any(peer.is_ready for peer in peers)
-            state.successor_at = started_at if has_ready_peer else deadline + SUCCESSOR_START_S
+            stop.has_ready_peer = any(peer.is_ready for peer in peers)
+            successor_at = deadline + SUCCESSOR_START_S
+            stop.successor_at = started_at if stop.has_ready_peer else successor_at
             if phase is not StopPhase.CLOSE:
                 phase = await self._change_phase(phase, peers, age_s, grace_s)
                 continue
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -13,7 +13,7 @@
     StoreView,
     Topology,
 )
-from teaselpath.exchange import is_large_fleet
+from teaselpath.exchange import Stop, is_large_fleet
 from teaselpath.fleet import (
     EndpointEntry,
     EndpointTable,
@@ -110,11 +110,7 @@
     :ivar endpoint_ids: id of each known endpoint by its number.
     :ivar reads_store: whether this gateway follows the store itself; others receive its records
         from peers.
-    :ivar refuses_requests: whether new requests are refused, because the process ends before they
-        would.
-    :ivar refuses_long_prompts: the same for requests with long prompts.
-    :ivar successor_at: time at which a caller finds another gateway or a successor of this process,
-        in seconds.
+    :ivar stop: the planned stop of this gateway, once it has begun.
     :ivar store_failed_at: time at which a call of this gateway to the store last failed.
     """
 
@@ -141,12 +137,14 @@
         self.store_regained_at = 0.0
         self.store_failed_at: float | None = None
         self.reads_store = True
-        self.is_stopping = False
-        self.refuses_requests = False
-        self.refuses_long_prompts = False
-        self.successor_at = 0.0
+        self.stop: Stop | None = None
         self.has_had_endpoints = False
 
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self.stop is not None
+
     def is_ready(self) -> bool:
         """Return whether this gateway can serve requests."""
         return self.config is not None and self.has_had_endpoints and not self.is_stopping
--- /dev/null
+++ b/teaselpath/gateway/tests/test_held.py
@@ -0,0 +1,81 @@
+"""Answers that may outlast a stop begin once they are complete."""
+
+import asyncio
+
+import pytest
+
+from teaselpath.exchange import Stop
+from teaselpath.gateway._held import MAX_HELD_BYTES
+from teaselpath.gateway.tests.front import STAMP, Front
+from teaselpath.http1 import Exchange
+
+STREAM = {"name": "r", "host": "h", "pathPrefix": "/", "kind": "stream", "service": "s"}
+EVENT = b"id: 1\ndata: x\n\n"
+# Time for the end of the stop, in seconds.
+ENDS_IN_S = 3.0
+
+
+def play(stream, age_s, first=EVENT) -> bytes:
+    """Send a request so long after SIGTERM, to an endpoint that goes on after the first event."""
+    has_begun = asyncio.Event()
+
+    async def answer(exchange: Exchange):
+        exchange.start(200, [STAMP])
+        exchange.write(first)
+        has_begun.set()
+        await stream(exchange)
+
+    async def scenario():
+        async with Front() as front:
+            front.put_config(routes=[STREAM])
+            await front.add_endpoint("e", answer)
+            now = asyncio.get_running_loop().time()
+            front.state.stop = Stop(now - age_s, age_s + ENDS_IN_S + 0.95, now + ENDS_IN_S)
+            caller = asyncio.create_task(front.send())
+            await has_begun.wait()
+            while not any(call for call in front.forwarder.tasks):
+                await asyncio.sleep(0)
+            # The gateway has read the first event.
+            await asyncio.sleep(0.2)
+            front.forwarder.end_unfinished()
+            return await caller
+
+    return asyncio.run(scenario())
+
+
+async def go_on_forever(exchange: Exchange):
+    await asyncio.Event().wait()
+
+
+async def finish(exchange: Exchange):
+    exchange.finish()
+
+
+def test_stream_that_outlasts_the_stop_gets_a_failure():
+    """It had begun, and was cut."""
+    response = play(go_on_forever, age_s=4.0)
+    assert response.startswith(b"HTTP/1.1 502 ")
+    assert response.count(b"HTTP/1.1") == 1
+    assert b"Request-Id: r" in response
+
+
+def test_stream_of_a_request_that_crossed_the_stop_begins_at_once():
+    response = play(go_on_forever, age_s=1.0)
+    assert response.startswith(b"HTTP/1.1 200 ")
+    assert EVENT in response
+    assert not response.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("age_s", [1.0, 4.0])
+def test_complete_stream_is_the_same_held_or_not(age_s):
+    response = play(finish, age_s)
+    assert response.startswith(b"HTTP/1.1 200 ")
+    assert response.endswith(b"\r\n\r\nf\r\n" + EVENT + b"\r\n0\r\n\r\n")
+
+
+def test_large_stream_is_not_kept_in_memory():
+    events = EVENT * (MAX_HELD_BYTES // len(EVENT) + 1)
+    response = play(go_on_forever, 4.0, events)
+    assert response.startswith(b"HTTP/1.1 200 ")
+    assert len(response) > MAX_HELD_BYTES
+    assert not response.endswith(b"0\r\n\r\n")
--- a/teaselpath/http1/__init__.py
+++ b/teaselpath/http1/__init__.py
@@ -14,6 +14,7 @@
 from teaselpath.http1._listener import LISTEN_BACKLOG, Listener
 from teaselpath.http1._messages import (
     HOP_BY_HOP,
+    Headers,
     Request,
     Response,
     ResponseHead,
@@ -34,6 +35,7 @@
     "ConnectionPool",
     "EndCause",
     "Exchange",
+    "Headers",
     "HttpClient",
     "Listener",
     "PoolLimits",
