Stand-in store: it can return from a copy, in a new era; type of a position

A store that is restored from a copy gives offsets out again and states a new era in each answer. The stand-in could not play that: no test could show what gateways make of it. Position orders records over all eras; nothing uses it yet.

--- a/standins/hosted/_store.py
+++ b/standins/hosted/_store.py
@@ -54,6 +54,7 @@
         self.random = random
         self.faults = StoreFaults()
         self.topics: dict[str, _Topic] = {}
+        self.era = 1
         self.calls = 0
 
     def put(self, topic: str, key: str, value: object) -> None:
@@ -66,6 +67,29 @@
         for topic in self.topics.values():
             topic.first = len(topic.records)
 
+    def copy_topics(self) -> dict[str, _Topic]:
+        """Return a copy of all topics, for ``restore``."""
+        return {
+            name: _Topic(list(topic.records), topic.first) for name, topic in self.topics.items()
+        }
+
+    def restore(self, copied: dict[str, _Topic]) -> None:
+        """Continue from a copy, as after the loss of all later records; begins a new era.
+
+        Polls in flight return records of the era in which they were sent. Operators and servers
+        have to write their records again.
+        """
+        self.era += 1
+        before = self.topics
+        self.topics = {
+            name: _Topic(list(topic.records), topic.first) for name, topic in copied.items()
+        }
+        for topic in before.values():
+            topic.changed.set()
+
+    def _headers(self) -> list[tuple[bytes, bytes]]:
+        return [(b"Store-Era", b"%d" % self.era)]
+
     async def handle(self, exchange: Exchange, gateway: str = "") -> None:
         """Handle one HTTP request.
 
@@ -91,12 +115,12 @@
             case "/-/log-append":
                 await self._write(exchange, topic, query)
             case _:
-                exchange.respond(404, [])
+                exchange.respond(404, self._headers())
 
     async def _apply_mode(self, exchange: Exchange, mode: str) -> None:
         match mode:
             case "busy":
-                exchange.respond(503, [])
+                exchange.respond(503, self._headers())
             case "silent":
                 await asyncio.sleep(MAX_WAIT_S)
             case _:
@@ -122,14 +146,15 @@
             for key in keys[:500]
         ]
         body = {"items": items, "hasMore": len(keys) > 500, "end": len(topic.records)}
-        exchange.respond(200, [], json.dumps(body).encode())
+        exchange.respond(200, self._headers(), json.dumps(body).encode())
 
     async def _read(self, exchange: Exchange, topic: _Topic, query: dict[str, str]) -> None:
         start = int(query["from"])
-        if start < topic.first:
+        if not topic.first <= start <= len(topic.records):
             body = json.dumps({"first": topic.first}).encode()
-            exchange.respond(410, [], body)
+            exchange.respond(410, self._headers(), body)
             return
+        headers = self._headers()
         if start >= len(topic.records):
             try:
                 async with asyncio.timeout(float(query.get("waitMs", 0)) / 1000):
@@ -140,7 +165,7 @@
         for key, value in topic.records[start:]:
             content = bytes([len(key)]) + key.encode() + value
             parts += [struct.pack(">I", len(content)), content]
-        exchange.respond(200, [], b"".join(parts))
+        exchange.respond(200, headers, b"".join(parts))
 
     async def _write(self, exchange: Exchange, topic: _Topic, query: dict[str, str]) -> None:
         records, body, position = [], exchange.request.body, 0
@@ -153,10 +178,12 @@
         is_lost = self.random.random() < self.faults.lost
         if is_lost and self.faults.late:
             await asyncio.sleep(LATE_APPEND_DELAY_S)
+            topic = self._topic(query.get("topic", ""))
         at = query.get("at")
         if at is not None and int(at) != len(topic.records):
             if not is_lost:
-                exchange.respond(412, [], json.dumps({"end": len(topic.records)}).encode())
+                body = json.dumps({"end": len(topic.records)}).encode()
+                exchange.respond(412, self._headers(), body)
             return
         self._append(topic, records)
         if is_lost:
@@ -164,4 +191,4 @@
             return
         end = len(topic.records)
         body = json.dumps({"offset": end - len(records), "end": end}).encode()
-        exchange.respond(200, [], body)
+        exchange.respond(200, self._headers(), body)
--- a/teaselpath/fleet/__init__.py
+++ b/teaselpath/fleet/__init__.py
@@ -32,6 +32,7 @@
 )
 from teaselpath.fleet._ports import (
     MetadataStore,
+    Position,
     RecordPage,
     StoredRecord,
     StoreError,
@@ -61,6 +62,7 @@
     "Forwarding",
     "GatewaySettings",
     "MetadataStore",
+    "Position",
     "Prompt",
     "PromptPart",
     "RecordPage",
--- a/teaselpath/fleet/_ports.py
+++ b/teaselpath/fleet/_ports.py
@@ -21,6 +21,21 @@
         self.is_conflict = is_conflict
 
 
+@dataclass(slots=True, frozen=True, order=True)
+class Position:
+    """Position in a topic, ordered over all eras of the store.
+
+    A store that is restored from a copy gives offsets out again, so an offset alone does not tell
+    which of two records is newer. Each restoration begins a new era.
+
+    :param era: number of the era, which rises with each restoration; 0 if the store states none.
+    :param offset: offset within the topic in that era.
+    """
+
+    era: int
+    offset: int
+
+
 @dataclass(slots=True, frozen=True)
 class StoredRecord:
     """A record of a topic; ``value`` is empty for a removed key."""
