Logs: records ignored as older, listings in place of reads, eras of the store

After the store returned from a copy, configurations written later were never applied, and no line said why. `record_older` names both offsets of a record that is ignored for its position, `poll_listed` the cursor of a poll that the store answered with a listing, `store_era` the era of the store's answers. Together they tell apart: not read, read beyond the end, listed, listed and ignored.

--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -157,6 +157,7 @@
         """Apply a record of the operators' topic if it is newer than the stored one."""
         current = self.operator_records.get(record.key)
         if current is not None and current.offset >= record.offset:
+            _log_if_older(record, current, source)
             return
         config = self.store.decode_config(record)
         weights = self.store.decode_weights(record)
@@ -221,6 +222,7 @@
         """Apply a record of the endpoint topic if it is newer than the stored one."""
         current = self.endpoint_records.get(record.key)
         if current is not None and current.offset >= record.offset:
+            _log_if_older(record, current, source)
             return
         entry = self.store.decode_endpoint(record)
         lapse = self.may_be_lapse(now) and not record.value
@@ -401,3 +403,15 @@
         if self.config is None or key is None:
             return None
         return self.config.workspaces.get(key)
+
+
+def _log_if_older(record: StoredRecord, known: StoredRecord, source: str) -> None:
+    """Log that a record is ignored for its position, unless it is only repeated."""
+    if record.value != known.value:
+        log_message(
+            "record_older",
+            key=record.key,
+            offset=record.offset,
+            known_offset=known.offset,
+            source=source,
+        )
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -135,6 +135,8 @@
                 self.calls[Topic(other)].cancel()
             rtt_s = loop.time() - sent_at if cursor is None else None
             self.state.record_store_success(loop.time(), rtt_s)
+            if cursor is not None and page.is_listing:
+                log_message("poll_listed", topic=topic, cursor=cursor, end=page.end)
             self._apply(topic, page, loop.time())
             if cursor is None or page.end > cursor:
                 cursor = page.end
--- a/teaselpath/platform/_store.py
+++ b/teaselpath/platform/_store.py
@@ -6,6 +6,7 @@
 from urllib.parse import quote
 
 import msgspec
+from eliot import log_message
 
 from teaselpath.fleet import (
     EndpointEntry,
@@ -50,11 +51,13 @@
     """Reads and appends records of the store's topics.
 
     :param address: IP:PORT.
+    :ivar era: era that the store stated last.
     """
 
     def __init__(self, address: str, http: HttpClient):
         self.address = address
         self.http = http
+        self.era: bytes | None = None
 
     async def poll(self, topic: Topic, start: int | None, wait_s: float) -> RecordPage:
         """Return records from offset ``start`` on, long-polling for up to ``wait_s``.
@@ -128,13 +131,18 @@
     async def _call(self, method: bytes, target: str, wait_s: float, body: bytes = b"") -> Response:
         deadline = asyncio.get_running_loop().time() + wait_s + CALL_TIMEOUT_S
         try:
-            return await self.http.call(
+            response = await self.http.call(
                 self.address, method, target.encode(), deadline=deadline, body=body
             )
         except ConnectFailed as error:
             raise StoreError(str(error)) from error
         except (ConnectionBroken, ReadTimeout) as error:
             raise StoreError(f"no answer: {error!r}", is_outcome_unknown=True) from error
+        era = response.head.header(b"store-era")
+        if era is not None and era != self.era:
+            log_message("store_era", era=era.decode(errors="replace"), target=target)
+            self.era = era
+        return response
 
 
 def _decode_records(data: bytes, start: int) -> RecordPage:
