--- a/standins/hosted/_site.py
+++ b/standins/hosted/_site.py
@@ -224,6 +224,11 @@
     def write_config(self) -> int:
         """Write the next version of the configuration to the store and return its number."""
         self.config_version += 1
+        self.repeat_config()
+        return self.config_version
+
+    def repeat_config(self) -> None:
+        """Write the newest version again, as operators do once the store returns from a copy."""
         services = sorted({route.service for route in self.routes})
         config = {
             "version": self.config_version,
@@ -267,7 +272,6 @@
             ],
         }
         self.store.put("keyed.op", "config", config)
-        return self.config_version
 
     def announce_weights(self) -> int:
         """Announce the next weights version in the store and return it."""
--- a/teaselpath/fleet/__init__.py
+++ b/teaselpath/fleet/__init__.py
@@ -17,6 +17,7 @@
     EndpointEntry,
     EndpointState,
     EndpointTable,
+    Revision,
 )
 from teaselpath.fleet._model import (
     Backend,
@@ -30,18 +31,19 @@
     Workspace,
     index_routes,
 )
-from teaselpath.fleet._ports import (
-    MetadataStore,
+from teaselpath.fleet._ports import MetadataStore, StoreError
+from teaselpath.fleet._prompts import Prompt, PromptPart
+from teaselpath.fleet._records import (
+    BEFORE_ALL,
     Position,
     RecordPage,
     StoredRecord,
-    StoreError,
     Topic,
 )
-from teaselpath.fleet._prompts import Prompt, PromptPart
 from teaselpath.fleet._settings import Bounds, GatewaySettings
 
 __all__ = [
+    "BEFORE_ALL",
     "AnswerInfo",
     "Backend",
     "Bounds",
@@ -68,6 +70,7 @@
     "RecordPage",
     "RequestCodec",
     "RequestKind",
+    "Revision",
     "Route",
     "Service",
     "StoreError",
--- a/teaselpath/fleet/_endpoints.py
+++ b/teaselpath/fleet/_endpoints.py
@@ -5,6 +5,8 @@
 from functools import lru_cache
 from hashlib import blake2b
 
+from teaselpath.fleet._records import BEFORE_ALL, Position, StoredRecord
+
 # Grace period after an outage of the store in which lapsed entries may be listed again, in seconds.
 LAPSE_GRACE_S = 2.5
 # Size of an endpoint's number, which is a hash: collisions are improbable among thousands.
@@ -62,73 +64,163 @@
     return int.from_bytes(blake2b(key, digest_size=NUMBER_BYTES).digest(), "big")
 
 
+@dataclass(slots=True, frozen=True, order=True)
+class Revision:
+    """How recent an endpoint's own statement is, whatever the store has lost since.
+
+    :param started_at_ms: Unix time of the start of the incarnation that made it.
+    :param sequence: number of the statement within the incarnation.
+    """
+
+    started_at_ms: int
+    sequence: int
+
+
 @dataclass(slots=True, frozen=True)
 class EndpointEntry:
     """A record of the endpoint list.
 
     :param endpoint: None for a removal or for a record without a usable endpoint.
+    :param revision: None if the endpoint does not state it.
     """
 
-    key: str
-    offset: int
+    record: StoredRecord
     endpoint: Endpoint | None
+    revision: Revision | None = None
+
+    @property
+    def key(self) -> str:
+        """Key of the record."""
+        return self.record.key
+
+    @property
+    def position(self) -> Position:
+        """Position of the record."""
+        return self.record.position
+
+    def at(self, position: Position) -> "EndpointEntry":
+        """Return the same entry at another position."""
+        return replace(self, record=replace(self.record, position=position))
+
+    def marked_removed(self, position: Position) -> "EndpointEntry":
+        """Return an entry with the record of a removal, which still has its endpoint."""
+        return replace(self, record=StoredRecord(self.key, b"", position))
+
+
+def _is_newer(entry: EndpointEntry, known: EndpointEntry) -> bool:
+    """Return whether an entry is newer than the known one of its key.
+
+    Position decides within an era. A record of another era may have been copied, so the endpoint's
+    own statements decide if both have one. A removed endpoint returns only with a later statement.
+    """
+    is_later = entry.position > known.position
+    if entry.position.era == known.position.era and entry.position != known.position:
+        return is_later
+    if entry.revision is None or known.revision is None:
+        return is_later
+    if entry.revision == known.revision:
+        return is_later and known.endpoint is not None
+    return entry.revision > known.revision
 
 
 class EndpointTable:
     """The newest known record of each endpoint.
 
     A removal recorded during or shortly after an outage of the store may be a lapse: the entry of a
-    running endpoint expired because it could not be renewed. Such a removal takes effect only
-    ``LAPSE_GRACE_S`` after the end of the outage.
+    running endpoint expired because it could not be renewed, or the store has lost it. Such a
+    removal takes effect only ``LAPSE_GRACE_S`` after the end of the outage.
 
     :ivar lapsed: time at which each pending removal takes effect, by key.
-    :ivar offset: highest offset of any record applied.
+    :ivar position: highest position of any entry. All records up to it have been applied.
     """
 
     def __init__(self) -> None:
         self.entries: dict[str, EndpointEntry] = {}
         self.lapsed: dict[str, float] = {}
-        self.offset = -1
+        self.position = BEFORE_ALL
 
     def apply(self, entry: EndpointEntry, now: float, *, may_be_lapse: bool) -> str | None:
         """Apply a record; return the kind of change, or None if nothing changed.
 
-        The kinds are ``added``, ``changed``, ``removed`` and ``lapsed``.
+        The kinds are ``added``, ``changed``, ``removed``, ``lapsed`` and, for an older record that
+        is ignored, ``outdated``.
 
         :param may_be_lapse: whether a removal may be caused by an outage of the store.
         """
         known = self.entries.get(entry.key)
-        if known is not None and known.offset >= entry.offset:
-            return None
-        self.offset = max(self.offset, entry.offset)
-        if entry.endpoint is None and may_be_lapse and known and known.endpoint:
-            self.entries[entry.key] = replace(known, offset=entry.offset)
+        if known is None:
+            return self._add(entry)
+        if not _is_newer(entry, known):
+            return self._keep(known, entry)
+        is_doubtful = not entry.record.value or entry.position.era != known.position.era
+        if entry.endpoint is None and may_be_lapse and is_doubtful and known.endpoint:
+            self._put(known.marked_removed(entry.position))
             self.lapsed.setdefault(entry.key, now + LAPSE_GRACE_S)
             return "lapsed"
         self.lapsed.pop(entry.key, None)
-        self.entries[entry.key] = entry
-        before = known.endpoint if known else None
+        revision = entry.revision or (known.revision if entry.endpoint is None else None)
+        position = max(entry.position, known.position)
+        self._put(replace(entry.at(position), revision=revision))
+        before = known.endpoint
         if before == entry.endpoint:
             return None
         if entry.endpoint is None:
             return "removed" if before else None
         return "added" if before is None else "changed"
 
-    def remove_unlisted(self, keys: set[str], now: float, *, may_be_lapse: bool) -> list[str]:
+    def _add(self, entry: EndpointEntry) -> str | None:
+        if entry.position.era < self.position.era:
+            return "outdated"
+        self._put(entry)
+        return "added" if entry.endpoint else None
+
+    def _keep(self, known: EndpointEntry, entry: EndpointEntry) -> str | None:
+        """Keep the known entry; a store that lists an older one again has not removed it."""
+        if entry.position.era > known.position.era:
+            self.lapsed.pop(entry.key, None)
+            has_record = known.record.value or known.endpoint is None
+            kept = known.at(entry.position) if has_record else replace(known, record=entry.record)
+            self._put(kept)
+        return "outdated" if entry.record.value != known.record.value else None
+
+    def _put(self, entry: EndpointEntry) -> None:
+        self.entries[entry.key] = entry
+        self.position = max(self.position, entry.position)
+
+    def remove_unlisted(
+        self, keys: set[str], end: Position, now: float, *, may_be_lapse: bool
+    ) -> list[str]:
         """Remove the entries that are missing from a full listing; return their keys.
 
+        Entries of an earlier era are marked as lapsed: the copy may be older than they are.
+
+        :param end: end of the topic as of the listing; newer entries are kept.
         :param may_be_lapse: mark the entries as lapsed instead of removing them.
         """
         unlisted = [
-            key for key, entry in self.entries.items() if entry.endpoint and key not in keys
+            entry
+            for key, entry in self.entries.items()
+            if entry.endpoint and key not in keys and entry.position < end
         ]
-        for key in unlisted:
-            known = self.entries[key]
-            if may_be_lapse:
-                self.lapsed.setdefault(key, now + LAPSE_GRACE_S)
+        for entry in unlisted:
+            # A removal that the topic no longer contains, for peers that receive the records.
+            removal = entry.marked_removed(end.shifted(-1))
+            if may_be_lapse or entry.position.era < end.era:
+                self.lapsed.setdefault(entry.key, now + LAPSE_GRACE_S)
+                self._put(removal)
             else:
-                self.entries[key] = replace(known, endpoint=None)
-        return unlisted
+                self.lapsed.pop(entry.key, None)
+                self._put(replace(removal, endpoint=None))
+        return [entry.key for entry in unlisted]
+
+    def mark_unconfirmed(self, now: float) -> None:
+        """Mark the entries as lapsed that no record of the newest era has confirmed.
+
+        For a gateway that gets all records of an era from a peer, without a listing.
+        """
+        for key, entry in self.entries.items():
+            if entry.endpoint and entry.position.era < self.position.era:
+                self.lapsed.setdefault(key, now + LAPSE_GRACE_S)
 
     def extend_lapses(self, now: float) -> None:
         """Postpone the pending removals during an outage of the store."""
@@ -140,10 +232,17 @@
         expired = [key for key, at in self.lapsed.items() if at <= now]
         for key in expired:
             del self.lapsed[key]
-            self.entries[key] = replace(self.entries[key], endpoint=None)
+            entry = self.entries[key]
+            if entry.record.value:
+                entry = entry.marked_removed(self.position)
+            self._put(replace(entry, endpoint=None))
         return expired
 
     def get(self, key: str) -> Endpoint | None:
         """Return an endpoint; None if it is not listed."""
         entry = self.entries.get(key)
         return entry.endpoint if entry else None
+
+    def records_after(self, position: Position) -> list[StoredRecord]:
+        """Return the newest record of each key, unless it is at or before a position."""
+        return [e.record for e in self.entries.values() if e.position > position]
--- a/teaselpath/fleet/_ports.py
+++ b/teaselpath/fleet/_ports.py
@@ -1,11 +1,10 @@
 """Interfaces that a deployment platform has to implement."""
 
-from dataclasses import dataclass
-from enum import StrEnum
 from typing import Protocol
 
 from teaselpath.fleet._endpoints import EndpointEntry
 from teaselpath.fleet._model import FleetConfig
+from teaselpath.fleet._records import Position, RecordPage, StoredRecord, Topic
 
 
 class StoreError(Exception):
@@ -21,68 +20,22 @@
         self.is_conflict = is_conflict
 
 
-@dataclass(slots=True, frozen=True, order=True)
-class Position:
-    """Position in a topic, ordered over all eras of the store.
-
-    A store that is restored from a copy gives offsets out again, so an offset alone does not tell
-    which of two records is newer. Each restoration begins a new era.
-
-    :param era: number of the era, which rises with each restoration; 0 if the store states none.
-    :param offset: offset within the topic in that era.
-    """
-
-    era: int
-    offset: int
-
-
-@dataclass(slots=True, frozen=True)
-class StoredRecord:
-    """A record of a topic; ``value`` is empty for a removed key."""
-
-    key: str
-    value: bytes
-    offset: int
-
-
-@dataclass(slots=True, frozen=True)
-class RecordPage:
-    """Records of a topic and the offset that follows the last one.
-
-    :param is_listing: whether the page holds the newest record of every key.
-    """
-
-    records: list[StoredRecord]
-    end: int
-    is_listing: bool
-
-
-class Topic(StrEnum):
-    """Record topics of the store.
-
-    Operators write the first, endpoints the second and gateways the others.
-    """
-
-    OPERATORS = "operators"
-    ENDPOINTS = "endpoints"
-    LEASE = "lease"
-    MEMBERS = "members"
-    VERDICTS = "verdicts"
-
-
 class MetadataStore(Protocol):
     """The platform's store of configuration, endpoints and the gateways' own records."""
 
-    async def poll(self, topic: Topic, start: int | None, wait_s: float) -> RecordPage:
-        """Return the records from offset ``start`` on, with a long poll of ``wait_s``.
+    async def poll(self, topic: Topic, start: Position | None, wait_s: float) -> RecordPage:
+        """Return the records from ``start`` on, with a long poll of ``wait_s``.
 
-        Returns a full listing if ``start`` is None or no longer stored.
+        Returns a full listing if ``start`` is None, no longer stored, or of another era.
         """
 
-    async def append(self, topic: Topic, key: str, value: bytes, end: int | None = None) -> int:
+    async def append(
+        self, topic: Topic, key: str, value: bytes, end: Position | None = None
+    ) -> Position:
         """Append a record and return the new end of the topic.
 
-        :param end: fail with a conflict unless the topic ends at this offset; None for no check.
+        :param end: fail with a conflict unless the topic ends there; None for no check. The outcome
+            is unknown if the store turns out to be in another era.
         """
 
     def decode_config(self, record: StoredRecord) -> FleetConfig | None:
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -40,6 +40,7 @@
         self.running = make(Gauge, "running", "Requests under way")
         self.config_version = make(Gauge, "config_version", "Configuration in force")
         self.store_up = make(Gauge, "store_up", "1 if the last call to the store succeeded")
+        self.store_era = make(Gauge, "store_era", "Newest known era of the store")
         self.gateways = make(Gauge, "gateways", "Gateways by state: heard, possible")
 
     def observe(
--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -157,7 +157,10 @@
         except StoreError as error:
             lease.handle_append_unconfirmed()
             log_message(
-                "lease_not_taken", end=end, reason=str(error), unknown=error.is_outcome_unknown
+                "lease_not_taken",
+                end=end.offset if end else None,
+                reason=str(error),
+                unknown=error.is_outcome_unknown,
             )
             if not error.is_conflict:
                 # Delay before the next attempt.
@@ -284,5 +287,7 @@
     try:
         return msgspec.json.decode(record.value, type=LeaseRecord)
     except msgspec.MsgspecError as error:
-        log_message("record_ignored", key=record.key, offset=record.offset, reason=str(error))
+        log_message(
+            "record_ignored", key=record.key, offset=record.position.offset, reason=str(error)
+        )
         return None
--- a/teaselpath/gateway/_peer_messages.py
+++ b/teaselpath/gateway/_peer_messages.py
@@ -46,10 +46,12 @@
     :param has_all_counters: whether ``used`` names each workspace with a charge.
     :param members: host, IP address, incarnation and failure domain of other gateways; None if the
         message does not list them.
+    :param store_era: newest era of the store that the gateway knows.
+    :param endpoint_position: era and offset of the newest endpoint record that it has.
     :param store_up: whether the gateway reaches the store.
     :param naming_ages_ms: time since the announcement of each weights version, in ms, by model and
         version.
-    :param lease_end: offset at which the lease topic ends; -1 if unknown.
+    :param lease_end: era and offset at which the lease topic ends; None if unknown.
     :param lease: holder, nonce and fence of the newest known lease record.
     """
 
@@ -60,7 +62,8 @@
     sequence: int
     config_version: int
     wanted: dict[str, int]
-    endpoint_offset: int
+    store_era: int
+    endpoint_position: tuple[int, int]
     used: dict[str, int]
     has_all_counters: bool
     endpoints: list[EndpointStatus]
@@ -69,7 +72,7 @@
     store_is_near: bool
     is_stopping: bool
     naming_ages_ms: dict[str, dict[int, int]]
-    lease_end: int
+    lease_end: tuple[int, int] | None
     lease: tuple[str, str, int] | None
 
 
@@ -102,10 +105,10 @@
 
 
 class RecordSet(msgspec.Struct, array_like=True):
-    """Records of the store that a gateway has: key, value, offset."""
+    """Records of the store that a gateway has: key, value, era, offset."""
 
-    operators: list[tuple[str, bytes, int]]
-    endpoints: list[tuple[str, bytes, int]]
+    operators: list[tuple[str, bytes, int, int]]
+    endpoints: list[tuple[str, bytes, int, int]]
 
 
 def newer_weights(view: EndpointView) -> dict[str, int]:
--- a/teaselpath/gateway/_peer_records.py
+++ b/teaselpath/gateway/_peer_records.py
@@ -9,7 +9,7 @@
 from eliot import log_message
 
 from teaselpath.exchange import is_large_fleet, select_readers
-from teaselpath.fleet import StoredRecord, Topic
+from teaselpath.fleet import BEFORE_ALL, Position, StoredRecord, Topic
 from teaselpath.gateway._peer_messages import RecordSet, Status
 from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout
@@ -56,7 +56,7 @@
         self.statuses = statuses
         self.discard_unreachable = discard_unreachable
         self.behind_since: float | None = None
-        self.behind_at: tuple[int, int] = (0, 0)
+        self.behind_at: tuple[Position, Position] = (BEFORE_ALL, BEFORE_ALL)
         self.incomplete_from: str | None = None
         self.random = random.Random()
         self.encoder = msgspec.msgpack.Encoder()
@@ -87,7 +87,7 @@
             self.behind_since = self.incomplete_from = None
             return None
         # A gateway that receives records is not behind since the first of them was missing.
-        position = (state.newest_offset(Topic.OPERATORS), state.endpoints.offset)
+        position = (state.newest_position(Topic.OPERATORS), state.endpoints.position)
         if self.behind_since is None or position != self.behind_at:
             self.behind_since, self.behind_at = now, position
         delay_s = 0.0
@@ -142,7 +142,7 @@
     def _lacks_records(self, status: Status) -> bool:
         return (
             self._lacks_operator_records(status)
-            or status.endpoint_offset > self.state.endpoints.offset
+            or Position(*status.endpoint_position) > self.state.endpoints.position
         )
 
     def _lacks_operator_records(self, status: Status) -> bool:
@@ -164,8 +164,10 @@
         address = f"{status.ip}:{state.settings.peer_port}"
         target = RECORDS_PATH
         if self.incomplete_from is None:
-            operators = state.newest_offset(Topic.OPERATORS)
-            target += b"?operators=%d&endpoints=%d" % (operators, state.endpoints.offset)
+            operators, endpoints = state.newest_position(Topic.OPERATORS), state.endpoints.position
+            target += b"?operators=%d.%d&endpoints=%d.%d" % (
+                operators.era, operators.offset, endpoints.era, endpoints.offset,
+            )  # fmt: skip
         self.incomplete_from = None
         try:
             response = await self.http.call(
@@ -177,32 +179,48 @@
             return
         now = self.loop.time()
         source = f"peer {status.host}"
-        for record in records.operators:
-            state.apply_operator_record(StoredRecord(*record), source, now)
-        for record in sorted(records.endpoints, key=lambda record: record[2]):
-            state.apply_endpoint_record(StoredRecord(*record), source, now)
+        for record in map(_to_record, records.operators):
+            state.apply_operator_record(record, source, now)
+        newer = sorted(map(_to_record, records.endpoints), key=_position_of)
+        state.apply_endpoint_records(newer, source, now)
         if self._lacks_records(status):
             self.incomplete_from = status.host
 
     def encode_records(self, query: bytes = b"") -> bytes:
         """Return the encoded store records of this gateway, for a peer.
 
-        :param query: offsets after which the peer needs records, by topic; all without one.
+        :param query: positions after which the peer needs records, by topic; all without one.
+            Operators' records of other eras are always included, since their version decides.
         """
         state = self.state
-        after = {name: int(value) for name, value in parse_qsl(query.decode())}
-        after_operators, after_endpoints = after.get("operators", -1), after.get("endpoints", -1)
+        after = {name: _parse_position(value) for name, value in parse_qsl(query.decode())}
+        operators = after.get("operators", BEFORE_ALL)
+        endpoints = state.endpoints.records_after(after.get("endpoints", BEFORE_ALL))
         return self.encoder.encode(
             RecordSet(
                 [
-                    (r.key, r.value, r.offset)
-                    for r in state.operator_records.values()
-                    if r.offset > after_operators
-                ],
-                [
-                    (r.key, r.value, r.offset)
-                    for r in state.endpoint_records.values()
-                    if r.offset > after_endpoints
+                    _from_record(record)
+                    for record in state.operator_records.values()
+                    if record.position > operators or record.position.era != operators.era
                 ],
+                [_from_record(record) for record in endpoints],
             )
         )
+
+
+def _parse_position(text: str) -> Position:
+    era, _, offset = text.partition(".")
+    return Position(int(era), int(offset))
+
+
+def _to_record(sent: tuple[str, bytes, int, int]) -> StoredRecord:
+    key, value, era, offset = sent
+    return StoredRecord(key, value, Position(era, offset))
+
+
+def _from_record(record: StoredRecord) -> tuple[str, bytes, int, int]:
+    return record.key, record.value, record.position.era, record.position.offset
+
+
+def _position_of(record: StoredRecord) -> Position:
+    return record.position
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -23,6 +23,7 @@
     plan_fanout,
     status_interval_s,
 )
+from teaselpath.fleet import Position
 from teaselpath.gateway._peer_messages import (
     EndpointStatus,
     Message,
@@ -325,7 +326,8 @@
             sequence=self.sequence,
             config_version=state.config.version if state.config else 0,
             wanted=state.announced_versions(),
-            endpoint_offset=state.endpoints.offset,
+            store_era=state.era,
+            endpoint_position=(state.endpoints.position.era, state.endpoints.position.offset),
             used=self._used(now, changed_since),
             has_all_counters=has_all_counters,
             endpoints=self._endpoint_statuses(now),
@@ -338,7 +340,7 @@
                 model: {v: int((now - at) * 1000) for v, at in list(w.announced_at.items())[-4:]}
                 for model, w in state.announced.items()
             },
-            lease_end=-1 if lease.end is None else lease.end,
+            lease_end=None if lease.end is None else (lease.end.era, lease.end.offset),
             lease=(last.holder, last.nonce, last.fence) if last else None,
         )
 
@@ -380,6 +382,7 @@
             self.gate.greet(status.ip)
         member.last_contact_at = now
         self.statuses[status.host] = status
+        state.observe_era(status.store_era, f"peer {status.host}", now)
         for host, ip, incarnation, domain in status.members or ():
             if host != state.settings.host and host not in state.members:
                 state.record_member(host, ip, incarnation, now, domain)
@@ -395,9 +398,9 @@
             view = views[endpoint_status.endpoint_number]
             if view is not None:
                 self._apply_endpoint_status(status.host, endpoint_status, view, now)
-        if status.lease_end > (self.lease.end or 0):
+        if status.lease_end is not None:
             record = LeaseRecord(*status.lease) if status.lease else None
-            self.lease.observe(status.lease_end, record, self.clock())
+            self.lease.observe(Position(*status.lease_end), record, self.clock())
         knows_few = status.members is not None and 2 * len(status.members) < len(state.members)
         if knows_few or (is_new and self._is_near(member)):
             self._greet(member, now, lists_members=knows_few)
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -202,6 +202,7 @@
         self.metrics.running.set({}, self.forwarder.running)
         self.metrics.config_version.set({}, state.config.version if state.config else 0)
         self.metrics.store_up.set({}, int(state.store_up))
+        self.metrics.store_era.set({}, state.era)
         self.metrics.gateways.set({"state": "heard"}, reachable)
         self.metrics.gateways.set({"state": "possible"}, possible)
 
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -1,6 +1,7 @@
 """State of a gateway: configuration, endpoints, weights versions and the other gateways."""
 
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
 
 from eliot import log_message
 
@@ -15,12 +16,14 @@
 )
 from teaselpath.exchange import is_large_fleet
 from teaselpath.fleet import (
+    BEFORE_ALL,
     EndpointEntry,
     EndpointTable,
     EngineLimits,
     FleetConfig,
     GatewaySettings,
     MetadataStore,
+    Position,
     PromptPart,
     StoredRecord,
     Topic,
@@ -105,8 +108,13 @@
 class GatewayState:
     """State of one gateway process, owned by its event loop.
 
-    Versions and offsets only increase: older records from the store or from peers are ignored.
+    Versions only increase: older records from the store or from peers are ignored. Positions of
+    records tell which is newer within one era of the store; a store that returns from a copy
+    begins a new one.
 
+    :ivar era: newest known era of the store; 0 before its first answer.
+    :ivar era_seen_at: time at which this gateway first knew of that era, in seconds.
+    :ivar on_new_era: called for each era after the first.
     :ivar endpoint_ids: id of each known endpoint by its number.
     :ivar reads_store: whether this gateway follows the store itself; others receive its records
         from peers.
@@ -131,10 +139,12 @@
         self.endpoint_ids: dict[int, str] = {}
         self.pools: dict[str, EndpointPool] = {}
         self.cache_stores: dict[str, StoreView] = {}
-        self.endpoint_records: dict[str, StoredRecord] = {}
         self.members: dict[str, Member] = {}
         self.quota = SharedQuota(settings.bounds.quota_slack)
         self.retry_budgets: dict[str, SlidingRetryBudget] = {}
+        self.era = 0
+        self.era_seen_at = 0.0
+        self.on_new_era: list[Callable[[], None]] = []
         self.store_up = False
         self.store_is_near = False
         self.store_lost_at = 0.0
@@ -154,23 +164,45 @@
     # configuration and weights
 
     def apply_operator_record(self, record: StoredRecord, source: str, now: float) -> None:
-        """Apply a record of the operators' topic if it is newer than the stored one."""
-        current = self.operator_records.get(record.key)
-        if current is not None and current.offset >= record.offset:
-            _log_if_older(record, current, source)
+        """Apply a record of the operators' topic if its version is newer than the known one.
+
+        A record of an older position in the same era is ignored whatever its version.
+        """
+        known = self.operator_records.get(record.key)
+        is_same_era = known is not None and known.position.era == record.position.era
+        if known is not None and is_same_era and record.position <= known.position:
+            _log_if_older(record, known, source)
             return
         config = self.store.decode_config(record)
         weights = self.store.decode_weights(record)
         if config is not None:
-            self._apply_config(config, record, source)
+            before = self.config.version if self.config else None
+            if self._is_newer_version(record, config.version, before, source):
+                self._apply_config(config, record, source)
         elif weights is not None:
-            self._apply_weights(*weights, record, source, now)
+            model, version = weights
+            announced = self.announced.get(model)
+            before = announced.version if announced else None
+            if self._is_newer_version(record, version, before, source):
+                self._apply_weights(model, version, record, source, now)
         elif record.value:
-            log_message("record_ignored", key=record.key, offset=record.offset)
+            log_message("record_ignored", key=record.key, offset=record.position.offset)
+
+    def _is_newer_version(
+        self, record: StoredRecord, version: int, known_version: int | None, source: str
+    ) -> bool:
+        """Return whether a version is newer; the same one written again only moves its record."""
+        if known_version is None or version > known_version:
+            return True
+        known = self.operator_records.get(record.key)
+        if known is not None and version == known_version:
+            position = max(known.position, record.position)
+            self.operator_records[record.key] = replace(known, position=position)
+        elif known is not None:
+            _log_if_older(record, known, source)
+        return False
 
     def _apply_config(self, config: FleetConfig, record: StoredRecord, source: str) -> None:
-        if self.config is not None and config.version <= self.config.version:
-            return
         before = self.config.version if self.config else None
         self.config = config
         self.operator_records[record.key] = record
@@ -181,7 +213,8 @@
             "config_applied",
             version=config.version,
             before=before,
-            offset=record.offset,
+            offset=record.position.offset,
+            era=record.position.era,
             source=source,
         )
 
@@ -189,18 +222,17 @@
         self, model: str, version: int, record: StoredRecord, source: str, now: float
     ) -> None:
         current = self.announced.get(model)
-        if current is not None and current.version >= version:
-            return
         announced_at = {**(current.announced_at if current else {}), version: now}
         self.announced[model] = AnnouncedWeights(version, announced_at)
         self.operator_records[record.key] = record
         log_message("weights_named", model=model, version=version, source=source)
 
-    def newest_offset(self, topic: Topic) -> int:
-        """Return the offset of the newest applied record of a followed topic; -1 without one."""
+    def newest_position(self, topic: Topic) -> Position:
+        """Return the position of the newest applied record of a followed topic."""
         if topic is Topic.ENDPOINTS:
-            return self.endpoints.offset
-        return max((r.offset for r in self.operator_records.values()), default=-1)
+            return self.endpoints.position
+        positions = (record.position for record in self.operator_records.values())
+        return max(positions, default=BEFORE_ALL)
 
     def announced_versions(self) -> dict[str, int]:
         """Return the newest announced version of each model's weights."""
@@ -209,39 +241,44 @@
     # endpoints
 
     def may_be_lapse(self, now: float) -> bool:
-        """Return whether a removal may be caused by a store outage.
+        """Return whether a removal may be caused by a store outage or a restoration.
 
         Endpoints cannot renew their entries during an outage, so that the entries lapse.
         """
-        return (
-            not self.store_up
-            or now - self.store_regained_at < self.settings.bounds.recovery_window_s
-        )
+        returned_at = max(self.store_regained_at, self.era_seen_at)
+        return not self.store_up or now - returned_at < self.settings.bounds.recovery_window_s
+
+    def apply_endpoint_records(
+        self, records: Iterable[StoredRecord], source: str, now: float
+    ) -> None:
+        """Apply records of the endpoint topic that are newer than the known ones, in order."""
+        for record in records:
+            self.apply_endpoint_record(record, source, now)
+        self.endpoints.mark_unconfirmed(now)
 
     def apply_endpoint_record(self, record: StoredRecord, source: str, now: float) -> None:
-        """Apply a record of the endpoint topic if it is newer than the stored one."""
-        current = self.endpoint_records.get(record.key)
-        if current is not None and current.offset >= record.offset:
-            _log_if_older(record, current, source)
+        """Apply a record of the endpoint topic if it is newer than the known one."""
+        known = self.endpoints.entries.get(record.key)
+        if known is not None and known.record == record:
             return
         entry = self.store.decode_endpoint(record)
-        lapse = self.may_be_lapse(now) and not record.value
+        lapse = self.may_be_lapse(now)
         before = self.endpoints.get(record.key)
         change = self.endpoints.apply(entry, now, may_be_lapse=lapse)
-        self.endpoint_records[record.key] = record
-        if change is not None:
-            self._log_endpoint(change, entry, record, source)
+        if change == "outdated":
+            _log_if_older(record, known.record if known else None, source)
+        elif change is not None:
+            self._log_endpoint(change, entry, source)
         if before != self.endpoints.get(record.key):
             self._refresh_view(record.key)
 
-    def _log_endpoint(
-        self, change: str, entry: EndpointEntry, record: StoredRecord, source: str
-    ) -> None:
+    def _log_endpoint(self, change: str, entry: EndpointEntry, source: str) -> None:
         endpoint = entry.endpoint
         log_message(
             "endpoint_" + change,
-            endpoint=record.key,
-            offset=record.offset,
+            endpoint=entry.key,
+            offset=entry.position.offset,
+            era=entry.position.era,
             source=source,
             service=endpoint.service if endpoint else None,
             address=endpoint.address if endpoint else None,
@@ -249,14 +286,17 @@
             weights=dict(endpoint.weights) if endpoint else None,
         )
 
-    def remove_unlisted(self, keys: set[str], end: int, now: float) -> None:
-        """Remove endpoints that are missing from a listing of the topic up to offset ``end``."""
-        newer = {key for key, raw in self.endpoint_records.items() if raw.offset >= end}
+    def remove_unlisted(self, keys: set[str], end: Position, now: float) -> None:
+        """Remove endpoints that are missing from a listing of the topic up to ``end``."""
         lapse = self.may_be_lapse(now)
-        for key in self.endpoints.remove_unlisted(keys | newer, now, may_be_lapse=lapse):
-            log_message("endpoint_unlisted", endpoint=key, end=end, may_be_lapse=lapse)
-            # A removal that the topic no longer contains, for peers that receive the records.
-            self.endpoint_records[key] = StoredRecord(key, b"", end - 1)
+        for key in self.endpoints.remove_unlisted(keys, end, now, may_be_lapse=lapse):
+            log_message(
+                "endpoint_unlisted",
+                endpoint=key,
+                end=end.offset,
+                era=end.era,
+                may_be_lapse=key in self.endpoints.lapsed,
+            )
             self._refresh_view(key)
 
     def expire_lapses(self, now: float) -> None:
@@ -325,6 +365,16 @@
 
     # store
 
+    def observe_era(self, era: int, source: str, now: float) -> bool:
+        """Record the era that the store or a peer states; return False if it is over."""
+        if era > self.era:
+            log_message("store_era_changed", before=self.era, era=era, source=source)
+            is_first = self.era == 0
+            self.era, self.era_seen_at = era, now
+            for callback in [] if is_first else self.on_new_era:
+                callback()
+        return era == self.era
+
     def record_store_success(self, now: float, rtt_s: float | None = None) -> None:
         """Record that the store answered.
 
@@ -405,13 +455,18 @@
         return self.config.workspaces.get(key)
 
 
-def _log_if_older(record: StoredRecord, known: StoredRecord, source: str) -> None:
-    """Log that a record is ignored for its position, unless it is only repeated."""
-    if record.value != known.value:
+def _log_if_older(record: StoredRecord, known: StoredRecord | None, source: str) -> None:
+    """Log that a record is ignored as older than what is known, unless it is only repeated.
+
+    :param known: None if its key is unknown in the newest era.
+    """
+    if known is None or record.value != known.value:
         log_message(
             "record_older",
             key=record.key,
-            offset=record.offset,
-            known_offset=known.offset,
+            era=record.position.era,
+            offset=record.position.offset,
+            known_era=known.position.era if known else None,
+            known_offset=known.position.offset if known else None,
             source=source,
         )
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -6,7 +6,7 @@
 from eliot import log_message
 
 from teaselpath.exchange import TopicPolls, is_large_fleet
-from teaselpath.fleet import RecordPage, StoreError, Topic
+from teaselpath.fleet import Position, RecordPage, StoredRecord, StoreError, Topic
 from teaselpath.gateway._state import GatewayState
 
 # Duration of a long poll of the operators' topic, in seconds. A connection can go silent without a
@@ -45,6 +45,7 @@
     """Follows configuration, weights, endpoints and members.
 
     :param state: state of this gateway, to which records are applied.
+    :ivar must_announce: whether the store may have lost the record of this gateway.
     """
 
     def __init__(self, state: GatewayState):
@@ -53,6 +54,9 @@
         self.polls = TopicPolls()
         # Polls in flight, which another topic's answer may end.
         self.calls: dict[Topic, asyncio.Task[RecordPage]] = {}
+        self.must_announce = asyncio.Event()
+        self.loop = asyncio.get_running_loop()
+        state.on_new_era.append(self._end_polls)
 
     async def follow_operators(self) -> None:
         """Follow configuration and announced weights."""
@@ -63,30 +67,49 @@
         await self._follow(Topic.ENDPOINTS, ENDPOINTS_WAIT_S, ENDPOINTS_PAUSE_S)
 
     async def follow_members(self) -> None:
-        """Announce this gateway and record the others."""
-        settings, beat, cursor = self.state.settings, 0, None
-        loop = asyncio.get_running_loop()
+        """Announce this gateway, also in each new era of the store, and record the others."""
+        beat, cursor = 0, None
         while True:
             beat += 1
-            record = MemberRecord(
-                settings.ip, self.state.incarnation, beat, settings.failure_domain
-            )
             try:
-                await self.store.append(Topic.MEMBERS, settings.host, msgspec.json.encode(record))
+                await self._announce(beat)
                 is_large = is_large_fleet(len(self.state.members))
                 interval_s = LARGE_FLEET_MEMBER_INTERVAL_S if is_large else MEMBER_INTERVAL_S
                 # The second read, 2 s after the first, returns gateways that have registered at
                 # about the same time as this one.
                 delays_s = (interval_s,) if is_large and beat > 1 else (2.0, interval_s - 2.0)
                 for delay_s in delays_s:
-                    page = await self.store.poll(Topic.MEMBERS, cursor, 0.0)
-                    cursor = page.end
-                    self._apply_members(page.records, loop.time())
-                    await asyncio.sleep(delay_s)
+                    cursor = await self._read_members(cursor)
+                    if await self._is_new_era_within(delay_s):
+                        break
             except StoreError as error:
-                self.state.record_store_failure(str(error), loop.time())
+                self.state.record_store_failure(str(error), self.loop.time())
                 await asyncio.sleep(1.0)
 
+    async def _announce(self, beat: int) -> None:
+        settings = self.state.settings
+        record = MemberRecord(settings.ip, self.state.incarnation, beat, settings.failure_domain)
+        end = await self.store.append(Topic.MEMBERS, settings.host, msgspec.json.encode(record))
+        if self.state.observe_era(end.era, "store", self.loop.time()):
+            self.must_announce.clear()
+
+    async def _read_members(self, cursor: Position | None) -> Position:
+        """Apply the members' records from a position on, and return the end."""
+        page = await self.store.poll(Topic.MEMBERS, cursor, 0.0)
+        self.state.observe_era(page.end.era, "store", self.loop.time())
+        is_copied = cursor is not None and cursor.era != page.end.era
+        self._apply_members(page.records, self.loop.time(), is_copied=is_copied)
+        return page.end
+
+    async def _is_new_era_within(self, delay_s: float) -> bool:
+        """Wait for a time, or until the store has lost the record of this gateway."""
+        try:
+            async with asyncio.timeout(delay_s):
+                await self.must_announce.wait()
+        except TimeoutError:
+            return False
+        return True
+
     async def expire_lapses(self) -> None:
         """Remove endpoints whose entries were not renewed after a store outage, until cancelled."""
         loop = asyncio.get_running_loop()
@@ -94,7 +117,13 @@
             await asyncio.sleep(LAPSE_CHECK_INTERVAL_S)
             self.state.expire_lapses(loop.time())
 
-    def _apply_members(self, records, now: float) -> None:
+    def _apply_members(
+        self, records: list[StoredRecord], now: float, *, is_copied: bool = False
+    ) -> None:
+        """Record the gateways that the store lists.
+
+        :param is_copied: whether the records may be older than the messages of those gateways.
+        """
         for record in records:
             if record.key == self.state.settings.host or not record.value:
                 continue
@@ -103,29 +132,32 @@
             except msgspec.MsgspecError as error:
                 log_message("record_ignored", key=record.key, reason=str(error))
                 continue
+            known = self.state.members.get(record.key)
+            if is_copied and known is not None:
+                known.listed_at = now
+                continue
             self.state.record_member(
                 record.key, member.ip, member.incarnation, now, member.domain
             ).listed_at = now
 
     async def _follow(self, topic: Topic, wait_s: float, pause_s: float) -> None:
-        loop = asyncio.get_running_loop()
-        cursor: int | None = None
+        state, loop = self.state, self.loop
+        cursor: Position | None = None
         while True:
-            if cursor is not None and not self.state.reads_store:
+            if cursor is not None and not state.reads_store:
                 await asyncio.sleep(IDLE_CHECK_S)
                 continue
-            if cursor is not None:
-                cursor = max(cursor, self.state.newest_offset(topic) + 1)
-            is_large = is_large_fleet(len(self.state.members))
+            start = self._next_start(topic, cursor)
+            is_large = is_large_fleet(len(state.members))
             sent_at = loop.time()
             poll_wait_s = self.polls.begin(
                 topic, min(wait_s, READER_WAIT_S) if is_large else wait_s, sent_at
             )
             try:
-                page = await self._poll(topic, cursor, 0.0 if cursor is None else poll_wait_s)
+                page = await self._poll(topic, start, 0.0 if start is None else poll_wait_s)
             except StoreError as error:
                 self.polls.record_failure(topic)
-                self.state.record_store_failure(f"{topic}: {error}", loop.time())
+                state.record_store_failure(f"{topic}: {error}", loop.time())
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             if page is None:
@@ -133,21 +165,43 @@
                 continue
             for other in self.polls.record_answer(topic, loop.time()):
                 self.calls[Topic(other)].cancel()
-            rtt_s = loop.time() - sent_at if cursor is None else None
-            self.state.record_store_success(loop.time(), rtt_s)
-            if cursor is not None and page.is_listing:
-                log_message("poll_listed", topic=topic, cursor=cursor, end=page.end)
+            rtt_s = loop.time() - sent_at if start is None else None
+            state.record_store_success(loop.time(), rtt_s)
+            if not state.observe_era(page.end.era, "store", loop.time()):
+                log_message("answer_discarded", topic=topic, era=page.end.era, newest=state.era)
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
             self._apply(topic, page, loop.time())
-            if cursor is None or page.end > cursor:
-                cursor = page.end
-            if pause_s and page.records:
-                await asyncio.sleep(pause_s)
-
-    async def _poll(self, topic: Topic, cursor: int | None, wait_s: float) -> RecordPage | None:
-        """Return the answer to a poll; None if the answer on another topic has ended it."""
-        call = self.calls[topic] = asyncio.get_running_loop().create_task(
-            self.store.poll(topic, cursor, wait_s)
-        )
+            cursor = page.end
+            await asyncio.sleep(self._pause_s(topic, start, page, pause_s))
+
+    def _next_start(self, topic: Topic, cursor: Position | None) -> Position | None:
+        """Return the position from which to read on; None to list, as at the start of an era."""
+        if cursor is None or cursor.era != self.state.era:
+            return None
+        newest = self.state.newest_position(topic)
+        return max(cursor, newest.shifted(1)) if newest.era == cursor.era else cursor
+
+    def _pause_s(
+        self, topic: Topic, start: Position | None, page: RecordPage, pause_s: float
+    ) -> float:
+        """Return the time to wait before the next poll, in seconds."""
+        if start is not None and page.is_listing:
+            log_message("poll_listed", topic=topic, cursor=start.offset, end=page.end.offset)
+            if start.era == page.end.era:
+                # A store that has no such offset would be listed again and again.
+                return max(pause_s, RETRY_DELAY_S)
+        return pause_s if page.records else 0.0
+
+    def _end_polls(self) -> None:
+        """End the polls in flight, which concern an era of the store that is over."""
+        self.must_announce.set()
+        for call in self.calls.values():
+            call.cancel()
+
+    async def _poll(self, topic: Topic, start: Position | None, wait_s: float) -> RecordPage | None:
+        """Return the answer to a poll; None if another answer or a new era has ended it."""
+        call = self.calls[topic] = self.loop.create_task(self.store.poll(topic, start, wait_s))
         try:
             await asyncio.wait([call])
         finally:
@@ -155,7 +209,7 @@
             call.cancel()
         return None if call.cancelled() else call.result()
 
-    def _apply(self, topic: Topic, page, now: float) -> None:
+    def _apply(self, topic: Topic, page: RecordPage, now: float) -> None:
         state = self.state
         if topic is Topic.OPERATORS:
             for record in page.records:
--- a/teaselpath/gateway/tests/conftest.py
+++ b/teaselpath/gateway/tests/conftest.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from teaselpath.fleet import Bounds, GatewaySettings, StoredRecord
+from teaselpath.fleet import Bounds, GatewaySettings, Position, StoredRecord
 from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import HttpClient
 from teaselpath.platform import PlatformStore
@@ -31,13 +31,18 @@
     return GatewayState(SETTINGS, PlatformStore("127.0.0.1:9", HttpClient()), 1)
 
 
-def config_record(version: int, offset: int) -> StoredRecord:
+def config_record(version: int, offset: int, era: int = 1) -> StoredRecord:
     """Return a configuration record without routes."""
     value = json.dumps({"version": version, "tenants": []}).encode()
-    return StoredRecord("config", value, offset)
+    return StoredRecord("config", value, Position(era, offset))
 
 
-def endpoint_record(key: str, offset: int, **fields) -> StoredRecord:
+def removal_record(key: str, offset: int, era: int = 1) -> StoredRecord:
+    """Return a record that removes a key."""
+    return StoredRecord(key, b"", Position(era, offset))
+
+
+def endpoint_record(key: str, offset: int, era: int = 1, **fields) -> StoredRecord:
     """Return an endpoint record; ``fields`` override its defaults."""
     entry = {
         "service": "s",
@@ -49,4 +54,4 @@
         "models": [{"name": "m", "version": 1}],
         **fields,
     }
-    return StoredRecord(key, json.dumps(entry).encode(), offset)
+    return StoredRecord(key, json.dumps(entry).encode(), Position(era, offset))
--- a/teaselpath/gateway/tests/test_engine_ends.py
+++ b/teaselpath/gateway/tests/test_engine_ends.py
@@ -6,7 +6,7 @@
 
 from teaselpath.gateway._engine_ends import BrokenRun, EngineEnd, EngineEndDetector
 from teaselpath.gateway._metrics import GatewayMetrics
-from teaselpath.gateway.tests.conftest import endpoint_record
+from teaselpath.gateway.tests.conftest import endpoint_record, removal_record
 from teaselpath.http1 import HttpClient
 
 RUNS = [BrokenRun("r1", ("m/p",), 0, 0.1), BrokenRun("r2", ("m/q",), 3, 0.5)]
@@ -63,7 +63,7 @@
         detector = EngineEndDetector(state, HttpClient(), GatewayMetrics("gw-0"), ends.append)
         task = detector.record_broken(state.views["e"], RUNS[0])
         leaving = endpoint_record("e", 2, address=address, state="draining")
-        removed = type(leaving)("e", b"", 2)
+        removed = removal_record("e", 2)
         state.store_up = True
         state.apply_endpoint_record(leaving if is_listed else removed, "store", 100.0)
         return await task, ends
--- a/teaselpath/gateway/tests/test_large_fleet.py
+++ b/teaselpath/gateway/tests/test_large_fleet.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from teaselpath.fleet import Bounds, GatewaySettings, StoredRecord, Workspace
+from teaselpath.fleet import Bounds, GatewaySettings, Position, StoredRecord, Workspace
 from teaselpath.gateway._peers import PeerExchange
 from teaselpath.gateway._state import GatewayState, LongPlacement
 from teaselpath.gateway.tests.conftest import endpoint_record
@@ -275,13 +275,15 @@
         fleet = Fleet(72)
         fleet.run(4.0)
         reader = fleet.readers()[0]
-        record = StoredRecord("config", json.dumps({"version": 9, "tenants": []}).encode(), 4)
+        record = StoredRecord(
+            "config", json.dumps({"version": 9, "tenants": []}).encode(), Position(1, 4)
+        )
         reader.state.apply_operator_record(record, "store", fleet.clock.now)
         reader.state.apply_endpoint_record(endpoint_record("e", 7), "store", fleet.clock.now)
         fleet.run(2.0)
         others = [g for g in fleet.gateways if not g.state.reads_store]
         ahead = [g.exchange.records.peer_to_fetch_from(fleet.clock.now) for g in others]
-        encoded = reader.exchange.records.encode_records(b"operators=3&endpoints=7")
+        encoded = reader.exchange.records.encode_records(b"operators=1.3&endpoints=1.7")
         return {a.host if a else None for a in ahead}, reader.state.settings.host, encoded
 
     hosts, reader_host, encoded = in_loop(scenario)
@@ -356,7 +358,9 @@
 
     targets, views = asyncio.run(scenario())
     assert views == {f"e{n}" for n in range(1, 6)}
-    assert targets == [b"/records?operators=-1&endpoints=%d" % n for n in (-1, 1, 2, 3, 4)]
+    assert targets == [
+        b"/records?operators=0.-1&endpoints=" + n for n in (b"0.-1", b"1.1", b"1.2", b"1.3", b"1.4")
+    ]
 
 
 def test_all_records_are_fetched_if_newer_ones_did_not_suffice():
@@ -366,12 +370,12 @@
         client = own.exchange.records.http = RecordClient(reader)
         reader.exchange.sequence += 1
         status = reader.exchange._status(fleet.clock.now)
-        status.endpoint_offset = 9
+        status.endpoint_position = (1, 9)
         await own.exchange.records._fetch(status)
         await own.exchange.records._fetch(status)
         return client.targets
 
-    assert asyncio.run(scenario()) == [b"/records?operators=-1&endpoints=-1", b"/records"]
+    assert asyncio.run(scenario()) == [b"/records?operators=0.-1&endpoints=0.-1", b"/records"]
 
 
 def test_gateway_that_knows_one_other_learns_of_all():
--- a/teaselpath/gateway/tests/test_peers.py
+++ b/teaselpath/gateway/tests/test_peers.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from teaselpath.fleet import StoredRecord
+from teaselpath.fleet import Position, StoredRecord
 from teaselpath.gateway._peer_messages import PlacementMessage, RecordSet
 from teaselpath.gateway._peer_records import ENDPOINTS_FETCH_DELAY_S
 from teaselpath.gateway._peers import PeerExchange
@@ -72,8 +72,12 @@
         own, other = make_exchange(), make_exchange("gw-1")
         now = own.loop.time()
         value = b'{"model":"m","version":2}'
-        own.state.apply_operator_record(StoredRecord("version/m", value, 1), "store", now)
-        other.state.apply_operator_record(StoredRecord("version/m", value, 1), "store", now - 9.5)
+        own.state.apply_operator_record(
+            StoredRecord("version/m", value, Position(1, 1)), "store", now
+        )
+        other.state.apply_operator_record(
+            StoredRecord("version/m", value, Position(1, 1)), "store", now - 9.5
+        )
         before = own.state.announced["m"].oldest_usable_version(now, 9.0)
         other.sequence = 1
         status = other._status(now)
@@ -142,16 +146,19 @@
             exchange.state.apply_endpoint_record(endpoint_record("e", 1), "store", now)
         # The listing that the peer read no longer holds the endpoint; the removal was trimmed.
         other.state.store_regained_at = now - 60.0
-        other.state.remove_unlisted(set(), 9, now)
+        other.state.remove_unlisted(set(), Position(1, 9), now)
         other.state.apply_endpoint_record(endpoint_record("f", 9), "store", now)
         own.state.store_regained_at = now - 60.0
         own.state.reads_store = reads_store
         own.datagram_received(status_of(other, "gw-1", 5, 1), None)
         early = own.records.peer_to_fetch_from(now)
         found = own.records.peer_to_fetch_from(now + ENDPOINTS_FETCH_DELAY_S)
-        query = b"endpoints=%d" % own.state.endpoints.offset
-        for key, value, offset in endpoint_records(other.records.encode_records(query)):
-            own.state.apply_endpoint_record(StoredRecord(key, value, offset), "peer", now)
+        newest = own.state.endpoints.position
+        query = b"endpoints=%d.%d" % (newest.era, newest.offset)
+        for key, value, era, offset in endpoint_records(other.records.encode_records(query)):
+            own.state.apply_endpoint_record(
+                StoredRecord(key, value, Position(era, offset)), "peer", now
+            )
         return early is None, found.host, set(own.state.views)
 
     was_early, host, views = asyncio.run(scenario())
--- a/teaselpath/gateway/tests/test_state.py
+++ b/teaselpath/gateway/tests/test_state.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from teaselpath.fleet import StoredRecord
-from teaselpath.gateway.tests.conftest import config_record, endpoint_record
+from teaselpath.fleet import Position, StoredRecord
+from teaselpath.gateway.tests.conftest import config_record, endpoint_record, removal_record
 
 
 def make_store_up(state, now=100.0):
@@ -25,7 +25,7 @@
 def test_removal_while_the_store_is_up_takes_effect_at_once(state):
     now = make_store_up(state)
     state.apply_endpoint_record(endpoint_record("e", 1), "store", now)
-    state.apply_endpoint_record(StoredRecord("e", b"", 2), "store", now)
+    state.apply_endpoint_record(removal_record("e", 2), "store", now)
     assert state.pool("s").candidates(b"") == []
 
 
@@ -34,7 +34,7 @@
     state.apply_endpoint_record(endpoint_record("e", 1), "store", now)
     state.record_store_failure("unreachable", now)
     state.record_store_success(now + 10.0)
-    state.apply_endpoint_record(StoredRecord("e", b"", 2), "store", now + 10.1)
+    state.apply_endpoint_record(removal_record("e", 2), "store", now + 10.1)
     assert len(state.pool("s").candidates(b"")) == 1
     state.expire_lapses(now + 12.0)
     assert len(state.pool("s").candidates(b"")) == 1
@@ -47,7 +47,7 @@
     state.apply_endpoint_record(endpoint_record("e", 1), "store", now)
     state.record_store_failure("unreachable", now)
     state.record_store_success(now + 10.0)
-    state.apply_endpoint_record(StoredRecord("e", b"", 2), "store", now + 10.1)
+    state.apply_endpoint_record(removal_record("e", 2), "store", now + 10.1)
     state.apply_endpoint_record(endpoint_record("e", 3), "store", now + 11.0)
     state.expire_lapses(now + 20.0)
     assert len(state.pool("s").candidates(b"")) == 1
@@ -56,9 +56,9 @@
 def test_stale_listing_does_not_remove_newer_entries(state):
     now = make_store_up(state)
     state.apply_endpoint_record(endpoint_record("e", 7), "store", now)
-    state.remove_unlisted(set(), 5, now)
+    state.remove_unlisted(set(), Position(1, 5), now)
     assert len(state.pool("s").candidates(b"")) == 1
-    state.remove_unlisted(set(), 9, now)
+    state.remove_unlisted(set(), Position(1, 9), now)
     assert state.pool("s").candidates(b"") == []
 
 
@@ -79,7 +79,9 @@
 
 
 def test_truncated_entry_has_no_endpoint(state):
-    state.apply_endpoint_record(StoredRecord("e", b'{"service":"s","addr', 1), "store", 1.0)
+    state.apply_endpoint_record(
+        StoredRecord("e", b'{"service":"s","addr', Position(1, 1)), "store", 1.0
+    )
     assert state.pool("s").candidates(b"") == []
 
 
@@ -105,7 +107,9 @@
 def test_older_weights_become_unusable_after_an_announcement(state):
     for version, at in ((2, 10.0), (3, 15.0)):
         value = json.dumps({"model": "m", "version": version}).encode()
-        state.apply_operator_record(StoredRecord("version/m", value, version), "store", at)
+        state.apply_operator_record(
+            StoredRecord("version/m", value, Position(1, version)), "store", at
+        )
     announced = state.announced["m"]
     assert announced.oldest_usable_version(18.0, 8.5) == 0
     assert announced.oldest_usable_version(19.0, 8.5) == 2
--- a/teaselpath/gateway/tests/test_watch.py
+++ b/teaselpath/gateway/tests/test_watch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from teaselpath.fleet import RecordPage, StoreError, Topic
+from teaselpath.fleet import Position, RecordPage, StoreError, Topic
 from teaselpath.gateway import _watch
 from teaselpath.gateway._watch import StoreWatcher
 from teaselpath.gateway.tests.conftest import config_record
@@ -33,7 +33,7 @@
 
 def test_operators_poll_is_sent_again_when_the_store_returns(state, monkeypatch):
     monkeypatch.setattr(_watch, "RETRY_DELAY_S", 0.0)
-    empty = RecordPage([], 1, is_listing=False)
+    empty = RecordPage([], Position(1, 1), is_listing=False)
 
     async def scenario():
         store = state.store = HangingStore(state.store)
@@ -45,7 +45,7 @@
             ]
             await settle()
             for topic in (Topic.OPERATORS, Topic.ENDPOINTS):
-                store.polls[topic][1].set_result(RecordPage([], 1, is_listing=True))
+                store.polls[topic][1].set_result(RecordPage([], Position(1, 1), is_listing=True))
             await settle()
             # The outage swallows both polls; that of the endpoints fails first.
             swallowed = store.polls[Topic.OPERATORS][1]
@@ -54,7 +54,7 @@
             store.polls[Topic.ENDPOINTS][1].set_result(empty)
             await settle()
             wait_s, poll = store.polls[Topic.OPERATORS]
-            poll.set_result(RecordPage([config_record(16, 1)], 2, is_listing=False))
+            poll.set_result(RecordPage([config_record(16, 1)], Position(1, 2), is_listing=False))
             await settle()
             for task in tasks:
                 task.cancel()
--- a/teaselpath/platform/_config.py
+++ b/teaselpath/platform/_config.py
@@ -12,6 +12,7 @@
     EngineLimits,
     FleetConfig,
     RequestKind,
+    Revision,
     Route,
     Service,
     StoredRecord,
@@ -110,6 +111,8 @@
     slots: int = 1
     # Unix time of start-up in ms.
     born: int | None = None
+    # Number of the statement since start-up; its type is checked where it is used.
+    seq: object = None
     models: list[_ServerModel] = []
 
 
@@ -154,7 +157,7 @@
 
     The endpoint of the entry is None if the record is empty or invalid.
     """
-    endpoint = None
+    endpoint = revision = None
     try:
         raw = msgspec.json.decode(record.value, type=_Server) if record.value else None
         state = _STATES.get(raw.state) if raw else None
@@ -169,9 +172,16 @@
                 started_at_ms=raw.born,
                 weights=tuple((m.name, m.version) for m in raw.models),
             )
+            revision = _revision(raw)
     except msgspec.MsgspecError:
         pass
-    return EndpointEntry(record.key, record.offset, endpoint)
+    return EndpointEntry(record, endpoint, revision)
+
+
+def _revision(server: _Server) -> Revision | None:
+    if server.born is None or type(server.seq) is not int:
+        return None
+    return Revision(server.born, server.seq)
 
 
 def _is_ipv4_with_port(address: str) -> bool:
--- a/teaselpath/platform/_store.py
+++ b/teaselpath/platform/_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import struct
 from base64 import b64decode
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -11,6 +12,7 @@
 from teaselpath.fleet import (
     EndpointEntry,
     FleetConfig,
+    Position,
     RecordPage,
     StoredRecord,
     StoreError,
@@ -21,6 +23,10 @@
 
 # Time for the answer beyond the duration of the long poll, in seconds.
 CALL_TIMEOUT_S = 1.5
+# Listings that are begun again because the store has returned from a copy between two pages.
+MAX_RELISTINGS = 3
+# Longest number of an era that is accepted; messages between gateways carry 64 bits.
+MAX_ERA_DIGITS = 18
 
 _TOPICS = {
     Topic.OPERATORS: "keyed.op",
@@ -47,49 +53,60 @@
     end: int
 
 
+_Answer = TypeVar("_Answer")
+
+
 class PlatformStore:
     """Reads and appends records of the store's topics.
 
     :param address: IP:PORT.
-    :ivar era: era that the store stated last.
     """
 
     def __init__(self, address: str, http: HttpClient):
         self.address = address
         self.http = http
-        self.era: bytes | None = None
 
-    async def poll(self, topic: Topic, start: int | None, wait_s: float) -> RecordPage:
-        """Return records from offset ``start`` on, long-polling for up to ``wait_s``.
+    async def poll(self, topic: Topic, start: Position | None, wait_s: float) -> RecordPage:
+        """Return records from ``start`` on, long-polling for up to ``wait_s``.
 
-        If ``start`` is None or its record was deleted, return a listing instead.
+        If ``start`` is None, its record was deleted, or the store answers in another era, in which
+        the offset has another meaning, return a listing instead.
         """
         if start is None:
             return await self._list(topic)
         target = (
-            f"/-/log-read?topic={_TOPICS[topic]}&part=0&from={start}&waitMs={wait_s * 1000:.0f}"
+            f"/-/log-read?topic={_TOPICS[topic]}&part=0"
+            f"&from={start.offset}&waitMs={wait_s * 1000:.0f}"
         )
         response = await self._call(b"GET", target, wait_s)
         match response.head.status:
-            case 200:
+            case 200 if _era_of(response) == start.era:
                 return _decode_records(response.body, start)
-            case 410:
+            case 200 | 410:
                 return await self._list(topic)
             case status:
                 raise StoreError(f"read of {topic} refused with {status}")
 
-    async def append(self, topic: Topic, key: str, value: bytes, end: int | None = None) -> int:
-        """Append a record and return the new end; with ``end`` only if the topic ends there."""
+    async def append(
+        self, topic: Topic, key: str, value: bytes, end: Position | None = None
+    ) -> Position:
+        """Append a record and return the new end; with ``end`` only if the topic ends there.
+
+        :raises StoreError: also if a record was appended at the offset of ``end`` in another era.
+        """
         target = f"/-/log-append?topic={_TOPICS[topic]}&part=0"
         if end is not None:
-            target += f"&at={end}"
+            target += f"&at={end.offset}"
         encoded_key = key.encode()
         content = bytes([len(encoded_key)]) + encoded_key + value
         body = struct.pack(">I", len(content)) + content
         response = await self._call(b"POST", target, 0.0, body)
+        era = _era_of(response)
         match response.head.status:
+            case 200 if end is not None and era != end.era:
+                raise StoreError(f"{topic} is in era {era}, not {end.era}", is_outcome_unknown=True)
             case 200:
-                return msgspec.json.decode(response.body, type=_Appended).end
+                return Position(era, _decode(response, _Appended).end)
             case 412:
                 raise StoreError(f"{topic} does not end at {end}", is_conflict=True)
             case status:
@@ -108,6 +125,16 @@
         return decode_endpoint(record)
 
     async def _list(self, topic: Topic) -> RecordPage:
+        """Return a listing whose pages are of one era."""
+        for _ in range(1 + MAX_RELISTINGS):
+            page = await self._list_once(topic)
+            if page is not None:
+                return page
+            log_message("listing_restarted", topic=topic)
+        raise StoreError(f"the era of {topic} changes while it is listed")
+
+    async def _list_once(self, topic: Topic) -> RecordPage | None:
+        """Return a listing; None if the store returns from a copy meanwhile."""
         records: list[StoredRecord] = []
         after, end = "", None
         while True:
@@ -117,13 +144,16 @@
             response = await self._call(b"GET", target, 0.0)
             if response.head.status != 200:
                 raise StoreError(f"listing of {topic} refused with {response.head.status}")
-            try:
-                page = msgspec.json.decode(response.body, type=_Listing)
-            except msgspec.MsgspecError as error:
-                raise StoreError(f"listing of {topic} cannot be read: {error}") from error
-            records += [StoredRecord(i.key, b64decode(i.value or ""), i.offset) for i in page.items]
+            page, era = _decode(response, _Listing), _era_of(response)
+            if end is not None and era != end.era:
+                return None
+            records += [
+                StoredRecord(i.key, b64decode(i.value or ""), Position(era, i.offset))
+                for i in page.items
+            ]
             # Records appended between two pages lie after the end of the first page.
-            end = page.end if end is None else min(end, page.end)
+            page_end = Position(era, page.end)
+            end = page_end if end is None else min(end, page_end)
             if not page.has_more or not page.items:
                 return RecordPage(records, end, is_listing=True)
             after = page.items[-1].key
@@ -131,21 +161,34 @@
     async def _call(self, method: bytes, target: str, wait_s: float, body: bytes = b"") -> Response:
         deadline = asyncio.get_running_loop().time() + wait_s + CALL_TIMEOUT_S
         try:
-            response = await self.http.call(
+            return await self.http.call(
                 self.address, method, target.encode(), deadline=deadline, body=body
             )
         except ConnectFailed as error:
             raise StoreError(str(error)) from error
         except (ConnectionBroken, ReadTimeout) as error:
             raise StoreError(f"no answer: {error!r}", is_outcome_unknown=True) from error
-        era = response.head.header(b"store-era")
-        if era is not None and era != self.era:
-            log_message("store_era", era=era.decode(errors="replace"), target=target)
-            self.era = era
-        return response
 
 
-def _decode_records(data: bytes, start: int) -> RecordPage:
+def _era_of(response: Response) -> int:
+    """Return the era of the store in an answer; 0 if it states none that can be read."""
+    value = response.head.header(b"store-era")
+    if value is None:
+        return 0
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        log_message("store_era_unreadable", value=value.decode(errors="replace"))
+        return 0
+    return int(value)
+
+
+def _decode(response: Response, kind: type[_Answer]) -> _Answer:
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise StoreError(f"answer cannot be read: {error}", is_outcome_unknown=True) from error
+
+
+def _decode_records(data: bytes, start: Position) -> RecordPage:
     """Return the records of a log read.
 
     The format is end and first offset, then length-prefixed records.
@@ -153,17 +196,17 @@
     try:
         _end, _first = struct.unpack_from(">QQ", data)
         records = []
-        position, offset = 16, start
-        while position + 4 <= len(data):
-            (length,) = struct.unpack_from(">I", data, position)
-            content = data[position + 4 : position + 4 + length]
+        index, position = 16, start
+        while index + 4 <= len(data):
+            (length,) = struct.unpack_from(">I", data, index)
+            content = data[index + 4 : index + 4 + length]
             if len(content) < length or not content:
                 raise StoreError("a record is cut off")
             key_end = 1 + content[0]
             key = content[1:key_end].decode(errors="replace")
-            records.append(StoredRecord(key, content[key_end:], offset))
-            position += 4 + length
-            offset += 1
+            records.append(StoredRecord(key, content[key_end:], position))
+            index += 4 + length
+            position = position.shifted(1)
     except struct.error as error:
         raise StoreError(f"records cannot be read: {error}") from error
-    return RecordPage(records, max(offset, start), is_listing=False)
+    return RecordPage(records, position, is_listing=False)
--- a/teaselpath/rollout/_lease.py
+++ b/teaselpath/rollout/_lease.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from teaselpath.fleet import Position
+
 # Time for which an append entitles its holder to send orders, in seconds.
 LEASE_DURATION_S = 2.0
 # Time before expiry at which a holder with pending work renews the lease, in seconds.
@@ -55,7 +57,7 @@
 
     :param host: name of this gateway's host.
     :param handover_s: least time between orders of two holders.
-    :ivar end: end offset of the topic; None if unknown.
+    :ivar end: end of the topic; None if unknown.
     :ivar last: newest record of the topic; None if there is none.
     :ivar last_received_at: time at which ``last`` was received or, for an own record, sent.
     :ivar fence: fencing token of the own tenure; 0 before the first one and once another host's
@@ -69,7 +71,7 @@
     def __init__(self, host: str, handover_s: float):
         self.host = host
         self.handover_s = handover_s
-        self.end: int | None = None
+        self.end: Position | None = None
         self.last: LeaseRecord | None = None
         self.last_received_at = 0.0
         self.fence = 0
@@ -81,10 +83,10 @@
         """Return whether orders may be sent now."""
         return now < self.valid_until
 
-    def observe(self, end: int, record: LeaseRecord | None, now: float) -> None:
+    def observe(self, end: Position, record: LeaseRecord | None, now: float) -> None:
         """Apply the newest record of the topic, from the store or a peer.
 
-        :param end: offset that follows the record.
+        :param end: position that follows the record.
         """
         if self.end is not None and end <= self.end:
             return
@@ -125,12 +127,12 @@
         """Return the record to append at ``end``."""
         return LeaseRecord(self.host, nonce, self.fence)
 
-    def handle_appended(self, record: LeaseRecord, end: int, sent_at: float) -> None:
+    def handle_appended(self, record: LeaseRecord, end: Position, sent_at: float) -> None:
         """Handle the success of an own append that was sent at ``sent_at``."""
         if self.end is not None and end <= self.end:
             return
         if not record.fence:
-            self.fence = end
+            self.fence = end.offset
         self.end = end
         self.last = record
         self.last_received_at = sent_at
@@ -140,7 +142,7 @@
         """Record that an append conflicted with another one, or that its outcome is unknown."""
         self.is_unconfirmed = True
 
-    def handle_read(self, end: int, record: LeaseRecord | None, now: float) -> None:
+    def handle_read(self, end: Position, record: LeaseRecord | None, now: float) -> None:
         """Apply the newest record read from the store, after which appends are allowed again.
 
         An earlier append whose outcome is unknown may still take effect later.
--- a/teaselpath/rollout/tests/test_lease.py
+++ b/teaselpath/rollout/tests/test_lease.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from teaselpath.fleet import Position
 from teaselpath.rollout import LeaseState, OrderLease
 
 HANDOVER_S = 3.0
@@ -23,10 +24,13 @@
         self.late = []
 
     def append(self, end, record):
-        if end != len(self.records):
+        if end != self.end():
             return None
         self.records.append(record)
-        return len(self.records)
+        return self.end()
+
+    def end(self):
+        return Position(1, len(self.records))
 
 
 class LeaseMachine(RuleBasedStateMachine):
@@ -53,7 +57,8 @@
         match lease.plan(self.now, has_work=True, rank=0):
             case LeaseState.READ if fate != "partitioned":
                 records = self.topic.records
-                lease.handle_read(len(records), records[-1] if records else None, self.now)
+                last = records[-1] if records else None
+                lease.handle_read(self.topic.end(), last, self.now)
             case LeaseState.APPEND:
                 self._append(lease, fate)
             case _:
@@ -112,16 +117,16 @@
 def test_candidate_acquires_a_lease_that_was_not_renewed_after_lease_and_handover_time():
     lease = OrderLease("b", HANDOVER_S)
     other = OrderLease("a", HANDOVER_S)
-    other.handle_read(0, None, 0.0)
-    other.handle_appended(other.next_record("n"), 1, 0.0)
-    lease.handle_read(1, other.last, 0.5)
+    other.handle_read(Position(1, 0), None, 0.0)
+    other.handle_appended(other.next_record("n"), Position(1, 1), 0.0)
+    lease.handle_read(Position(1, 1), other.last, 0.5)
     assert lease.plan(1.0, has_work=True, rank=0) is LeaseState.WAIT
     assert lease.plan(6.0, has_work=True, rank=0) is LeaseState.APPEND
 
 
 def test_candidates_with_lower_precedence_append_later():
     lease = OrderLease("b", HANDOVER_S)
-    lease.handle_read(0, None, 0.0)
+    lease.handle_read(Position(1, 0), None, 0.0)
     assert lease.plan(1.0, has_work=True, rank=2) is LeaseState.WAIT
     assert lease.plan(2.0, has_work=True, rank=2) is LeaseState.APPEND
 
