--- a/teaselpath/gateway/tests/front.py
+++ b/teaselpath/gateway/tests/front.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from teaselpath.fleet import CallerLimits, StoredRecord
+from teaselpath.fleet import CallerLimits, Position, StoredRecord
 from teaselpath.gateway._connections import ConnectionReporter
 from teaselpath.gateway._forward import Forwarder
 from teaselpath.gateway._metrics import GatewayMetrics
@@ -76,7 +76,7 @@
         self.offset += 1
         route = {"name": "r", "host": "h", "pathPrefix": "/", "kind": "unsafe", "service": "s"}
         config = {"version": self.offset, "routes": [route], "services": [{"name": "s"}], **fields}
-        record = StoredRecord("config", json.dumps(config).encode(), self.offset)
+        record = StoredRecord("config", json.dumps(config).encode(), Position(1, self.offset))
         self.state.apply_operator_record(record, "test", 0.0)
 
     async def add_endpoint(self, name: str, handler: Handler, service: str = "s") -> None:
