--- /dev/null
+++ b/teaselpath/http1/_request_parser.py
@@ -0,0 +1,104 @@
+"""Incremental parser of requests, with limits on their size."""
+
+import asyncio
+from collections.abc import Callable
+
+import httptools
+
+from teaselpath.http1._messages import Headers, Request, ServerLimits
+
+
+class RequestRejected(Exception):
+    """A request is malformed, or its head or body exceeds its limit."""
+
+    def __init__(self, status: int):
+        super().__init__(status)
+        self.status = status
+
+
+class RequestParser:
+    """Parses the data of one connection into requests.
+
+    :param limits: function that returns the current limits.
+    :param on_head: called once the head of a request is complete.
+    :param on_request: called with each complete request.
+    :ivar is_reading: whether a part of a request was parsed.
+    """
+
+    def __init__(
+        self,
+        limits: Callable[[], ServerLimits],
+        on_head: Callable[[], None],
+        on_request: Callable[[Request], None],
+    ):
+        self.get_limits = limits
+        self.on_head = on_head
+        self.on_request = on_request
+        self.loop = asyncio.get_running_loop()
+        self.parser = httptools.HttpRequestParser(self)
+        self._reset_request()
+
+    def _reset_request(self) -> None:
+        self.target = b""
+        self.headers: Headers = []
+        self.body: list[bytes] = []
+        self.field_bytes = 0
+        self.body_bytes = 0
+        self.is_reading = False
+
+    def feed(self, data: bytes) -> None:
+        """Parse received data.
+
+        :raises RequestRejected: if a request is malformed or too large; nothing can be parsed then.
+        """
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise RequestRejected(400) from error
+        except httptools.HttpParserError as error:
+            # httptools wraps exceptions that callbacks raise.
+            cause = error.__context__
+            status = cause.status if isinstance(cause, RequestRejected) else 400
+            raise RequestRejected(status) from error
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._reset_request()
+        self.is_reading = True
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target, which may arrive in fragments."""
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header field."""
+        self.headers.append((name, value))
+        self.field_bytes += len(name) + len(value)
+        if self.field_bytes > self.get_limits().header_bytes:
+            raise RequestRejected(431)
+
+    def on_headers_complete(self) -> None:
+        """Report the complete head."""
+        self.on_head()
+
+    def on_body(self, data: bytes) -> None:
+        """Collect the body."""
+        self.body_bytes += len(data)
+        if self.body_bytes > self.get_limits().body_bytes:
+            raise RequestRejected(413)
+        self.body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Report the complete request."""
+        request = Request(
+            self.parser.get_method(),
+            self.target,
+            self.headers,
+            b"".join(self.body),
+            self.parser.should_keep_alive(),
+            self.loop.time(),
+        )
+        self._reset_request()
+        self.on_request(request)
--- a/teaselpath/http1/_server.py
+++ b/teaselpath/http1/_server.py
@@ -6,8 +6,6 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 
-import httptools
-
 from teaselpath.http1._ends import (
     ConnectionEnd,
     ConnectionObserver,
@@ -22,6 +20,7 @@
     ServerLimits,
     encode_head,
 )
+from teaselpath.http1._request_parser import RequestParser, RequestRejected
 
 # Number of pipelined requests at which reading from a connection is paused.
 MAX_PIPELINED = 4
@@ -135,19 +134,7 @@
         self.is_rejecting = False
         self.can_write = asyncio.Event()
         self.loop = asyncio.get_running_loop()
-        self._reset_parser()
-
-    def _reset_parser(self) -> None:
-        self.parser = httptools.HttpRequestParser(self)
-        self._reset_request()
-
-    def _reset_request(self) -> None:
-        self.target = b""
-        self.headers: Headers = []
-        self.body: list[bytes] = []
-        self.field_bytes = 0
-        self.body_bytes = 0
-        self.is_reading = False
+        self.parser = RequestParser(limits, self._on_head, self._on_request)
 
     # asyncio.Protocol
 
@@ -188,61 +175,26 @@
         if self.is_closing or self.is_rejecting:
             return
         if not self.is_reading:
-            self.is_reading = True
+            self.parser.is_reading = True
             if self.task is None:
                 self._set_timer(self.get_limits().header_timeout_s)
         try:
-            self.parser.feed_data(data)
-        except _TooLarge as error:
-            self._reject(error.status)
-        except httptools.HttpParserUpgrade:
-            self._reject(400)
-        except httptools.HttpParserError as error:
-            # httptools wraps exceptions that callbacks raise.
-            cause = error.__context__
-            self._reject(cause.status if isinstance(cause, _TooLarge) else 400)
-
-    # httptools callbacks
-
-    def on_message_begin(self) -> None:
-        """Start a request."""
-        self._reset_request()
-        self.is_reading = True
-
-    def on_url(self, url: bytes) -> None:
-        """Collect the target, which may arrive in fragments."""
-        self.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field."""
-        self.headers.append((name, value))
-        self.field_bytes += len(name) + len(value)
-        if self.field_bytes > self.get_limits().header_bytes:
-            raise _TooLarge(431)
-
-    def on_headers_complete(self) -> None:
+            self.parser.feed(data)
+        except RequestRejected as rejected:
+            self._reject(rejected.status)
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether a part of a request was read."""
+        return self.parser.is_reading
+
+    def _on_head(self) -> None:
         """Limit the time to receive the body to the idle timeout."""
         if self.task is None:
             self._set_timer(self.get_limits().idle_timeout_s)
 
-    def on_body(self, data: bytes) -> None:
-        """Collect the body."""
-        self.body_bytes += len(data)
-        if self.body_bytes > self.get_limits().body_bytes:
-            raise _TooLarge(413)
-        self.body.append(data)
-
-    def on_message_complete(self) -> None:
+    def _on_request(self, request: Request) -> None:
         """Run the handler for the request, or queue the request while another is handled."""
-        request = Request(
-            self.parser.get_method(),
-            self.target,
-            self.headers,
-            b"".join(self.body),
-            self.parser.should_keep_alive(),
-            self.loop.time(),
-        )
-        self._reset_request()
         self.pipelined.append(request)
         if len(self.pipelined) >= MAX_PIPELINED and self.transport is not None:
             self.transport.pause_reading()
@@ -388,11 +340,3 @@
                 self._reject(408)
         else:
             self._close(EndCause.IDLE)
-
-
-class _TooLarge(Exception):
-    """The head or body of a request exceeds its limit."""
-
-    def __init__(self, status: int):
-        super().__init__(status)
-        self.status = status
