http1: requests that were read get their responses before the connection closes

What callers saw: with several requests on one connection, the end of the connection instead of a response to requests that had been read whole. Cause: once a connection was not to be reused (a stop, a rejected request), it was closed behind the response in flight, whatever was in its queue; a request that was malformed or too large behind another one was never answered. Change: the end is announced in the response to the last request that was read; a rejected one gets its 4xx behind the others. The decision falls once, as the response begins: what arrives behind an announced end is not handled. Tests (http1/tests/test_server.py), before: "assert 1 == 3" responses, "[b'200'] == [b'200', b'200', b'400']".

--- a/teaselpath/http1/_server.py
+++ b/teaselpath/http1/_server.py
@@ -131,7 +131,9 @@
         self.timer: asyncio.TimerHandle | None = None
         self.is_closing = False
         self.must_close = False
-        self.is_rejecting = False
+        self.has_announced_close = False
+        # Status of the response to a request that is rejected behind others; no data is read then.
+        self.rejection: int | None = None
         self.can_write = asyncio.Event()
         self.loop = asyncio.get_running_loop()
         self.parser = RequestParser(limits, self._on_head, self._on_request)
@@ -172,7 +174,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received data."""
-        if self.is_closing or self.is_rejecting:
+        if self.is_closing or self.rejection is not None:
             return
         if not self.is_reading:
             self.parser.is_reading = True
@@ -204,8 +206,15 @@
     # requests
 
     def closes_after(self, request: Request) -> bool:
-        """Return whether the connection is closed after the response to this request."""
-        return self.must_close or self.is_closing or not request.keep_alive
+        """Decide whether the connection is closed after the response to this request.
+
+        Requests that were read behind it, a rejected one included, get their responses first.
+        """
+        is_last = not self.pipelined and self.rejection is None
+        self.has_announced_close = (
+            self.is_closing or not request.keep_alive or (self.must_close and is_last)
+        )
+        return self.has_announced_close
 
     def write(self, data: bytes) -> None:
         """Write to the caller unless the connection is closing."""
@@ -273,31 +282,30 @@
     def _on_handled(self, exchange: Exchange) -> None:
         if self.is_closing:
             return
-        if self.must_close or not exchange.request.keep_alive:
+        if self.has_announced_close or not exchange.request.keep_alive:
             self._close(EndCause.AFTER_RESPONSE)
         elif self.pipelined:
             self._run_next()
+        elif self.rejection is not None:
+            self._respond_rejected(self.rejection)
+        elif self.must_close:
+            self._close(EndCause.AFTER_RESPONSE)
         else:
             self._set_timer(self.get_limits().idle_timeout_s)
 
     def _reject(self, status: int) -> None:
         """Reject a request that is malformed, too large or too slow, and close the connection.
 
-        If earlier requests are still in flight, the connection is closed without a response to
-        the rejected one.
+        Earlier requests get their responses first.
         """
-        self.must_close = True
-        self.is_rejecting = True
+        self.rejection = status
         if self.task is None and not self.pipelined:
-            head = [(b"Content-Length", b"0"), (b"Connection", b"close")]
-            self.write(encode_head(status, head))
-        self._close_when_done()
+            self._respond_rejected(status)
 
-    def _close_when_done(self) -> None:
-        if self.task is None:
-            self._close(EndCause.REJECTED)
-        else:
-            self.task.add_done_callback(lambda _: self._close(EndCause.REJECTED))
+    def _respond_rejected(self, status: int) -> None:
+        head = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        self.write(encode_head(status, head))
+        self._close(EndCause.REJECTED)
 
     def _close(self, cause: EndCause) -> None:
         """Close the connection after the data that is already buffered has been sent."""
--- a/teaselpath/http1/tests/test_server.py
+++ b/teaselpath/http1/tests/test_server.py
@@ -77,6 +77,51 @@
     assert listener.requests == []
 
 
+def play_behind_a_request(listener: TestServer, rest: bytes, *, stop_reuse: bool) -> bytes:
+    """Send bytes behind a request, answered once all are read; return all that comes back."""
+
+    async def scenario():
+        is_read = asyncio.Event()
+
+        async def wait_and_respond(exchange):
+            await is_read.wait()
+            await listener.respond(exchange)
+
+        async with await listener.open(wait_and_respond):
+            reader, writer = await asyncio.open_connection("127.0.0.1", listener.port)
+            writer.write(GET % 1 + rest)
+            while not any(connection.task for connection in listener.connections):
+                await asyncio.sleep(0)
+            if stop_reuse:
+                (connection,) = listener.connections
+                connection.stop_reuse()
+            is_read.set()
+            response = await asyncio.wait_for(reader.read(), 5)
+            writer.close()
+            return response
+
+    return asyncio.run(scenario())
+
+
+def test_requests_that_were_read_get_responses_before_the_connection_closes(listener: TestServer):
+    """A connection that was not to be reused was closed with whole requests in its queue."""
+    response = play_behind_a_request(listener, GET % 2 + GET % 3, stop_reuse=True)
+    assert response.count(b"HTTP/1.1 200 ") == 3
+    assert response.count(b"Connection: close") == 1
+    assert response.endswith(b"Connection: close\r\n\r\n/3|")
+
+
+@pytest.mark.parametrize("stop_reuse", [False, True])
+def test_rejected_request_gets_its_response_behind_earlier_ones(listener: TestServer, stop_reuse):
+    """The whole request in between, and the rejected one, got nothing."""
+    rest = GET % 2 + b"\x00garbage\r\n\r\n" + GET % 3
+    response = play_behind_a_request(listener, rest, stop_reuse=stop_reuse)
+    heads = [line for line in response.split(b"\r\n") if b"HTTP/1.1" in line]
+    assert [head.rpartition(b"HTTP/1.1 ")[2][:3] for head in heads] == [b"200", b"200", b"400"]
+    assert response.count(b"Connection: close") == 1
+    assert listener.requests == [b"/1", b"/2"]
+
+
 def test_handler_is_cancelled_when_the_caller_disconnects(listener: TestServer):
     cancelled = asyncio.Event()
 
