http1: an idle connection is closed only after a look at its unread data and at the limit in force

What callers saw: a request on a kept connection was reset, while a stop or the idle timeout closed the connection, or after a configuration had raised the idle timeout. Cause: the timer closed by what held when it was set, and a connection that was not to be reused was closed behind a response that had not announced it; neither looked for a request that the kernel holds, as close_if_idle does. Change: both use close_if_idle, and the timer begins anew where the limit was raised. A limit that was lowered holds from the next response on. Tests (http1/tests/test_server.py), before: ConnectionResetError twice, IncompleteReadError for the raised limit.

--- a/teaselpath/http1/_server.py
+++ b/teaselpath/http1/_server.py
@@ -25,6 +25,9 @@
 # Number of pipelined requests at which reading from a connection is paused.
 MAX_PIPELINED = 4
 
+# Time for data that the kernel holds to be read, in seconds.
+UNREAD_TIMEOUT_S = 0.05
+
 Handler = Callable[["Exchange"], Awaitable[None]]
 
 
@@ -134,6 +137,7 @@
         self.has_announced_close = False
         # Status of the response to a request that is rejected behind others; no data is read then.
         self.rejection: int | None = None
+        self.idle_since = 0.0
         self.can_write = asyncio.Event()
         self.loop = asyncio.get_running_loop()
         self.parser = RequestParser(limits, self._on_head, self._on_request)
@@ -145,7 +149,7 @@
         self.transport = transport
         self.can_write.set()
         self.connections.add(self)
-        self._set_timer(self.get_limits().idle_timeout_s)
+        self._start_idle()
 
     def connection_lost(self, exc) -> None:
         """Cancel the running handler, since the caller can no longer receive its response."""
@@ -288,10 +292,8 @@
             self._run_next()
         elif self.rejection is not None:
             self._respond_rejected(self.rejection)
-        elif self.must_close:
-            self._close(EndCause.AFTER_RESPONSE)
-        else:
-            self._set_timer(self.get_limits().idle_timeout_s)
+        elif not (self.must_close and self.close_if_idle()):
+            self._start_idle()
 
     def _reject(self, status: int) -> None:
         """Reject a request that is malformed, too large or too slow, and close the connection.
@@ -334,6 +336,10 @@
         if not end.is_clean:
             self.observer.on_end(end)
 
+    def _start_idle(self) -> None:
+        self.idle_since = self.loop.time()
+        self._set_timer(self.get_limits().idle_timeout_s)
+
     def _set_timer(self, delay_s: float) -> None:
         if self.timer is not None:
             self.timer.cancel()
@@ -346,5 +352,8 @@
         if self.is_reading:
             with contextlib.suppress(RuntimeError):
                 self._reject(408)
-        else:
-            self._close(EndCause.IDLE)
+            return
+        # The limit may have been raised since; data that was not read yet is a request or the end.
+        time_left_s = self.idle_since + self.get_limits().idle_timeout_s - self.loop.time()
+        if time_left_s > 0.0 or not self.close_if_idle():
+            self._set_timer(max(time_left_s, UNREAD_TIMEOUT_S))
--- a/teaselpath/http1/tests/test_server.py
+++ b/teaselpath/http1/tests/test_server.py
@@ -122,6 +122,76 @@
     assert listener.requests == [b"/1", b"/2"]
 
 
+def test_request_behind_a_response_that_did_not_announce_the_end_is_served(listener: TestServer):
+    async def scenario():
+        may_finish = asyncio.Event()
+
+        async def begin(exchange):
+            exchange.start(200, [], 4)
+            await may_finish.wait()
+            exchange.write(b"done")
+            exchange.finish()
+
+        async with await listener.open(begin):
+            reader, writer = await asyncio.open_connection("127.0.0.1", listener.port)
+            writer.write(GET % 1)
+            await reader.readuntil(b"\r\n\r\n")
+            (connection,) = listener.connections
+            connection.stop_reuse()
+            # The response ends before the server reads the request that the kernel holds.
+            may_finish.set()
+            writer.write(GET % 2)
+            assert await reader.readexactly(4) == b"done"
+            head, body = await asyncio.wait_for(read_response(reader), 5)
+            writer.close()
+            return head, body
+
+    head, body = asyncio.run(scenario())
+    assert b"Connection: close" in head
+    assert body == b"done"
+
+
+def test_request_that_was_not_read_as_the_idle_timeout_ends_is_served(listener: TestServer):
+    """Its connection was reset."""
+
+    async def scenario():
+        listener.limits = CallerLimits(idle_timeout_s=60.0)
+        async with await listener.open():
+            reader, writer = await asyncio.open_connection("127.0.0.1", listener.port)
+            writer.write(GET % 1)
+            await read_response(reader)
+            (connection,) = listener.connections
+            listener.limits = CallerLimits(idle_timeout_s=0.0)
+            # The transport writes at once; the server reads in the next iteration of the loop.
+            writer.write(GET % 2)
+            connection._on_timeout()
+            _, body = await asyncio.wait_for(read_response(reader), 5)
+            rest = await asyncio.wait_for(reader.read(), 5)
+            writer.close()
+            return body, rest
+
+    assert asyncio.run(scenario()) == (b"/2|", b"")
+
+
+def test_raised_idle_timeout_holds_for_connections_that_are_idle(listener: TestServer):
+    """A caller that knew the new limit reused a connection that the old one had closed."""
+
+    async def scenario():
+        listener.limits = CallerLimits(idle_timeout_s=0.05)
+        async with await listener.open():
+            reader, writer = await asyncio.open_connection("127.0.0.1", listener.port)
+            writer.write(GET % 1)
+            await read_response(reader)
+            listener.limits = CallerLimits(idle_timeout_s=60.0)
+            await asyncio.sleep(0.3)
+            writer.write(GET % 2)
+            _, body = await asyncio.wait_for(read_response(reader), 5)
+            writer.close()
+            return body
+
+    assert asyncio.run(scenario()) == b"/2|"
+
+
 def test_handler_is_cancelled_when_the_caller_disconnects(listener: TestServer):
     cancelled = asyncio.Event()
 
