--- a/teaselpath/http1/_server.py
+++ b/teaselpath/http1/_server.py
@@ -6,8 +6,6 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 
-import httptools
-
 from teaselpath.http1._ends import (
     ConnectionEnd,
     ConnectionObserver,
@@ -22,10 +20,14 @@
     ServerLimits,
     encode_head,
 )
+from teaselpath.http1._request_parser import RequestParser, RequestRejected
 
 # Number of pipelined requests at which reading from a connection is paused.
 MAX_PIPELINED = 4
 
+# Time for data that the kernel holds to be read, in seconds.
+UNREAD_TIMEOUT_S = 0.05
+
 Handler = Callable[["Exchange"], Awaitable[None]]
 
 
@@ -132,22 +134,13 @@
         self.timer: asyncio.TimerHandle | None = None
         self.is_closing = False
         self.must_close = False
-        self.is_rejecting = False
+        self.has_announced_close = False
+        # Status of the response to a request that is rejected behind others; no data is read then.
+        self.rejection: int | None = None
+        self.idle_since = 0.0
         self.can_write = asyncio.Event()
         self.loop = asyncio.get_running_loop()
-        self._reset_parser()
-
-    def _reset_parser(self) -> None:
-        self.parser = httptools.HttpRequestParser(self)
-        self._reset_request()
-
-    def _reset_request(self) -> None:
-        self.target = b""
-        self.headers: Headers = []
-        self.body: list[bytes] = []
-        self.field_bytes = 0
-        self.body_bytes = 0
-        self.is_reading = False
+        self.parser = RequestParser(limits, self._on_head, self._on_request)
 
     # asyncio.Protocol
 
@@ -156,7 +149,7 @@
         self.transport = transport
         self.can_write.set()
         self.connections.add(self)
-        self._set_timer(self.get_limits().idle_timeout_s)
+        self._start_idle()
 
     def connection_lost(self, exc) -> None:
         """Cancel the running handler, since the caller can no longer receive its response."""
@@ -185,64 +178,29 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received data."""
-        if self.is_closing or self.is_rejecting:
+        if self.is_closing or self.rejection is not None:
             return
         if not self.is_reading:
-            self.is_reading = True
+            self.parser.is_reading = True
             if self.task is None:
                 self._set_timer(self.get_limits().header_timeout_s)
         try:
-            self.parser.feed_data(data)
-        except _TooLarge as error:
-            self._reject(error.status)
-        except httptools.HttpParserUpgrade:
-            self._reject(400)
-        except httptools.HttpParserError as error:
-            # httptools wraps exceptions that callbacks raise.
-            cause = error.__context__
-            self._reject(cause.status if isinstance(cause, _TooLarge) else 400)
-
-    # httptools callbacks
-
-    def on_message_begin(self) -> None:
-        """Start a request."""
-        self._reset_request()
-        self.is_reading = True
-
-    def on_url(self, url: bytes) -> None:
-        """Collect the target, which may arrive in fragments."""
-        self.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field."""
-        self.headers.append((name, value))
-        self.field_bytes += len(name) + len(value)
-        if self.field_bytes > self.get_limits().header_bytes:
-            raise _TooLarge(431)
-
-    def on_headers_complete(self) -> None:
+            self.parser.feed(data)
+        except RequestRejected as rejected:
+            self._reject(rejected.status)
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether a part of a request was read."""
+        return self.parser.is_reading
+
+    def _on_head(self) -> None:
         """Limit the time to receive the body to the idle timeout."""
         if self.task is None:
             self._set_timer(self.get_limits().idle_timeout_s)
 
-    def on_body(self, data: bytes) -> None:
-        """Collect the body."""
-        self.body_bytes += len(data)
-        if self.body_bytes > self.get_limits().body_bytes:
-            raise _TooLarge(413)
-        self.body.append(data)
-
-    def on_message_complete(self) -> None:
+    def _on_request(self, request: Request) -> None:
         """Run the handler for the request, or queue the request while another is handled."""
-        request = Request(
-            self.parser.get_method(),
-            self.target,
-            self.headers,
-            b"".join(self.body),
-            self.parser.should_keep_alive(),
-            self.loop.time(),
-        )
-        self._reset_request()
         self.pipelined.append(request)
         if len(self.pipelined) >= MAX_PIPELINED and self.transport is not None:
             self.transport.pause_reading()
@@ -252,8 +210,15 @@
     # requests
 
     def closes_after(self, request: Request) -> bool:
-        """Return whether the connection is closed after the response to this request."""
-        return self.must_close or self.is_closing or not request.keep_alive
+        """Decide whether the connection is closed after the response to this request.
+
+        Requests that were read behind it, a rejected one included, get their responses first.
+        """
+        is_last = not self.pipelined and self.rejection is None
+        self.has_announced_close = (
+            self.is_closing or not request.keep_alive or (self.must_close and is_last)
+        )
+        return self.has_announced_close
 
     def write(self, data: bytes) -> None:
         """Write to the caller unless the connection is closing."""
@@ -321,31 +286,28 @@
     def _on_handled(self, exchange: Exchange) -> None:
         if self.is_closing:
             return
-        if self.must_close or not exchange.request.keep_alive:
+        if self.has_announced_close or not exchange.request.keep_alive:
             self._close(EndCause.AFTER_RESPONSE)
         elif self.pipelined:
             self._run_next()
-        else:
-            self._set_timer(self.get_limits().idle_timeout_s)
+        elif self.rejection is not None:
+            self._respond_rejected(self.rejection)
+        elif not (self.must_close and self.close_if_idle()):
+            self._start_idle()
 
     def _reject(self, status: int) -> None:
         """Reject a request that is malformed, too large or too slow, and close the connection.
 
-        If earlier requests are still in flight, the connection is closed without a response to
-        the rejected one.
+        Earlier requests get their responses first.
         """
-        self.must_close = True
-        self.is_rejecting = True
+        self.rejection = status
         if self.task is None and not self.pipelined:
-            head = [(b"Content-Length", b"0"), (b"Connection", b"close")]
-            self.write(encode_head(status, head))
-        self._close_when_done()
+            self._respond_rejected(status)
 
-    def _close_when_done(self) -> None:
-        if self.task is None:
-            self._close(EndCause.REJECTED)
-        else:
-            self.task.add_done_callback(lambda _: self._close(EndCause.REJECTED))
+    def _respond_rejected(self, status: int) -> None:
+        head = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        self.write(encode_head(status, head))
+        self._close(EndCause.REJECTED)
 
     def _close(self, cause: EndCause) -> None:
         """Close the connection after the data that is already buffered has been sent."""
@@ -374,6 +336,10 @@
         if not end.is_clean:
             self.observer.on_end(end)
 
+    def _start_idle(self) -> None:
+        self.idle_since = self.loop.time()
+        self._set_timer(self.get_limits().idle_timeout_s)
+
     def _set_timer(self, delay_s: float) -> None:
         if self.timer is not None:
             self.timer.cancel()
@@ -386,13 +352,8 @@
         if self.is_reading:
             with contextlib.suppress(RuntimeError):
                 self._reject(408)
-        else:
-            self._close(EndCause.IDLE)
-
-
-class _TooLarge(Exception):
-    """The head or body of a request exceeds its limit."""
-
-    def __init__(self, status: int):
-        super().__init__(status)
-        self.status = status
+            return
+        # The limit may have been raised since; data that was not read yet is a request or the end.
+        time_left_s = self.idle_since + self.get_limits().idle_timeout_s - self.loop.time()
+        if time_left_s > 0.0 or not self.close_if_idle():
+            self._set_timer(max(time_left_s, UNREAD_TIMEOUT_S))
