Lease on orders: fencing tokens rise over the eras of the store, no second holder

Engines got orders with lower fencing tokens, and of two holders with one token, after the store had returned from a copy.

Cause: the token was the offset at which a tenure's first record ended, and offsets are given out again. And the restored topic was believed: an empty one freed the lease at once, an older record of its own made a gateway the holder at once, though the lost record could be another's, whose tenure was still valid. Tests failed before:

tests/test_restored_orders.py, test_fence_does_not_fall_after_the_return (both cases): ['llm-0: fencing token went backwards', ...] == [] test_orders_stay_with_one_holder_if_the_store_returns_during_a_rollout (in one of two runs): ['llm-0: two holders with one token', ...] == [] the state machine, on the lease of before with the offsets that its port gave: assert f1 <= f2 after begin_two_tenures, restore_store(age=1, first='a')

Change: the token is a number of era and offset (20 and 33 bits) that rises over eras. A lease record states the era for which it was written. Only one of the current era shows who holds the lease; without one, a gateway waits lease, handover and margin since it first knew of the era, or since it received a record that was restored or appended late, also if that names itself. A holder whose tenure is valid keeps it and begins a new one in the new era at once. Positions of peers in older eras are ignored.

Why it works: a tenure of an older era was acknowledged before the return, so it ends at most its duration after it, which is before any other gateway's wait is over; conditional appends order all others within an era.

--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -91,6 +91,8 @@
         has_work = (
             bool(self.rollout.outdated_engines(engines, announced)) and not self.state.is_stopping
         )
+        if self.state.era:
+            self.lease.handle_era(self.state.era, self.clock())
         plan = self.lease.plan(self.clock(), has_work=has_work, rank=self._rank())
         if plan in (LeaseState.APPEND, LeaseState.READ) and self.lease_call is None:
             job = self._append_lease() if plan is LeaseState.APPEND else self._read_lease()
@@ -158,6 +160,7 @@
             lease.handle_append_unconfirmed()
             log_message(
                 "lease_not_taken",
+                era=end.era if end else None,
                 end=end.offset if end else None,
                 reason=str(error),
                 unknown=error.is_outcome_unknown,
@@ -166,12 +169,18 @@
                 # Delay before the next attempt.
                 await asyncio.sleep(0.2)
             return
-        # The first record of a holder has no fence yet; the offset after it becomes the fence, and
+        # The first record of a tenure has no fence yet; the position after it gives the fence, and
         # renewals repeat it.
         is_new = not record.fence
         lease.handle_appended(record, new_end, sent_at)
         if is_new:
-            log_message("lease_taken", fence=lease.fence, took_s=self.clock() - sent_at)
+            log_message(
+                "lease_taken",
+                fence=lease.fence,
+                era=new_end.era,
+                end=new_end.offset,
+                took_s=self.clock() - sent_at,
+            )
 
     async def _read_lease(self) -> None:
         try:
--- a/teaselpath/gateway/_peer_messages.py
+++ b/teaselpath/gateway/_peer_messages.py
@@ -52,7 +52,7 @@
     :param naming_ages_ms: time since the announcement of each weights version, in ms, by model and
         version.
     :param lease_end: era and offset at which the lease topic ends; None if unknown.
-    :param lease: holder, nonce and fence of the newest known lease record.
+    :param lease: holder, nonce, fence and era of the newest known lease record.
     """
 
     host: str
@@ -73,7 +73,7 @@
     is_stopping: bool
     naming_ages_ms: dict[str, dict[int, int]]
     lease_end: tuple[int, int] | None
-    lease: tuple[str, str, int] | None
+    lease: tuple[str, str, int, int] | None
 
 
 class StatusToRelay(msgspec.Struct, array_like=True, tag="relay_status"):
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -341,7 +341,7 @@
                 for model, w in state.announced.items()
             },
             lease_end=None if lease.end is None else (lease.end.era, lease.end.offset),
-            lease=(last.holder, last.nonce, last.fence) if last else None,
+            lease=(last.holder, last.nonce, last.fence, last.era) if last else None,
         )
 
     def _used(self, now: float, changed_since: float) -> dict[str, int]:
--- a/teaselpath/rollout/__init__.py
+++ b/teaselpath/rollout/__init__.py
@@ -1,6 +1,6 @@
 """Rollout of model weights: the lease for sending orders to engines, and the order schedule."""
 
-from teaselpath.rollout._lease import LeaseRecord, LeaseState, OrderLease
+from teaselpath.rollout._lease import LeaseRecord, LeaseState, OrderLease, fence_of
 from teaselpath.rollout._weights import (
     Action,
     EngineStatus,
@@ -22,4 +22,5 @@
     "OrderLease",
     "SendWeightsOrder",
     "WeightsRollout",
+    "fence_of",
 ]
