Quarantine: a lifting leaves verdicts that were issued after it

Cause: lift removed the verdict whatever its time. Test failed before (test_verdict_outlasts_an_earlier_lifting_of_the_same_parts): [] == [Verdict(..., issued_at=3.0, ...)] after a lifting of 2.0. Change: a verdict issued after the time of the lifting stays, as merge already has it.

--- a/teaselpath/quarantine/_verdicts.py
+++ b/teaselpath/quarantine/_verdicts.py
@@ -110,11 +110,17 @@
         return void
 
     def lift(self, verdict_id: str, at: float) -> Verdict | None:
-        """Remove a verdict, and do not accept it again from others; return it if it was known."""
+        """Remove a verdict, and do not accept it again from others; return it if it was known.
+
+        A verdict that was issued after ``at`` stays.
+        """
         self.lifted_at[verdict_id] = max(at, self.lifted_at.get(verdict_id, at))
         if len(self.lifted_at) > MAX_VERDICTS:
             del self.lifted_at[min(self.lifted_at, key=lambda key: self.lifted_at[key])]
-        return self.verdicts.pop(verdict_id, None)
+        known = self.verdicts.get(verdict_id)
+        if known is None or known.issued_at > at:
+            return None
+        return self.verdicts.pop(verdict_id)
 
     def in_force(self, now: float) -> list[Verdict]:
         """Return the verdicts that have not expired."""
--- a/teaselpath/quarantine/tests/test_core.py
+++ b/teaselpath/quarantine/tests/test_core.py
@@ -3,7 +3,16 @@
 import msgspec
 import pytest
 
-from teaselpath.quarantine import Admit, Hold, Quarantine, QuarantineUpdate, Reject, SoundNote, Try
+from teaselpath.quarantine import (
+    Admit,
+    Hold,
+    Quarantine,
+    QuarantineUpdate,
+    Reject,
+    SoundNote,
+    Try,
+    VerdictNote,
+)
 from teaselpath.quarantine._evidence import EVIDENCE_S, MAX_SOUND_PARTS, MAX_SUSPECTS
 from teaselpath.quarantine._trials import CLAIM_S
 from teaselpath.quarantine._verdicts import MAX_VERDICTS, VERDICT_S
@@ -129,6 +138,15 @@
     assert isinstance(started.decide(("m/new",), 100.1), Try)
 
 
+def test_verdict_outlasts_an_earlier_lifting_of_the_same_parts(judged):
+    """A peer, or a store restored from a copy, may still know of the lifting only."""
+    verdict = judged.table.in_force(4.0)[0]
+    lifting = VerdictNote(verdict.verdict_id, [], 2000, 0, 0, 0, "")
+    judged.apply(QuarantineUpdate("gw-1", verdicts=[lifting]), 4.0)
+    assert judged.table.in_force(4.0) == [verdict]
+    assert judged.table.lifted_at[verdict.verdict_id] == 2.0
+
+
 def test_lifted_verdict_does_not_come_back_from_a_peer(judged):
     stale = judged.snapshot(4.0)
     verdict = next(iter(judged.table.verdicts.values()))
