Quarantine: verdicts and liftings that the store has lost are written again

After a return of the store from a copy, a verdict was only kept by the processes that knew it: started anew, all gateways sent the part to engines again.

Cause: a gateway wrote each verdict once, and read the topic every 24 s without a look at what it lacks. Test failed before (test_verdict_is_written_again_when_the_store_has_lost_it): [502, 502, 503, 503, 503, 503] == [503] * 6.

--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -86,6 +86,7 @@
         self.peers = PeerExchange(self.state, self.lease, http, boot_clock)
         self.gate = QuarantineGate(settings.host, store, self.metrics, self.peers)
         self.peers.gate = self.gate
+        self.state.on_new_era.append(self.gate.synchronizer.read_soon)
         self.forwarder = Forwarder(
             self.state, codec, http, self.metrics, self.peers.announce, self.gate
         )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -19,6 +19,8 @@
 # Engines that may end, and requests with the part that may then reach engines.
 MAX_ENDS = 5
 MAX_LATE_SENDS = 3
+# Time in which gateways write verdicts again that the store has lost.
+VERDICT_RETURN_S = 8.0
 
 
 class CrashingSite:
@@ -129,19 +131,43 @@
     pytest.fail("no verdict after 40 requests")
 
 
+async def restart_gateways(site):
+    for gateway in site.gateways.values():
+        gateway.process.kill()
+        await gateway.process.wait()
+    for n in range(GATEWAYS):
+        await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
+    for gateway in site.gateways.values():
+        await site.wait_until_ready(gateway)
+
+
 def test_verdict_survives_the_restart_of_every_gateway(folder):
     async def scenario():
         async with open_crashing_site(folder) as crashing:
             await send_until_refused(crashing)
             site = crashing.site
             await asyncio.sleep(0.5)
-            for gateway in site.gateways.values():
-                gateway.process.kill()
-                await gateway.process.wait()
-            for n in range(GATEWAYS):
-                await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
-            for gateway in site.gateways.values():
-                await site.wait_until_ready(gateway)
+            await restart_gateways(site)
+            ends = len(crashing.ends)
+            answers = [await crashing.send(n % GATEWAYS, "aa11", DEADLY) for n in range(6)]
+            return answers, len(crashing.ends) - ends
+
+    answers, ends = asyncio.run(scenario())
+    assert [answer.status for answer in answers] == [503] * 6
+    assert ends == 0
+
+
+def test_verdict_is_written_again_when_the_store_has_lost_it(folder):
+    async def scenario():
+        async with open_crashing_site(folder) as crashing:
+            site = crashing.site
+            copied = site.store.copy_topics()
+            await send_until_refused(crashing)
+            await asyncio.sleep(0.5)
+            site.store.restore(copied)
+            site.repeat_config()
+            await asyncio.sleep(VERDICT_RETURN_S)
+            await restart_gateways(site)
             ends = len(crashing.ends)
             answers = [await crashing.send(n % GATEWAYS, "aa11", DEADLY) for n in range(6)]
             return answers, len(crashing.ends) - ends
