--- /dev/null
+++ b/standins/soak/_faults.py
@@ -0,0 +1,164 @@
+"""Faults of a soak run: links, store, engines, gateways, and changes by the operator."""
+
+import asyncio
+import signal
+import time
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import TYPE_CHECKING
+
+from standins.soak._proxy import LinkFault
+
+if TYPE_CHECKING:
+    from standins.soak._soak import Soak
+
+# Mean interval between faults of the answers of engines, in seconds.
+ANSWER_FAULT_INTERVAL_S = 1.5
+# Mean interval between limits that engines state, in seconds.
+LIMIT_INTERVAL_S = 4.0
+# Ends of engines after which gateways refuse the part that ends them.
+COUNTED_ENDS = 5
+
+
+class FaultInjector:
+    """Starts faults at random times; each runs as a separate task.
+
+    :param soak: the run whose site it disturbs.
+    """
+
+    def __init__(self, soak: "Soak"):
+        self.soak = soak
+        self.plan = soak.plan
+        self.site = soak.site
+        self.random = soak.random
+        self.proxies = soak.proxies
+
+    async def inject_faults(self) -> None:
+        """Start faults at random times; each runs as a separate task."""
+        until = time.monotonic() + self.plan.fault_s
+        self.soak.start_fault(self.disturb_answers(until))
+        self.soak.start_fault(self.limit_engines(until))
+        source = Random(self.plan.seed + 3)
+        self.soak.deadly_from = time.monotonic() + source.uniform(0.1, 0.5) * self.plan.fault_s
+        kinds: list[Callable[[], Coroutine[None, None, None]]] = [
+            self.fault_link,
+            self.fault_link,
+            self.fault_store,
+            self.fault_engine,
+            self.fault_process,
+            self.fault_process,
+            self.change_weights,
+            self.change_config,
+            self.replace_engine,
+        ]
+        while time.monotonic() < until:
+            self.soak.start_fault(self.random.choice(kinds)())
+            await asyncio.sleep(self.random.expovariate(1 / self.plan.fault_interval_s))
+        await asyncio.gather(*self.soak.fault_tasks)
+        if self.soak.engine_ends < COUNTED_ENDS:
+            # In the recovery phase the part is sent only if it must be known by then.
+            self.soak.deadly_from = float("inf")
+
+    async def fault_link(self) -> None:
+        name = self.random.choice(sorted(self.proxies))
+        proxy = self.proxies[name]
+        fault = self.random.choice([f for f in LinkFault if f is not LinkFault.NONE])
+        self.soak.record_fault(f"{fault.value}: {name}")
+        proxy.fault = fault
+        await asyncio.sleep(self.random.uniform(0.3, 3.0))
+        proxy.fault = LinkFault.NONE
+        proxy.reset()
+
+    async def fault_store(self) -> None:
+        faults = self.site.store.faults
+        match self.random.choice(["busy", "reset", "silent", "lost", "late", "history", "slow"]):
+            case "history":
+                self.soak.record_fault("store: history discarded")
+                self.site.store.discard_history()
+            case "slow":
+                self.soak.record_fault("store: slow")
+                faults.delay_s = 0.5
+                await asyncio.sleep(2.0)
+                faults.delay_s = 0.0
+            case ("lost" | "late") as mode:
+                self.soak.record_fault(f"store: answers {mode}")
+                faults.lost, faults.late = 0.5, mode == "late"
+                await asyncio.sleep(2.0)
+                faults.lost = 0.0
+            case mode:
+                self.soak.record_fault(f"store: {mode}")
+                faults.mode = mode
+                await asyncio.sleep(self.random.uniform(0.5, 3.0))
+                faults.mode = "ok"
+
+    async def fault_engine(self) -> None:
+        name = self.random.choice(sorted(self.site.engines))
+        fault = self.random.choice(
+            ["errors", "sheds", "cuts", "extra", "lost", "mute", "orders_unanswered"]
+        )
+        self.soak.record_fault(f"{fault}: {name}")
+        faults = self.site.engines[name].engine.faults
+        setattr(faults, fault, 0.4)
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        setattr(faults, fault, 0.0)
+
+    async def disturb_answers(self, until: float) -> None:
+        """Make engines stall, send without end, begin late or leave polls unanswered.
+
+        Draws from a random source of its own, so that the other faults of a seed stay the same.
+        """
+        source = Random(self.plan.seed + 2)
+        while time.monotonic() < until:
+            await asyncio.sleep(source.expovariate(1 / ANSWER_FAULT_INTERVAL_S))
+            name = source.choice(sorted(self.site.engines))
+            fault = source.choice(["stalls", "floods", "slow", "polls_unanswered"])
+            self.soak.record_fault(f"{fault}: {name}")
+            faults = self.site.engines[name].engine.faults
+            setattr(faults, fault, 0.3)
+            await asyncio.sleep(source.uniform(0.5, 2.0))
+            setattr(faults, fault, 0.0)
+
+    async def limit_engines(self, until: float) -> None:
+        """Make engines and services state limits for a while."""
+        source = Random(self.plan.seed + 4)
+        while time.monotonic() < until:
+            await asyncio.sleep(source.expovariate(1 / LIMIT_INTERVAL_S))
+            name = source.choice(sorted(self.site.engines))
+            engine = self.site.engines[name].engine
+            engine.limit = source.choice(["0", "0.5", "2", "5.5", "40", "none"])
+            self.soak.record_fault(f"limit of {engine.limit}: {name}")
+            await asyncio.sleep(source.uniform(0.5, 3.0))
+            engine.limit = None
+
+    async def fault_process(self) -> None:
+        name = self.random.choice(sorted(self.site.gateways))
+        match self.random.choice(["stop", "kill", "pause", "reload"]):
+            case "stop":
+                self.soak.record_fault(f"SIGTERM: {name}")
+                self.site.signal_gateway(name, signal.SIGTERM)
+            case "kill":
+                self.soak.record_fault(f"SIGKILL: {name}")
+                self.site.signal_gateway(name, signal.SIGKILL)
+            case "reload":
+                self.soak.record_fault(f"SIGHUP: {name}")
+                self.site.signal_gateway(name, signal.SIGHUP)
+            case _:
+                self.soak.record_fault(f"SIGSTOP: {name}")
+                self.site.signal_gateway(name, signal.SIGSTOP)
+                await asyncio.sleep(self.random.uniform(0.3, 3.0))
+                self.site.signal_gateway(name, signal.SIGCONT)
+
+    async def change_weights(self) -> None:
+        self.soak.record_fault(f"weights version {self.site.announce_weights()}")
+
+    async def change_config(self) -> None:
+        self.soak.record_fault(f"configuration version {self.site.write_config()}")
+
+    async def replace_engine(self) -> None:
+        models = [name for name in self.site.engines if name.startswith("llm")]
+        name = self.random.choice(sorted(models))
+        self.soak.record_fault(f"crash: {name}")
+        self.proxies.pop(name).close()
+        self.site.crash_engine(name)
+        await asyncio.sleep(0.5)
+        await self.soak.add_engine(f"llm-{next(self.soak.new_engine_numbers)}", is_model=True)
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -2,24 +2,22 @@
 
 import asyncio
 import itertools
-import signal
 import time
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 
 from standins.hosted import Caller, HostedSite, ListedEngine, SiteTenant
 from standins.soak._checks import SentRequest, check_guarantees
-from standins.soak._proxy import FaultyProxy, LinkFault
+from standins.soak._faults import FaultInjector
+from standins.soak._proxy import FaultyProxy
 
 MIN_HOLDER_INTERVAL_S = 0.6
 ROUTES = ("review", "query", "pay", "lookup")
 # Grace period between the last fault and the start of the recovery phase.
 SETTLE_TIME_S = 6.0
-# Mean interval between faults of the answers of engines, in seconds.
-ANSWER_FAULT_INTERVAL_S = 1.5
 # Interval at which the delay of this process's own event loop is measured.
 STALL_CHECK_INTERVAL_S = 0.05
 # Minimum number of requests in the recovery phase, and the time limit to reach it.
@@ -34,12 +32,8 @@
 DEADLY_PART = "dead"
 DEADLY_FRACTION = 0.05
 ENGINE_RESTART_S = 1.0
-# Ends of engines after which gateways refuse the part, and requests with it that may still reach
-# engines in the recovery phase.
-COUNTED_ENDS = 5
+# Requests with the part that may still reach engines in the recovery phase.
 MAX_LATE_SENDS = 3
-# Mean interval between limits that engines state, in seconds.
-LIMIT_INTERVAL_S = 4.0
 
 
 @dataclass(slots=True)
@@ -78,7 +72,9 @@
     longest_stall_s: float = 0.0
 
 
-class _Soak:
+class Soak:
+    """A site under load, and what callers saw."""
+
     def __init__(self, plan: SoakPlan, site: HostedSite):
         self.plan = plan
         self.site = site
@@ -137,9 +133,7 @@
         listed_engine.engine.deadly_parts = {DEADLY_PART}
 
         def end_process() -> None:
-            task = asyncio.get_running_loop().create_task(self.end_engine(name, listed_engine))
-            self.fault_tasks.add(task)
-            task.add_done_callback(self.fault_tasks.discard)
+            self.start_fault(self.end_engine(name, listed_engine))
 
         listed_engine.engine.end_process = end_process
 
@@ -208,145 +202,15 @@
 
     # faults
 
-    async def inject_faults(self) -> None:
-        """Start faults at random times; each runs as a separate task."""
-        until = time.monotonic() + self.plan.fault_s
-        answers = asyncio.create_task(self.disturb_answers(until))
-        self.fault_tasks.add(answers)
-        answers.add_done_callback(self.fault_tasks.discard)
-        limits = asyncio.create_task(self.limit_engines(until))
-        self.fault_tasks.add(limits)
-        limits.add_done_callback(self.fault_tasks.discard)
-        source = Random(self.plan.seed + 3)
-        self.deadly_from = time.monotonic() + source.uniform(0.1, 0.5) * self.plan.fault_s
-        kinds: list[Callable[[], Coroutine[None, None, None]]] = [
-            self.fault_link,
-            self.fault_link,
-            self.fault_store,
-            self.fault_engine,
-            self.fault_process,
-            self.fault_process,
-            self.change_weights,
-            self.change_config,
-            self.replace_engine,
-        ]
-        while time.monotonic() < until:
-            task = asyncio.create_task(self.random.choice(kinds)())
-            self.fault_tasks.add(task)
-            task.add_done_callback(self.fault_tasks.discard)
-            await asyncio.sleep(self.random.expovariate(1 / self.plan.fault_interval_s))
-        await asyncio.gather(*self.fault_tasks)
-        if self.engine_ends < COUNTED_ENDS:
-            # In the recovery phase the part is sent only if it must be known by then.
-            self.deadly_from = float("inf")
+    def start_fault(self, job: Coroutine[None, None, None]) -> None:
+        """Run a fault as a task that is awaited before the recovery phase."""
+        task = asyncio.get_running_loop().create_task(job)
+        self.fault_tasks.add(task)
+        task.add_done_callback(self.fault_tasks.discard)
 
     def record_fault(self, text: str) -> None:
         self.faults.append((round(time.monotonic() - self.started_at, 2), text))
 
-    async def fault_link(self) -> None:
-        name = self.random.choice(sorted(self.proxies))
-        proxy = self.proxies[name]
-        fault = self.random.choice([f for f in LinkFault if f is not LinkFault.NONE])
-        self.record_fault(f"{fault.value}: {name}")
-        proxy.fault = fault
-        await asyncio.sleep(self.random.uniform(0.3, 3.0))
-        proxy.fault = LinkFault.NONE
-        proxy.reset()
-
-    async def fault_store(self) -> None:
-        faults = self.site.store.faults
-        match self.random.choice(["busy", "reset", "silent", "lost", "late", "history", "slow"]):
-            case "history":
-                self.record_fault("store: history discarded")
-                self.site.store.discard_history()
-            case "slow":
-                self.record_fault("store: slow")
-                faults.delay_s = 0.5
-                await asyncio.sleep(2.0)
-                faults.delay_s = 0.0
-            case ("lost" | "late") as mode:
-                self.record_fault(f"store: answers {mode}")
-                faults.lost, faults.late = 0.5, mode == "late"
-                await asyncio.sleep(2.0)
-                faults.lost = 0.0
-            case mode:
-                self.record_fault(f"store: {mode}")
-                faults.mode = mode
-                await asyncio.sleep(self.random.uniform(0.5, 3.0))
-                faults.mode = "ok"
-
-    async def fault_engine(self) -> None:
-        name = self.random.choice(sorted(self.site.engines))
-        fault = self.random.choice(
-            ["errors", "sheds", "cuts", "extra", "lost", "mute", "orders_unanswered"]
-        )
-        self.record_fault(f"{fault}: {name}")
-        faults = self.site.engines[name].engine.faults
-        setattr(faults, fault, 0.4)
-        await asyncio.sleep(self.random.uniform(0.5, 3.0))
-        setattr(faults, fault, 0.0)
-
-    async def disturb_answers(self, until: float) -> None:
-        """Make engines stall, send without end, begin late or leave polls unanswered.
-
-        Draws from a random source of its own, so that the other faults of a seed stay the same.
-        """
-        source = Random(self.plan.seed + 2)
-        while time.monotonic() < until:
-            await asyncio.sleep(source.expovariate(1 / ANSWER_FAULT_INTERVAL_S))
-            name = source.choice(sorted(self.site.engines))
-            fault = source.choice(["stalls", "floods", "slow", "polls_unanswered"])
-            self.record_fault(f"{fault}: {name}")
-            faults = self.site.engines[name].engine.faults
-            setattr(faults, fault, 0.3)
-            await asyncio.sleep(source.uniform(0.5, 2.0))
-            setattr(faults, fault, 0.0)
-
-    async def limit_engines(self, until: float) -> None:
-        """Make engines and services state limits for a while."""
-        source = Random(self.plan.seed + 4)
-        while time.monotonic() < until:
-            await asyncio.sleep(source.expovariate(1 / LIMIT_INTERVAL_S))
-            name = source.choice(sorted(self.site.engines))
-            engine = self.site.engines[name].engine
-            engine.limit = source.choice(["0", "0.5", "2", "5.5", "40", "none"])
-            self.record_fault(f"limit of {engine.limit}: {name}")
-            await asyncio.sleep(source.uniform(0.5, 3.0))
-            engine.limit = None
-
-    async def fault_process(self) -> None:
-        name = self.random.choice(sorted(self.site.gateways))
-        match self.random.choice(["stop", "kill", "pause", "reload"]):
-            case "stop":
-                self.record_fault(f"SIGTERM: {name}")
-                self.site.signal_gateway(name, signal.SIGTERM)
-            case "kill":
-                self.record_fault(f"SIGKILL: {name}")
-                self.site.signal_gateway(name, signal.SIGKILL)
-            case "reload":
-                self.record_fault(f"SIGHUP: {name}")
-                self.site.signal_gateway(name, signal.SIGHUP)
-            case _:
-                self.record_fault(f"SIGSTOP: {name}")
-                self.site.signal_gateway(name, signal.SIGSTOP)
-                await asyncio.sleep(self.random.uniform(0.3, 3.0))
-                self.site.signal_gateway(name, signal.SIGCONT)
-
-    async def change_weights(self) -> None:
-        self.record_fault(f"weights version {self.site.announce_weights()}")
-
-    async def change_config(self) -> None:
-        self.record_fault(f"configuration version {self.site.write_config()}")
-
-    async def replace_engine(self) -> None:
-        models = [name for name in self.site.engines if name.startswith("llm")]
-        name = self.random.choice(sorted(models))
-        self.record_fault(f"crash: {name}")
-        self.proxies.pop(name).close()
-        self.site.crash_engine(name)
-        await asyncio.sleep(0.5)
-        await self.add_engine(f"llm-{next(self.new_engine_numbers)}", is_model=True)
-
     async def check_recovery(self) -> tuple[list[str], float]:
         """Check that the site has recovered after the last fault.
 
@@ -384,11 +248,11 @@
     """Run one soak test; the gateways' logs and settings are written to ``folder``."""
     tenants = [SiteTenant("office", ["key-a"]), SiteTenant("closed", ["key-b"], isolated=True)]
     async with HostedSite(folder, Random(plan.seed + 1), tenants=tenants) as site:
-        soak = _Soak(plan, site)
+        soak = Soak(plan, site)
         soak.watchers.append(asyncio.create_task(soak.watch_stalls()))
         await soak.start()
         load = [asyncio.create_task(soak.send_requests(n)) for n in range(plan.callers)]
-        await soak.inject_faults()
+        await FaultInjector(soak).inject_faults()
         broken, served_fraction = await soak.check_recovery()
         soak.stop.set()
         await asyncio.gather(*load)
