Soak: routes come and go, limits of time change, and checks of the configuration in force

The soak wrote new versions, but all alike: a configuration that never came in force, or came back older, broke no check. Now routes are added and removed about once a second, with other timeouts and another idle limit; callers ask for all of them. Checked: no answer of a process shows an older version than one that it showed 0.25 s before, the newest one is in force at all gateways in the recovery phase, and routes that are always there are never denied. Each check is shown to fail on a history of its own in tests/test_soak.py.

--- a/standins/hosted/_site.py
+++ b/standins/hosted/_site.py
@@ -102,6 +102,7 @@
     gateways: dict[str, GatewayProcess] = field(default_factory=dict)
     config_version: int = 0
     weights: int = 1
+    idle_timeout_ms: int = 10_000
     store: HostedStore = field(init=False)
     heartbeat_task: asyncio.Task | None = None
     ports: dict[str, int] = field(default_factory=dict)
@@ -213,6 +214,11 @@
         listed_engine.server.close()
         self.store.put("keyed.servers", name, None)
 
+    def expire_entries(self) -> None:
+        """Remove the entries of engines that no longer exist, as after missed heartbeats."""
+        for name in self.store.newest_keys("keyed.servers") - self.engines.keys():
+            self.store.put("keyed.servers", name, None)
+
     def drain_engine(self, name: str) -> None:
         """Register an engine as draining."""
         listed_engine = self.engines[name]
@@ -258,7 +264,7 @@
                 }
                 for name in services
             ],
-            "limits": {"idleTimeoutMs": 10_000},
+            "limits": {"idleTimeoutMs": self.idle_timeout_ms},
             "tenants": [
                 {
                     "name": t.name,
@@ -276,9 +282,13 @@
     def announce_weights(self) -> int:
         """Announce the next weights version in the store and return it."""
         self.weights += 1
+        self.repeat_weights()
+        return self.weights
+
+    def repeat_weights(self) -> None:
+        """Write the newest weights version again."""
         value = {"model": MODEL, "version": self.weights}
         self.store.put("keyed.op", f"version/{MODEL}", value)
-        return self.weights
 
     # gateways
 
--- a/standins/hosted/_store.py
+++ b/standins/hosted/_store.py
@@ -62,6 +62,10 @@
         data = b"" if value is None else json.dumps(value).encode()
         self._append(self._topic(topic), [(key, data)])
 
+    def newest_keys(self, topic: str) -> set[str]:
+        """Return the keys of a topic that have a record."""
+        return set(self._topic(topic).newest())
+
     def discard_history(self) -> None:
         """Make all past records unreadable; the newest record of each key can still be listed."""
         for topic in self.topics.values():
--- a/standins/soak/_checks.py
+++ b/standins/soak/_checks.py
@@ -7,6 +7,9 @@
 from standins.hosted import Answer, HostedSite
 
 REFUSED_STATUSES = (408, 421, 429, 503)
+# Routes that all configurations have, and statuses that none of their requests may get.
+ROUTES = ("review", "query", "pay", "lookup")
+DENIED_STATUSES = (401, 403, 404)
 # Attempt limit of the routes for idempotent requests.
 MAX_ATTEMPTS = 2
 
@@ -48,6 +51,8 @@
         is_stream = entry.kind in ("review", "query")
         if fault := answer.fault(is_stream=is_stream):
             broken.append(f"wrong answer: {fault}")
+        if entry.kind in ROUTES and answer.status in DENIED_STATUSES:
+            broken.append(f"denied with {answer.status}: {answer.request_id}")
         runs = ran[answer.request_id]
         if entry.kind in ("pay", "query"):
             if runs > 1:
--- a/standins/soak/_faults.py
+++ b/standins/soak/_faults.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from standins.soak._configs import change_routes
 from standins.soak._proxy import LinkFault
 
 if TYPE_CHECKING:
@@ -16,6 +17,8 @@
 ANSWER_FAULT_INTERVAL_S = 1.5
 # Mean interval between limits that engines state, in seconds.
 LIMIT_INTERVAL_S = 4.0
+# Mean interval between changes of routes, in seconds.
+CONFIG_INTERVAL_S = 1.0
 # Ends of engines after which gateways refuse the part that ends them.
 COUNTED_ENDS = 5
 
@@ -38,6 +41,7 @@
         until = time.monotonic() + self.plan.fault_s
         self.soak.start_fault(self.disturb_answers(until))
         self.soak.start_fault(self.limit_engines(until))
+        self.soak.start_fault(self.change_routes(until))
         source = Random(self.plan.seed + 3)
         self.soak.deadly_from = time.monotonic() + source.uniform(0.1, 0.5) * self.plan.fault_s
         kinds: list[Callable[[], Coroutine[None, None, None]]] = [
@@ -55,6 +59,8 @@
             self.soak.start_fault(self.random.choice(kinds)())
             await asyncio.sleep(self.random.expovariate(1 / self.plan.fault_interval_s))
         await asyncio.gather(*self.soak.fault_tasks)
+        # In the recovery phase all gateways must have this version.
+        self.change_route(source)
         if self.soak.engine_ends < COUNTED_ENDS:
             # In the recovery phase the part is sent only if it must be known by then.
             self.soak.deadly_from = float("inf")
@@ -152,7 +158,19 @@
         self.soak.record_fault(f"weights version {self.site.announce_weights()}")
 
     async def change_config(self) -> None:
-        self.soak.record_fault(f"configuration version {self.site.write_config()}")
+        self.soak.record_fault(f"configuration version {self.soak.write_config()}")
+
+    async def change_routes(self, until: float) -> None:
+        """Add and remove routes, and change timeouts."""
+        source = Random(self.plan.seed + 5)
+        while time.monotonic() < until:
+            await asyncio.sleep(source.expovariate(1 / CONFIG_INTERVAL_S))
+            self.change_route(source)
+
+    def change_route(self, source: Random) -> None:
+        change = change_routes(self.site, source)
+        version = self.soak.write_config()
+        self.soak.record_fault(f"configuration version {version}: {change}")
 
     async def replace_engine(self) -> None:
         models = [name for name in self.site.engines if name.startswith("llm")]
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -10,12 +10,12 @@
 from random import Random
 
 from standins.hosted import Caller, HostedSite, ListedEngine, SiteTenant
-from standins.soak._checks import SentRequest, check_guarantees
+from standins.soak._checks import ROUTES, SentRequest, check_guarantees
+from standins.soak._configs import CHANGING_ROUTES, ConfigHistory, RouteAnswer
 from standins.soak._faults import FaultInjector
 from standins.soak._proxy import FaultyProxy
 
 MIN_HOLDER_INTERVAL_S = 0.6
-ROUTES = ("review", "query", "pay", "lookup")
 # Grace period between the last fault and the start of the recovery phase.
 SETTLE_TIME_S = 6.0
 # Interval at which the delay of this process's own event loop is measured.
@@ -27,6 +27,10 @@
 # Minimum fraction of the requests of the recovery phase that must be served.
 MIN_SERVED_FRACTION = 0.98
 RESTART_DELAY_S = 0.3
+# Fraction of the requests after which a caller sends one on a route that may not exist, and its
+# timeout in seconds.
+PROBE_FRACTION = 0.3
+PROBE_TIMEOUT_S = 3.0
 # Prompt part that ends engines, the fraction of the streams that hold it, and the time until an
 # engine is back, in seconds.
 DEADLY_PART = "dead"
@@ -81,6 +85,7 @@
         self.random = Random(plan.seed)
         self.proxies: dict[str, FaultyProxy] = {}
         self.requests: list[SentRequest] = []
+        self.configs = ConfigHistory()
         self.faults: list[tuple[float, str]] = []
         self.request_numbers = itertools.count()
         self.stop = asyncio.Event()
@@ -91,6 +96,7 @@
         self.longest_stall_s = 0.0
         self.engine_ends = 0
         self.deadly_from = float("inf")
+        self.settled_at = float("inf")
 
     async def watch_stalls(self) -> None:
         """Measure the longest delay of the event loop."""
@@ -106,7 +112,7 @@
             await self.add_engine(f"llm-{number}", is_model=True)
         for number in range(2):
             await self.add_engine(f"desk-{number}", is_model=False)
-        site.write_config()
+        self.write_config()
         for number in range(self.plan.gateways):
             name = f"gw-{number}"
             proxy = await FaultyProxy(await site.open_store_address(name)).open()
@@ -170,6 +176,7 @@
         """Send requests one after another over persistent connections."""
         random = Random(f"{self.plan.seed}-{number}")
         parts = Random(f"{self.plan.seed}-{number}-parts")
+        probes = Random(f"{self.plan.seed}-{number}-probes")
         tenants = self.site.tenants
         callers: dict[tuple[str, str], Caller] = {}
         while not self.stop.is_set():
@@ -197,11 +204,32 @@
             self.requests.append(SentRequest(kind, tenant.name, key, began_at, answer))
             if answer.status != 200:
                 await asyncio.sleep(0.05)
+            if probes.random() < PROBE_FRACTION:
+                await self.probe_route(probes.choice(CHANGING_ROUTES), name, callers[name, key])
         for caller in callers.values():
             caller.close()
 
+    async def probe_route(self, route: str, gateway: str, caller: Caller) -> None:
+        """Send a request on a route that the operator adds and removes."""
+        request_id = f"{route}-{next(self.request_numbers)}"
+        process = self.site.gateways[gateway].process.pid
+        began_at = time.monotonic()
+        answer = await caller.send(f"/{route}/x", request_id, timeout_s=PROBE_TIMEOUT_S)
+        ended_at = time.monotonic()
+        tenant = next(t.name for t in self.site.tenants if caller.key in t.keys)
+        self.requests.append(SentRequest("extra", tenant, caller.key, began_at, answer))
+        is_same = process == self.site.gateways[gateway].process.pid
+        name = f"{gateway} ({process})" if is_same else ""
+        self.configs.answers.append(RouteAnswer(route, name, began_at, ended_at, answer.status))
+
     # faults
 
+    def write_config(self) -> int:
+        """Write the next version of the configuration."""
+        version = self.site.write_config()
+        self.configs.record(self.site, time.monotonic())
+        return version
+
     def start_fault(self, job: Coroutine[None, None, None]) -> None:
         """Run a fault as a task that is awaited before the recovery phase."""
         task = asyncio.get_running_loop().create_task(job)
@@ -217,14 +245,14 @@
         :returns: what is still wrong, and the fraction of the requests that were served.
         """
         await asyncio.sleep(SETTLE_TIME_S)
-        phase_start = time.monotonic()
+        phase_start = self.settled_at = time.monotonic()
         recent: list[SentRequest] = []
         while (
             len(recent) < RECOVERY_REQUESTS + RECOVERY_REQUESTS // 5
             and time.monotonic() < phase_start + RECOVERY_TIMEOUT_S
         ):
             await asyncio.sleep(RECOVERY_POLL_INTERVAL_S)
-            recent = [a for a in self.requests if a.began_at >= phase_start]
+            recent = [a for a in self.requests if a.began_at >= phase_start and a.kind in ROUTES]
         deadly = [a for a in recent if a.answer.request_id.startswith(DEADLY_PART)]
         recent = [a for a in recent if a not in deadly]
         served = sum(a.answer.status == 200 and a.answer.is_complete for a in recent)
@@ -260,6 +288,7 @@
             watcher.cancel()
         for proxy in soak.proxies.values():
             proxy.close()
+        broken += soak.configs.find_violations(soak.settled_at)
         broken += check_guarantees(site, soak.requests, MIN_HOLDER_INTERVAL_S)
         statuses = Counter(entry.answer.status for entry in soak.requests)
         return SoakReport(
--- a/tests/test_restored_orders.py
+++ b/tests/test_restored_orders.py
@@ -51,7 +51,7 @@
     """Let the store return from a copy, and get the operators' records again."""
     site.store.restore(copied)
     site.repeat_config()
-    site.store.put("keyed.op", "version/model-a", {"model": "model-a", "version": site.weights})
+    site.repeat_weights()
 
 
 @pytest.mark.parametrize("is_away", [False, True])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 from standins.hosted._engine import Order, events_of
 from standins.soak import SoakPlan, check_guarantees, run_soak
 from standins.soak._checks import SentRequest
+from standins.soak._configs import ConfigHistory, RouteAnswer
 
 # Seeds that failed once. The cause for these: the soak's own process stalled for 7 to 8 s on an
 # overloaded machine, so that no request started during the recovery phase, then 2 s long.
@@ -74,6 +75,56 @@
     assert any(expected in line for line in check_guarantees(site, asked, 0.6))
 
 
+def test_check_finds_a_denied_request(tmp_path):
+    site = HostedSite(tmp_path, Random(1))
+    asked = [SentRequest("pay", "office", "key-a", time.monotonic(), answer(status=404))]
+    assert any("denied with 404" in line for line in check_guarantees(site, asked, 0.6))
+
+
+def probe(route, ended_at, status, process="gw-0 (7)") -> RouteAnswer:
+    return RouteAnswer(route, process, ended_at - 0.1, ended_at, status)
+
+
+@pytest.fixture
+def history() -> ConfigHistory:
+    """Return a history: a route is added at 1 s, another at 2 s, and the first removed at 3 s."""
+    added = [set(), {"extra-0"}, {"extra-0", "extra-1"}, {"extra-1"}]
+    return ConfigHistory([(float(at), frozenset(routes)) for at, routes in enumerate(added)])
+
+
+@pytest.mark.parametrize(
+    ("answers", "expected"),
+    [
+        # Never in force: the removed route is served, the added one is not.
+        ([probe("extra-0", 9.0, 200)], "not in force"),
+        ([probe("extra-1", 9.0, 404)], "not in force"),
+        # Back to an older version.
+        ([probe("extra-1", 2.5, 200), probe("extra-1", 4.0, 404)], "went back"),
+        ([probe("extra-0", 1.5, 200), probe("extra-0", 2.8, 404)], "went back"),
+        ([probe("extra-1", 2.5, 200), probe("extra-0", 3.1, 404), probe("extra-0", 5.0, 200)],
+         "went back"),
+    ],
+)  # fmt: skip
+def test_check_finds_an_older_configuration(history, answers, expected):
+    history.answers += answers
+    assert any(expected in line for line in history.find_violations(8.0))
+
+
+@pytest.mark.parametrize(
+    "answers",
+    [
+        # Late, but never back; another process; no statement about the configuration.
+        [probe("extra-1", 5.0, 404), probe("extra-1", 6.0, 200), probe("extra-0", 7.0, 404)],
+        [probe("extra-1", 2.5, 200), probe("extra-1", 4.0, 404, process="gw-0 (8)")],
+        [probe("extra-1", 2.5, 200), probe("extra-1", 2.6, 404)],
+        [probe("extra-1", 2.5, 200), probe("extra-1", 9.0, 503)],
+    ],
+)
+def test_check_accepts_configurations_that_only_go_forward(history, answers):
+    history.answers += answers
+    assert history.find_violations(8.0) == []
+
+
 @pytest.mark.parametrize(
     ("orders", "expected"),
     [
