Streams: nothing but a continuation may follow a started stream

Cause: next_step returned ForwardAnswer for the next engine's error, and Exchange.respond could be called once the response had been started.

Change: an exchange is started and finished once; anything else raises ResponseStateError and sends nothing. next_stream_step returns Resend or Cut only, so the type says what may follow. The last responses moved to gateway/_responses.py; each cuts a stream that was started, and a refusal of such a stream no longer gives the quota back.

--- a/teaselpath/dispatch/_attempts.py
+++ b/teaselpath/dispatch/_attempts.py
@@ -82,13 +82,23 @@
     status: int
 
 
-Step = Resend | ForwardAnswer | Refuse | Fail
+@dataclass(slots=True, frozen=True)
+class Cut:
+    """Break off the stream of which the caller has received a part."""
+
+
+# What may follow while the caller has received nothing, and once it has received a part.
+FirstStep = Resend | ForwardAnswer | Refuse | Fail
+StreamStep = Resend | Cut
 
 
 def next_step(
     route: Route, outcome: Outcome, progress: Progress, now: float, deadline: float
-) -> Step:
-    """Return the next step after an outcome that ``progress`` already includes."""
+) -> FirstStep:
+    """Return the next step of a request whose caller has received nothing.
+
+    :param outcome: outcome that ``progress`` already includes.
+    """
     has_time = deadline - now > MIN_ATTEMPT_S
     can_retry = route.is_idempotent and progress.runs < route.max_attempts
     match outcome:
@@ -105,3 +115,16 @@
             if can_retry and has_time:
                 return Resend(True)
             return Fail(502 if has_time else 504)
+
+
+def next_stream_step(
+    route: Route, outcome: Outcome, progress: Progress, now: float, deadline: float
+) -> StreamStep:
+    """Return the next step of a stream of which the caller has received a part.
+
+    Another endpoint can only continue it; any other answer of that endpoint ends it.
+
+    :param outcome: outcome that ``progress`` already includes.
+    """
+    step = next_step(route, outcome, progress, now, deadline)
+    return step if isinstance(step, Resend) else Cut()
--- a/teaselpath/dispatch/tests/test_attempts.py
+++ b/teaselpath/dispatch/tests/test_attempts.py
@@ -7,6 +7,7 @@
 from teaselpath.dispatch import (
     Answered,
     Broken,
+    Cut,
     Fail,
     ForwardAnswer,
     NotRun,
@@ -15,6 +16,7 @@
     Refuse,
     Resend,
     next_step,
+    next_stream_step,
 )
 from teaselpath.dispatch.tests.conftest import make_route
 from teaselpath.fleet import RequestKind
@@ -80,3 +82,18 @@
 
 def test_broken_answer_past_the_deadline_is_a_timeout():
     assert next_step(UNSAFE, Broken(), Progress(1, 1), 5.0, 5.0) == Fail(504)
+
+
+@pytest.mark.parametrize("route", [STREAM, RESUMABLE], ids=["plain stream", "resumable"])
+@given(outcome=OUTCOMES, runs=st.integers(1, 3), now=st.sampled_from([0.0, 4.99, 6.0]))
+def test_stream_of_which_the_caller_has_a_part_is_continued_or_cut(route, outcome, runs, now):
+    """An answer, a refusal or a failure would arrive in the middle of the stream."""
+    step = next_stream_step(route, outcome, Progress(runs, runs), now, 5.0)
+    can_run = route.is_idempotent and runs < route.max_attempts and now < 4.9
+    assert step == Cut() or (can_run and step == Resend(True))
+
+
+def test_broken_stream_is_continued_while_its_route_allows():
+    assert next_stream_step(RESUMABLE, Broken(), Progress(1, 1), 0.0, 5.0) == Resend(True)
+    assert next_stream_step(RESUMABLE, Answered(500), Progress(1, 1), 0.0, 5.0) == Resend(True)
+    assert next_stream_step(RESUMABLE, Answered(404), Progress(1, 1), 0.0, 5.0) == Cut()
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -1,4 +1,4 @@
-"""Forwarding of requests: admission, attempts, retries and the answer to the caller."""
+"""Forwarding of requests: admission, attempts and retries."""
 
 import asyncio
 import random
@@ -10,7 +10,9 @@
     LONG_PROMPT_TOKENS,
     Answered,
     Broken,
+    Cut,
     Fail,
+    FirstStep,
     ForwardAnswer,
     NoEndpoint,
     NotRun,
@@ -20,7 +22,9 @@
     Placed,
     Refuse,
     Resend,
+    StreamStep,
     next_step,
+    next_stream_step,
 )
 from teaselpath.fleet import CallerRequest, RequestCodec, Route, Service, Workspace
 from teaselpath.gateway._attempt import Attempt, AttemptContext, describe_outcome
@@ -28,7 +32,8 @@
 from teaselpath.gateway._engine_ends import EngineEndDetector
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._placement import Placer
-from teaselpath.gateway._quarantine import Quarantined, QuarantineGate
+from teaselpath.gateway._quarantine import QuarantineGate
+from teaselpath.gateway._responses import LEAVING_RETRY_AFTER_S, MIN_RETRY_AFTER_S, Responder
 from teaselpath.gateway._state import GatewayState, LongPlacement
 from teaselpath.http1 import Exchange, HttpClient
 from teaselpath.results import Code
@@ -37,8 +42,6 @@
 DEFAULT_CALLER_TIMEOUT_S = 30.0
 # Retry-After while this gateway has no configuration, or no service for a route, in seconds.
 UNCONFIGURED_RETRY_AFTER_S = 1.0
-# Shortest Retry-After of a refusal by a stopping gateway, in seconds.
-MIN_RETRY_AFTER_S = 0.2
 # Limit on the number of times one request is sent, including sends after which the endpoint did not
 # run it; failed connection attempts do not count.
 MAX_SENDS = 4
@@ -74,6 +77,7 @@
             state, codec, http, metrics, detector, gate, self._acquire_retry
         )
         self.placer = Placer(state, announce)
+        self.responder = Responder(state, codec)
         self.metrics = metrics
         self.random = random.Random()
         self.loop = asyncio.get_running_loop()
@@ -102,7 +106,7 @@
         except asyncio.CancelledError:
             if not self.is_ending or exchange.connection.is_closing:
                 raise
-            code = self._end_unfinished(exchange, call)
+            code = self.responder.end_unfinished(exchange, call)
         finally:
             self.gate.end_trial(call)
             self.running -= 1
@@ -115,13 +119,6 @@
         for task in self.tasks:
             task.cancel()
 
-    def _end_unfinished(self, exchange: Exchange, call: Call) -> Code:
-        # An attempt that the cancellation has interrupted may have run.
-        if call.was_sent or exchange.is_started:
-            return self._respond_failed(exchange, call, 502)
-        wait_s = max(MIN_RETRY_AFTER_S, self.state.successor_at - self.loop.time())
-        return self._respond_refused(exchange, call, Code.STOPPING, wait_s)
-
     def _admit(self, exchange: Exchange, request: CallerRequest) -> Call | None:
         """Return the call, or respond with a refusal and return None."""
         state, now = self.state, exchange.request.received_at
@@ -219,32 +216,44 @@
         while True:
             quarantined = await self.gate.admit(call)
             if quarantined is not None:
-                return self._end_quarantined(exchange, call, quarantined)
+                return self.responder.end_quarantined(exchange, call, quarantined)
             placed = await self.placer.acquire(call, self.loop.time())
             if isinstance(placed, NoEndpoint):
-                return self._end_unplaced(exchange, call, placed)
+                return self.responder.end_unplaced(exchange, call, placed)
             if not self.gate.may_send(call):
                 self.placer.release(call)
                 self.gate.end_trial(call)
                 continue
             outcome = await self._attempt(exchange, call, placed)
-            now = self.loop.time()
             # The attempt has relayed a complete stream.
             if exchange.is_finished:
                 return Code.OK
-            step = next_step(call.route, outcome, call.progress, now, call.deadline)
-            if isinstance(step, Resend) and not self._can_resend(call, step):
-                step = self._step_without_resend(call, outcome)
-            match step:
+            match self._next_step(exchange, call, outcome):
                 case Resend():
                     continue
                 case ForwardAnswer():
-                    return self._respond_answer(exchange, call)
+                    return self.responder.forward_answer(exchange, call)
                 case Refuse():
-                    # Retry-After of 0.2 s.
-                    return self._respond_refused(exchange, call, Code.ENDPOINT_LEAVING, 0.2)
+                    return self.responder.refuse(
+                        exchange, call, Code.ENDPOINT_LEAVING, LEAVING_RETRY_AFTER_S
+                    )
                 case Fail(status):
-                    return self._respond_failed(exchange, call, status)
+                    return self.responder.fail(exchange, call, status)
+                case Cut():
+                    return self.responder.cut(exchange)
+
+    def _next_step(
+        self, exchange: Exchange, call: Call, outcome: Outcome
+    ) -> FirstStep | StreamStep:
+        now = self.loop.time()
+        step: FirstStep | StreamStep
+        if exchange.is_started:
+            step = next_stream_step(call.route, outcome, call.progress, now, call.deadline)
+        else:
+            step = next_step(call.route, outcome, call.progress, now, call.deadline)
+        if not isinstance(step, Resend) or self._can_resend(call, step):
+            return step
+        return Cut() if exchange.is_started else self._step_without_resend(call, outcome)
 
     def _can_resend(self, call: Call, step: Resend) -> bool:
         if call.progress.sends >= MAX_SENDS:
@@ -311,49 +320,6 @@
                 call.progress.runs += 1
                 health.record_failure(now)
 
-    # responses
-
-    def _respond_answer(self, exchange: Exchange, call: Call) -> Code:
-        assert call.answer is not None
-        call.first_byte_at = self.loop.time()
-        exchange.respond(call.answer.status, call.answer.forwarded_headers, call.answer_body)
-        return Code.OK if call.answer.status < 500 else Code.ENDPOINT_FAILED
-
-    def _end_unplaced(self, exchange: Exchange, call: Call, no_endpoint: NoEndpoint) -> Code:
-        is_overload = no_endpoint.reason in ("queue", "limited")
-        code = Code.OVERLOADED if is_overload else Code.NO_ENDPOINT
-        call.attempts.append(("", no_endpoint.reason, 0.0))
-        if call.progress.runs == 0:
-            return self._respond_refused(exchange, call, code, no_endpoint.retry_after_s)
-        return self._respond_failed(exchange, call, 502)
-
-    def _end_quarantined(self, exchange: Exchange, call: Call, quarantined: Quarantined) -> Code:
-        call.attempts.append(("", quarantined.reason, 0.0))
-        if call.progress.runs == 0:
-            return self._respond_refused(
-                exchange, call, quarantined.code, quarantined.retry_after_s
-            )
-        self._respond_failed(exchange, call, 502)
-        return quarantined.code
-
-    def _respond_refused(
-        self, exchange: Exchange, call: Call, code: Code, retry_after_s: float
-    ) -> Code:
-        if call.workspace is not None:
-            self.state.quota.refund(call.workspace, call.tokens)
-        headers = self.codec.own_response_headers(call.request.request_id, retry_after_s)
-        exchange.respond(503, headers)
-        return code
-
-    def _respond_failed(self, exchange: Exchange, call: Call, status: int) -> Code:
-        if exchange.is_started:
-            exchange.abort()
-            return Code.STREAM_INCOMPLETE
-        if call.answer is not None:
-            return self._respond_answer(exchange, call)
-        exchange.respond(status, self.codec.own_response_headers(call.request.request_id, None))
-        return Code.DEADLINE_EXCEEDED if status == 504 else Code.OUTCOME_UNKNOWN
-
     def _log(self, call: Call, code: Code) -> None:
         now = self.loop.time()
         config = self.state.config
--- /dev/null
+++ b/teaselpath/gateway/_responses.py
@@ -0,0 +1,92 @@
+"""Last responses to callers: an endpoint's answer, a refusal, a failure, or a stream broken off.
+
+Once the caller has received a part of a stream, none but the last is possible.
+"""
+
+import asyncio
+
+from teaselpath.dispatch import NoEndpoint
+from teaselpath.fleet import RequestCodec
+from teaselpath.gateway._call import Call
+from teaselpath.gateway._quarantine import Quarantined
+from teaselpath.gateway._state import GatewayState
+from teaselpath.http1 import Exchange, Headers
+from teaselpath.results import Code
+
+# Shortest Retry-After of a refusal by a stopping gateway, in seconds.
+MIN_RETRY_AFTER_S = 0.2
+# Retry-After if the endpoint did not run the request and another may be free, in seconds.
+LEAVING_RETRY_AFTER_S = 0.2
+
+
+class Responder:
+    """Ends requests that were admitted; each method returns the result code.
+
+    :param state: state of this gateway.
+    :param codec: translation of requests and answers.
+    """
+
+    def __init__(self, state: GatewayState, codec: RequestCodec):
+        self.state = state
+        self.codec = codec
+        self.loop = asyncio.get_running_loop()
+
+    def forward_answer(self, exchange: Exchange, call: Call) -> Code:
+        """Forward the last complete answer of an endpoint."""
+        assert call.answer is not None
+        if exchange.is_started:
+            return self.cut(exchange)
+        call.first_byte_at = self.loop.time()
+        exchange.respond(call.answer.status, call.answer.forwarded_headers, call.answer_body)
+        return Code.OK if call.answer.status < 500 else Code.ENDPOINT_FAILED
+
+    def refuse(self, exchange: Exchange, call: Call, code: Code, retry_after_s: float) -> Code:
+        """State that the request did not run and never will."""
+        if exchange.is_started:
+            return self.cut(exchange)
+        if call.workspace is not None:
+            self.state.quota.refund(call.workspace, call.tokens)
+        exchange.respond(503, self._headers(call, retry_after_s))
+        return code
+
+    def fail(self, exchange: Exchange, call: Call, status: int) -> Code:
+        """Forward an answer that an endpoint gave, or else state a failure."""
+        if exchange.is_started:
+            return self.cut(exchange)
+        if call.answer is not None:
+            return self.forward_answer(exchange, call)
+        exchange.respond(status, self._headers(call, None))
+        return Code.DEADLINE_EXCEEDED if status == 504 else Code.OUTCOME_UNKNOWN
+
+    def cut(self, exchange: Exchange) -> Code:
+        """Break off a stream, so that it does not look complete."""
+        exchange.abort()
+        return Code.STREAM_INCOMPLETE
+
+    def end_unplaced(self, exchange: Exchange, call: Call, no_endpoint: NoEndpoint) -> Code:
+        """End a request for which no endpoint is left."""
+        is_overload = no_endpoint.reason in ("queue", "limited")
+        code = Code.OVERLOADED if is_overload else Code.NO_ENDPOINT
+        call.attempts.append(("", no_endpoint.reason, 0.0))
+        if call.progress.runs == 0:
+            return self.refuse(exchange, call, code, no_endpoint.retry_after_s)
+        return self.fail(exchange, call, 502)
+
+    def end_quarantined(self, exchange: Exchange, call: Call, quarantined: Quarantined) -> Code:
+        """End a request whose prompt has a part in quarantine."""
+        call.attempts.append(("", quarantined.reason, 0.0))
+        if call.progress.runs == 0:
+            return self.refuse(exchange, call, quarantined.code, quarantined.retry_after_s)
+        self.fail(exchange, call, 502)
+        return quarantined.code
+
+    def end_unfinished(self, exchange: Exchange, call: Call) -> Code:
+        """End a request in flight because the process ends."""
+        # An attempt that the cancellation has interrupted may have run.
+        if call.was_sent:
+            return self.fail(exchange, call, 502)
+        wait_s = max(MIN_RETRY_AFTER_S, self.state.successor_at - self.loop.time())
+        return self.refuse(exchange, call, Code.STOPPING, wait_s)
+
+    def _headers(self, call: Call, retry_after_s: float | None) -> Headers:
+        return self.codec.own_response_headers(call.request.request_id, retry_after_s)
--- a/teaselpath/http1/__init__.py
+++ b/teaselpath/http1/__init__.py
@@ -13,6 +13,7 @@
 from teaselpath.http1._listener import LISTEN_BACKLOG, Listener
 from teaselpath.http1._messages import (
     HOP_BY_HOP,
+    Headers,
     Request,
     Response,
     ResponseHead,
@@ -20,7 +21,7 @@
     encode_head,
     encode_request,
 )
-from teaselpath.http1._server import Exchange, ServerConnection
+from teaselpath.http1._server import Exchange, ResponseStateError, ServerConnection
 
 __all__ = [
     "HOP_BY_HOP",
@@ -30,6 +31,7 @@
     "ConnectionBroken",
     "ConnectionPool",
     "Exchange",
+    "Headers",
     "HttpClient",
     "Listener",
     "PoolLimits",
@@ -38,6 +40,7 @@
     "Response",
     "ResponseHead",
     "ResponseLimits",
+    "ResponseStateError",
     "ServerConnection",
     "ServerLimits",
     "encode_head",
--- a/teaselpath/http1/_server.py
+++ b/teaselpath/http1/_server.py
@@ -22,11 +22,15 @@
 Handler = Callable[["Exchange"], Awaitable[None]]
 
 
+class ResponseStateError(RuntimeError):
+    """A handler sends what may not follow the response so far; nothing of it was sent."""
+
+
 class Exchange:
     """One request and the response to it.
 
-    If the response cannot be completed, the connection is closed, so that a caller never mistakes
-    a partial response for a complete one.
+    A response is started once and finished once. If it cannot be completed, the connection is
+    closed, so that a caller never mistakes a partial response for a complete one.
 
     :param connection: connection on which the request arrived.
     :param request: the complete request.
@@ -43,7 +47,12 @@
         self.remaining = 0
 
     def start(self, status: int, headers: Headers, length: int | None = None) -> None:
-        """Send the head; without ``length`` the body is sent in chunks."""
+        """Send the head; without ``length`` the body is sent in chunks.
+
+        :raises ResponseStateError: if the response was started before.
+        """
+        if self.is_started or self.is_finished:
+            raise ResponseStateError(f"status {status} in the middle of a response")
         self.is_started = True
         fields = [pair for pair in headers if not _is_framing(pair[0])]
         if length is None:
@@ -57,21 +66,31 @@
         self.connection.write(encode_head(status, fields))
 
     def write(self, data: bytes) -> None:
-        """Send data of the body."""
+        """Send data of the body.
+
+        :raises ResponseStateError: outside a response, or beyond its announced length.
+        """
+        self._check_is_open()
         if not data:
             return
         if self.chunked:
             self.connection.write(b"%x\r\n%b\r\n" % (len(data), data))
-        else:
-            self.remaining -= len(data)
-            self.connection.write(data)
+            return
+        if len(data) > self.remaining:
+            raise ResponseStateError(f"{len(data)} bytes of body, {self.remaining} are left")
+        self.remaining -= len(data)
+        self.connection.write(data)
 
     async def drain(self) -> None:
         """Wait until the write buffer is below its limit."""
         await self.connection.drain()
 
     def finish(self) -> None:
-        """Finish the response; close the connection if the body is shorter than announced."""
+        """Finish the response; close the connection if the body is shorter than announced.
+
+        :raises ResponseStateError: if no response was started, or it is finished.
+        """
+        self._check_is_open()
         self.is_finished = True
         if self.chunked:
             self.connection.write(b"0\r\n\r\n")
@@ -79,7 +98,10 @@
             self.abort()
 
     def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
-        """Send a complete response."""
+        """Send a complete response.
+
+        :raises ResponseStateError: if a response was started before.
+        """
         self.start(status, headers, len(body))
         self.write(body)
         self.finish()
@@ -89,6 +111,10 @@
         self.is_finished = True
         self.connection.close_after_flush()
 
+    def _check_is_open(self) -> None:
+        if not self.is_started or self.is_finished:
+            raise ResponseStateError("data of a body outside a response")
+
 
 def _is_framing(name: bytes) -> bool:
     lower = name.lower()
--- a/teaselpath/http1/tests/test_server.py
+++ b/teaselpath/http1/tests/test_server.py
@@ -6,7 +6,7 @@
 import pytest
 
 from teaselpath.fleet import CallerLimits
-from teaselpath.http1 import Listener, ServerConnection
+from teaselpath.http1 import Listener, ResponseStateError, ServerConnection
 from teaselpath.http1.tests.conftest import TestServer, read_response
 
 GET = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -118,6 +118,66 @@
     assert not answer.endswith(b"0\r\n\r\n")
 
 
+@pytest.mark.parametrize("length", [None, 8], ids=["chunks", "length"])
+@pytest.mark.parametrize(
+    "mistake",
+    [
+        lambda exchange: exchange.respond(500, [], b"error"),
+        lambda exchange: exchange.start(200, []),
+        lambda exchange: (exchange.finish(), exchange.respond(503, [])),
+        lambda exchange: (exchange.finish(), exchange.write(b"more")),
+        lambda exchange: (exchange.finish(), exchange.finish()),
+        lambda exchange: (exchange.abort(), exchange.write(b"more")),
+    ],
+    ids=["respond", "start", "respond-after", "write-after", "finish-after", "write-aborted"],
+)
+def test_caller_receives_no_second_response_inside_the_first(listener: TestServer, length, mistake):
+    raised = []
+
+    async def handle(exchange):
+        exchange.start(200, [], length)
+        exchange.write(b"half")
+        try:
+            mistake(exchange)
+        except ResponseStateError as error:
+            raised.append(error)
+
+    async def scenario():
+        async with await listener.open(handle):
+            reader, writer = await asyncio.open_connection("127.0.0.1", listener.port)
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+            answer = await asyncio.wait_for(reader.read(), 5)
+            writer.close()
+            return answer
+
+    head, _, body = asyncio.run(scenario()).partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 OK")
+    assert len(raised) == 1
+    if length is None:
+        assert body in (b"4\r\nhalf\r\n", b"4\r\nhalf\r\n0\r\n\r\n")
+    else:
+        assert body == b"half"
+
+
+def test_body_is_not_longer_than_announced(listener: TestServer):
+    async def handle(exchange):
+        exchange.start(200, [], 4)
+        with pytest.raises(ResponseStateError):
+            exchange.write(b"too long")
+        exchange.write(b"body")
+        exchange.finish()
+
+    async def scenario():
+        async with await listener.open(handle):
+            reader, writer = await asyncio.open_connection("127.0.0.1", listener.port)
+            writer.write(GET % 1)
+            _, body = await asyncio.wait_for(read_response(reader), 5)
+            writer.close()
+            return body
+
+    assert asyncio.run(scenario()) == b"body"
+
+
 def test_connection_in_the_backlog_is_served_when_the_listener_closes():
     """The kernel has accepted connection and request; closing the socket would reset them."""
 
