--- a/teaselpath/http1/__init__.py
+++ b/teaselpath/http1/__init__.py
@@ -1,12 +1,9 @@
 """HTTP/1.1 client and server on asyncio, with control over reuse, framing and aborts."""
 
-from teaselpath.http1._client import (
+from teaselpath.http1._client import HttpClient
+from teaselpath.http1._connection import (
     ClientConnection,
-    ConnectFailed,
     ConnectionBroken,
-    ConnectionPool,
-    HttpClient,
-    PoolLimits,
     ReadTimeout,
     ResponseLimits,
 )
@@ -21,6 +18,7 @@
     encode_head,
     encode_request,
 )
+from teaselpath.http1._pool import ConnectFailed, ConnectionPool, PoolLimits
 from teaselpath.http1._server import Exchange, ResponseStateError, ServerConnection
 
 __all__ = [
