Stand-ins: the caller tells foreign bytes from a cut answer

A client connection now knows whether it received bytes that are no response or lie outside one (has_invalid_data, InvalidResponse); the caller marks the answer, also if the bytes come while the connection is idle, and Answer.fault, which tests and soak already ask, names it. The checks became stricter; none was relaxed. A gateway logs such an engine as invalid_answer; before, only limits were logged.

--- a/standins/hosted/_client.py
+++ b/standins/hosted/_client.py
@@ -9,6 +9,7 @@
     ConnectFailed,
     ConnectionBroken,
     ConnectionPool,
+    InvalidResponse,
     PoolLimits,
     ReadTimeout,
     ResponseHead,
@@ -22,6 +23,8 @@
 
     :param status: HTTP status; 0 if no answer arrived.
     :param is_complete: whether the answer was received completely.
+    :param has_foreign_bytes: whether bytes came within or after it that are no part of an answer,
+        or answer no request.
     """
 
     request_id: str
@@ -30,15 +33,19 @@
     is_complete: bool
     stamp: str = ""
     retry_after_s: float | None = None
+    has_foreign_bytes: bool = False
 
     def fault(self, *, is_stream: bool) -> str | None:
         """Compare the answer with the one that the endpoint produces for this request id.
 
-        An answer of 200 must carry the endpoint's signature and body, or a prefix of the body if
-        it was cut off. Of the others, only a 500 may carry a signature.
+        Foreign bytes are a fault of any answer. An answer of 200 must carry the endpoint's
+        signature and body, or a prefix of the body if it was cut off. Of the others, only a 500 may
+        carry a signature.
 
         :returns: description of the difference, or None.
         """
+        if self.has_foreign_bytes:
+            return f"{self.request_id}: bytes that belong to no answer, status {self.status}"
         if self.status != 200:
             is_own_error = self.status == 500
             if self.stamp and not is_own_error:
@@ -58,11 +65,13 @@
     """HTTP client with a pool of connections to one gateway.
 
     :param address: IP:PORT of the gateway.
+    :ivar last_answers: the last answer on each connection that may be used again.
     """
 
     def __init__(self, address: str, key: str = "key-1"):
         self.key = key
         self.pool = ConnectionPool(address, PoolLimits(connect_timeout_s=1.0, default_idle_s=6.0))
+        self.last_answers: dict[ClientConnection, Answer] = {}
 
     async def send(
         self,
@@ -93,10 +102,12 @@
                 (b"Token-Counts", tokens.encode()),
                 (b"Prompt-Prefix", prefix.encode()),
             ]
+        self._check_idle_connections()
         try:
             connection = await self.pool.acquire(deadline)
         except ConnectFailed:
             return Answer(request_id, 0, b"", False)
+        self.last_answers.pop(connection, None)
         read_deadline = deadline if disconnect_after_s is None else loop.time() + disconnect_after_s
         head, parts = ResponseHead(0), []
         try:
@@ -104,20 +115,30 @@
             head = await connection.read_head(read_deadline)
             while (part := await connection.read_chunk(read_deadline)) is not None:
                 parts.append(part)
-        except (ConnectionBroken, ReadTimeout):
+        except (ConnectionBroken, ReadTimeout) as error:
             connection.abort()
-            return _answer(request_id, head, b"".join(parts), is_complete=False)
+            answer = _answer(request_id, head, b"".join(parts), is_complete=False)
+            answer.has_foreign_bytes = isinstance(error, InvalidResponse)
+            return answer
         except asyncio.CancelledError:
             connection.abort()
             raise
-        self._release(connection, head)
-        return _answer(request_id, head, b"".join(parts), is_complete=True)
-
-    def _release(self, connection: ClientConnection, head: ResponseHead) -> None:
+        answer = _answer(request_id, head, b"".join(parts), is_complete=True)
+        answer.has_foreign_bytes = connection.has_extra_data()
         self.pool.release(connection, head)
+        self.last_answers[connection] = answer
+        return answer
+
+    def _check_idle_connections(self) -> None:
+        """Find bytes that the gateway sent after an answer, with no request in flight."""
+        for connection, answer in list(self.last_answers.items()):
+            answer.has_foreign_bytes |= connection.has_invalid_data
+            if connection.is_lost:
+                del self.last_answers[connection]
 
     def close(self) -> None:
         """Close the pooled connections."""
+        self._check_idle_connections()
         self.pool.close()
 
 
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -102,10 +102,11 @@
             outcome = await self._read_answer(connection, info)
         except (ConnectionBroken, EventTooLong) as error:
             outcome = Broken()
+            is_cut_off = not connection.is_lost or connection.has_exceeded_limits
             # A server that closes its connection is part of the line on the request.
-            if not connection.is_lost or connection.has_exceeded_limits:
+            if is_cut_off or connection.has_invalid_data:
                 self._log_invalid_answer(str(error))
-            else:
+            if not is_cut_off:
                 self._record_broken()
         except ReadTimeout:
             outcome = Broken(is_timeout=True)
--- a/teaselpath/http1/__init__.py
+++ b/teaselpath/http1/__init__.py
@@ -4,6 +4,7 @@
 from teaselpath.http1._connection import (
     ClientConnection,
     ConnectionBroken,
+    InvalidResponse,
     ReadTimeout,
     ResponseLimits,
 )
@@ -31,6 +32,7 @@
     "Exchange",
     "Headers",
     "HttpClient",
+    "InvalidResponse",
     "Listener",
     "PoolLimits",
     "ReadTimeout",
--- a/teaselpath/http1/_connection.py
+++ b/teaselpath/http1/_connection.py
@@ -20,6 +20,10 @@
     """The connection was closed, or received invalid data, before the response was complete."""
 
 
+class InvalidResponse(ConnectionBroken):
+    """The server has sent bytes that are no response, or that no request asked for."""
+
+
 class ReadTimeout(Exception):
     """The response did not arrive before the deadline."""
 
@@ -68,6 +72,7 @@
     :ivar buffered_bytes: data of bodies that was received and not yet read.
     :ivar overhead_bytes: bytes received since the last data of a body.
     :ivar has_exceeded_limits: whether the server was cut off because it exceeded a limit.
+    :ivar has_invalid_data: whether the server sent bytes that are no response, or outside one.
     """
 
     def __init__(
@@ -94,6 +99,7 @@
         self.skipped_bytes = 0
         self.is_paused = False
         self.has_exceeded_limits = False
+        self.has_invalid_data = False
         self.has_carried_request = False
         self.id_header = id_header
         self.expected_id: bytes | None = None
@@ -110,7 +116,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received data."""
         if not self.is_busy:
-            self._fail("bytes outside a response")
+            self._fail_invalid("bytes outside a response")
             return
         self.overhead_bytes += len(data)
         try:
@@ -121,7 +127,7 @@
             if isinstance(cause, _LimitExceeded):
                 self._fail_limit(str(cause))
             else:
-                self._fail(f"no valid response: {error}")
+                self._fail_invalid(f"no valid response: {error}")
         if self.overhead_bytes > self.limits.head_bytes:
             self._fail_limit(f"more than {self.limits.head_bytes} bytes of head or framing")
         if self.buffered_bytes > self.limits.high_water_bytes and not self.is_lost:
@@ -266,6 +272,12 @@
                 raise ConnectionBroken(self.error)
         return b"".join(chunks)
 
+    def has_extra_data(self) -> bool:
+        """Return whether the server has sent more than the response to the current request."""
+        first = self.responses[0] if self.responses else None
+        has_second = self.current is not None and self.current is not first
+        return self.has_invalid_data or has_second or len(self.responses) > 1
+
     def end_request(self) -> None:
         """Finish the current request; the connection is idle afterwards."""
         incoming = self.responses.popleft() if self.responses else None
@@ -307,6 +319,8 @@
 
     async def _wait_until(self, condition, deadline: float) -> None:
         while not condition():
+            if self.has_invalid_data:
+                raise InvalidResponse(self.error)
             if self.is_lost:
                 raise ConnectionBroken(self.error)
             remaining_s = deadline - self.loop.time()
@@ -328,6 +342,10 @@
         self.has_exceeded_limits = True
         self._fail(reason)
 
+    def _fail_invalid(self, reason: str) -> None:
+        self.has_invalid_data = True
+        self._fail(reason)
+
     def _fail(self, reason: str) -> None:
         self.error = self.error or reason
         self.abort()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,8 +33,10 @@
     return Run(**{**values, **fields})
 
 
-def answer(request_id="pay-1", status=502, body=b"", *, whole=True, stamp="") -> Answer:
-    return Answer(request_id, status, body, whole, stamp)
+def answer(
+    request_id="pay-1", status=502, body=b"", *, whole=True, stamp="", foreign=False
+) -> Answer:
+    return Answer(request_id, status, body, whole, stamp, has_foreign_bytes=foreign)
 
 
 @pytest.mark.parametrize(
@@ -49,6 +51,22 @@
             [],
             "differs",
         ),
+        ("pay", [answer(foreign=True)], [make_run()], "belong to no answer"),
+        (
+            "review",
+            [
+                answer(
+                    "r",
+                    200,
+                    events_of("r")[0],
+                    whole=False,
+                    foreign=True,
+                    stamp=expected_signature("r"),
+                )
+            ],
+            [],
+            "belong to no answer",
+        ),
         ("pay", [], [make_run("nobody")], "nobody sent"),
         ("pay", [answer()], [make_run(tenant="closed")], "ran for closed"),
         ("pay", [answer()], [make_run(headers={"x": "Token key-a"})], "saw the key"),
