--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -4,8 +4,10 @@
 time.
 """
 
+from standins.hosted._answers import shared_parts_of
 from standins.hosted._client import Answer, Caller
-from standins.hosted._engine import EngineFaults, HostedEngine, Run, shared_parts_of
+from standins.hosted._engine import HostedEngine, Run
+from standins.hosted._engine_faults import EngineFaults
 from standins.hosted._site import (
     GatewayProcess,
     HostedSite,
--- a/standins/hosted/_client.py
+++ b/standins/hosted/_client.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from standins.hosted._engine import answer_of, events_of, stamp_of
+from standins.hosted._answers import answer_of, events_of, stamp_of
 from teaselpath.http1 import (
     ClientConnection,
     ConnectFailed,
--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -5,10 +5,11 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from hashlib import blake2b
 from random import Random
 from urllib.parse import parse_qsl, urlsplit
 
+from standins.hosted._answers import answer_of, events_of, shared_parts_of, stamp_of
+from standins.hosted._engine_faults import EngineFaults
 from teaselpath.http1 import Exchange, encode_head
 
 EVENT_INTERVAL_S = 0.004
@@ -24,41 +25,6 @@
 MAX_FLOOD_BYTES = 256 << 20
 
 
-@dataclass(slots=True)
-class EngineFaults:
-    """Faults of an engine; each value is the probability with which it affects a request.
-
-    :param errors: replies with status 500.
-    :param sheds: replies with status 503 without running the request.
-    :param cuts: closes the connection before the end of the answer; a stream ends in the middle
-        of an event.
-    :param extra: sends a second, unsolicited answer with another request id after the first.
-    :param lost: runs the request and closes the connection without an answer.
-    :param mute: runs the request and holds back the answer for 60 s.
-    :param encoded: replies with a compressed body, as a proxy in front of the engine would.
-    :param stalls: sends the first event of a stream and then a comment now and then, without end.
-    :param floods: sends bytes without end: in the head, or after the first event of a stream.
-    :param slow: begins the answer ``SLOW_START_S`` late.
-    :param unframed: replies with neither a length nor chunks; the answer ends with its connection.
-    :param polls_unanswered: holds back the answer to a poll of cache events for 10 s.
-    :param orders_unanswered: carries out an order, but holds back the reply for 10 s.
-    """
-
-    errors: float = 0.0
-    sheds: float = 0.0
-    cuts: float = 0.0
-    extra: float = 0.0
-    lost: float = 0.0
-    mute: float = 0.0
-    encoded: float = 0.0
-    stalls: float = 0.0
-    floods: float = 0.0
-    slow: float = 0.0
-    unframed: float = 0.0
-    polls_unanswered: float = 0.0
-    orders_unanswered: float = 0.0
-
-
 @dataclass(slots=True)
 class Run:
     """A request that an engine has started to run.
@@ -392,28 +358,3 @@
 
 def _never_ends() -> None:
     """Ignore the end of a process that nothing can end."""
-
-
-def shared_parts_of(headers: dict[str, str]) -> list[str]:
-    """Return the ids of the parts of a prompt except the last one."""
-    entries = headers.get("prompt-prefix", "").split(",")
-    return [entry.partition(":")[0].strip() for entry in entries[:-1]]
-
-
-def stamp_of(request_id: str) -> str:
-    """Return the signature that the answer to a request carries."""
-    return blake2b(request_id.encode(), key=b"stamp", digest_size=8).hexdigest()
-
-
-def answer_of(request_id: str) -> bytes:
-    """Return the body of the answer to a request that is not streamed."""
-    return blake2b(request_id.encode(), key=b"body").hexdigest().encode() * 6
-
-
-def events_of(request_id: str) -> list[bytes]:
-    """Return the encoded events of the streamed answer to a request."""
-    count = 4 + int(stamp_of(request_id), 16) % 9
-    return [
-        b"id: %d\ndata: %s-%d\n\n" % (number, request_id.encode(), number)
-        for number in range(1, count + 1)
-    ]
