Streams: another engine continues a stream only with the events that follow

Cause: whatever the next engine sent with status 200 was passed on. An engine that ignored the position began the stream again; one that answered with another kind of body was relayed as events.

Change: the splitter checks ids. They must increase; if they had no gap so far, an endpoint that resumes must begin with the next one; a resumed stream begins with an id; it doesn't end before an event that an earlier endpoint had begun. A continuation must have the media type of the first answer. A stream whose last data had no id can't be resumed and is cut. A caller that resumes itself gets later events only. Each deviation is logged as invalid_answer and counts as a broken attempt.

Not to be told: an engine that ends a resumed stream with no event at all, when the one before broke off between two events.

Test failed before: test_stream_is_continued_only_with_the_events_that_follow[restarts, skips, plain], e.g. restarts: answer differs, the tail begins with event 9 after the stream had begun; skips: event 8, then 10; plain: event 8, then {"events": []}.

--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -328,7 +328,11 @@
         is_unframed: bool,
     ) -> None:
         events = events_of(run.request_id)
-        first = int(run.headers.get("last-event-id", 0))
+        if "last-event-id" in run.headers and self._strikes(self.faults.plain):
+            document = [*headers, (b"Content-Type", b"application/json")]
+            exchange.respond(200, document, b'{"events": []}\n\n')
+            return
+        first = self._first_event(run)
         cut_at = self.random.randrange(1, len(events) + 1)
         is_cut = self.random.random() < self.faults.cuts
         headers = [*headers, (b"Content-Type", b"text/event-stream")]
@@ -355,6 +359,19 @@
             await asyncio.sleep(EVENT_INTERVAL_S)
         exchange.finish()
 
+    def _strikes(self, probability: float) -> bool:
+        """Return whether a fault strikes; one that is off leaves the random source alone."""
+        return probability > 0 and self.random.random() < probability
+
+    def _first_event(self, run: Run) -> int:
+        """Return the number of events that the answer to a request leaves out."""
+        first = int(run.headers.get("last-event-id", 0))
+        if first and self._strikes(self.faults.restarts):
+            return 0
+        if first and self._strikes(self.faults.skips):
+            return first + 1
+        return first
+
 
 def _never_ends() -> None:
     """Ignore the end of a process that nothing can end."""
--- a/standins/hosted/_engine_faults.py
+++ b/standins/hosted/_engine_faults.py
@@ -19,6 +19,9 @@
     :param floods: sends bytes without end: in the head, or after the first event of a stream.
     :param slow: begins the answer ``SLOW_START_S`` late.
     :param unframed: replies with neither a length nor chunks; the answer ends with its connection.
+    :param restarts: begins a stream that is to be resumed with its first event.
+    :param skips: resumes a stream one event too late.
+    :param plain: answers with a document instead of resuming a stream.
     :param polls_unanswered: holds back the answer to a poll of cache events for 10 s.
     :param orders_unanswered: carries out an order, but holds back the reply for 10 s.
     """
@@ -34,5 +37,8 @@
     floods: float = 0.0
     slow: float = 0.0
     unframed: float = 0.0
+    restarts: float = 0.0
+    skips: float = 0.0
+    plain: float = 0.0
     polls_unanswered: float = 0.0
     orders_unanswered: float = 0.0
--- a/teaselpath/dispatch/_attempts.py
+++ b/teaselpath/dispatch/_attempts.py
@@ -118,13 +118,22 @@
 
 
 def next_stream_step(
-    route: Route, outcome: Outcome, progress: Progress, now: float, deadline: float
+    route: Route,
+    outcome: Outcome,
+    progress: Progress,
+    now: float,
+    deadline: float,
+    *,
+    can_resume: bool,
 ) -> StreamStep:
     """Return the next step of a stream of which the caller has received a part.
 
     Another endpoint can only continue it; any other answer of that endpoint ends it.
 
     :param outcome: outcome that ``progress`` already includes.
+    :param can_resume: whether another endpoint can be told where the stream goes on.
     """
+    if not can_resume:
+        return Cut()
     step = next_step(route, outcome, progress, now, deadline)
     return step if isinstance(step, Resend) else Cut()
--- a/teaselpath/dispatch/tests/test_attempts.py
+++ b/teaselpath/dispatch/tests/test_attempts.py
@@ -85,15 +85,25 @@
 
 
 @pytest.mark.parametrize("route", [STREAM, RESUMABLE], ids=["plain stream", "resumable"])
-@given(outcome=OUTCOMES, runs=st.integers(1, 3), now=st.sampled_from([0.0, 4.99, 6.0]))
-def test_stream_of_which_the_caller_has_a_part_is_continued_or_cut(route, outcome, runs, now):
+@given(
+    outcome=OUTCOMES,
+    runs=st.integers(1, 3),
+    now=st.sampled_from([0.0, 4.99, 6.0]),
+    can_resume=st.booleans(),
+)
+def test_stream_of_which_the_caller_has_a_part_is_continued_or_cut(
+    route, outcome, runs, now, can_resume
+):
     """An answer, a refusal or a failure would arrive in the middle of the stream."""
-    step = next_stream_step(route, outcome, Progress(runs, runs), now, 5.0)
-    can_run = route.is_idempotent and runs < route.max_attempts and now < 4.9
+    step = next_stream_step(route, outcome, Progress(runs, runs), now, 5.0, can_resume=can_resume)
+    can_run = can_resume and route.is_idempotent and runs < route.max_attempts and now < 4.9
     assert step == Cut() or (can_run and step == Resend(True))
 
 
 def test_broken_stream_is_continued_while_its_route_allows():
-    assert next_stream_step(RESUMABLE, Broken(), Progress(1, 1), 0.0, 5.0) == Resend(True)
-    assert next_stream_step(RESUMABLE, Answered(500), Progress(1, 1), 0.0, 5.0) == Resend(True)
-    assert next_stream_step(RESUMABLE, Answered(404), Progress(1, 1), 0.0, 5.0) == Cut()
+    def step(outcome):
+        return next_stream_step(RESUMABLE, outcome, Progress(1, 1), 0.0, 5.0, can_resume=True)
+
+    assert step(Broken()) == Resend(True)
+    assert step(Answered(500)) == Resend(True)
+    assert step(Answered(404)) == Cut()
--- a/teaselpath/fleet/_calls.py
+++ b/teaselpath/fleet/_calls.py
@@ -73,6 +73,7 @@
     :param limit_per_s: requests per second that the endpoint takes from all gateways together; None
         if it states no limit.
     :param invalid_limit: text of a limit that is no decimal number; None if there is none.
+    :param media_type: kind of the body, in lower case and without parameters; empty if not stated.
     """
 
     status: int
@@ -85,6 +86,7 @@
     requests: int | None = None
     limit_per_s: float | None = None
     invalid_limit: str | None = None
+    media_type: bytes = b""
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -19,7 +19,7 @@
 from teaselpath.fleet import AnswerInfo, Forwarding, RequestCodec, RequestKind
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._engine_ends import BrokenRun, EngineEndDetector
-from teaselpath.gateway._events import EventTooLong
+from teaselpath.gateway._events import InvalidEvent
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._quarantine import PROVING_EVENTS, QuarantineGate
 from teaselpath.gateway._state import GatewayState
@@ -100,13 +100,15 @@
             head = await self._with_progress(connection.read_head)
             info = self.context.codec.decode_answer(head.status, head.headers)
             outcome = await self._read_answer(connection, info)
-        except (ConnectionBroken, EventTooLong) as error:
+        except InvalidEvent as error:
+            outcome = Broken()
+            self._log_invalid_answer(str(error))
+        except ConnectionBroken as error:
             outcome = Broken()
-            is_cut_off = not connection.is_lost or connection.has_exceeded_limits
             # A server that closes its connection is part of the line on the request.
-            if is_cut_off or connection.has_invalid_data:
+            if connection.has_exceeded_limits or connection.has_invalid_data:
                 self._log_invalid_answer(str(error))
-            if not is_cut_off:
+            if not connection.has_exceeded_limits:
                 self._record_broken()
         except ReadTimeout:
             outcome = Broken(is_timeout=True)
@@ -186,6 +188,9 @@
             view.record_stated_requests(info.requests, self.loop.time())
         is_stream = call.route.kind is RequestKind.STREAM
         if info.status == 200 and is_stream and info.has_stamp and not info.is_encoded:
+            if self.exchange.is_started and not self._is_same_kind(info):
+                self._log_invalid_answer(f"a stream goes on as {info.media_type!r}")
+                return Broken()
             return await self._relay_events(connection, info)
         body = await connection.read_body(call.deadline)
         if info.did_not_run:
@@ -205,6 +210,10 @@
             self._record_proof()
         return Answered(info.status)
 
+    def _is_same_kind(self, info: AnswerInfo) -> bool:
+        """Return whether a body can continue the one of which the caller has a part."""
+        return self.call.answer is not None and info.media_type == self.call.answer.media_type
+
     def _record_proof(self) -> None:
         """Record once that the engine answers this request."""
         if not self.has_proved and self.call.service.engine is not None:
@@ -266,7 +275,7 @@
             self.limits.record_event(self.loop.time())
             if splitter.count - self.events_before >= PROVING_EVENTS:
                 self._record_proof()
-        if splitter.rest or not exchange.is_started:
+        if not splitter.is_between_events or not exchange.is_started:
             return Broken()
         self._record_proof()
         exchange.finish()
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -45,6 +45,11 @@
     placed: Placed | None = None
     reservation: Reservation | None = None
 
+    def __post_init__(self) -> None:
+        """Expect the events after the one at which the caller resumes its stream."""
+        if self.route.is_resumable:
+            self.splitter.resume_after(self.request.last_event_id)
+
     @property
     def priority(self) -> int:
         """Return the workspace's priority if it has one, else the route's."""
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -248,7 +248,14 @@
         now = self.loop.time()
         step: FirstStep | StreamStep
         if exchange.is_started:
-            step = next_stream_step(call.route, outcome, call.progress, now, call.deadline)
+            step = next_stream_step(
+                call.route,
+                outcome,
+                call.progress,
+                now,
+                call.deadline,
+                can_resume=call.splitter.can_resume,
+            )
         else:
             step = next_step(call.route, outcome, call.progress, now, call.deadline)
         if not isinstance(step, Resend) or self._can_resend(call, step):
--- a/teaselpath/platform/_requests.py
+++ b/teaselpath/platform/_requests.py
@@ -126,6 +126,7 @@
             requests=_parse_load(fields.get(b"server-load")),
             limit_per_s=limit_per_s,
             invalid_limit=repr((limit_text or b"")[:32]) if is_invalid else None,
+            media_type=fields.get(b"content-type", b"").partition(b";")[0].strip().lower(),
             forwarded_headers=[
                 (name, value)
                 for name, value in headers
--- a/tests/test_stream_answers.py
+++ b/tests/test_stream_answers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from standins.hosted import HostedSite
-from tests.test_gateway import open_site
+from tests.test_gateway import make_caller, open_site
 
 REQUEST = (
     b"POST /review/x HTTP/1.1\r\nHost: site.example\r\nRequest-Id: %b\r\n"
@@ -47,3 +47,24 @@
     for answer in begun:
         assert answer.count(b"HTTP/1.1 ") == 1, answer
         assert not answer.endswith(b"0\r\n\r\n"), answer
+
+
+@pytest.mark.parametrize("fault", ["restarts", "skips", "plain"])
+def test_stream_is_continued_only_with_the_events_that_follow(folder, fault):
+    """The next engine starts again, leaves an event out, or answers with a document."""
+
+    async def scenario():
+        async with open_site(folder) as site:
+            site.engines["llm-0"].engine.faults.cuts = 1.0
+            for name in ("llm-1", "llm-2"):
+                setattr(site.engines[name].engine.faults, fault, 1.0)
+            caller = make_caller(site)
+            sends = [
+                caller.send("/review/x", f"s{n}", prefix=f"aa{n}:100,bb:50") for n in range(24)
+            ]
+            return await asyncio.gather(*sends)
+
+    answers = asyncio.run(scenario())
+    faults = [answer.fault(is_stream=True) for answer in answers]
+    assert [fault for fault in faults if fault] == []
+    assert any(answer.body and not answer.is_complete for answer in answers)
