http1: "not run" only from an answer that provably belongs to the request

Callers were told "not run, try again" for requests that an engine had run (REFUSED), or these ran at a second engine (TWICE): the engine wrote an earlier refusal once more on a kept connection.

Tried: refusals 503, 429, 421, 400; with a length, in chunks, without either; with the id of the earlier request and without; before the next answer, inside and after it, with the answer before, while idle; in one packet, byte by byte, and cut at each byte. Where requests have different ids, the id echo holds: no copy was taken for an answer, and a connection on which a copy has begun carries no other request.

Cause where it could happen: a request without an id, or one whose id the connection had carried before, went out on a kept connection, where a copy cannot be told from the answer.

Change: ConnectionPool.acquire_for chooses a connection on which the answer can be told from copies: a new one without an id, else one that has not carried this id (of the last 64). An empty id that an engine echoes counts as none. The stand-in engine has the fault `repeats`.

--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -10,7 +10,7 @@
 
 from standins.hosted._answers import answer_of, events_of, shared_parts_of, stamp_of
 from standins.hosted._engine_faults import EngineFaults
-from teaselpath.http1 import Exchange, encode_head
+from teaselpath.http1 import Exchange, ServerConnection, encode_head
 
 EVENT_INTERVAL_S = 0.004
 # Delay of a slow answer in seconds, longer than twice the target latency of the routes.
@@ -74,6 +74,7 @@
     :ivar arrivals: times at which requests reached it, those that it refused included.
     :ivar end_process: ends the process of this engine.
     :ivar flooded_bytes: bytes sent by the fault ``floods``.
+    :ivar late_copies: refusals that the fault ``repeats`` sends once more, by connection.
     """
 
     def __init__(
@@ -111,6 +112,7 @@
         self.started_at_ms = int(time.time() * 1000)
         self.heartbeats = 0
         self.flooded_bytes = 0
+        self.late_copies: dict[ServerConnection, bytes] = {}
 
     def entry(self, address: str, zone: str) -> dict[str, object]:
         """Return the record of this engine for the metadata store, with the next heartbeat."""
@@ -229,7 +231,12 @@
         self.arrivals.append(time.monotonic())
         status = self._refusal(headers)
         if status is not None:
-            exchange.respond(status, [*base, (b"Not-Run", b"1")])
+            fields = [*base, (b"Not-Run", b"1")]
+            exchange.respond(status, fields)
+            if self._strikes(self.faults.repeats):
+                kept = fields[self.random.randrange(2) :]
+                copy = encode_head(status, [*kept, (b"Content-Length", b"0")])
+                self.late_copies[exchange.connection] = copy
             return
         run = Run(
             request_id, self.endpoint_id, self.service, headers.get("tenant"), path,
@@ -259,6 +266,7 @@
         if chance() < faults.lost:
             exchange.abort()
             return
+        exchange.connection.write(self.late_copies.pop(exchange.connection, b""))
         stamp = (b"Response-Stamp", stamp_of(run.request_id).encode())
         if chance() < faults.errors:
             exchange.respond(500, [*base, stamp], b"error")
@@ -332,7 +340,7 @@
             document = [*headers, (b"Content-Type", b"application/json")]
             exchange.respond(200, document, b'{"events": []}\n\n')
             return
-        first = self._first_event(run)
+        first = self._first_event(run, len(events))
         cut_at = self.random.randrange(1, len(events) + 1)
         is_cut = self.random.random() < self.faults.cuts
         headers = [*headers, (b"Content-Type", b"text/event-stream")]
@@ -363,12 +371,12 @@
         """Return whether a fault strikes; one that is off leaves the random source alone."""
         return probability > 0 and self.random.random() < probability
 
-    def _first_event(self, run: Run) -> int:
+    def _first_event(self, run: Run, count: int) -> int:
         """Return the number of events that the answer to a request leaves out."""
         first = int(run.headers.get("last-event-id", 0))
         if first and self._strikes(self.faults.restarts):
             return 0
-        if first and self._strikes(self.faults.skips):
+        if 0 < first < count - 1 and self._strikes(self.faults.skips):
             return first + 1
         return first
 
--- a/standins/hosted/_engine_faults.py
+++ b/standins/hosted/_engine_faults.py
@@ -20,8 +20,10 @@
     :param slow: begins the answer ``SLOW_START_S`` late.
     :param unframed: replies with neither a length nor chunks; the answer ends with its connection.
     :param restarts: begins a stream that is to be resumed with its first event.
-    :param skips: resumes a stream one event too late.
+    :param skips: resumes a stream one event too late, unless that event is the last.
     :param plain: answers with a document instead of resuming a stream.
+    :param repeats: sends a refusal once more, with its id or without, ahead of the next answer on
+        its connection.
     :param polls_unanswered: holds back the answer to a poll of cache events for 10 s.
     :param orders_unanswered: carries out an order, but holds back the reply for 10 s.
     """
@@ -40,5 +42,6 @@
     restarts: float = 0.0
     skips: float = 0.0
     plain: float = 0.0
+    repeats: float = 0.0
     polls_unanswered: float = 0.0
     orders_unanswered: float = 0.0
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -85,8 +85,9 @@
         """Send the request, read the answer and return the outcome."""
         call, endpoint = self.call, self.placed.view.endpoint
         pool = self.context.http.pool(endpoint.address)
+        request_id = call.request.request_id.encode("latin-1") or None
         try:
-            connection = await pool.acquire(call.deadline)
+            connection = await pool.acquire_for(request_id, call.deadline)
         except ConnectFailed:
             return NotSent()
         head = None
@@ -95,7 +96,7 @@
                 call.request.method,
                 self._encode(),
                 self.context.codec.id_header,
-                call.request.request_id.encode("latin-1") or None,
+                request_id,
             )
             head = await self._with_progress(connection.read_head)
             info = self.context.codec.decode_answer(head.status, head.headers)
--- a/teaselpath/http1/_connection.py
+++ b/teaselpath/http1/_connection.py
@@ -12,6 +12,8 @@
 # The kernel closes a connection whose data or keep-alive probes stay unacknowledged for this
 # long, in ms.
 TCP_USER_TIMEOUT_MS = 2_000
+# Ids of earlier requests that a connection remembers.
+MAX_RECENT_IDS = 64
 # Linux option number; older builds of the socket module lack the name.
 _TCP_USER_TIMEOUT = getattr(socket, "TCP_USER_TIMEOUT", 18)
 
@@ -103,6 +105,7 @@
         self.has_carried_request = False
         self.id_header = id_header
         self.expected_id: bytes | None = None
+        self.recent_ids: deque[bytes] = deque(maxlen=MAX_RECENT_IDS)
         self.method = b""
 
     def connection_made(self, transport) -> None:
@@ -199,6 +202,12 @@
 
     # requests
 
+    def identifies(self, request_id: bytes | None) -> bool:
+        """Return whether the response to a request could be told from copies of earlier ones."""
+        if not self.has_carried_request:
+            return True
+        return request_id is not None and request_id not in self.recent_ids
+
     def send(
         self, method: bytes, data: bytes, id_header: bytes = b"", expected_id: bytes | None = None
     ) -> None:
@@ -206,8 +215,9 @@
 
         :param id_header: name of the header field with the id of the request, in lower case.
         :param expected_id: expected value of that field; None for a request without an id, whose
-            response has none either. On a connection that has carried another request, a response
-            without the field may be a late copy of an earlier one and is not accepted.
+            response has none either and may, unless ``identifies`` holds, be a late copy of an
+            earlier one. With an id, a response without the field is accepted only if the
+            connection has carried no other request.
         :raises ConnectionBroken: if the connection is already closed.
         """
         if self.is_lost or self.transport is None:
@@ -287,6 +297,8 @@
             self.is_reusable = False
         self.is_busy = False
         self.has_carried_request = True
+        if self.expected_id is not None:
+            self.recent_ids.append(self.expected_id)
 
     def abort(self) -> None:
         """Abort the connection, so that the server cancels the current request."""
@@ -296,7 +308,8 @@
             self.transport.abort()
 
     def _is_expected(self, head: ResponseHead) -> bool:
-        found = head.header(self.id_header) if self.id_header else None
+        # A server echoes the empty id of a request without one.
+        found = (head.header(self.id_header) or None) if self.id_header else None
         if self.expected_id is None:
             return found is None
         if found is None:
--- a/teaselpath/http1/_pool.py
+++ b/teaselpath/http1/_pool.py
@@ -1,6 +1,7 @@
 """Connections of the client to one address."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from teaselpath.http1._connection import ClientConnection, ResponseLimits
@@ -56,13 +57,28 @@
 
         :raises ConnectFailed: if no connection could be established.
         """
+        return self._pop_idle(lambda connection: True) or await self._open(deadline)
+
+    async def acquire_for(self, request_id: bytes | None, deadline: float) -> ClientConnection:
+        """Return a connection on which no late copy can be taken for the response to a request.
+
+        :param request_id: None for a request without an id, which gets a new connection.
+        :raises ConnectFailed: if no connection could be established.
+        """
+        idle = self._pop_idle(lambda connection: connection.identifies(request_id))
+        return idle or await self._open(deadline)
+
+    def _pop_idle(self, is_suitable: Callable[[ClientConnection], bool]) -> ClientConnection | None:
+        """Remove and return the suitable connection used last; close lost and expired ones."""
         now = self.loop.time()
-        while self.idle:
-            connection = self.idle.pop()
-            if not connection.is_lost and now < connection.idle_until:
-                return connection
-            connection.abort()
-        return await self._open(deadline)
+        for index in range(len(self.idle) - 1, -1, -1):
+            connection = self.idle[index]
+            if connection.is_lost or now >= connection.idle_until:
+                connection.abort()
+                del self.idle[index]
+            elif is_suitable(connection):
+                return self.idle.pop(index)
+        return None
 
     async def _open(self, deadline: float) -> ClientConnection:
         remaining_s = min(self.limits.connect_timeout_s, deadline - self.loop.time())
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -285,6 +285,30 @@
     assert_whole(asyncio.run(scenario()), is_stream=True)
 
 
+def test_refusal_that_is_sent_once_more_refuses_no_other_request(folder):
+    """The engine has begun to run the next request when the copy of the refusal arrives."""
+
+    async def scenario():
+        async with open_site(folder) as site:
+            for placed in site.engines.values():
+                placed.engine.faults.sheds = 0.4
+                placed.engine.faults.repeats = 1.0
+            caller = make_caller(site)
+            answers = []
+            for n in range(60):
+                answers.append(await caller.send("/pay/x", f"p{n}"))
+                answers.append(await caller.send("/query/x", f"q{n}", prefix=PREFIX.format(n)))
+            return site, answers
+
+    site, answers = asyncio.run(scenario())
+    run_counts = runs_by_request(site)
+    for answer in answers:
+        assert answer.fault(is_stream=answer.request_id.startswith("q")) is None
+        assert run_counts[answer.request_id] <= 1
+        assert not (answer.status in (429, 503) and run_counts[answer.request_id])
+    assert sum(answer.status == 200 for answer in answers) > 60
+
+
 @pytest.mark.parametrize("path", ["/review/x", "/query/x", "/pay/x"])
 def test_answer_without_framing_is_complete_when_its_connection_ends(folder, path):
     async def scenario():
