Orders: a late copy is not taken for an engine's reply

Cause: calls to engines carry no request id and share the connections of callers' requests, so on a used connection any response without an id counts, also one that the engine writes once more. An order that was accepted then counted as refused, held or gone to another engine.

Change: an order goes out on a connection that has carried no request; HttpClient.call takes needs_proof for it. Orders are rare, so this costs one new connection per order at most. Polls and reports stay on kept connections: a copy there gives an old view, which the next call corrects.

Test failed before: test_late_copy_is_not_taken_for_the_reply_to_an_order, 3 of 3: 'busy' == 'accepted', 'elsewhere' == 'accepted', 'done' == 'accepted'.

--- a/teaselpath/http1/_client.py
+++ b/teaselpath/http1/_client.py
@@ -34,17 +34,21 @@
         headers: Headers | None = None,
         body: bytes = b"",
         max_body_bytes: int | None = None,
+        needs_proof: bool = False,
     ) -> Response:
         """Send a request and return the complete response.
 
         :param deadline: event loop time.
         :param max_body_bytes: largest accepted body; None for the limit of all connections.
+        :param needs_proof: whether the response must be told from late copies of earlier ones; the
+            connection then carries no earlier request.
         :raises ConnectFailed: if nothing was sent.
         :raises ConnectionBroken: if the response is incomplete or invalid.
         :raises ReadTimeout: at the deadline.
         """
         pool = self.pool(address)
-        connection = await pool.acquire(deadline)
+        acquiring = pool.acquire_for(None, deadline) if needs_proof else pool.acquire(deadline)
+        connection = await acquiring
         fields = [(b"Host", address.encode()), *(headers or [])]
         head: ResponseHead | None = None
         try:
--- a/teaselpath/platform/_engines.py
+++ b/teaselpath/platform/_engines.py
@@ -78,7 +78,9 @@
             (b"Expect-Instance", order.endpoint_id.encode()),
         ]
         body = msgspec.json.encode(fields)
-        response = await self._call(order.address, b"POST", b"/-/order", deadline, headers, body)
+        response = await self._call(
+            order.address, b"POST", b"/-/order", deadline, headers, body, needs_proof=True
+        )
         return _ORDER_STATUS.get(response.head.status, "invalid")
 
     async def poll_cache_changes(
@@ -100,6 +102,8 @@
         deadline: float,
         headers: list[tuple[bytes, bytes]] | None = None,
         body: bytes = b"",
+        *,
+        needs_proof: bool = False,
     ) -> Response:
         try:
             return await self.http.call(
@@ -110,6 +114,7 @@
                 headers=headers,
                 body=body,
                 max_body_bytes=MAX_ANSWER_BYTES,
+                needs_proof=needs_proof,
             )
         except ConnectFailed as error:
             raise EngineCallError(str(error), is_outcome_unknown=False) from error
