--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -5,11 +5,12 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from hashlib import blake2b
 from random import Random
 from urllib.parse import parse_qsl, urlsplit
 
-from teaselpath.http1 import Exchange, encode_head
+from standins.hosted._answers import answer_of, events_of, shared_parts_of, stamp_of
+from standins.hosted._engine_faults import EngineFaults
+from teaselpath.http1 import Exchange, ServerConnection, encode_head
 
 EVENT_INTERVAL_S = 0.004
 # Delay of a slow answer in seconds, longer than twice the target latency of the routes.
@@ -24,41 +25,6 @@
 MAX_FLOOD_BYTES = 256 << 20
 
 
-@dataclass(slots=True)
-class EngineFaults:
-    """Faults of an engine; each value is the probability with which it affects a request.
-
-    :param errors: replies with status 500.
-    :param sheds: replies with status 503 without running the request.
-    :param cuts: closes the connection before the end of the answer; a stream ends in the middle
-        of an event.
-    :param extra: sends a second, unsolicited answer with another request id after the first.
-    :param lost: runs the request and closes the connection without an answer.
-    :param mute: runs the request and holds back the answer for 60 s.
-    :param encoded: replies with a compressed body, as a proxy in front of the engine would.
-    :param stalls: sends the first event of a stream and then a comment now and then, without end.
-    :param floods: sends bytes without end: in the head, or after the first event of a stream.
-    :param slow: begins the answer ``SLOW_START_S`` late.
-    :param unframed: replies with neither a length nor chunks; the answer ends with its connection.
-    :param polls_unanswered: holds back the answer to a poll of cache events for 10 s.
-    :param orders_unanswered: carries out an order, but holds back the reply for 10 s.
-    """
-
-    errors: float = 0.0
-    sheds: float = 0.0
-    cuts: float = 0.0
-    extra: float = 0.0
-    lost: float = 0.0
-    mute: float = 0.0
-    encoded: float = 0.0
-    stalls: float = 0.0
-    floods: float = 0.0
-    slow: float = 0.0
-    unframed: float = 0.0
-    polls_unanswered: float = 0.0
-    orders_unanswered: float = 0.0
-
-
 @dataclass(slots=True)
 class Run:
     """A request that an engine has started to run.
@@ -108,6 +74,7 @@
     :ivar arrivals: times at which requests reached it, those that it refused included.
     :ivar end_process: ends the process of this engine.
     :ivar flooded_bytes: bytes sent by the fault ``floods``.
+    :ivar late_copies: refusals that the fault ``repeats`` sends once more, by connection.
     """
 
     def __init__(
@@ -145,6 +112,7 @@
         self.started_at_ms = int(time.time() * 1000)
         self.heartbeats = 0
         self.flooded_bytes = 0
+        self.late_copies: dict[ServerConnection, bytes] = {}
 
     def entry(self, address: str, zone: str) -> dict[str, object]:
         """Return the record of this engine for the metadata store, with the next heartbeat."""
@@ -263,7 +231,12 @@
         self.arrivals.append(time.monotonic())
         status = self._refusal(headers)
         if status is not None:
-            exchange.respond(status, [*base, (b"Not-Run", b"1")])
+            fields = [*base, (b"Not-Run", b"1")]
+            exchange.respond(status, fields)
+            if self._strikes(self.faults.repeats):
+                kept = fields[self.random.randrange(2) :]
+                copy = encode_head(status, [*kept, (b"Content-Length", b"0")])
+                self.late_copies[exchange.connection] = copy
             return
         run = Run(
             request_id, self.endpoint_id, self.service, headers.get("tenant"), path,
@@ -293,6 +266,7 @@
         if chance() < faults.lost:
             exchange.abort()
             return
+        exchange.connection.write(self.late_copies.pop(exchange.connection, b""))
         stamp = (b"Response-Stamp", stamp_of(run.request_id).encode())
         if chance() < faults.errors:
             exchange.respond(500, [*base, stamp], b"error")
@@ -362,7 +336,11 @@
         is_unframed: bool,
     ) -> None:
         events = events_of(run.request_id)
-        first = int(run.headers.get("last-event-id", 0))
+        if "last-event-id" in run.headers and self._strikes(self.faults.plain):
+            document = [*headers, (b"Content-Type", b"application/json")]
+            exchange.respond(200, document, b'{"events": []}\n\n')
+            return
+        first = self._first_event(run, len(events))
         cut_at = self.random.randrange(1, len(events) + 1)
         is_cut = self.random.random() < self.faults.cuts
         headers = [*headers, (b"Content-Type", b"text/event-stream")]
@@ -389,31 +367,19 @@
             await asyncio.sleep(EVENT_INTERVAL_S)
         exchange.finish()
 
+    def _strikes(self, probability: float) -> bool:
+        """Return whether a fault strikes; one that is off leaves the random source alone."""
+        return probability > 0 and self.random.random() < probability
 
-def _never_ends() -> None:
-    """Ignore the end of a process that nothing can end."""
-
-
-def shared_parts_of(headers: dict[str, str]) -> list[str]:
-    """Return the ids of the parts of a prompt except the last one."""
-    entries = headers.get("prompt-prefix", "").split(",")
-    return [entry.partition(":")[0].strip() for entry in entries[:-1]]
-
-
-def stamp_of(request_id: str) -> str:
-    """Return the signature that the answer to a request carries."""
-    return blake2b(request_id.encode(), key=b"stamp", digest_size=8).hexdigest()
-
-
-def answer_of(request_id: str) -> bytes:
-    """Return the body of the answer to a request that is not streamed."""
-    return blake2b(request_id.encode(), key=b"body").hexdigest().encode() * 6
+    def _first_event(self, run: Run, count: int) -> int:
+        """Return the number of events that the answer to a request leaves out."""
+        first = int(run.headers.get("last-event-id", 0))
+        if first and self._strikes(self.faults.restarts):
+            return 0
+        if 0 < first < count - 1 and self._strikes(self.faults.skips):
+            return first + 1
+        return first
 
 
-def events_of(request_id: str) -> list[bytes]:
-    """Return the encoded events of the streamed answer to a request."""
-    count = 4 + int(stamp_of(request_id), 16) % 9
-    return [
-        b"id: %d\ndata: %s-%d\n\n" % (number, request_id.encode(), number)
-        for number in range(1, count + 1)
-    ]
+def _never_ends() -> None:
+    """Ignore the end of a process that nothing can end."""
--- a/teaselpath/gateway/_admission.py
+++ b/teaselpath/gateway/_admission.py
@@ -9,6 +9,7 @@
 from teaselpath.fleet import CallerRequest, RequestCodec, Route, Service, Workspace
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._metrics import GatewayMetrics
+from teaselpath.gateway._responses import MIN_RETRY_AFTER_S
 from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import Exchange
 from teaselpath.results import Code
@@ -17,8 +18,6 @@
 DEFAULT_CALLER_TIMEOUT_S = 30.0
 # Retry-After while this gateway has no configuration, or no service for a route, in seconds.
 UNCONFIGURED_RETRY_AFTER_S = 1.0
-# Shortest Retry-After of a refusal by a stopping gateway, in seconds.
-MIN_RETRY_AFTER_S = 0.2
 
 
 class Admission:
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -47,6 +47,11 @@
     placed: Placed | None = None
     reservation: Reservation | None = None
 
+    def __post_init__(self) -> None:
+        """Expect the events after the one at which the caller resumes its stream."""
+        if self.route.is_resumable:
+            self.splitter.resume_after(self.request.last_event_id)
+
     @property
     def kind(self) -> tuple[str, bool]:
         """Return what requests that take a similar time have in common: route, long prompt."""
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -1,4 +1,4 @@
-"""Forwarding of requests: attempts, retries and the answer to the caller."""
+"""Forwarding of requests: attempts and retries."""
 
 import asyncio
 from collections.abc import Callable
@@ -8,7 +8,9 @@
 from teaselpath.dispatch import (
     Answered,
     Broken,
+    Cut,
     Fail,
+    FirstStep,
     ForwardAnswer,
     NoEndpoint,
     NotRun,
@@ -17,18 +19,21 @@
     Placed,
     Refuse,
     Resend,
+    StreamStep,
     next_step,
+    next_stream_step,
 )
 from teaselpath.exchange import ServiceTimes
 from teaselpath.fleet import RequestCodec
-from teaselpath.gateway._admission import MIN_RETRY_AFTER_S, Admission
+from teaselpath.gateway._admission import Admission
 from teaselpath.gateway._attempt import Attempt, AttemptContext, describe_outcome
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._engine_ends import EngineEndDetector
 from teaselpath.gateway._held import HeldExchange
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._placement import Placer
-from teaselpath.gateway._quarantine import Quarantined, QuarantineGate
+from teaselpath.gateway._quarantine import QuarantineGate
+from teaselpath.gateway._responses import LEAVING_RETRY_AFTER_S, Responder
 from teaselpath.gateway._state import GatewayState, LongPlacement
 from teaselpath.http1 import Exchange, HttpClient
 from teaselpath.results import Code
@@ -70,6 +75,7 @@
         self.placer = Placer(state, announce)
         self.times = ServiceTimes()
         self.admission = Admission(state, codec, metrics, self.times)
+        self.responder = Responder(state, codec)
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
         self.running = 0
@@ -97,10 +103,10 @@
         except asyncio.CancelledError:
             if not self.is_ending or exchange.connection.is_closing:
                 raise
-            code = self._end_unfinished(exchange, call)
+            wait_s = self.admission.stop_wait_s(self.loop.time())
+            code = self.responder.end_unfinished(exchange, call, wait_s)
         except Exception:
-            code = Code.INTERNAL_ERROR
-            self._respond_to_error(exchange, call)
+            code = self.responder.end_failed(exchange, call)
             raise
         finally:
             self.gate.end_trial(call)
@@ -119,51 +125,21 @@
         headers = self.codec.own_response_headers(call.request.request_id, None)
         return HeldExchange(exchange, (502, headers))
 
-    def _respond_to_error(self, exchange: Exchange, call: Call) -> None:
-        """Respond to a request whose handling has raised, unless the response is complete."""
-        if exchange.is_finished:
-            return
-        if call.was_sent or exchange.is_started:
-            self._respond_failed(exchange, call, 502)
-        else:
-            self._respond_refused(exchange, call, Code.INTERNAL_ERROR, MIN_RETRY_AFTER_S)
-
     def end_unfinished(self) -> None:
         """End all requests in flight with a final answer, because the process ends."""
         self.is_ending = True
         for task in self.tasks:
             task.cancel()
 
-    def _end_unfinished(self, exchange: Exchange, call: Call) -> Code:
-        log_message(
-            "request_ended_by_stop",
-            request_id=call.request.request_id,
-            was_sent=call.was_sent,
-            is_started=exchange.is_started,
-            age_s=round(self.loop.time() - call.arrived_at, 3),
-            time_left_s=round(call.deadline - self.loop.time(), 3),
-        )
-        # An attempt that the cancellation has interrupted may have run.
-        if call.was_sent or exchange.is_started:
-            return self._respond_failed(exchange, call, 502)
-        return self._end_stopping(exchange, call)
-
-    def _end_stopping(self, exchange: Exchange, call: Call) -> Code:
-        """Respond to a request that this gateway cannot send before it ends."""
-        if call.progress.runs:
-            return self._respond_failed(exchange, call, 502)
-        wait_s = self.admission.stop_wait_s(self.loop.time())
-        return self._respond_refused(exchange, call, Code.STOPPING, wait_s)
-
     async def _serve(self, exchange: Exchange, call: Call) -> Code:
         """Send the request to endpoints until the caller has a response; return its result code."""
         while True:
             quarantined = await self.gate.admit(call)
             if quarantined is not None:
-                return self._end_quarantined(exchange, call, quarantined)
+                return self.responder.end_quarantined(exchange, call, quarantined)
             placed = await self.placer.acquire(call, self.loop.time())
             if isinstance(placed, NoEndpoint):
-                return self._end_unplaced(exchange, call, placed)
+                return self.responder.end_unplaced(exchange, call, placed)
             if not self.gate.may_send(call):
                 self.placer.release(call)
                 self.gate.end_trial(call)
@@ -171,25 +147,45 @@
             # The end of a stop has come nearer while the request waited, or was sent elsewhere.
             if not exchange.is_started and not self.admission.has_time(call, self.loop.time()):
                 self.placer.release(call)
-                return self._end_stopping(exchange, call)
+                wait_s = self.admission.stop_wait_s(self.loop.time())
+                return self.responder.end_stopping(exchange, call, wait_s)
             outcome = await self._attempt(exchange, call, placed)
-            now = self.loop.time()
             # The attempt has relayed a complete stream.
             if exchange.is_finished:
                 return Code.OK
-            step = next_step(call.route, outcome, call.progress, now, call.deadline)
-            if isinstance(step, Resend) and not self._can_resend(call, step):
-                step = self._step_without_resend(call, outcome)
-            match step:
+            match self._next_step(exchange, call, outcome):
                 case Resend():
                     continue
                 case ForwardAnswer():
-                    return self._respond_answer(exchange, call)
+                    return self.responder.forward_answer(exchange, call)
                 case Refuse():
-                    # Retry-After of 0.2 s.
-                    return self._respond_refused(exchange, call, Code.ENDPOINT_LEAVING, 0.2)
+                    return self.responder.refuse(
+                        exchange, call, Code.ENDPOINT_LEAVING, LEAVING_RETRY_AFTER_S
+                    )
                 case Fail(status):
-                    return self._respond_failed(exchange, call, status)
+                    return self.responder.fail(exchange, call, status)
+                case Cut():
+                    return self.responder.cut(exchange)
+
+    def _next_step(
+        self, exchange: Exchange, call: Call, outcome: Outcome
+    ) -> FirstStep | StreamStep:
+        now = self.loop.time()
+        step: FirstStep | StreamStep
+        if exchange.is_started:
+            step = next_stream_step(
+                call.route,
+                outcome,
+                call.progress,
+                now,
+                call.deadline,
+                can_resume=call.splitter.can_resume,
+            )
+        else:
+            step = next_step(call.route, outcome, call.progress, now, call.deadline)
+        if not isinstance(step, Resend) or self._can_resend(call, step):
+            return step
+        return Cut() if exchange.is_started else self._step_without_resend(call, outcome)
 
     def _can_resend(self, call: Call, step: Resend) -> bool:
         if call.progress.sends >= MAX_SENDS:
@@ -256,49 +252,6 @@
                 call.progress.runs += 1
                 health.record_failure(now)
 
-    # responses
-
-    def _respond_answer(self, exchange: Exchange, call: Call) -> Code:
-        assert call.answer is not None
-        call.first_byte_at = self.loop.time()
-        exchange.respond(call.answer.status, call.answer.forwarded_headers, call.answer_body)
-        return Code.OK if call.answer.status < 500 else Code.ENDPOINT_FAILED
-
-    def _end_unplaced(self, exchange: Exchange, call: Call, no_endpoint: NoEndpoint) -> Code:
-        is_overload = no_endpoint.reason in ("queue", "limited")
-        code = Code.OVERLOADED if is_overload else Code.NO_ENDPOINT
-        call.attempts.append(("", no_endpoint.reason, 0.0))
-        if call.progress.runs == 0:
-            return self._respond_refused(exchange, call, code, no_endpoint.retry_after_s)
-        return self._respond_failed(exchange, call, 502)
-
-    def _end_quarantined(self, exchange: Exchange, call: Call, quarantined: Quarantined) -> Code:
-        call.attempts.append(("", quarantined.reason, 0.0))
-        if call.progress.runs == 0:
-            return self._respond_refused(
-                exchange, call, quarantined.code, quarantined.retry_after_s
-            )
-        self._respond_failed(exchange, call, 502)
-        return quarantined.code
-
-    def _respond_refused(
-        self, exchange: Exchange, call: Call, code: Code, retry_after_s: float
-    ) -> Code:
-        if call.workspace is not None:
-            self.state.quota.refund(call.workspace, call.tokens)
-        headers = self.codec.own_response_headers(call.request.request_id, retry_after_s)
-        exchange.respond(503, headers)
-        return code
-
-    def _respond_failed(self, exchange: Exchange, call: Call, status: int) -> Code:
-        if exchange.is_started:
-            exchange.abort()
-            return Code.STREAM_INCOMPLETE
-        if call.answer is not None:
-            return self._respond_answer(exchange, call)
-        exchange.respond(status, self.codec.own_response_headers(call.request.request_id, None))
-        return Code.DEADLINE_EXCEEDED if status == 504 else Code.OUTCOME_UNKNOWN
-
     def _log(self, call: Call, code: Code) -> None:
         now = self.loop.time()
         config = self.state.config
--- a/teaselpath/http1/__init__.py
+++ b/teaselpath/http1/__init__.py
@@ -1,12 +1,10 @@
 """HTTP/1.1 client and server on asyncio, with control over reuse, framing and aborts."""
 
-from teaselpath.http1._client import (
+from teaselpath.http1._client import HttpClient
+from teaselpath.http1._connection import (
     ClientConnection,
-    ConnectFailed,
     ConnectionBroken,
-    ConnectionPool,
-    HttpClient,
-    PoolLimits,
+    InvalidResponse,
     ReadTimeout,
     ResponseLimits,
 )
@@ -22,7 +20,8 @@
     encode_head,
     encode_request,
 )
-from teaselpath.http1._server import Exchange, ServerConnection
+from teaselpath.http1._pool import ConnectFailed, ConnectionPool, PoolLimits
+from teaselpath.http1._server import Exchange, ResponseStateError, ServerConnection
 
 __all__ = [
     "HOP_BY_HOP",
@@ -37,6 +36,7 @@
     "Exchange",
     "Headers",
     "HttpClient",
+    "InvalidResponse",
     "Listener",
     "PoolLimits",
     "ReadTimeout",
@@ -44,6 +44,7 @@
     "Response",
     "ResponseHead",
     "ResponseLimits",
+    "ResponseStateError",
     "ServerConnection",
     "ServerLimits",
     "encode_head",
