DRAIN: an endpoint that states in its answers that it leaves gets no more requests

What callers saw: nothing yet; the rule is new. An engine that leaves answers each request with Server-Leaving, and a request that was sent later than drainMs after such an answer must not reach it.

Cause: no code read the field. Only the store's record took an endpoint out of placement, so a gateway without the store, or with a stale record, went on sending.

Change: the platform decodes the field once, in answers to requests, reports and cache polls, and does not forward it. `dispatch/_availability.py` keeps the statement for one start of the endpoint (id and start time). It outlasts the view of that start, so an endpoint that a stale record lists as ready again is still bound. Placement avoids the endpoint at once, uses it only if no other can take the request, and not at all once the drain time is over; a service without another endpoint is refused. Every send passes through placement: queued requests, trials, resends and resumed streams. Status messages name the endpoint with its remaining time, so peers treat it alike and a gateway that starts again learns it. Such an endpoint gets no weights order, and its end is no evidence for the quarantine. Only the value 1 counts; another is ignored with the line endpoint_leaving_invalid. Line endpoint_leaving, gauge teaselpath_leaving_endpoints.

--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -105,6 +105,7 @@
     :ivar deadly_parts: ids of prompt parts that end the process as it begins an answer on them.
     :ivar limit: value of the header field with the requests per second that it takes; None for no
         such field.
+    :ivar leaving: value of the header field of all its answers that it leaves; None if it stays.
     :ivar arrivals: times at which requests reached it, those that it refused included.
     :ivar end_process: ends the process of this engine.
     :ivar flooded_bytes: bytes sent by the fault ``floods``.
@@ -130,6 +131,7 @@
         self.slots = slots
         self.faults = EngineFaults()
         self.limit: str | None = None
+        self.leaving: str | None = None
         self.arrivals: list[float] = []
         self.deadly_parts: set[str] = set()
         self.end_process: Callable[[], None] = _never_ends
@@ -179,9 +181,11 @@
                 await self._run(exchange, path)
 
     def _json(self, exchange: Exchange, status: int, body: object) -> None:
-        exchange.respond(
-            status, [(b"Content-Type", b"application/json")], json.dumps(body).encode()
-        )
+        headers = [(b"Content-Type", b"application/json"), *self._leaving_headers()]
+        exchange.respond(status, headers, json.dumps(body).encode())
+
+    def _leaving_headers(self) -> list[tuple[bytes, bytes]]:
+        return [] if self.leaving is None else [(b"Server-Leaving", self.leaving.encode())]
 
     def _report(self) -> dict[str, object]:
         return {
@@ -230,7 +234,7 @@
             asyncio.get_running_loop().create_task(self._load(order["version"]))
         if self.random.random() < self.faults.orders_unanswered:
             await asyncio.sleep(10.0)
-        exchange.respond(status, [])
+        exchange.respond(status, self._leaving_headers())
 
     async def _load(self, version: int) -> None:
         while self.running:
@@ -257,6 +261,7 @@
             (b"Request-Id", request_id.encode()),
             (b"Instance-Id", self.endpoint_id.encode()),
             (b"Server-Load", b"%d,0,%d" % (self.running, self.slots)),
+            *self._leaving_headers(),
         ]
         if self.limit is not None:
             base.append((b"Server-Limit", self.limit.encode()))
--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -14,6 +14,7 @@
     Step,
     next_step,
 )
+from teaselpath.dispatch._availability import Availability, AvailabilityTable
 from teaselpath.dispatch._backlog import Backlog
 from teaselpath.dispatch._endpoint_limit import (
     SEND_WINDOW_S,
@@ -50,6 +51,8 @@
     "SEND_WINDOW_S",
     "Answered",
     "AttemptLimits",
+    "Availability",
+    "AvailabilityTable",
     "Backlog",
     "Broken",
     "Demand",
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -76,6 +76,24 @@
 ) -> Placed | NoEndpoint:
     """Return the endpoint with the lowest cost.
 
+    Endpoints that leave are considered only if no other can take the request.
+    """
+    staying = [view for view in views if not view.availability.is_leaving]
+    if len(staying) == len(views):
+        return _choose_among(views, demand, topology, now)
+    if not all(view.health.is_suspect(now) for view in staying):
+        choice = _choose_among(staying, demand, topology, now)
+        if isinstance(choice, Placed):
+            return choice
+    usable = [view for view in views if not view.availability.has_left(now)]
+    return _choose_among(usable, demand, topology, now)
+
+
+def _choose_among(
+    views: list[EndpointView], demand: Demand, topology: Topology, now: float
+) -> Placed | NoEndpoint:
+    """Return the endpoint with the lowest cost.
+
     Suspect endpoints are considered only if all are suspect.
     """
     if not views:
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from teaselpath.dispatch._availability import Availability
 from teaselpath.dispatch._backlog import Backlog
 from teaselpath.dispatch._endpoint_limit import EndpointLimit
 from teaselpath.dispatch._health import EndpointHealth
@@ -55,6 +56,8 @@
         expected.
     :param own_loading_until: the same, only for weights that this gateway ordered it to load.
     :param limit: limit that it states on the requests from all gateways.
+    :param availability: whether it takes requests, as it has stated; shared by all views of one
+        start of the endpoint.
     :param stated_requests: requests that it was running or had queued by its last answer.
     :param stated_at: time at which that answer arrived.
     """
@@ -69,6 +72,7 @@
     loading_until: float = 0.0
     own_loading_until: float = 0.0
     limit: EndpointLimit = field(default_factory=EndpointLimit)
+    availability: Availability = field(default_factory=Availability)
     stated_requests: int = 0
     stated_at: float = float("-inf")
 
--- a/teaselpath/dispatch/tests/test_placement.py
+++ b/teaselpath/dispatch/tests/test_placement.py
@@ -273,3 +273,34 @@
     placed = choose(views, topology)
     assert isinstance(placed, Placed)
     assert placed.view is views[0]
+
+
+def test_engine_that_leaves_is_used_only_while_no_other_takes_the_request(topology):
+    views = [make_view("e1"), make_view("e2")]
+    views[0].cache.record_stored(scope_of("", 1), "p1", 13_300)
+    views[0].availability.record_leaving(NOW + 3.0)
+    placed = choose(views, topology)
+    assert isinstance(placed, Placed)
+    assert placed.view is views[1]
+    views[1].own.requests = 100
+    placed = choose(views, topology)
+    assert isinstance(placed, Placed)
+    assert placed.view is views[0]
+
+
+def test_engine_that_leaves_is_preferred_to_an_unreachable_one(topology):
+    views = [make_view("e1"), make_view("e2")]
+    views[0].availability.record_leaving(NOW + 3.0)
+    views[1].health.record_unreachable(NOW)
+    placed = choose(views, topology)
+    assert isinstance(placed, Placed)
+    assert placed.view is views[0]
+
+
+def test_engine_that_has_left_gets_no_request_though_no_other_takes_it(topology):
+    """Guards against requests to an engine that leaves later than the drain time."""
+    views = [make_view("e1"), make_view("e2")]
+    views[0].availability.record_leaving(NOW)
+    views[1].own.requests = 100
+    assert choose(views, topology) == NoEndpoint("full", 0.5)
+    assert choose(views[:1], topology) == NoEndpoint("none_listed", 1.0)
--- a/teaselpath/fleet/_calls.py
+++ b/teaselpath/fleet/_calls.py
@@ -73,6 +73,8 @@
     :param limit_per_s: requests per second that the endpoint takes from all gateways together; None
         if it states no limit.
     :param invalid_limit: text of a limit that is no decimal number; None if there is none.
+    :param is_leaving: whether the endpoint states that it leaves.
+    :param invalid_leaving: text of such a statement that has no meaning; None if there is none.
     """
 
     status: int
@@ -85,6 +87,8 @@
     requests: int | None = None
     limit_per_s: float | None = None
     invalid_limit: str | None = None
+    is_leaving: bool = False
+    invalid_leaving: str | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -94,11 +98,13 @@
     :param accepted_orders: number of orders that it has accepted since its start.
     :param is_busy: whether an order is in progress.
     :param weights: version of the weights by model.
+    :param is_leaving: whether the engine states that it leaves.
     """
 
     accepted_orders: int
     is_busy: bool
     weights: dict[str, int]
+    is_leaving: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -117,12 +123,14 @@
     :param epoch: number that differs for each start of the engine or store.
     :param cursor: cursor for the next poll.
     :param has_gap: whether changes after the cursor of the poll are missing.
+    :param is_leaving: whether the engine states that it leaves.
     """
 
     epoch: int
     cursor: int
     has_gap: bool
     changes: list[CacheChange]
+    is_leaving: bool = False
 
 
 class EngineCallError(Exception):
--- a/teaselpath/fleet/_settings.py
+++ b/teaselpath/fleet/_settings.py
@@ -15,6 +15,7 @@
     :param lease_handover_s: least time between orders of two lease holders, in seconds.
     :param rollout_limit_s: time limit for the rollout of announced weights, in seconds.
     :param recovery_window_s: time after a fault until a host counts as recovered, in seconds.
+    :param drain_s: time for which an endpoint that leaves still takes requests, in seconds.
     """
 
     shutdown_grace_s: float
@@ -25,6 +26,7 @@
     lease_handover_s: float
     rollout_limit_s: float
     recovery_window_s: float
+    drain_s: float
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -23,6 +23,7 @@
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._quarantine import PROVING_EVENTS, QuarantineGate
 from teaselpath.gateway._state import GatewayState
+from teaselpath.gateway._statements import record_availability
 from teaselpath.http1 import (
     ClientConnection,
     ConnectFailed,
@@ -181,6 +182,8 @@
         call, view = self.call, self.placed.view
         self._record_weights(info)
         self._record_limit(info)
+        drain_s = self.context.state.settings.bounds.drain_s
+        record_availability(view, info, drain_s, self.loop.time())
         if info.requests is not None and not info.is_misdirected:
             view.record_stated_requests(info.requests, self.loop.time())
         is_stream = call.route.kind is RequestKind.STREAM
--- a/teaselpath/gateway/_caches.py
+++ b/teaselpath/gateway/_caches.py
@@ -12,6 +12,7 @@
 from teaselpath.dispatch import EndpointHealth, EndpointView, PartCache, StoreView
 from teaselpath.fleet import CacheChanges, EngineCallError, EngineCalls
 from teaselpath.gateway._state import GatewayState
+from teaselpath.gateway._statements import record_leaving
 from teaselpath.utils import rendezvous_top
 
 # Duration of a long poll for cache changes, in seconds.
@@ -41,12 +42,16 @@
 
 @dataclass(slots=True, frozen=True)
 class _Target:
-    """An engine or store whose cache is followed."""
+    """An engine or store whose cache is followed.
+
+    :param view: None for a store.
+    """
 
     name: str
     address: str
     cache: PartCache
     health: EndpointHealth
+    view: EndpointView | None = None
 
 
 class CacheWatcher:
@@ -76,7 +81,7 @@
         is_large = self._is_large_fleet()
         for view in self._followed_engines(is_large):
             endpoint = view.endpoint
-            target = _Target(endpoint.endpoint_id, endpoint.address, view.cache, view.health)
+            target = _Target(endpoint.endpoint_id, endpoint.address, view.cache, view.health, view)
             targets[endpoint.incarnation, endpoint.address] = target
         for address, store_view in self._followed_stores(is_large):
             targets[address, "store"] = _Target(
@@ -138,6 +143,9 @@
                 target.health.is_unreachable = False
                 log_message("engine_regained", endpoint=target.name)
             missed = 0
+            if page.is_leaving and target.view is not None:
+                drain_s = self.state.settings.bounds.drain_s
+                record_leaving(target.view, self.loop.time() + drain_s, "cache poll")
             if epoch != page.epoch or page.has_gap:
                 self._clear_index(target, epoch, page)
             epoch, cursor = page.epoch, page.cursor
--- a/teaselpath/gateway/_engine_ends.py
+++ b/teaselpath/gateway/_engine_ends.py
@@ -109,7 +109,8 @@
             del self.suspicions[endpoint.number]
         # An engine that was told to leave ends without a fault.
         is_listed = self.state.views.get(endpoint.endpoint_id) is view
-        is_planned = not is_listed or view.endpoint.state is not EndpointState.READY
+        is_leaving = view.availability.is_leaving or view.endpoint.state is not EndpointState.READY
+        is_planned = not is_listed or is_leaving
         if has_ended and not is_planned:
             end = EngineEnd(
                 endpoint.endpoint_id, endpoint.number, suspicion.at, tuple(suspicion.runs)
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -37,6 +37,9 @@
         self.limited_endpoints = make(
             Gauge, "limited_endpoints", "Endpoints that state a limit, by service"
         )
+        self.leaving_endpoints = make(
+            Gauge, "leaving_endpoints", "Listed endpoints that state that they leave, by service"
+        )
         self.running = make(Gauge, "running", "Requests under way")
         self.config_version = make(Gauge, "config_version", "Configuration in force")
         self.store_up = make(Gauge, "store_up", "1 if the last call to the store succeeded")
--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -18,6 +18,7 @@
 )
 from teaselpath.gateway._peers import PeerExchange
 from teaselpath.gateway._state import GatewayState
+from teaselpath.gateway._statements import record_leaving
 from teaselpath.rollout import (
     Action,
     EngineStatus,
@@ -121,7 +122,9 @@
                 view.requests(),
             )
             for view in self.state.views.values()
-            if view.weights and view.endpoint.state is EndpointState.READY
+            if view.weights
+            and view.endpoint.state is EndpointState.READY
+            and not view.availability.is_leaving
         ]
 
     def _rank(self) -> int:
@@ -232,6 +235,9 @@
             log_message("report_failed", endpoint=key, reason=str(error))
             self._run_actions(self.rollout.handle_report_failure(key, self.loop.time()))
             return
+        if report.is_leaving:
+            drain_s = self.state.settings.bounds.drain_s
+            record_leaving(view, self.loop.time() + drain_s, "report")
         self._run_actions(self.rollout.handle_report(key, report, announced, self.loop.time()))
 
     async def _drain(self, key: str, deadline: float) -> None:
@@ -251,6 +257,9 @@
         if view is None or not self.lease.is_held(self.clock()):
             self.rollout.handle_order_reply(order.key, "lease lost", self.loop.time())
             return
+        if view.availability.is_leaving:
+            self.rollout.handle_order_reply(order.key, "leaving", self.loop.time())
+            return
         message = WeightsOrder(
             endpoint_id=order.key,
             address=view.endpoint.address,
--- a/teaselpath/gateway/_peer_messages.py
+++ b/teaselpath/gateway/_peer_messages.py
@@ -17,6 +17,8 @@
         below 0 if it states no limit.
     :param limit_age_ms: time since that statement, in ms; below 0 if it is not reported.
     :param demand_per_s: requests per second that this gateway would send to it without a limit.
+    :param leaves_in_ms: remaining time in ms for which it takes requests, below 0 if it is over;
+        None if it has not stated that it leaves.
     :param switching_ms: remaining time in ms for which gateways avoid the endpoint, because it is
         about to load weights.
     """
@@ -29,6 +31,7 @@
     limit_per_s: float = -1.0
     limit_age_ms: int = -1
     demand_per_s: float = 0.0
+    leaves_in_ms: int | None = None
 
 
 class PlacementMessage(msgspec.Struct, array_like=True, tag="placement"):
@@ -124,9 +127,15 @@
         newer_weights(view),
         max(0, int((view.own_loading_until - now) * 1000)),
         *_limit_status(view, now),
+        leaves_in_ms=_leaves_in_ms(view, now),
     )
 
 
+def _leaves_in_ms(view: EndpointView, now: float) -> int | None:
+    availability = view.availability
+    return int((availability.leaves_at - now) * 1000) if availability.is_leaving else None
+
+
 def _limit_status(view: EndpointView, now: float) -> tuple[float, int, float]:
     """Return limit, age of its statement in ms, and own demand, as in ``EndpointStatus``."""
     limit = view.limit
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -36,6 +36,7 @@
 )
 from teaselpath.gateway._peer_records import STORE_DISTRUST_S, RecordFetcher
 from teaselpath.gateway._state import GatewayState, LongPlacement, Member
+from teaselpath.gateway._statements import record_leaving
 from teaselpath.http1 import HttpClient
 from teaselpath.quarantine import QuarantineUpdate
 from teaselpath.rollout import LeaseRecord, OrderLease
@@ -193,9 +194,12 @@
                 for view in self.state.views.values()
                 if self._region_of_domain(view.endpoint.failure_domain) == regions[ip]
             }
-            # Each gateway has to know the demand of all others for an endpoint with a limit.
+            # Each gateway has to know the demand of all others for an endpoint with a limit, and
+            # which endpoints leave.
             needed = [
-                e for e in status.endpoints if e.endpoint_number in numbers or e.limit_age_ms >= 0
+                e
+                for e in status.endpoints
+                if e.endpoint_number in numbers or e.limit_age_ms >= 0 or e.leaves_in_ms is not None
             ]
             reduced = msgspec.structs.replace(status, endpoints=needed)
             self._send_to([ip], self.encoder.encode(StatusToRelay(reduced)))
@@ -353,7 +357,8 @@
     def _endpoint_statuses(self, now: float) -> list[EndpointStatus]:
         """Return the status of endpoints with something to report.
 
-        That is load or a weights order of this gateway, or weights that differ from their record.
+        That is load or a weights order of this gateway, weights that differ from their record, or
+        what the endpoint has stated.
         """
         return [
             describe_endpoint(view, now)
@@ -361,6 +366,7 @@
             if view.own.requests
             or view.own_loading_until > now
             or view.limit.is_reported(now)
+            or view.availability.is_leaving
             or newer_weights(view)
         ]
 
@@ -448,6 +454,9 @@
         for model, version in endpoint_status.weights.items():
             view.record_weights(model, version)
         self._apply_limit(host, endpoint_status, view, now)
+        if endpoint_status.leaves_in_ms is not None:
+            leaves_at = now + endpoint_status.leaves_in_ms / 1000
+            record_leaving(view, leaves_at, f"peer {host}")
         if endpoint_status.switching_ms:
             view.loading_until = max(view.loading_until, now + endpoint_status.switching_ms / 1000)
 
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -199,6 +199,8 @@
         for service, pool in state.pools.items():
             limited = sum(view.limit.rate is not None for view in pool.views.values())
             self.metrics.limited_endpoints.set({"service": service}, limited)
+            leaving = sum(view.availability.is_leaving for view in pool.views.values())
+            self.metrics.leaving_endpoints.set({"service": service}, leaving)
         self.metrics.running.set({}, self.forwarder.running)
         self.metrics.config_version.set({}, state.config.version if state.config else 0)
         self.metrics.store_up.set({}, int(state.store_up))
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -6,6 +6,7 @@
 
 from teaselpath.dispatch import (
     PREFILL_TOKENS_PER_S,
+    AvailabilityTable,
     EndpointPool,
     EndpointView,
     SharedQuota,
@@ -108,6 +109,7 @@
     Versions and offsets only increase: older records from the store or from peers are ignored.
 
     :ivar endpoint_ids: id of each known endpoint by its number.
+    :ivar availabilities: what endpoints have stated on whether they take requests.
     :ivar reads_store: whether this gateway follows the store itself; others receive its records
         from peers.
     :ivar refuses_requests: whether new requests are refused, because the process ends before they
@@ -129,6 +131,7 @@
         self.endpoints = EndpointTable()
         self.views: dict[str, EndpointView] = {}
         self.endpoint_ids: dict[int, str] = {}
+        self.availabilities = AvailabilityTable()
         self.pools: dict[str, EndpointPool] = {}
         self.cache_stores: dict[str, StoreView] = {}
         self.endpoint_records: dict[str, StoredRecord] = {}
@@ -277,7 +280,10 @@
             self.views.pop(key, None)
             return
         if view is None or view.endpoint.incarnation != endpoint.incarnation:
-            view = self.views[key] = EndpointView(endpoint, weights=dict(endpoint.weights))
+            availability = self.availabilities.get(endpoint.number)
+            view = self.views[key] = EndpointView(
+                endpoint, weights=dict(endpoint.weights), availability=availability
+            )
         else:
             view.endpoint = endpoint
             for model, version in endpoint.weights:
--- /dev/null
+++ b/teaselpath/gateway/_statements.py
@@ -0,0 +1,39 @@
+"""What endpoints state in their answers on whether they take requests of this gateway."""
+
+from eliot import log_message
+
+from teaselpath.dispatch import EndpointView
+from teaselpath.fleet import AnswerInfo
+
+
+def record_availability(view: EndpointView, info: AnswerInfo, drain_s: float, now: float) -> None:
+    """Record what an answer states on whether its endpoint takes requests.
+
+    :param drain_s: time for which an endpoint that leaves still takes requests, in seconds.
+    """
+    # The process that replied to a misdirected request is another one.
+    if info.is_misdirected:
+        return
+    if info.is_leaving:
+        record_leaving(view, now + drain_s, "answer")
+    elif info.invalid_leaving is not None:
+        log_message(
+            "endpoint_leaving_invalid",
+            endpoint=view.endpoint.endpoint_id,
+            text=info.invalid_leaving,
+        )
+
+
+def record_leaving(view: EndpointView, leaves_at: float, source: str) -> None:
+    """Record that an endpoint has stated that it leaves.
+
+    :param leaves_at: time from which on it takes no requests.
+    :param source: where it was stated, for the log.
+    """
+    if view.availability.record_leaving(leaves_at):
+        log_message(
+            "endpoint_leaving",
+            endpoint=view.endpoint.endpoint_id,
+            service=view.endpoint.service,
+            source=source,
+        )
--- a/teaselpath/gateway/tests/conftest.py
+++ b/teaselpath/gateway/tests/conftest.py
@@ -20,8 +20,8 @@
     peer_port=3,
     seed_ips=(),
     store_address="127.0.0.1:9",
-    # In the order of the fields, from shutdown_grace_s to recovery_window_s.
-    bounds=Bounds(8.0, 0.2, 50.0, 10.0, 0.0, 3.0, 10.0, 4.0),
+    # In the order of the fields, from shutdown_grace_s to drain_s.
+    bounds=Bounds(8.0, 0.2, 50.0, 10.0, 0.0, 3.0, 10.0, 4.0, 3.0),
 )
 
 
--- a/teaselpath/gateway/tests/test_engine_ends.py
+++ b/teaselpath/gateway/tests/test_engine_ends.py
@@ -69,3 +69,18 @@
         return await task, ends
 
     assert asyncio.run(scenario()) == (False, [])
+
+
+def test_end_of_an_engine_that_said_it_leaves_is_no_evidence(state):
+    async def scenario():
+        server, address = await open_server()
+        server.close()
+        await server.wait_closed()
+        state.apply_endpoint_record(endpoint_record("e", 1, address=address), "store", 1.0)
+        ends: list[EngineEnd] = []
+        detector = EngineEndDetector(state, HttpClient(), GatewayMetrics("gw-0"), ends.append)
+        task = detector.record_broken(state.views["e"], RUNS[0])
+        state.views["e"].availability.record_leaving(100.0)
+        return await task, ends
+
+    assert asyncio.run(scenario()) == (False, [])
--- a/teaselpath/gateway/tests/test_orders.py
+++ b/teaselpath/gateway/tests/test_orders.py
@@ -55,3 +55,14 @@
         await keeper._drain("e", keeper.loop.time() + 60.0)
 
     asyncio.run(scenario())
+
+
+def test_engine_that_leaves_gets_no_weights_order(state):
+    async def scenario():
+        state.apply_endpoint_record(endpoint_record("e", 1), "store", 1.0)
+        state.apply_endpoint_record(endpoint_record("f", 2), "store", 1.0)
+        keeper = make_keeper(state)
+        state.views["e"].availability.record_leaving(100.0)
+        return [engine.key for engine in keeper._engines()]
+
+    assert asyncio.run(scenario()) == ["f"]
--- a/teaselpath/gateway/tests/test_peers.py
+++ b/teaselpath/gateway/tests/test_peers.py
@@ -58,6 +58,21 @@
     assert view.weights == {"m": 2}
 
 
+def test_peers_know_which_endpoints_leave_and_when():
+    async def scenario():
+        own, other = make_exchange(), make_exchange("gw-1")
+        for exchange in (own, other):
+            exchange.state.apply_endpoint_record(endpoint_record("e", 1), "store", 1.0)
+        now = own.loop.time()
+        # The status is from time 0 of the clock of its gateway.
+        other.state.views["e"].availability.record_leaving(1.5)
+        own.datagram_received(status_of(other, "gw-1", 5, 1), None)
+        return now + 1.5, own.state.views["e"].availability.leaves_at
+
+    earliest, leaves_at = asyncio.run(scenario())
+    assert earliest <= leaves_at < float("inf")
+
+
 def test_malformed_message_is_ignored():
     async def scenario():
         own = make_exchange()
--- a/teaselpath/gateway/tests/test_placement.py
+++ b/teaselpath/gateway/tests/test_placement.py
@@ -82,6 +82,25 @@
     assert isinstance(asyncio.run(scenario()), Placed)
 
 
+def test_queued_request_is_not_placed_at_an_engine_that_has_left_meanwhile(
+    state, engine, announced
+):
+    async def scenario():
+        placer, call = Placer(state, announced.append), make_call()
+        engine.own.pending_prefill_tokens = 50_000
+        task = asyncio.create_task(placer.acquire(call, placer.loop.time()))
+        await asyncio.sleep(0)
+        engine.own.pending_prefill_tokens = 0
+        engine.availability.record_leaving(placer.loop.time())
+        placer.place_queued()
+        was_placed = task.done()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return was_placed
+
+    assert not asyncio.run(scenario())
+
+
 def test_cancelled_caller_releases_the_reservation_made_for_it(state, engine, announced):
     async def scenario():
         placer, call = Placer(state, announced.append), make_call()
--- a/teaselpath/gateway/tests/test_state.py
+++ b/teaselpath/gateway/tests/test_state.py
@@ -118,3 +118,16 @@
     assert state.count_gateways(10.5) == (2, 2)
     assert state.count_gateways(20.0) == (1, 2)
     assert state.count_gateways(41.0) == (1, 1)
+
+
+def test_endpoint_that_leaves_is_not_used_again_after_a_stale_listing(state):
+    """Guards against a record that the store lost and listed again as ready."""
+    now = make_store_up(state)
+    state.apply_endpoint_record(endpoint_record("e", 1), "store", now)
+    state.views["e"].availability.record_leaving(now + 3.0)
+    state.apply_endpoint_record(StoredRecord("e", b"", 2), "store", now)
+    assert state.views == {}
+    state.apply_endpoint_record(endpoint_record("e", 3), "store", now)
+    assert state.views["e"].availability.leaves_at == now + 3.0
+    state.apply_endpoint_record(endpoint_record("e", 4, born=2), "store", now)
+    assert not state.views["e"].availability.is_leaving
--- a/teaselpath/platform/_engines.py
+++ b/teaselpath/platform/_engines.py
@@ -12,6 +12,7 @@
     WeightsOrder,
 )
 from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout, Response
+from teaselpath.platform._requests import states_leaving
 
 T = TypeVar("T")
 
@@ -53,7 +54,8 @@
         response = await self._call(address, b"GET", b"/-/report", deadline)
         report = _decode(response, _Report)
         weights = {model.name: model.version for model in report.models}
-        return EngineReport(report.seq, report.busy, weights)
+        is_leaving = states_leaving(response.head.headers)
+        return EngineReport(report.seq, report.busy, weights, is_leaving)
 
     async def send_order(self, order: WeightsOrder, deadline: float) -> str:
         """Send an order to load weights after the running requests have finished.
@@ -90,7 +92,8 @@
         response = await self._call(address, b"GET", target, deadline, headers)
         page = _decode(response, _Events)
         changes = [CacheChange(scope, part, tokens) for _, _, scope, part, tokens, _ in page.events]
-        return CacheChanges(page.boot_epoch, page.next_token, page.lost, changes)
+        is_leaving = states_leaving(response.head.headers)
+        return CacheChanges(page.boot_epoch, page.next_token, page.lost, changes, is_leaving)
 
     async def _call(
         self,
--- a/teaselpath/platform/_requests.py
+++ b/teaselpath/platform/_requests.py
@@ -16,7 +16,10 @@
 TOKENS = b"token-counts"
 RESPONSE_STAMP = b"response-stamp"
 NOT_RUN = b"not-run"
+LEAVING = b"server-leaving"
 KEY_SCHEME = b"token "
+# Bytes of an invalid value that are logged.
+MAX_EXCERPT_BYTES = 32
 _DECIMAL = re.compile(rb"\d{1,12}(\.\d{0,12})?")
 
 # Fields that are not forwarded from callers; the gateway sets some of them itself.
@@ -43,7 +46,12 @@
     }
 )
 _REMOVED_FROM_REQUESTS = HOP_BY_HOP | _NOT_FORWARDED_FIELDS
-_REMOVED_FROM_ANSWERS = HOP_BY_HOP | {b"content-length", b"server-limit", b"server-load"}
+_REMOVED_FROM_ANSWERS = HOP_BY_HOP | {
+    b"content-length",
+    LEAVING,
+    b"server-limit",
+    b"server-load",
+}
 
 
 class PlatformRequests:
@@ -116,6 +124,8 @@
         limit_text = fields.get(b"server-limit")
         limit_per_s = _parse_rate(limit_text)
         is_invalid = limit_text is not None and limit_per_s is None
+        leaving_text = fields.get(LEAVING)
+        is_leaving = states_leaving(headers)
         return AnswerInfo(
             status=status,
             has_stamp=RESPONSE_STAMP in fields,
@@ -125,7 +135,9 @@
             weights=_parse_integer(fields.get(b"weight-versions")),
             requests=_parse_load(fields.get(b"server-load")),
             limit_per_s=limit_per_s,
-            invalid_limit=repr((limit_text or b"")[:32]) if is_invalid else None,
+            invalid_limit=_excerpt(limit_text) if is_invalid else None,
+            is_leaving=is_leaving,
+            invalid_leaving=None if is_leaving else _excerpt(leaving_text),
             forwarded_headers=[
                 (name, value)
                 for name, value in headers
@@ -143,6 +155,16 @@
         return headers
 
 
+def states_leaving(headers: Headers) -> bool:
+    """Return whether the header fields of an answer state that its engine leaves."""
+    return any(name.lower() == LEAVING and value.strip() == b"1" for name, value in headers)
+
+
+def _excerpt(value: bytes | None) -> str | None:
+    """Return the beginning of a field's value, for the log."""
+    return None if value is None else repr(value[:MAX_EXCERPT_BYTES])
+
+
 def _connection_options(headers: Headers) -> set[bytes]:
     options: set[bytes] = set()
     for name, value in headers:
--- a/teaselpath/platform/_settings.py
+++ b/teaselpath/platform/_settings.py
@@ -26,6 +26,7 @@
     lease_ms: float = 3000
     version_ms: float = 10_000
     stable_window_ms: float = 4000
+    drain_ms: float = 3000
 
 
 class _StoreAddress(msgspec.Struct, rename="camel"):
@@ -86,5 +87,6 @@
             lease_handover_s=bounds.lease_ms / 1000,
             rollout_limit_s=bounds.version_ms / 1000,
             recovery_window_s=bounds.stable_window_ms / 1000,
+            drain_s=bounds.drain_ms / 1000,
         ),
     )
