BUDGET: an endpoint that refuses with Retry-After gets no requests for that time

What callers saw: nothing yet; the rule is new. An engine that answers 503 with Retry-After wants nothing from this machine for so long; at most two requests may reach it later than 0.5 s after it.

Cause: no code read the field. The request was sent elsewhere, and the next ones came again at once.

Change: the platform decodes the time of a 503; `Availability` keeps the latest end for one start of the endpoint, also over a lapse of its record. Placement leaves the endpoint out until then before it weighs anything else; a request whose connection took so long that the refusal of another came first is not sent. Cache polls pause too, and loads of weights that are not late begin elsewhere. A request that the endpoint refused may go there again after the end. If all endpoints of a service want none, callers are refused at once with the earliest end, spread over the time in which the slots serve them (60 s at most), or wait if it ends in a quarter of their time; a request that waits is refused once that no longer holds. The time ends with the incarnation. Peers are not told: the endpoint has chosen from which gateway it wants none, and the others would leave its capacity unused. Dates, negative numbers and other text are ignored with the line endpoint_hold_off_invalid; fractions count, zero binds nobody, and a huge number is obeyed (the rule allows no cap). Line endpoint_hold_off, gauge teaselpath_held_off_endpoints.

--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -98,6 +99,15 @@
     status: int
 
 
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """A request that was refused with a time for which the engine wants no others."""
+
+    request_id: str
+    at: float
+    retry_after: str
+
+
 class HostedEngine:
     """A model engine, or a plain service if it has no model.
 
@@ -105,8 +115,10 @@
     :ivar deadly_parts: ids of prompt parts that end the process as it begins an answer on them.
     :ivar limit: value of the header field with the requests per second that it takes; None for no
         such field.
+    :ivar hold_offs: the next requests are refused with these values of Retry-After.
     :ivar leaving: value of the header field of all its answers that it leaves; None if it stays.
     :ivar arrivals: times at which requests reached it, those that it refused included.
+    :ivar arrival_ids: ids of these requests.
     :ivar end_process: ends the process of this engine.
     :ivar flooded_bytes: bytes sent by the fault ``floods``.
     """
@@ -132,7 +144,10 @@
         self.faults = EngineFaults()
         self.limit: str | None = None
         self.leaving: str | None = None
+        self.hold_offs: deque[str] = deque()
         self.arrivals: list[float] = []
+        self.arrival_ids: list[str] = []
+        self.refusals: list[Refusal] = []
         self.deadly_parts: set[str] = set()
         self.end_process: Callable[[], None] = _never_ends
         self.parts: dict[tuple[str, str], _Part] = {}
@@ -266,6 +281,13 @@
         if self.limit is not None:
             base.append((b"Server-Limit", self.limit.encode()))
         self.arrivals.append(time.monotonic())
+        self.arrival_ids.append(request_id)
+        if self.hold_offs:
+            refusal = Refusal(request_id, time.monotonic(), self.hold_offs.popleft())
+            self.refusals.append(refusal)
+            retry_after = (b"Retry-After", refusal.retry_after.encode())
+            exchange.respond(503, [*base, retry_after, (b"Not-Run", b"1")])
+            return
         status = self._refusal(headers)
         if status is not None:
             exchange.respond(status, [*base, (b"Not-Run", b"1")])
--- a/teaselpath/dispatch/_availability.py
+++ b/teaselpath/dispatch/_availability.py
@@ -18,18 +18,29 @@
 
     :param leaves_at: time from which on it takes no requests, because it leaves; infinite if it has
         not stated that it leaves.
+    :param held_off_until: time until which it wants no requests of this gateway.
     """
 
     leaves_at: float = float("inf")
+    held_off_until: float = float("-inf")
 
     @property
     def is_leaving(self) -> bool:
         """Return whether the endpoint leaves, so that others are preferred."""
         return self.leaves_at < float("inf")
 
-    def has_left(self, now: float) -> bool:
-        """Return whether the endpoint takes no requests any more."""
-        return now >= self.leaves_at
+    def is_held_off(self, now: float) -> bool:
+        """Return whether the endpoint wants no requests of this gateway for now."""
+        return now < self.held_off_until
+
+    def takes_requests(self, now: float) -> bool:
+        """Return whether a request may be sent to the endpoint."""
+        return self.held_off_until <= now < self.leaves_at
+
+    def opens_at(self, now: float) -> float:
+        """Return the time from which on requests may be sent; infinite if it leaves before."""
+        opens_at = max(now, self.held_off_until)
+        return opens_at if opens_at < self.leaves_at else float("inf")
 
     def record_leaving(self, leaves_at: float) -> bool:
         """Record that the endpoint leaves; return whether that was unknown.
@@ -40,6 +51,15 @@
         self.leaves_at = min(self.leaves_at, leaves_at)
         return was_unknown
 
+    def record_hold_off(self, until: float) -> bool:
+        """Record that the endpoint wants no requests of this gateway until a time.
+
+        :returns: whether that is later than known; the latest time counts.
+        """
+        is_later = until > self.held_off_until
+        self.held_off_until = max(self.held_off_until, until)
+        return is_later
+
 
 class AvailabilityTable:
     """Availability of each start of an endpoint, by ``Endpoint.number``.
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -78,15 +78,27 @@
 
     Endpoints that leave are considered only if no other can take the request.
     """
-    staying = [view for view in views if not view.availability.is_leaving]
-    if len(staying) == len(views):
-        return _choose_among(views, demand, topology, now)
-    if not all(view.health.is_suspect(now) for view in staying):
-        choice = _choose_among(staying, demand, topology, now)
-        if isinstance(choice, Placed):
-            return choice
-    usable = [view for view in views if not view.availability.has_left(now)]
-    return _choose_among(usable, demand, topology, now)
+    open_views = [view for view in views if view.availability.takes_requests(now)]
+    if all(view.endpoint.endpoint_id in demand.excluded for view in open_views):
+        return _refuse_unopen(views, demand, now)
+    staying = [view for view in open_views if not view.availability.is_leaving]
+    if len(staying) == len(open_views) or all(view.health.is_suspect(now) for view in staying):
+        return _choose_among(open_views, demand, topology, now)
+    choice = _choose_among(staying, demand, topology, now)
+    if isinstance(choice, Placed):
+        return choice
+    return _choose_among(open_views, demand, topology, now)
+
+
+def _refuse_unopen(views: list[EndpointView], demand: Demand, now: float) -> NoEndpoint:
+    """Return the reason if no endpoint that takes requests is left for this one."""
+    untried = [view for view in views if view.endpoint.endpoint_id not in demand.excluded]
+    opens_at = min((view.availability.opens_at(now) for view in untried), default=float("inf"))
+    if opens_at < float("inf"):
+        return NoEndpoint("held_off", opens_at - now)
+    return (
+        NoEndpoint("unreachable", 0.5) if views and not untried else NoEndpoint("none_listed", 1.0)
+    )
 
 
 def _choose_among(
@@ -96,12 +108,8 @@
 
     Suspect endpoints are considered only if all are suspect.
     """
-    if not views:
-        return NoEndpoint("none_listed", 1.0)
     untried = [v for v in views if v.endpoint.endpoint_id not in demand.excluded]
     healthy = [v for v in untried if not v.health.is_suspect(now)] or untried
-    if not healthy:
-        return NoEndpoint("unreachable", 0.5)
     eligible = [v for v in healthy if v.loading_until <= now and not _is_outdated(v, demand)]
     if not eligible:
         return NoEndpoint("switching", 0.5)
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -213,7 +213,8 @@
         was already sent to all of them; ``switching``: all load weights or have outdated ones;
         ``full``: all have too many requests; ``reading``: all have too much prefill backlog or too
         little KV cache capacity for the prompt; ``limited``: this gateway has used its shares of
-        the limits that all state. The gateway adds ``queue``: the wait in its queue
+        the limits that all state; ``held_off``: all that are left want no requests of this gateway
+        for ``retry_after_s``. The gateway adds ``queue``: the wait in its queue
         is or would be too long.
     :param first_choice: as in ``Placed``.
     """
--- a/teaselpath/dispatch/tests/test_placement.py
+++ b/teaselpath/dispatch/tests/test_placement.py
@@ -304,3 +304,27 @@
     views[1].own.requests = 100
     assert choose(views, topology) == NoEndpoint("full", 0.5)
     assert choose(views[:1], topology) == NoEndpoint("none_listed", 1.0)
+
+
+def test_engine_that_wants_no_requests_gets_none_until_the_end_of_the_time(topology):
+    views = [make_view("e1"), make_view("e2")]
+    views[0].cache.record_stored(scope_of("", 1), "p1", 13_300)
+    views[0].availability.record_hold_off(NOW + 2.0)
+    placed = choose(views, topology)
+    assert isinstance(placed, Placed)
+    assert placed.view is views[1]
+    assert placed.fetch_from is None
+    views[1].own.requests = 100
+    assert choose(views, topology) == NoEndpoint("full", 0.5)
+
+
+def test_earliest_end_is_known_if_all_engines_want_no_requests(topology):
+    views = [make_view("e1"), make_view("e2"), make_view("e3")]
+    for view, hold_off_s in zip(views, (2.0, 0.5, 0.25), strict=True):
+        view.availability.record_hold_off(NOW + hold_off_s)
+    # This engine will have left by then.
+    views[2].availability.record_leaving(NOW + 0.25)
+    assert choose(views, topology) == NoEndpoint("held_off", 0.5)
+    assert choose(views, topology, excluded=frozenset({"e2"})) == NoEndpoint("held_off", 2.0)
+    excluded = frozenset({"e1", "e2", "e3"})
+    assert choose(views, topology, excluded=excluded) == NoEndpoint("unreachable", 0.5)
--- a/teaselpath/fleet/_calls.py
+++ b/teaselpath/fleet/_calls.py
@@ -75,6 +75,9 @@
     :param invalid_limit: text of a limit that is no decimal number; None if there is none.
     :param is_leaving: whether the endpoint states that it leaves.
     :param invalid_leaving: text of such a statement that has no meaning; None if there is none.
+    :param hold_off_s: time for which the endpoint, which refuses the request, wants no others of
+        this gateway, in seconds; None if it states none.
+    :param invalid_hold_off: text of such a time that is no decimal number; None if there is none.
     """
 
     status: int
@@ -89,6 +92,8 @@
     invalid_limit: str | None = None
     is_leaving: bool = False
     invalid_leaving: str | None = None
+    hold_off_s: float | None = None
+    invalid_hold_off: str | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -138,12 +143,21 @@
 
     :param is_outcome_unknown: whether the call may have taken effect.
     :param has_reply: whether the engine replied, so that it is reachable.
+    :param hold_off_s: as in ``AnswerInfo``.
     """
 
-    def __init__(self, reason: str, *, is_outcome_unknown: bool, has_reply: bool = False):
+    def __init__(
+        self,
+        reason: str,
+        *,
+        is_outcome_unknown: bool,
+        has_reply: bool = False,
+        hold_off_s: float | None = None,
+    ):
         super().__init__(reason)
         self.is_outcome_unknown = is_outcome_unknown
         self.has_reply = has_reply
+        self.hold_off_s = hold_off_s
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -90,6 +90,10 @@
             connection = await pool.acquire(call.deadline)
         except ConnectFailed:
             return NotSent()
+        if self.placed.view.availability.is_held_off(self.loop.time()):
+            # The endpoint has refused another request since this one was placed.
+            connection.abort()
+            return NotSent()
         head = None
         try:
             connection.send(
--- a/teaselpath/gateway/_caches.py
+++ b/teaselpath/gateway/_caches.py
@@ -12,7 +12,7 @@
 from teaselpath.dispatch import EndpointHealth, EndpointView, PartCache, StoreView
 from teaselpath.fleet import CacheChanges, EngineCallError, EngineCalls
 from teaselpath.gateway._state import GatewayState
-from teaselpath.gateway._statements import record_leaving
+from teaselpath.gateway._statements import record_hold_off, record_leaving
 from teaselpath.utils import rendezvous_top
 
 # Duration of a long poll for cache changes, in seconds.
@@ -123,6 +123,7 @@
     async def _follow(self, target: _Target) -> None:
         cursor, epoch, missed = 0, None, 0
         while True:
+            await self._wait_while_held_off(target)
             started_at = self.loop.time()
             is_large = self._is_large_fleet()
             wait_s = SHORT_POLL_WAIT_S if is_large else POLL_WAIT_S
@@ -131,6 +132,8 @@
                     target.address, cursor, wait_s, started_at + wait_s + ANSWER_TIMEOUT_S
                 )
             except EngineCallError as error:
+                if error.hold_off_s and target.view is not None:
+                    record_hold_off(target.view, error.hold_off_s, self.loop.time())
                 missed = 0 if error.has_reply else missed + 1
                 if missed == MAX_MISSED_POLLS and not target.health.is_unreachable:
                     target.health.is_unreachable = True
@@ -157,6 +160,13 @@
             if pause_s > 0 and len(page.changes) < FULL_PAGE_CHANGES:
                 await asyncio.sleep(pause_s)
 
+    async def _wait_while_held_off(self, target: _Target) -> None:
+        """Wait while an engine wants nothing of this gateway."""
+        if target.view is None:
+            return
+        while target.view.availability.is_held_off(self.loop.time()):
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
     def _clear_index(self, target: _Target, epoch: int | None, page: CacheChanges) -> None:
         log_message(
             "cache_index_cleared",
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -241,8 +241,8 @@
                 case ForwardAnswer():
                     return self._respond_answer(exchange, call)
                 case Refuse():
-                    # Retry-After of 0.2 s.
-                    return self._respond_refused(exchange, call, Code.ENDPOINT_LEAVING, 0.2)
+                    wait_s = self.placer.retry_after_s(call, now)
+                    return self._respond_refused(exchange, call, Code.ENDPOINT_LEAVING, wait_s)
                 case Fail(status):
                     return self._respond_failed(exchange, call, status)
 
@@ -293,10 +293,14 @@
 
     def _record_outcome(self, call: Call, placed: Placed, outcome: Outcome, now: float) -> None:
         health = placed.view.health
-        call.tried.add(placed.view.endpoint.endpoint_id)
+        is_held_off = placed.view.availability.is_held_off(now)
+        # An endpoint that wants no requests for now may take this one later.
+        if not (is_held_off and isinstance(outcome, NotSent | NotRun)):
+            call.tried.add(placed.view.endpoint.endpoint_id)
         match outcome:
             case NotSent():
-                health.record_unreachable(now)
+                if not is_held_off:
+                    health.record_unreachable(now)
             case NotRun():
                 call.progress.sends += 1
             case Answered(status):
@@ -320,7 +324,7 @@
         return Code.OK if call.answer.status < 500 else Code.ENDPOINT_FAILED
 
     def _end_unplaced(self, exchange: Exchange, call: Call, no_endpoint: NoEndpoint) -> Code:
-        is_overload = no_endpoint.reason in ("queue", "limited")
+        is_overload = no_endpoint.reason in ("queue", "limited", "held_off")
         code = Code.OVERLOADED if is_overload else Code.NO_ENDPOINT
         call.attempts.append(("", no_endpoint.reason, 0.0))
         if call.progress.runs == 0:
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -40,6 +40,9 @@
         self.leaving_endpoints = make(
             Gauge, "leaving_endpoints", "Listed endpoints that state that they leave, by service"
         )
+        self.held_off_endpoints = make(
+            Gauge, "held_off_endpoints", "Endpoints that want no requests of this host, by service"
+        )
         self.running = make(Gauge, "running", "Requests under way")
         self.config_version = make(Gauge, "config_version", "Configuration in force")
         self.store_up = make(Gauge, "store_up", "1 if the last call to the store succeeded")
--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -18,7 +18,7 @@
 )
 from teaselpath.gateway._peers import PeerExchange
 from teaselpath.gateway._state import GatewayState
-from teaselpath.gateway._statements import record_leaving
+from teaselpath.gateway._statements import record_hold_off, record_leaving
 from teaselpath.rollout import (
     Action,
     EngineStatus,
@@ -102,8 +102,14 @@
             return
         now = self.loop.time()
         is_urgent = self._is_rollout_late(engines, now)
+        if not is_urgent:
+            engines = [engine for engine in engines if not self._is_held_off(engine.key, now)]
         self._run_actions(self.rollout.plan(engines, announced, now, is_urgent=is_urgent))
 
+    def _is_held_off(self, key: str, now: float) -> bool:
+        """Return whether an engine that loads nothing yet wants no calls of this gateway."""
+        return key not in self.rollout.loads and self.state.views[key].availability.is_held_off(now)
+
     def _is_rollout_late(self, engines: list[EngineStatus], now: float) -> bool:
         """Return whether an engine has weights that should have been replaced by now."""
         limit_s = SPEED_UP_FRACTION * self.state.settings.bounds.rollout_limit_s
@@ -233,6 +239,8 @@
             report = await self.engines.fetch_report(view.endpoint.address, deadline)
         except EngineCallError as error:
             log_message("report_failed", endpoint=key, reason=str(error))
+            if error.hold_off_s:
+                record_hold_off(view, error.hold_off_s, self.loop.time())
             self._run_actions(self.rollout.handle_report_failure(key, self.loop.time()))
             return
         if report.is_leaving:
@@ -275,6 +283,8 @@
             status = await self.engines.send_order(message, self.loop.time() + CALL_TIMEOUT_S)
         except EngineCallError as error:
             reason = str(error)
+            if error.hold_off_s:
+                record_hold_off(view, error.hold_off_s, self.loop.time())
             status = None if error.is_outcome_unknown else "unreachable"
         log_message(
             "weights_ordered",
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -30,6 +30,13 @@
 MAX_WAIT_FRACTION = 0.5
 # Upper limit of the Retry-After of a refusal, in seconds.
 MAX_RETRY_AFTER_S = 3.0
+# Upper limit of the Retry-After while all endpoints want no requests, in seconds: by then others
+# may be listed.
+MAX_HELD_OFF_RETRY_AFTER_S = 60.0
+# Fraction of a request's remaining time for which it waits for an endpoint to take requests again.
+MAX_HELD_OFF_FRACTION = 0.25
+# Shortest Retry-After of a refusal, in seconds.
+MIN_RETRY_AFTER_S = 0.2
 # Reasons for which a request is refused without queueing.
 IMMEDIATE_REFUSALS = frozenset({"none_listed", "unreachable"})
 # Priority in the queue of streams that continue; lower numbers come first.
@@ -51,7 +58,8 @@
         self.loop = asyncio.get_running_loop()
         self.queue = RequestQueue()
         self.return_times: dict[str, ReturnTimes] = {}
-        self.queued_calls: dict[int, tuple[Call, asyncio.Future[Placed]]] = {}
+        self.opening_times: dict[str, ReturnTimes] = {}
+        self.queued_calls: dict[int, tuple[Call, asyncio.Future[Placed | NoEndpoint]]] = {}
 
     async def acquire(self, call: Call, now: float) -> Placed | NoEndpoint:
         """Reserve an endpoint for a request, queueing it if necessary."""
@@ -74,8 +82,42 @@
             refusal = self._refuse_limited(queued_request, choice, now)
             if refusal is not None:
                 return refusal
+        refusal = self._refuse_held_off(call, choice, now)
+        if refusal is not None:
+            return refusal
         return await self._wait_for_endpoint(call, queued_request, now)
 
+    def _refuse_held_off(
+        self, call: Call, choice: Placed | NoEndpoint, now: float
+    ) -> NoEndpoint | None:
+        """Return a refusal if all endpoints want no requests until it is too late for this one."""
+        if isinstance(choice, Placed) or choice.reason != "held_off":
+            return None
+        wait_s = choice.retry_after_s
+        if wait_s <= MAX_HELD_OFF_FRACTION * (call.deadline - now):
+            return None
+        return NoEndpoint("held_off", self._book_after_opening(call, wait_s, now))
+
+    def retry_after_s(self, call: Call, now: float) -> float:
+        """Return the Retry-After of a request that no endpoint has run, in seconds."""
+        choice = self._place(call, now)
+        if isinstance(choice, NoEndpoint) and choice.reason == "held_off":
+            return self._book_after_opening(call, choice.retry_after_s, now)
+        return MIN_RETRY_AFTER_S
+
+    def _book_after_opening(self, call: Call, wait_s: float, now: float) -> float:
+        """Return the Retry-After of a caller while all endpoints want no requests, in seconds.
+
+        Callers return as fast as the endpoints can serve those of this gateway.
+        """
+        views = self.state.pool(call.service.name).views.values()
+        slots = sum(view.endpoint.slots for view in views)
+        _, gateways = self.state.count_gateways(now)
+        rate = slots / max(call.route.target_latency_s, MIN_RETRY_AFTER_S) / gateways
+        times = self.opening_times.setdefault(call.service.name, ReturnTimes())
+        booked_s = times.book_after_opening(now + wait_s, rate, now)
+        return min(MAX_HELD_OFF_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, booked_s))
+
     def _refuse_limited(
         self, queued_request: QueuedRequest, choice: NoEndpoint, now: float
     ) -> NoEndpoint | None:
@@ -105,7 +147,7 @@
             wait_s = self.queue.expected_wait_s(queued_request, backlog_tokens, tokens_per_s, now)
             # Retry-After is at least 0.2 s.
             return NoEndpoint("queue", min(MAX_RETRY_AFTER_S, max(0.2, wait_s)))
-        future: asyncio.Future[Placed] = self.loop.create_future()
+        future: asyncio.Future[Placed | NoEndpoint] = self.loop.create_future()
         self.queue.enqueue(queued_request, now)
         self.queued_calls[queued_request.number] = (call, future)
         try:
@@ -132,7 +174,8 @@
     def place_queued(self) -> None:
         """Place queued requests in order, as far as endpoints have capacity.
 
-        If a request cannot be placed, later requests of its service stay queued, too.
+        Those that no endpoint will want in time are refused. If a request cannot be placed, later
+        requests of its service stay queued, too.
         """
         blocked: set[str] = set()
         for queued_request in self.queue.in_order():
@@ -145,6 +188,10 @@
                 self._reserve(call, choice)
                 self.queue.record_placed(queued_request, now)
                 future.set_result(choice)
+                continue
+            refusal = self._refuse_held_off(call, choice, now)
+            if refusal is not None:
+                future.set_result(refusal)
             else:
                 blocked.add(queued_request.service)
 
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -201,6 +201,8 @@
             self.metrics.limited_endpoints.set({"service": service}, limited)
             leaving = sum(view.availability.is_leaving for view in pool.views.values())
             self.metrics.leaving_endpoints.set({"service": service}, leaving)
+            held_off = sum(view.availability.is_held_off(now) for view in pool.views.values())
+            self.metrics.held_off_endpoints.set({"service": service}, held_off)
         self.metrics.running.set({}, self.forwarder.running)
         self.metrics.config_version.set({}, state.config.version if state.config else 0)
         self.metrics.store_up.set({}, int(state.store_up))
--- a/teaselpath/gateway/_statements.py
+++ b/teaselpath/gateway/_statements.py
@@ -22,6 +22,28 @@
             endpoint=view.endpoint.endpoint_id,
             text=info.invalid_leaving,
         )
+    if info.hold_off_s:
+        record_hold_off(view, info.hold_off_s, now)
+    elif info.invalid_hold_off is not None:
+        log_message(
+            "endpoint_hold_off_invalid",
+            endpoint=view.endpoint.endpoint_id,
+            text=info.invalid_hold_off,
+        )
+
+
+def record_hold_off(view: EndpointView, hold_off_s: float, now: float) -> None:
+    """Record that an endpoint wants no requests of this gateway for a while.
+
+    Other gateways are not told: the endpoint has chosen from which one it wants none.
+    """
+    if view.availability.record_hold_off(now + hold_off_s):
+        log_message(
+            "endpoint_hold_off",
+            endpoint=view.endpoint.endpoint_id,
+            service=view.endpoint.service,
+            retry_after_s=hold_off_s,
+        )
 
 
 def record_leaving(view: EndpointView, leaves_at: float, source: str) -> None:
--- a/teaselpath/gateway/tests/test_orders.py
+++ b/teaselpath/gateway/tests/test_orders.py
@@ -66,3 +66,14 @@
         return [engine.key for engine in keeper._engines()]
 
     assert asyncio.run(scenario()) == ["f"]
+
+
+def test_engine_that_wants_no_calls_is_ordered_later(state):
+    async def scenario():
+        state.apply_endpoint_record(endpoint_record("e", 1), "store", 1.0)
+        keeper = make_keeper(state)
+        now = keeper.loop.time()
+        state.views["e"].availability.record_hold_off(now + 5.0)
+        return keeper._is_held_off("e", now), keeper._is_held_off("e", now + 5.0)
+
+    assert asyncio.run(scenario()) == (True, False)
--- a/teaselpath/gateway/tests/test_placement.py
+++ b/teaselpath/gateway/tests/test_placement.py
@@ -169,3 +169,80 @@
         return choice
 
     assert isinstance(asyncio.run(scenario()), Placed)
+
+
+def test_requests_that_no_engine_wants_are_refused_at_once_with_times_of_their_own(
+    state, engine, announced
+):
+    async def scenario():
+        placer = Placer(state, announced.append)
+        now = placer.loop.time()
+        engine.availability.record_hold_off(now + 3.0)
+        refusals = [await placer.acquire(make_call(2.0), now) for _ in range(3)]
+        return refusals, placer.retry_after_s(make_call(2.0), now)
+
+    refusals, retry_after_s = asyncio.run(scenario())
+    assert [refusal.reason for refusal in refusals] == ["held_off"] * 3
+    # The engine has four slots, and a request takes 0.8 s.
+    expected = [3.0, 3.2, 3.4, 3.6]
+    assert [*(r.retry_after_s for r in refusals), retry_after_s] == pytest.approx(expected)
+    assert load_of(engine) == (0, 0)
+
+
+def test_bookings_end_with_the_time_that_they_were_made_for(state, engine, announced):
+    async def scenario():
+        placer = Placer(state, announced.append)
+        now = placer.loop.time()
+        engine.availability.record_hold_off(now + 3.0)
+        for _ in range(20):
+            await placer.acquire(make_call(2.0), now)
+        engine.availability.record_hold_off(now + 4.0)
+        return await placer.acquire(make_call(2.0), now)
+
+    assert asyncio.run(scenario()).retry_after_s == pytest.approx(4.0)
+
+
+def test_callers_are_not_told_to_return_in_the_distant_future(state, engine, announced):
+    async def scenario():
+        placer = Placer(state, announced.append)
+        now = placer.loop.time()
+        engine.availability.record_hold_off(now + 1e9)
+        return await placer.acquire(make_call(2.0), now)
+
+    assert asyncio.run(scenario()) == NoEndpoint("held_off", 60.0)
+
+
+def test_request_waits_for_an_engine_that_wants_requests_again_in_time(state, engine, announced):
+    async def scenario():
+        placer, call = Placer(state, announced.append), make_call(8.0)
+        now = placer.loop.time()
+        engine.availability.record_hold_off(now + 1.0)
+        task = asyncio.create_task(placer.acquire(call, now))
+        await asyncio.sleep(0)
+        placer.place_queued()
+        was_placed = task.done()
+        engine.availability.held_off_until = now
+        placer.place_queued()
+        return was_placed, await task
+
+    was_placed, choice = asyncio.run(scenario())
+    assert not was_placed
+    assert isinstance(choice, Placed)
+
+
+def test_queued_request_is_refused_once_no_engine_wants_it_in_time(state, engine, announced):
+    async def scenario():
+        placer, call = Placer(state, announced.append), make_call(8.0)
+        now = placer.loop.time()
+        engine.own.pending_prefill_tokens = 50_000
+        task = asyncio.create_task(placer.acquire(call, now))
+        await asyncio.sleep(0)
+        engine.availability.record_hold_off(now + 20.0)
+        placer.place_queued()
+        return await task, placer.queued_calls
+
+    choice, queued_calls = asyncio.run(scenario())
+    assert isinstance(choice, NoEndpoint)
+    assert choice.reason == "held_off"
+    assert choice.retry_after_s > 8.0
+    assert queued_calls == {}
--- a/teaselpath/platform/_engines.py
+++ b/teaselpath/platform/_engines.py
@@ -12,7 +12,7 @@
     WeightsOrder,
 )
 from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout, Response
-from teaselpath.platform._requests import states_leaving
+from teaselpath.platform._requests import parse_hold_off, states_leaving
 
 T = TypeVar("T")
 
@@ -63,6 +63,7 @@
         :returns: ``accepted``, ``done``, ``busy``, ``fenced``, ``elsewhere`` or ``invalid``.
             ``fenced``: the engine refuses the fence; ``elsewhere``: another process replies at
             the address.
+        :raises EngineCallError: if the engine did not reply, or wants no calls for a while.
         """
         fields = {
             "operation": "version",
@@ -81,6 +82,8 @@
         ]
         body = msgspec.json.encode(fields)
         response = await self._call(order.address, b"POST", b"/-/order", deadline, headers, body)
+        if response.head.status == 503:
+            raise _refusal(response)
         return _ORDER_STATUS.get(response.head.status, "invalid")
 
     async def poll_cache_changes(
@@ -122,10 +125,18 @@
 
 def _decode(response: Response, kind: type[T]) -> T:
     if response.head.status != 200:
-        reason = f"refused with {response.head.status}"
-        raise EngineCallError(reason, is_outcome_unknown=False, has_reply=True)
+        raise _refusal(response)
     try:
         return msgspec.json.decode(response.body, type=kind)
     except msgspec.MsgspecError as error:
         reason = f"unreadable answer: {error}"
         raise EngineCallError(reason, is_outcome_unknown=False, has_reply=True) from error
+
+
+def _refusal(response: Response) -> EngineCallError:
+    head = response.head
+    hold_off_s, invalid_text = parse_hold_off(head.status, head.headers)
+    reason = f"refused with {head.status}"
+    if invalid_text is not None:
+        reason += f", invalid time {invalid_text}"
+    return EngineCallError(reason, is_outcome_unknown=False, has_reply=True, hold_off_s=hold_off_s)
--- a/teaselpath/platform/_requests.py
+++ b/teaselpath/platform/_requests.py
@@ -17,9 +17,14 @@
 RESPONSE_STAMP = b"response-stamp"
 NOT_RUN = b"not-run"
 LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 KEY_SCHEME = b"token "
 # Bytes of an invalid value that are logged.
 MAX_EXCERPT_BYTES = 32
+# Longest time for which a Retry-After is obeyed, in seconds: about thirty years, in which each
+# process ends.
+MAX_RETRY_AFTER_S = 1e9
+_SECONDS = re.compile(rb"\d+(\.\d*)?|\.\d+")
 _DECIMAL = re.compile(rb"\d{1,12}(\.\d{0,12})?")
 
 # Fields that are not forwarded from callers; the gateway sets some of them itself.
@@ -126,6 +131,7 @@
         is_invalid = limit_text is not None and limit_per_s is None
         leaving_text = fields.get(LEAVING)
         is_leaving = states_leaving(headers)
+        hold_off_s, invalid_hold_off = parse_hold_off(status, headers)
         return AnswerInfo(
             status=status,
             has_stamp=RESPONSE_STAMP in fields,
@@ -138,6 +144,8 @@
             invalid_limit=_excerpt(limit_text) if is_invalid else None,
             is_leaving=is_leaving,
             invalid_leaving=None if is_leaving else _excerpt(leaving_text),
+            hold_off_s=hold_off_s,
+            invalid_hold_off=invalid_hold_off,
             forwarded_headers=[
                 (name, value)
                 for name, value in headers
@@ -160,6 +168,20 @@
     return any(name.lower() == LEAVING and value.strip() == b"1" for name, value in headers)
 
 
+def parse_hold_off(status: int, headers: Headers) -> tuple[float | None, str | None]:
+    """Return the seconds for which a refusal wants no requests, and an excerpt of invalid text.
+
+    Dates, negative numbers and other text than a decimal number are invalid.
+    """
+    if status != 503:
+        return None, None
+    texts = [value.strip() for name, value in headers if name.lower() == RETRY_AFTER]
+    valid = [float(text) for text in texts if _SECONDS.fullmatch(text)]
+    if valid:
+        return min(MAX_RETRY_AFTER_S, max(valid)), None
+    return None, _excerpt(texts[0] if texts else None)
+
+
 def _excerpt(value: bytes | None) -> str | None:
     """Return the beginning of a field's value, for the log."""
     return None if value is None else repr(value[:MAX_EXCERPT_BYTES])
--- a/teaselpath/platform/tests/test_requests.py
+++ b/teaselpath/platform/tests/test_requests.py
@@ -31,3 +31,43 @@
     info = decode(200)
     assert not info.is_leaving
     assert info.invalid_leaving is None
+    assert info.hold_off_s is None
+    assert info.invalid_hold_off is None
+
+
+@pytest.mark.parametrize(
+    ("text", "hold_off_s"),
+    [
+        (b"3", 3.0),
+        (b" 0.25 ", 0.25),
+        (b".5", 0.5),
+        (b"2.", 2.0),
+        (b"0", 0.0),
+        (b"007", 7.0),
+        (b"86400", 86_400.0),
+        (b"9" * 400, 1e9),
+    ],
+)
+def test_time_of_a_refusal_is_read(text, hold_off_s):
+    info = decode(503, (b"Retry-After", text))
+    assert info.hold_off_s == hold_off_s
+    assert info.invalid_hold_off is None
+
+
+@pytest.mark.parametrize(
+    "text",
+    [b"-1", b"soon", b"", b"1e3", b"nan", b"inf", b"2,5", b"Fri, 31 Dec 1999 23:59:59 GMT"],
+)
+def test_text_that_is_no_time_of_a_refusal_is_invalid(text):
+    info = decode(503, (b"Retry-After", text))
+    assert info.hold_off_s is None
+    assert info.invalid_hold_off == repr(text[:32])
+
+
+def test_longest_time_of_a_refusal_counts():
+    assert decode(503, (b"Retry-After", b"2"), (b"Retry-After", b"1")).hold_off_s == 2.0
+
+
+@pytest.mark.parametrize("status", [200, 421, 429, 500])
+def test_time_of_other_answers_binds_nobody(status):
+    assert decode(status, (b"Retry-After", b"2")).hold_off_s is None
