TWICE: a stream does not go on elsewhere while its engine is silent for two seconds

What callers saw: a resumable stream whose engine fell silent for 1.75 s, and went on, was cut off and resumed at another engine; the silent engine did not see the closed connection and ran it as well.

Cause: the limits of an attempt follow the route's targets alone: 1.5 s between events (1.6 s with a pause of 0.4 s), and twice the target latency before the first. "Silent for a second or so and go on" is a state of a sound engine.

Change: no stream that may run again is given up before 2.1 s without an event, at either phase. A stalled one still goes on before its caller leaves (the test of that holds unchanged).

--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -115,6 +115,7 @@
     :ivar deadly_parts: ids of prompt parts that end the process as it begins an answer on them.
     :ivar limit: value of the header field with the requests per second that it takes; None for no
         such field.
+    :ivar silent_until: time until which it sends nothing, as ``time.monotonic`` returns it.
     :ivar hold_offs: the next requests are refused with these values of Retry-After.
     :ivar leaving: value of the header field of all its answers that it leaves; None if it stays.
     :ivar arrivals: times at which requests reached it, those that it refused included.
@@ -143,6 +144,7 @@
         self.slots = slots
         self.faults = EngineFaults()
         self.limit: str | None = None
+        self.silent_until = 0.0
         self.leaving: str | None = None
         self.hold_offs: deque[str] = deque()
         self.arrivals: list[float] = []
@@ -180,6 +182,7 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one HTTP request."""
+        await self._wait_while_silent()
         parts = urlsplit(exchange.request.target.decode())
         match parts.path:
             case "/-/report":
@@ -195,6 +198,10 @@
             case path:
                 await self._run(exchange, path)
 
+    async def _wait_while_silent(self) -> None:
+        while (silent_s := self.silent_until - time.monotonic()) > 0:
+            await asyncio.sleep(silent_s)
+
     def _json(self, exchange: Exchange, status: int, body: object) -> None:
         headers = [(b"Content-Type", b"application/json"), *self._leaving_headers()]
         exchange.respond(status, headers, json.dumps(body).encode())
@@ -411,6 +418,7 @@
                 exchange.write(event[: len(event) // 2])
                 exchange.abort()
                 return
+            await self._wait_while_silent()
             exchange.write(event)
             await exchange.drain()
             await asyncio.sleep(EVENT_INTERVAL_S)
--- a/teaselpath/dispatch/_progress.py
+++ b/teaselpath/dispatch/_progress.py
@@ -7,15 +7,17 @@
 late but not lost, and giving up their work would serve nobody.
 """
 
-from teaselpath.fleet import Route
+from teaselpath.fleet import RequestKind, Route
 
 # Timeout for the head of the answer and for the first event, as a multiple of the route's target
 # latency.
 FIRST_EVENT_TIMEOUT_FACTOR = 2.0
-# Timeout for a further event, as a multiple of the longest pause that is still on time, and its
-# least value in seconds. Callers give up a stream after eight such pauses, or two seconds at least.
+# Timeout for a further event, as a multiple of the longest pause that is still on time. Callers
+# give up a stream after eight such pauses, or two seconds at least.
 STALL_TIMEOUT_FACTOR = 4.0
-MIN_STALL_TIMEOUT_S = 1.5
+# Shortest timeout of a stream, in seconds: a sound endpoint may be silent for a second or two and
+# go on, and would still work on a stream that has gone on elsewhere.
+MIN_STREAM_TIMEOUT_S = 2.1
 # Interval at which an attempt that has exceeded its limit checks whether the retry budget allows to
 # send the request elsewhere, in seconds.
 RETRY_CHECK_INTERVAL_S = 0.25
@@ -36,13 +38,14 @@
         self.route = route
         self.deadline = deadline
         self.can_run_again = route.is_idempotent and runs + 1 < route.max_attempts
-        self.progress_deadline = self._limited(
-            started_at + FIRST_EVENT_TIMEOUT_FACTOR * route.target_latency_s
-        )
+        first_s = FIRST_EVENT_TIMEOUT_FACTOR * route.target_latency_s
+        if route.kind is RequestKind.STREAM:
+            first_s = max(MIN_STREAM_TIMEOUT_S, first_s)
+        self.progress_deadline = self._limited(started_at + first_s)
 
     def record_event(self, now: float) -> None:
         """Record that a complete event has arrived."""
-        stall_s = max(MIN_STALL_TIMEOUT_S, STALL_TIMEOUT_FACTOR * self.route.event_gap_s)
+        stall_s = max(MIN_STREAM_TIMEOUT_S, STALL_TIMEOUT_FACTOR * self.route.event_gap_s)
         self.progress_deadline = self._limited(now + stall_s)
 
     def extend(self, now: float) -> None:
--- a/teaselpath/dispatch/tests/test_progress.py
+++ b/teaselpath/dispatch/tests/test_progress.py
@@ -31,6 +31,12 @@
     assert not is_cut(limits, [1.5] + [1.55] * 10)
 
 
+@pytest.mark.parametrize("pauses_s", [[2.0], [0.1, 2.0], [2.0, 2.0, 2.0]])
+def test_stream_of_an_engine_that_falls_silent_for_two_seconds_does_not_go_on_elsewhere(pauses_s):
+    limits = AttemptLimits(make_route(), 0, 0.0, 20.0)
+    assert not is_cut(limits, pauses_s)
+
+
 def test_stalled_stream_is_given_up_before_its_caller_leaves():
     limits = AttemptLimits(make_route(), 0, 0.0, 20.0)
     limits.record_event(1.0)
