--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -17,6 +17,7 @@
     next_step,
     next_stream_step,
 )
+from teaselpath.dispatch._availability import Availability, AvailabilityTable
 from teaselpath.dispatch._backlog import Backlog
 from teaselpath.dispatch._endpoint_limit import (
     SEND_WINDOW_S,
@@ -53,6 +54,8 @@
     "SEND_WINDOW_S",
     "Answered",
     "AttemptLimits",
+    "Availability",
+    "AvailabilityTable",
     "Backlog",
     "Broken",
     "Cut",
--- a/teaselpath/fleet/_calls.py
+++ b/teaselpath/fleet/_calls.py
@@ -74,6 +74,11 @@
         if it states no limit.
     :param invalid_limit: text of a limit that is no decimal number; None if there is none.
     :param media_type: kind of the body, in lower case and without parameters; empty if not stated.
+    :param is_leaving: whether the endpoint states that it leaves.
+    :param invalid_leaving: text of such a statement that has no meaning; None if there is none.
+    :param hold_off_s: time for which the endpoint, which refuses the request, wants no others of
+        this gateway, in seconds; None if it states none.
+    :param invalid_hold_off: text of such a time that is no decimal number; None if there is none.
     """
 
     status: int
@@ -87,6 +92,10 @@
     limit_per_s: float | None = None
     invalid_limit: str | None = None
     media_type: bytes = b""
+    is_leaving: bool = False
+    invalid_leaving: str | None = None
+    hold_off_s: float | None = None
+    invalid_hold_off: str | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -96,11 +105,13 @@
     :param accepted_orders: number of orders that it has accepted since its start.
     :param is_busy: whether an order is in progress.
     :param weights: version of the weights by model.
+    :param is_leaving: whether the engine states that it leaves.
     """
 
     accepted_orders: int
     is_busy: bool
     weights: dict[str, int]
+    is_leaving: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -119,12 +130,14 @@
     :param epoch: number that differs for each start of the engine or store.
     :param cursor: cursor for the next poll.
     :param has_gap: whether changes after the cursor of the poll are missing.
+    :param is_leaving: whether the engine states that it leaves.
     """
 
     epoch: int
     cursor: int
     has_gap: bool
     changes: list[CacheChange]
+    is_leaving: bool = False
 
 
 class EngineCallError(Exception):
@@ -132,12 +145,21 @@
 
     :param is_outcome_unknown: whether the call may have taken effect.
     :param has_reply: whether the engine replied, so that it is reachable.
+    :param hold_off_s: as in ``AnswerInfo``.
     """
 
-    def __init__(self, reason: str, *, is_outcome_unknown: bool, has_reply: bool = False):
+    def __init__(
+        self,
+        reason: str,
+        *,
+        is_outcome_unknown: bool,
+        has_reply: bool = False,
+        hold_off_s: float | None = None,
+    ):
         super().__init__(reason)
         self.is_outcome_unknown = is_outcome_unknown
         self.has_reply = has_reply
+        self.hold_off_s = hold_off_s
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/gateway/_caches.py
+++ b/teaselpath/gateway/_caches.py
@@ -12,6 +12,7 @@
 from teaselpath.dispatch import EndpointHealth, EndpointView, PartCache, StoreView
 from teaselpath.fleet import CacheChanges, EngineCallError, EngineCalls
 from teaselpath.gateway._state import GatewayState
+from teaselpath.gateway._statements import record_hold_off, record_leaving
 from teaselpath.utils import rendezvous_top
 
 # Duration of a long poll for cache changes, in seconds.
@@ -41,12 +42,16 @@
 
 @dataclass(slots=True, frozen=True)
 class _Target:
-    """An engine or store whose cache is followed."""
+    """An engine or store whose cache is followed.
+
+    :param view: None for a store.
+    """
 
     name: str
     address: str
     cache: PartCache
     health: EndpointHealth
+    view: EndpointView | None = None
 
 
 class CacheWatcher:
@@ -76,7 +81,7 @@
         is_large = self._is_large_fleet()
         for view in self._followed_engines(is_large):
             endpoint = view.endpoint
-            target = _Target(endpoint.endpoint_id, endpoint.address, view.cache, view.health)
+            target = _Target(endpoint.endpoint_id, endpoint.address, view.cache, view.health, view)
             targets[endpoint.incarnation, endpoint.address] = target
         for address, store_view in self._followed_stores(is_large):
             targets[address, "store"] = _Target(
@@ -118,6 +123,7 @@
     async def _follow(self, target: _Target) -> None:
         cursor, epoch, missed = 0, None, 0
         while True:
+            await self._wait_while_held_off(target)
             started_at = self.loop.time()
             is_large = self._is_large_fleet()
             wait_s = SHORT_POLL_WAIT_S if is_large else POLL_WAIT_S
@@ -126,6 +132,8 @@
                     target.address, cursor, wait_s, started_at + wait_s + ANSWER_TIMEOUT_S
                 )
             except EngineCallError as error:
+                if error.hold_off_s and target.view is not None:
+                    record_hold_off(target.view, error.hold_off_s, self.loop.time())
                 missed = 0 if error.has_reply else missed + 1
                 if missed == MAX_MISSED_POLLS and not target.health.is_unreachable:
                     target.health.is_unreachable = True
@@ -138,6 +146,9 @@
                 target.health.is_unreachable = False
                 log_message("engine_regained", endpoint=target.name)
             missed = 0
+            if page.is_leaving and target.view is not None:
+                drain_s = self.state.settings.bounds.drain_s
+                record_leaving(target.view, self.loop.time() + drain_s, "cache poll")
             if epoch != page.epoch or page.has_gap:
                 self._clear_index(target, epoch, page)
             epoch, cursor = page.epoch, page.cursor
@@ -149,6 +160,13 @@
             if pause_s > 0 and len(page.changes) < FULL_PAGE_CHANGES:
                 await asyncio.sleep(pause_s)
 
+    async def _wait_while_held_off(self, target: _Target) -> None:
+        """Wait while an engine wants nothing of this gateway."""
+        if target.view is None:
+            return
+        while target.view.availability.is_held_off(self.loop.time()):
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
     def _clear_index(self, target: _Target, epoch: int | None, page: CacheChanges) -> None:
         log_message(
             "cache_index_cleared",
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -33,7 +33,7 @@
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._placement import Placer
 from teaselpath.gateway._quarantine import QuarantineGate
-from teaselpath.gateway._responses import LEAVING_RETRY_AFTER_S, Responder
+from teaselpath.gateway._responses import Responder
 from teaselpath.gateway._state import GatewayState, LongPlacement
 from teaselpath.http1 import Exchange, HttpClient
 from teaselpath.results import Code
@@ -159,9 +159,8 @@
                 case ForwardAnswer():
                     return self.responder.forward_answer(exchange, call)
                 case Refuse():
-                    return self.responder.refuse(
-                        exchange, call, Code.ENDPOINT_LEAVING, LEAVING_RETRY_AFTER_S
-                    )
+                    wait_s = self.placer.retry_after_s(call, self.loop.time())
+                    return self.responder.refuse(exchange, call, Code.ENDPOINT_LEAVING, wait_s)
                 case Fail(status):
                     return self.responder.fail(exchange, call, status)
                 case Cut():
@@ -234,10 +233,14 @@
 
     def _record_outcome(self, call: Call, placed: Placed, outcome: Outcome, now: float) -> None:
         health = placed.view.health
-        call.tried.add(placed.view.endpoint.endpoint_id)
+        is_held_off = placed.view.availability.is_held_off(now)
+        # An endpoint that wants no requests for now may take this one later.
+        if not (is_held_off and isinstance(outcome, NotSent | NotRun)):
+            call.tried.add(placed.view.endpoint.endpoint_id)
         match outcome:
             case NotSent():
-                health.record_unreachable(now)
+                if not is_held_off:
+                    health.record_unreachable(now)
             case NotRun():
                 call.progress.sends += 1
             case Answered(status):
--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -18,6 +18,7 @@
 )
 from teaselpath.gateway._peers import PeerExchange
 from teaselpath.gateway._state import GatewayState
+from teaselpath.gateway._statements import record_hold_off, record_leaving
 from teaselpath.rollout import (
     Action,
     EngineStatus,
@@ -103,8 +104,14 @@
             return
         now = self.loop.time()
         is_urgent = self._is_rollout_late(engines, now)
+        if not is_urgent:
+            engines = [engine for engine in engines if not self._is_held_off(engine.key, now)]
         self._run_actions(self.rollout.plan(engines, announced, now, is_urgent=is_urgent))
 
+    def _is_held_off(self, key: str, now: float) -> bool:
+        """Return whether an engine that loads nothing yet wants no calls of this gateway."""
+        return key not in self.rollout.loads and self.state.views[key].availability.is_held_off(now)
+
     def _is_rollout_late(self, engines: list[EngineStatus], now: float) -> bool:
         """Return whether an engine has weights that should have been replaced by now."""
         limit_s = SPEED_UP_FRACTION * self.state.settings.bounds.rollout_limit_s
@@ -123,7 +130,9 @@
                 view.requests(),
             )
             for view in self.state.views.values()
-            if view.weights and view.endpoint.state is EndpointState.READY
+            if view.weights
+            and view.endpoint.state is EndpointState.READY
+            and not view.availability.is_leaving
         ]
 
     def _rank(self) -> int:
@@ -242,8 +251,13 @@
             report = await self.engines.fetch_report(view.endpoint.address, deadline)
         except EngineCallError as error:
             log_message("report_failed", endpoint=key, reason=str(error))
+            if error.hold_off_s:
+                record_hold_off(view, error.hold_off_s, self.loop.time())
             self._run_actions(self.rollout.handle_report_failure(key, self.loop.time()))
             return
+        if report.is_leaving:
+            drain_s = self.state.settings.bounds.drain_s
+            record_leaving(view, self.loop.time() + drain_s, "report")
         self._run_actions(self.rollout.handle_report(key, report, announced, self.loop.time()))
 
     async def _drain(self, key: str, deadline: float) -> None:
@@ -263,6 +277,9 @@
         if view is None or not self.lease.is_held(self.clock()):
             self.rollout.handle_order_reply(order.key, "lease lost", self.loop.time())
             return
+        if view.availability.is_leaving:
+            self.rollout.handle_order_reply(order.key, "leaving", self.loop.time())
+            return
         message = WeightsOrder(
             endpoint_id=order.key,
             address=view.endpoint.address,
@@ -278,6 +295,8 @@
             status = await self.engines.send_order(message, self.loop.time() + CALL_TIMEOUT_S)
         except EngineCallError as error:
             reason = str(error)
+            if error.hold_off_s:
+                record_hold_off(view, error.hold_off_s, self.loop.time())
             status = None if error.is_outcome_unknown else "unreachable"
         log_message(
             "weights_ordered",
--- a/teaselpath/gateway/_responses.py
+++ b/teaselpath/gateway/_responses.py
@@ -17,8 +17,6 @@
 
 # Shortest Retry-After of a refusal by a stopping gateway, in seconds.
 MIN_RETRY_AFTER_S = 0.2
-# Retry-After if the endpoint did not run the request and another may be free, in seconds.
-LEAVING_RETRY_AFTER_S = 0.2
 
 
 class Responder:
@@ -67,7 +65,7 @@
 
     def end_unplaced(self, exchange: Exchange, call: Call, no_endpoint: NoEndpoint) -> Code:
         """End a request for which no endpoint is left."""
-        is_overload = no_endpoint.reason in ("queue", "limited")
+        is_overload = no_endpoint.reason in ("queue", "limited", "held_off")
         code = Code.OVERLOADED if is_overload else Code.NO_ENDPOINT
         call.attempts.append(("", no_endpoint.reason, 0.0))
         if call.progress.runs == 0:
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -7,6 +7,7 @@
 
 from teaselpath.dispatch import (
     PREFILL_TOKENS_PER_S,
+    AvailabilityTable,
     EndpointPool,
     EndpointView,
     SharedQuota,
@@ -116,6 +117,7 @@
     :ivar era_seen_at: time at which this gateway first knew of that era, in seconds.
     :ivar on_new_era: called for each era after the first.
     :ivar endpoint_ids: id of each known endpoint by its number.
+    :ivar availabilities: what endpoints have stated on whether they take requests.
     :ivar reads_store: whether this gateway follows the store itself; others receive its records
         from peers.
     :ivar stop: the planned stop of this gateway, once it has begun.
@@ -133,6 +135,7 @@
         self.endpoints = EndpointTable()
         self.views: dict[str, EndpointView] = {}
         self.endpoint_ids: dict[int, str] = {}
+        self.availabilities = AvailabilityTable()
         self.pools: dict[str, EndpointPool] = {}
         self.cache_stores: dict[str, StoreView] = {}
         self.members: dict[str, Member] = {}
@@ -317,7 +320,10 @@
             self.views.pop(key, None)
             return
         if view is None or view.endpoint.incarnation != endpoint.incarnation:
-            view = self.views[key] = EndpointView(endpoint, weights=dict(endpoint.weights))
+            availability = self.availabilities.get(endpoint.number)
+            view = self.views[key] = EndpointView(
+                endpoint, weights=dict(endpoint.weights), availability=availability
+            )
         else:
             view.endpoint = endpoint
             for model, version in endpoint.weights:
--- a/teaselpath/gateway/tests/test_orders.py
+++ b/teaselpath/gateway/tests/test_orders.py
@@ -55,3 +55,25 @@
         await keeper._drain("e", keeper.loop.time() + 60.0)
 
     asyncio.run(scenario())
+
+
+def test_engine_that_leaves_gets_no_weights_order(state):
+    async def scenario():
+        state.apply_endpoint_record(endpoint_record("e", 1), "store", 1.0)
+        state.apply_endpoint_record(endpoint_record("f", 2), "store", 1.0)
+        keeper = make_keeper(state)
+        state.views["e"].availability.record_leaving(100.0)
+        return [engine.key for engine in keeper._engines()]
+
+    assert asyncio.run(scenario()) == ["f"]
+
+
+def test_engine_that_wants_no_calls_is_ordered_later(state):
+    async def scenario():
+        state.apply_endpoint_record(endpoint_record("e", 1), "store", 1.0)
+        keeper = make_keeper(state)
+        now = keeper.loop.time()
+        state.views["e"].availability.record_hold_off(now + 5.0)
+        return keeper._is_held_off("e", now), keeper._is_held_off("e", now + 5.0)
+
+    assert asyncio.run(scenario()) == (True, False)
--- a/teaselpath/platform/_engines.py
+++ b/teaselpath/platform/_engines.py
@@ -12,6 +12,7 @@
     WeightsOrder,
 )
 from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout, Response
+from teaselpath.platform._requests import parse_hold_off, states_leaving
 
 T = TypeVar("T")
 
@@ -53,7 +54,8 @@
         response = await self._call(address, b"GET", b"/-/report", deadline)
         report = _decode(response, _Report)
         weights = {model.name: model.version for model in report.models}
-        return EngineReport(report.seq, report.busy, weights)
+        is_leaving = states_leaving(response.head.headers)
+        return EngineReport(report.seq, report.busy, weights, is_leaving)
 
     async def send_order(self, order: WeightsOrder, deadline: float) -> str:
         """Send an order to load weights after the running requests have finished.
@@ -61,6 +63,7 @@
         :returns: ``accepted``, ``done``, ``busy``, ``fenced``, ``elsewhere`` or ``invalid``.
             ``fenced``: the engine refuses the fence; ``elsewhere``: another process replies at
             the address.
+        :raises EngineCallError: if the engine did not reply, or wants no calls for a while.
         """
         fields = {
             "operation": "version",
@@ -81,6 +84,8 @@
         response = await self._call(
             order.address, b"POST", b"/-/order", deadline, headers, body, needs_proof=True
         )
+        if response.head.status == 503:
+            raise _refusal(response)
         return _ORDER_STATUS.get(response.head.status, "invalid")
 
     async def poll_cache_changes(
@@ -92,7 +97,8 @@
         response = await self._call(address, b"GET", target, deadline, headers)
         page = _decode(response, _Events)
         changes = [CacheChange(scope, part, tokens) for _, _, scope, part, tokens, _ in page.events]
-        return CacheChanges(page.boot_epoch, page.next_token, page.lost, changes)
+        is_leaving = states_leaving(response.head.headers)
+        return CacheChanges(page.boot_epoch, page.next_token, page.lost, changes, is_leaving)
 
     async def _call(
         self,
@@ -124,10 +130,18 @@
 
 def _decode(response: Response, kind: type[T]) -> T:
     if response.head.status != 200:
-        reason = f"refused with {response.head.status}"
-        raise EngineCallError(reason, is_outcome_unknown=False, has_reply=True)
+        raise _refusal(response)
     try:
         return msgspec.json.decode(response.body, type=kind)
     except msgspec.MsgspecError as error:
         reason = f"unreadable answer: {error}"
         raise EngineCallError(reason, is_outcome_unknown=False, has_reply=True) from error
+
+
+def _refusal(response: Response) -> EngineCallError:
+    head = response.head
+    hold_off_s, invalid_text = parse_hold_off(head.status, head.headers)
+    reason = f"refused with {head.status}"
+    if invalid_text is not None:
+        reason += f", invalid time {invalid_text}"
+    return EngineCallError(reason, is_outcome_unknown=False, has_reply=True, hold_off_s=hold_off_s)
