Admission: a route none of whose services has a share refuses its requests

Cause: the choice by shares raises if they add up to 0. Change: services without a share are not chosen; without any, the request is refused as not run, as where the service is not listed.

--- a/teaselpath/gateway/_admission.py
+++ b/teaselpath/gateway/_admission.py
@@ -127,9 +127,13 @@
     def _choose_service(self, route: Route) -> Service | None:
         assert self.state.config is not None
         backends = route.backends
+        if len(backends) > 1:
+            backends = tuple(backend for backend in backends if backend.weight > 0.0)
+        if not backends:
+            return None
         chosen = backends[0]
         if len(backends) > 1:
-            weights = [b.weight for b in backends]
+            weights = [backend.weight for backend in backends]
             chosen = self.random.choices(backends, weights)[0]
         return self.state.config.services.get(chosen.service)
 
--- a/teaselpath/gateway/tests/front.py
+++ b/teaselpath/gateway/tests/front.py
@@ -91,12 +91,13 @@
         now = asyncio.get_running_loop().time()
         self.state.apply_endpoint_record(endpoint_record(name, self.offset, **fields), "test", now)
 
-    async def send(self, path: str = "/", fields: str = "") -> bytes:
+    async def send(self, path: str = "/", fields: str = "", request_id: str = "r") -> bytes:
         """Send a request on a connection of its own; return all bytes of the response."""
         host, _, port = self.address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        head = f"POST {path} HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nConnection: close\r\n{fields}"
-        writer.write(f"{head}Content-Length: 2\r\n\r\n{{}}".encode())
+        head = f"POST {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n{fields}"
+        head += f"Request-Id: {request_id}\r\nContent-Length: 2\r\n\r\n"
+        writer.write(head.encode() + b"{}")
         try:
             async with asyncio.timeout(10):
                 return await reader.read()
