Requests: names from records are sent in UTF-8

Cause: the encoding of header fields with names of workspaces, their scopes and endpoints was Latin-1, and raised. Change: UTF-8, as in the records that hold the names; ASCII names are sent as before.

--- a/teaselpath/gateway/tests/test_changes.py
+++ b/teaselpath/gateway/tests/test_changes.py
@@ -69,6 +69,12 @@
     front.put_config(**config(kind, timeoutMs=1), limits=limits)
 
 
+def name_tenant_in_another_script(front, kind):
+    front.put_config(
+        **{**config(kind), "tenants": [{**TENANT, "name": "прокат", "isolated": True}]}
+    )
+
+
 def remove_endpoints(front, kind):
     for name in ("e0", "e1"):
         front.offset += 1
@@ -107,6 +113,7 @@
     split_route,
     end_route,
     shorten_times,
+    name_tenant_in_another_script,
     remove_endpoints,
     restart_endpoints,
     move_endpoints,
--- a/teaselpath/platform/_requests.py
+++ b/teaselpath/platform/_requests.py
@@ -94,7 +94,7 @@
             (b"Host", request.host.encode("latin-1")),
             *request.forwarded_headers,
             (b"Deadline-Ms", b"%d" % max(1, int(forwarding.time_left_s * 1000))),
-            (b"Expect-Instance", forwarding.endpoint_id.encode("latin-1")),
+            (b"Expect-Instance", forwarding.endpoint_id.encode()),
         ]
         optional = (
             (b"Tenant", forwarding.workspace),
@@ -104,7 +104,8 @@
             (b"Kv-Fetch", forwarding.fetch_from),
             (b"Kv-Save", forwarding.save_to),
         )
-        headers += [(k, str(v).encode("latin-1")) for k, v in optional if v is not None]
+        # Names come from JSON records, in UTF-8; what callers send is passed on byte by byte.
+        headers += [(k, str(v).encode()) for k, v in optional if v is not None]
         if forwarding.last_event_id is not None:
             headers.append((b"Last-Event-Id", forwarding.last_event_id))
         return encode_request(request.method, request.target, headers, request.body)
