--- a/teaselpath/fleet/_endpoints.py
+++ b/teaselpath/fleet/_endpoints.py
@@ -223,7 +223,7 @@
                 self.lapsed.setdefault(key, now + LAPSE_GRACE_S)
 
     def extend_lapses(self, now: float) -> None:
-        """Postpone the pending removals during an outage of the store."""
+        """Postpone the pending removals during an outage or at a restoration of the store."""
         for key in self.lapsed:
             self.lapsed[key] = now + LAPSE_GRACE_S
 
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -371,6 +371,7 @@
             log_message("store_era_changed", before=self.era, era=era, source=source)
             is_first = self.era == 0
             self.era, self.era_seen_at = era, now
+            self.endpoints.extend_lapses(now)
             for callback in [] if is_first else self.on_new_era:
                 callback()
         return era == self.era
--- a/teaselpath/gateway/tests/test_peers.py
+++ b/teaselpath/gateway/tests/test_peers.py
@@ -169,3 +169,30 @@
 
 def endpoint_records(encoded):
     return msgspec.msgpack.decode(encoded, type=RecordSet).endpoints
+
+
+def test_new_era_of_the_store_is_learned_from_a_peer():
+    async def scenario():
+        own, other = make_exchange(), make_exchange("gw-1")
+        other.state.observe_era(3, "store", 1.0)
+        own.state.observe_era(2, "store", 1.0)
+        own.datagram_received(status_of(other, "gw-1", 5, 1), None)
+        return own.state.era
+
+    assert asyncio.run(scenario()) == 3
+
+
+def test_peer_that_believes_an_earlier_era_has_nothing_newer():
+    async def scenario():
+        own, other = make_exchange(), make_exchange("gw-1")
+        now = own.loop.time()
+        other.state.apply_endpoint_record(endpoint_record("e", 90), "store", now)
+        own.state.apply_endpoint_record(endpoint_record("e", 4, era=2), "store", now)
+        own.datagram_received(status_of(other, "gw-1", 5, 1), None)
+        other.datagram_received(status_of(own, "gw-2", 6, 1), None)
+        later = now + 2 * ENDPOINTS_FETCH_DELAY_S
+        ahead = [e.records.peer_to_fetch_from(later) for e in (own, other)]
+        return [status and status.host for status in ahead]
+
+    # "gw-2" stands for the gateway that knows the newer era.
+    assert asyncio.run(scenario()) == [None, "gw-2"]
--- a/teaselpath/gateway/tests/test_state.py
+++ b/teaselpath/gateway/tests/test_state.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from teaselpath.fleet import Position, StoredRecord
+from teaselpath.fleet import Position, StoredRecord, Topic
 from teaselpath.gateway.tests.conftest import config_record, endpoint_record, removal_record
 
 
@@ -122,3 +122,54 @@
     assert state.count_gateways(10.5) == (2, 2)
     assert state.count_gateways(20.0) == (1, 2)
     assert state.count_gateways(41.0) == (1, 1)
+
+
+def test_configuration_written_after_the_store_returned_from_a_copy_is_applied(state):
+    state.apply_operator_record(config_record(17, 16), "store", 1.0)
+    state.observe_era(2, "store", 2.0)
+    state.apply_operator_record(config_record(19, 9, era=2), "store", 2.0)
+    assert state.config.version == 19
+
+
+def test_older_configuration_of_a_copy_is_not_reinstated(state):
+    state.apply_operator_record(config_record(17, 16), "store", 1.0)
+    state.apply_operator_record(config_record(14, 9, era=2), "store", 2.0)
+    assert state.config.version == 17
+
+
+def test_configuration_that_the_store_has_lost_is_accepted_from_a_peer(state):
+    state.apply_operator_record(config_record(14, 9, era=2), "store", 1.0)
+    state.apply_operator_record(config_record(17, 16, era=1), "peer x", 2.0)
+    assert state.config.version == 17
+
+
+def test_configuration_that_is_written_again_has_the_newer_position(state):
+    state.apply_operator_record(config_record(17, 16), "store", 1.0)
+    state.apply_operator_record(config_record(17, 11, era=2), "store", 2.0)
+    assert state.newest_position(Topic.OPERATORS) == Position(2, 11)
+
+
+def test_removal_after_a_return_that_nobody_noticed_may_be_a_lapse(state):
+    now = make_store_up(state)
+    state.apply_endpoint_record(endpoint_record("e", 5, seq=3), "store", now)
+    state.observe_era(2, "peer x", now + 50.0)
+    state.apply_endpoint_record(removal_record("e", 2, era=2), "store", now + 51.0)
+    assert len(state.pool("s").candidates(b"")) == 1
+
+
+def test_pending_removal_is_postponed_if_the_store_returns_from_a_copy_again(state):
+    now = make_store_up(state)
+    state.apply_endpoint_record(endpoint_record("e", 5, seq=3), "store", now)
+    for era in (2, 3):
+        now += 2.0
+        state.observe_era(era, "store", now)
+        state.remove_unlisted(set(), Position(era, 4), now)
+        state.expire_lapses(now + 2.0)
+    assert len(state.pool("s").candidates(b"")) == 1
+
+
+def test_answer_of_an_era_that_is_over_is_recognized(state):
+    assert state.observe_era(2, "store", 1.0)
+    assert state.observe_era(2, "peer x", 5.0)
+    assert not state.observe_era(1, "store", 6.0)
+    assert (state.era, state.era_seen_at) == (2, 1.0)
--- a/teaselpath/gateway/tests/test_watch.py
+++ b/teaselpath/gateway/tests/test_watch.py
@@ -1,25 +1,38 @@
-"""Following the store: no poll that an outage has swallowed outlives the outage."""
+"""Following the store: around outages, and when it returns from a copy."""
 
 import asyncio
 
-from teaselpath.fleet import Position, RecordPage, StoreError, Topic
+from teaselpath.fleet import Position, RecordPage, StoredRecord, StoreError, Topic
 from teaselpath.gateway import _watch
 from teaselpath.gateway._watch import StoreWatcher
-from teaselpath.gateway.tests.conftest import config_record
+from teaselpath.gateway.tests.conftest import config_record, endpoint_record
 
 
 class HangingStore:
     """Store whose polls the test answers or fails one by one.
 
     :ivar polls: waiting polls by topic: requested duration and future of the page.
+    :ivar starts: position from which each poll reads, by topic, in order.
+    :ivar appends: keys of the appended records.
     """
 
     def __init__(self, decoder):
         self.decode_config = decoder.decode_config
         self.decode_weights = decoder.decode_weights
         self.polls: dict[Topic, tuple[float, asyncio.Future]] = {}
+        self.starts: dict[Topic, list[Position | None]] = {topic: [] for topic in Topic}
+        self.appends: list[str] = []
+
+    async def append(self, topic, key, value, end=None):
+        self.appends.append(key)
+        return Position(1, len(self.appends))
+
+    def answer(self, topic, *records, end, is_listing=False):
+        """Answer the waiting poll of a topic."""
+        self.polls[topic][1].set_result(RecordPage(list(records), end, is_listing))
 
     async def poll(self, topic, start, wait_s):
+        self.starts[topic].append(start)
         future = asyncio.get_running_loop().create_future()
         self.polls[topic] = (wait_s, future)
         return await future
@@ -61,3 +74,91 @@
         return swallowed.cancelled(), wait_s, state.config.version
 
     assert asyncio.run(scenario()) == (True, 0.0, 16)
+
+
+def follow(state, scenario, *jobs):
+    """Run the named jobs of a watcher beside a scenario, and return what the scenario returns."""
+
+    async def run():
+        store = state.store = HangingStore(state.store)
+        watcher = StoreWatcher(state)
+        async with asyncio.TaskGroup() as group:
+            tasks = [group.create_task(getattr(watcher, job)()) for job in jobs]
+            await settle()
+            result = await scenario(store)
+            for task in tasks:
+                task.cancel()
+        return result
+
+    return asyncio.run(run())
+
+
+def test_poll_beyond_the_new_end_is_replaced_by_a_listing_once_a_peer_knows_of_the_return(state):
+    async def scenario(store):
+        store.answer(Topic.OPERATORS, config_record(16, 9), end=Position(1, 10), is_listing=True)
+        await settle()
+        before = store.polls[Topic.OPERATORS][1]
+        state.observe_era(2, "peer x", 1.0)
+        await settle()
+        records = [config_record(18, 4, era=2)]
+        store.answer(Topic.OPERATORS, *records, end=Position(2, 5), is_listing=True)
+        await settle()
+        return before.cancelled(), store.starts[Topic.OPERATORS], state.config.version
+
+    was_ended, starts, version = follow(state, scenario, "follow_operators")
+    assert was_ended
+    assert starts == [None, Position(1, 10), None, Position(2, 5)]
+    assert version == 18
+
+
+def test_answer_of_an_earlier_era_is_discarded_and_the_topic_listed_again(state, monkeypatch):
+    monkeypatch.setattr(_watch, "RETRY_DELAY_S", 0.0)
+
+    async def scenario(store):
+        state.observe_era(2, "peer x", 1.0)
+        store.answer(Topic.ENDPOINTS, endpoint_record("e", 9), end=Position(1, 10), is_listing=True)
+        await settle()
+        return store.starts[Topic.ENDPOINTS], state.views
+
+    assert follow(state, scenario, "follow_endpoints") == ([None, None], {})
+
+
+def test_topic_is_not_listed_again_and_again_if_its_end_lies_before_the_cursor(state):
+    async def scenario(store):
+        store.answer(Topic.OPERATORS, config_record(16, 9), end=Position(1, 10), is_listing=True)
+        await settle()
+        for _ in range(5):
+            if not store.polls[Topic.OPERATORS][1].done():
+                store.answer(Topic.OPERATORS, end=Position(1, 3), is_listing=True)
+            await settle()
+        return len(store.starts[Topic.OPERATORS])
+
+    # The listing, the poll that became a listing, and none within the delay.
+    assert follow(state, scenario, "follow_operators") == 2
+
+
+def test_gateway_announces_itself_again_in_a_new_era(state):
+    async def scenario(store):
+        store.answer(Topic.MEMBERS, end=Position(1, 1), is_listing=True)
+        await settle()
+        before = len(store.appends)
+        state.observe_era(2, "peer x", 1.0)
+        await settle()
+        return before, len(store.appends)
+
+    assert follow(state, scenario, "follow_members") == (1, 2)
+
+
+def test_copied_member_record_does_not_replace_the_present_incarnation(state):
+    async def scenario(store):
+        store.answer(Topic.MEMBERS, end=Position(1, 1), is_listing=True)
+        await settle()
+        state.record_member("gw-1", "127.0.0.3", 7, 1.0).last_contact_at = 1.0
+        state.observe_era(2, "peer x", 1.0)
+        await settle()
+        record = StoredRecord("gw-1", b'{"ip":"127.0.0.3","incarnation":5}', Position(2, 0))
+        store.answer(Topic.MEMBERS, record, end=Position(2, 1), is_listing=True)
+        await settle()
+        return state.members["gw-1"].incarnation
+
+    assert follow(state, scenario, "follow_members") == 7
