Soak: the store returns from copies of up to 10 s age, beside all other faults

About every 4 s the store is away for up to 2 s and returns from a copy; the operator writes its records again up to 1.5 s later, with new weights in half of the cases; entries of engines that are gone expire as on the platform.

--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -7,6 +7,7 @@
 from standins.hosted._client import Answer, Caller
 from standins.hosted._engine import EngineFaults, HostedEngine, Run, shared_parts_of
 from standins.hosted._site import (
+    HEARTBEAT_INTERVAL_S,
     GatewayProcess,
     HostedSite,
     ListedEngine,
@@ -14,9 +15,10 @@
     SiteTenant,
     expected_signature,
 )
-from standins.hosted._store import HostedStore, StoreFaults
+from standins.hosted._store import HostedStore, StoreCopy, StoreFaults
 
 __all__ = [
+    "HEARTBEAT_INTERVAL_S",
     "Answer",
     "Caller",
     "EngineFaults",
@@ -28,6 +30,7 @@
     "Run",
     "SiteRoute",
     "SiteTenant",
+    "StoreCopy",
     "StoreFaults",
     "expected_signature",
     "shared_parts_of",
--- a/standins/hosted/_store.py
+++ b/standins/hosted/_store.py
@@ -47,6 +47,10 @@
         return {key: entry for key, entry in found.items() if entry[1]}
 
 
+# All topics at some time.
+StoreCopy = dict[str, _Topic]
+
+
 class HostedStore:
     """The store; ``handle`` processes its HTTP requests."""
 
@@ -71,13 +75,13 @@
         for topic in self.topics.values():
             topic.first = len(topic.records)
 
-    def copy_topics(self) -> dict[str, _Topic]:
+    def copy_topics(self) -> StoreCopy:
         """Return a copy of all topics, for ``restore``."""
         return {
             name: _Topic(list(topic.records), topic.first) for name, topic in self.topics.items()
         }
 
-    def restore(self, copied: dict[str, _Topic]) -> None:
+    def restore(self, copied: StoreCopy) -> None:
         """Continue from a copy, as after the loss of all later records; begins a new era.
 
         Polls in flight return records of the era in which they were sent. Operators and servers
--- a/standins/soak/_faults.py
+++ b/standins/soak/_faults.py
@@ -3,10 +3,12 @@
 import asyncio
 import signal
 import time
+from collections import deque
 from collections.abc import Callable, Coroutine
 from random import Random
 from typing import TYPE_CHECKING
 
+from standins.hosted import HEARTBEAT_INTERVAL_S, StoreCopy
 from standins.soak._configs import change_routes
 from standins.soak._proxy import LinkFault
 
@@ -19,6 +21,19 @@
 LIMIT_INTERVAL_S = 4.0
 # Mean interval between changes of routes, in seconds.
 CONFIG_INTERVAL_S = 1.0
+# Mean interval between returns of the store from a copy, and the longest time for which it is away
+# before, in seconds.
+RESTORE_INTERVAL_S = 4.0
+MAX_AWAY_S = 2.0
+# Interval at which copies are made, in seconds, and their number: the oldest is 10 s old.
+COPY_INTERVAL_S = 0.25
+MAX_COPIES = 40
+# Longest time until the operator has written its records again, in seconds, and the fraction of the
+# returns after which it also announces new weights.
+MAX_REPEAT_DELAY_S = 1.5
+NEW_WEIGHTS_FRACTION = 0.5
+# Time after which the platform removes entries of engines that are gone, in seconds.
+ENTRY_EXPIRY_S = 3 * HEARTBEAT_INTERVAL_S
 # Ends of engines after which gateways refuse the part that ends them.
 COUNTED_ENDS = 5
 
@@ -42,6 +57,7 @@
         self.soak.start_fault(self.disturb_answers(until))
         self.soak.start_fault(self.limit_engines(until))
         self.soak.start_fault(self.change_routes(until))
+        self.soak.start_fault(self.restore_store(until))
         source = Random(self.plan.seed + 3)
         self.soak.deadly_from = time.monotonic() + source.uniform(0.1, 0.5) * self.plan.fault_s
         kinds: list[Callable[[], Coroutine[None, None, None]]] = [
@@ -172,6 +188,40 @@
         version = self.soak.write_config()
         self.soak.record_fault(f"configuration version {version}: {change}")
 
+    async def restore_store(self, until: float) -> None:
+        """Let the store be away and return from a copy some seconds old, several times."""
+        source = Random(self.plan.seed + 6)
+        store = self.site.store
+        copies: deque[tuple[float, StoreCopy]] = deque(maxlen=MAX_COPIES)
+        restore_at = time.monotonic() + source.expovariate(1 / RESTORE_INTERVAL_S)
+        while time.monotonic() < until:
+            copies.append((time.monotonic(), store.copy_topics()))
+            await asyncio.sleep(COPY_INTERVAL_S)
+            if time.monotonic() < restore_at:
+                continue
+            age_s = source.uniform(0.0, MAX_COPIES * COPY_INTERVAL_S)
+            store.faults.mode = source.choice(["reset", "silent", "busy"])
+            await asyncio.sleep(source.uniform(0.0, MAX_AWAY_S))
+            made_at, copied = min(copies, key=lambda c: abs(time.monotonic() - age_s - c[0]))
+            store.restore(copied)
+            store.faults.mode = "ok"
+            age_s = time.monotonic() - made_at
+            self.soak.record_fault(f"store: era {store.era}, from a copy {age_s:.1f} s old")
+            self.soak.start_fault(self.repeat_records(source))
+            restore_at = time.monotonic() + source.expovariate(1 / RESTORE_INTERVAL_S)
+
+    async def repeat_records(self, source: Random) -> None:
+        """Write what operators and the platform write again after the store has returned."""
+        has_new_weights = source.random() < NEW_WEIGHTS_FRACTION
+        await asyncio.sleep(source.uniform(0.0, MAX_REPEAT_DELAY_S))
+        self.site.repeat_config()
+        self.site.repeat_weights()
+        self.soak.record_fault("operator's records written again")
+        if has_new_weights:
+            await self.change_weights()
+        await asyncio.sleep(ENTRY_EXPIRY_S)
+        self.site.expire_entries()
+
     async def replace_engine(self) -> None:
         models = [name for name in self.site.engines if name.startswith("llm")]
         name = self.random.choice(sorted(models))
