Log of the own fleet: a follower notices that the log went back

A log that is restored from a copy gives offsets out again. A follower whose offset lies beyond the end took itself for caught up and waited there, without a line; its agent counted the records as complete.

Change: a page that ends before the follower's offset is a failed read, with a line log_went_back: log_up is 0, nothing counts as caught up, claims wait until their deadline and are refused. A log that has grown past the offset between two reads cannot be told apart without an era in its protocol; that stays open.

--- a/teaselpath/control/_log_follower.py
+++ b/teaselpath/control/_log_follower.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from eliot import log_message
 from result import Ok
 
 from teaselpath.clients import LogClient, LogPage, LogRecord, Trimmed
@@ -78,6 +79,13 @@
         self.read_started_at = asyncio.get_running_loop().time()
         deadline = self.read_started_at + wait_ms / 1e3 + READ_TIMEOUT_MARGIN_S
         match await self.client.read(self.stream, self.next_offset, deadline, wait_ms=wait_ms):
+            case Ok(LogPage() as page) if page.next < self.next_offset:
+                # The log has lost records that it had acknowledged; those appended since then are
+                # not delivered, because their offsets were used before.
+                log_message(
+                    "log_went_back", stream=self.stream, end=page.next, read_to=self.next_offset
+                )
+                return False
             case Ok(LogPage() as page):
                 self._handle_page(page)
                 return True
