--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -9,6 +9,7 @@
 from standins.hosted._engine import HostedEngine, Run
 from standins.hosted._engine_faults import EngineFaults
 from standins.hosted._site import (
+    HEARTBEAT_INTERVAL_S,
     GatewayProcess,
     HostedSite,
     ListedEngine,
@@ -16,9 +17,10 @@
     SiteTenant,
     expected_signature,
 )
-from standins.hosted._store import HostedStore, StoreFaults
+from standins.hosted._store import HostedStore, StoreCopy, StoreFaults
 
 __all__ = [
+    "HEARTBEAT_INTERVAL_S",
     "Answer",
     "Caller",
     "EngineFaults",
@@ -30,6 +32,7 @@
     "Run",
     "SiteRoute",
     "SiteTenant",
+    "StoreCopy",
     "StoreFaults",
     "expected_signature",
     "shared_parts_of",
