http1: a success without framing and body isn't complete

Tried: answers with a length, in chunks (with trailer), without either, of HTTP/1.0, after an interim response and with a foreign coding, cut at every byte of head and body, in one packet and byte by byte, closed and reset. A head that is not whole never counts, nor does a body with framing, nor one without if the connection is reset.

Cause of the one case that did: an engine that leaves the length out and stops right after its head looks like an answer whose body ends with its connection. The same in a stream: the next engine stops after its head, no event follows, and the stream was finished as complete.

Change: the end of the connection completes a success only if some of its body has arrived; refusals need none. An answer that breaks off inside a body without framing, by an orderly close, still can't be told from a whole one; the protocol allows such answers.

The stand-in engine has the faults cut_heads and resets, its records moved to a file of their own.

--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -6,8 +6,9 @@
 
 from standins.hosted._answers import shared_parts_of
 from standins.hosted._client import Answer, Caller
-from standins.hosted._engine import HostedEngine, Run
+from standins.hosted._engine import HostedEngine
 from standins.hosted._engine_faults import EngineFaults
+from standins.hosted._records import Run
 from standins.hosted._site import (
     GatewayProcess,
     HostedSite,
--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,6 +12,7 @@
 
 from standins.hosted._answers import answer_of, events_of, shared_parts_of, stamp_of
 from standins.hosted._engine_faults import EngineFaults
+from standins.hosted._records import Order, Run
 from teaselpath.http1 import Exchange, ServerConnection, encode_head
 
 EVENT_INTERVAL_S = 0.004
@@ -25,45 +28,12 @@
 MAX_FLOOD_BYTES = 256 << 20
 
 
-@dataclass(slots=True)
-class Run:
-    """A request that an engine has started to run.
-
-    :param weights: weights version at the start.
-    :param scope: cache salt of the request.
-    :param stale_parts: cached prompt parts that were reused although other weights computed them.
-    """
-
-    request_id: str
-    endpoint_id: str
-    service: str
-    tenant: str | None
-    path: str
-    began_at: float
-    weights: int
-    scope: str | None
-    stale_parts: int
-    headers: dict[str, str]
-    ended_at: float | None = None
-
-
 @dataclass(slots=True)
 class _Part:
     tokens: int
     weights: int
 
 
-@dataclass(slots=True)
-class Order:
-    """An order as received by an engine, with the status of the reply."""
-
-    at: float
-    holder: str
-    fence: int
-    version: int
-    status: int
-
-
 class HostedEngine:
     """A model engine, or a plain service if it has no model.
 
@@ -277,6 +247,12 @@
             exchange.respond(200, [*base, stamp, coding], b"id: 1\ndata: \x1f\x8b\x08\n\n")
             return
         is_unframed = chance() < faults.unframed
+        if self._strikes(faults.cut_heads):
+            fields = [*base, stamp] if is_unframed else [*base, stamp, (b"Content-Length", b"9")]
+            head = encode_head(200, fields)
+            exchange.connection.write(head[: self.random.randrange(len(head) + 1)])
+            self._cut(exchange)
+            return
         if self.model is not None:
             await self._stream(exchange, run, [*base, stamp], is_unframed=is_unframed)
             return
@@ -285,13 +261,14 @@
             await self._repeat(exchange, b"Filler: bytes\r\n" * 512, 0.0)
         body = answer_of(run.request_id)
         if is_unframed:
-            exchange.connection.write(encode_head(200, [*base, stamp, CLOSE]) + body)
-            exchange.abort()
+            sent = body[: len(body) // 2] if faults.resets else body
+            exchange.connection.write(encode_head(200, [*base, stamp, CLOSE]) + sent)
+            self._cut(exchange)
             return
         if chance() < faults.cuts:
             exchange.start(200, [*base, stamp], len(body))
             exchange.write(body[: len(body) // 2])
-            exchange.abort()
+            self._cut(exchange)
             return
         exchange.respond(200, [*base, stamp], body)
         if chance() < faults.extra:
@@ -348,7 +325,7 @@
             sent = events[first:cut_at] if is_cut else events[first:]
             rest = events[cut_at][:-4] if is_cut and first <= cut_at < len(events) else b""
             exchange.connection.write(encode_head(200, [*headers, CLOSE]) + b"".join(sent) + rest)
-            exchange.abort()
+            self._cut(exchange)
             return
         exchange.start(200, headers)
         if self.random.random() < self.faults.stalls:
@@ -360,13 +337,23 @@
         for number, event in enumerate(events[first:], first + 1):
             if is_cut and number >= cut_at:
                 exchange.write(event[: len(event) // 2])
-                exchange.abort()
+                self._cut(exchange)
                 return
             exchange.write(event)
             await exchange.drain()
             await asyncio.sleep(EVENT_INTERVAL_S)
         exchange.finish()
 
+    def _cut(self, exchange: Exchange) -> None:
+        """Close the connection, or reset it if that fault is on."""
+        transport = exchange.connection.transport
+        if self.faults.resets and transport is not None:
+            sock = transport.get_extra_info("socket")
+            # Without lingering the kernel sends a reset instead of an orderly end.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            transport.abort()
+        exchange.abort()
+
     def _strikes(self, probability: float) -> bool:
         """Return whether a fault strikes; one that is off leaves the random source alone."""
         return probability > 0 and self.random.random() < probability
--- a/standins/hosted/_engine_faults.py
+++ b/standins/hosted/_engine_faults.py
@@ -22,6 +22,9 @@
     :param restarts: begins a stream that is to be resumed with its first event.
     :param skips: resumes a stream one event too late, unless that event is the last.
     :param plain: answers with a document instead of resuming a stream.
+    :param cut_heads: closes the connection within the head of the answer, or right after it.
+    :param resets: if above 0, answers that are cut end with a reset, and so does half of each
+        answer without framing.
     :param repeats: sends a refusal once more, with its id or without, ahead of the next answer on
         its connection.
     :param polls_unanswered: holds back the answer to a poll of cache events for 10 s.
@@ -42,6 +45,8 @@
     restarts: float = 0.0
     skips: float = 0.0
     plain: float = 0.0
+    cut_heads: float = 0.0
+    resets: float = 0.0
     repeats: float = 0.0
     polls_unanswered: float = 0.0
     orders_unanswered: float = 0.0
--- /dev/null
+++ b/standins/hosted/_records.py
@@ -0,0 +1,36 @@
+"""Records of what reached the simulated engines."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Run:
+    """A request that an engine has started to run.
+
+    :param weights: weights version at the start.
+    :param scope: cache salt of the request.
+    :param stale_parts: cached prompt parts that were reused although other weights computed them.
+    """
+
+    request_id: str
+    endpoint_id: str
+    service: str
+    tenant: str | None
+    path: str
+    began_at: float
+    weights: int
+    scope: str | None
+    stale_parts: int
+    headers: dict[str, str]
+    ended_at: float | None = None
+
+
+@dataclass(slots=True)
+class Order:
+    """An order as received by an engine, with the status of the reply."""
+
+    at: float
+    holder: str
+    fence: int
+    version: int
+    status: int
--- a/standins/hosted/_site.py
+++ b/standins/hosted/_site.py
@@ -13,7 +13,8 @@
 
 from standins.fleet import free_ports
 from standins.hosted._answers import stamp_of
-from standins.hosted._engine import HostedEngine, Run
+from standins.hosted._engine import HostedEngine
+from standins.hosted._records import Run
 from standins.hosted._store import HostedStore
 from teaselpath.fleet import CallerLimits
 from teaselpath.http1 import ServerConnection
--- a/teaselpath/http1/_connection.py
+++ b/teaselpath/http1/_connection.py
@@ -52,15 +52,29 @@
 
 
 class _IncomingResponse:
-    """A response that is being received."""
+    """A response that is being received.
 
-    __slots__ = ("chunks", "has_framing", "head", "is_complete")
+    :ivar has_framing: whether its head says where its body ends.
+    :ivar has_body: whether any of its body has arrived.
+    """
+
+    __slots__ = ("chunks", "has_body", "has_framing", "head", "is_complete")
 
     def __init__(self) -> None:
         self.head = ResponseHead(0)
         self.chunks: deque[bytes] = deque()
         self.is_complete = False
         self.has_framing = False
+        self.has_body = False
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether the end of the connection completes it.
+
+        A success without a body is one whose server stopped after the head.
+        """
+        status = self.head.status
+        return status != 0 and not self.has_framing and (self.has_body or status >= 300)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -140,7 +154,7 @@
     def eof_received(self) -> bool:
         """Complete a response without framing, which ends with the connection."""
         incoming = self.current
-        if incoming is not None and incoming.head.status and not incoming.has_framing:
+        if incoming is not None and incoming.ends_with_connection:
             incoming.is_complete = True
             self.current = None
         return False
@@ -191,6 +205,7 @@
         """Collect the body."""
         assert self.current is not None
         self.current.chunks.append(data)
+        self.current.has_body = True
         self.buffered_bytes += len(data)
         self.overhead_bytes = 0
 
--- a/teaselpath/http1/tests/conftest.py
+++ b/teaselpath/http1/tests/conftest.py
@@ -43,6 +43,23 @@
         return server
 
 
+class SilentTransport:
+    """Transport of a client connection whose data a test delivers itself."""
+
+    def write(self, data: bytes) -> None:
+        """Ignore what the connection sends."""
+
+    def abort(self) -> None:
+        """Ignore that the connection is closed."""
+
+    def get_extra_info(self, name: str) -> None:
+        """Return no socket."""
+
+    def get_write_buffer_size(self) -> int:
+        """Return that everything was sent."""
+        return 0
+
+
 @pytest.fixture
 def listener() -> TestServer:
     """Return a server that is not listening yet."""
--- a/teaselpath/http1/tests/test_late_copies.py
+++ b/teaselpath/http1/tests/test_late_copies.py
@@ -12,6 +12,7 @@
     PoolLimits,
     encode_request,
 )
+from teaselpath.http1.tests.conftest import SilentTransport
 
 STATUSES = [503, 429, 421, 400]
 FRAMINGS = ["length", "chunks", "none"]
@@ -22,25 +23,6 @@
 )
 
 
-class _Transport:
-    """Transport of a connection whose bytes the test delivers itself."""
-
-    def __init__(self) -> None:
-        self.is_aborted = False
-
-    def write(self, data: bytes) -> None:
-        pass
-
-    def abort(self) -> None:
-        self.is_aborted = True
-
-    def get_extra_info(self, name: str) -> None:
-        return None
-
-    def get_write_buffer_size(self) -> int:
-        return 0
-
-
 def encode_refusal(status: int, framing: str, request_id: bytes | None) -> bytes:
     fields = b"Not-Run: 1\r\n"
     if request_id is not None:
@@ -56,7 +38,7 @@
 async def open_used() -> ClientConnection:
     """Return an idle connection that has carried request r1, which was refused."""
     connection = ClientConnection(asyncio.get_running_loop())
-    connection.connection_made(_Transport())
+    connection.connection_made(SilentTransport())
     connection.send(b"GET", b"", b"request-id", b"r1")
     connection.data_received(encode_refusal(503, "length", b"r1"))
     await connection.read_head(_deadline())
@@ -142,7 +124,7 @@
 def test_connection_on_which_a_copy_has_begun_carries_no_other_request(framing, copy_id, is_idle):
     async def scenario(arrived):
         connection = ClientConnection(asyncio.get_running_loop())
-        connection.connection_made(_Transport())
+        connection.connection_made(SilentTransport())
         connection.send(b"GET", b"", b"request-id", b"r2")
         connection.data_received(OWN + (b"" if is_idle else arrived))
         await connection.read_head(_deadline())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 
 from standins.hosted import Answer, HostedSite, Run, expected_signature
 from standins.hosted._answers import events_of
-from standins.hosted._engine import Order
+from standins.hosted._records import Order
 from standins.soak import SoakPlan, check_guarantees, run_soak
 from standins.soak._checks import SentRequest
 
