DRAIN: an endpoint that was listed as leaving stays avoided when it is listed as ready again

What callers saw: seen in a test only. A gateway that had read that an endpoint leaves used it again without a limit once a stale record listed the same start of it as ready, as after a store's return from a copy.

Cause: the state of an endpoint is its newest record's; that it leaves was not kept beside it.

Change: a record that lists an endpoint as leaving counts like a statement of the endpoint itself, for that start of it (id and start time).

Evidence: the new state test failed before ("assert False ... is_leaving").

--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -17,6 +17,7 @@
 from teaselpath.exchange import is_large_fleet
 from teaselpath.fleet import (
     EndpointEntry,
+    EndpointState,
     EndpointTable,
     EngineLimits,
     FleetConfig,
@@ -27,6 +28,7 @@
     Topic,
     Workspace,
 )
+from teaselpath.gateway._statements import record_leaving
 
 # A gateway that sent a message or was listed within this time may still be running and spend
 # quota, in seconds.
@@ -234,6 +236,10 @@
             self._log_endpoint(change, entry, record, source)
         if before != self.endpoints.get(record.key):
             self._refresh_view(record.key)
+        view = self.views.get(record.key)
+        if view is not None and view.endpoint.state is EndpointState.LEAVING:
+            # Binds also if a stale record lists this start of the endpoint as ready again.
+            record_leaving(view, now + self.settings.bounds.drain_s, source)
 
     def _log_endpoint(
         self, change: str, entry: EndpointEntry, record: StoredRecord, source: str
--- a/teaselpath/gateway/tests/test_state.py
+++ b/teaselpath/gateway/tests/test_state.py
@@ -131,3 +131,17 @@
     assert state.views["e"].availability.leaves_at == now + 3.0
     state.apply_endpoint_record(endpoint_record("e", 4, born=2), "store", now)
     assert not state.views["e"].availability.is_leaving
+
+
+def test_endpoint_that_was_listed_as_leaving_is_avoided_when_it_is_listed_as_ready_again(state):
+    """Guards against a store that returns from a copy with a record from before."""
+    now = make_store_up(state)
+    state.apply_endpoint_record(endpoint_record("e", 1), "store", now)
+    state.apply_endpoint_record(endpoint_record("e", 2, state="draining"), "store", now)
+    state.apply_endpoint_record(endpoint_record("e", 3), "store", now + 1.0)
+    availability = state.views["e"].availability
+    assert availability.is_leaving
+    assert availability.takes_requests(now + 2.9)
+    assert not availability.takes_requests(now + 3.0)
+    state.apply_endpoint_record(endpoint_record("e", 4, born=2), "store", now + 1.0)
+    assert not state.views["e"].availability.is_leaving
