--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -19,6 +19,7 @@
 from teaselpath.fleet import (
     BEFORE_ALL,
     EndpointEntry,
+    EndpointState,
     EndpointTable,
     EngineLimits,
     FleetConfig,
@@ -30,6 +31,7 @@
     Topic,
     Workspace,
 )
+from teaselpath.gateway._statements import record_leaving
 
 # A gateway that sent a message or was listed within this time may still be running and spend
 # quota, in seconds.
@@ -272,6 +274,10 @@
             self._log_endpoint(change, entry, source)
         if before != self.endpoints.get(record.key):
             self._refresh_view(record.key)
+        view = self.views.get(record.key)
+        if view is not None and view.endpoint.state is EndpointState.LEAVING:
+            # Binds also if a stale record lists this start of the endpoint as ready again.
+            record_leaving(view, now + self.settings.bounds.drain_s, source)
 
     def _log_endpoint(self, change: str, entry: EndpointEntry, source: str) -> None:
         endpoint = entry.endpoint
--- a/teaselpath/gateway/tests/test_state.py
+++ b/teaselpath/gateway/tests/test_state.py
@@ -186,3 +186,17 @@
     assert state.observe_era(2, "peer x", 5.0)
     assert not state.observe_era(1, "store", 6.0)
     assert (state.era, state.era_seen_at) == (2, 1.0)
+
+
+def test_endpoint_that_was_listed_as_leaving_is_avoided_when_it_is_listed_as_ready_again(state):
+    """Guards against a store that returns from a copy with a record from before."""
+    now = make_store_up(state)
+    state.apply_endpoint_record(endpoint_record("e", 1), "store", now)
+    state.apply_endpoint_record(endpoint_record("e", 2, state="draining"), "store", now)
+    state.apply_endpoint_record(endpoint_record("e", 3), "store", now + 1.0)
+    availability = state.views["e"].availability
+    assert availability.is_leaving
+    assert availability.takes_requests(now + 2.9)
+    assert not availability.takes_requests(now + 3.0)
+    state.apply_endpoint_record(endpoint_record("e", 4, born=2), "store", now + 1.0)
+    assert not state.views["e"].availability.is_leaving
