Tests of changes: records have positions

The merge of two branches left offsets in two records of teaselpath/gateway/tests/test_changes.py, which failed with: '>' not supported between instances of 'int' and 'Position'.

--- a/teaselpath/gateway/tests/test_changes.py
+++ b/teaselpath/gateway/tests/test_changes.py
@@ -9,7 +9,7 @@
 import eliot
 import pytest
 
-from teaselpath.fleet import StoredRecord
+from teaselpath.fleet import Position, StoredRecord
 from teaselpath.gateway.tests.front import STAMP, Front
 from teaselpath.http1 import Exchange
 
@@ -78,7 +78,9 @@
 def remove_endpoints(front, kind):
     for name in ("e0", "e1"):
         front.offset += 1
-        front.state.apply_endpoint_record(StoredRecord(name, b"", front.offset), "test", 0.0)
+        front.state.apply_endpoint_record(
+            StoredRecord(name, b"", Position(1, front.offset)), "test", 0.0
+        )
 
 
 def restart_endpoints(front, kind):
@@ -100,7 +102,7 @@
     for version in (7, 8):
         front.offset += 1
         value = b'{"model": "m", "version": %d}' % version
-        record = StoredRecord("version/m", value, front.offset)
+        record = StoredRecord("version/m", value, Position(1, front.offset))
         front.state.apply_operator_record(record, "test", 0.0)
 
 
