Lease on orders: an unreadable record counts as that of an unknown holder

Found while reading: the newest lease record was taken for none if it could not be read, as one of another format, and the topic for empty, so the lease was free at once. Test failed before (test_unreadable_lease_record_counts_as_that_of_another_holder): LeaseState.APPEND is LeaseState.WAIT.

--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -47,6 +47,7 @@
 # Fraction of the rollout limit after which more engines load concurrently.
 SPEED_UP_FRACTION = 0.35
 LEASE_KEY = "orders"
+UNKNOWN_HOLDER = ""
 
 
 def boot_clock() -> float:
@@ -311,11 +312,11 @@
         self._run_actions(self.rollout.handle_order_reply(order.key, status, self.loop.time()))
 
 
-def _decode(record: StoredRecord) -> LeaseRecord | None:
+def _decode(record: StoredRecord) -> LeaseRecord:
+    """Return a lease record; one that cannot be read as that of an unknown holder."""
     try:
         return msgspec.json.decode(record.value, type=LeaseRecord)
     except msgspec.MsgspecError as error:
-        log_message(
-            "record_ignored", key=record.key, offset=record.position.offset, reason=str(error)
-        )
-        return None
+        position = record.position
+        log_message("record_ignored", key=record.key, offset=position.offset, reason=str(error))
+        return LeaseRecord(UNKNOWN_HOLDER, "", 0, position.era)
--- a/teaselpath/gateway/tests/test_orders.py
+++ b/teaselpath/gateway/tests/test_orders.py
@@ -1,15 +1,17 @@
 """Weights orders: the queue of an engine drains before the order is sent."""
 
 import asyncio
+from typing import Any, cast
 
 import pytest
 
-from teaselpath.gateway._orders import WeightsKeeper, boot_clock
+from teaselpath.fleet import Position, RecordPage, StoredRecord
+from teaselpath.gateway._orders import LEASE_KEY, WeightsKeeper, boot_clock
 from teaselpath.gateway._peers import PeerExchange
 from teaselpath.gateway.tests.conftest import endpoint_record
 from teaselpath.http1 import HttpClient
 from teaselpath.platform import PlatformEngines
-from teaselpath.rollout import OrderLease
+from teaselpath.rollout import LeaseState, OrderLease
 
 
 @pytest.fixture
@@ -77,3 +79,26 @@
         return keeper._is_held_off("e", now), keeper._is_held_off("e", now + 5.0)
 
     assert asyncio.run(scenario()) == (True, False)
+
+
+class UnreadableStore:
+    """Store whose newest lease record is of another format."""
+
+    async def poll(self, topic, start, wait_s):
+        """Return a listing."""
+        record = StoredRecord(LEASE_KEY, b"?", Position(1, 4))
+        return RecordPage([record], Position(1, 5), is_listing=True)
+
+
+def test_unreadable_lease_record_counts_as_that_of_another_holder(state):
+    """Taken for an empty topic, it would free the lease at once."""
+
+    async def scenario():
+        state.store = cast(Any, UnreadableStore())
+        keeper = make_keeper(state)
+        now = boot_clock()
+        keeper.lease.handle_era(1, now - 60.0)
+        await keeper._read_lease()
+        return keeper.lease.plan(now, has_work=True, rank=0)
+
+    assert asyncio.run(scenario()) is LeaseState.WAIT
