--- a/teaselpath/gateway/_verdict_store.py
+++ b/teaselpath/gateway/_verdict_store.py
@@ -124,12 +124,13 @@
         table = self.quarantine.table
         self.written &= table.verdicts.keys() | table.lifted_at.keys()
         self.rewrite_at = {key: at for key, at in self.rewrite_at.items() if key in lacking}
-        for verdict_id, record in lacking.items():
+        for verdict_id in lacking.keys() - self.unwritten.keys():
+            record = lacking[verdict_id]
             is_own = verdict_id in self.written or record.host == self.quarantine.host
             delay_s = 0.0 if is_own else self.random.uniform(*REWRITE_DELAYS_S)
             if now >= self.rewrite_at.setdefault(verdict_id, now + delay_s):
                 del self.rewrite_at[verdict_id]
-                self.unwritten.setdefault(verdict_id, record)
+                self.unwritten[verdict_id] = record
                 log_message("verdict_rewritten", verdict=verdict_id, is_lifted=record.is_lifted)
 
     def _lacking_records(
--- a/teaselpath/gateway/tests/test_verdict_store.py
+++ b/teaselpath/gateway/tests/test_verdict_store.py
@@ -185,6 +185,13 @@
     assert run(scenario) == 2
 
 
+def test_first_record_of_a_verdict_is_not_logged_as_a_lost_one(run, monkeypatch):
+    lines = []
+    monkeypatch.setattr(_verdict_store, "log_message", lambda name, **_: lines.append(name))
+    run(Fleet.issue)
+    assert lines == []
+
+
 def test_snapshot_of_a_peer_writes_nothing_at_once(run):
     async def scenario(fleet):
         issuer = fleet.gateways[0].quarantine
