Lease on orders: each era of the store has a key of its own, so that a late append hides nothing

A cut-off gateway's append of an earlier era was carried out in the new one; it replaced the newest record of the key, so all candidates waited a whole handover once more, since it might hide the record of a holder. Change: the key of the records names their era. Records of other eras are neither seen nor waited for; a tenure is not prolonged by them.

--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -46,10 +46,14 @@
 MAX_DRAIN_S = 0.8
 # Fraction of the rollout limit after which more engines load concurrently.
 SPEED_UP_FRACTION = 0.35
-LEASE_KEY = "orders"
 UNKNOWN_HOLDER = ""
 
 
+def lease_key(era: int) -> str:
+    """Return the key of the records of the lease that are written for an era of the store."""
+    return f"orders/{era}"
+
+
 def boot_clock() -> float:
     """Return the time since the host was booted, including suspension, in seconds."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -165,7 +169,7 @@
         record = lease.next_record(uuid.uuid4().hex[:12])
         value = msgspec.json.encode(record)
         try:
-            new_end = await self.state.store.append(Topic.LEASE, LEASE_KEY, value, end)
+            new_end = await self.state.store.append(Topic.LEASE, lease_key(record.era), value, end)
         except StoreError as error:
             lease.handle_append_unconfirmed()
             log_message(
@@ -200,7 +204,8 @@
             # Delay before the next attempt.
             await asyncio.sleep(0.2)
             return
-        record = next((_decode(r) for r in page.records if r.key == LEASE_KEY), None)
+        key = lease_key(page.end.era)
+        record = next((_decode(r) for r in page.records if r.key == key), None)
         self.lease.handle_read(page.end, record, self.clock())
 
     # orders
--- a/teaselpath/rollout/_lease.py
+++ b/teaselpath/rollout/_lease.py
@@ -10,8 +10,9 @@
 A store that is restored from a copy begins a new era, without the records of the last seconds and
 possibly with conditional appends of the old era that still take effect. Only a record that was
 written for the current era shows who may hold the lease; without one, any gateway may, for
-``LEASE_DURATION_S`` after the restoration. A holder begins a new tenure in the new era, since its
-record may be lost.
+``LEASE_DURATION_S`` after the restoration. Records of earlier eras, restored or appended late, are
+ignored; each era has a key of its own, so that they hide none. A holder begins a new tenure in the
+new era, since its record may be lost.
 """
 
 from dataclasses import dataclass
@@ -52,8 +53,7 @@
     :param holder: host that may send orders.
     :param nonce: distinguishes the appends of one holder.
     :param fence: fencing token of the tenure; 0 in the record that begins it.
-    :param era: era of the position at which the record was to be appended. Found in a later era, it
-        was restored, or appended late.
+    :param era: era of the position at which the record was to be appended.
     """
 
     holder: str
@@ -80,7 +80,7 @@
     :ivar era: newest known era of the store; None before the first contact.
     :ivar era_seen_at: time at which this process first knew of that era.
     :ivar end: end of the topic; None if it is unknown in this era.
-    :ivar last: newest record of the topic; None if there is none.
+    :ivar last: newest record that was written for this era; None if there is none.
     :ivar last_received_at: time at which ``last`` was received or, for an own record, sent.
     :ivar fence: fencing token of the own tenure; 0 before the first one and once another host's
         tenure is known.
@@ -122,17 +122,20 @@
         self.last = None
 
     def observe(self, end: Position, record: LeaseRecord | None, now: float) -> None:
-        """Apply the newest record of the topic, from the store or a peer.
+        """Apply the newest record of an era, from the store or a peer.
 
-        :param end: position that follows the record.
+        :param end: end of the topic.
+        :param record: newest record that was written for the era of ``end``; None without one.
         """
         self.handle_era(end.era, now)
         if end.era != self.era or (self.end is not None and end <= self.end):
             return
         self.end = end
+        if record is None or record.era != end.era or record == self.last:
+            return
         self.last = record
         self.last_received_at = now
-        if record is not None and record.era == end.era and record.holder != self.host:
+        if record.holder != self.host:
             self.valid_until = 0.0
             self.fence = 0
 
@@ -162,8 +165,7 @@
 
     def _is_last_holder(self) -> bool:
         """Return whether the newest record proves that no other host has held the lease since."""
-        last = self.last
-        return last is not None and last.holder == self.host and last.era == self.era
+        return self.last is not None and self.last.holder == self.host
 
     def _free_at(self) -> float:
         """Return the time from which the lease may be taken, unless a new record appears."""
@@ -196,7 +198,7 @@
         self.is_unconfirmed = True
 
     def handle_read(self, end: Position, record: LeaseRecord | None, now: float) -> None:
-        """Apply the newest record read from the store, after which appends are allowed again.
+        """Apply the newest record of the era, after which appends are allowed again.
 
         An earlier append whose outcome is unknown may still take effect later.
         """
