Placement: older weights stay usable while a store that was restored delays their rollout

The lease cannot be taken for 5.3 s after the store returns from a copy, and 9 s after its announcement a version was required that no engine could have loaded yet. Change: that time begins anew when the store returns from a copy. A gateway that starts later counts as before. Test failed before: NoEndpoint(reason='switching') for the only engine.

--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -255,6 +255,9 @@
     def _oldest_usable_version(self, announced: AnnouncedWeights | None, now: float) -> int:
         if announced is None:
             return 0
+        # The lease on orders is free again only some time after the store has returned from a copy.
         return announced.oldest_usable_version(
-            now, OLD_WEIGHTS_FRACTION * self.state.settings.bounds.rollout_limit_s
+            now,
+            OLD_WEIGHTS_FRACTION * self.state.settings.bounds.rollout_limit_s,
+            self.state.restored_at,
         )
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -78,12 +78,15 @@
         """Record a version's announcement time unless an earlier one is recorded."""
         self.announced_at[version] = min(announced_at, self.announced_at.get(version, announced_at))
 
-    def oldest_usable_version(self, now: float, grace_s: float) -> int:
+    def oldest_usable_version(self, now: float, grace_s: float, since: float = 0.0) -> int:
         """Return the oldest version that may run requests; 0 for no limit.
 
         It is the newest version that was announced more than ``grace_s`` ago.
+
+        :param since: event loop time before which no version could be rolled out, in seconds.
         """
-        return max((v for v, at in self.announced_at.items() if now - at > grace_s), default=0)
+        announced_at = self.announced_at.items()
+        return max((v for v, at in announced_at if now - max(at, since) > grace_s), default=0)
 
 
 @dataclass(slots=True, frozen=True)
@@ -117,6 +120,7 @@
 
     :ivar era: newest known era of the store; 0 before its first answer.
     :ivar era_seen_at: time at which this gateway first knew of that era, in seconds.
+    :ivar restored_at: time at which it last saw the store return from a copy; 0 if it has not.
     :ivar on_new_era: called for each era after the first.
     :ivar endpoint_ids: id of each known endpoint by its number.
     :ivar availabilities: what endpoints have stated on whether they take requests.
@@ -145,6 +149,7 @@
         self.retry_budgets: dict[str, SlidingRetryBudget] = {}
         self.era = 0
         self.era_seen_at = 0.0
+        self.restored_at = 0.0
         self.on_new_era: list[Callable[[], None]] = []
         self.store_up = False
         self.store_is_near = False
@@ -382,8 +387,10 @@
             is_first = self.era == 0
             self.era, self.era_seen_at = era, now
             self.endpoints.extend_lapses(now)
-            for callback in [] if is_first else self.on_new_era:
-                callback()
+            if not is_first:
+                self.restored_at = now
+                for callback in self.on_new_era:
+                    callback()
         return era == self.era
 
     def record_store_success(self, now: float, rtt_s: float | None = None) -> None:
--- a/teaselpath/gateway/tests/test_placement.py
+++ b/teaselpath/gateway/tests/test_placement.py
@@ -17,6 +17,7 @@
 )
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._placement import Placer
+from teaselpath.gateway._state import AnnouncedWeights
 from teaselpath.gateway.tests.conftest import endpoint_record
 
 ENGINE = EngineLimits(100_000, 18_432, 1e-6)
@@ -246,3 +247,23 @@
     assert choice.reason == "held_off"
     assert choice.retry_after_s > 8.0
     assert queued_calls == {}
+
+
+@pytest.mark.parametrize("era_before", [0, 1])
+def test_older_weights_stay_usable_while_a_restored_store_delays_the_rollout(
+    state, announced, era_before
+):
+    """All engines were refused as outdated, although none could be given an order."""
+
+    async def scenario():
+        now = asyncio.get_running_loop().time()
+        record = endpoint_record("e", 1, models=[{"name": "m", "version": 1}])
+        state.apply_endpoint_record(record, "store", now - 60.0)
+        state.announced["m"] = AnnouncedWeights(2, {1: now - 60.0, 2: now - 20.0})
+        state.era = era_before
+        state.observe_era(2, "store", now - 5.0)
+        return Placer(state, announced.append)._place(make_call(), now)
+
+    # A gateway that has just started does not know when the store returned.
+    expected = NoEndpoint if era_before == 0 else Placed
+    assert isinstance(asyncio.run(scenario()), expected)
