Peers: a gateway that has listed the endpoints hands on which ones have left

Callers were sent to an endpoint that had left, from a gateway that gets its records from peers, without end. Cause: a listing contains no removals. A gateway that lists after one cannot hand it on, but its position said that it had. Found by the state machine (a restarted reader, a gateway that leaves the store to peers), and not only after a return from a copy. Test failed before: test_removal_that_a_peer_never_saw_is_learned_from_its_list[1]: {'e', 'f'} == {'f'}.

Change: a table knows up to where it was listed. A peer that asks for records after an earlier position gets all of them with the end of the topic, and treats them as a listing. This also takes the place of the special rule for entries that a peer had not confirmed in a new era.

--- a/teaselpath/fleet/_endpoints.py
+++ b/teaselpath/fleet/_endpoints.py
@@ -132,12 +132,15 @@
 
     :ivar lapsed: time at which each pending removal takes effect, by key.
     :ivar position: highest position of any entry. All records up to it have been applied.
+    :ivar listed_up_to: end of the last listing, which contains no removals; those after it are
+        known.
     """
 
     def __init__(self) -> None:
         self.entries: dict[str, EndpointEntry] = {}
         self.lapsed: dict[str, float] = {}
         self.position = BEFORE_ALL
+        self.listed_up_to = BEFORE_ALL
 
     def apply(self, entry: EndpointEntry, now: float, *, may_be_lapse: bool) -> str | None:
         """Apply a record; return the kind of change, or None if nothing changed.
@@ -197,6 +200,7 @@
         :param end: end of the topic as of the listing; newer entries are kept.
         :param may_be_lapse: mark the entries as lapsed instead of removing them.
         """
+        self.listed_up_to = max(self.listed_up_to, end)
         unlisted = [
             entry
             for key, entry in self.entries.items()
@@ -213,15 +217,6 @@
                 self._put(replace(removal, endpoint=None))
         return [entry.key for entry in unlisted]
 
-    def mark_unconfirmed(self, now: float) -> None:
-        """Mark the entries as lapsed that no record of the newest era has confirmed.
-
-        For a gateway that gets all records of an era from a peer, without a listing.
-        """
-        for key, entry in self.entries.items():
-            if entry.endpoint and entry.position.era < self.position.era:
-                self.lapsed.setdefault(key, now + LAPSE_GRACE_S)
-
     def extend_lapses(self, now: float) -> None:
         """Postpone the pending removals during an outage or at a restoration of the store."""
         for key in self.lapsed:
@@ -232,10 +227,7 @@
         expired = [key for key, at in self.lapsed.items() if at <= now]
         for key in expired:
             del self.lapsed[key]
-            entry = self.entries[key]
-            if entry.record.value:
-                entry = entry.marked_removed(self.position)
-            self._put(replace(entry, endpoint=None))
+            self.entries[key] = replace(self.entries[key], endpoint=None)
         return expired
 
     def get(self, key: str) -> Endpoint | None:
@@ -246,3 +238,7 @@
     def records_after(self, position: Position) -> list[StoredRecord]:
         """Return the newest record of each key, unless it is at or before a position."""
         return [e.record for e in self.entries.values() if e.position > position]
+
+    def knows_removals_after(self, position: Position) -> bool:
+        """Return whether the records after a position include all removals."""
+        return position.shifted(1) >= self.listed_up_to
--- a/teaselpath/gateway/_peer_messages.py
+++ b/teaselpath/gateway/_peer_messages.py
@@ -105,10 +105,15 @@
 
 
 class RecordSet(msgspec.Struct, array_like=True):
-    """Records of the store that a gateway has: key, value, era, offset."""
+    """Records of the store that a gateway has: key, value, era, offset.
+
+    :param endpoints_end: era and offset of the end of the endpoint topic, if the set names all
+        endpoints up to it, so that any other one has left; None if it holds the changes only.
+    """
 
     operators: list[tuple[str, bytes, int, int]]
     endpoints: list[tuple[str, bytes, int, int]]
+    endpoints_end: tuple[int, int] | None = None
 
 
 def newer_weights(view: EndpointView) -> dict[str, int]:
--- a/teaselpath/gateway/_peer_records.py
+++ b/teaselpath/gateway/_peer_records.py
@@ -182,7 +182,11 @@
         for record in map(_to_record, records.operators):
             state.apply_operator_record(record, source, now)
         newer = sorted(map(_to_record, records.endpoints), key=_position_of)
-        state.apply_endpoint_records(newer, source, now)
+        if records.endpoints_end is not None:
+            listed = {record.key for record in newer if record.value}
+            state.remove_unlisted(listed, Position(*records.endpoints_end), now)
+        for record in newer:
+            state.apply_endpoint_record(record, source, now)
         if self._lacks_records(status):
             self.incomplete_from = status.host
 
@@ -195,7 +199,10 @@
         state = self.state
         after = {name: _parse_position(value) for name, value in parse_qsl(query.decode())}
         operators = after.get("operators", BEFORE_ALL)
-        endpoints = state.endpoints.records_after(after.get("endpoints", BEFORE_ALL))
+        table, endpoints = state.endpoints, after.get("endpoints", BEFORE_ALL)
+        end = None
+        if not table.knows_removals_after(endpoints):
+            endpoints, end = BEFORE_ALL, table.position.shifted(1)
         return self.encoder.encode(
             RecordSet(
                 [
@@ -203,7 +210,8 @@
                     for record in state.operator_records.values()
                     if record.position > operators or record.position.era != operators.era
                 ],
-                [_from_record(record) for record in endpoints],
+                [_from_record(record) for record in table.records_after(endpoints)],
+                None if end is None else (end.era, end.offset),
             )
         )
 
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -1,6 +1,6 @@
 """State of a gateway: configuration, endpoints, weights versions and the other gateways."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from eliot import log_message
@@ -248,14 +248,6 @@
         returned_at = max(self.store_regained_at, self.era_seen_at)
         return not self.store_up or now - returned_at < self.settings.bounds.recovery_window_s
 
-    def apply_endpoint_records(
-        self, records: Iterable[StoredRecord], source: str, now: float
-    ) -> None:
-        """Apply records of the endpoint topic that are newer than the known ones, in order."""
-        for record in records:
-            self.apply_endpoint_record(record, source, now)
-        self.endpoints.mark_unconfirmed(now)
-
     def apply_endpoint_record(self, record: StoredRecord, source: str, now: float) -> None:
         """Apply a record of the endpoint topic if it is newer than the known one."""
         known = self.endpoints.entries.get(record.key)
--- a/teaselpath/gateway/tests/test_peers.py
+++ b/teaselpath/gateway/tests/test_peers.py
@@ -1,17 +1,19 @@
 """Status messages between gateways."""
 
 import asyncio
+from typing import Any, cast
 
 import msgspec
 import pytest
 
 from teaselpath.fleet import Position, StoredRecord
+from teaselpath.fleet._endpoints import LAPSE_GRACE_S
 from teaselpath.gateway._peer_messages import PlacementMessage, RecordSet
 from teaselpath.gateway._peer_records import ENDPOINTS_FETCH_DELAY_S
 from teaselpath.gateway._peers import PeerExchange
 from teaselpath.gateway._state import GatewayState, LongPlacement
 from teaselpath.gateway.tests.conftest import SETTINGS, endpoint_record
-from teaselpath.http1 import HttpClient
+from teaselpath.http1 import HttpClient, Response, ResponseHead
 from teaselpath.platform import PlatformStore
 from teaselpath.rollout import OrderLease
 
@@ -167,6 +169,38 @@
     assert views == {"f"}
 
 
+@pytest.mark.parametrize("era", [1, 2])
+def test_removal_that_a_peer_never_saw_is_learned_from_its_list(era):
+    """The peer has listed the endpoints after the removal, or in an era whose copy lacked it."""
+
+    async def scenario():
+        own, other = make_exchange(), make_exchange("gw-1")
+        now = own.loop.time()
+        for exchange in (own, other):
+            exchange.state.record_store_success(now - 60.0)
+        own.state.apply_endpoint_record(endpoint_record("e", 1), "store", now)
+        own.state.apply_endpoint_record(endpoint_record("f", 2), "store", now)
+        other.state.remove_unlisted({"f"}, Position(era, 4), now)
+        other.state.apply_endpoint_record(endpoint_record("f", 3, era=era), "store", now)
+        own.records.http = cast(Any, RecordClient(other))
+        await own.records._fetch(other._status(now))
+        own.state.expire_lapses(now + LAPSE_GRACE_S + 1.0)
+        return set(own.state.views)
+
+    assert asyncio.run(scenario()) == {"f"}
+
+
+class RecordClient:
+    """HTTP client stand-in that answers with the records of a gateway."""
+
+    def __init__(self, peer: PeerExchange):
+        self.peer = peer
+
+    async def call(self, address, method, target, **options):
+        query = target.partition(b"?")[2]
+        return Response(ResponseHead(200), self.peer.records.encode_records(query))
+
+
 def endpoint_records(encoded):
     return msgspec.msgpack.decode(encoded, type=RecordSet).endpoints
 
