Caches: the history of a restarted engine or store is read from its start

Engines with a start time get a new follower at a restart; cache stores, and engines without one, do not. Test failed before: test_history_of_a_restarted_engine_is_read_from_its_start: {'p21', 'p22'} == {'p20', 'p21', 'p22'}.

--- a/teaselpath/gateway/_caches.py
+++ b/teaselpath/gateway/_caches.py
@@ -140,6 +140,11 @@
             missed = 0
             if epoch != page.epoch or page.has_gap:
                 self._clear_index(target, epoch, page)
+            if epoch not in (None, page.epoch):
+                # The cursor belongs to the history before the restart.
+                epoch, cursor = page.epoch, 0
+                await asyncio.sleep(MIN_POLL_INTERVAL_S)
+                continue
             epoch, cursor = page.epoch, page.cursor
             target.cache.is_followed = True
             apply_changes(target.cache, page)
