--- a/teaselpath/gateway/_peer_messages.py
+++ b/teaselpath/gateway/_peer_messages.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from teaselpath.dispatch import EndpointView
-from teaselpath.gateway._state import LongPlacement
+from teaselpath.gateway._entities import LongPlacement
 from teaselpath.quarantine import QuarantineUpdate
 
 
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -24,6 +24,7 @@
     status_interval_s,
 )
 from teaselpath.fleet import Position
+from teaselpath.gateway._entities import LongPlacement, Member
 from teaselpath.gateway._peer_messages import (
     EndpointStatus,
     Message,
@@ -36,7 +37,7 @@
     newer_weights,
 )
 from teaselpath.gateway._peer_records import STORE_DISTRUST_S, RecordFetcher
-from teaselpath.gateway._state import GatewayState, LongPlacement, Member
+from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import HttpClient
 from teaselpath.quarantine import QuarantineUpdate
 from teaselpath.rollout import LeaseRecord, OrderLease
--- /dev/null
+++ b/teaselpath/gateway/_record_logs.py
@@ -0,0 +1,41 @@
+"""Log lines on records of the store that are applied or ignored."""
+
+from eliot import log_message
+
+from teaselpath.fleet import EndpointEntry, StoredRecord
+
+
+def log_endpoint(change: str, entry: EndpointEntry, source: str) -> None:
+    """Log a change of the endpoint table.
+
+    :param change: kind of change, as ``EndpointTable.apply`` returns it.
+    """
+    endpoint = entry.endpoint
+    log_message(
+        "endpoint_" + change,
+        endpoint=entry.key,
+        offset=entry.position.offset,
+        era=entry.position.era,
+        source=source,
+        service=endpoint.service if endpoint else None,
+        address=endpoint.address if endpoint else None,
+        state=endpoint.state if endpoint else None,
+        weights=dict(endpoint.weights) if endpoint else None,
+    )
+
+
+def log_if_older(record: StoredRecord, known: StoredRecord | None, source: str) -> None:
+    """Log that a record is ignored as older than what is known, unless it is only repeated.
+
+    :param known: None if its key is unknown in the newest era.
+    """
+    if known is None or record.value != known.value:
+        log_message(
+            "record_older",
+            key=record.key,
+            era=record.position.era,
+            offset=record.position.offset,
+            known_era=known.position.era if known else None,
+            known_offset=known.position.offset if known else None,
+            source=source,
+        )
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -1,7 +1,7 @@
 """State of a gateway: configuration, endpoints, weights versions and the other gateways."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from eliot import log_message
 
@@ -17,7 +17,6 @@
 from teaselpath.exchange import is_large_fleet
 from teaselpath.fleet import (
     BEFORE_ALL,
-    EndpointEntry,
     EndpointTable,
     EngineLimits,
     FleetConfig,
@@ -29,6 +28,8 @@
     Topic,
     Workspace,
 )
+from teaselpath.gateway._entities import AnnouncedWeights, LongPlacement, Member
+from teaselpath.gateway._record_logs import log_endpoint, log_if_older
 
 # A gateway that sent a message or was listed within this time may still be running and spend
 # quota, in seconds.
@@ -41,70 +42,6 @@
 NEAR_STORE_RTT_S = 0.03
 
 
-@dataclass(slots=True)
-class Member:
-    """Another gateway.
-
-    :param incarnation: random number that it draws at start-up.
-    :param last_contact_at: event loop time of its last message; 0 if there was none.
-    :param listed_at: event loop time at which its record was last read from the store, or at which
-        a peer first listed this incarnation or its first message arrived.
-    :param failure_domain: empty if unknown.
-    """
-
-    host: str
-    ip: str
-    incarnation: int
-    last_contact_at: float = 0.0
-    listed_at: float = 0.0
-    failure_domain: str = ""
-
-
-@dataclass(slots=True)
-class AnnouncedWeights:
-    """Weights versions that the operator announced for a model; ``version`` is the newest.
-
-    :param announced_at: event loop time at which this gateway, or a peer before it, received the
-        announcement of each version.
-    """
-
-    version: int
-    announced_at: dict[int, float]
-
-    def record_announcement(self, version: int, announced_at: float) -> None:
-        """Record a version's announcement time unless an earlier one is recorded."""
-        self.announced_at[version] = min(announced_at, self.announced_at.get(version, announced_at))
-
-    def oldest_usable_version(self, now: float, grace_s: float) -> int:
-        """Return the oldest version that may run requests; 0 for no limit.
-
-        It is the newest version that was announced more than ``grace_s`` ago.
-        """
-        return max((v for v, at in self.announced_at.items() if now - at > grace_s), default=0)
-
-
-@dataclass(slots=True, frozen=True)
-class LongPlacement:
-    """A long prompt that a gateway sends to an engine.
-
-    :param unread_tokens: prompt tokens that the engine has to prefill.
-    :param parts: shared prompt parts: id and size in tokens.
-    :param copied_from: address of the engine or store from which KV cache may be fetched.
-    :param copied_tokens: tokens whose KV cache the engine is expected to fetch.
-    :param saved_to: address of the store to which the engine saves the KV cache of the parts.
-    """
-
-    endpoint_id: str
-    started_at_ms: int | None
-    prompt_tokens: int
-    unread_tokens: int
-    scope: str
-    parts: list[tuple[str, int]]
-    copied_from: str | None
-    copied_tokens: int
-    saved_to: str | None
-
-
 class GatewayState:
     """State of one gateway process, owned by its event loop.
 
@@ -171,7 +108,7 @@
         known = self.operator_records.get(record.key)
         is_same_era = known is not None and known.position.era == record.position.era
         if known is not None and is_same_era and record.position <= known.position:
-            _log_if_older(record, known, source)
+            log_if_older(record, known, source)
             return
         config = self.store.decode_config(record)
         weights = self.store.decode_weights(record)
@@ -199,7 +136,7 @@
             position = max(known.position, record.position)
             self.operator_records[record.key] = replace(known, position=position)
         elif known is not None:
-            _log_if_older(record, known, source)
+            log_if_older(record, known, source)
         return False
 
     def _apply_config(self, config: FleetConfig, record: StoredRecord, source: str) -> None:
@@ -258,26 +195,12 @@
         before = self.endpoints.get(record.key)
         change = self.endpoints.apply(entry, now, may_be_lapse=lapse)
         if change == "outdated":
-            _log_if_older(record, known.record if known else None, source)
+            log_if_older(record, known.record if known else None, source)
         elif change is not None:
-            self._log_endpoint(change, entry, source)
+            log_endpoint(change, entry, source)
         if before != self.endpoints.get(record.key):
             self._refresh_view(record.key)
 
-    def _log_endpoint(self, change: str, entry: EndpointEntry, source: str) -> None:
-        endpoint = entry.endpoint
-        log_message(
-            "endpoint_" + change,
-            endpoint=entry.key,
-            offset=entry.position.offset,
-            era=entry.position.era,
-            source=source,
-            service=endpoint.service if endpoint else None,
-            address=endpoint.address if endpoint else None,
-            state=endpoint.state if endpoint else None,
-            weights=dict(endpoint.weights) if endpoint else None,
-        )
-
     def remove_unlisted(self, keys: set[str], end: Position, now: float) -> None:
         """Remove endpoints that are missing from a listing of the topic up to ``end``."""
         lapse = self.may_be_lapse(now)
@@ -446,20 +369,3 @@
         if self.config is None or key is None:
             return None
         return self.config.workspaces.get(key)
-
-
-def _log_if_older(record: StoredRecord, known: StoredRecord | None, source: str) -> None:
-    """Log that a record is ignored as older than what is known, unless it is only repeated.
-
-    :param known: None if its key is unknown in the newest era.
-    """
-    if known is None or record.value != known.value:
-        log_message(
-            "record_older",
-            key=record.key,
-            era=record.position.era,
-            offset=record.position.offset,
-            known_era=known.position.era if known else None,
-            known_offset=known.position.offset if known else None,
-            source=source,
-        )
--- a/teaselpath/gateway/tests/test_large_fleet.py
+++ b/teaselpath/gateway/tests/test_large_fleet.py
@@ -14,8 +14,9 @@
 import pytest
 
 from teaselpath.fleet import Bounds, GatewaySettings, Position, StoredRecord, Workspace
+from teaselpath.gateway._entities import LongPlacement
 from teaselpath.gateway._peers import PeerExchange
-from teaselpath.gateway._state import GatewayState, LongPlacement
+from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway.tests.conftest import endpoint_record
 from teaselpath.http1 import HttpClient, Response, ResponseHead
 from teaselpath.platform import PlatformStore
--- a/teaselpath/gateway/tests/test_peers.py
+++ b/teaselpath/gateway/tests/test_peers.py
@@ -8,10 +8,11 @@
 
 from teaselpath.fleet import Position, StoredRecord
 from teaselpath.fleet._endpoints import LAPSE_GRACE_S
+from teaselpath.gateway._entities import LongPlacement
 from teaselpath.gateway._peer_messages import PlacementMessage, RecordSet
 from teaselpath.gateway._peer_records import ENDPOINTS_FETCH_DELAY_S
 from teaselpath.gateway._peers import PeerExchange
-from teaselpath.gateway._state import GatewayState, LongPlacement
+from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway.tests.conftest import SETTINGS, endpoint_record
 from teaselpath.http1 import HttpClient, Response, ResponseHead
 from teaselpath.platform import PlatformStore
