--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -29,12 +29,13 @@
 from teaselpath.gateway._attempt import Attempt, AttemptContext, describe_outcome
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._engine_ends import EngineEndDetector
+from teaselpath.gateway._entities import LongPlacement
 from teaselpath.gateway._held import HeldExchange
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._placement import Placer
 from teaselpath.gateway._quarantine import QuarantineGate
 from teaselpath.gateway._responses import Responder
-from teaselpath.gateway._state import GatewayState, LongPlacement
+from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import Exchange, HttpClient
 from teaselpath.results import Code
 
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -18,7 +18,8 @@
     choose_endpoint,
 )
 from teaselpath.gateway._call import Call
-from teaselpath.gateway._state import AnnouncedWeights, GatewayState, LongPlacement
+from teaselpath.gateway._entities import AnnouncedWeights, LongPlacement
+from teaselpath.gateway._state import GatewayState
 
 # Fraction of the rollout limit after which engines with older weights receive no more requests. The
 # remainder covers requests that are queued inside an engine and gateways that receive an
--- a/teaselpath/gateway/tests/test_placement.py
+++ b/teaselpath/gateway/tests/test_placement.py
@@ -16,8 +16,8 @@
     Service,
 )
 from teaselpath.gateway._call import Call
+from teaselpath.gateway._entities import AnnouncedWeights
 from teaselpath.gateway._placement import Placer
-from teaselpath.gateway._state import AnnouncedWeights
 from teaselpath.gateway.tests.conftest import endpoint_record
 
 ENGINE = EngineLimits(100_000, 18_432, 1e-6)
