Platform: a success is no proof that a request did not run

Cause: any answer with the field that states "not run" counted as proof, whatever its status, so a request that an engine had answered with success went to another engine or was refused (TWICE, REFUSED).

Change: only refusals (status 400 and above) count; the protocol names 503, 429, 421 and 400. With a success the field is ignored.

--- a/teaselpath/platform/_requests.py
+++ b/teaselpath/platform/_requests.py
@@ -119,7 +119,8 @@
         return AnswerInfo(
             status=status,
             has_stamp=RESPONSE_STAMP in fields,
-            did_not_run=NOT_RUN in fields or status == 421,
+            # An engine that answers with success has run the request, whatever else it states.
+            did_not_run=(NOT_RUN in fields and status >= 400) or status == 421,
             is_misdirected=status == 421,
             is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
             weights=_parse_integer(fields.get(b"weight-versions")),
