Gateway: test that whatever ends a request only cuts a begun stream

Refusals, failures, no endpoint, quarantine and the end of the process, each with and without an earlier answer and earlier runs.

--- /dev/null
+++ b/teaselpath/gateway/tests/test_responses.py
@@ -0,0 +1,71 @@
+"""Last responses: a stream that was begun is cut, whatever ends its request."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from teaselpath.dispatch import NoEndpoint
+from teaselpath.gateway._quarantine import Quarantined
+from teaselpath.gateway._responses import Responder
+from teaselpath.gateway.tests.test_placement import make_call
+from teaselpath.http1 import Exchange, Request
+from teaselpath.platform import PlatformRequests
+from teaselpath.results import Code
+
+NO_ENDPOINT = NoEndpoint("full", retry_after_s=0.5)
+QUARANTINED = Quarantined(Code.PART_QUARANTINED, 1.0, "verdict")
+ERROR = PlatformRequests().decode_answer(500, [(b"Response-Stamp", b"s")])
+
+
+class RecordingConnection:
+    """Stands in for the connection of a caller; records what is written to it."""
+
+    def __init__(self) -> None:
+        self.written = b""
+        self.is_closed = False
+
+    def closes_after(self, request: Request) -> bool:
+        """Return that the connection is kept."""
+        return False
+
+    def write(self, data: bytes) -> None:
+        """Record data."""
+        self.written += data
+
+    def close_after_flush(self) -> None:
+        """Record the close."""
+        self.is_closed = True
+
+
+@pytest.mark.parametrize("runs", [0, 1])
+@pytest.mark.parametrize("has_answer", [False, True])
+@pytest.mark.parametrize(
+    "end",
+    [
+        lambda responder, *rest: responder.refuse(*rest, Code.ENDPOINT_LEAVING, 0.2),
+        lambda responder, *rest: responder.fail(*rest, 502),
+        lambda responder, *rest: responder.end_unplaced(*rest, NO_ENDPOINT),
+        lambda responder, *rest: responder.end_quarantined(*rest, QUARANTINED),
+        lambda responder, *rest: responder.end_unfinished(*rest),
+    ],
+    ids=["refuse", "fail", "unplaced", "quarantined", "unfinished"],
+)
+def test_begun_stream_is_cut_and_gets_no_other_response(state, end, has_answer, runs):
+    async def scenario():
+        call = make_call()
+        call.progress.runs, call.was_sent = runs, bool(runs)
+        if has_answer:
+            call.answer, call.answer_body = ERROR, b"error"
+        connection: Any = RecordingConnection()
+        exchange = Exchange(connection, Request(b"POST", b"/", [], b"", True, 0.0))
+        exchange.start(200, [])
+        exchange.write(b"id: 1\ndata: x\n\n")
+        before = connection.written
+        code = end(Responder(state, PlatformRequests()), exchange, call)
+        return code, connection.written == before, connection.is_closed
+
+    code, is_unchanged, is_closed = asyncio.run(scenario())
+    assert code in (Code.STREAM_INCOMPLETE, Code.PART_QUARANTINED)
+    assert is_unchanged
+    assert is_closed
