Soak: answers that end early or hold what belongs elsewhere

Engines restart or skip in a resumed stream, answer with a document, repeat a refusal, cut a head, or reset; drawn from a random source of their own, so the other faults of a seed stay the same.

--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -11,6 +11,7 @@
 from random import Random
 
 from standins.hosted import Caller, HostedSite, ListedEngine, SiteTenant
+from standins.soak._answer_faults import LATE_ANSWERS, MISLEADING_ANSWERS, disturb_answers
 from standins.soak._checks import SentRequest, check_guarantees
 from standins.soak._proxy import FaultyProxy, LinkFault
 
@@ -18,8 +19,6 @@
 ROUTES = ("review", "query", "pay", "lookup")
 # Grace period between the last fault and the start of the recovery phase.
 SETTLE_TIME_S = 6.0
-# Mean interval between faults of the answers of engines, in seconds.
-ANSWER_FAULT_INTERVAL_S = 1.5
 # Interval at which the delay of this process's own event loop is measured.
 STALL_CHECK_INTERVAL_S = 0.05
 # Minimum number of requests in the recovery phase, and the time limit to reach it.
@@ -211,12 +210,15 @@
     async def inject_faults(self) -> None:
         """Start faults at random times; each runs as a separate task."""
         until = time.monotonic() + self.plan.fault_s
-        answers = asyncio.create_task(self.disturb_answers(until))
-        self.fault_tasks.add(answers)
-        answers.add_done_callback(self.fault_tasks.discard)
-        limits = asyncio.create_task(self.limit_engines(until))
-        self.fault_tasks.add(limits)
-        limits.add_done_callback(self.fault_tasks.discard)
+        late, misleading = Random(self.plan.seed + 2), Random(self.plan.seed + 5)
+        for disturbance in (
+            disturb_answers(self.site, LATE_ANSWERS, late, until, self.record_fault),
+            disturb_answers(self.site, MISLEADING_ANSWERS, misleading, until, self.record_fault),
+            self.limit_engines(until),
+        ):
+            task = asyncio.create_task(disturbance)
+            self.fault_tasks.add(task)
+            task.add_done_callback(self.fault_tasks.discard)
         source = Random(self.plan.seed + 3)
         self.deadly_from = time.monotonic() + source.uniform(0.1, 0.5) * self.plan.fault_s
         kinds: list[Callable[[], Coroutine[None, None, None]]] = [
@@ -286,22 +288,6 @@
         await asyncio.sleep(self.random.uniform(0.5, 3.0))
         setattr(faults, fault, 0.0)
 
-    async def disturb_answers(self, until: float) -> None:
-        """Make engines stall, send without end, begin late or leave polls unanswered.
-
-        Draws from a random source of its own, so that the other faults of a seed stay the same.
-        """
-        source = Random(self.plan.seed + 2)
-        while time.monotonic() < until:
-            await asyncio.sleep(source.expovariate(1 / ANSWER_FAULT_INTERVAL_S))
-            name = source.choice(sorted(self.site.engines))
-            fault = source.choice(["stalls", "floods", "slow", "polls_unanswered"])
-            self.record_fault(f"{fault}: {name}")
-            faults = self.site.engines[name].engine.faults
-            setattr(faults, fault, 0.3)
-            await asyncio.sleep(source.uniform(0.5, 2.0))
-            setattr(faults, fault, 0.0)
-
     async def limit_engines(self, until: float) -> None:
         """Make engines and services state limits for a while."""
         source = Random(self.plan.seed + 4)
