--- a/standins/soak/_faults.py
+++ b/standins/soak/_faults.py
@@ -9,14 +9,13 @@
 from typing import TYPE_CHECKING
 
 from standins.hosted import HEARTBEAT_INTERVAL_S, StoreCopy
+from standins.soak._answer_faults import LATE_ANSWERS, MISLEADING_ANSWERS, disturb_answers
 from standins.soak._configs import change_routes
 from standins.soak._proxy import LinkFault
 
 if TYPE_CHECKING:
     from standins.soak._soak import Soak
 
-# Mean interval between faults of the answers of engines, in seconds.
-ANSWER_FAULT_INTERVAL_S = 1.5
 # Mean interval between limits that engines state, in seconds.
 LIMIT_INTERVAL_S = 4.0
 # Mean interval between changes of routes, in seconds.
@@ -54,7 +53,12 @@
     async def inject_faults(self) -> None:
         """Start faults at random times; each runs as a separate task."""
         until = time.monotonic() + self.plan.fault_s
-        self.soak.start_fault(self.disturb_answers(until))
+        record = self.soak.record_fault
+        late, misleading = Random(self.plan.seed + 2), Random(self.plan.seed + 7)
+        self.soak.start_fault(disturb_answers(self.site, LATE_ANSWERS, late, until, record))
+        self.soak.start_fault(
+            disturb_answers(self.site, MISLEADING_ANSWERS, misleading, until, record)
+        )
         self.soak.start_fault(self.limit_engines(until))
         self.soak.start_fault(self.change_routes(until))
         self.soak.start_fault(self.restore_store(until))
@@ -124,22 +128,6 @@
         await asyncio.sleep(self.random.uniform(0.5, 3.0))
         setattr(faults, fault, 0.0)
 
-    async def disturb_answers(self, until: float) -> None:
-        """Make engines stall, send without end, begin late or leave polls unanswered.
-
-        Draws from a random source of its own, so that the other faults of a seed stay the same.
-        """
-        source = Random(self.plan.seed + 2)
-        while time.monotonic() < until:
-            await asyncio.sleep(source.expovariate(1 / ANSWER_FAULT_INTERVAL_S))
-            name = source.choice(sorted(self.site.engines))
-            fault = source.choice(["stalls", "floods", "slow", "polls_unanswered"])
-            self.soak.record_fault(f"{fault}: {name}")
-            faults = self.site.engines[name].engine.faults
-            setattr(faults, fault, 0.3)
-            await asyncio.sleep(source.uniform(0.5, 2.0))
-            setattr(faults, fault, 0.0)
-
     async def limit_engines(self, until: float) -> None:
         """Make engines and services state limits for a while."""
         source = Random(self.plan.seed + 4)
