--- a/teaselpath/gateway/tests/test_responses.py
+++ b/teaselpath/gateway/tests/test_responses.py
@@ -18,6 +18,7 @@
 ERROR = PlatformRequests().decode_answer(500, [(b"Response-Stamp", b"s")])
 
 CUT = {Code.STREAM_INCOMPLETE}
+REFUSED = {Code.STREAM_INCOMPLETE, Code.PART_QUARANTINED}
 
 
 class RecordingConnection:
