Requests: a time that is no finite number counts as none stated

What callers saw: a request with Deadline-Ms: nan got no answer at all while its endpoint was silent, beyond its route's timeout; deadlines that are no number also disorder the event loop's queue of timers, which all requests share. Cause: the text nan is a number to the decoder, and no comparison with it is true. Change: the decoder returns none for what is not finite; then the route's timeout holds. Test: gateway/tests/test_odd_requests.py, before: TimeoutError after 10 s instead of 504. Its other odd values (43 in all) passed before, too.

--- a/teaselpath/platform/_requests.py
+++ b/teaselpath/platform/_requests.py
@@ -159,10 +159,12 @@
 
 
 def _parse_milliseconds(value: bytes | None) -> float | None:
+    """Return a time in seconds; None unless it is a finite number."""
     try:
-        return float(value) / 1000 if value is not None else None
+        time_s = float(value) / 1000 if value is not None else None
     except ValueError:
         return None
+    return time_s if time_s is not None and isfinite(time_s) else None
 
 
 def _parse_integer(value: bytes | None) -> int | None:
