Placement: a request waits for a full endpoint though those of the next subset want no requests

Cause: the reason of the second subset replaced that of the first.

Change: that an endpoint wants no requests is the reason only if the first subset says so, or both.

Evidence: the new test failed before ("assert False": the request was not queued).

--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -249,7 +249,9 @@
         choice = choose_endpoint(pool.candidates(key), demand, state.topology, now)
         if isinstance(choice, NoEndpoint) and len(pool.views) > MAX_CANDIDATES:
             # No endpoint of the first subset of candidates can accept the request; try the second.
-            choice = choose_endpoint(pool.candidates(key, subset=1), demand, state.topology, now)
+            second = choose_endpoint(pool.candidates(key, subset=1), demand, state.topology, now)
+            if isinstance(second, Placed) or second.reason != "held_off":
+                return second
         return choice
 
     def _oldest_usable_version(self, announced: AnnouncedWeights | None, now: float) -> int:
--- a/teaselpath/gateway/tests/test_placement.py
+++ b/teaselpath/gateway/tests/test_placement.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from teaselpath.dispatch import NoEndpoint, Placed
+from teaselpath.dispatch import MAX_CANDIDATES, NoEndpoint, Placed, affinity_key
 from teaselpath.fleet import (
     Backend,
     CallerRequest,
@@ -246,3 +246,27 @@
     assert choice.reason == "held_off"
     assert choice.retry_after_s > 8.0
     assert queued_calls == {}
+
+
+def test_request_waits_for_a_full_engine_though_the_next_ones_want_no_requests(state, announced):
+    """Guards against a refusal because of the second subset of a large service."""
+
+    async def scenario():
+        for number in range(2 * MAX_CANDIDATES):
+            state.apply_endpoint_record(endpoint_record(f"e{number}", number + 1), "store", 1.0)
+        placer, call = Placer(state, announced.append), make_call(8.0)
+        now = placer.loop.time()
+        assert call.request.prompt is not None
+        key = affinity_key(call.request.prompt, "")
+        for view in state.pool("s").candidates(key):
+            view.own.requests = 100
+        for view in state.pool("s").candidates(key, subset=1):
+            view.availability.record_hold_off(now + 20.0)
+        task = asyncio.create_task(placer.acquire(call, now))
+        await asyncio.sleep(0)
+        was_queued = bool(placer.queued_calls)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return was_queued
+
+    assert asyncio.run(scenario())
