A caller that leaves takes the answer from no other caller; any other cancellation is answered

What callers saw: an engine ended, two requests waited for the same check of it, one caller left, and the connection of the other was closed without an answer.

Cause: EngineEndDetector gave each request its one task. Task.cancel() of a handler cancels what it awaits, so the check ended for all, the quarantine never learned of the end, and a check cancelled before its first step left an entry that cancelled each later request as well. Forwarder.handle took any CancelledError for its caller's leaving.

Change: the detector owns the check; each request gets a future of its own (shield). The entry goes however the task ends, and a check that raises is logged though nobody waits for it any more. A handler that is cancelled while its connection is open answers: 502 if the request may have run, else 503 as not run.

Same class, read: futures of the placement queue and waiters of http1 connections belong to one request each and nobody else cancels them; the pools share connections, not tasks; a quarantine trial waits on its own timer and is released when cancelled; polls of the watcher and jobs of caches and orders are awaited by no request.

--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -80,7 +80,7 @@
         self.has_proved = False
         self.limits = AttemptLimits(call.route, call.progress.runs, self.started_at, call.deadline)
         # Set if the connection was lost within the answer: whether the engine has ended.
-        self.engine_end: asyncio.Task[bool] | None = None
+        self.engine_end: asyncio.Future[bool] | None = None
 
     async def run(self) -> Outcome:
         """Send the request, read the answer and return the outcome."""
--- a/teaselpath/gateway/_engine_ends.py
+++ b/teaselpath/gateway/_engine_ends.py
@@ -11,7 +11,7 @@
 from eliot import log_message
 
 from teaselpath.dispatch import EndpointView
-from teaselpath.fleet import EndpointState
+from teaselpath.fleet import Endpoint, EndpointState
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import HttpClient
@@ -85,19 +85,39 @@
         self.loop = asyncio.get_running_loop()
         self.suspicions: dict[int, _Suspicion] = {}
 
-    def record_broken(self, view: EndpointView, run: BrokenRun) -> asyncio.Task[bool]:
+    def record_broken(self, view: EndpointView, run: BrokenRun) -> asyncio.Future[bool]:
         """Record an answer that was broken off by a closed connection.
 
-        :returns: task that returns whether the engine has ended.
+        :returns: future with whether the engine has ended; its cancellation concerns no other.
         """
         number = view.endpoint.number
         suspicion = self.suspicions.get(number)
         if suspicion is None or suspicion.task is None:
             suspicion = self.suspicions[number] = _Suspicion(self.loop.time())
             suspicion.task = self.loop.create_task(self._confirm(view, suspicion))
+            suspicion.task.add_done_callback(
+                lambda task: self._on_checked(view.endpoint, suspicion, task)
+            )
         suspicion.runs.append(run)
         assert suspicion.task is not None
-        return suspicion.task
+        return asyncio.shield(suspicion.task)
+
+    def _on_checked(
+        self, endpoint: Endpoint, suspicion: _Suspicion, task: asyncio.Task[bool]
+    ) -> None:
+        # A task that is cancelled before its first step has not removed its suspicion.
+        self._remove(endpoint.number, suspicion)
+        # The requests that waited for it may all have ended.
+        if not task.cancelled() and task.exception() is not None:
+            log_message(
+                "engine_check_failed",
+                endpoint=endpoint.endpoint_id,
+                reason=repr(task.exception()),
+            )
+
+    def _remove(self, number: int, suspicion: _Suspicion) -> None:
+        if self.suspicions.get(number) is suspicion:
+            del self.suspicions[number]
 
     async def _confirm(self, view: EndpointView, suspicion: _Suspicion) -> bool:
         endpoint = view.endpoint
@@ -106,7 +126,7 @@
             pool = self.http.pool(endpoint.address)
             has_ended = await pool.is_refused(self.loop.time() + PROBE_TIMEOUT_S)
         finally:
-            del self.suspicions[endpoint.number]
+            self._remove(endpoint.number, suspicion)
         # An engine that was told to leave ends without a fault.
         is_listed = self.state.views.get(endpoint.endpoint_id) is view
         is_leaving = view.availability.is_leaving or view.endpoint.state is not EndpointState.READY
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -86,7 +86,8 @@
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request of a caller.
 
-        An exception is raised again once the caller has its response.
+        An exception is raised again once the caller has its response. A cancellation ends the
+        request with an answer, too, unless it is the caller that has left.
         """
         call = self.admission.admit(exchange)
         if call is None:
@@ -102,10 +103,9 @@
         try:
             code = await self._serve(exchange, call)
         except asyncio.CancelledError:
-            if not self.is_ending or exchange.connection.is_closing:
+            if exchange.connection.is_closing:
                 raise
-            wait_s = self.admission.stop_wait_s(self.loop.time())
-            code = self.responder.end_unfinished(exchange, call, wait_s)
+            code = self._end_cancelled(exchange, call)
         except Exception:
             code = self.responder.end_failed(exchange, call)
             raise
@@ -126,6 +126,14 @@
         headers = self.codec.own_response_headers(call.request.request_id, None)
         return HeldExchange(exchange, (502, headers))
 
+    def _end_cancelled(self, exchange: Exchange, call: Call) -> Code:
+        """End a request whose handler was cancelled though its caller still waits."""
+        if self.is_ending:
+            wait_s = self.admission.stop_wait_s(self.loop.time())
+            return self.responder.end_unfinished(exchange, call, wait_s)
+        log_message("handler_cancelled", request_id=call.request.request_id)
+        return self.responder.end_failed(exchange, call)
+
     def end_unfinished(self) -> None:
         """End all requests in flight with a final answer, because the process ends."""
         self.is_ending = True
--- a/teaselpath/gateway/_responses.py
+++ b/teaselpath/gateway/_responses.py
@@ -106,7 +106,10 @@
         return self.refuse(exchange, call, Code.STOPPING, wait_s)
 
     def end_failed(self, exchange: Exchange, call: Call) -> Code:
-        """End a request whose handling has raised, unless its response is complete."""
+        """End a request whose handling has raised or was cancelled.
+
+        A response that is complete stays as it is.
+        """
         if not exchange.is_finished:
             if call.was_sent:
                 self.fail(exchange, call, 502)
--- a/teaselpath/gateway/tests/test_handler_errors.py
+++ b/teaselpath/gateway/tests/test_handler_errors.py
@@ -99,3 +99,32 @@
             writer.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("is_sent", "status"), [(True, b"502"), (False, b"503")])
+def test_request_whose_handler_is_cancelled_gets_an_answer_while_its_caller_waits(
+    monkeypatch, is_sent, status
+):
+    """Any cancellation counted as the leaving of the caller, whose connection was closed."""
+
+    async def scenario():
+        has_begun = asyncio.Event()
+
+        async def wait(*_args):
+            has_begun.set()
+            await asyncio.Event().wait()
+
+        async with Front() as front:
+            front.put_config()
+            await front.add_endpoint("e", wait)
+            if not is_sent:
+                monkeypatch.setattr(front.forwarder.gate, "admit", wait)
+            caller = asyncio.create_task(front.send())
+            await has_begun.wait()
+            (handler,) = front.forwarder.tasks
+            handler.cancel()
+            return await caller
+
+    response = asyncio.run(scenario())
+    assert response.startswith(b"HTTP/1.1 %b " % status)
+    assert (b"Retry-After" in response) is not is_sent
