Observed times: only requests that an endpoint worked on

What callers saw: the more a stopping gateway refused after the queue, or its engines rejected, the shorter it believed requests to be; slow ones were then taken that the stop ended.

Cause: a request counted once it had been placed, though the stop refused it after that or every endpoint rejected it as not run. Change: it counts if an attempt ran, may have run, or was interrupted (its age is then a lower bound, as for those in flight).

--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -112,9 +112,7 @@
         finally:
             self.gate.end_trial(call)
             self.running -= 1
-            self.times.end(
-                call.kind, call.number, self.loop.time(), was_sent=call.placed is not None
-            )
+            self.times.end(call.kind, call.number, self.loop.time(), was_sent=call.was_sent)
             self.tasks.discard(task)
             self._log(call, code)
 
