An attempt is not ended for a retry that a stop forbids

What callers saw: a 502 from a stopping gateway though the attempt in flight would have ended before the stop.

Cause: an attempt whose answer is late took a retry from the budget and ended; whether the stop leaves the time for another was asked only after that. Change: a late attempt first asks whether the request may be sent elsewhere (the same question as before each send), and goes on if not, as without a budget.

Evidence, failed before: test_retry_in_stop.py: "assert b'HTTP/1.1 502' == b'HTTP/1.1 200'".

--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -43,7 +43,8 @@
 
     :param detector: finds out which engines end while they run requests.
     :param gate: quarantine of prompt parts, which learns of answers.
-    :param acquire_retry: takes a retry of a request from the budget; returns whether it could.
+    :param acquire_retry: takes a retry of a request whose attempt is late; returns whether the
+        request may be sent elsewhere.
     """
 
     state: GatewayState
@@ -52,7 +53,7 @@
     metrics: GatewayMetrics
     detector: EngineEndDetector
     gate: QuarantineGate
-    acquire_retry: Callable[[Call], bool]
+    acquire_retry: Callable[[Exchange, Call], bool]
 
 
 def describe_outcome(outcome: Outcome) -> str:
@@ -181,7 +182,7 @@
                 now, call = self.loop.time(), self.call
                 if now >= call.deadline:
                     raise
-                call.has_retry = call.has_retry or self.context.acquire_retry(call)
+                call.has_retry = call.has_retry or self.context.acquire_retry(self.exchange, call)
                 if call.has_retry:
                     raise
                 self.limits.extend(now)
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -71,7 +71,7 @@
         self.gate = gate
         detector = EngineEndDetector(state, http, metrics, gate.handle_end)
         self.context = AttemptContext(
-            state, codec, http, metrics, detector, gate, self._acquire_retry
+            state, codec, http, metrics, detector, gate, self._acquire_early_retry
         )
         self.placer = Placer(state, announce)
         self.times = ServiceTimes()
@@ -152,7 +152,7 @@
                 self.gate.end_trial(call)
                 continue
             # The end of a stop has come nearer while the request waited, or was sent elsewhere.
-            if not exchange.is_started and not self.admission.has_time(call, self.loop.time()):
+            if not self._may_send(exchange, call):
                 self.placer.release(call)
                 wait_s = self.admission.stop_wait_s(self.loop.time())
                 return self.responder.end_stopping(exchange, call, wait_s)
@@ -202,6 +202,14 @@
         call.has_retry = False
         return has_retry
 
+    def _may_send(self, exchange: Exchange, call: Call) -> bool:
+        """Return whether a stop of this gateway leaves the time for another attempt."""
+        return exchange.is_started or self.admission.has_time(call, self.loop.time())
+
+    def _acquire_early_retry(self, exchange: Exchange, call: Call) -> bool:
+        """Take a retry for a request whose attempt is late but goes on if there is none."""
+        return self._may_send(exchange, call) and self._acquire_retry(call)
+
     def _acquire_retry(self, call: Call) -> bool:
         now = self.loop.time()
         _, gateways = self.state.count_gateways(now)
