A held answer ends before its caller leaves, and what would take longer is refused

What callers saw: nothing.

Cause: a held answer was weighed against the end of the stop only. Change: what would be held is sent only if it is expected to be complete before its caller leaves, too (Stop.can_take, abandoned_at), and is refused as not run otherwise; an answer that is not complete 0.2 s before that is replaced by 502 (Stop.fails_held_at).

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -29,7 +29,7 @@
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.dispatch._placement import LONG_PROMPT_TOKENS, affinity_key, choose_endpoint
 from teaselpath.dispatch._pool import MAX_CANDIDATES, EndpointPool
-from teaselpath.dispatch._progress import AttemptLimits
+from teaselpath.dispatch._progress import AttemptLimits, caller_gap_limit_s
 from teaselpath.dispatch._queue import QueuedRequest, RequestQueue
 from teaselpath.dispatch._quota import Granted, OverRate, SharedQuota
 from teaselpath.dispatch._reservation import Reservation
@@ -89,6 +89,7 @@
     "StreamStep",
     "Topology",
     "affinity_key",
+    "caller_gap_limit_s",
     "choose_endpoint",
     "first_level",
     "next_step",
--- a/teaselpath/dispatch/_progress.py
+++ b/teaselpath/dispatch/_progress.py
@@ -18,11 +18,30 @@
 # Shortest timeout of a stream, in seconds: a sound endpoint may be silent for a second or two and
 # go on, and would still work on a stream that has gone on elsewhere.
 MIN_STREAM_TIMEOUT_S = 2.1
+# Callers abandon a stream, also before its first event, after the longest of three gaps: this one,
+# in seconds, and multiples of the route's target latency and of the longest pause on time.
+MIN_CALLER_GAP_S = 2.0
+CALLER_LATENCY_FACTOR = 4.0
+CALLER_PAUSE_FACTOR = 8.0
 # Interval at which an attempt that has exceeded its limit checks whether the retry budget allows to
 # send the request elsewhere, in seconds.
 RETRY_CHECK_INTERVAL_S = 0.25
 
 
+def caller_gap_limit_s(route: Route) -> float:
+    """Return the time without an event after which a caller leaves, in seconds.
+
+    It is infinite unless the route's answers are streams: callers wait until the deadline.
+    """
+    if route.kind is not RequestKind.STREAM:
+        return float("inf")
+    return max(
+        MIN_CALLER_GAP_S,
+        CALLER_LATENCY_FACTOR * route.target_latency_s,
+        CALLER_PAUSE_FACTOR * route.event_gap_s,
+    )
+
+
 class AttemptLimits:
     """Time limits of one attempt.
 
--- a/teaselpath/dispatch/tests/test_progress.py
+++ b/teaselpath/dispatch/tests/test_progress.py
@@ -1,8 +1,10 @@
 """Time limits of attempts: stalled streams end or go on elsewhere, slow ones go on."""
 
+from dataclasses import replace
+
 import pytest
 
-from teaselpath.dispatch import AttemptLimits
+from teaselpath.dispatch import AttemptLimits, caller_gap_limit_s
 from teaselpath.fleet import Backend, RequestKind, Route
 
 GAP_S = 0.4
@@ -69,3 +71,19 @@
     assert limits.progress_deadline == 1.0
     limits.record_event(0.9)
     assert limits.progress_deadline == 1.0
+
+
+@pytest.mark.parametrize(
+    ("target_latency_s", "event_gap_s", "limit_s"),
+    [(0.1, 0.1, 2.0), (0.8, 0.1, 3.2), (0.1, 0.4, 3.2), (0.1, 0.0, 2.0)],
+)
+def test_callers_leave_a_stream_after_the_longest_of_three_gaps(
+    target_latency_s, event_gap_s, limit_s
+):
+    route = replace(make_route(), target_latency_s=target_latency_s, event_gap_s=event_gap_s)
+    assert caller_gap_limit_s(route) == pytest.approx(limit_s)
+
+
+@pytest.mark.parametrize("kind", [RequestKind.SAFE, RequestKind.UNSAFE])
+def test_callers_wait_for_other_answers_until_their_deadline(kind):
+    assert caller_gap_limit_s(replace(make_route(), kind=kind)) == float("inf")
--- a/teaselpath/exchange/_stop.py
+++ b/teaselpath/exchange/_stop.py
@@ -10,7 +10,8 @@
 Once the load balancer has had the time to turn away, a request is sent only if its answer can be
 expected before the end of the stop; it is refused at once otherwise, as not run. What is only
 expected is not promised: the answer to such a request is held back until it is complete, so that it
-can still be replaced by a failure.
+can still be replaced by a failure. A caller that receives nothing leaves long before its deadline;
+the answer has to be complete before that, too, and is replaced by a failure otherwise.
 """
 
 from collections.abc import Iterable
@@ -32,6 +33,8 @@
 URGENT_QUANTILE = 0.8
 # The observed time is multiplied by this factor.
 EXPECTED_TIME_MARGIN = 1.5
+# A held answer is replaced by a failure this long before its caller leaves, in seconds.
+HELD_MARGIN_S = 0.2
 
 
 class StopPhase(Enum):
@@ -78,13 +81,21 @@
         return CAUTIOUS_QUANTILE if self.has_ready_peer else URGENT_QUANTILE
 
     def can_take(
-        self, now: float, deadline: float, observed_s: float | None, *, is_long: bool
+        self,
+        now: float,
+        deadline: float,
+        observed_s: float | None,
+        *,
+        is_long: bool,
+        abandoned_at: float = float("inf"),
     ) -> bool:
         """Return whether a request may be sent to an endpoint, for the first time or again.
 
         :param deadline: event loop time at which its caller stops waiting, in seconds.
         :param observed_s: time that like requests take; None if unknown.
         :param is_long: whether it has a long prompt.
+        :param abandoned_at: event loop time at which its caller leaves if it has received nothing,
+            in seconds; for a request whose answer is held back.
         """
         if now - self.started_at < LISTEN_GRACE_S or deadline <= self.ends_at:
             return True
@@ -92,7 +103,8 @@
             return False
         if observed_s is None:
             return not self.has_ready_peer
-        return now + EXPECTED_TIME_MARGIN * observed_s <= self.ends_at
+        expected_at = now + EXPECTED_TIME_MARGIN * observed_s
+        return expected_at <= min(self.ends_at, abandoned_at - HELD_MARGIN_S)
 
     def must_hold(self, now: float, deadline: float) -> bool:
         """Return whether an answer that begins now may outlast the stop.
@@ -101,6 +113,15 @@
         """
         return now - self.started_at >= LISTEN_GRACE_S and deadline > self.ends_at
 
+    def fails_held_at(self, abandoned_at: float) -> float | None:
+        """Return when a held answer that is not complete is replaced by a failure.
+
+        :param abandoned_at: as for ``can_take``.
+        :returns: event loop time, in seconds; None if that is at the end of the stop.
+        """
+        fails_at = abandoned_at - HELD_MARGIN_S
+        return fails_at if fails_at < self.ends_at else None
+
 
 def plan_stop(
     host: str, domain: str, peers: Iterable[StopPeer], age_s: float, grace_s: float
--- a/teaselpath/exchange/tests/test_stop.py
+++ b/teaselpath/exchange/tests/test_stop.py
@@ -124,3 +124,21 @@
     assert deadline <= stop.ends_at or stop.must_hold(now, deadline)
     if deadline > stop.ends_at and observed_s is not None:
         assert now + observed_s <= stop.ends_at
+
+
+@pytest.mark.parametrize("has_ready_peer", [False, True])
+def test_request_whose_caller_would_leave_before_its_held_answer_is_not_sent(has_ready_peer):
+    """Taken 3 s after SIGTERM, its caller left after 3.2 s; the engine was not done."""
+    stop = make_stop(has_ready_peer)
+    assert stop.can_take(8.0, 18.0, 2.2, is_long=False)
+    assert stop.can_take(8.0, 18.0, 1.9, is_long=False, abandoned_at=11.2)
+    assert not stop.can_take(8.0, 18.0, 2.2, is_long=False, abandoned_at=11.2)
+
+
+def test_held_answer_is_given_up_before_its_caller_leaves_or_at_the_end():
+    stop = make_stop(has_ready_peer=True)
+    fails_at = stop.fails_held_at(11.2)
+    assert fails_at is not None
+    assert 10.0 < fails_at < 11.2
+    assert stop.fails_held_at(stop.ends_at + 1.0) is None
+    assert stop.fails_held_at(float("inf")) is None
--- a/teaselpath/gateway/_admission.py
+++ b/teaselpath/gateway/_admission.py
@@ -111,12 +111,22 @@
         return call
 
     def has_time(self, call: Call, now: float) -> bool:
-        """Return whether the answer can be expected before a stop of this gateway ends."""
+        """Return whether the answer can be expected before a stop of this gateway ends.
+
+        An answer that is held back has to be complete before its caller leaves, too.
+        """
         stop = self.state.stop
         if stop is None:
             return True
         observed_s = self.times.quantile_s(call.kind, stop.quantile, now, without=call.number)
-        return stop.can_take(now, call.deadline, observed_s, is_long=call.kind[1])
+        is_held = stop.must_hold(call.arrived_at, call.deadline)
+        return stop.can_take(
+            now,
+            call.deadline,
+            observed_s,
+            is_long=call.kind[1],
+            abandoned_at=call.abandoned_at if is_held else float("inf"),
+        )
 
     def stop_wait_s(self, now: float) -> float:
         """Return the time after which a caller finds another gateway, in seconds."""
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -2,7 +2,13 @@
 
 from dataclasses import dataclass, field
 
-from teaselpath.dispatch import LONG_PROMPT_TOKENS, Placed, Progress, Reservation
+from teaselpath.dispatch import (
+    LONG_PROMPT_TOKENS,
+    Placed,
+    Progress,
+    Reservation,
+    caller_gap_limit_s,
+)
 from teaselpath.fleet import AnswerInfo, CallerRequest, Route, Service, Workspace
 from teaselpath.gateway._events import EventSplitter
 from teaselpath.quarantine import Claim
@@ -58,6 +64,11 @@
         prompt = self.request.prompt
         return self.route.name, prompt is not None and prompt.prompt_tokens >= LONG_PROMPT_TOKENS
 
+    @property
+    def abandoned_at(self) -> float:
+        """Return when the caller leaves if no answer has begun, in event loop time."""
+        return self.arrived_at + caller_gap_limit_s(self.route)
+
     @property
     def priority(self) -> int:
         """Return the workspace's priority if it has one, else the route's."""
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -101,7 +101,10 @@
         # Logged if this handler raises or is cancelled because the caller disconnects.
         code = Code.CALLER_GONE
         try:
-            code = await self._serve(exchange, call)
+            if isinstance(exchange, HeldExchange):
+                code = await self._serve_held(exchange, call)
+            else:
+                code = await self._serve(exchange, call)
         except asyncio.CancelledError:
             if exchange.connection.is_closing:
                 raise
@@ -122,22 +125,36 @@
         if stop is None or not stop.must_hold(call.arrived_at, call.deadline):
             return exchange
         headers = self.codec.own_response_headers(call.request.request_id, None)
-        return HeldExchange(exchange, (502, headers))
+        return HeldExchange(exchange, (502, headers), stop.fails_held_at(call.abandoned_at))
 
     def _end_cancelled(self, exchange: Exchange, call: Call) -> Code:
         """End a request whose handler was cancelled though its caller still waits."""
         if self.is_ending:
-            wait_s = self.admission.stop_wait_s(self.loop.time())
-            return self.responder.end_unfinished(exchange, call, wait_s)
+            return self._end_by_stop(exchange, call)
         log_message("handler_cancelled", request_id=call.request.request_id)
         return self.responder.end_failed(exchange, call)
 
+    def _end_by_stop(self, exchange: Exchange, call: Call) -> Code:
+        wait_s = self.admission.stop_wait_s(self.loop.time())
+        return self.responder.end_unfinished(exchange, call, wait_s)
+
     def end_unfinished(self) -> None:
         """End all requests in flight with a final answer, because the process ends."""
         self.is_ending = True
         for task in self.tasks:
             task.cancel()
 
+    async def _serve_held(self, exchange: HeldExchange, call: Call) -> Code:
+        """Serve a request until its caller is about to leave, which has received nothing."""
+        try:
+            async with asyncio.timeout_at(exchange.fails_at) as limit:
+                exchange.on_release = lambda: limit.reschedule(None)
+                return await self._serve(exchange, call)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            return self._end_by_stop(exchange, call)
+
     async def _serve(self, exchange: Exchange, call: Call) -> Code:
         """Send the request to endpoints until the caller has a response; return its result code."""
         while True:
--- a/teaselpath/gateway/_held.py
+++ b/teaselpath/gateway/_held.py
@@ -1,5 +1,7 @@
 """Responses that are held back until they are complete."""
 
+from collections.abc import Callable
+
 from eliot import log_message
 
 from teaselpath.http1 import Exchange, Headers
@@ -16,14 +18,29 @@
 
     :param exchange: exchange with the caller.
     :param failure: status and header fields of the response to an incomplete answer.
+    :param fails_at: event loop time at which the failure is sent; None for the end of the stop.
+    :ivar on_release: called when the answer begins.
     """
 
-    __slots__ = ("exchange", "failure", "head", "is_released", "parts", "size")
-
-    def __init__(self, exchange: Exchange, failure: tuple[int, Headers]):
+    __slots__ = (
+        "exchange",
+        "fails_at",
+        "failure",
+        "head",
+        "is_released",
+        "on_release",
+        "parts",
+        "size",
+    )
+
+    def __init__(
+        self, exchange: Exchange, failure: tuple[int, Headers], fails_at: float | None = None
+    ):
         super().__init__(exchange.connection, exchange.request)
         self.exchange = exchange
         self.failure = failure
+        self.fails_at = fails_at
+        self.on_release: Callable[[], None] | None = None
         self.head: tuple[int, Headers, int | None] = (*failure, 0)
         self.parts: list[bytes] = []
         self.size = 0
@@ -73,6 +90,8 @@
 
     def _release(self) -> None:
         self.is_released = True
+        if self.on_release is not None:
+            self.on_release()
         self.exchange.start(*self.head)
         self.exchange.write(b"".join(self.parts))
         self.parts.clear()
