A short grace period: what is taken is weighed and held from the start of the stop

No site is known to state less than 8 s; with less than 5.7 s a stopping gateway took everything for 2.6 s, also after requests in flight had been ended (grace below 3.55 s), and cut streams before the last sixth of the grace period, which nothing excuses.

Cause: that requests "cross the stop" was a time (2.6 s) without a look at when the stop ends requests. Change: requests cross the stop only if it ends them within its last sixth; in a shorter stop each request is weighed and its answer held from SIGTERM on. Nothing is taken once requests in flight are ended.

--- a/teaselpath/exchange/_stop.py
+++ b/teaselpath/exchange/_stop.py
@@ -7,11 +7,12 @@
 successors start early; the others accept connections until a successor is ready, or until the time
 is left that they need to finish.
 
-Once the load balancer has had the time to turn away, a request is sent only if its answer can be
-expected before the end of the stop; it is refused at once otherwise, as not run. What is only
-expected is not promised: the answer to such a request is held back until it is complete, so that it
-can still be replaced by a failure. A caller that receives nothing leaves long before its deadline;
-the answer has to be complete before that, too, and is replaced by a failure otherwise.
+Once the load balancer has had the time to turn away, and from the start of a stop that is too short
+for that, a request is sent only if its answer can be expected before the end of the stop; it is
+refused at once otherwise, as not run. What is only expected is not promised: the answer to such a
+request is held back until it is complete, so that it can still be replaced by a failure. A caller
+that receives nothing leaves long before its deadline; the answer has to be complete before that,
+too, and is replaced by a failure otherwise.
 """
 
 from collections.abc import Iterable
@@ -21,6 +22,8 @@
 # Time after the start of a stop in which new connections are accepted in any case, in seconds: the
 # load balancer probes once per second and removes a gateway after two failed probes.
 LISTEN_GRACE_S = 2.6
+# Part of a stop, at its end, in which a stream that crossed the stop may be cut.
+CUT_FRACTION = 1 / 6
 # Remaining time with which requests are still served, in seconds: most end within it.
 MIN_SERVICE_TIME_S = 2.4
 # The same for requests with long prompts, which wait for an engine and produce many events.
@@ -97,7 +100,9 @@
         :param abandoned_at: event loop time at which its caller leaves if it has received nothing,
             in seconds; for a request whose answer is held back.
         """
-        if now - self.started_at < LISTEN_GRACE_S or deadline <= self.ends_at:
+        if now >= self.ends_at:
+            return False
+        if not self.must_hold(now, deadline):
             return True
         if refuses_requests(now - self.started_at, self.grace_s, is_long=is_long):
             return False
@@ -107,11 +112,19 @@
         return expected_at <= min(self.ends_at, abandoned_at - HELD_MARGIN_S)
 
     def must_hold(self, now: float, deadline: float) -> bool:
-        """Return whether an answer that begins now may outlast the stop.
+        """Return whether the answer to a request that arrives now is held until it is complete.
 
-        It is held back until it is complete.
+        It may outlast the stop, and did not cross it: the load balancer has turned away, or the
+        stop is too short to give requests the time for that.
         """
-        return now - self.started_at >= LISTEN_GRACE_S and deadline > self.ends_at
+        age_s = now - self.started_at
+        is_late = age_s >= LISTEN_GRACE_S or (age_s >= 0.0 and self._is_short)
+        return is_late and deadline > self.ends_at
+
+    @property
+    def _is_short(self) -> bool:
+        """Return whether streams are cut so early that even those that cross the stop are held."""
+        return self.ends_at < self.started_at + (1.0 - CUT_FRACTION) * self.grace_s
 
     def fails_held_at(self, abandoned_at: float) -> float | None:
         """Return when a held answer that is not complete is replaced by a failure.
