A stop whose own steps raise goes on, and ends each request with an answer

What callers would see: every connection of a stopping gateway closed without an answer, 50 ms after SIGTERM.

Cause: the steps of a stop were awaited bare, while jobs are supervised and handlers guarded; an exception ended the process. Change: a step that raises is logged (stop_step_failed) and tried again; however the loop ends, requests in flight get a final answer and the callers' listener closes, whose waiting connections are accepted first.

Without this change the new test fails, "assert b'HTTP/1.1 5' == b'HTTP/1.1 2'": the answer of the engine was thrown away.

--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -229,41 +229,66 @@
 
         Return once no request is in flight and no connection is open, or at the deadline.
         """
-        loop, state = asyncio.get_running_loop(), self.state
-        started_at = loop.time()
+        started_at = asyncio.get_running_loop().time()
         log_message("stopping", running=self.forwarder.running, open=len(self.connections))
         grace_s = self.settings.bounds.shutdown_grace_s
         deadline = started_at + grace_s - KILL_MARGIN_S
-        stop = state.stop = Stop(started_at, grace_s, ends_at=deadline - FINAL_ANSWER_S)
+        stop = self.state.stop = Stop(started_at, grace_s, ends_at=deadline - FINAL_ANSWER_S)
         self.peers.urgent_update.set()
-        phase = StopPhase.SERVE
+        try:
+            await self._serve_until_end(stop)
+        finally:
+            await self._end_requests()
+
+    async def _serve_until_end(self, stop: Stop) -> None:
+        """Return at the end of the stop, or before if nothing is left to serve.
+
+        A step that fails is tried again: requests in flight do not depend on it.
+        """
+        loop, phase = asyncio.get_running_loop(), StopPhase.SERVE
         while loop.time() < stop.ends_at:
-            for connection in self.connections:
-                connection.stop_reuse()
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-            age_s = loop.time() - started_at
-            peers = self.peers.stop_peers()
-            stop.has_ready_peer = any(peer.is_ready for peer in peers)
-            successor_at = deadline + SUCCESSOR_START_S
-            stop.successor_at = started_at if stop.has_ready_peer else successor_at
-            if phase is not StopPhase.CLOSE:
-                phase = await self._change_phase(phase, peers, age_s, grace_s)
+            try:
+                for connection in self.connections:
+                    connection.stop_reuse()
+                await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+                peers = self._update_stop(stop)
+                if phase is not StopPhase.CLOSE:
+                    phase = await self._change_phase(phase, peers, loop.time() - stop.started_at)
+                    continue
+                for connection in list(self.connections):
+                    connection.close_if_idle()
+            except Exception as error:
+                log_message("stop_step_failed", phase=phase.value, error=repr(error))
+                write_traceback()
+                await asyncio.sleep(RESTART_DELAY_S)
                 continue
-            for connection in list(self.connections):
-                connection.close_if_idle()
             if not self.forwarder.running and not self.connections:
                 break
+
+    def _update_stop(self, stop: Stop) -> list[StopPeer]:
+        """Update when callers find another gateway; return the others."""
+        peers = self.peers.stop_peers()
+        stop.has_ready_peer = any(peer.is_ready for peer in peers)
+        successor_at = stop.started_at + stop.grace_s - KILL_MARGIN_S + SUCCESSOR_START_S
+        stop.successor_at = stop.started_at if stop.has_ready_peer else successor_at
+        return peers
+
+    async def _end_requests(self) -> None:
+        """End the requests in flight with a final answer, and close all listeners."""
         unfinished = self.forwarder.running
         self.forwarder.end_unfinished()
+        # Still open if steps of the stop have failed.
+        await self.caller_listener.close()
         await asyncio.sleep(FINAL_ANSWER_S if unfinished else 0.0)
         for server in self.servers:
             server.close()
         log_message("drained", unfinished=unfinished)
 
     async def _change_phase(
-        self, before: StopPhase, peers: list[StopPeer], age_s: float, grace_s: float
+        self, before: StopPhase, peers: list[StopPeer], age_s: float
     ) -> StopPhase:
         settings = self.settings
+        grace_s = settings.bounds.shutdown_grace_s
         phase = plan_stop(settings.host, settings.failure_domain, peers, age_s, grace_s)
         if phase is not before:
             ready = sum(peer.is_ready for peer in peers)
--- a/teaselpath/gateway/tests/test_failed_stop.py
+++ b/teaselpath/gateway/tests/test_failed_stop.py
@@ -1,6 +1,7 @@
 """A stop whose own steps fail still ends each request with an answer."""
 
 import asyncio
+import itertools
 import json
 import socket
 from dataclasses import replace
@@ -8,7 +9,7 @@
 from teaselpath.fleet import Position, StoredRecord
 from teaselpath.gateway import GatewayService, LogSink
 from teaselpath.gateway.tests.conftest import SETTINGS, endpoint_record
-from teaselpath.gateway.tests.front import listen
+from teaselpath.gateway.tests.front import answer_headers, listen
 from teaselpath.http1 import Exchange, HttpClient
 from teaselpath.platform import PlatformEngines, PlatformRequests, PlatformStore
 
@@ -46,22 +47,37 @@
     return service
 
 
-def test_request_in_flight_gets_an_answer_though_the_stop_raises(monkeypatch):
-    """The exception ended the process, and with it each connection without a word."""
+def fail(*_args, **_options):
+    raise KeyError("peer")
+
+
+def fail_once(step):
+    """Return a function that raises when it is first called, and then calls ``step``."""
+    steps = itertools.chain([fail], itertools.repeat(step))
+    return lambda *args: next(steps)(*args)
+
+
+async def wait_for_ever():
+    await asyncio.Event().wait()
+
+
+def play(arrange, work=wait_for_ever) -> bytes:
+    """Stop a gateway that ``arrange`` has changed beside a request; return the response's begin.
 
-    def fail():
-        raise KeyError("peer")
+    :param work: what the endpoint waits for before it answers.
+    """
 
     async def scenario():
         has_begun = asyncio.Event()
 
-        async def wait(exchange: Exchange):
+        async def answer(exchange: Exchange):
             has_begun.set()
-            await asyncio.Event().wait()
+            await work()
+            exchange.respond(200, answer_headers(exchange), b"done")
 
         service = make_service()
-        monkeypatch.setattr(service.peers, "stop_peers", fail)
-        server, address = await listen(wait)
+        arrange(service)
+        server, address = await listen(answer)
         service.state.apply_endpoint_record(endpoint_record("e", 2, address=address), "test", 0.0)
         run = asyncio.create_task(service.run())
         while not hasattr(service, "caller_listener") or len(service.servers) < 2:
@@ -85,4 +101,20 @@
         finally:
             writer.close()
 
-    assert asyncio.run(scenario()) == b"HTTP/1.1 5"
+    return asyncio.run(scenario())
+
+
+def test_request_in_flight_gets_an_answer_though_the_stop_raises(monkeypatch):
+    """The exception ended the process, and with it each connection without a word."""
+    response = play(lambda service: monkeypatch.setattr(service.peers, "stop_peers", fail))
+    assert response == b"HTTP/1.1 5"
+
+
+def test_request_in_flight_gets_its_answer_though_a_step_of_the_stop_raises(monkeypatch):
+    """The stop was over with its first step that failed."""
+
+    def arrange(service):
+        stop_peers = fail_once(service.peers.stop_peers)
+        monkeypatch.setattr(service.peers, "stop_peers", stop_peers)
+
+    assert play(arrange, work=lambda: asyncio.sleep(0.3)) == b"HTTP/1.1 2"
