A held response is started and finished once, as any other

Cause: HeldExchange overrides the methods of Exchange without its checks. Change: it makes the same checks, and abort after the end only closes the connection.

Evidence, failed before: test_held_state.py: "DID NOT RAISE ResponseStateError" for respond and start over a held stream and for start and write after its failure; "ResponseStateError: status 502 in the middle of a response" for abort after a complete response.

--- a/teaselpath/gateway/_held.py
+++ b/teaselpath/gateway/_held.py
@@ -47,12 +47,17 @@
         self.is_released = False
 
     def start(self, status: int, headers: Headers, length: int | None = None) -> None:
-        """Keep the head."""
+        """Keep the head.
+
+        :raises ResponseStateError: as for any exchange, also by the other methods.
+        """
+        self._check_is_unstarted(status)
         self.is_started = True
         self.head = (status, headers, length)
 
     def write(self, data: bytes) -> None:
         """Keep data of the body."""
+        self._check_is_open()
         if self.is_released:
             self.exchange.write(data)
             return
@@ -69,6 +74,7 @@
 
     def finish(self) -> None:
         """Send the response, which is complete."""
+        self._check_is_open()
         self.is_finished = True
         if not self.is_released:
             self._release()
@@ -76,17 +82,20 @@
 
     def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
         """Send a complete response."""
-        self.is_started = self.is_finished = True
-        self.exchange.respond(status, headers, body)
+        self._check_is_unstarted(status)
+        self._pass_on(status, headers, body)
 
     def abort(self) -> None:
         """Send the failure, or cut a response that is passed on."""
-        self.is_finished = True
         if self.is_released:
+            self.is_finished = True
             self.exchange.abort()
         else:
-            status, headers = self.failure
-            self.exchange.respond(status, headers)
+            self._pass_on(*self.failure)
+
+    def _pass_on(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        self.is_started = self.is_finished = self.is_released = True
+        self.exchange.respond(status, headers, body)
 
     def _release(self) -> None:
         self.is_released = True
--- a/teaselpath/http1/_server.py
+++ b/teaselpath/http1/_server.py
@@ -60,8 +60,7 @@
 
         :raises ResponseStateError: if the response was started before.
         """
-        if self.is_started or self.is_finished:
-            raise ResponseStateError(f"status {status} in the middle of a response")
+        self._check_is_unstarted(status)
         self.is_started = True
         fields = [pair for pair in headers if not _is_framing(pair[0])]
         if length is None:
@@ -120,6 +119,10 @@
         self.is_finished = True
         self.connection.close_after_flush()
 
+    def _check_is_unstarted(self, status: int) -> None:
+        if self.is_started or self.is_finished:
+            raise ResponseStateError(f"status {status} in the middle of a response")
+
     def _check_is_open(self) -> None:
         if not self.is_started or self.is_finished:
             raise ResponseStateError("data of a body outside a response")
