--- a/teaselpath/exchange/_stop.py
+++ b/teaselpath/exchange/_stop.py
@@ -7,10 +7,12 @@
 successors start early; the others accept connections until a successor is ready, or until the time
 is left that they need to finish.
 
-Once the load balancer has had the time to turn away, a request is sent only if its answer can be
-expected before the end of the stop; it is refused at once otherwise, as not run. What is only
-expected is not promised: the answer to such a request is held back until it is complete, so that it
-can still be replaced by a failure.
+Once the load balancer has had the time to turn away, and from the start of a stop that is too short
+for that, a request is sent only if its answer can be expected before the end of the stop; it is
+refused at once otherwise, as not run. What is only expected is not promised: the answer to such a
+request is held back until it is complete, so that it can still be replaced by a failure. A caller
+that receives nothing leaves long before its deadline; the answer has to be complete before that,
+too, and is replaced by a failure otherwise.
 """
 
 from collections.abc import Iterable
@@ -20,6 +22,8 @@
 # Time after the start of a stop in which new connections are accepted in any case, in seconds: the
 # load balancer probes once per second and removes a gateway after two failed probes.
 LISTEN_GRACE_S = 2.6
+# Part of a stop, at its end, in which a stream that crossed the stop may be cut.
+CUT_FRACTION = 1 / 6
 # Remaining time with which requests are still served, in seconds: most end within it.
 MIN_SERVICE_TIME_S = 2.4
 # The same for requests with long prompts, which wait for an engine and produce many events.
@@ -32,6 +36,8 @@
 URGENT_QUANTILE = 0.8
 # The observed time is multiplied by this factor.
 EXPECTED_TIME_MARGIN = 1.5
+# A held answer is replaced by a failure this long before its caller leaves, in seconds.
+HELD_MARGIN_S = 0.2
 
 
 class StopPhase(Enum):
@@ -78,28 +84,56 @@
         return CAUTIOUS_QUANTILE if self.has_ready_peer else URGENT_QUANTILE
 
     def can_take(
-        self, now: float, deadline: float, observed_s: float | None, *, is_long: bool
+        self,
+        now: float,
+        deadline: float,
+        observed_s: float | None,
+        *,
+        is_long: bool,
+        abandoned_at: float = float("inf"),
     ) -> bool:
         """Return whether a request may be sent to an endpoint, for the first time or again.
 
         :param deadline: event loop time at which its caller stops waiting, in seconds.
         :param observed_s: time that like requests take; None if unknown.
         :param is_long: whether it has a long prompt.
+        :param abandoned_at: event loop time at which its caller leaves if it has received nothing,
+            in seconds; for a request whose answer is held back.
         """
-        if now - self.started_at < LISTEN_GRACE_S or deadline <= self.ends_at:
+        if now >= self.ends_at:
+            return False
+        if not self.must_hold(now, deadline):
             return True
         if refuses_requests(now - self.started_at, self.grace_s, is_long=is_long):
             return False
         if observed_s is None:
             return not self.has_ready_peer
-        return now + EXPECTED_TIME_MARGIN * observed_s <= self.ends_at
+        expected_at = now + EXPECTED_TIME_MARGIN * observed_s
+        return expected_at <= min(self.ends_at, abandoned_at - HELD_MARGIN_S)
 
     def must_hold(self, now: float, deadline: float) -> bool:
-        """Return whether an answer that begins now may outlast the stop.
+        """Return whether the answer to a request that arrives now is held until it is complete.
+
+        It may outlast the stop, and did not cross it: the load balancer has turned away, or the
+        stop is too short to give requests the time for that.
+        """
+        age_s = now - self.started_at
+        is_late = age_s >= LISTEN_GRACE_S or (age_s >= 0.0 and self._is_short)
+        return is_late and deadline > self.ends_at
+
+    @property
+    def _is_short(self) -> bool:
+        """Return whether streams are cut so early that even those that cross the stop are held."""
+        return self.ends_at < self.started_at + (1.0 - CUT_FRACTION) * self.grace_s
+
+    def fails_held_at(self, abandoned_at: float) -> float | None:
+        """Return when a held answer that is not complete is replaced by a failure.
 
-        It is held back until it is complete.
+        :param abandoned_at: as for ``can_take``.
+        :returns: event loop time, in seconds; None if that is at the end of the stop.
         """
-        return now - self.started_at >= LISTEN_GRACE_S and deadline > self.ends_at
+        fails_at = abandoned_at - HELD_MARGIN_S
+        return fails_at if fails_at < self.ends_at else None
 
 
 def plan_stop(
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -71,7 +71,7 @@
         self.gate = gate
         detector = EngineEndDetector(state, http, metrics, gate.handle_end)
         self.context = AttemptContext(
-            state, codec, http, metrics, detector, gate, self._acquire_retry
+            state, codec, http, metrics, detector, gate, self._acquire_early_retry
         )
         self.placer = Placer(state, announce)
         self.times = ServiceTimes()
@@ -86,7 +86,8 @@
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request of a caller.
 
-        An exception is raised again once the caller has its response.
+        An exception is raised again once the caller has its response. A cancellation ends the
+        request with an answer, too, unless it is the caller that has left.
         """
         call = self.admission.admit(exchange)
         if call is None:
@@ -100,21 +101,21 @@
         # Logged if this handler raises or is cancelled because the caller disconnects.
         code = Code.CALLER_GONE
         try:
-            code = await self._serve(exchange, call)
+            if isinstance(exchange, HeldExchange):
+                code = await self._serve_held(exchange, call)
+            else:
+                code = await self._serve(exchange, call)
         except asyncio.CancelledError:
-            if not self.is_ending or exchange.connection.is_closing:
+            if exchange.connection.is_closing:
                 raise
-            wait_s = self.admission.stop_wait_s(self.loop.time())
-            code = self.responder.end_unfinished(exchange, call, wait_s)
+            code = self._end_cancelled(exchange, call)
         except Exception:
             code = self.responder.end_failed(exchange, call)
             raise
         finally:
             self.gate.end_trial(call)
             self.running -= 1
-            self.times.end(
-                call.kind, call.number, self.loop.time(), was_sent=call.placed is not None
-            )
+            self.times.end(call.kind, call.number, self.loop.time(), was_sent=call.was_sent)
             self.tasks.discard(task)
             self._log(call, code)
 
@@ -124,7 +125,18 @@
         if stop is None or not stop.must_hold(call.arrived_at, call.deadline):
             return exchange
         headers = self.codec.own_response_headers(call.request.request_id, None)
-        return HeldExchange(exchange, (502, headers))
+        return HeldExchange(exchange, (502, headers), stop.fails_held_at(call.abandoned_at))
+
+    def _end_cancelled(self, exchange: Exchange, call: Call) -> Code:
+        """End a request whose handler was cancelled though its caller still waits."""
+        if self.is_ending:
+            return self._end_by_stop(exchange, call)
+        log_message("handler_cancelled", request_id=call.request.request_id)
+        return self.responder.end_failed(exchange, call)
+
+    def _end_by_stop(self, exchange: Exchange, call: Call) -> Code:
+        wait_s = self.admission.stop_wait_s(self.loop.time())
+        return self.responder.end_unfinished(exchange, call, wait_s)
 
     def end_unfinished(self) -> None:
         """End all requests in flight with a final answer, because the process ends."""
@@ -132,6 +144,17 @@
         for task in self.tasks:
             task.cancel()
 
+    async def _serve_held(self, exchange: HeldExchange, call: Call) -> Code:
+        """Serve a request until its caller is about to leave, which has received nothing."""
+        try:
+            async with asyncio.timeout_at(exchange.fails_at) as limit:
+                exchange.on_release = lambda: limit.reschedule(None)
+                return await self._serve(exchange, call)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            return self._end_by_stop(exchange, call)
+
     async def _serve(self, exchange: Exchange, call: Call) -> Code:
         """Send the request to endpoints until the caller has a response; return its result code."""
         while True:
@@ -146,7 +169,7 @@
                 self.gate.end_trial(call)
                 continue
             # The end of a stop has come nearer while the request waited, or was sent elsewhere.
-            if not exchange.is_started and not self.admission.has_time(call, self.loop.time()):
+            if not self._may_send(exchange, call):
                 self.placer.release(call)
                 wait_s = self.admission.stop_wait_s(self.loop.time())
                 return self.responder.end_stopping(exchange, call, wait_s)
@@ -196,6 +219,14 @@
         call.has_retry = False
         return has_retry
 
+    def _may_send(self, exchange: Exchange, call: Call) -> bool:
+        """Return whether a stop of this gateway leaves the time for another attempt."""
+        return exchange.is_started or self.admission.has_time(call, self.loop.time())
+
+    def _acquire_early_retry(self, exchange: Exchange, call: Call) -> bool:
+        """Take a retry for a request whose attempt is late but goes on if there is none."""
+        return self._may_send(exchange, call) and self._acquire_retry(call)
+
     def _acquire_retry(self, call: Call) -> bool:
         now = self.loop.time()
         _, gateways = self.state.count_gateways(now)
--- a/teaselpath/gateway/_held.py
+++ b/teaselpath/gateway/_held.py
@@ -1,5 +1,7 @@
 """Responses that are held back until they are complete."""
 
+from collections.abc import Callable
+
 from eliot import log_message
 
 from teaselpath.http1 import Exchange, Headers
@@ -16,26 +18,46 @@
 
     :param exchange: exchange with the caller.
     :param failure: status and header fields of the response to an incomplete answer.
+    :param fails_at: event loop time at which the failure is sent; None for the end of the stop.
+    :ivar on_release: called when the answer begins.
     """
 
-    __slots__ = ("exchange", "failure", "head", "is_released", "parts", "size")
-
-    def __init__(self, exchange: Exchange, failure: tuple[int, Headers]):
+    __slots__ = (
+        "exchange",
+        "fails_at",
+        "failure",
+        "head",
+        "is_released",
+        "on_release",
+        "parts",
+        "size",
+    )
+
+    def __init__(
+        self, exchange: Exchange, failure: tuple[int, Headers], fails_at: float | None = None
+    ):
         super().__init__(exchange.connection, exchange.request)
         self.exchange = exchange
         self.failure = failure
+        self.fails_at = fails_at
+        self.on_release: Callable[[], None] | None = None
         self.head: tuple[int, Headers, int | None] = (*failure, 0)
         self.parts: list[bytes] = []
         self.size = 0
         self.is_released = False
 
     def start(self, status: int, headers: Headers, length: int | None = None) -> None:
-        """Keep the head."""
+        """Keep the head.
+
+        :raises ResponseStateError: as for any exchange, also by the other methods.
+        """
+        self._check_is_unstarted(status)
         self.is_started = True
         self.head = (status, headers, length)
 
     def write(self, data: bytes) -> None:
         """Keep data of the body."""
+        self._check_is_open()
         if self.is_released:
             self.exchange.write(data)
             return
@@ -52,6 +74,7 @@
 
     def finish(self) -> None:
         """Send the response, which is complete."""
+        self._check_is_open()
         self.is_finished = True
         if not self.is_released:
             self._release()
@@ -59,20 +82,25 @@
 
     def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
         """Send a complete response."""
-        self.is_started = self.is_finished = True
-        self.exchange.respond(status, headers, body)
+        self._check_is_unstarted(status)
+        self._pass_on(status, headers, body)
 
     def abort(self) -> None:
         """Send the failure, or cut a response that is passed on."""
-        self.is_finished = True
         if self.is_released:
+            self.is_finished = True
             self.exchange.abort()
         else:
-            status, headers = self.failure
-            self.exchange.respond(status, headers)
+            self._pass_on(*self.failure)
+
+    def _pass_on(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        self.is_started = self.is_finished = self.is_released = True
+        self.exchange.respond(status, headers, body)
 
     def _release(self) -> None:
         self.is_released = True
+        if self.on_release is not None:
+            self.on_release()
         self.exchange.start(*self.head)
         self.exchange.write(b"".join(self.parts))
         self.parts.clear()
