Peers: endpoints that a gateway's listing lacked are not taken from a peer

Callers were sent to endpoints that had left, from all gateways. Cause: a gateway that had listed an empty topic had the position of a table without records. It took its peers' older entries for newer ones, and none learned that they were behind. Found by the state machine in a random run of 2000 examples: two readers restart, the entries that only the third gateway still has are removed meanwhile ("assert listed(gateway) == running"; test_endpoint_that_a_listing_lacked_is_not_taken_from_a_peer).

Change: a listing counts up to its end, not up to the last record in it; an unknown entry before the end of the last listing is ignored. Records of a listing are applied before the missing ones are removed.

--- a/teaselpath/fleet/_endpoints.py
+++ b/teaselpath/fleet/_endpoints.py
@@ -131,7 +131,7 @@
     removal takes effect only ``LAPSE_GRACE_S`` after the end of the outage.
 
     :ivar lapsed: time at which each pending removal takes effect, by key.
-    :ivar position: highest position of any entry. All records up to it have been applied.
+    :ivar position: position up to which all records have been applied or listed.
     :ivar listed_up_to: end of the last listing, which contains no removals; those after it are
         known.
     """
@@ -172,7 +172,8 @@
         return "added" if before is None else "changed"
 
     def _add(self, entry: EndpointEntry) -> str | None:
-        if entry.position.era < self.position.era:
+        is_unlisted = entry.position < self.listed_up_to
+        if is_unlisted or entry.position.era < self.position.era:
             return "outdated"
         self._put(entry)
         return "added" if entry.endpoint else None
@@ -195,12 +196,15 @@
     ) -> list[str]:
         """Remove the entries that are missing from a full listing; return their keys.
 
+        To be called after the records of the listing were applied.
+
         Entries of an earlier era are marked as lapsed: the copy may be older than they are.
 
         :param end: end of the topic as of the listing; newer entries are kept.
         :param may_be_lapse: mark the entries as lapsed instead of removing them.
         """
         self.listed_up_to = max(self.listed_up_to, end)
+        self.position = max(self.position, end.shifted(-1))
         unlisted = [
             entry
             for key, entry in self.entries.items()
--- a/teaselpath/fleet/tests/test_endpoints.py
+++ b/teaselpath/fleet/tests/test_endpoints.py
@@ -123,3 +123,12 @@
     assert not table.knows_removals_after(Position(1, 9))
     assert not table.knows_removals_after(Position(2, 3))
     assert table.knows_removals_after(Position(2, 6))
+
+
+def test_endpoint_that_a_listing_lacked_is_not_taken_from_a_peer():
+    table = table_of()
+    table.remove_unlisted(set(), Position(2, 4), 10.0, may_be_lapse=False)
+    assert table.apply(entry(2, 1), 11.0, may_be_lapse=False) == "outdated"
+    assert table.get("e") is None
+    # A peer that still has it learns from the position that this table knows more.
+    assert table.position == Position(2, 3)
--- a/teaselpath/gateway/_peer_records.py
+++ b/teaselpath/gateway/_peer_records.py
@@ -182,11 +182,11 @@
         for record in map(_to_record, records.operators):
             state.apply_operator_record(record, source, now)
         newer = sorted(map(_to_record, records.endpoints), key=_position_of)
+        for record in newer:
+            state.apply_endpoint_record(record, source, now)
         if records.endpoints_end is not None:
             listed = {record.key for record in newer if record.value}
             state.remove_unlisted(listed, Position(*records.endpoints_end), now)
-        for record in newer:
-            state.apply_endpoint_record(record, source, now)
         if self._lacks_records(status):
             self.incomplete_from = status.host
 
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -202,7 +202,10 @@
             self._refresh_view(record.key)
 
     def remove_unlisted(self, keys: set[str], end: Position, now: float) -> None:
-        """Remove endpoints that are missing from a listing of the topic up to ``end``."""
+        """Remove endpoints that are missing from a listing of the topic up to ``end``.
+
+        To be called after the records of the listing were applied.
+        """
         lapse = self.may_be_lapse(now)
         for key in self.endpoints.remove_unlisted(keys, end, now, may_be_lapse=lapse):
             log_message(
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -215,7 +215,7 @@
             for record in page.records:
                 state.apply_operator_record(record, "store", now)
             return
-        if page.is_listing:
-            state.remove_unlisted({r.key for r in page.records if r.value}, page.end, now)
         for record in page.records:
             state.apply_endpoint_record(record, "store", now)
+        if page.is_listing:
+            state.remove_unlisted({r.key for r in page.records if r.value}, page.end, now)
