Placement: weights that were unusable before the store returned stay unusable

Found in review. Every version counted from the last return of the store on, also those whose time had run out long before, so requests began on outdated weights for three quarters of the limit after each return (VERSION). Only the time of a version that had not run out begins anew.

--- a/teaselpath/gateway/_entities.py
+++ b/teaselpath/gateway/_entities.py
@@ -42,10 +42,15 @@
 
         It is the newest version that was announced more than ``grace_s`` ago.
 
-        :param since: event loop time before which no version could be rolled out, in seconds.
+        :param since: event loop time before which no version could be rolled out, in seconds. The
+            time of a version that had not run out by then begins anew.
         """
-        announced_at = self.announced_at.items()
-        return max((v for v, at in announced_at if now - max(at, since) > grace_s), default=0)
+        required = (
+            version
+            for version, at in self.announced_at.items()
+            if now - (at if since - at > grace_s else max(at, since)) > grace_s
+        )
+        return max(required, default=0)
 
 
 @dataclass(slots=True, frozen=True)
