A trial's claim outlasts the check of its engine though its caller leaves

Now that the end of an engine reaches the quarantine though the caller has left, the claim of its trial was still released when the caller left, before the end was judged, so that the next request with the part could run and end another engine.

Cause: the release looked at what the check had found, which a handler that is cancelled never learns. Change: the call says until when the check may last, and its claim is released after that and the delay for the judgement.

Evidence, failed before: test_shared_wait.py, test_claim_of_a_trial_outlasts_...: "assert ['released', 'judged'] == ['judged', 'released']".

--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -26,6 +26,7 @@
     :param was_sent: whether an attempt is in flight, or ran or may have run.
     :param has_retry: whether a retry was taken from the budget and not used yet.
     :param lost_engine: whether the engine of its last attempt ended before it answered.
+    :param checked_until: event loop time until which that is found out; 0 if it is known.
     :param trial: its claim, if it is sent to find out whether its prompt crashes engines.
     :param tokens: tokens charged to the workspace's quota.
     :param reservation: its load at the endpoint of the current attempt; None between attempts.
@@ -45,6 +46,7 @@
     was_sent: bool = False
     has_retry: bool = False
     lost_engine: bool = False
+    checked_until: float = 0.0
     trial: Claim | None = None
     tokens: int = 0
     first_byte_at: float | None = None
--- a/teaselpath/gateway/_engine_ends.py
+++ b/teaselpath/gateway/_engine_ends.py
@@ -21,6 +21,7 @@
 CLOSE_SETTLE_S = 0.05
 # Time to find out whether a process listens at the address, in seconds.
 PROBE_TIMEOUT_S = 0.4
+MAX_CHECK_S = CLOSE_SETTLE_S + PROBE_TIMEOUT_S
 # Requests that the log line of an ended engine lists.
 MAX_LOGGED_RUNS = 16
 
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -28,7 +28,7 @@
 from teaselpath.gateway._admission import Admission
 from teaselpath.gateway._attempt import Attempt, AttemptContext, describe_outcome
 from teaselpath.gateway._call import Call
-from teaselpath.gateway._engine_ends import EngineEndDetector
+from teaselpath.gateway._engine_ends import MAX_CHECK_S, EngineEndDetector
 from teaselpath.gateway._entities import LongPlacement
 from teaselpath.gateway._held import HeldExchange
 from teaselpath.gateway._metrics import GatewayMetrics
@@ -251,7 +251,11 @@
             outcome = await attempt.run()
         finally:
             self.placer.release(call)
-        call.lost_engine = attempt.engine_end is not None and await attempt.engine_end
+        call.lost_engine = False
+        if attempt.engine_end is not None:
+            call.checked_until = self.loop.time() + MAX_CHECK_S
+            call.lost_engine = await attempt.engine_end
+            call.checked_until = 0.0
         self.gate.end_trial(call)
         now = self.loop.time()
         if call.lost_engine:
--- a/teaselpath/gateway/_quarantine.py
+++ b/teaselpath/gateway/_quarantine.py
@@ -172,8 +172,10 @@
         if call.trial is None:
             return
         number, call.trial = call.trial.number, None
-        if call.lost_engine:
-            self.loop.call_later(JUDGE_DELAY_S, self._release, number)
+        # The caller may have left while it is found out whether the engine has ended.
+        if call.lost_engine or call.checked_until:
+            judged_at = max(self.loop.time(), call.checked_until) + JUDGE_DELAY_S
+            self.loop.call_at(judged_at, self._release, number)
         else:
             self._release(number)
 
--- a/teaselpath/gateway/tests/test_shared_wait.py
+++ b/teaselpath/gateway/tests/test_shared_wait.py
@@ -51,6 +51,42 @@
     assert asyncio.run(scenario()) == b"HTTP/1.1 502"
 
 
+def test_claim_of_a_trial_outlasts_the_check_of_its_engine_though_its_caller_leaves(monkeypatch):
+    """It was released when the caller left, so that the next trial did not wait for a judgement."""
+
+    async def scenario():
+        order: list[str] = []
+
+        async def end(exchange: Exchange):
+            front.endpoints[0].close()
+            exchange.abort()
+
+        async with Front() as front:
+            front.put_config(services=[ENGINE])
+            await front.add_endpoint("e", end)
+            gate = front.forwarder.gate
+
+            async def claim(call):
+                assert await gate._claim_trial(call, frozenset(call.request.prompt.shared_keys))
+
+            monkeypatch.setattr(gate, "admit", claim)
+            monkeypatch.setattr(gate, "may_send", lambda call: True)
+            monkeypatch.setattr(gate, "_judge", lambda parts: order.append("judged"))
+            monkeypatch.setattr(gate, "_release", lambda number: order.append("released"))
+            host, _, port = front.address.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write((REQUEST % (1, 1)).replace("a1:10", "b:5,a1:5").encode())
+            while not front.forwarder.context.detector.suspicions:
+                await asyncio.sleep(0)
+            writer.close()
+            async with asyncio.timeout(5):
+                while len(order) < 2:
+                    await asyncio.sleep(0.01)
+            return order
+
+    assert asyncio.run(scenario()) == ["judged", "released"]
+
+
 @pytest.mark.parametrize("has_started", [False, True])
 def test_request_that_is_cancelled_leaves_the_check_of_its_engine_to_others(state, has_started):
     """The check was cancelled; before its first step, each later request was cancelled as well."""
