Eras: a store that states none is in era 0, which is an era, too

Cause: 0 stood for a store that was not heard of, too. On platforms without the field the lease knew its era only from its first read, so the first rollout waited 5.3 s, in which gateways were restarted one after the other; and a first return from era 0 (found in review) was taken for the first contact.

--- a/teaselpath/fleet/__init__.py
+++ b/teaselpath/fleet/__init__.py
@@ -35,6 +35,7 @@
 from teaselpath.fleet._prompts import Prompt, PromptPart
 from teaselpath.fleet._records import (
     BEFORE_ALL,
+    UNKNOWN_ERA,
     Position,
     RecordPage,
     StoredRecord,
@@ -44,6 +45,7 @@
 
 __all__ = [
     "BEFORE_ALL",
+    "UNKNOWN_ERA",
     "AnswerInfo",
     "Backend",
     "Bounds",
--- a/teaselpath/fleet/_records.py
+++ b/teaselpath/fleet/_records.py
@@ -37,6 +37,8 @@
         return Position(self.era, self.offset + records)
 
 
+# Era of a store that has not been heard of. A store that states no era is in era 0.
+UNKNOWN_ERA = -1
 # Position before all records.
 BEFORE_ALL = Position(0, -1)
 
--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -8,6 +8,7 @@
 from eliot import log_message
 
 from teaselpath.fleet import (
+    UNKNOWN_ERA,
     EndpointState,
     EngineCallError,
     EngineCalls,
@@ -97,7 +98,7 @@
         has_work = (
             bool(self.rollout.outdated_engines(engines, announced)) and not self.state.is_stopping
         )
-        if self.state.era:
+        if self.state.era != UNKNOWN_ERA:
             self.lease.handle_era(self.state.era, self.clock())
         plan = self.lease.plan(self.clock(), has_work=has_work, rank=self._rank())
         if plan in (LeaseState.APPEND, LeaseState.READ) and self.lease_call is None:
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -18,6 +18,7 @@
 from teaselpath.exchange import Stop, is_large_fleet
 from teaselpath.fleet import (
     BEFORE_ALL,
+    UNKNOWN_ERA,
     EndpointState,
     EndpointTable,
     EngineLimits,
@@ -55,6 +56,7 @@
     :ivar era: newest known era of the store; 0 before its first answer.
     :ivar era_seen_at: time at which this gateway first knew of that era, in seconds.
     :ivar restored_at: time at which it last saw the store return from a copy; 0 if it has not.
+    :ivar lost_before_return_at: time at which it had lost the store before that return.
     :ivar on_new_era: called for each era after the first.
     :ivar endpoint_ids: id of each known endpoint by its number.
     :ivar availabilities: what endpoints have stated on whether they take requests.
@@ -81,9 +83,10 @@
         self.members: dict[str, Member] = {}
         self.quota = SharedQuota(settings.bounds.quota_slack)
         self.retry_budgets: dict[str, SlidingRetryBudget] = {}
-        self.era = 0
+        self.era = UNKNOWN_ERA
         self.era_seen_at = 0.0
         self.restored_at = 0.0
+        self.lost_before_return_at = 0.0
         self.on_new_era: list[Callable[[], None]] = []
         self.store_up = False
         self.store_is_near = False
@@ -298,11 +301,15 @@
     def observe_era(self, era: int, source: str, now: float) -> bool:
         """Record the era that the store or a peer states; return False if it is over."""
         if era > self.era:
-            log_message("store_era_changed", before=self.era, era=era, source=source)
-            is_first = self.era == 0
+            is_first = self.era == UNKNOWN_ERA
+            before = None if is_first else self.era
+            log_message("store_era_changed", before=before, era=era, source=source)
+            # A loss that ended long before has nothing to do with this return.
+            was_lost = not is_first and self.may_be_lapse(now)
             self.era, self.era_seen_at = era, now
             self.endpoints.extend_lapses(now)
             if not is_first:
+                self.lost_before_return_at = self.store_lost_at if was_lost else now
                 self.restored_at = now
                 for callback in self.on_new_era:
                     callback()
--- a/teaselpath/gateway/tests/test_orders.py
+++ b/teaselpath/gateway/tests/test_orders.py
@@ -102,3 +102,15 @@
         return keeper.lease.plan(now, has_work=True, rank=0)
 
     assert asyncio.run(scenario()) is LeaseState.WAIT
+
+
+def test_first_rollout_does_not_wait_if_the_store_states_no_era(state):
+    """The lease knew the era only from its first read, and waited a handover from there on."""
+
+    async def scenario():
+        keeper = make_keeper(state)
+        state.observe_era(0, "store", keeper.loop.time())
+        keeper._step()
+        return keeper.lease.era
+
+    assert asyncio.run(scenario()) == 0
--- a/teaselpath/gateway/tests/test_placement.py
+++ b/teaselpath/gateway/tests/test_placement.py
@@ -6,6 +6,7 @@
 
 from teaselpath.dispatch import MAX_CANDIDATES, NoEndpoint, Placed, affinity_key
 from teaselpath.fleet import (
+    UNKNOWN_ERA,
     Backend,
     CallerRequest,
     EngineLimits,
@@ -249,7 +250,7 @@
     assert queued_calls == {}
 
 
-@pytest.mark.parametrize("era_before", [0, 1])
+@pytest.mark.parametrize("era_before", [UNKNOWN_ERA, 0, 1])
 def test_older_weights_stay_usable_while_a_restored_store_delays_the_rollout(
     state, announced, era_before
 ):
@@ -265,7 +266,7 @@
         return Placer(state, announced.append)._place(make_call(), now)
 
     # A gateway that has just started does not know when the store returned.
-    expected = NoEndpoint if era_before == 0 else Placed
+    expected = NoEndpoint if era_before == UNKNOWN_ERA else Placed
     assert isinstance(asyncio.run(scenario()), expected)
 
 
