Placement: time in which the store was away does not use up that of older weights

Weights named 1 s before an outage of 11 s from which the store returned from a copy: after the return every engine was refused as outdated, though none could have been given an order. The time that had run out counts up to the loss of the store. Test failed before: NoEndpoint(reason='switching').

--- a/teaselpath/gateway/_entities.py
+++ b/teaselpath/gateway/_entities.py
@@ -37,20 +37,25 @@
         """Record a version's announcement time unless an earlier one is recorded."""
         self.announced_at[version] = min(announced_at, self.announced_at.get(version, announced_at))
 
-    def oldest_usable_version(self, now: float, grace_s: float, since: float = 0.0) -> int:
+    def oldest_usable_version(
+        self, now: float, grace_s: float, lost_at: float = 0.0, restored_at: float = 0.0
+    ) -> int:
         """Return the oldest version that may run requests; 0 for no limit.
 
-        It is the newest version that was announced more than ``grace_s`` ago.
+        It is the newest version that was announced more than ``grace_s`` ago. The time of a version
+        that had not run out when the store was lost begins anew when it has returned from a copy,
+        since none could be rolled out meanwhile.
 
-        :param since: event loop time before which no version could be rolled out, in seconds. The
-            time of a version that had not run out by then begins anew.
+        :param lost_at: event loop time at which the store was lost, in seconds.
+        :param restored_at: event loop time of its return, in seconds; 0 if there was none.
         """
-        required = (
-            version
-            for version, at in self.announced_at.items()
-            if now - (at if since - at > grace_s else max(at, since)) > grace_s
-        )
-        return max(required, default=0)
+
+        def is_required(announced_at: float) -> bool:
+            had_run_out = lost_at - announced_at > grace_s
+            since = announced_at if had_run_out else max(announced_at, restored_at)
+            return now - since > grace_s
+
+        return max((v for v, at in self.announced_at.items() if is_required(at)), default=0)
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -262,5 +262,6 @@
         return announced.oldest_usable_version(
             now,
             OLD_WEIGHTS_FRACTION * self.state.settings.bounds.rollout_limit_s,
+            self.state.lost_before_return_at,
             self.state.restored_at,
         )
--- a/teaselpath/gateway/tests/test_placement.py
+++ b/teaselpath/gateway/tests/test_placement.py
@@ -314,3 +314,23 @@
     before, after = asyncio.run(scenario())
     assert isinstance(before, NoEndpoint)
     assert isinstance(after, NoEndpoint)
+
+
+def test_weights_whose_time_ends_while_the_store_is_away_stay_usable_after_its_return(
+    state, announced
+):
+    """Guards against refusals by all engines, although none could be given an order."""
+
+    async def scenario():
+        now = asyncio.get_running_loop().time()
+        record = endpoint_record("e", 1, models=[{"name": "m", "version": 1}])
+        state.apply_endpoint_record(record, "store", now - 200.0)
+        state.observe_era(1, "store", now - 200.0)
+        state.record_store_success(now - 200.0)
+        state.announced["m"] = AnnouncedWeights(2, {1: now - 200.0, 2: now - 14.0})
+        state.record_store_failure("unreachable", now - 13.0)
+        state.record_store_success(now - 2.0)
+        state.observe_era(2, "store", now - 2.0)
+        return Placer(state, announced.append)._place(make_call(), now)
+
+    assert isinstance(asyncio.run(scenario()), Placed)
