--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -72,7 +72,7 @@
         while True:
             beat += 1
             try:
-                await self._announce(beat)
+                is_announced = await self._announce(beat)
                 is_large = is_large_fleet(len(self.state.members))
                 interval_s = LARGE_FLEET_MEMBER_INTERVAL_S if is_large else MEMBER_INTERVAL_S
                 # The second read, 2 s after the first, returns gateways that have registered at
@@ -82,16 +82,21 @@
                     cursor = await self._read_members(cursor)
                     if await self._is_new_era_within(delay_s):
                         break
+                if not is_announced:
+                    await asyncio.sleep(RETRY_DELAY_S)
             except StoreError as error:
                 self.state.record_store_failure(str(error), self.loop.time())
                 await asyncio.sleep(1.0)
 
-    async def _announce(self, beat: int) -> None:
+    async def _announce(self, beat: int) -> bool:
+        """Write the record of this gateway; return False if the store's era is over."""
         settings = self.state.settings
         record = MemberRecord(settings.ip, self.state.incarnation, beat, settings.failure_domain)
         end = await self.store.append(Topic.MEMBERS, settings.host, msgspec.json.encode(record))
-        if self.state.observe_era(end.era, "store", self.loop.time()):
+        is_current = self.state.observe_era(end.era, "store", self.loop.time())
+        if is_current:
             self.must_announce.clear()
+        return is_current
 
     async def _read_members(self, cursor: Position | None) -> Position:
         """Apply the members' records from a position on, and return the end."""
--- a/teaselpath/gateway/tests/test_watch.py
+++ b/teaselpath/gateway/tests/test_watch.py
@@ -162,3 +162,19 @@
         return state.members["gw-1"].incarnation
 
     assert follow(state, scenario, "follow_members") == 7
+
+
+def test_gateway_pauses_between_calls_while_the_store_answers_it_in_an_earlier_era(state):
+    """Guards against a gateway that uses up the writes that all may make together."""
+
+    async def scenario(store):
+        state.observe_era(1, "store", 1.0)
+        state.observe_era(2, "peer x", 1.0)
+        for _ in range(10):
+            await settle()
+            if Topic.MEMBERS in store.polls and not store.polls[Topic.MEMBERS][1].done():
+                store.answer(Topic.MEMBERS, end=Position(1, 1), is_listing=True)
+        await settle()
+        return len(store.appends)
+
+    assert follow(state, scenario, "follow_members") <= 2
