VERSION: failing test, outdated weights become usable again when the store returns from a copy

Test only, found in review. Cause: AnnouncedWeights.oldest_usable_version counts every version from restored_at on, also those whose time had run out long before the store was away, so an engine that still has the older weights gets requests for three quarters of the limit after each return.

--- a/teaselpath/gateway/tests/test_placement.py
+++ b/teaselpath/gateway/tests/test_placement.py
@@ -291,3 +291,25 @@
         return was_queued
 
     assert asyncio.run(scenario())
+
+
+def test_weights_that_were_unusable_before_the_store_returned_stay_unusable(state, announced):
+    """Guards against requests on weights that were replaced long before the store was away."""
+
+    async def scenario():
+        now = asyncio.get_running_loop().time()
+        record = endpoint_record("e", 1, models=[{"name": "m", "version": 1}])
+        state.apply_endpoint_record(record, "store", now - 200.0)
+        state.announced["m"] = AnnouncedWeights(2, {1: now - 200.0, 2: now - 100.0})
+        state.observe_era(1, "store", now - 200.0)
+        state.record_store_success(now - 200.0)
+        placer = Placer(state, announced.append)
+        before = placer._place(make_call(), now - 8.0)
+        state.record_store_failure("unreachable", now - 7.0)
+        state.record_store_success(now - 5.0)
+        state.observe_era(2, "store", now - 5.0)
+        return before, placer._place(make_call(), now)
+
+    before, after = asyncio.run(scenario())
+    assert isinstance(before, NoEndpoint)
+    assert isinstance(after, NoEndpoint)
