Return times: failing test, callers of two openings are told the same time

Test only, found in review. ReturnTimes.book_after_opening drops all bookings whenever the opening time differs from the last one. Requests that have tried an engine, or whose subset is another, see another opening, so two openings in turn reset each other and all callers are told to return at once.

--- a/teaselpath/dispatch/tests/test_endpoint_limit.py
+++ b/teaselpath/dispatch/tests/test_endpoint_limit.py
@@ -220,3 +220,10 @@
     booked = [times.book(0.4, 5.0, 10.0) for _ in range(4)]
     assert booked == pytest.approx([0.4, 0.6, 0.8, 1.0])
     assert times.book(0.4, 5.0, 20.0) == pytest.approx(0.4)
+
+
+def test_callers_that_wait_for_different_openings_are_told_different_times():
+    """Guards against callers that all return at once where each waits for other endpoints."""
+    times = ReturnTimes()
+    booked = [times.book_after_opening(opens_at, 5.0, 0.0) for opens_at in (3.0, 4.0) * 5]
+    assert len({round(wait_s, 6) for wait_s in booked}) == len(booked)
