Placement: failing test, one caller that waits for a held-off engine keeps others from an idle one

Test only, found in review. place_queued blocks a service as soon as one queued request cannot be placed. A request that has tried the open engine waits up to a quarter of its time for one that wants none; long prompts behind it wait, too, though the engine that it has tried is idle.

--- a/teaselpath/gateway/tests/test_placement.py
+++ b/teaselpath/gateway/tests/test_placement.py
@@ -313,3 +313,30 @@
     before, after = asyncio.run(scenario())
     assert isinstance(before, NoEndpoint)
     assert isinstance(after, NoEndpoint)
+
+
+def test_request_that_waits_for_its_last_engine_does_not_keep_others_from_an_idle_one(
+    state, announced
+):
+    """Guards against callers that wait though an engine is idle."""
+
+    async def scenario():
+        state.apply_endpoint_record(endpoint_record("tried", 1), "store", 1.0)
+        state.apply_endpoint_record(endpoint_record("held-off", 2), "store", 1.0)
+        placer, first, second = Placer(state, announced.append), make_call(8.0), make_call(8.0)
+        now = placer.loop.time()
+        state.views["held-off"].availability.record_hold_off(now + 1.5)
+        first.tried.add("tried")
+        waiting = asyncio.create_task(placer.acquire(first, now))
+        await asyncio.sleep(0)
+        task = asyncio.create_task(placer.acquire(second, now))
+        await asyncio.sleep(0)
+        placer.place_queued()
+        await asyncio.sleep(0)
+        was_placed = task.done()
+        waiting.cancel()
+        task.cancel()
+        await asyncio.gather(waiting, task, return_exceptions=True)
+        return was_placed
+
+    assert asyncio.run(scenario())
