Placement: failing test, callers return faster than the engine that opens can serve them

Test only, found in review. Placer._book_after_opening takes the slots of all endpoints for the rate, also of those that open much later or leave. Of ten engines one opens in 3 s: 20 callers are told to return within 0.38 s.

--- a/teaselpath/gateway/tests/test_placement.py
+++ b/teaselpath/gateway/tests/test_placement.py
@@ -340,3 +340,20 @@
         return was_placed
 
     assert asyncio.run(scenario())
+
+
+def test_callers_return_no_faster_than_the_engines_that_open_can_serve_them(state, announced):
+    """Guards against callers that are refused again: most engines open only much later."""
+
+    async def scenario():
+        placer = Placer(state, announced.append)
+        now = placer.loop.time()
+        for number in range(10):
+            state.apply_endpoint_record(endpoint_record(f"e{number}", number + 1), "store", 1.0)
+            wait_s = 3.0 if number == 0 else 50.0
+            state.views[f"e{number}"].availability.record_hold_off(now + wait_s)
+        return [await placer.acquire(make_call(2.0), now) for _ in range(20)]
+
+    refusals = asyncio.run(scenario())
+    # The engine that opens first has four slots, and a request takes 0.8 s.
+    assert refusals[-1].retry_after_s >= 3.0 + 19 / 5.0 - 0.1
