Placement: failing test, a request is refused though a third of the engines is idle

Test only, found in review. Placer._place looks at two subsets of 48 endpoints; if those want no requests, the request is refused at once for as long as they say, in a service with idle engines. The subsets of a prompt follow from its parts, so the caller meets the same ones when it returns.

AssertionError: assert False + where False = isinstance(NoEndpoint(reason='held_off', retry_after_s=20.0, ...), Placed)

--- a/teaselpath/gateway/tests/test_placement.py
+++ b/teaselpath/gateway/tests/test_placement.py
@@ -315,6 +315,26 @@
     assert isinstance(after, NoEndpoint)
 
 
+def test_request_is_placed_at_an_open_engine_though_those_of_two_subsets_want_none(
+    state, announced
+):
+    """Guards against a refusal while a third of the engines of a large service are idle."""
+
+    async def scenario():
+        for number in range(3 * MAX_CANDIDATES):
+            state.apply_endpoint_record(endpoint_record(f"e{number}", number + 1), "store", 1.0)
+        placer, call = Placer(state, announced.append), make_call()
+        now = placer.loop.time()
+        assert call.request.prompt is not None
+        key = affinity_key(call.request.prompt, "")
+        for subset in range(2):
+            for view in state.pool("s").candidates(key, subset=subset):
+                view.availability.record_hold_off(now + 20.0)
+        return await placer.acquire(call, now)
+
+    assert isinstance(asyncio.run(scenario()), Placed)
+
+
 def test_request_that_waits_for_its_last_engine_does_not_keep_others_from_an_idle_one(
     state, announced
 ):
