Endpoint table: failing test, a running endpoint that the store lists stays unused after a return

Test only, found in review. An endpoint was removed for its silence in the lost seconds; the copy lists it, its heartbeats renew that entry and the topic has no record of heartbeats, so no later record follows. The copied record has the same revision and is rejected for good, though the entry of an endpoint that left would have expired.

AssertionError: assert 0 == 1 + where 0 = len([]) (candidates 60 s after the return)

--- a/teaselpath/gateway/tests/test_state.py
+++ b/teaselpath/gateway/tests/test_state.py
@@ -200,3 +200,17 @@
     assert not availability.takes_requests(now + 3.0)
     state.apply_endpoint_record(endpoint_record("e", 4, born=2), "store", now + 1.0)
     assert not state.views["e"].availability.is_leaving
+
+
+def test_removed_endpoint_that_the_store_still_lists_long_after_its_return_is_used(state):
+    """Guards against a running endpoint whose copied entry is renewed by heartbeats only."""
+    now = make_store_up(state)
+    state.observe_era(1, "store", now)
+    state.apply_endpoint_record(endpoint_record("e", 5, seq=3), "store", now)
+    state.apply_endpoint_record(removal_record("e", 9), "store", now + 60.0)
+    state.observe_era(2, "store", now + 65.0)
+    for at in (now + 65.0, now + 125.0):
+        state.remove_unlisted({"e"}, Position(2, 6), at)
+        state.apply_endpoint_record(endpoint_record("e", 5, era=2, seq=3), "store", at)
+        state.expire_lapses(at)
+    assert len(state.pool("s").candidates(b"")) == 1
