Eras: failing test, a return from era 0 is taken for the first contact

Test only, found in review. observe_era takes era 0 for 'unknown'. If the store states 'Store-Era: 0' before its first return (the adapter reads that like a missing field), the first return calls no on_new_era: the gateway does not announce itself, verdicts are not read again, restored_at stays 0, polls go on.

assert [] == [1]

--- a/teaselpath/gateway/tests/test_state.py
+++ b/teaselpath/gateway/tests/test_state.py
@@ -202,6 +202,17 @@
     assert not state.views["e"].availability.is_leaving
 
 
+def test_first_era_with_a_number_after_one_without_is_a_return(state):
+    """Guards against a return that is taken for the first contact: era 0 is an era, too."""
+    returns = []
+    state.on_new_era.append(lambda: returns.append(state.era))
+    state.record_store_success(1.0)
+    assert state.observe_era(0, "store", 1.0)
+    state.observe_era(1, "store", 50.0)
+    assert returns == [1]
+    assert state.restored_at == 50.0
+
+
 def test_removed_endpoint_that_the_store_still_lists_long_after_its_return_is_used(state):
     """Guards against a running endpoint whose copied entry is renewed by heartbeats only."""
     now = make_store_up(state)
