Endpoint table: an endpoint that was removed in an earlier era is used again once it is written

Cause: remove_unlisted passed over entries that were removed already, so they kept the position of the earlier era. The next record of the endpoint follows the listing and was written in the new era, but was compared by revision: with a clock set back, or the same statement, it was taken for a copied one. Change: a listing moves the removed entries of earlier eras that it lacks to its end; positions of one era decide from there on. The revision is kept, so a copy of a further era brings back nobody.

--- a/teaselpath/fleet/_endpoints.py
+++ b/teaselpath/fleet/_endpoints.py
@@ -198,7 +198,8 @@
 
         To be called after the records of the listing were applied.
 
-        Entries of an earlier era are marked as lapsed: the copy may be older than they are.
+        Entries of an earlier era are marked as lapsed: the copy may be older than they are. Those
+        that were removed get the position of the listing: a record after it is no copy.
 
         :param end: end of the topic as of the listing; newer entries are kept.
         :param may_be_lapse: mark the entries as lapsed instead of removing them.
@@ -210,6 +211,7 @@
             for key, entry in self.entries.items()
             if entry.endpoint and key not in keys and entry.position < end
         ]
+        self._move_removed(keys, end)
         for entry in unlisted:
             # A removal that the topic no longer contains, for peers that receive the records.
             removal = entry.marked_removed(end.shifted(-1))
@@ -221,6 +223,12 @@
                 self._put(replace(removal, endpoint=None))
         return [entry.key for entry in unlisted]
 
+    def _move_removed(self, keys: set[str], end: Position) -> None:
+        """Move the removed entries of earlier eras that a listing lacks to its end."""
+        for key, entry in self.entries.items():
+            if not entry.endpoint and key not in keys and entry.position.era < end.era:
+                self.entries[key] = entry.marked_removed(end.shifted(-1))
+
     def extend_lapses(self, now: float) -> None:
         """Postpone the pending removals during an outage or at a restoration of the store."""
         for key in self.lapsed:
