Endpoint table: a removed endpoint that the store still lists long after its return is used again

Cause: an endpoint was removed for its silence in the seconds that the store lost. The copy lists it, its heartbeats renew that entry, and the topic has no records of heartbeats, so no later record follows. The copied record has the revision of the removed one and was rejected for good, and nothing listed the topic again. Change: the store removes the entry of an endpoint that is gone after three heartbeat intervals (setting of the platform, 3.6 s by default). That time and 3 s for stale or late reads after the store was regained or its era first seen, what it lists is running: the table accepts it unless a later record is known. Each gateway that knows a removed endpoint lists the topic once more then, also one that receives records from peers otherwise. Until then a copied entry brings back nobody; an outage starts the time again. Failed before: test_removed_endpoint_that_the_store_still_lists_long_after_its_return_is_used: AssertionError: assert 0 == 1 + where 0 = len([]) New tests: without the listing, test_endpoints_are_listed_once_more_when_copied_entries_have_expired fails (At index 2 diff: Position(era=2, offset=6) != None); if copied entries are accepted at once, test_removed_endpoint_that_the_store_lists_shortly_after_its_return_stays_away and the state machine fail (e0 left and came back). Changes to the simulated fleet: its store kept copied entries of engines that are gone for ever, and removes them after three heartbeat intervals now, as the users' does; its gateways list when the follower would.

--- a/teaselpath/fleet/_endpoints.py
+++ b/teaselpath/fleet/_endpoints.py
@@ -123,6 +123,12 @@
     return entry.revision > known.revision
 
 
+def _is_listed_again(entry: EndpointEntry, known: EndpointEntry) -> bool:
+    """Return whether an entry is listed whose endpoint is taken for gone."""
+    is_listed = entry.endpoint is not None and entry.position >= known.position
+    return is_listed and known.endpoint is None
+
+
 class EndpointTable:
     """The newest known record of each endpoint.
 
@@ -142,18 +148,23 @@
         self.position = BEFORE_ALL
         self.listed_up_to = BEFORE_ALL
 
-    def apply(self, entry: EndpointEntry, now: float, *, may_be_lapse: bool) -> str | None:
+    def apply(
+        self, entry: EndpointEntry, now: float, *, may_be_lapse: bool, is_renewed: bool = False
+    ) -> str | None:
         """Apply a record; return the kind of change, or None if nothing changed.
 
         The kinds are ``added``, ``changed``, ``removed``, ``lapsed`` and, for an older record that
         is ignored, ``outdated``.
 
         :param may_be_lapse: whether a removal may be caused by an outage of the store.
+        :param is_renewed: whether the store would no longer list a copied entry of an endpoint that
+            is gone, so that a running endpoint renews what it lists.
         """
         known = self.entries.get(entry.key)
         if known is None:
             return self._add(entry)
-        if not _is_newer(entry, known):
+        is_confirmed = is_renewed and _is_listed_again(entry, known)
+        if not is_confirmed and not _is_newer(entry, known):
             return self._keep(known, entry)
         is_doubtful = not entry.record.value or entry.position.era != known.position.era
         if entry.endpoint is None and may_be_lapse and is_doubtful and known.endpoint:
@@ -242,6 +253,10 @@
             self.entries[key] = replace(self.entries[key], endpoint=None)
         return expired
 
+    def has_removed(self) -> bool:
+        """Return whether an endpoint is known that is taken for gone."""
+        return any(entry.endpoint is None for entry in self.entries.values())
+
     def get(self, key: str) -> Endpoint | None:
         """Return an endpoint; None if it is not listed."""
         entry = self.entries.get(key)
--- a/teaselpath/fleet/_settings.py
+++ b/teaselpath/fleet/_settings.py
@@ -40,6 +40,8 @@
     :param seed_ips: IP addresses of hosts that may run a gateway.
     :param regions: region of each failure domain.
     :param store_address: address of the metadata store, IP:PORT.
+    :param entry_expiry_s: time without heartbeats after which the store removes the entry of an
+        endpoint, in seconds.
     """
 
     host: str
@@ -52,4 +54,5 @@
     peer_port: int
     seed_ips: tuple[str, ...]
     store_address: str
+    entry_expiry_s: float
     bounds: Bounds
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -43,6 +43,8 @@
 LARGE_FLEET_PEER_TIMEOUT_S = 4.0
 # A store that answers within this time is assumed to be in the region of this gateway, in seconds.
 NEAR_STORE_RTT_S = 0.03
+# Time by which a read of the store may be stale or late, in seconds.
+READ_MARGIN_S = 3.0
 
 
 class GatewayState:
@@ -187,8 +189,18 @@
 
         Endpoints cannot renew their entries during an outage, so that the entries lapse.
         """
-        returned_at = max(self.store_regained_at, self.era_seen_at)
-        return not self.store_up or now - returned_at < self.settings.bounds.recovery_window_s
+        recovery_window_s = self.settings.bounds.recovery_window_s
+        return not self.store_up or now - self.store_returned_at < recovery_window_s
+
+    @property
+    def copies_expire_at(self) -> float:
+        """Time from which the store lists only endpoints that renew their entries."""
+        return self.store_returned_at + self.settings.entry_expiry_s + READ_MARGIN_S
+
+    @property
+    def store_returned_at(self) -> float:
+        """Time at which the store last returned, with all that it had or from a copy."""
+        return max(self.store_regained_at, self.era_seen_at)
 
     def apply_endpoint_record(self, record: StoredRecord, source: str, now: float) -> None:
         """Apply a record of the endpoint topic if it is newer than the known one."""
@@ -198,7 +210,8 @@
         entry = self.store.decode_endpoint(record)
         lapse = self.may_be_lapse(now)
         before = self.endpoints.get(record.key)
-        change = self.endpoints.apply(entry, now, may_be_lapse=lapse)
+        is_renewed = self.store_up and now >= self.copies_expire_at
+        change = self.endpoints.apply(entry, now, may_be_lapse=lapse, is_renewed=is_renewed)
         if change == "outdated":
             log_if_older(record, known.record if known else None, source)
         elif change is not None:
@@ -211,10 +224,7 @@
             record_leaving(view, now + self.settings.bounds.drain_s, source)
 
     def remove_unlisted(self, keys: set[str], end: Position, now: float) -> None:
-        """Remove endpoints that are missing from a listing of the topic up to ``end``.
-
-        To be called after the records of the listing were applied.
-        """
+        """Remove endpoints that a listing up to ``end``, whose records were applied, lacks."""
         lapse = self.may_be_lapse(now)
         for key in self.endpoints.remove_unlisted(keys, end, now, may_be_lapse=lapse):
             log_message(
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -46,6 +46,7 @@
 
     :param state: state of this gateway, to which records are applied.
     :ivar must_announce: whether the store may have lost the record of this gateway.
+    :ivar endpoints_listed_at: time of the last listing of the endpoint topic, in seconds.
     """
 
     def __init__(self, state: GatewayState):
@@ -55,6 +56,7 @@
         # Polls in flight, which another topic's answer may end.
         self.calls: dict[Topic, asyncio.Task[RecordPage]] = {}
         self.must_announce = asyncio.Event()
+        self.endpoints_listed_at = 0.0
         self.loop = asyncio.get_running_loop()
         state.on_new_era.append(self._end_polls)
 
@@ -144,7 +146,7 @@
         state, loop = self.state, self.loop
         cursor: Position | None = None
         while True:
-            if cursor is not None and not state.reads_store:
+            if cursor is not None and not state.reads_store and not self._must_list(topic):
                 await asyncio.sleep(IDLE_CHECK_S)
                 continue
             start = self._next_start(topic, cursor)
@@ -177,11 +179,20 @@
 
     def _next_start(self, topic: Topic, cursor: Position | None) -> Position | None:
         """Return the position from which to read on; None to list, as at the start of an era."""
-        if cursor is None or cursor.era != self.state.era:
+        if cursor is None or cursor.era != self.state.era or self._must_list(topic):
             return None
         newest = self.state.newest_position(topic)
         return max(cursor, newest.shifted(1)) if newest.era == cursor.era else cursor
 
+    def _must_list(self, topic: Topic) -> bool:
+        """Return whether to list the endpoints because what the store still lists is running.
+
+        The topic has no records of heartbeats, which alone may renew an entry that was copied.
+        """
+        copies_expire_at = self.state.copies_expire_at
+        is_due = self.endpoints_listed_at < copies_expire_at <= self.loop.time()
+        return is_due and topic is Topic.ENDPOINTS and self.state.endpoints.has_removed()
+
     def _pause_s(
         self, topic: Topic, start: Position | None, page: RecordPage, pause_s: float
     ) -> float:
@@ -218,4 +229,5 @@
         for record in page.records:
             state.apply_endpoint_record(record, "store", now)
         if page.is_listing:
+            self.endpoints_listed_at = now
             state.remove_unlisted({r.key for r in page.records if r.value}, page.end, now)
--- a/teaselpath/gateway/tests/conftest.py
+++ b/teaselpath/gateway/tests/conftest.py
@@ -20,6 +20,7 @@
     peer_port=3,
     seed_ips=(),
     store_address="127.0.0.1:9",
+    entry_expiry_s=3.6,
     # In the order of the fields, from shutdown_grace_s to drain_s.
     bounds=Bounds(8.0, 0.2, 50.0, 10.0, 0.0, 3.0, 10.0, 4.0, 3.0),
 )
--- a/teaselpath/gateway/tests/restored_fleet.py
+++ b/teaselpath/gateway/tests/restored_fleet.py
@@ -25,6 +25,7 @@
     """An endpoint as it is, whatever the store says.
 
     :param rewrite_at: time at which it writes its entry again; None if its entry is current.
+    :param expires_at: time at which the store removes its entry if it no longer runs.
     """
 
     key: str
@@ -33,6 +34,7 @@
     state: str = "ready"
     is_running: bool = True
     rewrite_at: float | None = None
+    expires_at: float | None = None
 
     def entry(self) -> bytes:
         """Return its next entry."""
@@ -118,7 +120,8 @@
         settings = replace(SETTINGS, host=f"gw-{number}", ip=f"10.0.0.{number + 1}")
         http = cast(Any, self)
         self.state = GatewayState(settings, PlatformStore("127.0.0.1:9", HttpClient()), incarnation)
-        self.watcher = StoreWatcher(self.state)
+        self.watcher = cast(Any, StoreWatcher(self.state))
+        self.watcher.loop = fleet.clock
         lease = OrderLease(settings.host, 3.0)
         self.exchange = cast(Any, PeerExchange(self.state, lease, http, fleet.clock.time))
         self.exchange.loop = self.exchange.records.loop = fleet.clock
@@ -135,10 +138,13 @@
 
     def send_poll(self, topic: Topic) -> None:
         """Send a poll that is answered now and received later."""
-        if self.state.reads_store and topic not in self.answers:
+        if self.must_poll(topic) and topic not in self.answers:
             start = self.watcher._next_start(topic, self.cursors[topic])
             self.answers[topic] = self.fleet.store.poll(topic, start)
 
+    def must_poll(self, topic: Topic) -> bool:
+        return self.state.reads_store or self.watcher._must_list(topic)
+
     def receive(self, topic: Topic) -> None:
         page = self.answers.pop(topic, None)
         if page is None:
@@ -151,7 +157,7 @@
             self.note()
 
     def poll(self, topic: Topic) -> None:
-        if not self.state.reads_store:
+        if not self.must_poll(topic):
             return
         if not self.fleet.store.is_up or self.is_cut:
             self.state.record_store_failure("no answer", self.fleet.clock.now)
@@ -269,6 +275,7 @@
 
     def end_engine(self, engine: Engine, *, is_recorded: bool) -> None:
         engine.is_running = False
+        engine.expires_at = self.clock.now + SETTINGS.entry_expiry_s
         if is_recorded:
             self.expire_entry(engine.key)
 
@@ -277,6 +284,20 @@
         if key in self.store.newest(Topic.ENDPOINTS):
             self.store.write(Topic.ENDPOINTS, key, b"")
 
+    def restore(self, age: int) -> None:
+        """Let the store return from a copy, which may list engines that are gone."""
+        self.store.restore(age)
+        self.store.is_up = True
+        for engine in self.engines.values():
+            engine.expires_at = self.clock.now + SETTINGS.entry_expiry_s
+        self.schedule_rewrites()
+
+    def _expire_entries(self) -> None:
+        for engine in self.engines.values():
+            is_silent = engine.expires_at is not None and engine.expires_at <= self.clock.now
+            if is_silent and not engine.is_running:
+                self.expire_entry(engine.key)
+
     def regain_store(self) -> None:
         """Let the store return with all that it had; heartbeats that are due follow at once."""
         self.store.is_up = True
@@ -304,6 +325,7 @@
         self.clock.now += STEP_S
         if self.store.is_up:
             self._rewrite_entries()
+            self._expire_entries()
         for gateway in self.gateways:
             gateway.step()
         follower = self.gateways[-1]
--- a/teaselpath/gateway/tests/test_large_fleet.py
+++ b/teaselpath/gateway/tests/test_large_fleet.py
@@ -74,7 +74,7 @@
         settings = GatewaySettings(
             host=f"gw-{number}", ip=self.ip, failure_domain=domain, region=REGIONS[domain],
             regions=REGIONS, caller_address="", readiness_address="", peer_port=1, seed_ips=(),
-            store_address="127.0.0.1:9",
+            store_address="127.0.0.1:9", entry_expiry_s=3.6,
             bounds=Bounds(8.0, 0.2, 50.0, 10.0, 0.0, 3.0, 10.0, 4.0, 3.0),
         )  # fmt: skip
         http = HttpClient()
--- a/teaselpath/gateway/tests/test_restored_machine.py
+++ b/teaselpath/gateway/tests/test_restored_machine.py
@@ -97,9 +97,7 @@
     @rule(age=st.integers(0, 8), operators_are_late=st.booleans(), steps=waits)
     def restore_store(self, age, operators_are_late, steps):
         """Return from a copy, at times without an outage that anyone notices."""
-        self.fleet.store.restore(age)
-        self.fleet.store.is_up = True
-        self.fleet.schedule_rewrites()
+        self.fleet.restore(age)
         if not operators_are_late:
             self.fleet.repeat_operators_records()
         self.wait(steps)
--- a/teaselpath/gateway/tests/test_state.py
+++ b/teaselpath/gateway/tests/test_state.py
@@ -225,3 +225,23 @@
         state.apply_endpoint_record(endpoint_record("e", 5, era=2, seq=3), "store", at)
         state.expire_lapses(at)
     assert len(state.pool("s").candidates(b"")) == 1
+
+
+@pytest.mark.parametrize("away_at", [None, 2.0])
+def test_removed_endpoint_that_the_store_lists_shortly_after_its_return_stays_away(state, away_at):
+    """Guards against the copied entry of an endpoint that left, which has not expired yet."""
+    now = make_store_up(state)
+    state.observe_era(1, "store", now)
+    state.apply_endpoint_record(endpoint_record("e", 5, seq=3), "store", now)
+    state.apply_endpoint_record(removal_record("e", 9), "store", now + 60.0)
+    state.observe_era(2, "store", now + 65.0)
+    if away_at is not None:
+        # Entries do not expire while the store is away.
+        state.record_store_failure("unreachable", now + 65.0 + away_at)
+        state.record_store_success(now + 70.0)
+    last = state.copies_expire_at - 0.1
+    for at in (now + 70.0, last):
+        state.apply_endpoint_record(endpoint_record("e", 5, era=2, seq=3), "store", at)
+        state.remove_unlisted({"e"}, Position(2, 6), at)
+    assert last > now + 70.0
+    assert state.views == {}
--- a/teaselpath/gateway/tests/test_watch.py
+++ b/teaselpath/gateway/tests/test_watch.py
@@ -1,11 +1,14 @@
 """Following the store: around outages, and when it returns from a copy."""
 
 import asyncio
+from typing import Any, cast
+
+import pytest
 
 from teaselpath.fleet import Position, RecordPage, StoredRecord, StoreError, Topic
 from teaselpath.gateway import _watch
 from teaselpath.gateway._watch import StoreWatcher
-from teaselpath.gateway.tests.conftest import config_record, endpoint_record
+from teaselpath.gateway.tests.conftest import config_record, endpoint_record, removal_record
 
 
 class HangingStore:
@@ -19,6 +22,7 @@
     def __init__(self, decoder):
         self.decode_config = decoder.decode_config
         self.decode_weights = decoder.decode_weights
+        self.decode_endpoint = decoder.decode_endpoint
         self.polls: dict[Topic, tuple[float, asyncio.Future]] = {}
         self.starts: dict[Topic, list[Position | None]] = {topic: [] for topic in Topic}
         self.appends: list[str] = []
@@ -162,3 +166,41 @@
         return state.members["gw-1"].incarnation
 
     assert follow(state, scenario, "follow_members") == 7
+
+
+async def advance_clock(delay_s):
+    """Let the event loop's clock show a later time, and run what is due then."""
+    loop = cast(Any, asyncio.get_running_loop())
+    present = loop.time
+    loop.time = lambda: present() + delay_s
+    await settle()
+
+
+@pytest.mark.parametrize("reads_store", [True, False])
+def test_endpoints_are_listed_once_more_when_copied_entries_have_expired(state, reads_store):
+    """Guards against a running endpoint that stays unused, since no record follows its copy."""
+    state.record_store_success(0.0)
+    state.apply_endpoint_record(endpoint_record("e", 5, seq=3), "store", 50.0)
+    state.apply_endpoint_record(removal_record("e", 6), "store", 50.0)
+    state.observe_era(2, "peer x", 60.0)
+    state.record_store_failure("unreachable", 60.0)
+    copied, end = endpoint_record("e", 5, era=2, seq=3), Position(2, 6)
+
+    async def scenario(store):
+        used = []
+        state.reads_store = reads_store
+        for _ in range(2):
+            store.answer(Topic.ENDPOINTS, copied, end=end, is_listing=True)
+            await settle()
+            used.append(list(state.views))
+            # The next long poll is in flight when the time has come.
+            await advance_clock(1.0)
+            await advance_clock(60.0)
+            if reads_store:
+                store.answer(Topic.ENDPOINTS, end=end)
+                await settle()
+        return used, store.starts[Topic.ENDPOINTS]
+
+    used, starts = follow(state, scenario, "follow_endpoints")
+    assert used == [[], ["e"]]
+    assert starts == ([None, end, None, end, end] if reads_store else [None, None])
--- a/teaselpath/platform/_settings.py
+++ b/teaselpath/platform/_settings.py
@@ -10,6 +10,8 @@
 from teaselpath.results import Code, Failure
 
 SETTINGS_VARIABLE = "TEASELPATH_SETTINGS"
+# Heartbeats that an endpoint misses before the store removes its entry.
+MISSED_HEARTBEATS = 3
 
 
 class _Addresses(msgspec.Struct):
@@ -43,6 +45,7 @@
     # Only the first is used.
     internal_ports: tuple[int, int]
     platform: _StoreAddress
+    heartbeat_ms: float = 1200
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     # Addresses of the control interfaces of hosts, which may be down; only the IP is used.
     seeds: list[str] = []
@@ -78,6 +81,7 @@
         peer_port=file.internal_ports[0],
         seed_ips=tuple(seed.rpartition(":")[0] for seed in file.seeds),
         store_address=file.platform.address,
+        entry_expiry_s=MISSED_HEARTBEATS * file.heartbeat_ms / 1000,
         bounds=Bounds(
             shutdown_grace_s=bounds.grace_s,
             retry_ratio=bounds.budget_ratio,
