--- a/teaselpath/fleet/_endpoints.py
+++ b/teaselpath/fleet/_endpoints.py
@@ -123,6 +123,12 @@
     return entry.revision > known.revision
 
 
+def _is_listed_again(entry: EndpointEntry, known: EndpointEntry) -> bool:
+    """Return whether an entry is listed whose endpoint is taken for gone."""
+    is_listed = entry.endpoint is not None and entry.position >= known.position
+    return is_listed and known.endpoint is None
+
+
 class EndpointTable:
     """The newest known record of each endpoint.
 
@@ -142,18 +148,23 @@
         self.position = BEFORE_ALL
         self.listed_up_to = BEFORE_ALL
 
-    def apply(self, entry: EndpointEntry, now: float, *, may_be_lapse: bool) -> str | None:
+    def apply(
+        self, entry: EndpointEntry, now: float, *, may_be_lapse: bool, is_renewed: bool = False
+    ) -> str | None:
         """Apply a record; return the kind of change, or None if nothing changed.
 
         The kinds are ``added``, ``changed``, ``removed``, ``lapsed`` and, for an older record that
         is ignored, ``outdated``.
 
         :param may_be_lapse: whether a removal may be caused by an outage of the store.
+        :param is_renewed: whether the store would no longer list a copied entry of an endpoint that
+            is gone, so that a running endpoint renews what it lists.
         """
         known = self.entries.get(entry.key)
         if known is None:
             return self._add(entry)
-        if not _is_newer(entry, known):
+        is_confirmed = is_renewed and _is_listed_again(entry, known)
+        if not is_confirmed and not _is_newer(entry, known):
             return self._keep(known, entry)
         is_doubtful = not entry.record.value or entry.position.era != known.position.era
         if entry.endpoint is None and may_be_lapse and is_doubtful and known.endpoint:
@@ -198,7 +209,8 @@
 
         To be called after the records of the listing were applied.
 
-        Entries of an earlier era are marked as lapsed: the copy may be older than they are.
+        Entries of an earlier era are marked as lapsed: the copy may be older than they are. Those
+        that were removed get the position of the listing: a record after it is no copy.
 
         :param end: end of the topic as of the listing; newer entries are kept.
         :param may_be_lapse: mark the entries as lapsed instead of removing them.
@@ -210,6 +222,7 @@
             for key, entry in self.entries.items()
             if entry.endpoint and key not in keys and entry.position < end
         ]
+        self._move_removed(keys, end)
         for entry in unlisted:
             # A removal that the topic no longer contains, for peers that receive the records.
             removal = entry.marked_removed(end.shifted(-1))
@@ -221,6 +234,12 @@
                 self._put(replace(removal, endpoint=None))
         return [entry.key for entry in unlisted]
 
+    def _move_removed(self, keys: set[str], end: Position) -> None:
+        """Move the removed entries of earlier eras that a listing lacks to its end."""
+        for key, entry in self.entries.items():
+            if not entry.endpoint and key not in keys and entry.position.era < end.era:
+                self.entries[key] = entry.marked_removed(end.shifted(-1))
+
     def extend_lapses(self, now: float) -> None:
         """Postpone the pending removals during an outage or at a restoration of the store."""
         for key in self.lapsed:
@@ -234,6 +253,10 @@
             self.entries[key] = replace(self.entries[key], endpoint=None)
         return expired
 
+    def has_removed(self) -> bool:
+        """Return whether an endpoint is known that is taken for gone."""
+        return any(entry.endpoint is None for entry in self.entries.values())
+
     def get(self, key: str) -> Endpoint | None:
         """Return an endpoint; None if it is not listed."""
         entry = self.entries.get(key)
--- a/teaselpath/gateway/tests/test_placement.py
+++ b/teaselpath/gateway/tests/test_placement.py
@@ -334,3 +334,67 @@
         return Placer(state, announced.append)._place(make_call(), now)
 
     assert isinstance(asyncio.run(scenario()), Placed)
+
+
+def test_request_is_placed_at_an_open_engine_though_those_of_two_subsets_want_none(
+    state, announced
+):
+    """Guards against a refusal while a third of the engines of a large service are idle."""
+
+    async def scenario():
+        for number in range(3 * MAX_CANDIDATES):
+            state.apply_endpoint_record(endpoint_record(f"e{number}", number + 1), "store", 1.0)
+        placer, call = Placer(state, announced.append), make_call()
+        now = placer.loop.time()
+        assert call.request.prompt is not None
+        key = affinity_key(call.request.prompt, "")
+        for subset in range(2):
+            for view in state.pool("s").candidates(key, subset=subset):
+                view.availability.record_hold_off(now + 20.0)
+        return await placer.acquire(call, now)
+
+    assert isinstance(asyncio.run(scenario()), Placed)
+
+
+def test_request_that_waits_for_its_last_engine_does_not_keep_others_from_an_idle_one(
+    state, announced
+):
+    """Guards against callers that wait though an engine is idle."""
+
+    async def scenario():
+        state.apply_endpoint_record(endpoint_record("tried", 1), "store", 1.0)
+        state.apply_endpoint_record(endpoint_record("held-off", 2), "store", 1.0)
+        placer, first, second = Placer(state, announced.append), make_call(8.0), make_call(8.0)
+        now = placer.loop.time()
+        state.views["held-off"].availability.record_hold_off(now + 1.5)
+        first.tried.add("tried")
+        waiting = asyncio.create_task(placer.acquire(first, now))
+        await asyncio.sleep(0)
+        task = asyncio.create_task(placer.acquire(second, now))
+        await asyncio.sleep(0)
+        placer.place_queued()
+        await asyncio.sleep(0)
+        was_placed = task.done()
+        waiting.cancel()
+        task.cancel()
+        await asyncio.gather(waiting, task, return_exceptions=True)
+        return was_placed
+
+    assert asyncio.run(scenario())
+
+
+def test_callers_return_no_faster_than_the_engines_that_open_can_serve_them(state, announced):
+    """Guards against callers that are refused again: most engines open only much later."""
+
+    async def scenario():
+        placer = Placer(state, announced.append)
+        now = placer.loop.time()
+        for number in range(10):
+            state.apply_endpoint_record(endpoint_record(f"e{number}", number + 1), "store", 1.0)
+            wait_s = 3.0 if number == 0 else 50.0
+            state.views[f"e{number}"].availability.record_hold_off(now + wait_s)
+        return [await placer.acquire(make_call(2.0), now) for _ in range(20)]
+
+    refusals = asyncio.run(scenario())
+    # The engine that opens first has four slots, and a request takes 0.8 s.
+    assert refusals[-1].retry_after_s >= 3.0 + 19 / 5.0 - 0.1
