--- a/teaselpath/fleet/tests/test_endpoints.py
+++ b/teaselpath/fleet/tests/test_endpoints.py
@@ -132,3 +132,19 @@
     assert table.get("e") is None
     # A peer that still has it learns from the position that this table knows more.
     assert table.position == Position(2, 3)
+
+
+def test_endpoint_that_starts_again_with_a_clock_set_back_returns_after_a_listing():
+    """Guards against an endpoint that is never used again: its record follows the listing."""
+    table = table_of(entry(1, 8, sequence=3, started_at_ms=9), removal(1, 9))
+    table.remove_unlisted(set(), Position(2, 4), 10.0, may_be_lapse=False)
+    table.apply(entry(2, 4, sequence=1, started_at_ms=7), 11.0, may_be_lapse=False)
+    assert table.get("e") is not None
+
+
+def test_endpoint_that_was_removed_for_its_silence_returns_with_the_same_statement():
+    """Guards against an endpoint that is never used again: its record follows the listing."""
+    table = table_of(entry(1, 8, sequence=3), removal(1, 9))
+    table.remove_unlisted(set(), Position(2, 4), 10.0, may_be_lapse=False)
+    table.apply(entry(2, 4, sequence=3), 11.0, may_be_lapse=False)
+    assert table.get("e") is not None
