Placement: a request that waits for held-off engines keeps no others from an idle one

Cause: place_queued blocked a service as soon as one queued request could not be placed, also if that request waited only for engines that it had not tried and that want no requests for now. Such a request also counted as one ahead of new long prompts, and its wait as time in which the queue placed nothing, which refuses others.

Change: a queued request records whether it is held off. It is then ahead only of requests that are held off, too, does not block its service, and does not start the measurement of the placement rate. Queued requests that have tried the same engines share one decision in a pass, so that a burst of them costs one.

The new test of the queue's core uses the new field.

--- a/teaselpath/dispatch/_queue.py
+++ b/teaselpath/dispatch/_queue.py
@@ -28,6 +28,7 @@
     :param tokens: prompt tokens that an engine will have to prefill.
     :param deadline: event loop time until which the caller waits.
     :param number: sequence number by arrival, from 1; 0 until the request is added.
+    :param is_held_off: whether no endpoint that is left for it wants requests for now.
     """
 
     service: str
@@ -35,6 +36,18 @@
     tokens: int
     deadline: float
     number: int = 0
+    is_held_off: bool = False
+
+    def is_ahead_of(self, other: "QueuedRequest") -> bool:
+        """Return whether the other request, which comes later, has to wait for this one.
+
+        Endpoints that this one has tried already may have capacity for the other.
+        """
+        return (
+            self.service == other.service
+            and self.priority <= other.priority
+            and (other.is_held_off or not self.is_held_off)
+        )
 
 
 @dataclass(slots=True)
@@ -68,17 +81,11 @@
 
     def has_requests_ahead(self, request: QueuedRequest) -> bool:
         """Return whether requests of the same service are ahead of this new one."""
-        return any(
-            r.service == request.service and r.priority <= request.priority
-            for r in self.queued.values()
-        )
+        return any(r.is_ahead_of(request) for r in self.queued.values())
 
     def count_ahead(self, request: QueuedRequest) -> int:
         """Return the number of requests of the same service that are ahead of this new one."""
-        return sum(
-            r.service == request.service and r.priority <= request.priority
-            for r in self.queued.values()
-        )
+        return sum(r.is_ahead_of(request) for r in self.queued.values())
 
     def expected_wait_s(
         self, request: QueuedRequest, backlog_tokens: int, tokens_per_s: float, now: float
@@ -88,11 +95,7 @@
         :param backlog_tokens: tokens that the engines still have to prefill.
         :param tokens_per_s: prefill speed of all engines together.
         """
-        ahead = sum(
-            r.tokens
-            for r in self.queued.values()
-            if r.service == request.service and r.priority <= request.priority
-        )
+        ahead = sum(r.tokens for r in self.queued.values() if r.is_ahead_of(request))
         wait_s = _duration_s(backlog_tokens + ahead, tokens_per_s)
         rate = self.rates.get(request.service)
         measured_tokens_per_s = rate.tokens_per_s(now) if rate is not None else None
@@ -111,16 +114,26 @@
         """Add a request behind the others of its priority."""
         request.number = next(self.arrival_numbers)
         self.queued[request.number] = request
-        self.rates.setdefault(request.service, _PlacementRate(now, deque()))
+        self.set_held_off(request, request.is_held_off, now)
+
+    def set_held_off(self, request: QueuedRequest, is_held_off: bool, now: float) -> None:
+        """Record whether no endpoint that is left for a queued request wants requests for now.
+
+        Such a wait does not count for the placement rate.
+        """
+        request.is_held_off = is_held_off
+        if not is_held_off:
+            self.rates.setdefault(request.service, _PlacementRate(now, deque()))
 
     def record_placed(self, request: QueuedRequest, now: float) -> None:
         """Record that a queued request was placed."""
+        self.set_held_off(request, False, now)
         self.rates[request.service].placed.append((now, request.tokens))
 
     def remove(self, request: QueuedRequest) -> None:
         """Remove a request that was placed, refused or cancelled."""
         self.queued.pop(request.number, None)
-        if all(r.service != request.service for r in self.queued.values()):
+        if all(r.service != request.service or r.is_held_off for r in self.queued.values()):
             self.rates.pop(request.service, None)
 
     def in_order(self) -> list[QueuedRequest]:
--- a/teaselpath/dispatch/tests/test_queue.py
+++ b/teaselpath/dispatch/tests/test_queue.py
@@ -160,3 +160,21 @@
     assert min(refused_without) > 4.0
     refused_on_arrival = sum(wait_s == 0.0 for wait_s in refused)
     assert refused_on_arrival >= 0.75 * len(refused)
+
+
+def test_wait_for_held_off_endpoints_delays_and_refuses_no_other_request():
+    """Guards against requests that are refused though an engine is idle."""
+    request_queue, waiting = RequestQueue(), QueuedRequest("llm", 1, LONG, 9.0, is_held_off=True)
+    request_queue.enqueue(waiting, 0.0)
+    first, second = (QueuedRequest("llm", 1, LONG, 9.0) for _ in range(2))
+    assert not request_queue.has_requests_ahead(first)
+    assert request_queue.count_ahead(QueuedRequest("llm", 1, LONG, 9.0, is_held_off=True)) == 1
+    request_queue.enqueue(first, 2.0)
+    assert not request_queue.exceeds_wait_limit(second, 0, PREFILL_TOKENS_PER_S, 2.1)
+    request_queue.remove(first)
+    assert request_queue.rates == {}
+    request_queue.set_held_off(waiting, False, 3.0)
+    assert request_queue.has_requests_ahead(second)
+    request_queue.record_placed(waiting, 3.0)
+    request_queue.remove(waiting)
+    assert request_queue.rates == {}
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -70,6 +70,7 @@
         priority = RESUMED_PRIORITY if call.splitter.count else call.priority
         queued_request = QueuedRequest(call.service.name, priority, tokens, call.deadline)
         choice = self._place(call, now)
+        queued_request.is_held_off = isinstance(choice, NoEndpoint) and choice.reason == "held_off"
         if choice.first_choice is not None:
             choice.first_choice.limit.record_demand(now)
         if isinstance(choice, Placed) and (
@@ -176,15 +177,19 @@
         """Place queued requests in order, as far as endpoints have capacity.
 
         Those that no endpoint will want in time are refused. If a request cannot be placed, later
-        requests of its service stay queued, too.
+        requests of its service stay queued, too, unless it waits only for endpoints that want no
+        requests for now: others may have endpoints left that do.
         """
         blocked: set[str] = set()
+        # Requests that have tried the same endpoints wait for the same ones.
+        held_off: dict[tuple[str, frozenset[str]], NoEndpoint] = {}
         for queued_request in self.queue.in_order():
             call, future = self.queued_calls[queued_request.number]
             if future.done() or queued_request.service in blocked:
                 continue
             now = self.loop.time()
-            choice = self._place(call, now)
+            tried = queued_request.service, frozenset(call.tried)
+            choice = held_off.get(tried) or self._place(call, now)
             if isinstance(choice, Placed):
                 self._reserve(call, choice)
                 self.queue.record_placed(queued_request, now)
@@ -193,6 +198,9 @@
             refusal = self._refuse_held_off(call, choice, now)
             if refusal is not None:
                 future.set_result(refusal)
+            self.queue.set_held_off(queued_request, choice.reason == "held_off", now)
+            if queued_request.is_held_off:
+                held_off[tried] = choice
             else:
                 blocked.add(queued_request.service)
 
