Placement: in a large service, open endpoints outside a prompt's two subsets are found

Cause: a request looked at two subsets of 48 endpoints. If those wanted no requests, it was refused for as long as they said, in a service with idle engines; its caller met the same subsets when it returned.

Change: choose_from_service in the dispatch core. If a subset is closed and neither has an endpoint for the request, the 48 open ones that follow its key on the ring are considered, and a refusal states the earliest opening of the whole service.

Test failed before: test_request_is_placed_at_an_open_engine_though_those_of_two_subsets_want_none, "assert False, where False = isinstance(NoEndpoint(reason='held_off', retry_after_s=20.0, ...), Placed)".

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -27,7 +27,12 @@
 )
 from teaselpath.dispatch._health import EndpointHealth
 from teaselpath.dispatch._part_cache import PartCache
-from teaselpath.dispatch._placement import LONG_PROMPT_TOKENS, affinity_key, choose_endpoint
+from teaselpath.dispatch._placement import (
+    LONG_PROMPT_TOKENS,
+    affinity_key,
+    choose_endpoint,
+    choose_from_service,
+)
 from teaselpath.dispatch._pool import MAX_CANDIDATES, EndpointPool
 from teaselpath.dispatch._progress import AttemptLimits, caller_gap_limit_s
 from teaselpath.dispatch._queue import QueuedRequest, RequestQueue
@@ -91,6 +96,7 @@
     "affinity_key",
     "caller_gap_limit_s",
     "choose_endpoint",
+    "choose_from_service",
     "first_level",
     "next_step",
     "next_stream_step",
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -14,6 +14,7 @@
 
 from dataclasses import replace
 
+from teaselpath.dispatch._pool import MAX_CANDIDATES, EndpointPool
 from teaselpath.dispatch._transfers import (
     RECOMPUTE_COST_S_PER_TOKEN,
     Source,
@@ -69,6 +70,48 @@
 LIMITED_COST_S = 0.05
 # Slow-down of prefill per request in flight at the engine, as a fraction of the prefill time.
 BATCH_SLOWDOWN_FACTOR = 0.02
+# Reasons for which none of the endpoints considered can be waited for in the queue.
+CLOSED_REASONS = frozenset({"held_off", "none_listed", "unreachable"})
+
+
+def choose_from_service(
+    pool: EndpointPool, key: bytes, demand: Demand, topology: Topology, now: float
+) -> Placed | NoEndpoint:
+    """Return the endpoint with the lowest cost among the candidates of a service.
+
+    :param key: hash key of the candidates of a large service.
+    """
+    first = choose_endpoint(pool.candidates(key), demand, topology, now)
+    if isinstance(first, Placed) or len(pool.views) <= MAX_CANDIDATES:
+        return first
+    second = choose_endpoint(pool.candidates(key, subset=1), demand, topology, now)
+    if isinstance(second, Placed):
+        return second
+    if first.reason not in CLOSED_REASONS and second.reason not in CLOSED_REASONS:
+        return second
+    return _choose_outside_subsets(pool, key, demand, topology, now, (second, first))
+
+
+def _choose_outside_subsets(
+    pool: EndpointPool,
+    key: bytes,
+    demand: Demand,
+    topology: Topology,
+    now: float,
+    refusals: tuple[NoEndpoint, NoEndpoint],
+) -> Placed | NoEndpoint:
+    """Return the best open endpoint of a large service of which a subset is closed.
+
+    :param refusals: those of the subsets.
+    """
+    choice = choose_endpoint(pool.open_candidates(key, now), demand, topology, now)
+    if isinstance(choice, Placed):
+        return choice
+    for refusal in (*refusals, choice):
+        if refusal.reason not in CLOSED_REASONS:
+            return refusal
+    opens_at = pool.opens_at(demand.excluded, now)
+    return NoEndpoint("held_off", opens_at - now) if opens_at < float("inf") else refusals[0]
 
 
 def choose_endpoint(
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -5,7 +5,6 @@
 
 from teaselpath.dispatch import (
     LONG_PROMPT_TOKENS,
-    MAX_CANDIDATES,
     PREFILL_TOKENS_PER_S,
     Demand,
     NoEndpoint,
@@ -15,7 +14,7 @@
     Reservation,
     ReturnTimes,
     affinity_key,
-    choose_endpoint,
+    choose_from_service,
 )
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._entities import AnnouncedWeights, LongPlacement
@@ -255,13 +254,7 @@
         )
         key = affinity_key(prompt, scope_prefix) if prompt else call.request.request_id.encode()
         pool = state.pool(call.service.name)
-        choice = choose_endpoint(pool.candidates(key), demand, state.topology, now)
-        if isinstance(choice, NoEndpoint) and len(pool.views) > MAX_CANDIDATES:
-            # No endpoint of the first subset of candidates can accept the request; try the second.
-            second = choose_endpoint(pool.candidates(key, subset=1), demand, state.topology, now)
-            if isinstance(second, Placed) or second.reason != "held_off":
-                return second
-        return choice
+        return choose_from_service(pool, key, demand, state.topology, now)
 
     def _oldest_usable_version(self, announced: AnnouncedWeights | None, now: float) -> int:
         if announced is None:
