Return times: bookings for one opening do not end those for another

Cause: ReturnTimes.book_after_opening dropped all bookings whenever the opening time differed from the last one. Requests that have tried an engine see another opening, so two openings in turn reset each other, and all callers were told to return at once.

Change: the next time that is not booked is kept for each opening until it has passed, for at most 256 openings.

Test failed before: test_callers_that_wait_for_different_openings_are_told_different_times, "assert 2 == 10, where 2 = len({3.0, 4.0})".

--- a/teaselpath/dispatch/_return_times.py
+++ b/teaselpath/dispatch/_return_times.py
@@ -7,6 +7,8 @@
 
 # Difference up to which two opening times are the same, in seconds.
 OPENING_TOLERANCE_S = 1e-3
+# Openings of one service whose bookings are kept; the earliest booked are discarded first.
+MAX_OPENINGS = 256
 
 
 class ReturnTimes:
@@ -15,14 +17,14 @@
     Times are in seconds, from one steady clock.
 
     :ivar next_at: earliest time that is not booked yet.
-    :ivar opens_at: time from which on ``book_after_opening`` has booked.
+    :ivar next_after_opening: earliest time that is not booked yet, by the time of an opening.
     """
 
-    __slots__ = ("next_at", "opens_at")
+    __slots__ = ("next_after_opening", "next_at")
 
     def __init__(self) -> None:
         self.next_at = 0.0
-        self.opens_at = 0.0
+        self.next_after_opening: dict[float, float] = {}
 
     def book(self, wait_s: float, rate: float, now: float) -> float:
         """Return the time after which to return, in seconds.
@@ -37,11 +39,19 @@
     def book_after_opening(self, opens_at: float, rate: float, now: float) -> float:
         """Return the time after which to return to a service that is closed, in seconds.
 
-        Bookings for another opening time no longer count.
+        Bookings for other opening times do not count.
 
         :param opens_at: time from which on the service takes requests.
         :param rate: requests per second that it takes from then on.
         """
-        if abs(opens_at - self.opens_at) > OPENING_TOLERANCE_S:
-            self.opens_at = self.next_at = opens_at
-        return self.book(opens_at - now, rate, now)
+        self._discard_past(now)
+        known = (at for at in self.next_after_opening if abs(at - opens_at) <= OPENING_TOLERANCE_S)
+        opens_at = next(known, opens_at)
+        return_at = max(now, self.next_after_opening.get(opens_at, opens_at))
+        self.next_after_opening[opens_at] = return_at + (1.0 / rate if rate > 0.0 else 0.0)
+        return return_at - now
+
+    def _discard_past(self, now: float) -> None:
+        """Discard the openings whose booked times have passed, and those beyond the maximum."""
+        kept = {at: next_at for at, next_at in self.next_after_opening.items() if next_at > now}
+        self.next_after_opening = dict(list(kept.items())[1 - MAX_OPENINGS :])
