Return times: callers return no faster than the engines that open can serve them

Cause: the rate of booked return times was that of all engines of the service, also of those that open much later or leave. Of ten engines one opened in 3 s, and 20 callers were told to return within 0.38 s.

Change: the rate at a time is that of the engines that have opened by then; engines that open one after the other share one sequence of callers. Engines that leave before, or that the caller has tried, do not count. Of a large service the 48 engines that open first count.

--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -110,8 +110,8 @@
     for refusal in (*refusals, choice):
         if refusal.reason not in CLOSED_REASONS:
             return refusal
-    opens_at = pool.opens_at(demand.excluded, now)
-    return NoEndpoint("held_off", opens_at - now) if opens_at < float("inf") else refusals[0]
+    openings = pool.openings(demand.excluded, now)
+    return NoEndpoint("held_off", openings[0][0] - now) if openings else refusals[0]
 
 
 def choose_endpoint(
--- a/teaselpath/dispatch/_pool.py
+++ b/teaselpath/dispatch/_pool.py
@@ -78,14 +78,17 @@
         ring += self.open_ring[: min(start, MAX_CANDIDATES - len(ring))]
         return self._ready_views(endpoint_id for _, endpoint_id in ring)
 
-    def opens_at(self, excluded: frozenset[str], now: float) -> float:
-        """Return the time from which on an endpoint takes requests; infinite if none will.
+    def openings(self, excluded: frozenset[str], now: float) -> list[tuple[float, int]]:
+        """Return when endpoints that want no requests will take them, and their slots.
+
+        Of a large service, those that open first are returned.
 
         :param excluded: ids of endpoints that do not count.
         """
         self._search(now)
         views = self._ready_views(name for name in self.opening_ids if name not in excluded)
-        return min((view.availability.opens_at(now) for view in views), default=float("inf"))
+        openings = [(view.availability.opens_at(now), view.endpoint.slots) for view in views]
+        return sorted(opening for opening in openings if opening[0] < float("inf"))
 
     def _ready_views(self, endpoint_ids: Iterable[str]) -> list[EndpointView]:
         views = [self.views[name] for name in endpoint_ids if name in self.views]
--- a/teaselpath/dispatch/_return_times.py
+++ b/teaselpath/dispatch/_return_times.py
@@ -5,8 +5,8 @@
 that they do not all return to the same room.
 """
 
-# Difference up to which two opening times are the same, in seconds.
-OPENING_TOLERANCE_S = 1e-3
+from collections.abc import Mapping
+
 # Openings of one service whose bookings are kept; the earliest booked are discarded first.
 MAX_OPENINGS = 256
 
@@ -36,22 +36,31 @@
         self.next_at = return_at + (1.0 / rate if rate > 0.0 else 0.0)
         return return_at - now
 
-    def book_after_opening(self, opens_at: float, rate: float, now: float) -> float:
+    def book_after_opening(self, openings: Mapping[float, float], now: float) -> float:
         """Return the time after which to return to a service that is closed, in seconds.
 
-        Bookings for other opening times do not count.
+        It is the earliest that is not booked. Bookings for an opening that is no longer expected
+        do not count.
 
-        :param opens_at: time from which on the service takes requests.
-        :param rate: requests per second that it takes from then on.
+        :param openings: requests per second that endpoints take from a time on, by that time;
+            endpoints that open at different times add up, and their callers form one sequence.
         """
+        return_at = max(now, min(self.next_after_opening.get(at, at) for at in openings))
+        rate, next_at = 0.0, float("inf")
+        joined = []
+        for opens_at in sorted(openings):
+            if opens_at >= next_at:
+                break
+            rate += openings[opens_at]
+            next_at = max(opens_at, return_at + 1.0 / rate)
+            joined.append(opens_at)
+        for opens_at in joined:
+            booked_until = self.next_after_opening.get(opens_at, opens_at)
+            self.next_after_opening[opens_at] = max(booked_until, next_at)
         self._discard_past(now)
-        known = (at for at in self.next_after_opening if abs(at - opens_at) <= OPENING_TOLERANCE_S)
-        opens_at = next(known, opens_at)
-        return_at = max(now, self.next_after_opening.get(opens_at, opens_at))
-        self.next_after_opening[opens_at] = return_at + (1.0 / rate if rate > 0.0 else 0.0)
         return return_at - now
 
     def _discard_past(self, now: float) -> None:
         """Discard the openings whose booked times have passed, and those beyond the maximum."""
         kept = {at: next_at for at, next_at in self.next_after_opening.items() if next_at > now}
-        self.next_after_opening = dict(list(kept.items())[1 - MAX_OPENINGS :])
+        self.next_after_opening = dict(list(kept.items())[-MAX_OPENINGS:])
--- a/teaselpath/dispatch/tests/test_pool.py
+++ b/teaselpath/dispatch/tests/test_pool.py
@@ -66,8 +66,10 @@
     leaving.endpoint = replace(leaving.endpoint, state=EndpointState.LEAVING)
     pool.put(leaving)
     assert names(pool.open_candidates(b"p1", 1.0)) == ["e3"]
-    assert pool.opens_at(frozenset(), 1.0) == 9.0
-    assert pool.opens_at(frozenset({"e7"}), 1.0) == 20.0
+    openings = pool.openings(frozenset(), 1.0)
+    assert len(openings) == MAX_CANDIDATES
+    assert openings[:2] == [(9.0, 16), (20.0, 16)]
+    assert pool.openings(frozenset({"e7"}), 1.0)[0] == (20.0, 16)
 
 
 def test_open_candidates_are_as_few_as_those_of_a_subset_and_depend_on_the_key():
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -97,26 +97,30 @@
         wait_s = choice.retry_after_s
         if wait_s <= MAX_HELD_OFF_FRACTION * (call.deadline - now):
             return None
-        return NoEndpoint("held_off", self._book_after_opening(call, wait_s, now))
+        return NoEndpoint("held_off", self._book_after_opening(call, now))
 
     def retry_after_s(self, call: Call, now: float) -> float:
         """Return the Retry-After of a request that no endpoint has run, in seconds."""
         choice = self._place(call, now)
         if isinstance(choice, NoEndpoint) and choice.reason == "held_off":
-            return self._book_after_opening(call, choice.retry_after_s, now)
+            return self._book_after_opening(call, now)
         return MIN_RETRY_AFTER_S
 
-    def _book_after_opening(self, call: Call, wait_s: float, now: float) -> float:
+    def _book_after_opening(self, call: Call, now: float) -> float:
         """Return the Retry-After of a caller while all endpoints want no requests, in seconds.
 
-        Callers return as fast as the endpoints can serve those of this gateway.
+        Callers return as fast as the endpoints that have opened can serve those of this gateway.
         """
-        views = self.state.pool(call.service.name).views.values()
-        slots = sum(view.endpoint.slots for view in views)
         _, gateways = self.state.count_gateways(now)
-        rate = slots / max(call.route.target_latency_s, MIN_RETRY_AFTER_S) / gateways
+        latency_s = max(call.route.target_latency_s, MIN_RETRY_AFTER_S)
+        rates: dict[float, float] = {}
+        excluded = frozenset(call.tried)
+        for opens_at, slots in self.state.pool(call.service.name).openings(excluded, now):
+            rates[opens_at] = rates.get(opens_at, 0.0) + max(1, slots) / latency_s / gateways
+        if not rates:
+            return MIN_RETRY_AFTER_S
         times = self.opening_times.setdefault(call.service.name, ReturnTimes())
-        booked_s = times.book_after_opening(now + wait_s, rate, now)
+        booked_s = times.book_after_opening(rates, now)
         return min(MAX_HELD_OFF_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, booked_s))
 
     def _refuse_limited(
