--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -5,7 +5,6 @@
 
 from teaselpath.dispatch import (
     LONG_PROMPT_TOKENS,
-    MAX_CANDIDATES,
     PREFILL_TOKENS_PER_S,
     Demand,
     NoEndpoint,
@@ -15,7 +14,7 @@
     Reservation,
     ReturnTimes,
     affinity_key,
-    choose_endpoint,
+    choose_from_service,
 )
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._entities import AnnouncedWeights, LongPlacement
@@ -70,6 +69,7 @@
         priority = RESUMED_PRIORITY if call.splitter.count else call.priority
         queued_request = QueuedRequest(call.service.name, priority, tokens, call.deadline)
         choice = self._place(call, now)
+        queued_request.is_held_off = isinstance(choice, NoEndpoint) and choice.reason == "held_off"
         if choice.first_choice is not None:
             choice.first_choice.limit.record_demand(now)
         if isinstance(choice, Placed) and (
@@ -97,26 +97,30 @@
         wait_s = choice.retry_after_s
         if wait_s <= MAX_HELD_OFF_FRACTION * (call.deadline - now):
             return None
-        return NoEndpoint("held_off", self._book_after_opening(call, wait_s, now))
+        return NoEndpoint("held_off", self._book_after_opening(call, now))
 
     def retry_after_s(self, call: Call, now: float) -> float:
         """Return the Retry-After of a request that no endpoint has run, in seconds."""
         choice = self._place(call, now)
         if isinstance(choice, NoEndpoint) and choice.reason == "held_off":
-            return self._book_after_opening(call, choice.retry_after_s, now)
+            return self._book_after_opening(call, now)
         return MIN_RETRY_AFTER_S
 
-    def _book_after_opening(self, call: Call, wait_s: float, now: float) -> float:
+    def _book_after_opening(self, call: Call, now: float) -> float:
         """Return the Retry-After of a caller while all endpoints want no requests, in seconds.
 
-        Callers return as fast as the endpoints can serve those of this gateway.
+        Callers return as fast as the endpoints that have opened can serve those of this gateway.
         """
-        views = self.state.pool(call.service.name).views.values()
-        slots = sum(view.endpoint.slots for view in views)
         _, gateways = self.state.count_gateways(now)
-        rate = slots / max(call.route.target_latency_s, MIN_RETRY_AFTER_S) / gateways
+        latency_s = max(call.route.target_latency_s, MIN_RETRY_AFTER_S)
+        rates: dict[float, float] = {}
+        excluded = frozenset(call.tried)
+        for opens_at, slots in self.state.pool(call.service.name).openings(excluded, now):
+            rates[opens_at] = rates.get(opens_at, 0.0) + max(1, slots) / latency_s / gateways
+        if not rates:
+            return MIN_RETRY_AFTER_S
         times = self.opening_times.setdefault(call.service.name, ReturnTimes())
-        booked_s = times.book_after_opening(now + wait_s, rate, now)
+        booked_s = times.book_after_opening(rates, now)
         return min(MAX_HELD_OFF_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, booked_s))
 
     def _refuse_limited(
@@ -176,15 +180,19 @@
         """Place queued requests in order, as far as endpoints have capacity.
 
         Those that no endpoint will want in time are refused. If a request cannot be placed, later
-        requests of its service stay queued, too.
+        requests of its service stay queued, too, unless it waits only for endpoints that want no
+        requests for now: others may have endpoints left that do.
         """
         blocked: set[str] = set()
+        # Requests that have tried the same endpoints wait for the same ones.
+        held_off: dict[tuple[str, frozenset[str]], NoEndpoint] = {}
         for queued_request in self.queue.in_order():
             call, future = self.queued_calls[queued_request.number]
             if future.done() or queued_request.service in blocked:
                 continue
             now = self.loop.time()
-            choice = self._place(call, now)
+            tried = queued_request.service, frozenset(call.tried)
+            choice = held_off.get(tried) or self._place(call, now)
             if isinstance(choice, Placed):
                 self._reserve(call, choice)
                 self.queue.record_placed(queued_request, now)
@@ -193,6 +201,9 @@
             refusal = self._refuse_held_off(call, choice, now)
             if refusal is not None:
                 future.set_result(refusal)
+            self.queue.set_held_off(queued_request, choice.reason == "held_off", now)
+            if queued_request.is_held_off:
+                held_off[tried] = choice
             else:
                 blocked.add(queued_request.service)
 
@@ -247,13 +258,7 @@
         )
         key = affinity_key(prompt, scope_prefix) if prompt else call.request.request_id.encode()
         pool = state.pool(call.service.name)
-        choice = choose_endpoint(pool.candidates(key), demand, state.topology, now)
-        if isinstance(choice, NoEndpoint) and len(pool.views) > MAX_CANDIDATES:
-            # No endpoint of the first subset of candidates can accept the request; try the second.
-            second = choose_endpoint(pool.candidates(key, subset=1), demand, state.topology, now)
-            if isinstance(second, Placed) or second.reason != "held_off":
-                return second
-        return choice
+        return choose_from_service(pool, key, demand, state.topology, now)
 
     def _oldest_usable_version(self, announced: AnnouncedWeights | None, now: float) -> int:
         if announced is None:
