--- a/teaselpath/gateway/tests/test_placement.py
+++ b/teaselpath/gateway/tests/test_placement.py
@@ -398,3 +398,28 @@
     refusals = asyncio.run(scenario())
     # The engine that opens first has four slots, and a request takes 0.8 s.
     assert refusals[-1].retry_after_s >= 3.0 + 19 / 5.0 - 0.1
+
+
+def test_request_waits_for_engines_of_the_second_subset_that_want_requests_again_in_time(
+    state, announced
+):
+    """Guards against a refusal for as long as only the first subset wants no requests."""
+
+    async def scenario():
+        for number in range(2 * MAX_CANDIDATES):
+            state.apply_endpoint_record(endpoint_record(f"e{number}", number + 1), "store", 1.0)
+        placer, call = Placer(state, announced.append), make_call(8.0)
+        now = placer.loop.time()
+        assert call.request.prompt is not None
+        key = affinity_key(call.request.prompt, "")
+        for subset, wait_s in enumerate((50.0, 1.0)):
+            for view in state.pool("s").candidates(key, subset=subset):
+                view.availability.record_hold_off(now + wait_s)
+        task = asyncio.create_task(placer.acquire(call, now))
+        await asyncio.sleep(0)
+        was_queued = bool(placer.queued_calls)
+        task.cancel()
+        return was_queued, await asyncio.gather(task, return_exceptions=True)
+
+    was_queued, outcome = asyncio.run(scenario())
+    assert was_queued, outcome
