Gateway: one constant for the shortest Retry-After; docstring of the era

Placement and the last responses each had a constant of 0.2 s with the same meaning; placement uses that of the responses now. The docstring still named 0 as the era before the first answer.

--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -18,6 +18,7 @@
 )
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._entities import AnnouncedWeights, LongPlacement
+from teaselpath.gateway._responses import MIN_RETRY_AFTER_S
 from teaselpath.gateway._state import GatewayState
 
 # Fraction of the rollout limit after which engines with older weights receive no more requests. The
@@ -35,8 +36,6 @@
 MAX_HELD_OFF_RETRY_AFTER_S = 60.0
 # Fraction of a request's remaining time for which it waits for an endpoint to take requests again.
 MAX_HELD_OFF_FRACTION = 0.25
-# Shortest Retry-After of a refusal, in seconds.
-MIN_RETRY_AFTER_S = 0.2
 # Reasons for which a request is refused without queueing.
 IMMEDIATE_REFUSALS = frozenset({"none_listed", "unreachable"})
 # Priority in the queue of streams that continue; lower numbers come first.
--- a/teaselpath/gateway/_responses.py
+++ b/teaselpath/gateway/_responses.py
@@ -15,7 +15,7 @@
 from teaselpath.http1 import Exchange, Headers
 from teaselpath.results import Code
 
-# Shortest Retry-After of a refusal by a stopping gateway, in seconds.
+# Shortest Retry-After of a refusal, in seconds.
 MIN_RETRY_AFTER_S = 0.2
 
 
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -55,7 +55,7 @@
     records tell which is newer within one era of the store; a store that returns from a copy
     begins a new one.
 
-    :ivar era: newest known era of the store; 0 before its first answer.
+    :ivar era: newest known era of the store; ``UNKNOWN_ERA`` before its first answer.
     :ivar era_seen_at: time at which this gateway first knew of that era, in seconds.
     :ivar restored_at: time at which it last saw the store return from a copy; 0 if it has not.
     :ivar lost_before_return_at: time at which it had lost the store before that return.
