Log: digest of requests, ends of plain endpoints

The logs could not tell a request that crashes engines from a caller or a service that does: request ids differ for each attempt, and the end of a plain endpoint left no line. Lines request and engine_ended name the digest of a request (method, host, target, caller, prompt, body), computed only once an answer of it has broken off.

--- a/teaselpath/fleet/_calls.py
+++ b/teaselpath/fleet/_calls.py
@@ -1,12 +1,16 @@
 """Messages between callers, gateways and endpoints, independent of their wire format."""
 
 from dataclasses import dataclass
+from hashlib import blake2b
 from typing import Protocol
 
 from teaselpath.fleet._prompts import Prompt
 
 Headers = list[tuple[bytes, bytes]]
 
+# Size of a request's digest: collisions are improbable among the requests of a caller.
+DIGEST_BYTES = 12
+
 
 @dataclass(slots=True)
 class CallerRequest:
@@ -34,6 +38,21 @@
     forwarded_headers: Headers
     body: bytes
 
+    def digest(self, caller: str | None) -> str:
+        """Return what equal requests of a caller have in common, whatever their ids.
+
+        :param caller: workspace of the caller; None if it has none.
+        """
+        prompt = self.prompt
+        fields = [self.method, self.host.encode(), self.target, (caller or "").encode()]
+        if prompt is not None:
+            fields.append(prompt.model.encode())
+            fields += [part.part_id.encode() for part in prompt.parts]
+        # Lengths keep different fields with the same concatenation apart.
+        lengths = b",".join(b"%d" % len(field) for field in fields)
+        digest = blake2b(b"\n".join([lengths, *fields, self.body]), digest_size=DIGEST_BYTES)
+        return digest.hexdigest()
+
 
 @dataclass(slots=True)
 class Forwarding:
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -130,11 +130,11 @@
 
     def _record_broken(self) -> None:
         call = self.call
-        if call.request.prompt is None or call.service.engine is None:
-            return
+        prompt = call.request.prompt if call.service.engine is not None else None
         run = BrokenRun(
             call.request.request_id,
-            call.request.prompt.shared_keys,
+            prompt.shared_keys if prompt is not None else (),
+            call.digest,
             call.splitter.count - self.events_before,
             self.loop.time() - self.started_at,
             call.trial is not None,
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -29,6 +29,7 @@
     :param checked_until: event loop time until which that is found out; 0 if it is known.
     :param trial: its claim, if it is sent to find out whether its prompt crashes engines.
     :param tokens: tokens charged to the workspace's quota.
+    :param known_digest: its digest, once it was needed.
     :param reservation: its load at the endpoint of the current attempt; None between attempts.
     """
 
@@ -54,12 +55,20 @@
     answer_body: bytes = b""
     placed: Placed | None = None
     reservation: Reservation | None = None
+    known_digest: str | None = None
 
     def __post_init__(self) -> None:
         """Expect the events after the one at which the caller resumes its stream."""
         if self.route.is_resumable:
             self.splitter.resume_after(self.request.last_event_id)
 
+    @property
+    def digest(self) -> str:
+        """Return what this request has in common with equal ones of its caller."""
+        if self.known_digest is None:
+            self.known_digest = self.request.digest(self.workspace.name if self.workspace else None)
+        return self.known_digest
+
     @property
     def kind(self) -> tuple[str, bool]:
         """Return what requests that take a similar time have in common: route, long prompt."""
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -309,6 +309,7 @@
             prompt_tokens=prompt.prompt_tokens if prompt else 0,
             prefix=prompt.parts[0].part_id if prompt and prompt.parts else None,
             parts=[part.part_id for part in prompt.parts[:MAX_LOGGED_PARTS]] if prompt else None,
+            digest=call.known_digest,
             cached_tokens=placed.cached_tokens if placed else 0,
             copied_from=placed.fetch_from if placed else None,
             saved_to=placed.save_to if placed else None,
