Tests that fail: one request crashes engine after engine

The stand-in's engines end on bodies, and a site of crashing engines is shared by two test files. Seen on this commit: 18 (safe), 18 (unsafe) and 47 (prompt with a part that sound ones share) sends of one request where 8 are allowed; no verdict, with or without the store.

--- a/standins/hosted/_client.py
+++ b/standins/hosted/_client.py
@@ -82,6 +82,7 @@
         tokens: str = "300,10",
         timeout_s: float = 8.0,
         disconnect_after_s: float | None = None,
+        body: bytes = b"{}",
     ) -> Answer:
         """Send a request and return its answer.
 
@@ -111,7 +112,7 @@
         read_deadline = deadline if disconnect_after_s is None else loop.time() + disconnect_after_s
         head, parts = ResponseHead(0), []
         try:
-            connection.send(b"POST", encode_request(b"POST", path.encode(), headers, b"{}"))
+            connection.send(b"POST", encode_request(b"POST", path.encode(), headers, body))
             head = await connection.read_head(read_deadline)
             while (part := await connection.read_chunk(read_deadline)) is not None:
                 parts.append(part)
--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -40,6 +40,7 @@
 
     :param runs: list shared by all engines, to which each started request is appended.
     :ivar deadly_parts: ids of prompt parts that end the process as it begins an answer on them.
+    :ivar deadly_bodies: bodies of requests that end the process as it begins to run them.
     :ivar limit: value of the header field with the requests per second that it takes; None for no
         such field.
     :ivar silent_until: time until which it sends nothing, as ``time.monotonic`` returns it.
@@ -79,6 +80,7 @@
         self.arrival_ids: list[str] = []
         self.refusals: list[Refusal] = []
         self.deadly_parts: set[str] = set()
+        self.deadly_bodies: set[bytes] = set()
         self.end_process: Callable[[], None] = _never_ends
         self.parts: dict[tuple[str, str], _Part] = {}
         self.events: list[list[object]] = []
@@ -235,7 +237,7 @@
             return
         run = Run(
             request_id, self.endpoint_id, self.service, headers.get("tenant"), path,
-            time.monotonic(), self.version, headers.get("cache-salt"), 0, headers,
+            time.monotonic(), self.version, headers.get("cache-salt"), 0, headers, request.body,
         )  # fmt: skip
         self.runs.append(run)
         self.running += 1
@@ -249,11 +251,12 @@
         faults, chance = self.faults, self.random.random
         if self.model is not None:
             await self._prefill(run)
-            if not self.deadly_parts.isdisjoint(shared_parts_of(run.headers)):
-                self.end_process()
-                return
         else:
             await asyncio.sleep(0.005)
+        has_deadly_part = not self.deadly_parts.isdisjoint(shared_parts_of(run.headers))
+        if has_deadly_part or run.body in self.deadly_bodies:
+            self.end_process()
+            return
         if chance() < faults.mute:
             await asyncio.sleep(60.0)
         if chance() < faults.slow:
--- a/standins/hosted/_records.py
+++ b/standins/hosted/_records.py
@@ -22,6 +22,7 @@
     scope: str | None
     stale_parts: int
     headers: dict[str, str]
+    body: bytes = b""
     ended_at: float | None = None
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -3,88 +3,24 @@
 import asyncio
 import itertools
 import json
-from contextlib import asynccontextmanager
-from random import Random
 
 import pytest
 from click.testing import CliRunner
 
-from standins.hosted import Answer, Caller, HostedSite, shared_parts_of
 from teaselpath.cli import main
+from tests.crashing import (
+    GATEWAYS,
+    MAX_ENDS,
+    MAX_LATE_SENDS,
+    open_crashing_site,
+    restart_gateways,
+)
 
-ENGINES = 6
-GATEWAYS = 3
-RESTART_S = 0.8
 DEADLY = "dead01"
-# Engines that may end, and requests with the part that may then reach engines.
-MAX_ENDS = 5
-MAX_LATE_SENDS = 3
 # Time in which gateways write verdicts again that the store has lost.
 VERDICT_RETURN_S = 8.0
 
 
-class CrashingSite:
-    """A hosted site whose engines end on a part, and start again a little later."""
-
-    def __init__(self, site: HostedSite, deadly: set[str]):
-        self.site = site
-        self.deadly = deadly
-        self.ends: list[str] = []
-        self.tasks: set[asyncio.Task] = set()
-        self.numbers = itertools.count()
-
-    def prepare(self, name: str) -> None:
-        """Make an engine end on the deadly parts."""
-        engine = self.site.engines[name].engine
-        engine.deadly_parts = self.deadly
-
-        def end_process() -> None:
-            task = asyncio.get_running_loop().create_task(self.restart(name))
-            self.tasks.add(task)
-
-        engine.end_process = end_process
-
-    async def restart(self, name: str) -> None:
-        """End an engine, and start it again."""
-        self.ends.append(name)
-        self.site.end_engine_process(name)
-        await asyncio.sleep(RESTART_S)
-        await self.site.restart_engine(name)
-        self.prepare(name)
-
-    def caller(self, gateway: int, key: str = "key-1") -> Caller:
-        """Return a caller of a gateway."""
-        ip = self.site.gateways[f"gw-{gateway}"].ip
-        return Caller(f"{ip}:{self.site.ports['front']}", key)
-
-    async def send(self, gateway: int, *parts: str, timeout_s: float = 8.0) -> Answer:
-        """Send a request with shared parts and one of its own."""
-        n = next(self.numbers)
-        prefix = ",".join([f"{part}:100" for part in parts] + [f"ff{n:04x}:50"])
-        return await self.caller(gateway).send(
-            "/review/x", f"r{n}", prefix=prefix, tokens="300,10", timeout_s=timeout_s
-        )
-
-    def deadly_sends(self) -> int:
-        """Return the number of requests with a deadly part that reached an engine."""
-        return sum(not self.deadly.isdisjoint(shared_parts_of(r.headers)) for r in self.site.runs)
-
-
-@asynccontextmanager
-async def open_crashing_site(folder, deadly=(DEADLY,), gateways=GATEWAYS):
-    async with HostedSite(folder, Random(11)) as site:
-        crashing = CrashingSite(site, set(deadly))
-        for number in range(ENGINES):
-            await site.add_engine(f"llm-{number}", "llm", "ab"[number % 2], is_model=True)
-            crashing.prepare(f"llm-{number}")
-        site.write_config()
-        for n in range(gateways):
-            await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
-        for gateway in site.gateways.values():
-            await site.wait_until_ready(gateway)
-        yield crashing
-
-
 async def send_sound_load(crashing, stop, answers):
     for n in itertools.count():
         if stop.is_set():
@@ -100,7 +36,7 @@
 
 def test_part_that_crashes_engines_is_not_sent_to_engine_after_engine(folder):
     async def scenario():
-        async with open_crashing_site(folder) as crashing:
+        async with open_crashing_site(folder, [DEADLY]) as crashing:
             stop, sound = asyncio.Event(), []
             load = asyncio.create_task(send_sound_load(crashing, stop, sound))
             deadly = []
@@ -131,19 +67,9 @@
     pytest.fail("no verdict after 40 requests")
 
 
-async def restart_gateways(site):
-    for gateway in site.gateways.values():
-        gateway.process.kill()
-        await gateway.process.wait()
-    for n in range(GATEWAYS):
-        await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
-    for gateway in site.gateways.values():
-        await site.wait_until_ready(gateway)
-
-
 def test_verdict_survives_the_restart_of_every_gateway(folder):
     async def scenario():
-        async with open_crashing_site(folder) as crashing:
+        async with open_crashing_site(folder, [DEADLY]) as crashing:
             await send_until_refused(crashing)
             site = crashing.site
             await asyncio.sleep(0.5)
@@ -159,7 +85,7 @@
 
 def test_verdict_is_written_again_when_the_store_has_lost_it(folder):
     async def scenario():
-        async with open_crashing_site(folder) as crashing:
+        async with open_crashing_site(folder, [DEADLY]) as crashing:
             site = crashing.site
             copied = site.store.copy_topics()
             await send_until_refused(crashing)
@@ -179,7 +105,7 @@
 
 def test_operator_lists_and_lifts_a_verdict(folder):
     async def scenario():
-        async with open_crashing_site(folder) as crashing:
+        async with open_crashing_site(folder, [DEADLY]) as crashing:
             await send_until_refused(crashing)
             site = crashing.site
             address = f"{site.gateways['gw-0'].ip}:{site.ports['peer']}"
@@ -205,7 +131,7 @@
 @pytest.mark.parametrize("mode", ["reset", "silent"])
 def test_part_is_judged_at_all_gateways_while_the_store_is_away(folder, mode):
     async def scenario():
-        async with open_crashing_site(folder) as crashing:
+        async with open_crashing_site(folder, [DEADLY]) as crashing:
             crashing.site.store.faults.mode = mode
             await send_until_refused(crashing)
             await asyncio.sleep(0.5)
