Quarantine: requests as a whole, of plain services too

Callers saw a service of three engines down for most of 20 s, and sound requests on its engines fail: one request, sent again and again by its caller, ended each engine that ran it.

Cause: evidence was kept by shared prompt parts only. A plain service has none, so nothing held its requests back; a deadly prompt whose only shared part sound ones hold too was cleared by each of their answers.

Change: a request as a whole (digest of method, host, target, workspace, prompt, body) is one more part of the same mechanism, which only its repeats share. A trial counts against a part though the same request failed before; a part and the one request with it are told apart by the engines that ended without that request. The gate holds for plain services. The set-up of test_failed_stop.py marks the gateway as informed, as the peer does from which it would have its configuration: a gateway that knows no verdicts yet refuses plain requests, too, for 2.5 s at most.

--- a/teaselpath/cli/_verdicts.py
+++ b/teaselpath/cli/_verdicts.py
@@ -1,4 +1,4 @@
-"""The verdicts command: lists and lifts verdicts on prompt parts at the gateways."""
+"""The verdicts command: lists and lifts verdicts on prompt parts and requests at the gateways."""
 
 import asyncio
 from typing import Any
@@ -23,7 +23,7 @@
 
 @click.group()
 def verdicts() -> None:
-    """List or lift verdicts on prompt parts that crash engines."""
+    """List or lift verdicts on prompt parts and requests that crash engines."""
 
 
 @verdicts.command("list")
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -42,7 +42,7 @@
     """Objects that all attempts share.
 
     :param detector: finds out which engines end while they run requests.
-    :param gate: quarantine of prompt parts, which learns of answers.
+    :param gate: quarantine, which learns of answers.
     :param acquire_retry: takes a retry of a request whose attempt is late; returns whether the
         request may be sent elsewhere.
     """
@@ -130,11 +130,9 @@
 
     def _record_broken(self) -> None:
         call = self.call
-        prompt = call.request.prompt if call.service.engine is not None else None
         run = BrokenRun(
             call.request.request_id,
-            prompt.shared_keys if prompt is not None else (),
-            call.digest,
+            call.parts,
             call.splitter.count - self.events_before,
             self.loop.time() - self.started_at,
             call.trial is not None,
@@ -215,7 +213,7 @@
             return Broken()
         if not self.exchange.is_started:
             call.answer, call.answer_body = info, body
-        if info.status < 300:
+        if info.has_stamp and info.status < self._failure_status():
             self._record_proof()
         return Answered(info.status)
 
@@ -223,9 +221,16 @@
         """Return whether a body can continue the one of which the caller has a part."""
         return self.call.answer is not None and info.media_type == self.call.answer.media_type
 
+    def _failure_status(self) -> int:
+        """Return the lowest status that does not prove that the engine has run the request.
+
+        A model engine can reject a prompt without having begun to answer on it.
+        """
+        return 500 if self.call.service.engine is None else 300
+
     def _record_proof(self) -> None:
         """Record once that the engine answers this request."""
-        if not self.has_proved and self.call.service.engine is not None:
+        if not self.has_proved:
             self.has_proved = True
             self.context.gate.record_answer(self.call)
 
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -11,7 +11,7 @@
 )
 from teaselpath.fleet import AnswerInfo, CallerRequest, Route, Service, Workspace
 from teaselpath.gateway._events import EventSplitter
-from teaselpath.quarantine import Claim
+from teaselpath.quarantine import Claim, whole_request
 
 
 @dataclass(slots=True)
@@ -69,6 +69,17 @@
             self.known_digest = self.request.digest(self.workspace.name if self.workspace else None)
         return self.known_digest
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the keys of the prompt parts that other requests can share."""
+        prompt = self.request.prompt
+        return prompt.shared_keys if prompt is not None and self.service.engine is not None else ()
+
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Return all that may crash an engine: the request as a whole, and its shared parts."""
+        return (whole_request(self.digest), *self.shared_parts)
+
     @property
     def kind(self) -> tuple[str, bool]:
         """Return what requests that take a similar time have in common: route, long prompt."""
--- a/teaselpath/gateway/_engine_ends.py
+++ b/teaselpath/gateway/_engine_ends.py
@@ -30,15 +30,13 @@
 class BrokenRun:
     """A request whose answer an engine has broken off.
 
-    :param parts: keys of the parts of its prompt that other requests can share.
-    :param digest: what it has in common with equal requests of its caller.
+    :param parts: keys of all that may have ended the engine, see ``Call.parts``.
     :param events: events of the answer, of this attempt only.
     :param is_trial: whether it ran to find out whether its parts are sound.
     """
 
     request_id: str
     parts: tuple[str, ...]
-    digest: str
     events: int
     duration_s: float
     is_trial: bool = False
@@ -152,7 +150,7 @@
             runs=len(end.runs),
             unanswered=len(unanswered),
             unanswered_runs=[
-                (run.request_id, round(run.duration_s, 3), run.parts, run.is_trial, run.digest)
+                (run.request_id, round(run.duration_s, 3), run.parts, run.is_trial)
                 for run in unanswered[:MAX_LOGGED_RUNS]
             ],
         )
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -54,7 +54,7 @@
     :param http: client for calls to endpoints.
     :param metrics: metrics of this gateway.
     :param announce: sends the placement of a long prompt to the other gateways.
-    :param gate: quarantine of prompt parts.
+    :param gate: quarantine of prompt parts and requests.
     """
 
     def __init__(
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -39,7 +39,7 @@
         self.quarantined = make(
             Counter, "quarantine_total", "Trials, verdicts and requests not sent for their parts"
         )
-        self.verdicts = make(Gauge, "verdicts", "Verdicts on prompt parts in force")
+        self.verdicts = make(Gauge, "verdicts", "Verdicts on prompt parts and requests in force")
         self.limited_endpoints = make(
             Gauge, "limited_endpoints", "Endpoints that state a limit, by service"
         )
--- a/teaselpath/gateway/_quarantine.py
+++ b/teaselpath/gateway/_quarantine.py
@@ -1,4 +1,4 @@
-"""Quarantine of prompt parts at one gateway: holds, trials, exchange with others and the store."""
+"""Quarantine at one gateway: holds, trials, exchange with others and the store."""
 
 import asyncio
 import random
@@ -18,6 +18,7 @@
     SUSPECT_ENDS,
     Admit,
     ClaimNote,
+    Decision,
     Hold,
     Quarantine,
     QuarantineUpdate,
@@ -64,7 +65,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Quarantined:
-    """A request that is not sent, because of the parts of its prompt."""
+    """A request that is not sent, because it or a part of its prompt may crash engines."""
 
     code: Code
     retry_after_s: float
@@ -103,8 +104,7 @@
 
         A request with suspect parts is sent as a trial, ``call.trial``.
         """
-        prompt = call.request.prompt
-        if prompt is None or call.service.engine is None or call.trial is not None:
+        if call.trial is not None:
             return None
         if not self.is_informed():
             return Quarantined(Code.NO_BUNDLE, UNINFORMED_RETRY_AFTER_S, "uninformed")
@@ -112,8 +112,7 @@
         hold_until = now + min(MAX_HOLD_S, MAX_HOLD_FRACTION * (call.deadline - now))
         while True:
             now = self.loop.time()
-            decision = self.quarantine.decide(prompt.shared_keys, now, is_resend=call.lost_engine)
-            match decision:
+            match self._decide(call, now):
                 case Admit():
                     return None
                 case Reject(verdict):
@@ -134,16 +133,17 @@
 
     def may_send(self, call: Call) -> bool:
         """Return whether an admitted request may still be sent, after it was queued."""
-        prompt = call.request.prompt
-        if prompt is None or call.service.engine is None:
-            return True
-        decision = self.quarantine.decide(
-            prompt.shared_keys, self.loop.time(), is_resend=call.lost_engine
-        )
+        decision = self._decide(call, self.loop.time())
         if call.trial is not None:
             return not isinstance(decision, Reject)
         return isinstance(decision, Admit)
 
+    def _decide(self, call: Call, now: float) -> Decision:
+        # The digest of a request is computed only if there is evidence against any.
+        if self.quarantine.is_empty:
+            return Admit()
+        return self.quarantine.decide(call.parts, now, is_resend=call.lost_engine)
+
     def _are_suspect(self, parts: frozenset[str], now: float) -> bool:
         return any(self.quarantine.count_ends(part, now) >= SUSPECT_ENDS for part in parts)
 
@@ -189,12 +189,17 @@
     # evidence
 
     def record_answer(self, call: Call) -> None:
-        """Record that an engine answers a request, so that the parts of its prompt are sound."""
-        prompt = call.request.prompt
-        if prompt is None:
+        """Record that an engine answers a request, so that it and its prompt parts are sound.
+
+        A whole request is recorded only against evidence: most never come again.
+        """
+        parts = call.shared_parts
+        if not self.quarantine.is_empty and self.quarantine.has_evidence(call.parts[0]):
+            parts = call.parts
+        if not parts:
             return
         before = self.quarantine.table.verdicts.copy()
-        cleared = self.quarantine.record_sound(prompt.shared_keys, self.loop.time())
+        cleared = self.quarantine.record_sound(parts, self.loop.time())
         if not cleared:
             return
         log_message("parts_cleared", request_id=call.request.request_id, parts=cleared)
@@ -213,7 +218,7 @@
         now = self.loop.time()
         notes = []
         for run in end.runs:
-            if run.events >= PROVING_EVENTS or not run.parts:
+            if run.events >= PROVING_EVENTS:
                 continue
             note = self.quarantine.record_end(end.number, end.at, run.parts, is_trial=run.is_trial)
             if note is not None:
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -34,7 +34,7 @@
 DRAIN_POLL_INTERVAL_S = 0.05
 # Interval at which expired idle connections to endpoints and stores are closed, in seconds.
 EXPIRE_INTERVAL_S = 0.5
-# Verdicts on prompt parts, for operators.
+# Verdicts on prompt parts and requests, for operators.
 VERDICTS_PATH = b"/verdicts"
 # Delay before a failed job is restarted, in seconds.
 RESTART_DELAY_S = 0.2
@@ -185,7 +185,7 @@
                 exchange.respond(404, [])
 
     def _handle_verdicts(self, exchange: Exchange) -> None:
-        """List the verdicts on prompt parts, or lift one."""
+        """List the verdicts, or lift one."""
         request = exchange.request
         verdict_id = request.target.removeprefix(VERDICTS_PATH).lstrip(b"/").decode("latin-1")
         match request.method:
--- a/teaselpath/gateway/_verdict_store.py
+++ b/teaselpath/gateway/_verdict_store.py
@@ -1,4 +1,4 @@
-"""Verdicts on prompt parts in the metadata store, where they outlast all gateways."""
+"""Verdicts in the metadata store, where they outlast all gateways."""
 
 import asyncio
 import random
--- a/teaselpath/gateway/tests/test_engine_ends.py
+++ b/teaselpath/gateway/tests/test_engine_ends.py
@@ -9,7 +9,7 @@
 from teaselpath.gateway.tests.conftest import endpoint_record, removal_record
 from teaselpath.http1 import HttpClient
 
-RUNS = [BrokenRun("r1", ("m/p",), "d1", 0, 0.1), BrokenRun("r2", ("m/q",), "d2", 3, 0.5)]
+RUNS = [BrokenRun("r1", ("m/p",), 0, 0.1), BrokenRun("r2", ("m/q",), 3, 0.5)]
 
 
 async def open_server():
--- a/teaselpath/gateway/tests/test_failed_stop.py
+++ b/teaselpath/gateway/tests/test_failed_stop.py
@@ -44,6 +44,8 @@
     service = GatewayService(settings, store, PlatformRequests(), engines, http, LogSink())
     record = StoredRecord("config", json.dumps(CONFIG).encode(), Position(1, 1))
     service.state.apply_operator_record(record, "test", 0.0)
+    # As after the greeting of a peer, from which the configuration would come.
+    service.gate.has_snapshot = True
     return service
 
 
--- a/teaselpath/gateway/tests/test_shared_wait.py
+++ b/teaselpath/gateway/tests/test_shared_wait.py
@@ -15,7 +15,7 @@
     "POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: r%d\r\nModel: m\r\nToken-Counts: 10,10\r\n"
     "Prompt-Prefix: a%d:10\r\nContent-Length: 0\r\n\r\n"
 )
-RUNS = [BrokenRun("r1", ("m/p",), "d1", 0, 0.1), BrokenRun("r2", ("m/q",), "d2", 0, 0.1)]
+RUNS = [BrokenRun("r1", ("m/p",), 0, 0.1), BrokenRun("r2", ("m/q",), 0, 0.1)]
 
 
 def test_caller_that_leaves_takes_the_answer_from_no_other_caller():
--- a/teaselpath/quarantine/__init__.py
+++ b/teaselpath/quarantine/__init__.py
@@ -1,8 +1,8 @@
-"""Quarantine of prompt parts that crash engines. Does no I/O.
+"""Quarantine of prompt parts and requests that crash engines. Does no I/O.
 
-Engines that end while they run requests are evidence against the parts of the prompts that had no
-answer yet; an answer is proof that all parts of its prompt are sound. Between the two stands a
-trial: one request with a suspect part at a time, over all gateways.
+Engines that end while they run requests are evidence against those that had no answer yet, as a
+whole and against the parts of their prompts; an answer is proof that all of them are sound. Between
+the two stands a trial: one request with a suspect part at a time, over all gateways.
 """
 
 from teaselpath.quarantine._core import (
@@ -24,6 +24,7 @@
     SoundNote,
     VerdictNote,
 )
+from teaselpath.quarantine._parts import is_whole_request, whole_request
 from teaselpath.quarantine._trials import JUDGE_DELAY_S, SETTLE_S, Claim, TrialBoard
 from teaselpath.quarantine._verdicts import Verdict, VerdictTable
 
@@ -48,5 +49,7 @@
     "VerdictNote",
     "VerdictTable",
     "claim_note",
+    "is_whole_request",
     "verdict_note",
+    "whole_request",
 ]
--- a/teaselpath/quarantine/_core.py
+++ b/teaselpath/quarantine/_core.py
@@ -1,8 +1,11 @@
-"""Decisions about requests whose prompts have suspect parts.
+"""Decisions about requests with suspect parts.
 
 A part becomes a suspect with the second engine that ends before it answered on it. Its requests
 then run one at a time over all gateways, until an answer clears the part or a third engine has
 ended, at least two of them in such trials: one can end by itself, or by another request.
+
+A request as a whole counts as one more part, which only its repeats share: it may be what crashes
+engines, while all that it shares with other requests is sound.
 """
 
 from dataclasses import dataclass
@@ -15,6 +18,7 @@
     SoundNote,
     VerdictNote,
 )
+from teaselpath.quarantine._parts import is_whole_request
 from teaselpath.quarantine._trials import CLAIM_S, Claim, TrialBoard
 from teaselpath.quarantine._verdicts import Verdict, VerdictTable
 
@@ -79,13 +83,22 @@
 
     # requests
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether there is no evidence against any request."""
+        return not self.evidence.suspects and not self.table.verdicts
+
+    def has_evidence(self, part: str) -> bool:
+        """Return whether engines have ended on a part, or a verdict names it."""
+        return part in self.evidence.suspects or self.table.names(part)
+
     def decide(self, parts: tuple[str, ...], now: float, *, is_resend: bool = False) -> Decision:
         """Return whether a request may be sent.
 
-        :param parts: keys of the parts that other requests can share.
+        :param parts: keys of the parts that other requests can share, and of the whole request.
         :param is_resend: whether an engine ended before it answered this request.
         """
-        if not self.evidence.suspects and not self.table.verdicts:
+        if self.is_empty:
             return Admit()
         observed = frozenset(parts[:MAX_OBSERVED_PARTS])
         verdict = self.table.find(observed, now)
@@ -176,7 +189,19 @@
         if ends < VERDICT_ENDS:
             return None
         unproven = frozenset(part for part in suspects if not self.evidence.was_sound(part, now))
-        return self.table.issue(unproven or suspects, ends, self.host, now)
+        judged = self._without_explained_request(unproven or suspects)
+        return self.table.issue(judged, ends, self.host, now)
+
+    def _without_explained_request(self, judged: frozenset[str]) -> frozenset[str]:
+        """Return the judged parts without the whole request if one of the others ends engines.
+
+        It does if an engine has ended on it that did not run this request.
+        """
+        whole = frozenset(part for part in judged if is_whole_request(part))
+        rest = judged - whole
+        ends = {number for part in whole for number in self.evidence.ends_of(part)}
+        is_explained = any(not ends.issuperset(self.evidence.ends_of(part)) for part in rest)
+        return rest if is_explained else judged
 
     def record_sound(self, parts: tuple[str, ...], at: float) -> list[str]:
         """Record that an engine has answered on parts; return those that were suspects."""
--- a/teaselpath/quarantine/_evidence.py
+++ b/teaselpath/quarantine/_evidence.py
@@ -1,4 +1,4 @@
-"""Evidence for and against prompt parts.
+"""Evidence for and against parts.
 
 Times are in seconds, from the steady clock of this gateway.
 """
@@ -7,6 +7,8 @@
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
+from teaselpath.quarantine._parts import is_whole_request
+
 # Ends of engines within this time of each other count once, in seconds: what ends several engines
 # together, such as the loss of a failure domain, is not a request.
 GROUP_S = 0.25
@@ -15,7 +17,7 @@
 # Time for which a part counts as sound after an answer, in seconds.
 SOUND_S = 600.0
 # Parts with ended engines, and parts with answers, that are kept in memory.
-MAX_SUSPECTS = 512
+MAX_SUSPECTS = 2_048
 MAX_SOUND_PARTS = 8_192
 # Ended engines that are kept in memory, and requests of each.
 MAX_ENGINES = 128
@@ -152,7 +154,8 @@
         """Return the number of trials that prove that a part of ``judged`` ends engines.
 
         An engine may have ended by another request, with a part under which as many engines ended,
-        or by another part of the tried request under which several did.
+        or by another part of the tried request under which several did. The tried request as a
+        whole is no such part: the engines that ended on it did so on its parts, too.
 
         :param part: one of the judged parts.
         :param explained: numbers of engines that ended for another reason.
@@ -161,21 +164,28 @@
         return sum(
             end.is_trial
             and number not in explained
-            and self._most_ends(number, part, judged, in_trial=False) < len(ends)
-            and self._most_ends(number, part, judged, in_trial=True) <= 1
+            and self._most_ends(self._other_parts(number, part, judged)) < len(ends)
+            and self._most_ends(self._tried_parts(number, part, judged)) <= 1
             for number, end in ends.items()
         )
 
-    def _most_ends(self, number: int, part: str, judged: frozenset[str], *, in_trial: bool) -> int:
-        """Return the most ends of a part that an ended engine was at work on.
+    def _other_parts(self, number: int, part: str, judged: frozenset[str]) -> set[str]:
+        """Return the parts, except ``judged``, of an ended engine's requests without ``part``."""
+        runs = (run for run in self._runs_of(number) if part not in run.parts)
+        return {other for run in runs for other in run.parts - judged}
 
-        :param judged: parts that are left out.
-        :param in_trial: whether the requests with ``part`` are searched, or the others.
-        """
+    def _tried_parts(self, number: int, part: str, judged: frozenset[str]) -> set[str]:
+        """Return the other prompt parts, except ``judged``, of the requests with ``part``."""
+        runs = (run for run in self._runs_of(number) if part in run.parts)
+        others = {other for run in runs for other in run.parts - judged}
+        return {other for other in others if not is_whole_request(other)}
+
+    def _runs_of(self, number: int) -> Iterable[EndedRun]:
         engine = self.engines.get(number)
-        runs = engine.runs if engine is not None else ()
-        others = (p for run in runs if (part in run.parts) == in_trial for p in run.parts - judged)
-        return max((len(self.ends_of(other)) for other in others), default=0)
+        return engine.runs if engine is not None else ()
+
+    def _most_ends(self, parts: Iterable[str]) -> int:
+        return max((len(self.ends_of(part)) for part in parts), default=0)
 
     def ended_with(self, number: int, parts: frozenset[str]) -> bool:
         """Return whether an ended engine had not answered a request with all these parts."""
--- a/teaselpath/quarantine/tests/fleet.py
+++ b/teaselpath/quarantine/tests/fleet.py
@@ -59,12 +59,17 @@
     :param deadly: parts on which an engine ends instead of answering.
     :param loss: fraction of messages that are lost.
     :param delay_s: longest delay of a message.
+    :param read_s: time until an engine begins to answer, in seconds.
+    :param answer_s: time that it takes to answer, in seconds.
+    :param max_runs: engines that may run one request.
     """
 
     def __init__(
         self, random: Random, gateways: int, engines: int, deadly: set[str], *,
-        loss: float = 0.1, delay_s: float = 0.06,
+        loss: float = 0.1, delay_s: float = 0.06, read_s: float = READ_S,
+        answer_s: float = ANSWER_S, max_runs: int = MAX_RUNS,
     ):  # fmt: skip
+        self.read_s, self.answer_s, self.max_runs = read_s, answer_s, max_runs
         self.random, self.deadly, self.loss, self.delay_s = random, deadly, loss, delay_s
         self.now = 0.0
         self.hosts = [Quarantine(f"gw-{n}") for n in range(gateways)]
@@ -158,7 +163,7 @@
                     self.judgements.append((self.now + JUDGE_DELAY_S, index, request.parts))
             self._release(request)
             request.engine, request.lost_engine = None, True
-            if request.is_proven or request.runs >= MAX_RUNS:
+            if request.is_proven or request.runs >= self.max_runs:
                 self._finish(request, "failed")
         if notes:
             self._publish(index, QuarantineUpdate(host.host, ends=notes))
@@ -232,12 +237,12 @@
     def _run(self, engine: Engine) -> None:
         for request in list(engine.runs):
             age_s = self.now - request.began_at
-            if age_s >= READ_S and not request.is_proven:
+            if age_s >= self.read_s and not request.is_proven:
                 if not self.deadly.isdisjoint(request.parts):
                     self.end_engine(engine)
                     return
                 self._prove(request)
-            if age_s >= READ_S + ANSWER_S:
+            if age_s >= self.read_s + self.answer_s:
                 engine.runs.remove(request)
                 if not request.outcome:
                     self._finish(request, "served")
--- a/teaselpath/quarantine/tests/test_core.py
+++ b/teaselpath/quarantine/tests/test_core.py
@@ -12,12 +12,14 @@
     SoundNote,
     Try,
     VerdictNote,
+    whole_request,
 )
 from teaselpath.quarantine._evidence import EVIDENCE_S, MAX_SOUND_PARTS, MAX_SUSPECTS
 from teaselpath.quarantine._trials import CLAIM_S
 from teaselpath.quarantine._verdicts import MAX_VERDICTS, VERDICT_S
 
 DEADLY, HOT = "m/dead", "m/hot"
+REQUESTS = [whole_request(f"{n}") for n in range(4)]
 
 
 @pytest.fixture
@@ -234,3 +236,36 @@
             part = f"m/new{number // 2}-{other}"
             quarantine.record_end(number, float(number), (part,), is_trial=False)
     assert quarantine.judge((DEADLY,), 5.0) is not None
+
+
+def test_deadly_request_is_refused_and_not_the_part_that_sound_ones_share(quarantine):
+    for number in range(3):
+        quarantine.record_sound((HOT,), number - 0.5)
+        parts = REQUESTS[0], HOT
+        quarantine.record_end(number, float(number), parts, is_trial=number > 0)
+    verdict = quarantine.judge((REQUESTS[0], HOT), 3.0)
+    assert verdict is not None
+    assert verdict.parts == {REQUESTS[0]}
+    assert quarantine.decide((REQUESTS[1], HOT), 3.1) == Admit()
+
+
+def test_deadly_part_is_refused_for_all_though_one_request_with_it_came_twice(quarantine):
+    for number, request in enumerate([REQUESTS[0], REQUESTS[0], REQUESTS[1]]):
+        quarantine.record_end(number, float(number), (request, DEADLY), is_trial=number > 0)
+    verdict = quarantine.judge((REQUESTS[1], DEADLY), 3.0)
+    assert verdict is not None
+    assert verdict.parts == {DEADLY}
+    assert isinstance(quarantine.decide((REQUESTS[2], DEADLY), 3.1), Reject)
+
+
+def test_part_of_which_only_one_request_is_known_is_not_refused_for_others(quarantine):
+    for number in range(3):
+        parts = REQUESTS[0], DEADLY
+        quarantine.record_end(number, float(number), parts, is_trial=number > 0)
+    assert quarantine.judge((REQUESTS[0], DEADLY), 3.0) is not None
+    assert isinstance(quarantine.decide((REQUESTS[0], DEADLY), 3.1), Reject)
+    # The next request shows whether it is the part: its end is enough for a verdict.
+    assert isinstance(quarantine.decide((REQUESTS[1], DEADLY), 3.1), Try)
+    quarantine.record_end(4, 4.0, (REQUESTS[1], DEADLY), is_trial=True)
+    assert quarantine.judge((REQUESTS[1], DEADLY), 4.1) is not None
+    assert isinstance(quarantine.decide((REQUESTS[2], DEADLY), 4.2), Reject)
--- a/teaselpath/quarantine/tests/test_fleet.py
+++ b/teaselpath/quarantine/tests/test_fleet.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from teaselpath.quarantine import whole_request
 from teaselpath.quarantine.tests.fleet import TICK_S, SimulatedFleet
 
 GATEWAYS, ENGINES = 5, 9
@@ -13,6 +14,10 @@
 # Bounds of the users' rule: requests with the part after the fifth engine, and the time after
 # which they count, in seconds.
 COUNTED_ENDS, MAX_LATE_SENDS, SETTLED_S = 5, 3, 4.0
+# The same for a request as a whole.
+COUNTED_REQUEST_ENDS = 3
+PLAIN_ENGINES, PLAIN_READ_S = 3, 0.09
+DEADLY_REQUEST, POPULAR = whole_request("dead"), whole_request("poll")
 
 
 def play(
@@ -31,10 +36,10 @@
         fleet.step()
 
 
-def late_sends(fleet) -> int:
-    if len(fleet.ends) < COUNTED_ENDS:
+def late_sends(fleet, counted_ends=COUNTED_ENDS) -> int:
+    if len(fleet.ends) < counted_ends:
         return 0
-    bound = fleet.ends[COUNTED_ENDS - 1] + SETTLED_S
+    bound = fleet.ends[counted_ends - 1] + SETTLED_S
     return sum(at > bound for at in fleet.deadly_sends)
 
 
@@ -118,3 +123,67 @@
     rare = [r for r in fleet.done if r.parts == ("m/rare", "m/own")]
     assert [r.outcome for r in rare[2:]] == ["served"] * len(rare[2:])
     assert late_sends(fleet) <= MAX_LATE_SENDS
+
+
+def plain_fleet(seed, deadly=(), max_runs=2):
+    return SimulatedFleet(
+        Random(seed), GATEWAYS, PLAIN_ENGINES, set(deadly),
+        read_s=PLAIN_READ_S, answer_s=0.0, max_runs=max_runs,
+    )  # fmt: skip
+
+
+def play_plain(fleet, seconds, *, deadly_per_s=0.0, disturb=None):
+    """Send load to a plain service, a third of it equal requests of one caller."""
+    random = fleet.random
+    for tick in range(int(seconds / TICK_S)):
+        if random.random() < SOUND_PER_S * TICK_S:
+            is_popular = random.random() < 1 / 3
+            fleet.send(POPULAR if is_popular else whole_request(f"own{len(fleet.done)}-{tick}"))
+        if random.random() < deadly_per_s * TICK_S:
+            fleet.send(DEADLY_REQUEST)
+        if disturb is not None:
+            disturb(fleet, tick * TICK_S)
+        fleet.step()
+
+
+@pytest.mark.parametrize("max_runs", [1, 2])
+@pytest.mark.parametrize("seed", range(4))
+def test_deadly_request_stops_reaching_the_engines_of_a_small_service(seed, max_runs):
+    fleet = plain_fleet(seed, [DEADLY_REQUEST], max_runs)
+    play_plain(fleet, 20.0, deadly_per_s=2.0)
+    done = len(fleet.done)
+    play_plain(fleet, 10.0, deadly_per_s=2.0)
+    assert late_sends(fleet, COUNTED_REQUEST_ENDS) <= MAX_LATE_SENDS
+    assert share_served(fleet, done) > 0.9
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_deadly_request_whose_part_sound_ones_share_stops_reaching_engines(seed):
+    fleet = SimulatedFleet(Random(seed), GATEWAYS, ENGINES, {DEADLY_REQUEST})
+    random = fleet.random
+    for tick in range(int(24.0 / TICK_S)):
+        if random.random() < SOUND_PER_S * TICK_S:
+            fleet.send(random.choice(SHARED), whole_request(f"own{tick}"))
+        if random.random() < DEADLY_PER_S * TICK_S:
+            fleet.send(SHARED[0], DEADLY_REQUEST)
+        fleet.step()
+    assert late_sends(fleet, COUNTED_REQUEST_ENDS) <= MAX_LATE_SENDS
+    assert all(v.parts == {DEADLY_REQUEST} for h in fleet.hosts for v in h.table.verdicts.values())
+
+
+@pytest.mark.parametrize("pause_s", [0.8, 1.5])
+@pytest.mark.parametrize("seed", range(4))
+def test_small_service_whose_engines_crash_by_themselves_is_not_closed(seed, pause_s):
+    fleet = plain_fleet(seed)
+
+    def disturb(fleet, at):
+        if round(at % pause_s, 2) == 0.0:
+            fleet.end_engine(fleet.random.choice(fleet.engines))
+
+    play_plain(fleet, 20.0, disturb=disturb)
+    assert not any(host.table.verdicts for host in fleet.hosts)
+    # Requests that waited for an engine are served first.
+    play_plain(fleet, 3.0)
+    done = len(fleet.done)
+    play_plain(fleet, 5.0)
+    assert share_served(fleet, done) > 0.99
