Soak: one request to the plain service ends engines

Bodies of safe and unsafe requests end engines as prompt parts did; each service has its own count of ends and of late sends.

--- a/standins/soak/_faults.py
+++ b/standins/soak/_faults.py
@@ -33,7 +33,7 @@
 NEW_WEIGHTS_FRACTION = 0.5
 # Time after which the platform removes entries of engines that are gone, in seconds.
 ENTRY_EXPIRY_S = 3 * HEARTBEAT_INTERVAL_S
-# Ends of engines after which gateways refuse the part that ends them.
+# Ends of engines after which gateways refuse the requests that end them.
 COUNTED_ENDS = 5
 
 
@@ -63,7 +63,9 @@
         self.soak.start_fault(self.change_routes(until))
         self.soak.start_fault(self.restore_store(until))
         source = Random(self.plan.seed + 3)
-        self.soak.deadly_from = time.monotonic() + source.uniform(0.1, 0.5) * self.plan.fault_s
+        for service in self.soak.deadly_from:
+            delay_s = source.uniform(0.1, 0.5) * self.plan.fault_s
+            self.soak.deadly_from[service] = time.monotonic() + delay_s
         kinds: list[Callable[[], Coroutine[None, None, None]]] = [
             self.fault_link,
             self.fault_link,
@@ -81,9 +83,10 @@
         await asyncio.gather(*self.soak.fault_tasks)
         # In the recovery phase all gateways must have this version.
         self.change_route(source)
-        if self.soak.engine_ends < COUNTED_ENDS:
-            # In the recovery phase the part is sent only if it must be known by then.
-            self.soak.deadly_from = float("inf")
+        for service in self.soak.deadly_from:
+            # In the recovery phase such requests are sent only if they must be known by then.
+            if self.soak.engine_ends[service] < COUNTED_ENDS:
+                self.soak.deadly_from[service] = float("inf")
 
     async def fault_link(self) -> None:
         name = self.random.choice(sorted(self.proxies))
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -31,12 +31,15 @@
 # timeout in seconds.
 PROBE_FRACTION = 0.3
 PROBE_TIMEOUT_S = 3.0
-# Prompt part that ends engines, the fraction of the streams that hold it, and the time until an
-# engine is back, in seconds.
+# Prompt part and body that end engines, the fraction of the requests of their kinds that hold them,
+# and the time until an engine is back, in seconds.
 DEADLY_PART = "dead"
+DEADLY_BODY = b'{"deadly": true}'
 DEADLY_FRACTION = 0.05
 ENGINE_RESTART_S = 1.0
-# Requests with the part that may still reach engines in the recovery phase.
+# Service whose engines end on the requests of a kind.
+DEADLY_KINDS = {"review": "llm", "lookup": "desk", "pay": "desk"}
+# Requests of a service that end engines and may still reach them in the recovery phase.
 MAX_LATE_SENDS = 3
 
 
@@ -94,8 +97,9 @@
         self.watchers: list[asyncio.Task] = []
         self.new_engine_numbers = itertools.count(100)
         self.longest_stall_s = 0.0
-        self.engine_ends = 0
-        self.deadly_from = float("inf")
+        # By service: engines that a request has ended, and from when such requests are sent.
+        self.engine_ends: Counter[str] = Counter()
+        self.deadly_from = dict.fromkeys(DEADLY_KINDS.values(), float("inf"))
         self.settled_at = float("inf")
 
     async def watch_stalls(self) -> None:
@@ -134,9 +138,10 @@
         self.prepare_engine(name)
 
     def prepare_engine(self, name: str) -> None:
-        """Make an engine end on the deadly part."""
+        """Make an engine end on the deadly part and body."""
         listed_engine = self.site.engines[name]
         listed_engine.engine.deadly_parts = {DEADLY_PART}
+        listed_engine.engine.deadly_bodies = {DEADLY_BODY}
 
         def end_process() -> None:
             self.start_fault(self.end_engine(name, listed_engine))
@@ -147,7 +152,7 @@
         """End the process of an engine, and start it again unless it was replaced meanwhile."""
         if self.site.engines.get(name) is not listed_engine or listed_engine.skips_heartbeats:
             return
-        self.engine_ends += 1
+        self.engine_ends[listed_engine.engine.service] += 1
         self.record_fault(f"ended by a request: {name}")
         proxy = self.proxies[name]
         proxy.close()
@@ -176,6 +181,7 @@
         """Send requests one after another over persistent connections."""
         random = Random(f"{self.plan.seed}-{number}")
         parts = Random(f"{self.plan.seed}-{number}-parts")
+        bodies = Random(f"{self.plan.seed}-{number}-bodies")
         probes = Random(f"{self.plan.seed}-{number}-probes")
         tenants = self.site.tenants
         callers: dict[tuple[str, str], Caller] = {}
@@ -192,13 +198,16 @@
             prefix = ""
             if kind in ("review", "query"):
                 prefix = f"s{random.randrange(6)}:2000,o{request_id}:200"
-            is_deadly = kind == "review" and parts.random() < DEADLY_FRACTION
-            if is_deadly and time.monotonic() >= self.deadly_from:
+            body = b"{}"
+            source = parts if kind == "review" else bodies
+            is_deadly = kind in DEADLY_KINDS and source.random() < DEADLY_FRACTION
+            if is_deadly and time.monotonic() >= self.deadly_from[DEADLY_KINDS[kind]]:
                 request_id = f"{DEADLY_PART}-{request_id}"
                 prefix = prefix.replace(",", f",{DEADLY_PART}:100,")
+                body = DEADLY_BODY if kind != "review" else body
             began_at = time.monotonic()
             answer = await callers[name, key].send(
-                f"/{kind}/x", request_id, prefix=prefix, timeout_s=6.0,
+                f"/{kind}/x", request_id, prefix=prefix, timeout_s=6.0, body=body,
                 disconnect_after_s=random.choice([None] * 15 + [0.05]),
             )  # fmt: skip
             self.requests.append(SentRequest(kind, tenant.name, key, began_at, answer))
@@ -262,9 +271,12 @@
         if served_fraction < MIN_SERVED_FRACTION or len(recent) < RECOVERY_REQUESTS:
             broken.append(f"after recovery: {served} of {len(recent)} served")
         late = {a.answer.request_id for a in deadly}
-        late_sends = sum(run.request_id in late for run in self.site.runs)
-        if late_sends > MAX_LATE_SENDS:
-            broken.append(f"{late_sends} requests with the deadly part reached engines")
+        late_sends = Counter(run.service for run in self.site.runs if run.request_id in late)
+        broken += [
+            f"{sends} requests that end engines reached those of {service}"
+            for service, sends in late_sends.items()
+            if sends > MAX_LATE_SENDS
+        ]
         models = [p.engine for p in self.site.engines.values() if p.engine.model]
         outdated = [e.endpoint_id for e in models if e.version != self.site.weights]
         if outdated:
