Log: software versions of engines, streams that callers take up

The version of an engine's entry and the field Resumes were decoded nowhere, so that no line told a stream that goes on at another version.

--- a/teaselpath/fleet/_calls.py
+++ b/teaselpath/fleet/_calls.py
@@ -21,6 +21,8 @@
     :param key: key of the caller's workspace; None if it sent none.
     :param time_left_s: how long the caller waits, in seconds; None if not stated.
     :param last_event_id: event after which to resume a stream; None to start at the beginning.
+    :param resumes: id of the caller's request that brought the first event of the stream to resume;
+        None if not stated.
     :param tokens: sum of prompt and output tokens; None if not stated.
     :param forwarded_headers: header fields that are forwarded to the endpoint unchanged.
     """
@@ -37,6 +39,7 @@
     tokens: int | None
     forwarded_headers: Headers
     body: bytes
+    resumes: str | None = None
 
     def digest(self, caller: str | None) -> str:
         """Return what equal requests of a caller have in common, whatever their ids.
--- a/teaselpath/fleet/_endpoints.py
+++ b/teaselpath/fleet/_endpoints.py
@@ -29,6 +29,7 @@
     :param started_at_ms: Unix time of its start as it reports; None if unknown.
     :param slots: requests that it processes concurrently.
     :param weights: version of the weights by model.
+    :param software: version of its software; None if it states none, which equals no other.
     """
 
     endpoint_id: str
@@ -39,6 +40,7 @@
     state: EndpointState
     started_at_ms: int | None
     weights: tuple[tuple[str, int], ...]
+    software: str | None = None
 
     @property
     def incarnation(self) -> tuple[str, int | None]:
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -305,6 +305,8 @@
             reason=code.name,
             status=call.answer.status if call.answer else None,
             attempts=call.attempts,
+            software=placed.view.endpoint.software if placed else None,
+            resumes=call.request.resumes,
             events=call.splitter.count,
             prompt_tokens=prompt.prompt_tokens if prompt else 0,
             prefix=prompt.parts[0].part_id if prompt and prompt.parts else None,
--- a/teaselpath/gateway/_record_logs.py
+++ b/teaselpath/gateway/_record_logs.py
@@ -21,6 +21,7 @@
         address=endpoint.address if endpoint else None,
         state=endpoint.state if endpoint else None,
         weights=dict(endpoint.weights) if endpoint else None,
+        software=endpoint.software if endpoint else None,
     )
 
 
--- a/teaselpath/platform/_config.py
+++ b/teaselpath/platform/_config.py
@@ -24,6 +24,8 @@
 BITS_PER_MBIT = 1_000_000
 # Time to fetch the KV cache of one token if the bandwidth of the link is not stated, in seconds.
 DEFAULT_FETCH_S_PER_TOKEN = 5e-6
+# Longest version of an engine's software, in characters.
+MAX_VERSION_LENGTH = 200
 WEIGHTS_PREFIX = "version/"
 _STATES = {"ready": EndpointState.READY, "draining": EndpointState.LEAVING}
 
@@ -109,6 +111,8 @@
     zone: str
     state: str
     slots: int = 1
+    # Version of the software; its type is checked where it is used.
+    version: object = None
     # Unix time of start-up in ms.
     born: int | None = None
     # Number of the statement since start-up; its type is checked where it is used.
@@ -171,6 +175,7 @@
                 state=state,
                 started_at_ms=raw.born,
                 weights=tuple((m.name, m.version) for m in raw.models),
+                software=_software(raw),
             )
             revision = _revision(raw)
     except msgspec.MsgspecError:
@@ -178,6 +183,11 @@
     return EndpointEntry(record, endpoint, revision)
 
 
+def _software(server: _Server) -> str | None:
+    version = server.version
+    return version if isinstance(version, str) and 0 < len(version) <= MAX_VERSION_LENGTH else None
+
+
 def _revision(server: _Server) -> Revision | None:
     if server.born is None or type(server.seq) is not int:
         return None
--- a/teaselpath/platform/_requests.py
+++ b/teaselpath/platform/_requests.py
@@ -12,6 +12,8 @@
 REQUEST_ID = b"request-id"
 # Remaining time of the caller in ms; despite its name no point in time.
 TIME_LEFT = b"deadline-ms"
+# Request id of the caller's attempt that brought the first event of the stream to take up.
+RESUMES = b"resumes"
 # Prompt tokens and maximum output tokens, comma-separated.
 TOKENS = b"token-counts"
 RESPONSE_STAMP = b"response-stamp"
@@ -99,6 +101,7 @@
             tokens=sum(tokens) if tokens else None,
             forwarded_headers=forwarded,
             body=body,
+            resumes=fields.get(RESUMES, b"").decode("latin-1") or None,
         )
 
     def encode_request(self, request: CallerRequest, forwarding: Forwarding) -> bytes:
