--- a/standins/hosted/_client.py
+++ b/standins/hosted/_client.py
@@ -83,6 +83,8 @@
         timeout_s: float = 8.0,
         disconnect_after_s: float | None = None,
         body: bytes = b"{}",
+        last_event_id: str = "",
+        resumes: str = "",
     ) -> Answer:
         """Send a request and return its answer.
 
@@ -103,6 +105,10 @@
                 (b"Token-Counts", tokens.encode()),
                 (b"Prompt-Prefix", prefix.encode()),
             ]
+        if last_event_id:
+            headers.append((b"Last-Event-Id", last_event_id.encode()))
+        if resumes:
+            headers.append((b"Resumes", resumes.encode()))
         self._check_idle_connections()
         try:
             connection = await self.pool.acquire(deadline)
--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -39,6 +39,8 @@
     """A model engine, or a plain service if it has no model.
 
     :param runs: list shared by all engines, to which each started request is appended.
+    :ivar software: version of its software in its entry; None for none.
+    :ivar event_interval_s: time between the events of a stream, in seconds.
     :ivar deadly_parts: ids of prompt parts that end the process as it begins an answer on them.
     :ivar deadly_bodies: bodies of requests that end the process as it begins to run them.
     :ivar limit: value of the header field with the requests per second that it takes; None for no
@@ -72,6 +74,8 @@
         self.version = version
         self.slots = slots
         self.faults = EngineFaults()
+        self.software: object = "v1"
+        self.event_interval_s = EVENT_INTERVAL_S
         self.limit: str | None = None
         self.silent_until = 0.0
         self.leaving: str | None = None
@@ -100,7 +104,9 @@
         """Return the record of this engine for the metadata store, with the next heartbeat."""
         self.heartbeats += 1
         models = [{"name": self.model, "version": self.version}] if self.model else []
+        software = {} if self.software is None else {"version": self.software}
         return {
+            **software,
             "service": self.service,
             "address": address,
             "zone": zone,
@@ -237,7 +243,7 @@
             return
         run = Run(
             request_id, self.endpoint_id, self.service, headers.get("tenant"), path,
-            time.monotonic(), self.version, headers.get("cache-salt"), 0, headers, request.body,
+            time.monotonic(), self.version, headers.get("cache-salt"), 0, headers, request.body, self.software,
         )  # fmt: skip
         self.runs.append(run)
         self.running += 1
@@ -369,8 +375,9 @@
                 return
             await self._wait_while_silent()
             exchange.write(event)
+            run.events += 1
             await exchange.drain()
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(self.event_interval_s)
         exchange.finish()
 
     def _cut(self, exchange: Exchange) -> None:
--- a/standins/hosted/_records.py
+++ b/standins/hosted/_records.py
@@ -9,6 +9,8 @@
 
     :param weights: weights version at the start.
     :param scope: cache salt of the request.
+    :param software: version of the engine's software.
+    :param events: events sent so far, if the answer is not cut off.
     :param stale_parts: cached prompt parts that were reused although other weights computed them.
     """
 
@@ -23,6 +25,8 @@
     stale_parts: int
     headers: dict[str, str]
     body: bytes = b""
+    software: object = None
+    events: int = 0
     ended_at: float | None = None
 
 
--- a/standins/hosted/_site.py
+++ b/standins/hosted/_site.py
@@ -153,9 +153,11 @@
         *,
         is_model: bool = False,
         listed_address: str = "",
+        software: object = "v1",
     ) -> HostedEngine:
         """Start an engine and register it in the store.
 
+        :param software: version of its software; None for an entry without one.
         :param listed_address: address to register, such as that of a proxy; by default the
             engine's own.
         """
@@ -163,6 +165,7 @@
             name, service, self.runs, self.random,
             model=MODEL if is_model else None, version=self.weights,
         )  # fmt: skip
+        engine.software = software
         connections: set[ServerConnection] = set()
         server, address = await self._listen(engine.handle, connections=connections)
         self.all_engines.append(engine)
@@ -188,6 +191,7 @@
             name, before.engine.service, self.runs, self.random,
             model=before.engine.model, version=self.weights,
         )  # fmt: skip
+        engine.software = before.engine.software
         engine.started_at_ms = max(engine.started_at_ms, before.engine.started_at_ms + 1)
         host, _, port = before.address.rpartition(":")
         connections: set[ServerConnection] = set()
