--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -243,7 +243,8 @@
             return
         run = Run(
             request_id, self.endpoint_id, self.service, headers.get("tenant"), path,
-            time.monotonic(), self.version, headers.get("cache-salt"), 0, headers, request.body, self.software,
+            time.monotonic(), self.version, headers.get("cache-salt"), 0, headers, request.body,
+            self.software,
         )  # fmt: skip
         self.runs.append(run)
         self.running += 1
