Quarantine: a request that engines answer lately is not judged for what others ended

Callers of a plain service with two engines got 184 refusals, PART_QUARANTINED, for a sound read that is sent often.

Cause: a request that is in flight whenever an engine ends had more ends than each of the deadly requests beside it, so both its trials counted as failed, though a deadly request was at the same engines.

Change: answers on whole requests are recorded, too, beside those on parts; what was answered lately is judged only after two failed trials at engines that ran nothing else unanswered, or after five. The new test of the core failed before. Tests of the quarantine, of the gateways with crashing engines: passed.

--- a/teaselpath/gateway/_quarantine.py
+++ b/teaselpath/gateway/_quarantine.py
@@ -189,17 +189,9 @@
     # evidence
 
     def record_answer(self, call: Call) -> None:
-        """Record that an engine answers a request, so that it and its prompt parts are sound.
-
-        A whole request is recorded only against evidence: most never come again.
-        """
-        parts = call.shared_parts
-        if not self.quarantine.is_empty and self.quarantine.has_evidence(call.parts[0]):
-            parts = call.parts
-        if not parts:
-            return
+        """Record that an engine answers a request, so that it and its prompt parts are sound."""
         before = self.quarantine.table.verdicts.copy()
-        cleared = self.quarantine.record_sound(parts, self.loop.time())
+        cleared = self.quarantine.record_sound(call.parts, self.loop.time())
         if not cleared:
             return
         log_message("parts_cleared", request_id=call.request.request_id, parts=cleared)
--- a/teaselpath/quarantine/_core.py
+++ b/teaselpath/quarantine/_core.py
@@ -27,6 +27,9 @@
 SUSPECT_ENDS = 2
 VERDICT_ENDS = 3
 VERDICT_TRIALS = 2
+# Failed trials after which a part that was answered lately is judged, if other requests were at the
+# engines that ended.
+PROVEN_VERDICT_TRIALS = 5
 # Parts of one prompt or one ended engine that are observed; a prompt seldom has more than a few.
 MAX_OBSERVED_PARTS = 64
 # Ends and answers in one message, the most recent ones.
@@ -88,10 +91,6 @@
         """Return whether there is no evidence against any request."""
         return not self.evidence.suspects and not self.table.verdicts
 
-    def has_evidence(self, part: str) -> bool:
-        """Return whether engines have ended on a part, or a verdict names it."""
-        return part in self.evidence.suspects or self.table.names(part)
-
     def decide(self, parts: tuple[str, ...], now: float, *, is_resend: bool = False) -> Decision:
         """Return whether a request may be sent.
 
@@ -124,6 +123,17 @@
         ends = self.evidence.count_ends(part, now, self._explained(part, now))
         return ends + SUSPECT_ENDS if self.table.names(part) else ends
 
+    def _has_failed(self, part: str, judged: frozenset[str], now: float) -> bool:
+        """Return whether enough trials of a part have failed.
+
+        One that was answered lately may be there whenever engines end: it comes often.
+        """
+        failed = self._count_failed_trials(part, judged, now)
+        if not self.evidence.was_sound(part, now):
+            return failed >= VERDICT_TRIALS
+        lone = self.evidence.count_lone_trials(part, self._explained(part, now))
+        return failed >= PROVEN_VERDICT_TRIALS or min(failed, lone) >= VERDICT_TRIALS
+
     def _count_failed_trials(self, part: str, judged: frozenset[str], now: float) -> int:
         failed = self.evidence.count_failed_trials(part, judged, self._explained(part, now))
         return failed + self.table.names(part)
@@ -179,11 +189,7 @@
         counts = {part: self.count_ends(part, now) for part in observed}
         suspects = frozenset(part for part, count in counts.items() if count >= SUSPECT_ENDS)
         ends = max(
-            (
-                counts[part]
-                for part in suspects
-                if self._count_failed_trials(part, suspects, now) >= VERDICT_TRIALS
-            ),
+            (counts[part] for part in suspects if self._has_failed(part, suspects, now)),
             default=0,
         )
         if ends < VERDICT_ENDS:
@@ -273,7 +279,7 @@
             observed = end.parts[:MAX_OBSERVED_PARTS]
             counted = self.evidence.record_end(end.number, at, observed, is_trial=end.is_trial)
             for part in set(observed).difference(counted):
-                age_ms = _milliseconds(now - self.evidence.sound_at[part])
+                age_ms = _milliseconds(now - self.evidence.last_sound_at(part))
                 answers.append(SoundNote(part, age_ms))
         for claim in update.claims:
             if claim.host != self.host:
--- a/teaselpath/quarantine/_evidence.py
+++ b/teaselpath/quarantine/_evidence.py
@@ -16,7 +16,8 @@
 EVIDENCE_S = 300.0
 # Time for which a part counts as sound after an answer, in seconds.
 SOUND_S = 600.0
-# Parts with ended engines, and parts with answers, that are kept in memory.
+# Parts with ended engines, and parts with answers, that are kept in memory; of the latter as many
+# whole requests, most of which never come again, beside them.
 MAX_SUSPECTS = 2_048
 MAX_SOUND_PARTS = 8_192
 # Ended engines that are kept in memory, and requests of each.
@@ -64,13 +65,15 @@
 
     :ivar engines: ended engines by number, the most recent last.
     :ivar suspects: parts with evidence against them, the most recent last.
-    :ivar sound_at: time of the last answer on each part, the most recent last.
+    :ivar sound_at: time of the last answer on each part of prompts, the most recent last.
+    :ivar sound_requests_at: the same of whole requests.
     """
 
     def __init__(self) -> None:
         self.engines: OrderedDict[int, EndedEngine] = OrderedDict()
         self.suspects: OrderedDict[str, _Suspect] = OrderedDict()
         self.sound_at: OrderedDict[str, float] = OrderedDict()
+        self.sound_requests_at: OrderedDict[str, float] = OrderedDict()
 
     def record_end(
         self, number: int, at: float, parts: Iterable[str], *, is_trial: bool
@@ -96,7 +99,7 @@
         return counted
 
     def _record_part(self, part: str, number: int, at: float, *, is_trial: bool) -> bool:
-        if self.sound_at.get(part, float("-inf")) >= at:
+        if self.last_sound_at(part) >= at:
             return False
         suspect = self.suspects.setdefault(part, _Suspect())
         known = suspect.ends.get(number)
@@ -113,11 +116,12 @@
 
         :returns: whether there was evidence against it.
         """
-        if at > self.sound_at.get(part, float("-inf")):
-            self.sound_at[part] = at
-            self.sound_at.move_to_end(part)
-            while len(self.sound_at) > MAX_SOUND_PARTS:
-                self.sound_at.popitem(last=False)
+        sound_at = self.sound_requests_at if is_whole_request(part) else self.sound_at
+        if at > sound_at.get(part, float("-inf")):
+            sound_at[part] = at
+            sound_at.move_to_end(part)
+            while len(sound_at) > MAX_SOUND_PARTS:
+                sound_at.popitem(last=False)
         suspect = self.suspects.get(part)
         if suspect is None:
             return False
@@ -128,7 +132,12 @@
 
     def was_sound(self, part: str, now: float) -> bool:
         """Return whether the part was answered on lately."""
-        return now - self.sound_at.get(part, float("-inf")) < SOUND_S
+        return now - self.last_sound_at(part) < SOUND_S
+
+    def last_sound_at(self, part: str) -> float:
+        """Return when the part was last answered on; minus infinity if it is not known."""
+        sound_at = self.sound_requests_at if is_whole_request(part) else self.sound_at
+        return sound_at.get(part, float("-inf"))
 
     def count_ends(self, part: str, now: float, explained: Container[int] = ()) -> int:
         """Return the number of times that engines ended since the part was last answered on.
@@ -148,6 +157,15 @@
                 count, last = count + 1, at
         return count
 
+    def count_lone_trials(self, part: str, explained: Container[int] = ()) -> int:
+        """Return the number of trials of a part that ended engines without other requests."""
+        return sum(
+            end.is_trial
+            and number not in explained
+            and all(part in run.parts for run in self._runs_of(number))
+            for number, end in self.ends_of(part).items()
+        )
+
     def count_failed_trials(
         self, part: str, judged: frozenset[str], explained: Container[int] = ()
     ) -> int:
--- a/teaselpath/quarantine/tests/test_core.py
+++ b/teaselpath/quarantine/tests/test_core.py
@@ -269,3 +269,16 @@
     quarantine.record_end(4, 4.0, (REQUESTS[1], DEADLY), is_trial=True)
     assert quarantine.judge((REQUESTS[1], DEADLY), 4.1) is not None
     assert isinstance(quarantine.decide((REQUESTS[2], DEADLY), 4.2), Reject)
+
+
+def test_request_that_was_answered_is_not_judged_for_engines_that_others_ended(quarantine):
+    popular = REQUESTS[0]
+    quarantine.record_sound((popular,), 0.0)
+    for number in range(4):
+        quarantine.record_end(number, number + 1.0, (popular,), is_trial=number > 0)
+        quarantine.record_end(number, number + 1.0, (f"=dead{number}",), is_trial=False)
+    assert quarantine.judge((popular,), 5.0) is None
+    # Engines that ran nothing else leave no doubt.
+    for number in (4, 5):
+        quarantine.record_end(number, number + 1.0, (popular,), is_trial=True)
+    assert quarantine.judge((popular,), 7.0) is not None
