Streams go on only at the software version that began them

Callers got streams of 200 that ran to their end and were joined from what two software versions wrote.

Cause: nothing in the gateway knew a version. A stream that broke off went on at the best engine, within one answer and when its caller took it up; the fact that a stream began at a version was born at one gateway and needed at another.

Versions of each service, now and lately, tell it where there was only one; elsewhere the gateway that forwards the first event tells others before the caller has it, and writes its unfinished streams to the store. What is unknown is refused with 503.

Entries of engines in the tests' set-up state a version, since one without goes on nowhere.

--- a/teaselpath/dispatch/_health.py
+++ b/teaselpath/dispatch/_health.py
@@ -15,6 +15,8 @@
 
     :ivar is_unreachable: whether the endpoint stopped replying to polls of its cache events;
         not changed by ``record_unreachable``.
+    :ivar unreachable_at: time of the last failed contact, or of the last poll without a reply; None
+        if there was none.
     :ivar unreachable_count: consecutive suspect periods caused by ``record_unreachable``.
     """
 
@@ -23,6 +25,7 @@
         "is_unreachable",
         "successes",
         "suspect_until",
+        "unreachable_at",
         "unreachable_count",
         "updated_at",
     )
@@ -30,6 +33,7 @@
     def __init__(self) -> None:
         self.suspect_until = 0.0
         self.unreachable_count = 0
+        self.unreachable_at: float | None = None
         self.failures = 0.0
         self.successes = 0.0
         self.updated_at = 0.0
@@ -50,6 +54,7 @@
     def record_unreachable(self, now: float) -> None:
         """Count a failure and mark the endpoint as suspect for a while."""
         self.record_failure(now)
+        self.unreachable_at = now
         if now >= self.suspect_until:
             delay_s = min(MAX_SUSPECT_S, SUSPECT_S * 2**self.unreachable_count)
             self.unreachable_count += 1
--- a/teaselpath/dispatch/_pool.py
+++ b/teaselpath/dispatch/_pool.py
@@ -11,7 +11,7 @@
 from hashlib import blake2b
 from heapq import nsmallest
 
-from teaselpath.dispatch._views import EndpointView
+from teaselpath.dispatch._views import Demand, EndpointView
 from teaselpath.fleet import EndpointState
 
 # Largest number of endpoints considered for one request; most services are smaller.
@@ -67,6 +67,17 @@
             endpoint_ids = [ring[(start + n) % len(ring)][1] for n in range(MAX_CANDIDATES)]
         return self._ready_views(endpoint_ids)
 
+    def candidates_for(self, key: bytes, demand: Demand) -> list[EndpointView]:
+        """Return the endpoints of the whole service whose software may run a request.
+
+        :param key: hash key; endpoints at its position on the ring come first.
+        """
+        start = bisect(self.ring, (_ring_position(key), ""))
+        ring = self.ring[start:] + self.ring[:start]
+        views = [view for view in map(self.views.get, (name for _, name in ring)) if view]
+        admitted = [view for view in views if demand.admits(view)]
+        return [v for v in admitted if v.endpoint.state is EndpointState.READY][:MAX_CANDIDATES]
+
     def open_candidates(self, key: bytes, now: float) -> list[EndpointView]:
         """Return endpoints of the whole service that take requests.
 
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -1,5 +1,6 @@
 """Inputs of a placement decision (endpoints, stores, demand, topology) and its result."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from teaselpath.dispatch._availability import Availability
@@ -139,6 +140,8 @@
     :param cache_stores: stores that cached parts can be fetched from and saved to.
     :param body_bytes: size of the request body.
     :param endangers_engine: whether the request may end its engine, which should run few others.
+    :param software: the only version of the software that may run it; None for any.
+    :param software_known: whether the version of an endpoint's entry is that of its process.
     """
 
     prompt: Prompt | None
@@ -150,6 +153,15 @@
     cache_stores: tuple["StoreView", ...] = ()
     body_bytes: int = 0
     endangers_engine: bool = False
+    software: str | None = None
+    software_known: Callable[["EndpointView"], bool] | None = None
+
+    def admits(self, view: "EndpointView") -> bool:
+        """Return whether an endpoint has the software that may run the request."""
+        if self.software is None:
+            return True
+        is_known = self.software_known is None or self.software_known(view)
+        return view.endpoint.software == self.software and is_known
 
 
 @dataclass(slots=True)
--- a/teaselpath/fleet/_records.py
+++ b/teaselpath/fleet/_records.py
@@ -15,6 +15,8 @@
     LEASE = "lease"
     MEMBERS = "members"
     VERDICTS = "verdicts"
+    VERSIONS = "versions"
+    STREAMS = "streams"
 
 
 @dataclass(slots=True, frozen=True, order=True)
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -21,6 +21,7 @@
 from teaselpath.gateway._engine_ends import BrokenRun, EngineEndDetector
 from teaselpath.gateway._events import InvalidEvent
 from teaselpath.gateway._metrics import GatewayMetrics
+from teaselpath.gateway._origins import StreamOrigins
 from teaselpath.gateway._quarantine import PROVING_EVENTS, QuarantineGate
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway._statements import record_availability
@@ -43,6 +44,7 @@
 
     :param detector: finds out which engines end while they run requests.
     :param gate: quarantine, which learns of answers.
+    :param origins: software versions at which streams began, which learns of first events.
     :param acquire_retry: takes a retry of a request whose attempt is late; returns whether the
         request may be sent elsewhere.
     """
@@ -53,6 +55,7 @@
     metrics: GatewayMetrics
     detector: EngineEndDetector
     gate: QuarantineGate
+    origins: StreamOrigins
     acquire_retry: Callable[[Exchange, Call], bool]
 
 
@@ -283,6 +286,8 @@
                 if call.reservation is not None:
                     call.reservation.mark_prefilled(call.first_byte_at)
                 call.answer = info
+                if not call.has_begun:
+                    self.context.origins.record_begun(call, self.placed.view)
                 exchange.start(200, info.forwarded_headers)
             exchange.write(complete_events)
             await self._drain()
--- a/teaselpath/gateway/_caches.py
+++ b/teaselpath/gateway/_caches.py
@@ -137,6 +137,7 @@
                 missed = 0 if error.has_reply else missed + 1
                 if missed == MAX_MISSED_POLLS and not target.health.is_unreachable:
                     target.health.is_unreachable = True
+                    target.health.unreachable_at = self.loop.time()
                     log_message("engine_silent", endpoint=target.name, reason=str(error))
                 # After the first missed poll the next one follows at once, since requests are still
                 # sent to the engine.
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -9,7 +9,7 @@
     Reservation,
     caller_gap_limit_s,
 )
-from teaselpath.fleet import AnswerInfo, CallerRequest, Route, Service, Workspace
+from teaselpath.fleet import AnswerInfo, CallerRequest, RequestKind, Route, Service, Workspace
 from teaselpath.gateway._events import EventSplitter
 from teaselpath.quarantine import Claim, whole_request
 
@@ -29,6 +29,10 @@
     :param checked_until: event loop time until which that is found out; 0 if it is known.
     :param trial: its claim, if it is sent to find out whether its prompt crashes engines.
     :param tokens: tokens charged to the workspace's quota.
+    :param has_begun: whether an engine has brought an event of the stream, to this request or, if
+        it takes the stream up, to an earlier one of its caller.
+    :param software: software version of that engine, the only one at which the stream may go on;
+        None if it is not known.
     :param known_digest: its digest, once it was needed.
     :param reservation: its load at the endpoint of the current attempt; None between attempts.
     """
@@ -55,6 +59,8 @@
     answer_body: bytes = b""
     placed: Placed | None = None
     reservation: Reservation | None = None
+    has_begun: bool = False
+    software: str | None = None
     known_digest: str | None = None
 
     def __post_init__(self) -> None:
@@ -62,6 +68,17 @@
         if self.route.is_resumable:
             self.splitter.resume_after(self.request.last_event_id)
 
+    @property
+    def takes_up(self) -> bool:
+        """Return whether the caller takes up a stream of which it has a part."""
+        is_stream = self.route.kind is RequestKind.STREAM
+        return is_stream and self.request.last_event_id is not None
+
+    @property
+    def can_go_on(self) -> bool:
+        """Return whether another engine can continue the stream of which the caller has a part."""
+        return self.splitter.can_resume and (self.software is not None or not self.has_begun)
+
     @property
     def digest(self) -> str:
         """Return what this request has in common with equal ones of its caller."""
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -32,9 +32,10 @@
 from teaselpath.gateway._entities import LongPlacement
 from teaselpath.gateway._held import HeldExchange
 from teaselpath.gateway._metrics import GatewayMetrics
+from teaselpath.gateway._origins import StreamOrigins
 from teaselpath.gateway._placement import Placer
 from teaselpath.gateway._quarantine import QuarantineGate
-from teaselpath.gateway._responses import Responder
+from teaselpath.gateway._responses import MIN_RETRY_AFTER_S, Responder
 from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import Exchange, HttpClient
 from teaselpath.results import Code
@@ -55,6 +56,7 @@
     :param metrics: metrics of this gateway.
     :param announce: sends the placement of a long prompt to the other gateways.
     :param gate: quarantine of prompt parts and requests.
+    :param origins: software versions at which streams began.
     """
 
     def __init__(
@@ -65,13 +67,15 @@
         metrics: GatewayMetrics,
         announce: Callable[[LongPlacement], None],
         gate: QuarantineGate,
+        origins: StreamOrigins,
     ):
         self.state = state
         self.codec = codec
         self.gate = gate
+        self.origins = origins
         detector = EngineEndDetector(state, http, metrics, gate.handle_end)
         self.context = AttemptContext(
-            state, codec, http, metrics, detector, gate, self._acquire_early_retry
+            state, codec, http, metrics, detector, gate, origins, self._acquire_early_retry
         )
         self.placer = Placer(state, announce)
         self.times = ServiceTimes()
@@ -114,6 +118,8 @@
             raise
         finally:
             self.gate.end_trial(call)
+            if code is Code.OK:
+                self.origins.record_finished(call)
             self.running -= 1
             self.times.end(call.kind, call.number, self.loop.time(), was_sent=call.was_sent)
             self.tasks.discard(task)
@@ -157,6 +163,10 @@
 
     async def _serve(self, exchange: Exchange, call: Call) -> Code:
         """Send the request to endpoints until the caller has a response; return its result code."""
+        if not await self.origins.resolve(call):
+            return self.responder.refuse(
+                exchange, call, Code.STREAM_ORIGIN_UNKNOWN, MIN_RETRY_AFTER_S
+            )
         while True:
             quarantined = await self.gate.admit(call)
             if quarantined is not None:
@@ -202,7 +212,7 @@
                 call.progress,
                 now,
                 call.deadline,
-                can_resume=call.splitter.can_resume,
+                can_resume=call.can_go_on,
             )
         else:
             step = next_step(call.route, outcome, call.progress, now, call.deadline)
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -39,6 +39,9 @@
         self.quarantined = make(
             Counter, "quarantine_total", "Trials, verdicts and requests not sent for their parts"
         )
+        self.take_ups = make(
+            Counter, "take_ups_total", "Streams that callers took up, by what told their version"
+        )
         self.verdicts = make(Gauge, "verdicts", "Verdicts on prompt parts and requests in force")
         self.limited_endpoints = make(
             Gauge, "limited_endpoints", "Endpoints that state a limit, by service"
@@ -92,6 +95,14 @@
         """Count an event of the quarantine: a trial, a verdict, a request that was not sent."""
         self.quarantined.inc({"event": event})
 
+    def count_take_up(self, source: str) -> None:
+        """Count a stream that a caller takes up.
+
+        :param source: what told its software version: ``record``, ``versions``, ``gateway``, or
+            ``unknown`` if nothing did.
+        """
+        self.take_ups.inc({"source": source})
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in text format and the HTTP header fields that describe it."""
         return render(self.registry, ["text/plain"])
--- /dev/null
+++ b/teaselpath/gateway/_origins.py
@@ -0,0 +1,288 @@
+"""Origins of streams at one gateway: who is told of them, and who is asked."""
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Protocol
+
+from eliot import log_message
+
+from teaselpath.dispatch import EndpointView
+from teaselpath.fleet import Endpoint, MetadataStore
+from teaselpath.gateway._call import Call
+from teaselpath.gateway._metrics import GatewayMetrics
+from teaselpath.gateway._origin_store import OriginRecorder
+from teaselpath.gateway._state import GatewayState
+from teaselpath.gateway._version_store import VersionSynchronizer
+from teaselpath.lineage import (
+    MAX_NOTE_STREAMS,
+    MIN_TAKE_UP_S,
+    LineageMessage,
+    Origin,
+    OriginNote,
+    OriginQuery,
+    OriginReply,
+    OriginTable,
+    VersionHistory,
+    VersionNote,
+    choose_holders,
+    stream_key,
+    take_up_time_s,
+)
+
+# Time for which other gateways are asked for an origin, in seconds, and that after which the
+# question is repeated, since datagrams can be lost. A round trip to another region fits in.
+ASK_S = 0.25
+REPEAT_S = 0.12
+# Interval at which origins and versions that no longer count are forgotten, in seconds.
+EXPIRE_INTERVAL_S = 1.0
+# Time after the start in which a gateway learns the versions of the store before it is ready, in
+# seconds.
+INFORM_S = 2.5
+
+
+class LineageChannel(Protocol):
+    """Messages to other gateways."""
+
+    def send_lineage(self, hosts: list[str] | None, message: LineageMessage) -> None:
+        """Send a message to gateways by host, to all if ``hosts`` is None."""
+
+    def reply_lineage(self, ip: str, message: LineageMessage) -> None:
+        """Send a message to the gateway at an address."""
+
+
+@dataclass(slots=True)
+class _Question:
+    """A question to other gateways that waits for replies."""
+
+    key: int
+    reply: asyncio.Future[OriginReply | None]
+    awaited: int
+    denied_by: set[str] = field(default_factory=set)
+
+
+class StreamOrigins:
+    """Knows at which software version streams began, and tells other gateways.
+
+    :param state: state of this gateway, with the endpoints that are listed.
+    :ivar history: versions of each service.
+    :ivar synchronizer: reads and writes the versions in the store.
+    :ivar recorder: reads and writes the origins of unfinished streams in the store.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        store: MetadataStore,
+        metrics: GatewayMetrics,
+        channel: LineageChannel,
+    ):
+        self.state = state
+        self.metrics = metrics
+        self.channel = channel
+        self.history = VersionHistory()
+        self.table = OriginTable()
+        self.synchronizer = VersionSynchronizer(state, store, self.history)
+        self.recorder = OriginRecorder(state.settings.host, store, self.table)
+        self.loop = asyncio.get_running_loop()
+        self.numbers = count()
+        self.questions: dict[int, _Question] = {}
+        self.started_at = self.loop.time()
+
+    async def run(self) -> None:
+        """Forget what no longer counts, until cancelled."""
+        while True:
+            await asyncio.sleep(EXPIRE_INTERVAL_S)
+            now = self.loop.time()
+            self.table.expire(now)
+            self.history.expire(now)
+            self.recorder.expire(now)
+
+    # versions
+
+    def update_versions(self, before: Endpoint | None, after: Endpoint | None) -> None:
+        """Record an endpoint as it was listed before and is now, None if it is not."""
+        is_new = False
+        if after is not None:
+            is_new = self.history.of(after.service).add_engine(after.software)
+        if before is not None:
+            self.history.of(before.service).remove_engine(before.software, self.loop.time())
+        if after is not None and is_new:
+            log_message("version_found", service=after.service, version=after.software)
+            self.channel.send_lineage(None, VersionNote(after.service, after.software))
+            self._tell_own_streams(after.service, self.loop.time())
+            self.synchronizer.write_soon()
+
+    def greet(self, host: str) -> None:
+        """Tell a gateway that has started, or was cut off, of versions and own streams."""
+        for service, history in self.history.services.items():
+            for version in history.listed:
+                self.channel.send_lineage([host], VersionNote(service, version))
+            self._tell_own_streams(service, self.loop.time(), host)
+
+    def _tell_own_streams(self, service: str, now: float, target: str | None = None) -> None:
+        """Tell of own streams in a service of several versions, also of those that began before.
+
+        :param target: host of the only gateway that is told; None for all that hold them.
+        """
+        if len(self.history.of(service).versions_since(now - MIN_TAKE_UP_S)) < 2:
+            return
+        self.recorder.write_soon()
+        held: dict[tuple[str, str | None], list[int]] = defaultdict(list)
+        expires_at = now
+        for key, origin in self.table.own_of(service, now).items():
+            expires_at = max(expires_at, origin.expires_at)
+            holders = choose_holders(key, self.state.members)
+            for host in holders if target is None else {target}.intersection(holders):
+                held[host, origin.version].append(key)
+        for (host, version), keys in held.items():
+            for start in range(0, len(keys), MAX_NOTE_STREAMS):
+                part = keys[start : start + MAX_NOTE_STREAMS]
+                note = OriginNote(service, version, _left_ms(expires_at, now), part)
+                self.channel.send_lineage([host], note)
+
+    def is_informed(self) -> bool:
+        """Return whether earlier versions are known, or cannot be learned soon."""
+        is_late = self.loop.time() - self.started_at > INFORM_S
+        return (self.synchronizer.has_read and self.recorder.has_read) or is_late
+
+    def _only_version(self, call: Call, now: float) -> str | None:
+        """Return the version of all streams that callers may take up; None if it is not known."""
+        if not self.synchronizer.has_read or not self._is_current(now):
+            return None
+        since = now - take_up_time_s(call.route.timeout_s)
+        return self.history.of(call.service.name).only_version_since(since)
+
+    def _is_current(self, now: float) -> bool:
+        """Return whether this gateway learns of new versions: from the store, or from others."""
+        reachable, possible = self.state.count_gateways(now)
+        return self.state.store_up or reachable > 1 or possible == 1
+
+    # streams
+
+    def record_begun(self, call: Call, view: EndpointView) -> None:
+        """Record the engine of a stream's first event, and tell others where it matters."""
+        now = self.loop.time()
+        call.software = view.endpoint.software if self.state.knows_software(view, now) else None
+        call.has_begun = True
+        if not call.route.is_resumable:
+            return
+        service = call.service.name
+        keep_s = take_up_time_s(call.route.timeout_s)
+        key = self._key(call, call.request.request_id)
+        origin = Origin(service, call.software, now + keep_s, True)
+        self.table.record(key, origin)
+        self.recorder.add(key, origin)
+        if call.software is not None and call.software == self._only_version(call, now):
+            return
+        self.recorder.write_soon()
+        note = OriginNote(service, call.software, int(keep_s * 1000), [key])
+        self.channel.send_lineage(choose_holders(key, self.state.members), note)
+
+    def record_finished(self, call: Call) -> None:
+        """Record that a caller has its answer, which it will not take up."""
+        if call.has_begun and not call.takes_up:
+            self.recorder.discard(self._key(call, call.request.request_id))
+
+    async def resolve(self, call: Call) -> bool:
+        """Find the version of the stream that a request takes up; return whether it is known.
+
+        The request is then bound to it, ``call.software``.
+        """
+        if not call.takes_up:
+            return True
+        service, resumes = call.service.name, call.request.resumes
+        key = None if resumes is None else self._key(call, resumes)
+        origin = None if key is None else self.table.get(key, self.loop.time())
+        version = self._only_version(call, self.loop.time())
+        source = "record" if origin is not None else "versions" if version is not None else ""
+        if origin is not None:
+            version = origin.version
+        elif version is None and key is not None:
+            version = await self._ask(service, key)
+            source = "gateway"
+        log_message(
+            "stream_taken_up",
+            request_id=call.request.request_id,
+            resumes=resumes,
+            software=version,
+            source=source if version is not None else None,
+        )
+        self.metrics.count_take_up("unknown" if version is None else source)
+        call.software, call.has_begun = version, version is not None
+        return version is not None
+
+    async def _ask(self, service: str, key: int) -> str | None:
+        """Ask other gateways at which version a stream began; None if none of them knows."""
+        hosts = choose_holders(key, self.state.members, is_query=True)
+        if not hosts:
+            return None
+        number = next(self.numbers)
+        question = _Question(key, self.loop.create_future(), len(hosts))
+        self.questions[number] = question
+        try:
+            async with asyncio.timeout(ASK_S):
+                for delay_s in (REPEAT_S, ASK_S):
+                    self.channel.send_lineage(hosts, OriginQuery(number, key))
+                    done, _ = await asyncio.wait([question.reply], timeout=delay_s)
+                    if done:
+                        break
+        except TimeoutError:
+            return None
+        finally:
+            del self.questions[number]
+        reply = question.reply.result()
+        if reply is None:
+            return None
+        expires_at = self.loop.time() + reply.left_ms / 1000
+        self.table.record(key, Origin(service, reply.version, expires_at, False))
+        return reply.version
+
+    def _key(self, call: Call, request_id: str) -> int:
+        workspace = call.workspace.name if call.workspace is not None else ""
+        return stream_key(call.service.name, workspace, request_id)
+
+    # other gateways
+
+    def handle(self, message: LineageMessage, ip: str) -> None:
+        """Handle a message of the gateway at an address."""
+        now = self.loop.time()
+        match message:
+            case VersionNote(service, version):
+                self._learn_version(service, version, now)
+            case OriginNote(service, version, left_ms, keys):
+                self._learn_version(service, version, now)
+                for key in keys:
+                    self.table.record(key, Origin(service, version, now + left_ms / 1000, False))
+            case OriginQuery(number, key):
+                origin = self.table.get(key, now)
+                self.channel.reply_lineage(ip, _reply(number, origin, now))
+            case OriginReply(number):
+                self._handle_reply(number, message, ip)
+
+    def _learn_version(self, service: str, version: str | None, now: float) -> None:
+        if self.history.of(service).observe(version, now):
+            log_message("version_learned", service=service, version=version)
+            self._tell_own_streams(service, now)
+
+    def _handle_reply(self, number: int, reply: OriginReply, ip: str) -> None:
+        question = self.questions.get(number)
+        if question is None or question.reply.done():
+            return
+        if reply.is_known:
+            question.reply.set_result(reply)
+            return
+        question.denied_by.add(ip)
+        if len(question.denied_by) >= question.awaited:
+            question.reply.set_result(None)
+
+
+def _reply(number: int, origin: Origin | None, now: float) -> OriginReply:
+    if origin is None:
+        return OriginReply(number, False, None, 0)
+    return OriginReply(number, True, origin.version, _left_ms(origin.expires_at, now))
+
+
+def _left_ms(until: float, now: float) -> int:
+    return max(0, int((until - now) * 1000))
--- a/teaselpath/gateway/_peer_messages.py
+++ b/teaselpath/gateway/_peer_messages.py
@@ -4,6 +4,7 @@
 
 from teaselpath.dispatch import EndpointView
 from teaselpath.gateway._entities import LongPlacement
+from teaselpath.lineage import LineageMessage
 from teaselpath.quarantine import QuarantineUpdate
 
 
@@ -104,6 +105,7 @@
     | PlacementToRelay
     | RelayedStatuses
     | QuarantineUpdate
+    | LineageMessage
 )
 
 
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -40,6 +40,13 @@
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway._statements import record_leaving
 from teaselpath.http1 import HttpClient
+from teaselpath.lineage import (
+    LineageMessage,
+    OriginNote,
+    OriginQuery,
+    OriginReply,
+    VersionNote,
+)
 from teaselpath.quarantine import QuarantineUpdate
 from teaselpath.rollout import LeaseRecord, OrderLease
 
@@ -76,6 +83,16 @@
         """Send what is known to a gateway that has started or was cut off."""
 
 
+class LineageReceiver(Protocol):
+    """Receiver of messages about the origins of streams."""
+
+    def handle(self, message: LineageMessage, ip: str) -> None:
+        """Handle a message of the gateway at an address."""
+
+    def greet(self, host: str) -> None:
+        """Send what is known to a gateway that has started or was cut off."""
+
+
 class PeerExchange(asyncio.DatagramProtocol):
     """Sends and receives status messages.
 
@@ -86,6 +103,7 @@
     :ivar endpoints_with_load: ids of the endpoints at which each gateway has reported load.
     :ivar records: fetches records of the store from peers.
     :ivar gate: receiver of updates of the quarantine, set once it exists.
+    :ivar origins: receiver of messages about the origins of streams, set once it exists.
     :ivar is_urgent: whether the next status is sent to each gateway of all regions.
     :ivar to_relay: statuses to pass on to this region, by host.
     :ivar counters: last sent counter of each workspace, and the time at which it changed.
@@ -96,6 +114,7 @@
         self.lease = lease
         self.clock = clock
         self.gate: UpdateReceiver | None = None
+        self.origins: LineageReceiver | None = None
         self.transport: asyncio.DatagramTransport | None = None
         self.sequence = 0
         self.last_sequence: dict[str, tuple[int, int]] = {}
@@ -145,6 +164,8 @@
                 self._handle_placement(placement_message, now)
             case QuarantineUpdate() if self.gate is not None:
                 self.gate.handle_update(message, addr[0])
+            case VersionNote() | OriginNote() | OriginQuery() | OriginReply() if self.origins:
+                self.origins.handle(message, addr[0])
 
     def error_received(self, exc) -> None:
         """Ignore the error; an unreachable peer is detected by its missing messages."""
@@ -267,6 +288,16 @@
         """Send an update of the quarantine to one gateway."""
         self._send_to([ip], self.encoder.encode(update))
 
+    def send_lineage(self, hosts: list[str] | None, message: LineageMessage) -> None:
+        """Send a message about origins to gateways by host, to all if ``hosts`` is None."""
+        members = self.state.members
+        ips = [members[host].ip for host in members if hosts is None or host in hosts]
+        self._send_to(ips, self.encoder.encode(message))
+
+    def reply_lineage(self, ip: str, message: LineageMessage) -> None:
+        """Send a message about origins to the gateway at an address."""
+        self._send_to([ip], self.encoder.encode(message))
+
     def reachable_ips(self) -> list[str]:
         """Return the addresses of the reachable gateways."""
         return [peer.ip for peer in self._peers(self.loop.time()) if peer.is_reachable]
@@ -387,6 +418,8 @@
         is_new = is_new or not member.last_contact_at
         if self.gate is not None and (is_new or was_silent):
             self.gate.greet(status.ip)
+        if self.origins is not None and (is_new or was_silent):
+            self.origins.greet(status.host)
         member.last_contact_at = now
         self.statuses[status.host] = status
         state.observe_era(status.store_era, f"peer {status.host}", now)
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -65,7 +65,7 @@
         prompt = call.request.prompt
         tokens = prompt.prompt_tokens if prompt else 0
         # A stream that goes on elsewhere comes first: its caller has a part of the answer.
-        priority = RESUMED_PRIORITY if call.splitter.count else call.priority
+        priority = RESUMED_PRIORITY if call.has_begun else call.priority
         queued_request = QueuedRequest(call.service.name, priority, tokens, call.deadline)
         choice = self._place(call, now)
         queued_request.is_held_off = isinstance(choice, NoEndpoint) and choice.reason == "held_off"
@@ -254,6 +254,8 @@
             cache_stores=tuple(state.cache_stores.values()),
             body_bytes=len(call.request.body),
             endangers_engine=call.trial is not None,
+            software=call.software if call.has_begun else None,
+            software_known=lambda view: state.knows_software(view, now),
         )
         key = affinity_key(prompt, scope_prefix) if prompt else call.request.request_id.encode()
         pool = state.pool(call.service.name)
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -17,6 +17,7 @@
 from teaselpath.gateway._log import LogSink
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._orders import WeightsKeeper, boot_clock
+from teaselpath.gateway._origins import StreamOrigins
 from teaselpath.gateway._peer_records import RECORDS_PATH
 from teaselpath.gateway._peers import PeerExchange
 from teaselpath.gateway._quarantine import QuarantineGate
@@ -88,8 +89,12 @@
         self.gate = QuarantineGate(settings.host, store, self.metrics, self.peers)
         self.peers.gate = self.gate
         self.state.on_new_era.append(self.gate.synchronizer.read_soon)
+        self.origins = StreamOrigins(self.state, store, self.metrics, self.peers)
+        self.peers.origins = self.origins
+        self.state.on_endpoint_changed = self.origins.update_versions
+        self.state.on_new_era.append(self.origins.synchronizer.write_soon)
         self.forwarder = Forwarder(
-            self.state, codec, http, self.metrics, self.peers.announce, self.gate
+            self.state, codec, http, self.metrics, self.peers.announce, self.gate, self.origins
         )
         self.keeper = WeightsKeeper(self.state, engines, self.lease, self.peers)
         self.caches = CacheWatcher(self.state, engines)
@@ -127,6 +132,9 @@
             self.keeper.run,
             self.gate.gossip,
             self.gate.synchronizer.run,
+            self.origins.run,
+            self.origins.synchronizer.run,
+            self.origins.recorder.run,
             self.forwarder.placer.run_queue,
             self.caches.run,
             self._expire_connections,
@@ -166,7 +174,8 @@
         return CallerLimits() if config is None else config.limits
 
     async def _handle_readiness(self, exchange: Exchange) -> None:
-        is_ready = self.state.is_ready() and self.gate.is_informed()
+        is_informed = self.gate.is_informed() and self.origins.is_informed()
+        is_ready = self.state.is_ready() and is_informed
         exchange.respond(200 if is_ready else 503, [])
 
     async def _handle_internal(self, exchange: Exchange) -> None:
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -19,6 +19,7 @@
 from teaselpath.fleet import (
     BEFORE_ALL,
     UNKNOWN_ERA,
+    Endpoint,
     EndpointState,
     EndpointTable,
     EngineLimits,
@@ -44,6 +45,8 @@
 LARGE_FLEET_PEER_TIMEOUT_S = 4.0
 # A store that answers within this time is assumed to be in the region of this gateway, in seconds.
 NEAR_STORE_RTT_S = 0.03
+# Time in which a start of an endpoint is listed, in seconds.
+START_LISTED_S = 5.0
 # Time by which a read of the store may be stale or late, in seconds.
 READ_MARGIN_S = 3.0
 
@@ -60,6 +63,7 @@
     :ivar restored_at: time at which it last saw the store return from a copy; 0 if it has not.
     :ivar lost_before_return_at: time at which it had lost the store before that return.
     :ivar on_new_era: called for each era after the first.
+    :ivar on_endpoint_changed: called with an endpoint as listed before and now, None if it is not.
     :ivar endpoint_ids: id of each known endpoint by its number.
     :ivar availabilities: what endpoints have stated on whether they take requests.
     :ivar reads_store: whether this gateway follows the store itself; others receive its records
@@ -90,6 +94,7 @@
         self.restored_at = 0.0
         self.lost_before_return_at = 0.0
         self.on_new_era: list[Callable[[], None]] = []
+        self.on_endpoint_changed: Callable[[Endpoint | None, Endpoint | None], None] = _ignore
         self.store_up = False
         self.store_is_near = False
         self.store_lost_at = 0.0
@@ -255,6 +260,7 @@
             self.endpoint_ids.pop(view.endpoint.number, None)
         if view is not None and (endpoint is None or endpoint.service != view.endpoint.service):
             self.pool(view.endpoint.service).remove(key)
+        self.on_endpoint_changed(view.endpoint if view is not None else None, endpoint)
         if endpoint is None:
             self.views.pop(key, None)
             return
@@ -271,6 +277,17 @@
         self.pool(endpoint.service).put(view)
         self.has_had_endpoints = True
 
+    def knows_software(self, view: EndpointView, now: float) -> bool:
+        """Return whether the software version of an endpoint's entry is that of its process.
+
+        A process that was not reachable may have been replaced, which its next entry tells.
+        """
+        lost_at = view.health.unreachable_at
+        if lost_at is None:
+            return True
+        listed_from = max(lost_at, self.store_returned_at)
+        return self.store_up and now - listed_from > START_LISTED_S
+
     def pool(self, service: str) -> EndpointPool:
         """Return the endpoints of a service."""
         return self.pools.setdefault(service, EndpointPool())
@@ -403,3 +420,7 @@
         if self.config is None or key is None:
             return None
         return self.config.workspaces.get(key)
+
+
+def _ignore(_before: Endpoint | None, _after: Endpoint | None) -> None:
+    """Ignore a change of the listed endpoints."""
--- a/teaselpath/gateway/tests/conftest.py
+++ b/teaselpath/gateway/tests/conftest.py
@@ -50,6 +50,7 @@
         "address": "10.0.0.1:80",
         "zone": "a",
         "state": "ready",
+        "version": "v1",
         "slots": 4,
         "born": 1,
         "models": [{"name": "m", "version": 1}],
--- a/teaselpath/gateway/tests/front.py
+++ b/teaselpath/gateway/tests/front.py
@@ -9,6 +9,7 @@
 from teaselpath.gateway._connections import ConnectionReporter
 from teaselpath.gateway._forward import Forwarder
 from teaselpath.gateway._metrics import GatewayMetrics
+from teaselpath.gateway._origins import StreamOrigins
 from teaselpath.gateway._quarantine import QuarantineGate
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway.tests.conftest import SETTINGS, endpoint_record
@@ -28,6 +29,10 @@
     def reachable_ips(self) -> list[str]:
         return []
 
+    def send_lineage(self, hosts, message) -> None: ...
+
+    def reply_lineage(self, ip, message) -> None: ...
+
 
 async def listen(handler: Handler, observer=None) -> tuple[asyncio.Server, str]:
     """Serve on loopback; return the server and its address."""
@@ -60,7 +65,10 @@
         self.state = GatewayState(SETTINGS, store, 1)
         gate = QuarantineGate("gw-0", store, metrics, NoPeers())
         gate.has_snapshot = True
-        self.forwarder = Forwarder(self.state, codec, http, metrics, lambda _: None, gate)
+        origins = StreamOrigins(self.state, store, metrics, NoPeers())
+        origins.synchronizer.has_read = True
+        self.state.on_endpoint_changed = origins.update_versions
+        self.forwarder = Forwarder(self.state, codec, http, metrics, lambda _: None, gate, origins)
         reporter = ConnectionReporter(codec.id_header, metrics)
         self.server, self.address = await listen(self.forwarder.handle, reporter)
         return self
--- /dev/null
+++ b/teaselpath/lineage/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the lineage of streams."""
--- a/teaselpath/platform/_store.py
+++ b/teaselpath/platform/_store.py
@@ -34,6 +34,8 @@
     Topic.LEASE: "keyed.lease",
     Topic.MEMBERS: "keyed.members",
     Topic.VERDICTS: "keyed.verdicts",
+    Topic.VERSIONS: "keyed.versions",
+    Topic.STREAMS: "keyed.streams",
 }
 
 
--- a/tests/test_joined_streams.py
+++ b/tests/test_joined_streams.py
@@ -31,6 +31,8 @@
             await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
         for gateway in site.gateways.values():
             await site.wait_until_ready(gateway)
+            while gateway.log.read_text().count('"member_listed"') < GATEWAYS - 1:
+                await asyncio.sleep(0.05)
         yield site
 
 
@@ -149,6 +151,28 @@
     assert fresh.status == 200
 
 
+def test_streams_of_two_versions_go_on_after_all_gateways_were_killed(tmp_path):
+    async def scenario():
+        async with open_site(tmp_path) as site:
+            begun = await begin_streams(site, 0)
+            await asyncio.sleep(0.5)
+            await restart_gateways(site)
+            answers = await take_up(site, 1, begun)
+            # What was stored holds over a second loss, of which the first gateway is not back.
+            for name in ("gw-1", "gw-2"):
+                site.gateways[name].process.kill()
+                await site.gateways[name].process.wait()
+                await site.start_gateway(name, site.gateways[name].ip, "ab"[int(name[-1]) % 2])
+                await site.wait_until_ready(site.gateways[name])
+            site.gateways["gw-0"].process.kill()
+            return site, answers, await take_up(site, 2, begun)
+
+    site, *answers = asyncio.run(scenario())
+    assert joined_streams(site) == []
+    for taken_up in answers:
+        assert [answer.status for answer in taken_up] == [200] * STREAMS
+
+
 def test_stream_of_the_only_version_goes_on_after_all_gateways_were_killed(tmp_path):
     async def scenario():
         async with open_site(tmp_path, ["v1"]) as site:
