Records that cannot be read or used cost themselves only

An operator of a like system saw machines that stopped following the list of engines beside one odd entry. Here: an entry nested 3,000 levels deep ended the task that follows the endpoints 0.2 s after each restart, for ever; the same in the topics of members and verdicts. Ports out of range and superscript digits were taken for addresses, and requests to them got 502.

Cause: decoding was guarded against the library's own errors, not against RecursionError, and addresses were checked by str.isdigit.

Change: one pair of functions decodes what other processes wrote and has one error; addresses, ids and numbers are checked at the edge. A listed value that is not in base64 no longer reads as a removal.

--- a/standins/hosted/_store.py
+++ b/standins/hosted/_store.py
@@ -62,8 +62,12 @@
         self.calls = 0
 
     def put(self, topic: str, key: str, value: object) -> None:
-        """Append a record as an operator or a server does; None removes the key."""
-        data = b"" if value is None else json.dumps(value).encode()
+        """Append a record as an operator or a server does; None removes the key.
+
+        :param value: bytes are written as they are, anything else as JSON.
+        """
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        data = b"" if value is None else data
         self._append(self._topic(topic), [(key, data)])
 
     def newest_keys(self, topic: str) -> set[str]:
--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -32,6 +32,7 @@
     SendWeightsOrder,
     WeightsRollout,
 )
+from teaselpath.utils import Unreadable, decode_json
 
 # Interval at which the rollout is planned and a draining engine is checked, in seconds.
 TICK_S = 0.05
@@ -321,8 +322,8 @@
 def _decode(record: StoredRecord) -> LeaseRecord:
     """Return a lease record; one that cannot be read as that of an unknown holder."""
     try:
-        return msgspec.json.decode(record.value, type=LeaseRecord)
-    except msgspec.MsgspecError as error:
+        return decode_json(record.value, LeaseRecord)
+    except Unreadable as error:
         position = record.position
         log_message("record_ignored", key=record.key, offset=position.offset, reason=str(error))
         return LeaseRecord(UNKNOWN_HOLDER, "", 0, position.era)
--- a/teaselpath/gateway/_origin_store.py
+++ b/teaselpath/gateway/_origin_store.py
@@ -9,6 +9,7 @@
 
 from teaselpath.fleet import MetadataStore, StoredRecord, StoreError, Topic
 from teaselpath.lineage import CLOCK_ERROR_S, MIN_TAKE_UP_S, Origin, OriginTable
+from teaselpath.utils import Unreadable, decode_msgpack
 
 # Shortest time between two records of a gateway, in seconds: streams that began since the last one
 # are not known after all gateways were killed.
@@ -121,7 +122,7 @@
     if not record.value:
         return None
     try:
-        return msgspec.msgpack.decode(record.value, type=StoredOrigins)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        log_message("record_ignored", key=record.key, reason=repr(error))
+        return decode_msgpack(record.value, StoredOrigins)
+    except Unreadable as error:
+        log_message("record_ignored", key=record.key, reason=str(error))
         return None
--- a/teaselpath/gateway/_peer_records.py
+++ b/teaselpath/gateway/_peer_records.py
@@ -13,6 +13,7 @@
 from teaselpath.gateway._peer_messages import RecordSet, Status
 from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout
+from teaselpath.utils import Unreadable, decode_msgpack
 
 # Records that a peer already has are fetched from it if the store has not delivered them within
 # this time, in seconds. A gateway that does not follow the store fetches them without delay.
@@ -173,8 +174,8 @@
             response = await self.http.call(
                 address, b"GET", target, deadline=deadline, max_body_bytes=MAX_RECORDS_BYTES
             )
-            records = msgspec.msgpack.decode(response.body, type=RecordSet)
-        except (ConnectFailed, ConnectionBroken, ReadTimeout, msgspec.MsgspecError) as error:
+            records = decode_msgpack(response.body, RecordSet)
+        except (ConnectFailed, ConnectionBroken, ReadTimeout, Unreadable) as error:
             log_message("peer_records_failed", host=status.host, reason=repr(error))
             return
         now = self.loop.time()
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -144,7 +144,7 @@
         """Handle a message of another gateway."""
         try:
             message = self.decoder.decode(data)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             log_message("peer_message_ignored", address=str(addr), reason=str(error))
             return
         now = self.loop.time()
--- a/teaselpath/gateway/_verdict_store.py
+++ b/teaselpath/gateway/_verdict_store.py
@@ -10,6 +10,7 @@
 
 from teaselpath.fleet import MetadataStore, StoredRecord, StoreError, Topic
 from teaselpath.quarantine import Quarantine, QuarantineUpdate, Verdict, VerdictNote
+from teaselpath.utils import Unreadable, decode_json
 
 # Interval at which verdicts are read from the store, and delay after a failed call, in seconds.
 READ_INTERVAL_S = 24.0
@@ -171,8 +172,8 @@
     if not record.value:
         return None
     try:
-        return msgspec.json.decode(record.value, type=VerdictRecord)
-    except msgspec.MsgspecError as error:
+        return decode_json(record.value, VerdictRecord)
+    except Unreadable as error:
         log_message("record_ignored", key=record.key, reason=str(error))
         return None
 
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -8,6 +8,7 @@
 from teaselpath.exchange import TopicPolls, is_large_fleet
 from teaselpath.fleet import Position, RecordPage, StoredRecord, StoreError, Topic
 from teaselpath.gateway._state import GatewayState
+from teaselpath.utils import MAX_PORT, Unreadable, decode_json, is_ipv4_with_port
 
 # Duration of a long poll of the operators' topic, in seconds. A connection can go silent without a
 # reset; the poll on it then delays a new configuration by this time and the timeout at most.
@@ -135,10 +136,13 @@
             if record.key == self.state.settings.host or not record.value:
                 continue
             try:
-                member = msgspec.json.decode(record.value, type=MemberRecord)
-            except msgspec.MsgspecError as error:
+                member = decode_json(record.value, MemberRecord)
+            except Unreadable as error:
                 log_message("record_ignored", key=record.key, reason=str(error))
                 continue
+            if not is_ipv4_with_port(f"{member.ip}:{MAX_PORT}"):
+                log_message("record_ignored", key=record.key, reason="no IPv4 address")
+                continue
             known = self.state.members.get(record.key)
             if is_copied and known is not None:
                 known.listed_at = now
--- a/teaselpath/platform/_config.py
+++ b/teaselpath/platform/_config.py
@@ -1,6 +1,7 @@
 """Decoding of the records that operators and engines write to the store."""
 
 import msgspec
+from eliot import log_message
 
 from teaselpath.fleet import (
     Backend,
@@ -19,6 +20,8 @@
     Workspace,
     index_routes,
 )
+from teaselpath.platform._numbers import MAX_COUNT, Count
+from teaselpath.utils import Unreadable, decode_json, is_ipv4_with_port
 
 CONFIG_KEY = "config"
 BITS_PER_MBIT = 1_000_000
@@ -97,12 +100,12 @@
 
 class _Weights(msgspec.Struct):
     model: str
-    version: int
+    version: Count
 
 
 class _ServerModel(msgspec.Struct):
     name: str
-    version: int = 0
+    version: Count = 0
 
 
 class _Server(msgspec.Struct, rename="camel"):
@@ -110,11 +113,11 @@
     address: str
     zone: str
     state: str
-    slots: int = 1
+    slots: Count = 1
     # Version of the software; its type is checked where it is used.
     version: object = None
     # Unix time of start-up in ms.
-    born: int | None = None
+    born: Count | None = None
     # Number of the statement since start-up; its type is checked where it is used.
     seq: object = None
     models: list[_ServerModel] = []
@@ -125,9 +128,9 @@
     if record.key != CONFIG_KEY:
         return None
     try:
-        raw = msgspec.json.decode(record.value, type=_Config)
+        raw = decode_json(record.value, _Config)
         routes = [_to_route(route) for route in raw.routes]
-    except (msgspec.MsgspecError, ValueError):
+    except (Unreadable, ValueError):
         return None
     stores = [
         CacheStore(s.name, s.kv_store_addr, s.zone, s.link_mbps * BITS_PER_MBIT)
@@ -150,8 +153,8 @@
     if not record.key.startswith(WEIGHTS_PREFIX):
         return None
     try:
-        raw = msgspec.json.decode(record.value, type=_Weights)
-    except msgspec.MsgspecError:
+        raw = decode_json(record.value, _Weights)
+    except Unreadable:
         return None
     return raw.model, raw.version
 
@@ -163,9 +166,9 @@
     """
     endpoint = revision = None
     try:
-        raw = msgspec.json.decode(record.value, type=_Server) if record.value else None
+        raw = decode_json(record.value, _Server) if record.value else None
         state = _STATES.get(raw.state) if raw else None
-        if raw is not None and state is not None and _is_ipv4_with_port(raw.address):
+        if raw is not None and state is not None and _names_engine(record.key, raw):
             endpoint = Endpoint(
                 endpoint_id=record.key,
                 service=raw.service,
@@ -178,8 +181,8 @@
                 software=_software(raw),
             )
             revision = _revision(raw)
-    except msgspec.MsgspecError:
-        pass
+    except Unreadable as error:
+        log_message("record_ignored", key=record.key, reason=str(error))
     return EndpointEntry(record, endpoint, revision)
 
 
@@ -189,15 +192,15 @@
 
 
 def _revision(server: _Server) -> Revision | None:
-    if server.born is None or type(server.seq) is not int:
+    if server.born is None or type(server.seq) is not int or not 0 <= server.seq <= MAX_COUNT:
         return None
     return Revision(server.born, server.seq)
 
 
-def _is_ipv4_with_port(address: str) -> bool:
-    ip, _, port = address.rpartition(":")
-    octets = ip.split(".")
-    return port.isdigit() and len(octets) == 4 and all(o.isdigit() for o in octets)
+def _names_engine(endpoint_id: str, server: _Server) -> bool:
+    """Return whether requests can be sent to what an entry names, with its id in a header field."""
+    is_header_value = endpoint_id.isascii() and endpoint_id.isprintable() and " " not in endpoint_id
+    return bool(endpoint_id) and is_header_value and is_ipv4_with_port(server.address)
 
 
 def _to_route(route: _Route) -> Route:
--- a/teaselpath/platform/_engines.py
+++ b/teaselpath/platform/_engines.py
@@ -12,7 +12,9 @@
     WeightsOrder,
 )
 from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout, Response
+from teaselpath.platform._numbers import Count
 from teaselpath.platform._requests import parse_hold_off, states_leaving
+from teaselpath.utils import Unreadable, decode_json
 
 T = TypeVar("T")
 
@@ -23,20 +25,20 @@
 
 class _Model(msgspec.Struct):
     name: str
-    version: int = 0
+    version: Count = 0
 
 
 class _Report(msgspec.Struct):
     # Number of orders accepted since start-up.
-    seq: int = 0
+    seq: Count = 0
     busy: bool = False
     models: list[_Model] = []
 
 
 class _Events(msgspec.Struct, rename="camel"):
-    boot_epoch: int
+    boot_epoch: Count
     # Cursor for the next call; has nothing to do with tokens.
-    next_token: int
+    next_token: Count
     # Whether changes after the cursor are no longer available.
     lost: bool = False
     # Event number, + or -, scope, part id, tokens cached after the event, model.
@@ -132,8 +134,8 @@
     if response.head.status != 200:
         raise _refusal(response)
     try:
-        return msgspec.json.decode(response.body, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_json(response.body, kind)
+    except Unreadable as error:
         reason = f"unreadable answer: {error}"
         raise EngineCallError(reason, is_outcome_unknown=False, has_reply=True) from error
 
--- a/teaselpath/platform/_store.py
+++ b/teaselpath/platform/_store.py
@@ -20,6 +20,7 @@
 )
 from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout, Response
 from teaselpath.platform._config import decode_config, decode_endpoint, decode_weights
+from teaselpath.utils import Unreadable, decode_json
 
 # Time for the answer beyond the duration of the long poll, in seconds.
 CALL_TIMEOUT_S = 1.5
@@ -28,6 +29,9 @@
 # Longest number of an era that is accepted; messages between gateways carry 64 bits.
 MAX_ERA_DIGITS = 18
 
+# Value of a record that is there but cannot be read; an empty one would remove the key.
+UNREADABLE_VALUE = b"\xff"
+
 _TOPICS = {
     Topic.OPERATORS: "keyed.op",
     Topic.ENDPOINTS: "keyed.servers",
@@ -149,10 +153,7 @@
             page, era = _decode(response, _Listing), _era_of(response)
             if end is not None and era != end.era:
                 return None
-            records += [
-                StoredRecord(i.key, b64decode(i.value or ""), Position(era, i.offset))
-                for i in page.items
-            ]
+            records += [_to_record(topic, item, era) for item in page.items]
             # Records appended between two pages lie after the end of the first page.
             page_end = Position(era, page.end)
             end = page_end if end is None else min(end, page_end)
@@ -183,10 +184,20 @@
     return int(value)
 
 
+def _to_record(topic: Topic, item: _Item, era: int) -> StoredRecord:
+    """Return a listed record; one whose value is not in base64 has a value that cannot be read."""
+    position = Position(era, item.offset)
+    try:
+        return StoredRecord(item.key, b64decode(item.value or "", validate=True), position)
+    except ValueError as error:
+        log_message("record_unreadable", topic=topic, key=item.key, reason=str(error))
+        return StoredRecord(item.key, UNREADABLE_VALUE, position)
+
+
 def _decode(response: Response, kind: type[_Answer]) -> _Answer:
     try:
-        return msgspec.json.decode(response.body, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_json(response.body, kind)
+    except Unreadable as error:
         raise StoreError(f"answer cannot be read: {error}", is_outcome_unknown=True) from error
 
 
