Origins: own streams are told from those that are unfinished; one way to find a version

A greeting scanned all known origins, 65,536 at most, for the own ones; the unfinished ones are those that callers take up. Versions that peers name while a record is written no longer change the table that is walked.

--- a/teaselpath/gateway/_origin_store.py
+++ b/teaselpath/gateway/_origin_store.py
@@ -45,7 +45,7 @@
     :param table: origins to which those of the store are added. What an earlier process of this
         host wrote stays in the record until it expires.
     :ivar has_read: whether the records were read since the start.
-    :ivar unfinished: own streams that are not finished, by key.
+    :ivar unfinished: streams of this host of which the caller has a part, by key.
     """
 
     def __init__(self, host: str, store: MetadataStore, table: OriginTable):
@@ -102,7 +102,7 @@
         if expires_at <= self.loop.time():
             return
         for streams in stored.streams:
-            origin = Origin(streams.service, streams.version, expires_at, False)
+            origin = Origin(streams.service, streams.version, expires_at)
             for key in streams.keys:
                 self.table.record(key, origin)
                 if is_own:
--- a/teaselpath/gateway/_origins.py
+++ b/teaselpath/gateway/_origins.py
@@ -56,7 +56,6 @@
 class _Question:
     """A question to other gateways that waits for replies."""
 
-    key: int
     reply: asyncio.Future[OriginReply | None]
     awaited: int
     denied_by: set[str] = field(default_factory=set)
@@ -131,7 +130,9 @@
         self.recorder.write_soon()
         held: dict[tuple[str, str | None], list[int]] = defaultdict(list)
         expires_at = now
-        for key, origin in self.table.own_of(service, now).items():
+        for key, origin in self.recorder.unfinished.items():
+            if origin.service != service:
+                continue
             expires_at = max(expires_at, origin.expires_at)
             holders = choose_holders(key, self.state.members)
             for host in holders if target is None else {target}.intersection(holders):
@@ -171,7 +172,7 @@
         service = call.service.name
         keep_s = take_up_time_s(call.route.timeout_s)
         key = self._key(call, call.request.request_id)
-        origin = Origin(service, call.software, now + keep_s, True)
+        origin = Origin(service, call.software, now + keep_s)
         self.table.record(key, origin)
         self.recorder.add(key, origin)
         if call.software is not None and call.software == self._only_version(call, now):
@@ -192,26 +193,30 @@
         """
         if not call.takes_up:
             return True
-        service, resumes = call.service.name, call.request.resumes
-        key = None if resumes is None else self._key(call, resumes)
-        origin = None if key is None else self.table.get(key, self.loop.time())
-        version = self._only_version(call, self.loop.time())
-        source = "record" if origin is not None else "versions" if version is not None else ""
-        if origin is not None:
-            version = origin.version
-        elif version is None and key is not None:
-            version = await self._ask(service, key)
-            source = "gateway"
+        version, source = await self._find_version(call)
+        is_known = version is not None
         log_message(
             "stream_taken_up",
             request_id=call.request.request_id,
-            resumes=resumes,
+            resumes=call.request.resumes,
             software=version,
-            source=source if version is not None else None,
+            source=source if is_known else None,
         )
-        self.metrics.count_take_up("unknown" if version is None else source)
-        call.software, call.has_begun = version, version is not None
-        return version is not None
+        self.metrics.count_take_up(source if is_known else "unknown")
+        call.software, call.has_begun = version, is_known
+        return is_known
+
+    async def _find_version(self, call: Call) -> tuple[str | None, str]:
+        """Return the version of the stream that a request takes up, and what told it."""
+        now, resumes = self.loop.time(), call.request.resumes
+        key = None if resumes is None else self._key(call, resumes)
+        origin = None if key is None else self.table.get(key, now)
+        if origin is not None:
+            return origin.version, "record"
+        version = self._only_version(call, now)
+        if version is not None or key is None:
+            return version, "versions"
+        return await self._ask(call.service.name, key), "gateway"
 
     async def _ask(self, service: str, key: int) -> str | None:
         """Ask other gateways at which version a stream began; None if none of them knows."""
@@ -219,7 +224,7 @@
         if not hosts:
             return None
         number = next(self.numbers)
-        question = _Question(key, self.loop.create_future(), len(hosts))
+        question = _Question(self.loop.create_future(), len(hosts))
         self.questions[number] = question
         try:
             async with asyncio.timeout(ASK_S):
@@ -236,7 +241,7 @@
         if reply is None:
             return None
         expires_at = self.loop.time() + reply.left_ms / 1000
-        self.table.record(key, Origin(service, reply.version, expires_at, False))
+        self.table.record(key, Origin(service, reply.version, expires_at))
         return reply.version
 
     def _key(self, call: Call, request_id: str) -> int:
@@ -254,7 +259,7 @@
             case OriginNote(service, version, left_ms, keys):
                 self._learn_version(service, version, now)
                 for key in keys:
-                    self.table.record(key, Origin(service, version, now + left_ms / 1000, False))
+                    self.table.record(key, Origin(service, version, now + left_ms / 1000))
             case OriginQuery(number, key):
                 origin = self.table.get(key, now)
                 self.channel.reply_lineage(ip, _reply(number, origin, now))
--- a/teaselpath/gateway/_version_store.py
+++ b/teaselpath/gateway/_version_store.py
@@ -71,7 +71,7 @@
             await self._write(stored, page.end)
 
     async def _write(self, stored: dict[str, StoredVersions], end: Position) -> None:
-        for service, history in self.history.services.items():
+        for service, history in list(self.history.services.items()):
             before = stored.get(service, StoredVersions({}))
             merged = merge_versions(before, history.listed, _unix_ms())
             if merged != before:
--- a/teaselpath/lineage/_origins.py
+++ b/teaselpath/lineage/_origins.py
@@ -46,13 +46,11 @@
 
     :param version: software version of the engine; None if it is not known.
     :param expires_at: time from which it is no longer taken up, in seconds.
-    :param is_own: whether this gateway forwarded its first event.
     """
 
     service: str
     version: str | None
     expires_at: float
-    is_own: bool
 
 
 class OriginTable:
@@ -72,14 +70,6 @@
         origin = self.origins.get(key)
         return origin if origin is not None and origin.expires_at > now else None
 
-    def own_of(self, service: str, now: float) -> dict[int, Origin]:
-        """Return the streams of a service of which this gateway forwarded the first event."""
-        return {
-            key: origin
-            for key, origin in self.origins.items()
-            if origin.is_own and origin.service == service and origin.expires_at > now
-        }
-
     def expire(self, now: float) -> None:
         """Forget streams that are no longer taken up."""
         for key in [key for key, origin in self.origins.items() if origin.expires_at <= now]:
--- a/teaselpath/lineage/tests/test_origins.py
+++ b/teaselpath/lineage/tests/test_origins.py
@@ -3,7 +3,7 @@
 from teaselpath.lineage import Origin, OriginTable, choose_holders, stream_key
 from teaselpath.lineage._origins import ASKED_HOLDERS, HOLDERS, MAX_ORIGINS, MAX_TOLD_GATEWAYS
 
-ORIGIN = Origin("s", "v1", 10.0, True)
+ORIGIN = Origin("s", "v1", 10.0)
 
 
 def test_streams_of_other_callers_and_services_have_other_keys():
@@ -16,9 +16,8 @@
 def test_first_record_of_a_stream_stays():
     table = OriginTable()
     table.record(1, ORIGIN)
-    table.record(1, Origin("s", "v2", 20.0, False))
+    table.record(1, Origin("s", "v2", 20.0))
     assert table.get(1, 0.0) == ORIGIN
-    assert table.own_of("s", 0.0) == {1: ORIGIN}
     assert table.get(1, 10.0) is None
     table.expire(10.0)
     assert table.origins == {}
