Streams that are taken up go on with the very next event

Cause: within one answer a gap is noticed, because the numbers before had none; where a caller takes a stream up, the gateway has not seen them.

Change: a gateway keeps per service whether all whole streams that it relayed were numbered 1, 2, 3 and so on; where they were, a stream that is taken up must go on with the next number. An engine that leaves one out is an engine that broke off. The new test of tests/test_joined_streams.py failed before and passes.

--- a/teaselpath/gateway/_events.py
+++ b/teaselpath/gateway/_events.py
@@ -122,6 +122,15 @@
         if event_id is not None:
             self.position = _Position(number=_number(event_id))
 
+    def require_next(self) -> None:
+        """Expect the very next number after the one that the caller names."""
+        self.position = replace(self.position, must_follow=True)
+
+    @property
+    def is_numbered_without_gaps(self) -> bool:
+        """Return whether the events, from the first on, were numbered 1, 2, 3 and so on."""
+        return self.position.is_gapless and self.position.number == self.count
+
     def feed(self, data: bytes) -> bytes:
         """Return the bytes up to the end of the last complete event; buffer the rest.
 
@@ -151,4 +160,5 @@
         is_event = self.rest.strip()[:1] not in (b"", b":")
         self.misses_event = self.misses_event or is_event
         self.rest = b""
-        self.position = replace(self.position, must_follow=self.position.last_id is not None)
+        must_follow = self.position.must_follow or self.position.last_id is not None
+        self.position = replace(self.position, must_follow=must_follow)
--- a/teaselpath/gateway/_origins.py
+++ b/teaselpath/gateway/_origins.py
@@ -88,6 +88,9 @@
         self.numbers = count()
         self.questions: dict[int, _Question] = {}
         self.started_at = self.loop.time()
+        # Services whose whole streams were all numbered without gaps here, and whether they still
+        # are.
+        self.has_no_gaps: dict[str, bool] = {}
 
     async def run(self) -> None:
         """Forget what no longer counts, until cancelled."""
@@ -185,6 +188,9 @@
         """Record that a caller has its answer, which it will not take up."""
         if call.has_begun and not call.takes_up:
             self.recorder.discard(self._key(call, call.request.request_id))
+            service = call.service.name
+            has_no_gaps = call.splitter.is_numbered_without_gaps
+            self.has_no_gaps[service] = self.has_no_gaps.get(service, True) and has_no_gaps
 
     async def resolve(self, call: Call) -> bool:
         """Find the version of the stream that a request takes up; return whether it is known.
@@ -204,6 +210,8 @@
         )
         self.metrics.count_take_up(source if is_known else "unknown")
         call.software, call.has_begun = version, is_known
+        if self.has_no_gaps.get(call.service.name, False):
+            call.splitter.require_next()
         return is_known
 
     async def _find_version(self, call: Call) -> tuple[str | None, str]:
--- a/teaselpath/gateway/tests/test_events.py
+++ b/teaselpath/gateway/tests/test_events.py
@@ -131,3 +131,28 @@
     assert splitter.is_between_events != is_missing
     splitter.feed(encode_events(2))
     assert splitter.is_between_events
+
+
+def test_event_that_an_engine_leaves_out_where_a_caller_takes_a_stream_up_is_noticed():
+    splitter = EventSplitter()
+    splitter.resume_after(b"5")
+    splitter.require_next()
+    # As each engine is begun with.
+    splitter.restart()
+    with pytest.raises(EventOutOfOrder):
+        splitter.feed(b"id: 7\ndata: x\n\n")
+    splitter = EventSplitter()
+    splitter.resume_after(b"5")
+    splitter.require_next()
+    assert splitter.feed(b"id: 6\ndata: x\n\n")
+    assert splitter.feed(b"id: 7\ndata: x\n\n")
+
+
+@pytest.mark.parametrize(
+    ("numbers", "expected"), [([1, 2, 3], True), ([1, 3], False), ([2], False)]
+)
+def test_streams_without_gaps_are_told_from_others(numbers, expected):
+    splitter = EventSplitter()
+    for number in numbers:
+        splitter.feed(b"id: %d\ndata: x\n\n" % number)
+    assert splitter.is_numbered_without_gaps == expected
--- a/tests/test_joined_streams.py
+++ b/tests/test_joined_streams.py
@@ -252,3 +252,18 @@
     site, answers = asyncio.run(scenario())
     assert joined_streams(site) == []
     assert sum(answer.status == 200 for answer in answers) >= len(answers) // 2
+
+
+def test_event_that_an_engine_leaves_out_of_a_taken_up_stream_is_noticed(tmp_path):
+    async def scenario():
+        async with open_site(tmp_path, ["v1"]) as site:
+            whole = [await send(site, n % GATEWAYS, f"whole{n}", 100 + n) for n in range(6)]
+            begun = await begin_streams(site, 0)
+            for listed in site.engines.values():
+                listed.engine.faults = EngineFaults(skips=1.0)
+            return whole, await take_up(site, 1, begun)
+
+    whole, answers = asyncio.run(scenario())
+    assert {answer.status for answer in whole} == {200}
+    for answer in answers:
+        assert answer.fault(is_stream=True) is None
