--- a/review/4/run.sh
+++ /dev/null
@@ -1,3 +0,0 @@
-#!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")" && exec timeout 110 python3 case.py
