--- a/review/standins.py
+++ b/review/standins.py
@@ -15,7 +15,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from urllib.parse import parse_qsl, urlsplit
@@ -541,11 +541,12 @@
 
     async def stop_all(self) -> None:
         """Kill all processes that were started here."""
-        for gateway in self.gateways.values():
-            process = gateway.process
-            if process is not None and process.returncode is None:
-                process.send_signal(signal.SIGKILL)
-                await process.wait()
+        processes = [g.process for g in self.gateways.values() if g.process is not None]
+        running = [process for process in processes if process.returncode is None]
+        for process in running:
+            process.send_signal(signal.SIGKILL)
+        for process in running:
+            await process.wait()
 
 
 class Record:
@@ -565,11 +566,19 @@
         self.file.flush()
 
 
-def run_case(main: Callable[[], Awaitable[int]]) -> None:
-    """Run a case and end this process with its result, without waiting for open connections."""
+def run_case(main: Callable[[], Coroutine[None, None, int]]) -> None:
+    """Run a case and end this process with its result, without waiting for open connections.
+
+    SIGTERM cancels the case, so that it ends the processes that it has started.
+    """
 
     async def run() -> None:
-        code = await main()
+        task = asyncio.ensure_future(main())
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        try:
+            code = await task
+        except asyncio.CancelledError:
+            code = 2
         os._exit(code)
 
     asyncio.run(run())
