--- a/standins/hosted/_site.py
+++ b/standins/hosted/_site.py
@@ -345,6 +345,15 @@
             "platform": {"address": store_address},
         }
 
+    async def start_gateways(self, count: int) -> None:
+        """Start gateways gw-0 and so on, in zones a and b by turns; wait until all are ready."""
+        started = [
+            await self.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
+            for n in range(count)
+        ]
+        for gateway in started:
+            await self.wait_until_ready(gateway)
+
     async def open_store_address(self, gateway: str) -> str:
         """Open a listener of the store for one gateway, so that its requests can be told apart.
 
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -239,11 +239,16 @@
             "/review/x", f"{TAKE_UP}-{next(self.request_numbers)}", prefix=prefix, timeout_s=6.0,
             last_event_id=begun.last_whole_event_id, resumes=begun.request_id,
         )  # fmt: skip
-        tenant = next(t.name for t in self.site.tenants if caller.key in t.keys)
-        self.requests.append(SentRequest(TAKE_UP, tenant, caller.key, began_at, answer))
+        self.requests.append(
+            SentRequest(TAKE_UP, self.tenant_of(caller), caller.key, began_at, answer)
+        )
         if other is not caller:
             other.close()
 
+    def tenant_of(self, caller: Caller) -> str:
+        """Return the name of the tenant whose key a caller sends."""
+        return next(t.name for t in self.site.tenants if caller.key in t.keys)
+
     async def probe_route(self, route: str, gateway: str, caller: Caller) -> None:
         """Send a request on a route that the operator adds and removes."""
         request_id = f"{route}-{next(self.request_numbers)}"
@@ -251,8 +256,9 @@
         began_at = time.monotonic()
         answer = await caller.send(f"/{route}/x", request_id, timeout_s=PROBE_TIMEOUT_S)
         ended_at = time.monotonic()
-        tenant = next(t.name for t in self.site.tenants if caller.key in t.keys)
-        self.requests.append(SentRequest("extra", tenant, caller.key, began_at, answer))
+        self.requests.append(
+            SentRequest("extra", self.tenant_of(caller), caller.key, began_at, answer)
+        )
         is_same = process == self.site.gateways[gateway].process.pid
         name = f"{gateway} ({process})" if is_same else ""
         self.configs.answers.append(RouteAnswer(route, name, began_at, ended_at, answer.status))
--- a/teaselpath/dispatch/_pool.py
+++ b/teaselpath/dispatch/_pool.py
@@ -74,9 +74,8 @@
         """
         start = bisect(self.ring, (_ring_position(key), ""))
         ring = self.ring[start:] + self.ring[:start]
-        views = [view for view in map(self.views.get, (name for _, name in ring)) if view]
-        admitted = [view for view in views if demand.admits(view)]
-        return [v for v in admitted if v.endpoint.state is EndpointState.READY][:MAX_CANDIDATES]
+        views = self._ready_views(name for _, name in ring)
+        return [view for view in views if demand.admits(view)][:MAX_CANDIDATES]
 
     def open_candidates(self, key: bytes, now: float) -> list[EndpointView]:
         """Return endpoints of the whole service that take requests.
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -157,9 +157,7 @@
     software_known: Callable[["EndpointView"], bool] | None = None
 
     def admits(self, view: "EndpointView") -> bool:
-        """Return whether an endpoint has the software that may run the request."""
-        if self.software is None:
-            return True
+        """Return whether an endpoint has the one version that may run the request."""
         is_known = self.software_known is None or self.software_known(view)
         return view.endpoint.software == self.software and is_known
 
--- a/teaselpath/fleet/_calls.py
+++ b/teaselpath/fleet/_calls.py
@@ -1,10 +1,10 @@
 """Messages between callers, gateways and endpoints, independent of their wire format."""
 
 from dataclasses import dataclass
-from hashlib import blake2b
 from typing import Protocol
 
 from teaselpath.fleet._prompts import Prompt
+from teaselpath.utils import hash_fields
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -47,14 +47,11 @@
         :param caller: workspace of the caller; None if it has none.
         """
         prompt = self.prompt
-        fields = [self.method, self.host.encode(), self.target, (caller or "").encode()]
+        fields = [self.method, self.host.encode(), self.target, (caller or "").encode(), self.body]
         if prompt is not None:
             fields.append(prompt.model.encode())
             fields += [part.part_id.encode() for part in prompt.parts]
-        # Lengths keep different fields with the same concatenation apart.
-        lengths = b",".join(b"%d" % len(field) for field in fields)
-        digest = blake2b(b"\n".join([lengths, *fields, self.body]), digest_size=DIGEST_BYTES)
-        return digest.hexdigest()
+        return hash_fields(fields, DIGEST_BYTES).hex()
 
 
 @dataclass(slots=True)
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -86,16 +86,16 @@
             self.known_digest = self.request.digest(self.workspace.name if self.workspace else None)
         return self.known_digest
 
-    @property
-    def shared_parts(self) -> tuple[str, ...]:
-        """Return the keys of the prompt parts that other requests can share."""
-        prompt = self.request.prompt
-        return prompt.shared_keys if prompt is not None and self.service.engine is not None else ()
-
     @property
     def parts(self) -> tuple[str, ...]:
-        """Return all that may crash an engine: the request as a whole, and its shared parts."""
-        return (whole_request(self.digest), *self.shared_parts)
+        """Return the keys of all that may crash an engine.
+
+        They are that of the request as a whole, and those of the prompt parts that others share.
+        """
+        whole, prompt = whole_request(self.digest), self.request.prompt
+        if prompt is None or self.service.engine is None:
+            return (whole,)
+        return (whole, *prompt.shared_keys)
 
     @property
     def kind(self) -> tuple[str, bool]:
--- a/teaselpath/gateway/_origin_store.py
+++ b/teaselpath/gateway/_origin_store.py
@@ -7,9 +7,10 @@
 import msgspec
 from eliot import log_message
 
-from teaselpath.fleet import MetadataStore, StoredRecord, StoreError, Topic
+from teaselpath.fleet import MetadataStore, StoreError, Topic
+from teaselpath.gateway._record_logs import read_record
 from teaselpath.lineage import CLOCK_ERROR_S, MIN_TAKE_UP_S, Origin, OriginTable
-from teaselpath.utils import Unreadable, decode_msgpack
+from teaselpath.utils import decode_msgpack
 
 # Shortest time between two records of a gateway, in seconds: streams that began since the last one
 # are not known after all gateways were killed.
@@ -91,7 +92,7 @@
     async def _read(self) -> None:
         page = await self.store.poll(Topic.STREAMS, None, 0.0)
         for record in page.records:
-            stored = _decode(record)
+            stored = read_record(record, StoredOrigins, decode_msgpack) if record.value else None
             if stored is not None:
                 self._apply(stored, is_own=record.key == self.host)
         self.has_read = True
@@ -116,13 +117,3 @@
         streams = [StoredStreams(service, v, held) for (service, v), held in keys.items()]
         record = StoredOrigins(int(time.time() * 1000), streams)
         await self.store.append(Topic.STREAMS, self.host, msgspec.msgpack.encode(record))
-
-
-def _decode(record: StoredRecord) -> StoredOrigins | None:
-    if not record.value:
-        return None
-    try:
-        return decode_msgpack(record.value, StoredOrigins)
-    except Unreadable as error:
-        log_message("record_ignored", key=record.key, reason=str(error))
-        return None
--- a/teaselpath/gateway/_origins.py
+++ b/teaselpath/gateway/_origins.py
@@ -66,6 +66,7 @@
 
     :param state: state of this gateway, with the endpoints that are listed.
     :ivar history: versions of each service.
+    :ivar has_no_gaps: whether all whole streams of a service were numbered without gaps.
     :ivar synchronizer: reads and writes the versions in the store.
     :ivar recorder: reads and writes the origins of unfinished streams in the store.
     """
@@ -88,8 +89,6 @@
         self.numbers = count()
         self.questions: dict[int, _Question] = {}
         self.started_at = self.loop.time()
-        # Services whose whole streams were all numbered without gaps here, and whether they still
-        # are.
         self.has_no_gaps: dict[str, bool] = {}
 
     async def run(self) -> None:
@@ -160,8 +159,10 @@
 
     def _is_current(self, now: float) -> bool:
         """Return whether this gateway learns of new versions: from the store, or from others."""
+        if self.state.store_up:
+            return True
         reachable, possible = self.state.count_gateways(now)
-        return self.state.store_up or reachable > 1 or possible == 1
+        return reachable > 1 or possible == 1
 
     # streams
 
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -49,6 +49,7 @@
 )
 from teaselpath.quarantine import QuarantineUpdate
 from teaselpath.rollout import LeaseRecord, OrderLease
+from teaselpath.utils import DECODE_ERRORS
 
 # Shortest interval between status messages that are sent early for an urgent update, in seconds.
 MIN_STATUS_INTERVAL_S = 0.02
@@ -144,7 +145,7 @@
         """Handle a message of another gateway."""
         try:
             message = self.decoder.decode(data)
-        except (msgspec.MsgspecError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             log_message("peer_message_ignored", address=str(addr), reason=str(error))
             return
         now = self.loop.time()
@@ -291,7 +292,8 @@
     def send_lineage(self, hosts: list[str] | None, message: LineageMessage) -> None:
         """Send a message about origins to gateways by host, to all if ``hosts`` is None."""
         members = self.state.members
-        ips = [members[host].ip for host in members if hosts is None or host in hosts]
+        named = members if hosts is None else hosts
+        ips = [members[host].ip for host in named if host in members]
         self._send_to(ips, self.encoder.encode(message))
 
     def reply_lineage(self, ip: str, message: LineageMessage) -> None:
--- a/teaselpath/gateway/_quarantine.py
+++ b/teaselpath/gateway/_quarantine.py
@@ -139,7 +139,7 @@
         return isinstance(decision, Admit)
 
     def _decide(self, call: Call, now: float) -> Decision:
-        # The digest of a request is computed only if there is evidence against any.
+        # Without evidence against any request, none waits for its digest before it is sent.
         if self.quarantine.is_empty:
             return Admit()
         return self.quarantine.decide(call.parts, now, is_resend=call.lost_engine)
--- a/teaselpath/gateway/_record_logs.py
+++ b/teaselpath/gateway/_record_logs.py
@@ -1,8 +1,25 @@
-"""Log lines on records of the store that are applied or ignored."""
+"""Records of the store that are applied or ignored, and the log lines on them."""
+
+from collections.abc import Callable
+from typing import TypeVar
 
 from eliot import log_message
 
 from teaselpath.fleet import EndpointEntry, StoredRecord
+from teaselpath.utils import Unreadable, decode_json
+
+T = TypeVar("T")
+
+
+def read_record(
+    record: StoredRecord, kind: type[T], decode: Callable[[bytes, type[T]], T] = decode_json
+) -> T | None:
+    """Return what a record holds; None, with a log line, if it cannot be read."""
+    try:
+        return decode(record.value, kind)
+    except Unreadable as error:
+        log_message("record_ignored", key=record.key, reason=str(error))
+        return None
 
 
 def log_endpoint(change: str, entry: EndpointEntry, source: str) -> None:
--- a/teaselpath/gateway/_verdict_store.py
+++ b/teaselpath/gateway/_verdict_store.py
@@ -8,9 +8,9 @@
 import msgspec
 from eliot import log_message
 
-from teaselpath.fleet import MetadataStore, StoredRecord, StoreError, Topic
+from teaselpath.fleet import MetadataStore, StoreError, Topic
+from teaselpath.gateway._record_logs import read_record
 from teaselpath.quarantine import Quarantine, QuarantineUpdate, Verdict, VerdictNote
-from teaselpath.utils import Unreadable, decode_json
 
 # Interval at which verdicts are read from the store, and delay after a failed call, in seconds.
 READ_INTERVAL_S = 24.0
@@ -93,7 +93,7 @@
         page = await self.store.poll(Topic.VERDICTS, None, 0.0)
         stored = {}
         for record in page.records:
-            verdict = _decode(record)
+            verdict = read_record(record, VerdictRecord) if record.value else None
             if verdict is not None:
                 stored[record.key] = verdict
                 self._apply(record.key, verdict, now)
@@ -168,16 +168,6 @@
         self.must_run.set()
 
 
-def _decode(record: StoredRecord) -> VerdictRecord | None:
-    if not record.value:
-        return None
-    try:
-        return decode_json(record.value, VerdictRecord)
-    except Unreadable as error:
-        log_message("record_ignored", key=record.key, reason=str(error))
-        return None
-
-
 def _record_of(verdict: Verdict, now: float) -> VerdictRecord:
     return VerdictRecord(
         sorted(verdict.parts),
--- a/teaselpath/gateway/_version_store.py
+++ b/teaselpath/gateway/_version_store.py
@@ -8,9 +8,9 @@
 from eliot import log_message
 
 from teaselpath.fleet import MetadataStore, Position, StoredRecord, StoreError, Topic
+from teaselpath.gateway._record_logs import read_record
 from teaselpath.gateway._state import GatewayState
 from teaselpath.lineage import StoredVersions, VersionHistory, merge_versions, observe_stored
-from teaselpath.utils import Unreadable, decode_json
 
 # Interval at which the versions are read from the store, and delay after a failed call, in seconds.
 READ_INTERVAL_S = 24.0
@@ -82,11 +82,8 @@
 
 def _decode(record: StoredRecord) -> StoredVersions:
     """Return the versions in a record; an unreadable one names a version that cannot be read."""
-    try:
-        return decode_json(record.value, StoredVersions)
-    except Unreadable as error:
-        log_message("record_ignored", key=record.key, reason=str(error))
-        return StoredVersions({"": 0})
+    stored = read_record(record, StoredVersions)
+    return StoredVersions({"": 0}) if stored is None else stored
 
 
 def _unix_ms() -> int:
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -7,8 +7,9 @@
 
 from teaselpath.exchange import TopicPolls, is_large_fleet
 from teaselpath.fleet import Position, RecordPage, StoredRecord, StoreError, Topic
+from teaselpath.gateway._record_logs import read_record
 from teaselpath.gateway._state import GatewayState
-from teaselpath.utils import MAX_PORT, Unreadable, decode_json, is_ipv4_with_port
+from teaselpath.utils import is_ipv4
 
 # Duration of a long poll of the operators' topic, in seconds. A connection can go silent without a
 # reset; the poll on it then delays a new configuration by this time and the timeout at most.
@@ -135,12 +136,10 @@
         for record in records:
             if record.key == self.state.settings.host or not record.value:
                 continue
-            try:
-                member = decode_json(record.value, MemberRecord)
-            except Unreadable as error:
-                log_message("record_ignored", key=record.key, reason=str(error))
+            member = read_record(record, MemberRecord)
+            if member is None:
                 continue
-            if not is_ipv4_with_port(f"{member.ip}:{MAX_PORT}"):
+            if not is_ipv4(member.ip):
                 log_message("record_ignored", key=record.key, reason="no IPv4 address")
                 continue
             known = self.state.members.get(record.key)
--- a/teaselpath/lineage/_origins.py
+++ b/teaselpath/lineage/_origins.py
@@ -6,9 +6,8 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
-from hashlib import blake2b
 
-from teaselpath.utils import rendezvous_top
+from teaselpath.utils import hash_fields, rendezvous_top
 
 # Streams whose origins are kept, the most recent ones.
 MAX_ORIGINS = 65_536
@@ -23,9 +22,7 @@
 def stream_key(service: str, workspace: str, request_id: str) -> int:
     """Return the key of the stream whose first event came for a request of a workspace."""
     fields = [field.encode("utf-8", "surrogatepass") for field in (service, workspace, request_id)]
-    lengths = b",".join(b"%d" % len(field) for field in fields)
-    digest = blake2b(b"\n".join([lengths, *fields]), digest_size=KEY_BYTES)
-    return int.from_bytes(digest.digest(), "big")
+    return int.from_bytes(hash_fields(fields, KEY_BYTES), "big")
 
 
 def choose_holders(key: int, hosts: Iterable[str], *, is_query: bool = False) -> list[str]:
--- a/teaselpath/quarantine/__init__.py
+++ b/teaselpath/quarantine/__init__.py
@@ -24,7 +24,7 @@
     SoundNote,
     VerdictNote,
 )
-from teaselpath.quarantine._parts import is_whole_request, whole_request
+from teaselpath.quarantine._parts import whole_request
 from teaselpath.quarantine._trials import JUDGE_DELAY_S, SETTLE_S, Claim, TrialBoard
 from teaselpath.quarantine._verdicts import Verdict, VerdictTable
 
@@ -49,7 +49,6 @@
     "VerdictNote",
     "VerdictTable",
     "claim_note",
-    "is_whole_request",
     "verdict_note",
     "whole_request",
 ]
--- a/teaselpath/utils/_decoding.py
+++ b/teaselpath/utils/_decoding.py
@@ -7,8 +7,11 @@
 
 T = TypeVar("T")
 
-_IPV4_WITH_PORT = re.compile(r"([0-9]{1,3})\.([0-9]{1,3})\.([0-9]{1,3})\.([0-9]{1,3}):([0-9]{1,5})")
+_IPV4 = re.compile(r"[0-9]{1,3}(\.[0-9]{1,3}){3}")
+_PORT = re.compile(r"[0-9]{1,5}")
 MAX_PORT = 65_535
+# What decoding raises on data that is malformed, nested too deeply, or holds too large a number.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, ValueError, OverflowError)
 
 
 class Unreadable(Exception):
@@ -22,7 +25,7 @@
     """
     try:
         return msgspec.json.decode(data, type=kind)
-    except (msgspec.MsgspecError, RecursionError, ValueError, OverflowError) as error:
+    except DECODE_ERRORS as error:
         raise Unreadable(repr(error)) from error
 
 
@@ -33,14 +36,17 @@
     """
     try:
         return msgspec.msgpack.decode(data, type=kind)
-    except (msgspec.MsgspecError, RecursionError, ValueError, OverflowError) as error:
+    except DECODE_ERRORS as error:
         raise Unreadable(repr(error)) from error
 
 
+def is_ipv4(address: str) -> bool:
+    """Return whether a text is an IPv4 address."""
+    is_formed = _IPV4.fullmatch(address) is not None
+    return is_formed and all(int(octet) <= 255 for octet in address.split("."))
+
+
 def is_ipv4_with_port(address: str) -> bool:
     """Return whether a text is an IPv4 address and a port, IP:PORT, to which one can connect."""
-    match = _IPV4_WITH_PORT.fullmatch(address)
-    if match is None:
-        return False
-    *octets, port = (int(group) for group in match.groups())
-    return all(octet <= 255 for octet in octets) and 0 < port <= MAX_PORT
+    ip, _, port = address.rpartition(":")
+    return is_ipv4(ip) and _PORT.fullmatch(port) is not None and 0 < int(port) <= MAX_PORT
--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -96,10 +96,7 @@
             await site.add_engine(f"desk-{number}", "desk", "ab"[number % 2])
             crashing.prepare(f"desk-{number}")
         site.write_config()
-        for n in range(gateways):
-            await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
-        for gateway in site.gateways.values():
-            await site.wait_until_ready(gateway)
+        await site.start_gateways(gateways)
         yield crashing
 
 
@@ -108,7 +105,4 @@
     for gateway in site.gateways.values():
         gateway.process.kill()
         await gateway.process.wait()
-    for n in range(GATEWAYS):
-        await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
-    for gateway in site.gateways.values():
-        await site.wait_until_ready(gateway)
+    await site.start_gateways(GATEWAYS)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -25,12 +25,7 @@
         for number in range(2):
             await site.add_engine(f"desk-{number}", "desk", "ab"[number % 2])
         site.write_config()
-        started = [
-            await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
-            for n in range(gateways)
-        ]
-        for gateway in started:
-            await site.wait_until_ready(gateway)
+        await site.start_gateways(gateways)
         yield site
 
 
--- a/tests/test_hold_off.py
+++ b/tests/test_hold_off.py
@@ -25,10 +25,7 @@
             await site.add_engine(f"llm-{number}", "llm", "ab"[number % 2], is_model=True)
             await site.add_engine(f"desk-{number}", "desk", "ab"[number % 2])
         site.write_config()
-        for n in range(gateways):
-            await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
-        for gateway in site.gateways.values():
-            await site.wait_until_ready(gateway)
+        await site.start_gateways(gateways)
         yield site
 
 
--- a/tests/test_joined_streams.py
+++ b/tests/test_joined_streams.py
@@ -27,10 +27,8 @@
                 f"llm-{number}", "llm", "ab"[number // 3], is_model=True, software=version
             )
         site.write_config()
-        for n in range(GATEWAYS):
-            await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
+        await site.start_gateways(GATEWAYS)
         for gateway in site.gateways.values():
-            await site.wait_until_ready(gateway)
             while gateway.log.read_text().count('"member_listed"') < GATEWAYS - 1:
                 await asyncio.sleep(0.05)
         yield site
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -29,10 +29,7 @@
             for number in range(limited):
                 site.engines[f"{service}-{number}"].engine.limit = limit
         site.write_config()
-        for n in range(GATEWAYS):
-            await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
-        for gateway in site.gateways.values():
-            await site.wait_until_ready(gateway)
+        await site.start_gateways(GATEWAYS)
         yield site
 
 
--- a/tests/test_restored_orders.py
+++ b/tests/test_restored_orders.py
@@ -21,12 +21,7 @@
         for number in range(3):
             await site.add_engine(f"llm-{number}", "llm", "ab"[number % 2], is_model=True)
         site.write_config()
-        started = [
-            await site.start_gateway(f"gw-{n}", f"127.0.0.{n + 2}", "ab"[n % 2])
-            for n in range(gateways)
-        ]
-        for gateway in started:
-            await site.wait_until_ready(gateway)
+        await site.start_gateways(gateways)
         yield site
 
 
