Weights: the age of a version that was not seen to be named is not taken as zero

Change: only a poll that has waited all the time tells when a version was named. Otherwise the announcement is assumed to be as old as the gateway's knowledge allows, though old weights stay usable for three quarters of the time in which a restarted machine comes back in touch. What a peer has received itself replaces the assumption; assumptions are told to nobody. gateway/_standstill.py notices that the process did not run, by a clock that counts suspension.

--- a/teaselpath/gateway/_entities.py
+++ b/teaselpath/gateway/_entities.py
@@ -1,6 +1,6 @@
 """What a gateway knows of other gateways, announced weights and placements."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(slots=True)
@@ -28,14 +28,23 @@
 
     :param announced_at: event loop time at which this gateway, or a peer before it, received the
         announcement of each version.
+    :param assumed_at: event loop time at which each version is assumed to have been announced while
+        no gateway that is known received it.
     """
 
     version: int
-    announced_at: dict[int, float]
+    announced_at: dict[int, float] = field(default_factory=dict)
+    assumed_at: dict[int, float] = field(default_factory=dict)
 
     def record_announcement(self, version: int, announced_at: float) -> None:
         """Record a version's announcement time unless an earlier one is recorded."""
         self.announced_at[version] = min(announced_at, self.announced_at.get(version, announced_at))
+        self.assumed_at.pop(version, None)
+
+    def assume_announcement(self, version: int, assumed_at: float) -> None:
+        """Record when a version of unknown age is assumed to have been announced."""
+        if version not in self.announced_at:
+            self.assumed_at[version] = assumed_at
 
     def oldest_usable_version(
         self, now: float, grace_s: float, lost_at: float = 0.0, restored_at: float = 0.0
@@ -55,7 +64,8 @@
             since = announced_at if had_run_out else max(announced_at, restored_at)
             return now - since > grace_s
 
-        return max((v for v, at in self.announced_at.items() if is_required(at)), default=0)
+        times = {**self.assumed_at, **self.announced_at}
+        return max((v for v, at in times.items() if is_required(at)), default=0)
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -1,7 +1,6 @@
 """Task that rolls out announced weights to the engines while this gateway holds the lease."""
 
 import asyncio
-import time
 import uuid
 
 import msgspec
@@ -18,6 +17,7 @@
     WeightsOrder,
 )
 from teaselpath.gateway._peers import PeerExchange
+from teaselpath.gateway._standstill import boot_clock
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway._statements import record_hold_off, record_leaving
 from teaselpath.rollout import (
@@ -56,11 +56,6 @@
     return f"orders/{era}"
 
 
-def boot_clock() -> float:
-    """Return the time since the host was booted, including suspension, in seconds."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class WeightsKeeper:
     """Holds the lease while engines have outdated weights, and orders them to load new ones."""
 
--- a/teaselpath/gateway/_peer_records.py
+++ b/teaselpath/gateway/_peer_records.py
@@ -11,7 +11,7 @@
 from teaselpath.exchange import is_large_fleet, select_readers
 from teaselpath.fleet import BEFORE_ALL, Position, StoredRecord, Topic
 from teaselpath.gateway._peer_messages import RecordSet, Status
-from teaselpath.gateway._state import GatewayState
+from teaselpath.gateway._state import UNKNOWN_SINCE, GatewayState
 from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout
 from teaselpath.utils import Unreadable, decode_msgpack
 
@@ -181,7 +181,8 @@
         now = self.loop.time()
         source = f"peer {status.host}"
         for record in map(_to_record, records.operators):
-            state.apply_operator_record(record, source, now)
+            # The statuses of peers tell the age of announced weights.
+            state.apply_operator_record(record, source, now, UNKNOWN_SINCE)
         newer = sorted(map(_to_record, records.endpoints), key=_position_of)
         for record in newer:
             state.apply_endpoint_record(record, source, now)
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -17,14 +17,10 @@
     choose_from_service,
 )
 from teaselpath.gateway._call import Call
-from teaselpath.gateway._entities import AnnouncedWeights, LongPlacement
+from teaselpath.gateway._entities import LongPlacement
 from teaselpath.gateway._responses import MIN_RETRY_AFTER_S
 from teaselpath.gateway._state import GatewayState
 
-# Fraction of the rollout limit after which engines with older weights receive no more requests. The
-# remainder covers requests that are queued inside an engine and gateways that receive an
-# announcement late.
-OLD_WEIGHTS_FRACTION = 0.75
 # Interval at which placement of queued requests is retried, in seconds.
 QUEUE_INTERVAL_S = 0.015
 # Fraction of a request's remaining time after which it is refused if it is still queued.
@@ -248,7 +244,7 @@
             prompt=prompt if call.service.engine else None,
             scope_prefix=scope_prefix,
             announced_weights=announced.version if announced else None,
-            oldest_weights=self._oldest_usable_version(announced, now),
+            oldest_weights=state.required_version(prompt.model, now) if prompt else 0,
             excluded=frozenset(call.tried),
             engine=call.service.engine,
             cache_stores=tuple(state.cache_stores.values()),
@@ -260,14 +256,3 @@
         key = affinity_key(prompt, scope_prefix) if prompt else call.request.request_id.encode()
         pool = state.pool(call.service.name)
         return choose_from_service(pool, key, demand, state.topology, now)
-
-    def _oldest_usable_version(self, announced: AnnouncedWeights | None, now: float) -> int:
-        if announced is None:
-            return 0
-        # The lease on orders is free again only some time after the store has returned from a copy.
-        return announced.oldest_usable_version(
-            now,
-            OLD_WEIGHTS_FRACTION * self.state.settings.bounds.rollout_limit_s,
-            self.state.lost_before_return_at,
-            self.state.restored_at,
-        )
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -127,6 +127,7 @@
             watcher.follow_endpoints,
             watcher.follow_members,
             watcher.expire_lapses,
+            watcher.standstill.run,
             self.peers.run,
             self.peers.records.run,
             self.keeper.run,
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -49,6 +49,12 @@
 START_LISTED_S = 5.0
 # Time by which a read of the store may be stale or late, in seconds.
 READ_MARGIN_S = 3.0
+# Fraction of the rollout limit after which engines with older weights receive no more requests. The
+# remainder covers requests that are queued inside an engine and gateways that receive an
+# announcement late.
+OLD_WEIGHTS_FRACTION = 0.75
+# Time since which records may have been missed at a gateway that has just started.
+UNKNOWN_SINCE = float("-inf")
 
 
 class GatewayState:
@@ -115,10 +121,15 @@
 
     # configuration and weights
 
-    def apply_operator_record(self, record: StoredRecord, source: str, now: float) -> None:
+    def apply_operator_record(
+        self, record: StoredRecord, source: str, now: float, missed_since: float | None = None
+    ) -> None:
         """Apply a record of the operators' topic if its version is newer than the known one.
 
         A record of an older position in the same era is ignored whatever its version.
+
+        :param missed_since: time since which records may have been written without this gateway
+            receiving them, in seconds; None if it received each one as it was written.
         """
         known = self.operator_records.get(record.key)
         is_same_era = known is not None and known.position.era == record.position.era
@@ -136,7 +147,8 @@
             announced = self.announced.get(model)
             before = announced.version if announced else None
             if self._is_newer_version(record, version, before, source):
-                self._apply_weights(model, version, record, source, now)
+                self._apply_weights(model, version, record, source)
+                self._record_announcement(model, version, now, missed_since)
         elif record.value:
             log_message("record_ignored", key=record.key, offset=record.position.offset)
 
@@ -170,15 +182,42 @@
             source=source,
         )
 
-    def _apply_weights(
-        self, model: str, version: int, record: StoredRecord, source: str, now: float
-    ) -> None:
-        current = self.announced.get(model)
-        announced_at = {**(current.announced_at if current else {}), version: now}
-        self.announced[model] = AnnouncedWeights(version, announced_at)
+    def _apply_weights(self, model: str, version: int, record: StoredRecord, source: str) -> None:
+        announced = self.announced.setdefault(model, AnnouncedWeights(version))
+        announced.version = version
         self.operator_records[record.key] = record
         log_message("weights_named", model=model, version=version, source=source)
 
+    def _record_announcement(
+        self, model: str, version: int, now: float, missed_since: float | None
+    ) -> None:
+        """Record when a version that has just been read was announced.
+
+        One that may be old is assumed to be so old that its older versions can still be used for
+        the time in which a host recovers from the fault that hid the announcement.
+        """
+        if missed_since is None:
+            self.announced[model].record_announcement(version, now)
+            return
+        bounds = self.settings.bounds
+        spare_s = max(0.0, bounds.rollout_limit_s - bounds.recovery_window_s)
+        assumed_at = max(missed_since, now - OLD_WEIGHTS_FRACTION * spare_s)
+        self.announced[model].assume_announcement(version, assumed_at)
+        log_message("weights_age_assumed", model=model, version=version, age_s=now - assumed_at)
+
+    def required_version(self, model: str, now: float) -> int:
+        """Return the oldest weights version of a model that may run requests; 0 for no limit."""
+        announced = self.announced.get(model)
+        if announced is None:
+            return 0
+        # The lease on orders is free again only some time after the store has returned from a copy.
+        return announced.oldest_usable_version(
+            now,
+            OLD_WEIGHTS_FRACTION * self.settings.bounds.rollout_limit_s,
+            self.lost_before_return_at,
+            self.restored_at,
+        )
+
     def newest_position(self, topic: Topic) -> Position:
         """Return the position of the newest applied record of a followed topic."""
         if topic is Topic.ENDPOINTS:
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -8,7 +8,8 @@
 from teaselpath.exchange import TopicPolls, is_large_fleet
 from teaselpath.fleet import Position, RecordPage, StoredRecord, StoreError, Topic
 from teaselpath.gateway._record_logs import read_record
-from teaselpath.gateway._state import GatewayState
+from teaselpath.gateway._standstill import Standstill
+from teaselpath.gateway._state import UNKNOWN_SINCE, GatewayState
 from teaselpath.utils import is_ipv4
 
 # Duration of a long poll of the operators' topic, in seconds. A connection can go silent without a
@@ -47,6 +48,7 @@
     """Follows configuration, weights, endpoints and members.
 
     :param state: state of this gateway, to which records are applied.
+    :ivar standstill: tells when this process did not run.
     :ivar must_announce: whether the store may have lost the record of this gateway.
     :ivar endpoints_listed_at: time of the last listing of the endpoint topic, in seconds.
     """
@@ -60,6 +62,7 @@
         self.must_announce = asyncio.Event()
         self.endpoints_listed_at = 0.0
         self.loop = asyncio.get_running_loop()
+        self.standstill = Standstill(self.loop.time)
         state.on_new_era.append(self._end_polls)
 
     async def follow_operators(self) -> None:
@@ -153,6 +156,7 @@
     async def _follow(self, topic: Topic, wait_s: float, pause_s: float) -> None:
         state, loop = self.state, self.loop
         cursor: Position | None = None
+        answered_at, is_unbroken = UNKNOWN_SINCE, False
         while True:
             if cursor is not None and not state.reads_store and not self._must_list(topic):
                 await asyncio.sleep(IDLE_CHECK_S)
@@ -166,11 +170,13 @@
             try:
                 page = await self._poll(topic, start, 0.0 if start is None else poll_wait_s)
             except StoreError as error:
+                is_unbroken = False
                 self.polls.record_failure(topic)
                 state.record_store_failure(f"{topic}: {error}", loop.time())
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             if page is None:
+                is_unbroken = False
                 log_message("poll_restarted", topic=topic, after_s=loop.time() - sent_at)
                 continue
             for other in self.polls.record_answer(topic, loop.time()):
@@ -178,11 +184,15 @@
             rtt_s = loop.time() - sent_at if start is None else None
             state.record_store_success(loop.time(), rtt_s)
             if not state.observe_era(page.end.era, "store", loop.time()):
+                is_unbroken = False
                 log_message("answer_discarded", topic=topic, era=page.end.era, newest=state.era)
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
-            self._apply(topic, page, loop.time())
+            # A poll that has waited all the time returns each record as it is written.
+            has_waited = is_unbroken and not self.standstill.has_lasted_since(sent_at)
+            self._apply(topic, page, loop.time(), None if has_waited else answered_at)
             cursor = page.end
+            answered_at, is_unbroken = loop.time(), True
             await asyncio.sleep(self._pause_s(topic, start, page, pause_s))
 
     def _next_start(self, topic: Topic, cursor: Position | None) -> Position | None:
@@ -228,11 +238,14 @@
             call.cancel()
         return None if call.cancelled() else call.result()
 
-    def _apply(self, topic: Topic, page: RecordPage, now: float) -> None:
+    def _apply(
+        self, topic: Topic, page: RecordPage, now: float, missed_since: float | None = None
+    ) -> None:
+        """Apply records; for ``missed_since``, see ``GatewayState.apply_operator_record``."""
         state = self.state
         if topic is Topic.OPERATORS:
             for record in page.records:
-                state.apply_operator_record(record, "store", now)
+                state.apply_operator_record(record, "store", now, missed_since)
             return
         for record in page.records:
             state.apply_endpoint_record(record, "store", now)
--- a/teaselpath/gateway/tests/test_watch.py
+++ b/teaselpath/gateway/tests/test_watch.py
@@ -7,6 +7,7 @@
 
 from teaselpath.fleet import Position, RecordPage, StoredRecord, StoreError, Topic
 from teaselpath.gateway import _watch
+from teaselpath.gateway._standstill import Standstill
 from teaselpath.gateway._watch import StoreWatcher
 from teaselpath.gateway.tests.conftest import config_record, endpoint_record, removal_record
 
@@ -17,8 +18,11 @@
     :ivar polls: waiting polls by topic: requested duration and future of the page.
     :ivar starts: position from which each poll reads, by topic, in order.
     :ivar appends: keys of the appended records.
+    :ivar standstill: that of the watcher.
     """
 
+    standstill: Standstill
+
     def __init__(self, decoder):
         self.decode_config = decoder.decode_config
         self.decode_weights = decoder.decode_weights
@@ -86,6 +90,7 @@
     async def run():
         store = state.store = HangingStore(state.store)
         watcher = StoreWatcher(state)
+        store.standstill = watcher.standstill
         async with asyncio.TaskGroup() as group:
             tasks = [group.create_task(getattr(watcher, job)()) for job in jobs]
             await settle()
