Endpoints: a removal is deferred to the time by which entries are renewed, not anew each time

Cause: for recovery_window_s (4 s) after a gateway's first or regained answer of the store, each removal was taken for the result of an outage, and took effect 2.5 s after it was read, although a running engine renews its entry within about 2 s of the store's return. A start is such an answer, too, so that each of a series of starts began the 4 s anew.

Change: a removal takes effect at the latest 2.5 s after the return, however late in that time it is recorded; after that at once. This holds after a start, an outage, a cut and a return from a copy alike, and ends before the machine is in touch again. The wait after a removal that cannot be confirmed while the store is away stays as it was.

--- a/teaselpath/fleet/__init__.py
+++ b/teaselpath/fleet/__init__.py
@@ -13,6 +13,7 @@
     WeightsOrder,
 )
 from teaselpath.fleet._endpoints import (
+    LAPSE_GRACE_S,
     Endpoint,
     EndpointEntry,
     EndpointState,
@@ -45,6 +46,7 @@
 
 __all__ = [
     "BEFORE_ALL",
+    "LAPSE_GRACE_S",
     "UNKNOWN_ERA",
     "AnswerInfo",
     "Backend",
--- a/teaselpath/fleet/_endpoints.py
+++ b/teaselpath/fleet/_endpoints.py
@@ -7,7 +7,7 @@
 
 from teaselpath.fleet._records import BEFORE_ALL, Position, StoredRecord
 
-# Grace period after an outage of the store in which lapsed entries may be listed again, in seconds.
+# Time after the return of the store within which running endpoints renew their entries, in seconds.
 LAPSE_GRACE_S = 2.5
 # Size of an endpoint's number, which is a hash: collisions are improbable among thousands.
 NUMBER_BYTES = 6
@@ -131,12 +131,17 @@
     return is_listed and known.endpoint is None
 
 
+def _lapse_end(now: float, renewed_by: float | None) -> float:
+    return now + LAPSE_GRACE_S if renewed_by is None else renewed_by
+
+
 class EndpointTable:
     """The newest known record of each endpoint.
 
     A removal recorded during or shortly after an outage of the store may be a lapse: the entry of a
     running endpoint expired because it could not be renewed, or the store has lost it. Such a
-    removal takes effect only ``LAPSE_GRACE_S`` after the end of the outage.
+    removal takes effect once the endpoint would have renewed its entry, ``LAPSE_GRACE_S`` after the
+    end of the outage, however late in that time it is recorded.
 
     :ivar lapsed: time at which each pending removal takes effect, by key.
     :ivar position: position up to which all records have been applied or listed.
@@ -151,7 +156,13 @@
         self.listed_up_to = BEFORE_ALL
 
     def apply(
-        self, entry: EndpointEntry, now: float, *, may_be_lapse: bool, is_renewed: bool = False
+        self,
+        entry: EndpointEntry,
+        now: float,
+        *,
+        may_be_lapse: bool,
+        is_renewed: bool = False,
+        renewed_by: float | None = None,
     ) -> str | None:
         """Apply a record; return the kind of change, or None if nothing changed.
 
@@ -161,6 +172,8 @@
         :param may_be_lapse: whether a removal may be caused by an outage of the store.
         :param is_renewed: whether the store would no longer list a copied entry of an endpoint that
             is gone, so that a running endpoint renews what it lists.
+        :param renewed_by: time by which running endpoints have renewed their entries, in seconds;
+            None for a grace period from now on.
         """
         known = self.entries.get(entry.key)
         if known is None:
@@ -171,7 +184,7 @@
         is_doubtful = not entry.record.value or entry.position.era != known.position.era
         if entry.endpoint is None and may_be_lapse and is_doubtful and known.endpoint:
             self._put(known.marked_removed(entry.position))
-            self.lapsed.setdefault(entry.key, now + LAPSE_GRACE_S)
+            self.lapsed.setdefault(entry.key, _lapse_end(now, renewed_by))
             return "lapsed"
         self.lapsed.pop(entry.key, None)
         revision = entry.revision or (known.revision if entry.endpoint is None else None)
@@ -205,7 +218,13 @@
         self.position = max(self.position, entry.position)
 
     def remove_unlisted(
-        self, keys: set[str], end: Position, now: float, *, may_be_lapse: bool
+        self,
+        keys: set[str],
+        end: Position,
+        now: float,
+        *,
+        may_be_lapse: bool,
+        renewed_by: float | None = None,
     ) -> list[str]:
         """Remove the entries that are missing from a full listing; return their keys.
 
@@ -216,6 +235,7 @@
 
         :param end: end of the topic as of the listing; newer entries are kept.
         :param may_be_lapse: mark the entries as lapsed instead of removing them.
+        :param renewed_by: as in ``apply``.
         """
         self.listed_up_to = max(self.listed_up_to, end)
         self.position = max(self.position, end.shifted(-1))
@@ -229,7 +249,7 @@
             # A removal that the topic no longer contains, for peers that receive the records.
             removal = entry.marked_removed(end.shifted(-1))
             if may_be_lapse or entry.position.era < end.era:
-                self.lapsed.setdefault(entry.key, now + LAPSE_GRACE_S)
+                self.lapsed.setdefault(entry.key, _lapse_end(now, renewed_by))
                 self._put(removal)
             else:
                 self.lapsed.pop(entry.key, None)
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -18,6 +18,7 @@
 from teaselpath.exchange import Stop, is_large_fleet
 from teaselpath.fleet import (
     BEFORE_ALL,
+    LAPSE_GRACE_S,
     UNKNOWN_ERA,
     Endpoint,
     EndpointState,
@@ -234,10 +235,15 @@
     def may_be_lapse(self, now: float) -> bool:
         """Return whether a removal may be caused by a store outage or a restoration.
 
-        Endpoints cannot renew their entries during an outage, so that the entries lapse.
+        Endpoints cannot renew their entries during an outage, so that the entries lapse. Each that
+        is still missing once it could have been renewed belongs to an endpoint that is gone.
         """
-        recovery_window_s = self.settings.bounds.recovery_window_s
-        return not self.store_up or now - self.store_returned_at < recovery_window_s
+        return not self.store_up or now < self._entries_renewed_by(now)
+
+    def _entries_renewed_by(self, now: float) -> float:
+        """Return the time by which running endpoints have renewed their entries, in seconds."""
+        returns_at = self.store_returned_at if self.store_up else now
+        return max(now, returns_at + LAPSE_GRACE_S)
 
     @property
     def copies_expire_at(self) -> float:
@@ -258,7 +264,13 @@
         lapse = self.may_be_lapse(now)
         before = self.endpoints.get(record.key)
         is_renewed = self.store_up and now >= self.copies_expire_at
-        change = self.endpoints.apply(entry, now, may_be_lapse=lapse, is_renewed=is_renewed)
+        change = self.endpoints.apply(
+            entry,
+            now,
+            may_be_lapse=lapse,
+            is_renewed=is_renewed,
+            renewed_by=self._entries_renewed_by(now),
+        )
         if change == "outdated":
             log_if_older(record, known.record if known else None, source)
         elif change is not None:
@@ -273,7 +285,10 @@
     def remove_unlisted(self, keys: set[str], end: Position, now: float) -> None:
         """Remove endpoints that a listing up to ``end``, whose records were applied, lacks."""
         lapse = self.may_be_lapse(now)
-        for key in self.endpoints.remove_unlisted(keys, end, now, may_be_lapse=lapse):
+        renewed_by = self._entries_renewed_by(now)
+        for key in self.endpoints.remove_unlisted(
+            keys, end, now, may_be_lapse=lapse, renewed_by=renewed_by
+        ):
             log_message(
                 "endpoint_unlisted",
                 endpoint=key,
@@ -371,7 +386,9 @@
             before = None if is_first else self.era
             log_message("store_era_changed", before=before, era=era, source=source)
             # A loss that ended long before has nothing to do with this return.
-            was_lost = not is_first and self.may_be_lapse(now)
+            recovery_window_s = self.settings.bounds.recovery_window_s
+            is_back_lately = now - self.store_returned_at < recovery_window_s
+            was_lost = not is_first and (not self.store_up or is_back_lately)
             self.era, self.era_seen_at = era, now
             self.endpoints.extend_lapses(now)
             if not is_first:
--- a/teaselpath/gateway/tests/test_state.py
+++ b/teaselpath/gateway/tests/test_state.py
@@ -4,8 +4,14 @@
 
 import pytest
 
-from teaselpath.fleet import Position, StoredRecord, Topic
-from teaselpath.gateway.tests.conftest import config_record, endpoint_record, removal_record
+from teaselpath.fleet import LAPSE_GRACE_S, Position, StoredRecord, Topic
+from teaselpath.gateway._watch import ENDPOINTS_PAUSE_S, LAPSE_CHECK_INTERVAL_S
+from teaselpath.gateway.tests.conftest import (
+    SETTINGS,
+    config_record,
+    endpoint_record,
+    removal_record,
+)
 
 
 def make_store_up(state, now=100.0):
@@ -42,6 +48,38 @@
     assert state.pool("s").candidates(b"") == []
 
 
+@pytest.mark.parametrize("is_outage", [False, True])
+def test_endpoint_that_leaves_after_the_store_returned_is_out_of_use_within_its_drain_time(
+    state, is_outage
+):
+    """Guards against a start, or a return long ago, that defers each removal anew."""
+    returned_at = 100.0
+    if is_outage:
+        make_store_up(state)
+        state.record_store_failure("unreachable", 90.0)
+    state.record_store_success(returned_at)
+    used_until = {}
+    for number, delay_s in enumerate((0.0, 0.5, 1.5, 2.4, 3.0, 3.9, 6.0)):
+        key, removed_at = f"e{number}", returned_at + delay_s
+        state.apply_endpoint_record(endpoint_record(key, 2 * number), "store", returned_at)
+        state.apply_endpoint_record(removal_record(key, 2 * number + 1), "store", removed_at)
+        now = removed_at
+        while key in state.views:
+            now += LAPSE_CHECK_INTERVAL_S
+            state.expire_lapses(now)
+        used_until[delay_s] = now - removed_at
+    drain_s = SETTINGS.bounds.drain_s - ENDPOINTS_PAUSE_S
+    assert {delay_s: used_s for delay_s, used_s in used_until.items() if used_s > drain_s} == {
+        # By the time at which the gateway is in touch again, these are out of use, too.
+        0.0: LAPSE_GRACE_S,
+    }
+    recovered_at = returned_at + SETTINGS.bounds.recovery_window_s
+    assert all(
+        returned_at + at + used_s <= max(recovered_at, returned_at + at)
+        for at, used_s in used_until.items()
+    )
+
+
 def test_endpoint_renewed_after_a_lapse_is_kept(state):
     now = make_store_up(state)
     state.apply_endpoint_record(endpoint_record("e", 1), "store", now)
