ORDER: a stream is taken up only with proof that no other version can have begun it

Reproduced with real processes: a gateway is stopped for 4 s while engines of another version join and begin 12 streams at another gateway; these are taken up at the stopped one on open connections.

Cause: the only version that a gateway knows was taken for the only one there is as long as its last call to the store had succeeded or a peer counted as reachable. Both are flags that a later time-out takes back; nothing tells how old the knowledge is when it is used. The request waits in the socket as long as the news does, and is read first.

Change: unless the stream itself is known, a take-up reads the endpoint topic of the store first, in a call that is sent after the request was read; take-ups that wait share the next call. Engines are listed before anyone sends to them, and the store's answers are linearizable, so a version that the answer lacks has begun nothing. If the store does not answer (0.6 s at most), other gateways are asked: the one that began the stream, or was told, knows it; otherwise each that may still run has to reply and to have known the same single version. Else the refusal STREAM_ORIGIN_UNKNOWN, as before.

This replaces the flag for all ways to be out of step: stopped, suspended, cut off from store or peers, silent connections, lost notes. Narrower than before: while the store is away, a stream of a gateway that is silent, too, is refused.

--- a/teaselpath/gateway/_origins.py
+++ b/teaselpath/gateway/_origins.py
@@ -2,8 +2,7 @@
 
 import asyncio
 from collections import defaultdict
-from dataclasses import dataclass, field
-from itertools import count
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from eliot import log_message
@@ -12,6 +11,7 @@
 from teaselpath.fleet import Endpoint, MetadataStore
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._metrics import GatewayMetrics
+from teaselpath.gateway._origin_questions import OriginQuestions
 from teaselpath.gateway._origin_store import OriginRecorder
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway._version_store import VersionSynchronizer
@@ -27,14 +27,11 @@
     VersionHistory,
     VersionNote,
     choose_holders,
+    find_version,
     stream_key,
     take_up_time_s,
 )
 
-# Time for which other gateways are asked for an origin, in seconds, and that after which the
-# question is repeated, since datagrams can be lost. A round trip to another region fits in.
-ASK_S = 0.25
-REPEAT_S = 0.12
 # Interval at which origins and versions that no longer count are forgotten, in seconds.
 EXPIRE_INTERVAL_S = 1.0
 # Time after the start in which a gateway learns the versions of the store before it is ready, in
@@ -52,19 +49,12 @@
         """Send a message to the gateway at an address."""
 
 
-@dataclass(slots=True)
-class _Question:
-    """A question to other gateways that waits for replies."""
-
-    reply: asyncio.Future[OriginReply | None]
-    awaited: int
-    denied_by: set[str] = field(default_factory=set)
-
-
 class StreamOrigins:
     """Knows at which software version streams began, and tells other gateways.
 
     :param state: state of this gateway, with the endpoints that are listed.
+    :param confirm_endpoints: reads the endpoints from the store, and returns whether all that it
+        lists by now are known.
     :ivar history: versions of each service.
     :ivar has_no_gaps: whether all whole streams of a service were numbered without gaps.
     :ivar synchronizer: reads and writes the versions in the store.
@@ -77,17 +67,18 @@
         store: MetadataStore,
         metrics: GatewayMetrics,
         channel: LineageChannel,
+        confirm_endpoints: Callable[[], Awaitable[bool]],
     ):
         self.state = state
         self.metrics = metrics
         self.channel = channel
+        self.confirm_endpoints = confirm_endpoints
         self.history = VersionHistory()
         self.table = OriginTable()
         self.synchronizer = VersionSynchronizer(state, store, self.history)
         self.recorder = OriginRecorder(state.settings.host, store, self.table)
         self.loop = asyncio.get_running_loop()
-        self.numbers = count()
-        self.questions: dict[int, _Question] = {}
+        self.questions = OriginQuestions(channel.send_lineage)
         self.started_at = self.loop.time()
         self.has_no_gaps: dict[str, bool] = {}
 
@@ -151,13 +142,16 @@
         return (self.synchronizer.has_read and self.recorder.has_read) or is_late
 
     def _only_version(self, call: Call, now: float) -> str | None:
-        """Return the version of all streams that callers may take up; None if it is not known."""
-        if not self.synchronizer.has_read or not self._is_current(now):
+        """Return the version of all streams that callers may take up; None if it is not known.
+
+        That is as this gateway knows it, which may have been cut off or have stood still.
+        """
+        if not self.synchronizer.has_read:
             return None
         since = now - take_up_time_s(call.route.timeout_s)
         return self.history.of(call.service.name).only_version_since(since)
 
-    def _is_current(self, now: float) -> bool:
+    def _learns_versions(self, now: float) -> bool:
         """Return whether this gateway learns of new versions: from the store, or from others."""
         if self.state.store_up:
             return True
@@ -179,7 +173,8 @@
         origin = Origin(service, call.software, now + keep_s)
         self.table.record(key, origin)
         self.recorder.add(key, origin)
-        if call.software is not None and call.software == self._only_version(call, now):
+        is_only = call.software is not None and call.software == self._only_version(call, now)
+        if is_only and self._learns_versions(now):
             return
         self.recorder.write_soon()
         note = OriginNote(service, call.software, int(keep_s * 1000), [key])
@@ -216,42 +211,51 @@
         return is_known
 
     async def _find_version(self, call: Call) -> tuple[str | None, str]:
-        """Return the version of the stream that a request takes up, and what told it."""
+        """Return the version of the stream that a request takes up, and what told it.
+
+        What this gateway knew when the request came is no proof: the stream may have begun at a
+        version that appeared while the request waited, or while this gateway was out of step.
+        """
         now, resumes = self.loop.time(), call.request.resumes
         key = None if resumes is None else self._key(call, resumes)
         origin = None if key is None else self.table.get(key, now)
+        if origin is not None and self._is_listed(origin):
+            return origin.version, "record"
+        is_confirmed = await self.confirm_endpoints()
+        origin = None if key is None else self.table.get(key, self.loop.time())
         if origin is not None:
             return origin.version, "record"
-        version = self._only_version(call, now)
-        if version is not None or key is None:
+        version = self._only_version(call, self.loop.time())
+        if version is not None and is_confirmed:
             return version, "versions"
-        return await self._ask(call.service.name, key), "gateway"
+        if key is None:
+            return None, "unknown"
+        return await self._ask(call, key, may_agree=not is_confirmed), "gateway"
+
+    def _is_listed(self, origin: Origin) -> bool:
+        """Return whether an engine of the version of a stream is known."""
+        return origin.version in self.history.of(origin.service).listed
 
-    async def _ask(self, service: str, key: int) -> str | None:
-        """Ask other gateways at which version a stream began; None if none of them knows."""
+    async def _ask(self, call: Call, key: int, *, may_agree: bool) -> str | None:
+        """Ask other gateways at which version a stream began; None if that cannot be told.
+
+        :param may_agree: whether the only version that all of them know counts, since the store
+            cannot be read.
+        """
+        since_s, now = take_up_time_s(call.route.timeout_s), self.loop.time()
         hosts = choose_holders(key, self.state.members, is_query=True)
-        if not hosts:
-            return None
-        number = next(self.numbers)
-        question = _Question(self.loop.create_future(), len(hosts))
-        self.questions[number] = question
-        try:
-            async with asyncio.timeout(ASK_S):
-                for delay_s in (REPEAT_S, ASK_S):
-                    self.channel.send_lineage(hosts, OriginQuery(number, key))
-                    done, _ = await asyncio.wait([question.reply], timeout=delay_s)
-                    if done:
-                        break
-        except TimeoutError:
+        running = [host for host in hosts if self.state.may_be_running(host, now)]
+        own = self.history.of(call.service.name).versions_since(now - since_s)
+        replies = await self.questions.ask(hosts, key, call.service.name, since_s) if hosts else {}
+        has_all = all(self.state.members[host].ip in replies for host in running)
+        is_complete = may_agree and self.synchronizer.has_read and has_all
+        found = find_version(own, replies.values(), is_complete=is_complete)
+        if found is None:
             return None
-        finally:
-            del self.questions[number]
-        reply = question.reply.result()
-        if reply is None:
-            return None
-        expires_at = self.loop.time() + reply.left_ms / 1000
-        self.table.record(key, Origin(service, reply.version, expires_at))
-        return reply.version
+        if found.is_known:
+            expires_at = self.loop.time() + found.left_ms / 1000
+            self.table.record(key, Origin(call.service.name, found.version, expires_at))
+        return found.version
 
     def _key(self, call: Call, request_id: str) -> int:
         workspace = call.workspace.name if call.workspace is not None else ""
@@ -269,33 +273,26 @@
                 self._learn_version(service, version, now)
                 for key in keys:
                     self.table.record(key, Origin(service, version, now + left_ms / 1000))
-            case OriginQuery(number, key):
-                origin = self.table.get(key, now)
-                self.channel.reply_lineage(ip, _reply(number, origin, now))
-            case OriginReply(number):
-                self._handle_reply(number, message, ip)
+            case OriginQuery():
+                self.channel.reply_lineage(ip, self._reply(message, now))
+            case OriginReply():
+                self.questions.handle_reply(message, ip)
 
     def _learn_version(self, service: str, version: str | None, now: float) -> None:
         if self.history.of(service).observe(version, now):
             log_message("version_learned", service=service, version=version)
             self._tell_own_streams(service, now)
 
-    def _handle_reply(self, number: int, reply: OriginReply, ip: str) -> None:
-        question = self.questions.get(number)
-        if question is None or question.reply.done():
-            return
-        if reply.is_known:
-            question.reply.set_result(reply)
-            return
-        question.denied_by.add(ip)
-        if len(question.denied_by) >= question.awaited:
-            question.reply.set_result(None)
-
-
-def _reply(number: int, origin: Origin | None, now: float) -> OriginReply:
-    if origin is None:
-        return OriginReply(number, False, None, 0)
-    return OriginReply(number, True, origin.version, _left_ms(origin.expires_at, now))
+    def _reply(self, query: OriginQuery, now: float) -> OriginReply:
+        origin = self.table.get(query.key, now)
+        if origin is not None:
+            left_ms = _left_ms(origin.expires_at, now)
+            return OriginReply(query.number, True, origin.version, left_ms)
+        versions = None
+        if query.service and self.synchronizer.has_read:
+            history = self.history.of(query.service)
+            versions = list(history.versions_since(now - query.since_ms / 1000))
+        return OriginReply(query.number, False, None, 0, versions)
 
 
 def _left_ms(until: float, now: float) -> int:
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -89,7 +89,9 @@
         self.gate = QuarantineGate(settings.host, store, self.metrics, self.peers)
         self.peers.gate = self.gate
         self.state.on_new_era.append(self.gate.synchronizer.read_soon)
-        self.origins = StreamOrigins(self.state, store, self.metrics, self.peers)
+        self.origins = StreamOrigins(
+            self.state, store, self.metrics, self.peers, self.watcher.confirm_endpoints
+        )
         self.peers.origins = self.origins
         self.state.on_endpoint_changed = self.origins.update_versions
         self.state.on_new_era.append(self.origins.synchronizer.write_soon)
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -245,6 +245,10 @@
         returns_at = self.store_returned_at if self.store_up else now
         return max(now, returns_at + LAPSE_GRACE_S)
 
+    def may_lack_copied(self, now: float) -> bool:
+        """Return whether the store, back from a copy, may lack entries of running endpoints."""
+        return bool(self.restored_at) and now < self.restored_at + LAPSE_GRACE_S
+
     @property
     def copies_expire_at(self) -> float:
         """Time from which the store lists only endpoints that renew their entries."""
@@ -456,10 +460,13 @@
         for member in self.members.values():
             if now - member.last_contact_at < timeout_s:
                 reachable += 1
-            if now - max(member.last_contact_at, member.listed_at) < MEMBER_EXPIRY_S:
-                possible += 1
+            possible += _may_be_running(member, now)
         return reachable, max(reachable, possible)
 
+    def may_be_running(self, host: str, now: float) -> bool:
+        """Return whether another gateway was listed or heard of lately."""
+        return host in self.members and _may_be_running(self.members[host], now)
+
     def retry_budget(self, service: str) -> SlidingRetryBudget:
         """Return the retry budget of a service."""
         budget = self.retry_budgets.get(service)
@@ -478,5 +485,9 @@
         return self.config.workspaces.get(key)
 
 
+def _may_be_running(member: Member, now: float) -> bool:
+    return now - max(member.last_contact_at, member.listed_at) < MEMBER_EXPIRY_S
+
+
 def _ignore(_before: Endpoint | None, _after: Endpoint | None) -> None:
     """Ignore a change of the listed endpoints."""
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -8,6 +8,7 @@
 from teaselpath.exchange import TopicPolls, is_large_fleet
 from teaselpath.fleet import Position, RecordPage, StoredRecord, StoreError, Topic
 from teaselpath.gateway._record_logs import read_record
+from teaselpath.gateway._shared_call import SharedCall
 from teaselpath.gateway._standstill import Standstill
 from teaselpath.gateway._state import UNKNOWN_SINCE, GatewayState
 from teaselpath.utils import is_ipv4
@@ -33,6 +34,12 @@
 # The same in a large fleet, in which gateways also learn of each other from their messages.
 LARGE_FLEET_MEMBER_INTERVAL_S = 24.0
 LAPSE_CHECK_INTERVAL_S = 0.25
+# Time for one read that a caller waits for, in seconds: the store may be in another region.
+PROMPT_READ_S = 0.25
+# Such reads that are tried, since a connection can be silent.
+PROMPT_READS = 2
+# Longest time that a caller waits for them, in seconds.
+CONFIRM_S = 0.6
 
 
 class MemberRecord(msgspec.Struct):
@@ -63,6 +70,7 @@
         self.endpoints_listed_at = 0.0
         self.loop = asyncio.get_running_loop()
         self.standstill = Standstill(self.loop.time)
+        self.prompt_read = SharedCall(self._read_endpoints)
         state.on_new_era.append(self._end_polls)
 
     async def follow_operators(self) -> None:
@@ -73,6 +81,39 @@
         """Follow the endpoint topic."""
         await self._follow(Topic.ENDPOINTS, ENDPOINTS_WAIT_S, ENDPOINTS_PAUSE_S)
 
+    async def confirm_endpoints(self) -> bool:
+        """Read the endpoints now; return whether all that the store lists by now are known.
+
+        A store that has returned from a copy, or deleted what was not read, may lack some.
+        """
+        try:
+            async with asyncio.timeout(CONFIRM_S):
+                return await self.prompt_read.run()
+        except TimeoutError:
+            return False
+
+    async def _read_endpoints(self) -> bool:
+        reads = PROMPT_READS if self.state.store_up else 1
+        for _ in range(reads):
+            try:
+                async with asyncio.timeout(PROMPT_READ_S):
+                    return await self._read_endpoints_once()
+            except TimeoutError:
+                log_message("endpoints_not_confirmed", reason="no answer in time")
+            except StoreError as error:
+                log_message("endpoints_not_confirmed", reason=str(error))
+                break
+        return False
+
+    async def _read_endpoints_once(self) -> bool:
+        state, topic = self.state, Topic.ENDPOINTS
+        page = await self.store.poll(topic, state.endpoints.position.shifted(1), 0.0)
+        now = self.loop.time()
+        if not state.observe_era(page.end.era, "store", now):
+            return False
+        self._apply(topic, page, now)
+        return not page.is_listing and not state.may_lack_copied(now)
+
     async def follow_members(self) -> None:
         """Announce this gateway, also in each new era of the store, and record the others."""
         beat, cursor = 0, None
--- a/teaselpath/gateway/tests/front.py
+++ b/teaselpath/gateway/tests/front.py
@@ -44,6 +44,11 @@
     return server, f"{host}:{port}"
 
 
+async def _confirm() -> bool:
+    """Confirm the endpoints, as a store does that answers."""
+    return True
+
+
 @dataclass(slots=True)
 class Front:
     """A gateway's forwarder behind a listener.
@@ -65,7 +70,7 @@
         self.state = GatewayState(SETTINGS, store, 1)
         gate = QuarantineGate("gw-0", store, metrics, NoPeers())
         gate.has_snapshot = True
-        origins = StreamOrigins(self.state, store, metrics, NoPeers())
+        origins = StreamOrigins(self.state, store, metrics, NoPeers(), _confirm)
         origins.synchronizer.has_read = True
         self.state.on_endpoint_changed = origins.update_versions
         self.forwarder = Forwarder(self.state, codec, http, metrics, lambda _: None, gate, origins)
--- a/teaselpath/gateway/tests/test_watch.py
+++ b/teaselpath/gateway/tests/test_watch.py
@@ -18,10 +18,12 @@
     :ivar polls: waiting polls by topic: requested duration and future of the page.
     :ivar starts: position from which each poll reads, by topic, in order.
     :ivar appends: keys of the appended records.
+    :ivar watcher: follows this store.
     :ivar standstill: that of the watcher.
     """
 
     standstill: Standstill
+    watcher: StoreWatcher
 
     def __init__(self, decoder):
         self.decode_config = decoder.decode_config
@@ -90,7 +92,7 @@
     async def run():
         store = state.store = HangingStore(state.store)
         watcher = StoreWatcher(state)
-        store.standstill = watcher.standstill
+        store.watcher, store.standstill = watcher, watcher.standstill
         async with asyncio.TaskGroup() as group:
             tasks = [group.create_task(getattr(watcher, job)()) for job in jobs]
             await settle()
@@ -225,3 +227,39 @@
     used, starts = follow(state, scenario, "follow_endpoints")
     assert used == [[], ["e"]]
     assert starts == ([None, end, None, end, end] if reads_store else [None, None])
+
+
+@pytest.mark.parametrize(
+    ("page", "is_confirmed"),
+    [
+        (RecordPage([], Position(1, 6), is_listing=False), True),
+        (RecordPage([endpoint_record("f", 6)], Position(1, 7), is_listing=False), True),
+        # History was deleted: endpoints may have come and gone unseen.
+        (RecordPage([endpoint_record("f", 6)], Position(1, 7), is_listing=True), False),
+        (RecordPage([], Position(2, 6), is_listing=True), False),
+        (StoreError("busy"), False),
+        (None, False),
+    ],
+)
+def test_endpoints_are_confirmed_only_by_an_unbroken_read_of_the_store(
+    state, monkeypatch, page, is_confirmed
+):
+    monkeypatch.setattr(_watch, "PROMPT_READ_S", 0.05)
+    state.apply_endpoint_record(endpoint_record("e", 5), "store", 1.0)
+    state.observe_era(1, "store", 1.0)
+    state.record_store_success(1.0)
+
+    async def scenario(store):
+        store.watcher.loop = asyncio.get_running_loop()
+        task = asyncio.create_task(store.watcher.confirm_endpoints())
+        await settle()
+        if isinstance(page, StoreError):
+            store.polls[Topic.ENDPOINTS][1].set_exception(page)
+        elif page is not None:
+            store.polls[Topic.ENDPOINTS][1].set_result(page)
+        return await task, store.starts[Topic.ENDPOINTS][0], set(state.views)
+
+    result, start, views = follow(state, scenario)
+    assert (result, start) == (is_confirmed, Position(1, 6))
+    if page is not None and not isinstance(page, StoreError) and page.records:
+        assert "f" in views
--- a/teaselpath/lineage/__init__.py
+++ b/teaselpath/lineage/__init__.py
@@ -5,6 +5,7 @@
 Elsewhere the gateway that forwards the first event of a stream tells others its version.
 """
 
+from teaselpath.lineage._agreement import find_version
 from teaselpath.lineage._history import (
     MIN_TAKE_UP_S,
     ServiceHistory,
@@ -42,6 +43,7 @@
     "VersionHistory",
     "VersionNote",
     "choose_holders",
+    "find_version",
     "merge_versions",
     "observe_stored",
     "stream_key",
--- a/teaselpath/lineage/_messages.py
+++ b/teaselpath/lineage/_messages.py
@@ -32,10 +32,14 @@
     """Question for the origin of a stream.
 
     :param number: number of the question at its sender.
+    :param service: service of the stream; empty if its versions are not asked for.
+    :param since_ms: time in which the stream may have begun, in ms before now.
     """
 
     number: int
     key: int
+    service: str = ""
+    since_ms: int = 0
 
 
 class OriginReply(msgspec.Struct, array_like=True, tag="origin_reply"):
@@ -43,12 +47,15 @@
 
     :param is_known: whether the sender knows where the stream began.
     :param version: its version; None if its engine stated none.
+    :param versions: versions that may have begun streams of the service in the time that was asked
+        for; None if the sender cannot tell them all.
     """
 
     number: int
     is_known: bool
     version: str | None
     left_ms: int
+    versions: list[str | None] | None = None
 
 
 LineageMessage = VersionNote | OriginNote | OriginQuery | OriginReply
