ORDER: the software of engines is unknown after a standstill until their entries are read again

Related path of the stopped gateway (by test only, not shown with real processes): an engine that starts again with other software under its id, while the gateway stands still, was taken for the version of its last entry, so that a stream which begins there would go on at the wrong version. Now versions count as unknown until a read of the endpoints that was sent after the standstill is answered; that read is sent at once instead of with the next poll.

test_version_of_an_engine_is_unknown_until_it_was_read_after_a_standstill and test_endpoints_are_read_at_once_after_a_standstill fail before it.

--- a/teaselpath/gateway/_standstill.py
+++ b/teaselpath/gateway/_standstill.py
@@ -26,6 +26,7 @@
     :param loop_time: clock in which times are given, in seconds; it may stop during a suspension.
     :param clock: clock that also runs during a suspension.
     :ivar ended_at: end of the last standstill, in the time of ``loop_time``; 0 without one.
+    :ivar on_end: called when one has ended.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         self.clock = clock
         self.ran_at = clock()
         self.ended_at = 0.0
+        self.on_end: Callable[[], None] = lambda: None
 
     async def run(self) -> None:
         """Look at the clock at short intervals, until cancelled."""
@@ -49,8 +51,13 @@
         if stood_still_s > STANDSTILL_S:
             self.ended_at = self.loop_time()
             log_message("stood_still", for_s=stood_still_s)
+            self.on_end()
+
+    def last_end(self) -> float:
+        """Return when this process last stood still, in the time of ``loop_time``; 0 if never."""
+        self.check()
+        return self.ended_at
 
     def has_lasted_since(self, at: float) -> bool:
         """Return whether a standstill has ended after a time, in that of ``loop_time``."""
-        self.check()
-        return self.ended_at > at
+        return self.last_end() > at
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -73,6 +73,9 @@
     :ivar on_endpoint_changed: called with an endpoint as listed before and now, None if it is not.
     :ivar endpoint_ids: id of each known endpoint by its number.
     :ivar availabilities: what endpoints have stated on whether they take requests.
+    :ivar standstill_ended_at: returns when this process last stood still, in seconds; 0 if it has
+        not.
+    :ivar endpoints_read_at: time at which the last call was sent that has read the endpoints.
     :ivar reads_store: whether this gateway follows the store itself; others receive its records
         from peers.
     :ivar stop: the planned stop of this gateway, once it has begun.
@@ -102,6 +105,8 @@
         self.lost_before_return_at = 0.0
         self.on_new_era: list[Callable[[], None]] = []
         self.on_endpoint_changed: Callable[[Endpoint | None, Endpoint | None], None] = _ignore
+        self.standstill_ended_at: Callable[[], float] = lambda: 0.0
+        self.endpoints_read_at = 0.0
         self.store_up = False
         self.store_is_near = False
         self.store_lost_at = 0.0
@@ -338,8 +343,11 @@
     def knows_software(self, view: EndpointView, now: float) -> bool:
         """Return whether the software version of an endpoint's entry is that of its process.
 
-        A process that was not reachable may have been replaced, which its next entry tells.
+        A process that was not reachable, or that ran while this gateway stood still, may have been
+        replaced, which its next entry tells.
         """
+        if self.standstill_ended_at() > self.endpoints_read_at:
+            return False
         lost_at = view.health.unreachable_at
         if lost_at is None:
             return True
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -71,6 +71,9 @@
         self.loop = asyncio.get_running_loop()
         self.standstill = Standstill(self.loop.time)
         self.prompt_read = SharedCall(self._read_endpoints)
+        self.standstill.on_end = self._confirm_soon
+        self.confirmation: asyncio.Task[None] | None = None
+        state.standstill_ended_at = self.standstill.last_end
         state.on_new_era.append(self._end_polls)
 
     async def follow_operators(self) -> None:
@@ -92,6 +95,17 @@
         except TimeoutError:
             return False
 
+    def _confirm_soon(self) -> None:
+        """Read the endpoints after a standstill; the poll in flight was sent before it."""
+        if self.confirmation is None:
+            self.confirmation = self.loop.create_task(self._confirm_after_standstill())
+
+    async def _confirm_after_standstill(self) -> None:
+        while self.standstill.has_lasted_since(self.state.endpoints_read_at):
+            await self.confirm_endpoints()
+            await asyncio.sleep(RETRY_DELAY_S)
+        self.confirmation = None
+
     async def _read_endpoints(self) -> bool:
         reads = PROMPT_READS if self.state.store_up else 1
         for _ in range(reads):
@@ -106,12 +120,13 @@
         return False
 
     async def _read_endpoints_once(self) -> bool:
-        state, topic = self.state, Topic.ENDPOINTS
+        state, topic, sent_at = self.state, Topic.ENDPOINTS, self.loop.time()
         page = await self.store.poll(topic, state.endpoints.position.shifted(1), 0.0)
         now = self.loop.time()
         if not state.observe_era(page.end.era, "store", now):
             return False
         self._apply(topic, page, now)
+        state.endpoints_read_at = max(sent_at, state.endpoints_read_at)
         return not page.is_listing and not state.may_lack_copied(now)
 
     async def follow_members(self) -> None:
@@ -232,6 +247,8 @@
             # A poll that has waited all the time returns each record as it is written.
             has_waited = is_unbroken and not self.standstill.has_lasted_since(sent_at)
             self._apply(topic, page, loop.time(), None if has_waited else answered_at)
+            if topic is Topic.ENDPOINTS:
+                state.endpoints_read_at = max(sent_at, state.endpoints_read_at)
             cursor = page.end
             answered_at, is_unbroken = loop.time(), True
             await asyncio.sleep(self._pause_s(topic, start, page, pause_s))
--- a/teaselpath/gateway/tests/test_state.py
+++ b/teaselpath/gateway/tests/test_state.py
@@ -283,3 +283,17 @@
         state.remove_unlisted({"e"}, Position(2, 6), at)
     assert last > now + 70.0
     assert state.views == {}
+
+
+def test_version_of_an_engine_is_unknown_until_it_was_read_after_a_standstill(state):
+    """Guards against a stream that begins at an engine which has started again meanwhile."""
+    now = make_store_up(state)
+    state.apply_endpoint_record(endpoint_record("e", 1), "store", now)
+    assert state.knows_software(state.views["e"], now)
+    state.standstill_ended_at = lambda: now + 5.0
+    assert not state.knows_software(state.views["e"], now + 5.0)
+    # A call that was sent before the standstill may tell of the time before it.
+    state.endpoints_read_at = now + 4.9
+    assert not state.knows_software(state.views["e"], now + 5.1)
+    state.endpoints_read_at = now + 5.0
+    assert state.knows_software(state.views["e"], now + 5.1)
--- a/teaselpath/gateway/tests/test_watch.py
+++ b/teaselpath/gateway/tests/test_watch.py
@@ -7,7 +7,7 @@
 
 from teaselpath.fleet import Position, RecordPage, StoredRecord, StoreError, Topic
 from teaselpath.gateway import _watch
-from teaselpath.gateway._standstill import Standstill
+from teaselpath.gateway._standstill import STANDSTILL_S, Standstill
 from teaselpath.gateway._watch import StoreWatcher
 from teaselpath.gateway.tests.conftest import config_record, endpoint_record, removal_record
 
@@ -263,3 +263,25 @@
     assert (result, start) == (is_confirmed, Position(1, 6))
     if page is not None and not isinstance(page, StoreError) and page.records:
         assert "f" in views
+
+
+def test_endpoints_are_read_at_once_after_a_standstill(state, monkeypatch):
+    """Guards against a poll in flight that tells of the time before the standstill."""
+    monkeypatch.setattr(_watch, "RETRY_DELAY_S", 0.0)
+    state.apply_endpoint_record(endpoint_record("e", 5), "store", 1.0)
+    state.observe_era(1, "store", 1.0)
+    state.record_store_success(1.0)
+
+    async def scenario(store):
+        store.standstill.ran_at -= STANDSTILL_S + 0.1
+        known = [state.knows_software(state.views["e"], 100.0)]
+        await settle()
+        store.polls[Topic.ENDPOINTS][1].set_exception(StoreError("busy"))
+        await settle()
+        known.append(state.knows_software(state.views["e"], 100.0))
+        store.answer(Topic.ENDPOINTS, end=Position(1, 6))
+        await settle()
+        known.append(state.knows_software(state.views["e"], 100.0))
+        return known, len(store.starts[Topic.ENDPOINTS])
+
+    assert follow(state, scenario) == ([False, False, True], 2)
