Answers without end: the bodies that a gateway reads share one bounded memory

Cause: each body that is read as a whole may have 8 MB, however many there are; answers that nobody signed were read to that size before they were discarded. The bound of one connection, which was tested, says nothing on many.

An unsigned success is cut off at once.

--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -202,6 +202,10 @@
                 self._log_invalid_answer(f"a stream goes on as {info.media_type!r}")
                 return Broken()
             return await self._relay_events(connection, info)
+        # Something between gateway and endpoint has generated or re-encoded the answer.
+        is_foreign = not info.has_stamp or info.is_encoded
+        if info.status < 300 and is_foreign and not info.did_not_run:
+            return Broken()
         body = await connection.read_body(call.deadline)
         if info.did_not_run:
             # The process at this address is not the expected endpoint or, for a prompt, may have
@@ -211,9 +215,6 @@
             elif call.service.engine is not None and info.limit_per_s is None:
                 view.record_not_run(info.requests, self.loop.time())
             return NotRun(info.status)
-        # Something between gateway and endpoint has generated or re-encoded the answer.
-        if info.status < 300 and (not info.has_stamp or info.is_encoded):
-            return Broken()
         if not self.exchange.is_started:
             call.answer, call.answer_body = info, body
         if info.has_stamp and info.status < self._failure_status():
--- a/teaselpath/http1/_client.py
+++ b/teaselpath/http1/_client.py
@@ -1,5 +1,6 @@
 """HTTP client with one connection pool per address."""
 
+from teaselpath.http1._body_memory import BodyMemory
 from teaselpath.http1._messages import Headers, Response, ResponseHead, encode_request
 from teaselpath.http1._pool import ConnectionPool, PoolLimits
 
@@ -14,13 +15,14 @@
     def __init__(self, limits: PoolLimits | None = None, id_header: bytes = b""):
         self.limits = limits or PoolLimits()
         self.id_header = id_header
+        self.bodies = BodyMemory()
         self.pools: dict[str, ConnectionPool] = {}
 
     def pool(self, address: str) -> ConnectionPool:
         """Return the pool of an address; create it if necessary."""
         pool = self.pools.get(address)
         if pool is None:
-            pool = ConnectionPool(address, self.limits, self.id_header)
+            pool = ConnectionPool(address, self.limits, self.id_header, self.bodies)
             self.pools[address] = pool
         return pool
 
--- a/teaselpath/http1/_connection.py
+++ b/teaselpath/http1/_connection.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from teaselpath.http1._body_memory import BodyMemory
 from teaselpath.http1._messages import ResponseHead
 
 # The kernel closes a connection whose data or keep-alive probes stay unacknowledged for this
@@ -85,6 +86,7 @@
     that exceeds the limits is cut off; reading pauses while the data of a body is not taken.
 
     :param id_header: name of the header field with the id of a request, in lower case.
+    :param bodies: memory for bodies that are read as a whole, shared with other connections.
     :ivar buffered_bytes: data of bodies that was received and not yet read.
     :ivar overhead_bytes: bytes received since the last data of a body.
     :ivar has_exceeded_limits: whether the server was cut off because it exceeded a limit.
@@ -96,8 +98,10 @@
         loop: asyncio.AbstractEventLoop,
         limits: ResponseLimits | None = None,
         id_header: bytes = b"",
+        bodies: BodyMemory | None = None,
     ):
         self.loop = loop
+        self.bodies = bodies or BodyMemory()
         self.limits = limits or ResponseLimits()
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
@@ -289,14 +293,22 @@
             self.is_reusable = False
             return b""
         chunks, size = [], 0
-        while (chunk := await self.read_chunk(deadline)) is not None:
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > limit:
-                self._fail_limit(f"a body of more than {limit} bytes")
-                raise ConnectionBroken(self.error)
+        try:
+            while (chunk := await self.read_chunk(deadline)) is not None:
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > limit:
+                    self._fail_limit(f"a body of more than {limit} bytes")
+                    raise ConnectionBroken(self.error)
+                self.bodies.add(self, len(chunk))
+        finally:
+            self.bodies.remove(self)
         return b"".join(chunks)
 
+    def give_up_body(self) -> None:
+        """Cut the server off, since the bodies of all servers are too large together."""
+        self._fail_limit("the memory for bodies is used up")
+
     def has_extra_data(self) -> bool:
         """Return whether the server has sent more than the response to the current request."""
         first = self.responses[0] if self.responses else None
--- a/teaselpath/http1/_pool.py
+++ b/teaselpath/http1/_pool.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from teaselpath.http1._body_memory import BodyMemory
 from teaselpath.http1._connection import ClientConnection, ResponseLimits
 from teaselpath.http1._messages import ResponseHead
 
@@ -41,10 +42,18 @@
 
     :param address: IP:PORT.
     :param id_header: name of the header field with the id of a request, in lower case.
+    :param bodies: memory for bodies that are read as a whole, shared with other pools.
     """
 
-    def __init__(self, address: str, limits: PoolLimits, id_header: bytes = b""):
+    def __init__(
+        self,
+        address: str,
+        limits: PoolLimits,
+        id_header: bytes = b"",
+        bodies: BodyMemory | None = None,
+    ):
         self.address = address
+        self.bodies = bodies or BodyMemory()
         self.limits = limits
         self.id_header = id_header
         self.idle: list[ClientConnection] = []
@@ -87,7 +96,7 @@
         try:
             async with asyncio.timeout(remaining_s):
                 _, connection = await self.loop.create_connection(
-                    lambda: ClientConnection(self.loop, self.limits.response, self.id_header),
+                    self._make_connection,
                     self.host,
                     self.port,
                 )
@@ -98,6 +107,9 @@
             ) from error
         return connection
 
+    def _make_connection(self) -> ClientConnection:
+        return ClientConnection(self.loop, self.limits.response, self.id_header, self.bodies)
+
     async def is_refused(self, deadline: float) -> bool:
         """Return whether no process listens at the address.
 
