BUDGET: a stream without framing that ends inside an event is looked into as the end of its engine

Cause: the end of such an answer is the end of its connection, so no ConnectionBroken is raised and the quarantine's detector is not asked.

--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -296,6 +296,8 @@
             if splitter.count - self.events_before >= PROVING_EVENTS:
                 self._record_proof()
         if not splitter.is_between_events or not exchange.is_started:
+            # Without framing, the end of the engine's process looks like that of the answer.
+            self._record_broken()
             return Broken()
         self._record_proof()
         exchange.finish()
--- a/teaselpath/gateway/tests/test_unframed_streams.py
+++ b/teaselpath/gateway/tests/test_unframed_streams.py
@@ -54,3 +54,25 @@
         assert looks_complete == (size in BOUNDARIES and not is_reset), (size, response)
         if looks_complete:
             assert STREAM[:size].endswith(b"\n\n")
+
+
+@pytest.mark.parametrize("size", [0, 5, len(EVENTS[0]) + 3, len(STREAM) - 1])
+def test_engine_whose_stream_ends_inside_an_event_is_looked_into(size):
+    """Guards against requests that end engine after engine without evidence against them."""
+
+    async def scenario():
+        async with Front() as front:
+            front.put_config(routes=[ROUTE])
+            await front.add_endpoint("e", end_after(size, is_reset=False))
+            detector, runs = front.forwarder.context.detector, []
+            record_broken = detector.record_broken
+
+            def record(view, run):
+                runs.append((view.endpoint.endpoint_id, run.events))
+                return record_broken(view, run)
+
+            detector.record_broken = record
+            await front.send()
+            return runs
+
+    assert asyncio.run(scenario()) == [("e", STREAM[:size].count(b"\n\n"))]
