Streams: a document does not continue a stream that a caller takes up

Within one answer the media type was compared; at the start of an answer that goes on with an earlier one it was not.

Change: what is taken up is a stream of events, so that another media type counts as a broken attempt. test_document_does_not_continue_a_stream_that_was_taken_up failed before.

--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -59,6 +59,9 @@
     acquire_retry: Callable[[Exchange, Call], bool]
 
 
+EVENT_STREAM = b"text/event-stream"
+
+
 def describe_outcome(outcome: Outcome) -> str:
     """Return the text of an outcome for the log."""
     match outcome:
@@ -198,7 +201,7 @@
             view.record_stated_requests(info.requests, self.loop.time())
         is_stream = call.route.kind is RequestKind.STREAM
         if info.status == 200 and is_stream and info.has_stamp and not info.is_encoded:
-            if self.exchange.is_started and not self._is_same_kind(info):
+            if not self._is_same_kind(info):
                 self._log_invalid_answer(f"a stream goes on as {info.media_type!r}")
                 return Broken()
             return await self._relay_events(connection, info)
@@ -222,8 +225,11 @@
         return Answered(info.status)
 
     def _is_same_kind(self, info: AnswerInfo) -> bool:
-        """Return whether a body can continue the one of which the caller has a part."""
-        return self.call.answer is not None and info.media_type == self.call.answer.media_type
+        """Return whether a body can continue the one of which the caller has a part, if any."""
+        if self.exchange.is_started:
+            return self.call.answer is not None and info.media_type == self.call.answer.media_type
+        # What the caller has came from an earlier request, which stated a stream of events.
+        return not self.call.takes_up or info.media_type in (b"", EVENT_STREAM)
 
     def _failure_status(self) -> int:
         """Return the lowest status that does not prove that the engine has run the request.
--- a/tests/test_joined_streams.py
+++ b/tests/test_joined_streams.py
@@ -265,3 +265,17 @@
     assert {answer.status for answer in whole} == {200}
     for answer in answers:
         assert answer.fault(is_stream=True) is None
+
+
+def test_document_does_not_continue_a_stream_that_was_taken_up(tmp_path):
+    """Guards against an engine whose document ends a stream as complete (soak seed 9103)."""
+
+    async def scenario():
+        async with open_site(tmp_path, ["v1"]) as site:
+            begun = await begin_streams(site, 0)
+            for listed in site.engines.values():
+                listed.engine.faults = EngineFaults(plain=1.0)
+            return await take_up(site, 1, begun)
+
+    answers = asyncio.run(scenario())
+    assert not any(answer.status == 200 and answer.is_complete for answer in answers)
