Weights: engines of unnamed services, and engines that do not answer, hold up no rollout

Cause: the rollout took each listed engine with weights, whatever its service, idle ones first, and one whose load had failed got its place again before any that serves. Change: only services of the configuration are rolled out, and engines whose last loads failed come after the others, which also covers silent engines of a named service.

--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -129,6 +129,8 @@
         return bool(self.rollout.outdated_engines(engines, due))
 
     def _engines(self) -> list[EngineStatus]:
+        """Return the engines of the services that the configuration names, if there is one."""
+        config = self.state.config
         return [
             EngineStatus(
                 view.endpoint.endpoint_id,
@@ -138,6 +140,7 @@
             )
             for view in self.state.views.values()
             if view.weights
+            and (config is None or view.endpoint.service in config.services)
             and view.endpoint.state is EndpointState.READY
             and not view.availability.is_leaving
         ]
--- a/teaselpath/gateway/tests/test_orders.py
+++ b/teaselpath/gateway/tests/test_orders.py
@@ -1,6 +1,7 @@
 """Weights orders: the queue of an engine drains before the order is sent."""
 
 import asyncio
+import json
 from typing import Any, cast
 
 import pytest
@@ -70,6 +71,19 @@
     assert asyncio.run(scenario()) == ["f"]
 
 
+def test_engine_of_a_service_that_the_configuration_does_not_name_gets_no_weights_order(state):
+    """Guards against entries of another writer that hold all places for loads."""
+    value = json.dumps({"version": 1, "services": [{"name": "s"}]}).encode()
+    state.apply_operator_record(StoredRecord("config", value, Position(1, 1)), "store", 1.0)
+    state.apply_endpoint_record(endpoint_record("e", 1), "store", 1.0)
+    state.apply_endpoint_record(endpoint_record("f", 2, service="stray"), "store", 1.0)
+
+    async def scenario():
+        return [engine.key for engine in make_keeper(state)._engines()]
+
+    assert asyncio.run(scenario()) == ["e"]
+
+
 def test_engine_that_wants_no_calls_is_ordered_later(state):
     async def scenario():
         state.apply_endpoint_record(endpoint_record("e", 1), "store", 1.0)
--- a/teaselpath/gateway/tests/test_unframed_streams.py
+++ b/teaselpath/gateway/tests/test_unframed_streams.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from typing import Any
 
 import pytest
 
@@ -64,7 +65,8 @@
         async with Front() as front:
             front.put_config(routes=[ROUTE])
             await front.add_endpoint("e", end_after(size, is_reset=False))
-            detector, runs = front.forwarder.context.detector, []
+            detector: Any = front.forwarder.context.detector
+            runs = []
             record_broken = detector.record_broken
 
             def record(view, run):
--- a/teaselpath/rollout/_weights.py
+++ b/teaselpath/rollout/_weights.py
@@ -4,6 +4,7 @@
 orders the engine had accepted before it, so an engine ignores a delayed duplicate of an old order.
 """
 
+from collections import Counter
 from dataclasses import dataclass
 from enum import Enum
 
@@ -119,12 +120,14 @@
     """Schedules orders to engines; only the gateway that holds the lease executes them.
 
     :ivar loads: loads in progress and recently failed ones, by endpoint id.
+    :ivar failures: failed loads in a row, by endpoint id; other engines load before these.
     :ivar load_s: moving average of the time from an accepted order to the report that shows the new
         weights, in seconds.
     """
 
     def __init__(self) -> None:
         self.loads: dict[str, _EngineLoad] = {}
+        self.failures: Counter[str] = Counter()
         self.load_s = 1.0
 
     def outdated_engines(
@@ -152,6 +155,8 @@
         """
         actions: list[Action] = []
         engines_by_key = {engine.key: engine for engine in engines}
+        for key in self.failures.keys() - engines_by_key.keys():
+            del self.failures[key]
         for key, load in list(self.loads.items()):
             engine = engines_by_key.get(key)
             if engine is None or engine.started_at_ms != load.engine_started_at_ms:
@@ -184,7 +189,7 @@
             for engine, model in self.outdated_engines(engines, announced)
             if engine.key not in self.loads
         ]
-        candidates.sort(key=lambda pair: (pair[0].weights[pair[1]], pair[0].requests, pair[0].key))
+        candidates.sort(key=self._precedence)
         actions: list[Action] = []
         for engine, model in candidates[: max(0, startable_loads)]:
             self.loads[engine.key] = _EngineLoad(
@@ -193,6 +198,10 @@
             actions.append(FetchReport(engine.key))
         return actions
 
+    def _precedence(self, candidate: tuple[EngineStatus, str]) -> tuple[int, int, int, str]:
+        engine, model = candidate
+        return self.failures[engine.key], engine.weights[model], engine.requests, engine.key
+
     def _active_loads(self) -> int:
         return sum(load.phase is not Phase.FAILED for load in self.loads.values())
 
@@ -207,6 +216,7 @@
         target = max(load.version, announced.get(load.model, 0))
         if version >= load.version and not report.is_busy:
             del self.loads[key]
+            self.failures.pop(key, None)
             if load.ordered_at is not None:
                 self.load_s += 0.3 * (now - load.ordered_at - self.load_s)
             return [Loaded(key, load.model, version, now - load.load_started_at)]
@@ -240,6 +250,7 @@
         match status:
             case "done":
                 del self.loads[key]
+                self.failures.pop(key, None)
                 return [Loaded(key, load.model, load.version, now - load.load_started_at)]
             case "accepted" | None:
                 load.phase = Phase.LOADING
@@ -260,4 +271,5 @@
     def _fail(self, key: str, load: _EngineLoad, reason: str, now: float) -> LoadFailed:
         load.phase = Phase.FAILED
         load.due_at = now + RETRY_DELAY_S
+        self.failures[key] += 1
         return LoadFailed(key, reason)
--- a/teaselpath/rollout/tests/test_weights.py
+++ b/teaselpath/rollout/tests/test_weights.py
@@ -92,3 +92,21 @@
     rollout.plan(engines(1), {MODEL: 2}, 0.0)
     restarted = [EngineStatus("e0", 2, {MODEL: 1}, 0)]
     assert rollout.plan(restarted, {MODEL: 2}, 0.1) == [FetchReport("e0")]
+
+
+def test_engines_that_do_not_answer_take_no_place_again_before_the_others():
+    """Guards against silent engines that hold all places, idle as they are."""
+    rollout, loaded, now = WeightsRollout(), set(), 0.0
+    silent = {f"e{number}" for number in range(6)}
+    fleet = engines(9)
+    for _ in range(12):
+        waiting = [engine for engine in fleet if engine.key not in loaded]
+        for action in rollout.plan(waiting, {MODEL: 2}, now):
+            assert isinstance(action, FetchReport)
+            if action.key in silent:
+                rollout.handle_report_failure(action.key, now)
+            else:
+                rollout.handle_report(action.key, report(2), {MODEL: 2}, now)
+                loaded.add(action.key)
+        now += 0.7
+    assert loaded == {"e6", "e7", "e8"}
