--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -90,7 +90,7 @@
         self.peers.gate = self.gate
         self.state.on_new_era.append(self.gate.synchronizer.read_soon)
         self.origins = StreamOrigins(
-            self.state, store, self.metrics, self.peers, self.watcher.confirm_endpoints
+            self.state, store, self.metrics, self.peers, self.watcher.confirmer.confirm
         )
         self.peers.origins = self.origins
         self.state.on_endpoint_changed = self.origins.update_versions
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -7,8 +7,8 @@
 
 from teaselpath.exchange import TopicPolls, is_large_fleet
 from teaselpath.fleet import Position, RecordPage, StoredRecord, StoreError, Topic
+from teaselpath.gateway._endpoint_confirmer import EndpointConfirmer
 from teaselpath.gateway._record_logs import read_record
-from teaselpath.gateway._shared_call import SharedCall
 from teaselpath.gateway._standstill import Standstill
 from teaselpath.gateway._state import UNKNOWN_SINCE, GatewayState
 from teaselpath.utils import is_ipv4
@@ -38,12 +38,6 @@
 # The same in a large fleet, in which gateways also learn of each other from their messages.
 LARGE_FLEET_MEMBER_INTERVAL_S = 24.0
 LAPSE_CHECK_INTERVAL_S = 0.25
-# Time for one read that a caller waits for, in seconds: the store may be in another region.
-PROMPT_READ_S = 0.25
-# Such reads that are tried, since a connection can be silent.
-PROMPT_READS = 2
-# Longest time that a caller waits for them, in seconds.
-CONFIRM_S = 0.6
 
 
 class MemberRecord(msgspec.Struct):
@@ -60,6 +54,7 @@
 
     :param state: state of this gateway, to which records are applied.
     :ivar standstill: tells when this process did not run.
+    :ivar confirmer: reads the endpoints at once.
     :ivar must_announce: whether the store may have lost the record of this gateway.
     :ivar endpoints_listed_at: time of the last listing of the endpoint topic, in seconds.
     """
@@ -74,9 +69,8 @@
         self.endpoints_listed_at = 0.0
         self.loop = asyncio.get_running_loop()
         self.standstill = Standstill(self.loop.time)
-        self.prompt_read = SharedCall(self._read_endpoints)
-        self.standstill.on_end = self._confirm_soon
-        self.confirmation: asyncio.Task[None] | None = None
+        self.confirmer = EndpointConfirmer(state, self.standstill, self._apply_endpoints)
+        self.standstill.on_end = self.confirmer.confirm_soon
         state.standstill_ended_at = self.standstill.last_end
         state.on_new_era.append(self._end_polls)
 
@@ -88,51 +82,6 @@
         """Follow the endpoint topic."""
         await self._follow(Topic.ENDPOINTS, ENDPOINTS_WAIT_S, ENDPOINTS_PAUSE_S)
 
-    async def confirm_endpoints(self) -> bool:
-        """Read the endpoints now; return whether all that the store lists by now are known.
-
-        A store that has returned from a copy, or deleted what was not read, may lack some.
-        """
-        try:
-            async with asyncio.timeout(CONFIRM_S):
-                return await self.prompt_read.run()
-        except TimeoutError:
-            return False
-
-    def _confirm_soon(self) -> None:
-        """Read the endpoints after a standstill; the poll in flight was sent before it."""
-        if self.confirmation is None:
-            self.confirmation = self.loop.create_task(self._confirm_after_standstill())
-
-    async def _confirm_after_standstill(self) -> None:
-        while self.standstill.has_lasted_since(self.state.endpoints_read_at):
-            await self.confirm_endpoints()
-            await asyncio.sleep(RETRY_DELAY_S)
-        self.confirmation = None
-
-    async def _read_endpoints(self) -> bool:
-        reads = PROMPT_READS if self.state.store_up else 1
-        for _ in range(reads):
-            try:
-                async with asyncio.timeout(PROMPT_READ_S):
-                    return await self._read_endpoints_once()
-            except TimeoutError:
-                log_message("endpoints_not_confirmed", reason="no answer in time")
-            except StoreError as error:
-                log_message("endpoints_not_confirmed", reason=str(error))
-                break
-        return False
-
-    async def _read_endpoints_once(self) -> bool:
-        state, topic, sent_at = self.state, Topic.ENDPOINTS, self.loop.time()
-        page = await self.store.poll(topic, state.endpoints.position.shifted(1), 0.0)
-        now = self.loop.time()
-        if not state.observe_era(page.end.era, "store", now):
-            return False
-        self._apply(topic, page, now)
-        state.endpoints_read_at = max(sent_at, state.endpoints_read_at)
-        return not page.is_listing and not state.may_lack_copied(now)
-
     async def follow_members(self) -> None:
         """Announce this gateway, also in each new era of the store, and record the others."""
         beat, cursor = 0, None
@@ -316,9 +265,12 @@
         if topic is Topic.OPERATORS:
             for record in page.records:
                 state.apply_operator_record(record, "store", now, missed_since)
-            return
+        else:
+            self._apply_endpoints(page, now)
+
+    def _apply_endpoints(self, page: RecordPage, now: float) -> None:
         for record in page.records:
-            state.apply_endpoint_record(record, "store", now)
+            self.state.apply_endpoint_record(record, "store", now)
         if page.is_listing:
             self.endpoints_listed_at = now
-            state.remove_unlisted({r.key for r in page.records if r.value}, page.end, now)
+            self.state.remove_unlisted({r.key for r in page.records if r.value}, page.end, now)
--- a/teaselpath/gateway/tests/test_watch.py
+++ b/teaselpath/gateway/tests/test_watch.py
@@ -6,7 +6,7 @@
 import pytest
 
 from teaselpath.fleet import Position, RecordPage, StoredRecord, StoreError, Topic
-from teaselpath.gateway import _watch
+from teaselpath.gateway import _endpoint_confirmer, _watch
 from teaselpath.gateway._standstill import STANDSTILL_S, Standstill
 from teaselpath.gateway._watch import StoreWatcher
 from teaselpath.gateway.tests.conftest import (
@@ -249,14 +249,13 @@
 def test_endpoints_are_confirmed_only_by_an_unbroken_read_of_the_store(
     state, monkeypatch, page, is_confirmed
 ):
-    monkeypatch.setattr(_watch, "PROMPT_READ_S", 0.05)
+    monkeypatch.setattr(_endpoint_confirmer, "READ_S", 0.05)
     state.apply_endpoint_record(endpoint_record("e", 5), "store", 1.0)
     state.observe_era(1, "store", 1.0)
     state.record_store_success(1.0)
 
     async def scenario(store):
-        store.watcher.loop = asyncio.get_running_loop()
-        task = asyncio.create_task(store.watcher.confirm_endpoints())
+        task = asyncio.create_task(store.watcher.confirmer.confirm())
         await settle()
         if isinstance(page, StoreError):
             store.polls[Topic.ENDPOINTS][1].set_exception(page)
@@ -272,7 +271,7 @@
 
 def test_endpoints_are_read_at_once_after_a_standstill(state, monkeypatch):
     """Guards against a poll in flight that tells of the time before the standstill."""
-    monkeypatch.setattr(_watch, "RETRY_DELAY_S", 0.0)
+    monkeypatch.setattr(_endpoint_confirmer, "RETRY_DELAY_S", 0.0)
     state.apply_endpoint_record(endpoint_record("e", 5), "store", 1.0)
     state.observe_era(1, "store", 1.0)
     state.record_store_success(1.0)
