ORDER: a take-up whose caller names no request goes on in an outage if all gateways know one version

Outside large fleets all gateways can be asked for their versions alone. test_stream_whose_caller_names_no_request_goes_on_only_at_the_one_version failed before (None instead of v1 while the store is away).

--- a/teaselpath/gateway/_origins.py
+++ b/teaselpath/gateway/_origins.py
@@ -17,6 +17,7 @@
 from teaselpath.gateway._version_store import VersionSynchronizer
 from teaselpath.lineage import (
     MAX_NOTE_STREAMS,
+    MAX_TOLD_GATEWAYS,
     MIN_TAKE_UP_S,
     LineageMessage,
     Origin,
@@ -32,6 +33,8 @@
     take_up_time_s,
 )
 
+# Key that stands for no stream in a question for versions only.
+NO_STREAM = 0
 # Interval at which origins and versions that no longer count are forgotten, in seconds.
 EXPIRE_INTERVAL_S = 1.0
 # Time after the start in which a gateway learns the versions of the store before it is ready, in
@@ -228,22 +231,27 @@
         version = self._only_version(call, self.loop.time())
         if version is not None and is_confirmed:
             return version, "versions"
-        if key is None:
-            return None, "unknown"
         return await self._ask(call, key, may_agree=not is_confirmed), "gateway"
 
     def _is_listed(self, origin: Origin) -> bool:
         """Return whether an engine of the version of a stream is known."""
         return origin.version in self.history.of(origin.service).listed
 
-    async def _ask(self, call: Call, key: int, *, may_agree: bool) -> str | None:
+    async def _ask(self, call: Call, key: int | None, *, may_agree: bool) -> str | None:
         """Ask other gateways at which version a stream began; None if that cannot be told.
 
+        :param key: key of the stream; None if its caller does not name the request that began it.
         :param may_agree: whether the only version that all of them know counts, since the store
             cannot be read.
         """
         since_s, now = take_up_time_s(call.route.timeout_s), self.loop.time()
-        hosts = choose_holders(key, self.state.members, is_query=True)
+        if key is None:
+            # Nobody knows the stream, so that only all gateways together can tell its version.
+            key, hosts = NO_STREAM, list(self.state.members)
+            if not may_agree or len(hosts) > MAX_TOLD_GATEWAYS:
+                return None
+        else:
+            hosts = choose_holders(key, self.state.members, is_query=True)
         running = [host for host in hosts if self.state.may_be_running(host, now)]
         own = self.history.of(call.service.name).versions_since(now - since_s)
         replies = await self.questions.ask(hosts, key, call.service.name, since_s) if hosts else {}
--- a/teaselpath/gateway/tests/test_stream_origins.py
+++ b/teaselpath/gateway/tests/test_stream_origins.py
@@ -158,6 +158,24 @@
     assert without_one[0] is None
 
 
+@pytest.mark.parametrize("away", [(), HOSTS])
+@pytest.mark.parametrize("is_mixed", [False, True])
+def test_stream_whose_caller_names_no_request_goes_on_only_at_the_one_version(away, is_mixed):
+    """Guards against refusals in an outage, and against a version that is guessed."""
+
+    async def scenario(fleet):
+        if is_mixed:
+            fleet.start_engine("new", "v2", "gw-0")
+        fleet.away = set(away)
+        version, _ = await fleet.take_up("gw-1", None)
+        fleet.cut = {"gw-2"}
+        return version, (await fleet.take_up("gw-1", None))[0]
+
+    version, with_silent_gateway = run(scenario)
+    assert version == (None if is_mixed else "v1")
+    assert with_silent_gateway == (None if is_mixed or away else "v1")
+
+
 def test_gateway_that_has_not_read_the_versions_takes_part_in_no_agreement():
     """Guards against gateways that started without the store and know the newest version only."""
 
--- a/teaselpath/lineage/__init__.py
+++ b/teaselpath/lineage/__init__.py
@@ -20,7 +20,13 @@
     OriginReply,
     VersionNote,
 )
-from teaselpath.lineage._origins import Origin, OriginTable, choose_holders, stream_key
+from teaselpath.lineage._origins import (
+    MAX_TOLD_GATEWAYS,
+    Origin,
+    OriginTable,
+    choose_holders,
+    stream_key,
+)
 from teaselpath.lineage._stored import (
     CLOCK_ERROR_S,
     StoredVersions,
@@ -31,6 +37,7 @@
 __all__ = [
     "CLOCK_ERROR_S",
     "MAX_NOTE_STREAMS",
+    "MAX_TOLD_GATEWAYS",
     "MIN_TAKE_UP_S",
     "LineageMessage",
     "Origin",
