--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -36,6 +36,8 @@
 from teaselpath.results import Code
 
 T = TypeVar("T")
+# Media type of the answers that a caller can take up.
+EVENT_STREAM = b"text/event-stream"
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,9 +61,6 @@
     acquire_retry: Callable[[Exchange, Call], bool]
 
 
-EVENT_STREAM = b"text/event-stream"
-
-
 def describe_outcome(outcome: Outcome) -> str:
     """Return the text of an outcome for the log."""
     match outcome:
--- a/teaselpath/gateway/_origins.py
+++ b/teaselpath/gateway/_origins.py
@@ -247,11 +247,10 @@
         since_s, now = take_up_time_s(call.route.timeout_s), self.loop.time()
         if key is None:
             # Nobody knows the stream, so that only all gateways together can tell its version.
-            key, hosts = NO_STREAM, list(self.state.members)
-            if not may_agree or len(hosts) > MAX_TOLD_GATEWAYS:
+            if not may_agree or len(self.state.members) > MAX_TOLD_GATEWAYS:
                 return None
-        else:
-            hosts = choose_holders(key, self.state.members, is_query=True)
+            key = NO_STREAM
+        hosts = choose_holders(key, self.state.members, is_query=True)
         running = [host for host in hosts if self.state.may_be_running(host, now)]
         own = self.history.of(call.service.name).versions_since(now - since_s)
         replies = await self.questions.ask(hosts, key, call.service.name, since_s) if hosts else {}
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -465,15 +465,17 @@
         """Return the numbers of reachable and of possibly running gateways, including this one."""
         reachable = possible = 1
         timeout_s = self.peer_timeout_s()
-        for member in self.members.values():
+        for host, member in self.members.items():
             if now - member.last_contact_at < timeout_s:
                 reachable += 1
-            possible += _may_be_running(member, now)
+            if self.may_be_running(host, now):
+                possible += 1
         return reachable, max(reachable, possible)
 
     def may_be_running(self, host: str, now: float) -> bool:
         """Return whether another gateway was listed or heard of lately."""
-        return host in self.members and _may_be_running(self.members[host], now)
+        member = self.members[host]
+        return now - max(member.last_contact_at, member.listed_at) < MEMBER_EXPIRY_S
 
     def retry_budget(self, service: str) -> SlidingRetryBudget:
         """Return the retry budget of a service."""
@@ -493,9 +495,5 @@
         return self.config.workspaces.get(key)
 
 
-def _may_be_running(member: Member, now: float) -> bool:
-    return now - max(member.last_contact_at, member.listed_at) < MEMBER_EXPIRY_S
-
-
 def _ignore(_before: Endpoint | None, _after: Endpoint | None) -> None:
     """Ignore a change of the listed endpoints."""
--- a/teaselpath/gateway/tests/test_announcement_ages.py
+++ b/teaselpath/gateway/tests/test_announcement_ages.py
@@ -75,7 +75,7 @@
             store.polls[Topic.OPERATORS][1].set_exception(StoreError("no answer"))
             await settle()
         if stands_still:
-            store.standstill.ran_at -= STANDSTILL_S + 0.1
+            store.watcher.standstill.ran_at -= STANDSTILL_S + 0.1
         store.answer(Topic.OPERATORS, weights_record(), end=Position(1, 2))
         await settle()
         announced = state.announced["m"]
--- a/teaselpath/gateway/tests/test_watch.py
+++ b/teaselpath/gateway/tests/test_watch.py
@@ -7,7 +7,7 @@
 
 from teaselpath.fleet import Position, RecordPage, StoredRecord, StoreError, Topic
 from teaselpath.gateway import _endpoint_confirmer, _watch
-from teaselpath.gateway._standstill import STANDSTILL_S, Standstill
+from teaselpath.gateway._standstill import STANDSTILL_S
 from teaselpath.gateway._watch import StoreWatcher
 from teaselpath.gateway.tests.conftest import (
     SETTINGS,
@@ -24,10 +24,8 @@
     :ivar starts: position from which each poll reads, by topic, in order.
     :ivar appends: keys of the appended records.
     :ivar watcher: follows this store.
-    :ivar standstill: that of the watcher.
     """
 
-    standstill: Standstill
     watcher: StoreWatcher
 
     def __init__(self, decoder):
@@ -97,7 +95,7 @@
     async def run():
         store = state.store = HangingStore(state.store)
         watcher = StoreWatcher(state)
-        store.watcher, store.standstill = watcher, watcher.standstill
+        store.watcher = watcher
         async with asyncio.TaskGroup() as group:
             tasks = [group.create_task(getattr(watcher, job)()) for job in jobs]
             await settle()
@@ -277,7 +275,7 @@
     state.record_store_success(1.0)
 
     async def scenario(store):
-        store.standstill.ran_at -= STANDSTILL_S + 0.1
+        store.watcher.standstill.ran_at -= STANDSTILL_S + 0.1
         known = [state.knows_software(state.views["e"], 100.0)]
         await settle()
         store.polls[Topic.ENDPOINTS][1].set_exception(StoreError("busy"))
--- a/tests/test_stale_gateways.py
+++ b/tests/test_stale_gateways.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+from contextlib import asynccontextmanager
 
 import pytest
 
@@ -54,16 +55,23 @@
     return await asyncio.gather(*taken_up)
 
 
+@asynccontextmanager
+async def open_stopped_gateway(folder):
+    """Run a site of one version; yield it and callers of a gateway that is then stopped."""
+    async with open_site(folder, ["v1"]) as site:
+        await site.add_engine("desk-0", "desk")
+        await asyncio.sleep(1.5)
+        callers = await connect(site, STOPPED)
+        site.signal_gateway(STOPPED, signal.SIGSTOP)
+        yield site, callers
+
+
 @pytest.mark.parametrize("is_first_killed", [False, True])
 def test_stream_that_was_taken_up_at_a_stopped_gateway_is_not_joined(tmp_path, is_first_killed):
     """Guards against versions that were the only ones before the gateway stood still."""
 
     async def scenario():
-        async with open_site(tmp_path, ["v1"]) as site:
-            await site.add_engine("desk-0", "desk")
-            await asyncio.sleep(1.5)
-            callers = await connect(site, STOPPED)
-            site.signal_gateway(STOPPED, signal.SIGSTOP)
+        async with open_stopped_gateway(tmp_path) as (site, callers):
             stopped_until = asyncio.get_running_loop().time() + STOPPED_S
             await release(site)
             begun = await begin_streams(site, 0)
@@ -86,11 +94,7 @@
     """Guards against a version that is believed, and against a refusal although others know."""
 
     async def scenario():
-        async with open_site(tmp_path, ["v1"]) as site:
-            await site.add_engine("desk-0", "desk")
-            await asyncio.sleep(1.5)
-            callers = await connect(site, STOPPED)
-            site.signal_gateway(STOPPED, signal.SIGSTOP)
+        async with open_stopped_gateway(tmp_path) as (site, callers):
             await release(site)
             begun = await begin_streams(site, 0)
             # The gateway that is silent towards the store learns of the engines from its peers.
