Stated load: read whole, with the pace of an engine; settings of contended room and of rollouts

Cause: engines of a new deployment state a fourth figure in Server-Load, how long work takes at this moment. The header with four values was dropped whole, counts included. Change: counts are read with any number of further figures, the fourth is kept as pace with the time of its arrival, and a load that cannot be read is logged once per start of an engine. GatewaySettings tells whether room is contended and which limits rollouts of software have.

--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -61,6 +61,10 @@
         start of the endpoint.
     :param stated_requests: requests that it was running or had queued by its last answer.
     :param stated_at: time at which that answer arrived.
+    :param stated_pace: how long work takes there as a multiple of the usual, as last stated; None
+        if it states none.
+    :param pace_stated_at: time at which that statement arrived.
+    :param has_stated_invalid_load: whether a stated load could not be read.
     """
 
     endpoint: Endpoint
@@ -76,6 +80,9 @@
     availability: Availability = field(default_factory=Availability)
     stated_requests: int = 0
     stated_at: float = float("-inf")
+    stated_pace: float | None = None
+    pace_stated_at: float = float("-inf")
+    has_stated_invalid_load: bool = False
 
     def record_weights(self, model: str, version: int) -> None:
         """Record the version of a model's weights; versions older than the recorded are ignored."""
@@ -86,6 +93,13 @@
         self.stated_requests = requests
         self.stated_at = now
 
+    def record_pace(self, pace: float, now: float) -> bool:
+        """Record the pace that an answer states; return whether it is the first one."""
+        is_first = self.stated_pace is None
+        self.stated_pace = pace
+        self.pace_stated_at = now
+        return is_first
+
     def record_not_run(self, requests: int | None, now: float) -> None:
         """Record that the endpoint refused a request with a prompt as not run.
 
--- a/teaselpath/fleet/__init__.py
+++ b/teaselpath/fleet/__init__.py
@@ -42,7 +42,7 @@
     StoredRecord,
     Topic,
 )
-from teaselpath.fleet._settings import Bounds, GatewaySettings
+from teaselpath.fleet._settings import Bounds, GatewaySettings, RolloutBounds
 
 __all__ = [
     "BEFORE_ALL",
@@ -75,6 +75,7 @@
     "RequestCodec",
     "RequestKind",
     "Revision",
+    "RolloutBounds",
     "Route",
     "Service",
     "StoreError",
--- a/teaselpath/fleet/_settings.py
+++ b/teaselpath/fleet/_settings.py
@@ -29,6 +29,21 @@
     drain_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class RolloutBounds:
+    """Limits on a rollout of software that an operator asks for.
+
+    :param exposed_fraction: fraction of a service's requests that a bad version may get.
+    :param exposed_extra: requests that it may get beyond them.
+    :param rollback_s: time after the answers that show a version to be bad until it gets no more
+        requests, in seconds.
+    """
+
+    exposed_fraction: float
+    exposed_extra: float
+    rollback_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class GatewaySettings:
     """Settings of one gateway process.
@@ -42,6 +57,9 @@
     :param store_address: address of the metadata store, IP:PORT.
     :param entry_expiry_s: time without heartbeats after which the store removes the entry of an
         endpoint, in seconds.
+    :param is_room_contended: whether workspaces compete for too little room at the endpoints, so
+        that they share it by weight and requests that would come too late are rejected.
+    :param rollout: limits on rollouts of software; None if operators ask for none.
     """
 
     host: str
@@ -56,3 +74,5 @@
     store_address: str
     entry_expiry_s: float
     bounds: Bounds
+    is_room_contended: bool = False
+    rollout: RolloutBounds | None = None
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -24,7 +24,7 @@
 from teaselpath.gateway._origins import StreamOrigins
 from teaselpath.gateway._quarantine import PROVING_EVENTS, QuarantineGate
 from teaselpath.gateway._state import GatewayState
-from teaselpath.gateway._statements import record_availability
+from teaselpath.gateway._statements import record_availability, record_load
 from teaselpath.http1 import (
     ClientConnection,
     ConnectFailed,
@@ -196,8 +196,7 @@
         self._record_limit(info)
         drain_s = self.context.state.settings.bounds.drain_s
         record_availability(view, info, drain_s, self.loop.time())
-        if info.requests is not None and not info.is_misdirected:
-            view.record_stated_requests(info.requests, self.loop.time())
+        record_load(view, info, self.loop.time())
         is_stream = call.route.kind is RequestKind.STREAM
         if info.status == 200 and is_stream and info.has_stamp and not info.is_encoded:
             if not self._is_same_kind(info):
--- a/teaselpath/gateway/_statements.py
+++ b/teaselpath/gateway/_statements.py
@@ -32,6 +32,23 @@
         )
 
 
+def record_load(view: EndpointView, info: AnswerInfo, now: float) -> None:
+    """Record the load that an answer states; one that cannot be read is logged once."""
+    if info.is_misdirected:
+        return
+    if info.requests is not None:
+        view.record_stated_requests(info.requests, now)
+    if info.pace is not None and view.record_pace(info.pace, now):
+        log_message("endpoint_states_pace", endpoint=view.endpoint.endpoint_id, pace=info.pace)
+    if info.invalid_load is not None and not view.has_stated_invalid_load:
+        view.has_stated_invalid_load = True
+        log_message(
+            "endpoint_load_invalid",
+            endpoint=view.endpoint.endpoint_id,
+            text=info.invalid_load,
+        )
+
+
 def record_hold_off(view: EndpointView, hold_off_s: float, now: float) -> None:
     """Record that an endpoint wants no requests of this gateway for a while.
 
--- a/teaselpath/platform/_requests.py
+++ b/teaselpath/platform/_requests.py
@@ -28,6 +28,11 @@
 MAX_RETRY_AFTER_S = 1e9
 _SECONDS = re.compile(rb"\d+(\.\d*)?|\.\d+")
 _DECIMAL = re.compile(rb"\d{1,12}(\.\d{0,12})?")
+_COUNT = re.compile(rb"\d{1,9}")
+# Counts with which a stated load begins: running and waiting requests, slots.
+LOAD_COUNTS = 3
+# Stated figure of an engine whose work takes as long as usual.
+USUAL_PACE = 100.0
 
 # Fields that are not forwarded from callers; the gateway sets some of them itself.
 _NOT_FORWARDED_FIELDS = frozenset(
@@ -136,6 +141,11 @@
         leaving_text = fields.get(LEAVING)
         is_leaving = states_leaving(headers)
         hold_off_s, invalid_hold_off = parse_hold_off(status, headers)
+        load_text = fields.get(b"server-load")
+        requests, pace = _parse_load(load_text)
+        is_invalid_load = load_text is not None and (
+            requests is None or (pace is None and load_text.count(b",") > LOAD_COUNTS - 1)
+        )
         return AnswerInfo(
             status=status,
             has_stamp=RESPONSE_STAMP in fields,
@@ -144,7 +154,9 @@
             is_misdirected=status == 421,
             is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
             weights=_parse_integer(fields.get(b"weight-versions")),
-            requests=_parse_load(fields.get(b"server-load")),
+            requests=requests,
+            pace=pace,
+            invalid_load=_excerpt(load_text) if is_invalid_load else None,
             limit_per_s=limit_per_s,
             invalid_limit=_excerpt(limit_text) if is_invalid else None,
             media_type=fields.get(b"content-type", b"").partition(b";")[0].strip().lower(),
@@ -231,13 +243,20 @@
     return rate if isfinite(rate) else None
 
 
-def _parse_load(value: bytes | None) -> int | None:
-    """Return the number of running and waiting requests; the slots follow them."""
-    try:
-        running, waiting, _slots = (value or b"").split(b",")
-        return max(0, int(running)) + max(0, int(waiting))
-    except ValueError:
-        return None
+def _parse_load(value: bytes | None) -> tuple[int | None, float | None]:
+    """Return the number of running and waiting requests, and the pace, each None if not stated.
+
+    The figures are running, waiting, slots and, from some engines, how long work takes in percent
+    of the usual. Figures that may follow have no meaning here.
+    """
+    figures = [figure.strip() for figure in (value or b"").split(b",")]
+    counts = figures[:LOAD_COUNTS]
+    if len(counts) < LOAD_COUNTS or not all(_COUNT.fullmatch(count) for count in counts):
+        return None, None
+    pace = None
+    if len(figures) > LOAD_COUNTS and _DECIMAL.fullmatch(figures[LOAD_COUNTS]):
+        pace = float(figures[LOAD_COUNTS]) / USUAL_PACE or None
+    return int(figures[0]) + int(figures[1]), pace
 
 
 def _parse_token_counts(value: bytes | None) -> tuple[int, int] | None:
--- a/teaselpath/platform/_settings.py
+++ b/teaselpath/platform/_settings.py
@@ -6,12 +6,15 @@
 import msgspec
 from result import Err, Ok, Result
 
-from teaselpath.fleet import Bounds, GatewaySettings
+from teaselpath.fleet import Bounds, GatewaySettings, RolloutBounds
 from teaselpath.results import Code, Failure
 
 SETTINGS_VARIABLE = "TEASELPATH_SETTINGS"
 # Heartbeats that an endpoint misses before the store removes its entry.
 MISSED_HEARTBEATS = 3
+# Contracts of a deployment whose callers compete for room, and whose operators ask for rollouts.
+CONTENDED_CONTRACT = "pressure"
+ROLLOUT_CONTRACT = "rollout"
 
 
 class _Addresses(msgspec.Struct):
@@ -29,6 +32,10 @@
     version_ms: float = 10_000
     stable_window_ms: float = 4000
     drain_ms: float = 3000
+    # Share of the requests that a bad version may get, and requests beyond it.
+    expose_share: float = 0.1
+    bad_version_share: float = 50
+    rollback_ms: float = 5000
 
 
 class _StoreAddress(msgspec.Struct, rename="camel"):
@@ -46,6 +53,7 @@
     internal_ports: tuple[int, int]
     platform: _StoreAddress
     heartbeat_ms: float = 1200
+    contracts: list[str] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     # Addresses of the control interfaces of hosts, which may be down; only the IP is used.
     seeds: list[str] = []
@@ -93,4 +101,14 @@
             recovery_window_s=bounds.stable_window_ms / 1000,
             drain_s=bounds.drain_ms / 1000,
         ),
+        is_room_contended=CONTENDED_CONTRACT in file.contracts,
+        rollout=_to_rollout_bounds(bounds) if ROLLOUT_CONTRACT in file.contracts else None,
+    )
+
+
+def _to_rollout_bounds(bounds: _Bounds) -> RolloutBounds:
+    return RolloutBounds(
+        exposed_fraction=bounds.expose_share,
+        exposed_extra=bounds.bad_version_share,
+        rollback_s=bounds.rollback_ms / 1000,
     )
--- a/teaselpath/platform/tests/test_requests.py
+++ b/teaselpath/platform/tests/test_requests.py
@@ -91,3 +91,33 @@
     headers = [(b"content-type", b"Text/Event-Stream; charset=utf-8")]
     assert CODEC.decode_answer(200, headers).media_type == b"text/event-stream"
     assert CODEC.decode_answer(200, []).media_type == b""
+
+
+@pytest.mark.parametrize(
+    ("text", "requests", "pace"),
+    [
+        (b"3,1,8", 4, None),
+        (b"3, 1, 8, 100", 4, 1.0),
+        (b"3,1,8,250", 4, 2.5),
+        (b"3,1,8,62.5", 4, 0.625),
+        (b"3,1,8,100,7,later", 4, 1.0),
+    ],
+)
+def test_stated_load_is_read_with_or_without_further_figures(text, requests, pace):
+    """Guards against a fourth figure that hides the counts."""
+    info = decode(200, (b"Server-Load", text))
+    assert (info.requests, info.pace, info.invalid_load) == (requests, pace, None)
+
+
+@pytest.mark.parametrize("text", [b"", b"3", b"3,1", b"a,1,8", b"-1,0,8", b"3,1,8.5,100"])
+def test_load_that_cannot_be_read_states_nothing(text):
+    info = decode(200, (b"Server-Load", text))
+    assert (info.requests, info.pace) == (None, None)
+    assert info.invalid_load == repr(text)
+
+
+@pytest.mark.parametrize("figure", [b"", b"fast", b"-5", b"nan", b"0", b"1e3"])
+def test_counts_hold_beside_a_pace_that_cannot_be_read(figure):
+    info = decode(200, (b"Server-Load", b"3,1,8," + figure))
+    assert (info.requests, info.pace) == (4, None)
+    assert info.invalid_load == repr(b"3,1,8," + figure)
