Engine times: a place of their own, and the expected first event of a placement

Cause: one speed for all engines is a constant that placement, queue and reservations read; parts that learn speeds and parts that decide by the aim need one place each to build on. Change: EngineTimes per endpoint view, with the assumed speed; Placed.first_event_s without penalties. Behaviour is unchanged. Measured: dispatch and placement tests.

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -25,6 +25,7 @@
     first_level,
     split_limit,
 )
+from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S, EngineTimes
 from teaselpath.dispatch._health import EndpointHealth
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.dispatch._placement import (
@@ -41,7 +42,6 @@
 from teaselpath.dispatch._retry_budget import SlidingRetryBudget
 from teaselpath.dispatch._return_times import ReturnTimes
 from teaselpath.dispatch._views import (
-    PREFILL_TOKENS_PER_S,
     Demand,
     EndpointView,
     Load,
@@ -69,6 +69,7 @@
     "EndpointLimit",
     "EndpointPool",
     "EndpointView",
+    "EngineTimes",
     "Fail",
     "FirstStep",
     "ForwardAnswer",
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -14,6 +14,7 @@
 
 from dataclasses import replace
 
+from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S
 from teaselpath.dispatch._pool import MAX_CANDIDATES, EndpointPool
 from teaselpath.dispatch._transfers import (
     RECOMPUTE_COST_S_PER_TOKEN,
@@ -23,7 +24,6 @@
     find_sources,
 )
 from teaselpath.dispatch._views import (
-    PREFILL_TOKENS_PER_S,
     Demand,
     EndpointView,
     NoEndpoint,
@@ -288,5 +288,16 @@
     prefill_s = (uncached_tokens + view.pending_prefill_tokens(now)) / PREFILL_TOKENS_PER_S
     cost += fetch_cost_s + max(0, recomputed_tokens) * RECOMPUTE_COST_S_PER_TOKEN
     # Each request in flight at the engine costs another 0.002 s.
-    cost += prefill_s * (1.0 + BATCH_SLOWDOWN_FACTOR * requests) + 0.002 * requests
-    return Placed(view, cost, cached, version, scope, fetch_from, fetched_tokens)
+    first_event_s = prefill_s * (1.0 + BATCH_SLOWDOWN_FACTOR * requests) + 0.002 * requests
+    cost += first_event_s
+    first_event_s += topology.rtt_s(view.endpoint.failure_domain)
+    return Placed(
+        view,
+        cost,
+        cached,
+        version,
+        scope,
+        fetch_from,
+        fetched_tokens,
+        first_event_s=first_event_s,
+    )
--- a/teaselpath/dispatch/_reservation.py
+++ b/teaselpath/dispatch/_reservation.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from teaselpath.dispatch._views import PREFILL_TOKENS_PER_S, EndpointView
+from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S
+from teaselpath.dispatch._views import EndpointView
 
 
 @dataclass(slots=True)
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -6,12 +6,11 @@
 from teaselpath.dispatch._availability import Availability
 from teaselpath.dispatch._backlog import Backlog
 from teaselpath.dispatch._endpoint_limit import EndpointLimit
+from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S, EngineTimes
 from teaselpath.dispatch._health import EndpointHealth
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.fleet import CacheStore, Endpoint, EngineLimits, Prompt
 
-# Assumed prefill speed of an engine, in tokens per second.
-PREFILL_TOKENS_PER_S = 40_000.0
 # Round-trip times to another failure domain of the region and to another region, in seconds. The
 # latencies that deployments specify are 1.4 ms and 30 ms one way.
 CROSS_DOMAIN_RTT_S = 0.003
@@ -65,6 +64,7 @@
         if it states none.
     :param pace_stated_at: time at which that statement arrived.
     :param has_stated_invalid_load: whether a stated load could not be read.
+    :param times: times that it needs for its work.
     """
 
     endpoint: Endpoint
@@ -83,6 +83,7 @@
     stated_pace: float | None = None
     pace_stated_at: float = float("-inf")
     has_stated_invalid_load: bool = False
+    times: EngineTimes = field(default_factory=EngineTimes)
 
     def record_weights(self, model: str, version: int) -> None:
         """Record the version of a model's weights; versions older than the recorded are ignored."""
@@ -216,6 +217,7 @@
     :param fetched_tokens: tokens that it is expected to fetch.
     :param save_to: address of the store to which it saves the shared parts.
     :param first_choice: the endpoint that would have been chosen if none stated a limit.
+    :param first_event_s: expected time until its first event, in seconds, without any penalty.
     """
 
     view: EndpointView
@@ -227,6 +229,7 @@
     fetched_tokens: int = 0
     save_to: str | None = None
     first_choice: EndpointView | None = None
+    first_event_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/fleet/_calls.py
+++ b/teaselpath/fleet/_calls.py
@@ -89,8 +89,8 @@
     :param weights: version of the weights; None if not stated.
     :param forwarded_headers: header fields that are forwarded to the caller unchanged.
     :param requests: requests that the endpoint was running or had queued; None if not stated.
-    :param pace: how long work takes at the endpoint at this moment, as a multiple of the usual; None
-        if not stated.
+    :param pace: how long work takes at the endpoint at this moment, as a multiple of the usual;
+        None if not stated.
     :param invalid_load: text of a stated load that cannot be read; None if there is none.
     :param limit_per_s: requests per second that the endpoint takes from all gateways together; None
         if it states no limit.
