Rate limits hold while gateways are silent: what they may have spent is presumed

Each side of a cut refilled the whole rate until it noticed the silence (2.5 s), a process that stood still refilled for all that time, one that started had a full bucket, and after a start the gateways of the other region counted as reachable for up to 4 s before their counters had a baseline.

Change: SharedQuota presumes that a gateway whose message is late has charged its part of the rate since its last one; its next complete counters replace this. A gateway that starts has an empty bucket. Charges within what was presumed take nothing from a bucket that has overflowed meanwhile, so that a workspace below its rate is not refused for seconds after a cut, as it was.

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -37,7 +37,7 @@
 from teaselpath.dispatch._pool import MAX_CANDIDATES, EndpointPool
 from teaselpath.dispatch._progress import AttemptLimits, caller_gap_limit_s
 from teaselpath.dispatch._queue import QueuedRequest, RequestQueue
-from teaselpath.dispatch._quota import Granted, OverRate, SharedQuota
+from teaselpath.dispatch._quota import Contact, Granted, OverRate, SharedQuota
 from teaselpath.dispatch._reservation import Reservation
 from teaselpath.dispatch._retry_budget import SlidingRetryBudget
 from teaselpath.dispatch._return_times import ReturnTimes
@@ -63,6 +63,7 @@
     "AvailabilityTable",
     "Backlog",
     "Broken",
+    "Contact",
     "Cut",
     "Demand",
     "EndpointHealth",
--- a/teaselpath/exchange/__init__.py
+++ b/teaselpath/exchange/__init__.py
@@ -2,6 +2,7 @@
 
 from teaselpath.exchange._fanout import (
     CROSS_REGION_INTERVAL_S,
+    STATUS_INTERVAL_S,
     Fanout,
     Peer,
     is_large_fleet,
@@ -16,6 +17,7 @@
 
 __all__ = [
     "CROSS_REGION_INTERVAL_S",
+    "STATUS_INTERVAL_S",
     "Fanout",
     "Peer",
     "ServiceTimes",
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -15,9 +15,10 @@
 import msgspec
 from eliot import log_message
 
-from teaselpath.dispatch import EndpointView, Load
+from teaselpath.dispatch import Contact, EndpointView, Load
 from teaselpath.exchange import (
     CROSS_REGION_INTERVAL_S,
+    STATUS_INTERVAL_S,
     Peer,
     StopPeer,
     plan_fanout,
@@ -70,6 +71,12 @@
 # Number of status intervals for which a changed counter is sent, so that a lost message is made up
 # for.
 COUNTER_INTERVALS = 2.5
+# Number of intervals after which the next message of a gateway is late, so that the rate limits
+# presume what it has charged. That of another region may wait one more interval at a relay.
+LATE_INTERVALS = 3.5
+LATE_CROSS_REGION_INTERVALS = 1.5
+# Time after a standstill in which messages from before it may still be read, in seconds.
+STALE_MESSAGES_S = 0.5
 # Statuses of other regions in one datagram; a status has a few hundred bytes.
 MAX_RELAYED_STATUSES = 16
 
@@ -107,6 +114,7 @@
     :ivar origins: receiver of messages about the origins of streams, set once it exists.
     :ivar is_urgent: whether the next status is sent to each gateway of all regions.
     :ivar to_relay: statuses to pass on to this region, by host.
+    :ivar interval_s: interval between status messages within the region, in seconds.
     :ivar counters: last sent counter of each workspace, and the time at which it changed.
     """
 
@@ -129,6 +137,7 @@
         self.counters: dict[str, tuple[int, float]] = {}
         self.crossed_regions_at = 0.0
         self.crossings = 0
+        self.interval_s = STATUS_INTERVAL_S
         self.random = random.Random()
         self.encoder = msgspec.msgpack.Encoder()
         self.decoder = msgspec.msgpack.Decoder(Message)
@@ -191,6 +200,7 @@
 
     def _send(self, now: float) -> None:
         settings = self.state.settings
+        self.interval_s = self._interval_s()
         self.sequence += 1
         is_urgent, self.is_urgent = self.is_urgent, False
         crosses = is_urgent or (
@@ -429,7 +439,11 @@
             if host != state.settings.host and host not in state.members:
                 state.record_member(host, ip, incarnation, now, domain)
         state.quota.merge(
-            status.host, status.incarnation, status.used, is_complete=status.has_all_counters
+            status.host,
+            status.incarnation,
+            status.used,
+            is_complete=status.has_all_counters,
+            contact=self._contact(member, now),
         )
         self._apply_announcement_ages(status, now)
         views = {e.endpoint_number: self._view(e) for e in status.endpoints}
@@ -444,9 +458,21 @@
             record = LeaseRecord(*status.lease) if status.lease else None
             self.lease.observe(Position(*status.lease_end), record, self.clock())
         knows_few = status.members is not None and 2 * len(status.members) < len(state.members)
-        if knows_few or (is_new and self._is_near(member)):
+        if knows_few or ((is_new or was_silent) and self._is_near(member)):
             self._greet(member, now, lists_members=knows_few)
 
+    def _contact(self, member: Member, now: float) -> Contact:
+        """Return the contact that a message of another gateway is for the rate limits.
+
+        After a standstill, messages are read that have waited here since.
+        """
+        is_current = now - self.state.standstill_ended_at() >= STALE_MESSAGES_S
+        if self._is_near(member):
+            late_after_s = LATE_INTERVALS * self.interval_s
+            return Contact(now, late_after_s, COUNTER_INTERVALS * self.interval_s, is_current)
+        late_after_s = LATE_CROSS_REGION_INTERVALS * CROSS_REGION_INTERVAL_S + self.interval_s
+        return Contact(now, late_after_s, COUNTER_INTERVALS * CROSS_REGION_INTERVAL_S, is_current)
+
     def _view(self, endpoint_status: EndpointStatus) -> EndpointView | None:
         """Return the view of an endpoint; None for another start of it, or if it is unknown."""
         endpoint_id = self.state.endpoint_ids.get(endpoint_status.endpoint_number)
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -86,6 +86,7 @@
         self.watcher = StoreWatcher(self.state)
         self.lease = OrderLease(settings.host, settings.bounds.lease_handover_s)
         self.peers = PeerExchange(self.state, self.lease, http, boot_clock)
+        self.state.quota.started_at = self.peers.started_at
         self.gate = QuarantineGate(settings.host, store, self.metrics, self.peers)
         self.peers.gate = self.gate
         self.state.on_new_era.append(self.gate.synchronizer.read_soon)
