Fair shares of contended room by workspace, over all gateways

Cause: waiting requests were served by priority and arrival, so that a workspace at several times its usual took the queue and the endpoints from the others.

Change: where room is contended (GatewaySettings.is_room_contended), start-time fair queueing over workspaces in tokens orders the requests of a service within a priority (dispatch/_fair_order.py). Its tags are those of teaselpath.scheduling (FlowTags, taken out of Flow). What other gateways have charged comes with the counters of status messages; weights are the rates.

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -26,6 +26,7 @@
     split_limit,
 )
 from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S, EngineTimes
+from teaselpath.dispatch._fair_order import FairOrder
 from teaselpath.dispatch._health import EndpointHealth
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.dispatch._placement import (
@@ -72,6 +73,7 @@
     "EndpointView",
     "EngineTimes",
     "Fail",
+    "FairOrder",
     "FirstStep",
     "ForwardAnswer",
     "Granted",
--- a/teaselpath/dispatch/_quota.py
+++ b/teaselpath/dispatch/_quota.py
@@ -169,7 +169,7 @@
         *,
         is_complete: bool = True,
         contact: Contact | None = None,
-    ) -> None:
+    ) -> Mapping[str, float]:
         """Subtract what another gateway has charged since its last message.
 
         The first complete counters of a gateway are only recorded, as the baseline. Those of a
@@ -177,6 +177,7 @@
 
         :param is_complete: whether the counters of all workspaces are included.
         :param contact: arrival of the message; None if silence of the gateway means nothing.
+        :returns: tokens that it has charged since, by workspace.
         """
         previous = self.peer_totals.get((peer, incarnation))
         if previous is None:
@@ -184,14 +185,14 @@
                 if contact is not None:
                     self.without_baseline[peer] = contact.at + contact.late_after_s
                     self._update_fraction()
-                return
+                return {}
             previous = {} if self._discard_totals(peer) else dict(used)
             self.peer_totals[peer, incarnation] = previous
         if contact is not None:
             self._advance(contact.at)
             is_late = peer in self.contacts and self.contacts[peer].is_late
             if is_late and not self._ends_silence(peer, contact, is_complete=is_complete):
-                return
+                return {}
         else:
             is_late = False
         spent = {name: total - previous.get(name, 0.0) for name, total in used.items()}
@@ -207,6 +208,7 @@
             late_at = contact.at + contact.late_after_s
             self.contacts[peer] = _PeerContact(contact.at, late_at, self.share_s)
             self._update_fraction()
+        return spent
 
     def _ends_silence(self, peer: str, contact: Contact, *, is_complete: bool) -> bool:
         """Return whether the charges of a gateway are known up to a message."""
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -438,13 +438,15 @@
         for host, ip, incarnation, domain in status.members or ():
             if host != state.settings.host and host not in state.members:
                 state.record_member(host, ip, incarnation, now, domain)
-        state.quota.merge(
+        spent = state.quota.merge(
             status.host,
             status.incarnation,
             status.used,
             is_complete=status.has_all_counters,
             contact=self._contact(member, now),
         )
+        if state.fair_order is not None:
+            state.fair_order.record_others(spent, now)
         self._apply_announcement_ages(status, now)
         views = {e.endpoint_number: self._view(e) for e in status.endpoints}
         self._discard_load(
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -51,7 +51,7 @@
         self.state = state
         self.announce = announce
         self.loop = asyncio.get_running_loop()
-        self.queue = RequestQueue()
+        self.queue = RequestQueue(state.fair_order)
         self.return_times: dict[str, ReturnTimes] = {}
         self.opening_times: dict[str, ReturnTimes] = {}
         self.queued_calls: dict[int, tuple[Call, asyncio.Future[Placed | NoEndpoint]]] = {}
@@ -62,13 +62,21 @@
         tokens = prompt.prompt_tokens if prompt else 0
         # A stream that goes on elsewhere comes first: its caller has a part of the answer.
         priority = RESUMED_PRIORITY if call.has_begun else call.priority
-        queued_request = QueuedRequest(call.service.name, priority, tokens, call.deadline)
+        queued_request = QueuedRequest(
+            call.service.name,
+            priority,
+            tokens,
+            call.deadline,
+            workspace=_workspace_of(call),
+            charge=call.tokens,
+            aimed_at=call.arrived_at + call.route.target_latency_s,
+        )
         choice = self._place(call, now)
         queued_request.is_held_off = isinstance(choice, NoEndpoint) and choice.reason == "held_off"
         if choice.first_choice is not None:
             choice.first_choice.limit.record_demand(now)
         if isinstance(choice, Placed) and (
-            tokens < LONG_PROMPT_TOKENS or not self.queue.has_requests_ahead(queued_request)
+            tokens < LONG_PROMPT_TOKENS or not self.queue.has_requests_ahead(queued_request, now)
         ):
             self._reserve(call, choice)
             return choice
@@ -128,7 +136,7 @@
         """
         service = queued_request.service
         rate = sum(view.limit.own_rate for view in self.state.pool(service).views.values())
-        ahead = self.queue.count_ahead(queued_request)
+        ahead = self.queue.count_ahead(queued_request, now)
         wait_s = choice.retry_after_s + (ahead / rate if rate > 0.0 else 0.0)
         if wait_s <= MAX_WAIT_FRACTION * (queued_request.deadline - now):
             return None
@@ -181,7 +189,7 @@
         blocked: set[str] = set()
         # Requests that have tried the same endpoints wait for the same ones.
         held_off: dict[tuple[str, frozenset[str]], NoEndpoint] = {}
-        for queued_request in self.queue.in_order():
+        for queued_request in self.queue.in_order(self.loop.time()):
             call, future = self.queued_calls[queued_request.number]
             if future.done() or queued_request.service in blocked:
                 continue
@@ -207,6 +215,8 @@
         view, prompt, now = placed.view, call.request.prompt, self.loop.time()
         reservation = Reservation(view)
         view.limit.record_send(now)
+        if self.state.fair_order is not None:
+            self.state.fair_order.record_placed(_workspace_of(call), call.tokens, now)
         if prompt is not None:
             reservation.pending_prefill_tokens = max(0, prompt.prompt_tokens - placed.cached_tokens)
             view.cache.record_expected(placed.scope, prompt.parts, now)
@@ -256,3 +266,7 @@
         key = affinity_key(prompt, scope_prefix) if prompt else call.request.request_id.encode()
         pool = state.pool(call.service.name)
         return choose_from_service(pool, key, demand, state.topology, now)
+
+
+def _workspace_of(call: Call) -> str:
+    return call.workspace.name if call.workspace is not None else ""
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -10,6 +10,7 @@
     AvailabilityTable,
     EndpointPool,
     EndpointView,
+    FairOrder,
     SharedQuota,
     SlidingRetryBudget,
     StoreView,
@@ -71,6 +72,7 @@
     :ivar lost_before_return_at: time at which it had lost the store before that return.
     :ivar on_new_era: called for each era after the first.
     :ivar on_endpoint_changed: called with an endpoint as listed before and now, None if it is not.
+    :ivar fair_order: shares of the workspaces; None if they do not compete for room.
     :ivar endpoint_ids: id of each known endpoint by its number.
     :ivar availabilities: what endpoints have stated on whether they take requests.
     :ivar standstill_ended_at: returns when this process last stood still, in seconds; 0 if it has
@@ -98,6 +100,7 @@
         self.cache_stores: dict[str, StoreView] = {}
         self.members: dict[str, Member] = {}
         self.quota = SharedQuota(settings.bounds.quota_slack)
+        self.fair_order = FairOrder() if settings.is_room_contended else None
         self.retry_budgets: dict[str, SlidingRetryBudget] = {}
         self.era = UNKNOWN_ERA
         self.era_seen_at = 0.0
@@ -176,6 +179,8 @@
         before = self.config.version if self.config else None
         self.config = config
         self.operator_records[record.key] = record
+        if self.fair_order is not None:
+            self.fair_order.set_weights({w.name: w.rate for w in config.workspaces.values()})
         self.cache_stores = {
             s.address: self.cache_stores.get(s.address) or StoreView(s) for s in config.cache_stores
         }
--- a/teaselpath/scheduling/__init__.py
+++ b/teaselpath/scheduling/__init__.py
@@ -11,12 +11,14 @@
     Submit,
 )
 from teaselpath.scheduling._scheduler import Scheduler
+from teaselpath.scheduling._tags import FlowTags
 
 __all__ = [
     "CallerGone",
     "CircuitBreaker",
     "Drop",
     "Finished",
+    "FlowTags",
     "RetryBudget",
     "Run",
     "Scheduler",
--- a/teaselpath/scheduling/_flow.py
+++ b/teaselpath/scheduling/_flow.py
@@ -3,24 +3,23 @@
 from collections import OrderedDict
 
 from teaselpath.scheduling._events import Submit
+from teaselpath.scheduling._tags import FlowTags
 
 
-class Flow:
+class Flow(FlowTags):
     """Queued requests of one workspace, in FIFO order within a priority.
 
     :param weight: weight of the workspace in fair queueing.
     """
 
-    __slots__ = ("backlog", "finish_tag", "queues", "running", "start_tag", "weight")
+    __slots__ = ("backlog", "queues", "running")
 
     def __init__(self, weight: float) -> None:
-        self.weight = weight
+        super().__init__(weight)
         self.queues: dict[int, OrderedDict[str, Submit]] = {}
         # Estimated tokens of the queued requests.
         self.backlog = 0.0
         self.running = 0
-        self.start_tag = 0.0
-        self.finish_tag = 0.0
 
     @property
     def demand(self) -> float:
@@ -33,7 +32,7 @@
         A flow without queued requests restarts at the virtual time or, if later, its finish tag.
         """
         if not self.queues:
-            self.start_tag = max(virtual_time, self.finish_tag)
+            self.activate(virtual_time)
         self.weight = request.weight
         self.queues.setdefault(request.priority, OrderedDict())[request.request_id] = request
         self.backlog += request.tokens
@@ -65,13 +64,3 @@
     def newest(self) -> Submit:
         """Return the newest request of the lowest priority."""
         return next(reversed(self.queues[max(self.queues)].values()))
-
-    def charge(self, request: Submit) -> None:
-        """Advance the tags by the tokens of a request that starts."""
-        self.finish_tag = self.start_tag + request.tokens / self.weight
-        self.start_tag = self.finish_tag
-
-    def correct(self, token_difference: float) -> None:
-        """Advance the tags by the difference between actual and estimated tokens."""
-        self.finish_tag += token_difference / self.weight
-        self.start_tag += token_difference / self.weight
--- a/teaselpath/scheduling/_scheduler.py
+++ b/teaselpath/scheduling/_scheduler.py
@@ -182,7 +182,7 @@
             self._unqueue(request.request_id)
             flow = self.flows[request.workspace]
             self.virtual_time = max(self.virtual_time, flow.start_tag)
-            flow.charge(request)
+            flow.charge(request.tokens)
             flow.running += 1
             self.running[request.request_id] = _Running(request, now)
             started.append(Run(request.request_id))
