A crowd is reported: who waits and which workspace exceeds its share

Cause: an overload showed in refusals only, not in the workspace that caused it.

Change: while requests wait and workspaces have shares, a line `crowd` every 2 s with the waiting requests by workspace and the five workspaces farthest above their share; gauges teaselpath_workspace_excess and teaselpath_waiting.

Result: gateway/tests/test_contended_room.py; without contended room there are no shares.

--- a/teaselpath/dispatch/_fair_order.py
+++ b/teaselpath/dispatch/_fair_order.py
@@ -118,17 +118,12 @@
         were served or wait; what those below their share leave counts for no one.
         """
         flow = self.flows.get(workspace)
-        if flow is None:
-            return 0.0
-        fair = self._fair_use(now)
-        use = flow.recent_use(now) / flow.weight
-        return max(0.0, use / fair - 1.0) if fair > 0.0 else 0.0
+        return _excess(flow, self._fair_use(now), now) if flow is not None else 0.0
 
-    def busiest(self, now: float) -> tuple[str, float]:
-        """Return the workspace that is farthest above its share, and by how much."""
-        excesses = {name: self.excess_of(name, now) for name in self.flows}
-        name = max(excesses, key=lambda name: excesses[name], default="")
-        return name, excesses.get(name, 0.0)
+    def excesses(self, now: float) -> dict[str, float]:
+        """Return how far each workspace is above its fair share."""
+        fair_use = self._fair_use(now)
+        return {name: _excess(flow, fair_use, now) for name, flow in self.flows.items()}
 
     def _fair_use(self, now: float) -> float:
         """Return the use of the last seconds per weight of the active workspaces."""
@@ -150,3 +145,8 @@
             flow = self.flows[workspace] = _Flow(self.weights.get(workspace, 1.0), now)
             flow.activate(self.virtual_time)
         return flow
+
+
+def _excess(flow: _Flow, fair_use: float, now: float) -> float:
+    use = flow.recent_use(now) / flow.weight
+    return max(0.0, use / fair_use - 1.0) if fair_use > 0.0 else 0.0
--- a/teaselpath/dispatch/tests/test_fair_order.py
+++ b/teaselpath/dispatch/tests/test_fair_order.py
@@ -196,7 +196,7 @@
     assert queue.in_order(2.0)[0] is timely
 
 
-def test_weight_is_the_rate(crowd):
+def test_weight_is_the_rate():
     """Guards against large workspaces that are refused for their usual use."""
     order = FairOrder()
     order.set_weights({"large": 9000.0, "small": 1000.0, "unlimited": 0.0})
@@ -204,4 +204,4 @@
     assert order.excess_of("large", 1.0) == pytest.approx(0.0, abs=1e-9)
     order.record_others({"large": 4500.0}, 1.0)
     assert order.excess_of("large", 1.0) > 0.0 == order.excess_of("small", 1.0)
-    assert order.busiest(1.0)[0] == "large"
+    assert order.excesses(1.0) == {"large": order.excess_of("large", 1.0), "small": 0.0}
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -52,6 +52,10 @@
         self.held_off_endpoints = make(
             Gauge, "held_off_endpoints", "Endpoints that want no requests of this host, by service"
         )
+        self.workspace_excess = make(
+            Gauge, "workspace_excess", "Part of its recent use above its fair share, by workspace"
+        )
+        self.waiting = make(Gauge, "waiting", "Requests that wait for an endpoint")
         self.running = make(Gauge, "running", "Requests under way")
         self.config_version = make(Gauge, "config_version", "Configuration in force")
         self.store_up = make(Gauge, "store_up", "1 if the last call to the store succeeded")
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -12,6 +12,7 @@
 from teaselpath.fleet import CallerLimits, EngineCalls, GatewaySettings, MetadataStore, RequestCodec
 from teaselpath.gateway._caches import CacheWatcher
 from teaselpath.gateway._connections import ConnectionReporter
+from teaselpath.gateway._crowd import CrowdReporter
 from teaselpath.gateway._forward import Forwarder
 from teaselpath.gateway._limits import LimitKeeper
 from teaselpath.gateway._log import LogSink
@@ -143,6 +144,7 @@
             self.caches.run,
             self._expire_connections,
             LimitKeeper(self.state).run,
+            CrowdReporter(self.state, self.forwarder.placer.queue).run,
             self.log.run,
         ]
 
@@ -221,6 +223,10 @@
             self.metrics.leaving_endpoints.set({"service": service}, leaving)
             held_off = sum(view.availability.is_held_off(now) for view in pool.views.values())
             self.metrics.held_off_endpoints.set({"service": service}, held_off)
+        if state.fair_order is not None:
+            for name, excess in state.fair_order.excesses(now).items():
+                self.metrics.workspace_excess.set({"workspace": name}, excess)
+        self.metrics.waiting.set({}, len(self.forwarder.placer.queue.queued))
         self.metrics.running.set({}, self.forwarder.running)
         self.metrics.config_version.set({}, state.config.version if state.config else 0)
         self.metrics.store_up.set({}, int(state.store_up))
