Tests: rate limits through a cut and a standstill, with the messages of gateways

Cause: the tests of the buckets leave out how PeerExchange judges messages. Change: two tests on the fleet without a network.

--- a/teaselpath/gateway/tests/test_large_fleet.py
+++ b/teaselpath/gateway/tests/test_large_fleet.py
@@ -217,6 +217,56 @@
     assert granted >= 0.9 * TENANT.rate * duration_s
 
 
+def test_quota_holds_in_every_window_through_a_cut():
+    """Guards against parts of a cut that each refill the rate before they notice it."""
+
+    def scenario():
+        fleet = Fleet(24)
+        fleet.run(8.0)
+        granted = []
+        for step in range(160):
+            is_cut = 40 <= step < 90
+            fleet.network.cut = {g.ip for g in fleet.gateways[::3]} if is_cut else set()
+            granted.append(0.0)
+            for gateway in fleet.gateways:
+                quota, now = gateway.state.quota, fleet.clock.now
+                quota.set_reachable_fraction(*gateway.state.count_gateways(now))
+                before = quota.used.get(TENANT.name, 0.0)
+                quota.charge(TENANT, 12, now)
+                granted[-1] += quota.used.get(TENANT.name, 0.0) - before
+            fleet.run(STEP_S)
+        return granted
+
+    granted = in_loop(scenario)
+    window = round(8.0 / STEP_S)
+    most = max(sum(granted[start : start + window]) for start in range(len(granted) - window))
+    assert most <= 1.1 * (TENANT.rate * 8.0 + TENANT.burst)
+
+
+def test_messages_that_waited_in_a_standstill_end_no_silence():
+    """Guards against a gateway that wakes and takes what others had spent long ago for news."""
+
+    def scenario():
+        fleet = Fleet(24)
+        fleet.run(8.0)
+        state = fleet.gateways[0].state
+        woken_at = fleet.clock.now = fleet.clock.now + 3.0
+        state.standstill_ended_at = lambda: woken_at
+        waited = [message for message in fleet.network.queue if message[2] == state.settings.ip]
+        fleet.network.deliver()
+        state.quota.set_reachable_fraction(*state.count_gateways(woken_at))
+        state.quota.charge(TENANT, 1, woken_at)
+        at_wake = state.quota.reachable_fraction
+        fleet.run(8.0)
+        state.quota.charge(TENANT, 1, fleet.clock.now)
+        return len(waited), at_wake, state.quota.reachable_fraction
+
+    waited, at_wake, later = in_loop(scenario)
+    assert waited
+    assert at_wake == pytest.approx(1 / 24)
+    assert later == 1.0
+
+
 def test_two_gateways_of_each_domain_follow_the_store():
     def scenario():
         fleet = Fleet(72)
