Memory of engines: bounded over all gateways, with claims on what others may take

Cause: long prompts were counted as they were placed, against 0.6 of an engine's memory, from views up to a second old and not at all at an idle engine. Engines end if the requests that they hold exceed their memory, and what several gateways place in the same moment was bounded by nothing. Change: where room is contended or engines state a pace, prompt and output tokens of all requests count. A gateway sends at once what leaves room for one request of every gateway that ranks before it for the engine; what needs more is announced for 50 ms, and withdrawn if all that is announced by then does not fit. A request larger than an engine is refused at once (LARGER_THAN_ENGINE, 413). While others are silent, a gateway uses their fraction of the memory less, but half of it at least. Other deployments keep the rule of 0.6.

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -25,8 +25,14 @@
     first_level,
     split_limit,
 )
+from teaselpath.dispatch._engine_memory import (
+    ANNOUNCE_MIN_TOKENS,
+    CLAIM_S,
+    is_within_memory,
+)
 from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S, EngineTimes
 from teaselpath.dispatch._health import EndpointHealth
+from teaselpath.dispatch._memory_bound import LargestRequest, MemoryBound
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.dispatch._placement import (
     LONG_PROMPT_TOKENS,
@@ -53,6 +59,8 @@
 )
 
 __all__ = [
+    "ANNOUNCE_MIN_TOKENS",
+    "CLAIM_S",
     "LONG_PROMPT_TOKENS",
     "MAX_CANDIDATES",
     "PREFILL_TOKENS_PER_S",
@@ -74,7 +82,9 @@
     "FirstStep",
     "ForwardAnswer",
     "Granted",
+    "LargestRequest",
     "Load",
+    "MemoryBound",
     "NoEndpoint",
     "NotRun",
     "NotSent",
@@ -99,6 +109,7 @@
     "choose_endpoint",
     "choose_from_service",
     "first_level",
+    "is_within_memory",
     "next_step",
     "next_stream_step",
     "scope_of",
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -14,6 +14,7 @@
 
 from dataclasses import replace
 
+from teaselpath.dispatch._engine_memory import check_memory
 from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S
 from teaselpath.dispatch._pool import MAX_CANDIDATES, EndpointPool
 from teaselpath.dispatch._transfers import (
@@ -81,6 +82,8 @@
 
     :param key: hash key of the candidates of a large service.
     """
+    if demand.exceeds_engine:
+        return NoEndpoint("too_large", 0.0)
     if demand.software is not None:
         return choose_endpoint(pool.candidates_for(key, demand), demand, topology, now)
     first = choose_endpoint(pool.candidates(key), demand, topology, now)
@@ -168,7 +171,12 @@
         _evaluate(view, demand, topology, sources, hash_scores, preferred, now)
         for view in available
     ]
-    candidates = [candidate for candidate in candidates if not _must_wait(candidate, demand, now)]
+    candidates = [
+        fitting
+        for candidate in candidates
+        if not _must_wait(candidate, demand, now)
+        and (fitting := check_memory(candidate, demand, now)) is not None
+    ]
     if not candidates:
         return NoEndpoint("reading", 0.5)
 
@@ -200,7 +208,8 @@
     capacity_tokens = demand.engine.cache_tokens if demand.engine is not None else 0
     held = candidate.view.held_tokens()
     if (
-        capacity_tokens
+        demand.memory is None
+        and capacity_tokens
         and held
         and tokens >= LONG_PROMPT_TOKENS
         and held + tokens > MAX_RUNNING_MEMORY_FRACTION * capacity_tokens
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -8,6 +8,7 @@
 from teaselpath.dispatch._endpoint_limit import EndpointLimit
 from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S, EngineTimes
 from teaselpath.dispatch._health import EndpointHealth
+from teaselpath.dispatch._memory_bound import LargestRequest, MemoryBound
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.fleet import CacheStore, Endpoint, EngineLimits, Prompt
 
@@ -34,7 +35,8 @@
 
     :param requests: requests in flight.
     :param pending_prefill_tokens: prompt tokens sent and not yet prefilled.
-    :param held_tokens: prompt tokens of the long prompts in flight, prefilled or not.
+    :param held_tokens: prompt tokens of the long prompts in flight, prefilled or not; prompt and
+        output tokens of all prompts where the memory of engines is bounded.
     """
 
     requests: int = 0
@@ -65,6 +67,7 @@
     :param pace_stated_at: time at which that statement arrived.
     :param has_stated_invalid_load: whether a stated load could not be read.
     :param times: times that it needs for its work.
+    :param largest: largest request that was announced for it lately.
     """
 
     endpoint: Endpoint
@@ -84,6 +87,7 @@
     pace_stated_at: float = float("-inf")
     has_stated_invalid_load: bool = False
     times: EngineTimes = field(default_factory=EngineTimes)
+    largest: LargestRequest = field(default_factory=LargestRequest)
 
     def record_weights(self, model: str, version: int) -> None:
         """Record the version of a model's weights; versions older than the recorded are ignored."""
@@ -127,7 +131,7 @@
         return known
 
     def held_tokens(self) -> int:
-        """Return the prompt tokens of the long prompts in flight from all gateways."""
+        """Return the ``Load.held_tokens`` of all gateways."""
         return self.own.held_tokens + sum(load.held_tokens for load in self.peers.values())
 
     def pending_prefill_tokens(self, now: float) -> int:
@@ -155,6 +159,7 @@
     :param cache_stores: stores that cached parts can be fetched from and saved to.
     :param body_bytes: size of the request body.
     :param endangers_engine: whether the request may end its engine, which should run few others.
+    :param memory: gateways that share the memory of the engines, where it is bounded; else None.
     :param software: the only version of the software that may run it; None for any.
     :param software_known: whether the version of an endpoint's entry is that of its process.
     """
@@ -168,9 +173,18 @@
     cache_stores: tuple["StoreView", ...] = ()
     body_bytes: int = 0
     endangers_engine: bool = False
+    memory: MemoryBound | None = None
     software: str | None = None
     software_known: Callable[["EndpointView"], bool] | None = None
 
+    @property
+    def exceeds_engine(self) -> bool:
+        """Return whether the request never fits an engine whose memory is bounded."""
+        if self.memory is None or self.prompt is None or self.engine is None:
+            return False
+        tokens = self.prompt.prompt_tokens + self.prompt.output_tokens
+        return tokens > self.engine.cache_tokens
+
     def admits(self, view: "EndpointView") -> bool:
         """Return whether an endpoint has the one version that may run the request."""
         is_known = self.software_known is None or self.software_known(view)
@@ -218,6 +232,7 @@
     :param save_to: address of the store to which it saves the shared parts.
     :param first_choice: the endpoint that would have been chosen if none stated a limit.
     :param first_event_s: expected time until its first event, in seconds, without any penalty.
+    :param must_claim: whether the request is announced for ``CLAIM_S`` before it is sent.
     """
 
     view: EndpointView
@@ -230,6 +245,7 @@
     save_to: str | None = None
     first_choice: EndpointView | None = None
     first_event_s: float = 0.0
+    must_claim: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -240,9 +256,9 @@
         was already sent to all of them; ``switching``: all load weights or have outdated ones;
         ``full``: all have too many requests; ``reading``: all have too much prefill backlog or too
         little KV cache capacity for the prompt; ``limited``: this gateway has used its shares of
-        the limits that all state; ``held_off``: all that are left want no requests of this gateway
-        for ``retry_after_s``. The gateway adds ``queue``: the wait in its queue
-        is or would be too long.
+        the limits that all state; ``too_large``: it exceeds the memory of any engine;
+        ``held_off``: all that are left want no requests of this gateway for ``retry_after_s``. The
+        gateway adds ``queue``: the wait in its queue is or would be too long.
     :param first_choice: as in ``Placed``.
     """
 
--- a/teaselpath/gateway/_entities.py
+++ b/teaselpath/gateway/_entities.py
@@ -72,6 +72,7 @@
 class LongPlacement:
     """A long prompt that a gateway sends to an engine.
 
+    :param output_tokens: tokens that the engine may generate, if they count.
     :param unread_tokens: prompt tokens that the engine has to prefill.
     :param parts: shared prompt parts: id and size in tokens.
     :param copied_from: address of the engine or store from which KV cache may be fetched.
@@ -88,3 +89,4 @@
     copied_from: str | None
     copied_tokens: int
     saved_to: str | None
+    output_tokens: int = 0
--- /dev/null
+++ b/teaselpath/gateway/_memory.py
@@ -0,0 +1,54 @@
+"""Which gateways share the memory of the engines of a service, where it is bounded."""
+
+import asyncio
+
+from teaselpath.dispatch import MemoryBound
+from teaselpath.fleet import Service
+from teaselpath.gateway._state import GatewayState
+
+# Time for which the gateways that may be sending are not looked up again, in seconds.
+LOOKUP_S = 0.25
+
+
+class SharedMemory:
+    """Knows the gateways that share the memory of engines.
+
+    The memory is bounded for services whose configuration states it, where callers compete for
+    room or engines state their pace.
+
+    :param state: state of this gateway.
+    :ivar stating: when the engines of a service were last asked whether they state a pace; infinite
+        once one does.
+    """
+
+    def __init__(self, state: GatewayState):
+        self.state = state
+        self.loop = asyncio.get_running_loop()
+        self.found = MemoryBound(state.settings.host, ())
+        self.found_at = float("-inf")
+        self.stating: dict[str, float] = {}
+
+    def bound_of(self, service: Service) -> MemoryBound | None:
+        """Return the gateways that share the engines' memory; None if it is not bounded."""
+        if service.engine is None or not service.engine.cache_tokens:
+            return None
+        now = self.loop.time()
+        if not self.state.settings.is_room_contended and not self._states_pace(service.name, now):
+            return None
+        if now - self.found_at >= LOOKUP_S:
+            self.found, self.found_at = self._look_up(now), now
+        return self.found
+
+    def _states_pace(self, service: str, now: float) -> bool:
+        asked_at = self.stating.get(service, float("-inf"))
+        if now - asked_at >= LOOKUP_S:
+            views = self.state.pool(service).views.values()
+            states_pace = any(view.stated_pace is not None for view in views)
+            self.stating[service] = asked_at = float("inf") if states_pace else now
+        return asked_at == float("inf")
+
+    def _look_up(self, now: float) -> MemoryBound:
+        state = self.state
+        others = sorted(host for host in state.members if state.may_be_running(host, now))
+        reachable, possible = state.count_gateways(now)
+        return MemoryBound(state.settings.host, tuple(others), reachable / possible)
--- a/teaselpath/gateway/_peer_messages.py
+++ b/teaselpath/gateway/_peer_messages.py
@@ -12,7 +12,7 @@
     """Load and weights versions of one endpoint, as recorded by a gateway.
 
     :param endpoint_number: ``Endpoint.number`` of this start of the endpoint.
-    :param held_tokens: prompt tokens of the gateway's long prompts in flight at the endpoint.
+    :param held_tokens: ``Load.held_tokens`` of the gateway's requests at the endpoint.
     :param weights: versions that differ from those in the record of the endpoint.
     :param limit_per_s: requests per second that the endpoint states to take from all gateways;
         below 0 if it states no limit.
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -525,7 +525,7 @@
         self.endpoints_with_load.setdefault(host, set()).add(placement.endpoint_id)
         load = self.state.views[placement.endpoint_id].peers.setdefault(host, Load())
         load.requests += 1
-        load.held_tokens += placement.prompt_tokens
+        load.held_tokens += placement.prompt_tokens + placement.output_tokens
 
     def _discard_load(self, host: str, keep: set[str]) -> None:
         """Discard the load of a gateway at all endpoints except those in ``keep``."""
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -3,7 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
+from eliot import log_message
+
 from teaselpath.dispatch import (
+    ANNOUNCE_MIN_TOKENS,
+    CLAIM_S,
     LONG_PROMPT_TOKENS,
     PREFILL_TOKENS_PER_S,
     Demand,
@@ -15,9 +19,11 @@
     ReturnTimes,
     affinity_key,
     choose_from_service,
+    is_within_memory,
 )
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._entities import LongPlacement
+from teaselpath.gateway._memory import SharedMemory
 from teaselpath.gateway._responses import MIN_RETRY_AFTER_S
 from teaselpath.gateway._state import GatewayState
 
@@ -33,12 +39,11 @@
 # Fraction of a request's remaining time for which it waits for an endpoint to take requests again.
 MAX_HELD_OFF_FRACTION = 0.25
 # Reasons for which a request is refused without queueing.
-IMMEDIATE_REFUSALS = frozenset({"none_listed", "unreachable"})
+IMMEDIATE_REFUSALS = frozenset({"none_listed", "unreachable", "too_large"})
 # Priority in the queue of streams that continue; lower numbers come first.
 RESUMED_PRIORITY = -1
-# Placements of prompts with at least this many tokens are announced to the other gateways.
-# LONG_TOKENS is a different threshold, for queueing.
-ANNOUNCE_MIN_TOKENS = 2_000
+# Claims on the memory of engines after which a request is refused.
+MAX_CLAIMS = 3
 
 
 class Placer:
@@ -51,13 +56,50 @@
         self.state = state
         self.announce = announce
         self.loop = asyncio.get_running_loop()
+        self.memory = SharedMemory(state)
         self.queue = RequestQueue()
         self.return_times: dict[str, ReturnTimes] = {}
         self.opening_times: dict[str, ReturnTimes] = {}
         self.queued_calls: dict[int, tuple[Call, asyncio.Future[Placed | NoEndpoint]]] = {}
 
     async def acquire(self, call: Call, now: float) -> Placed | NoEndpoint:
-        """Reserve an endpoint for a request, queueing it if necessary."""
+        """Reserve an endpoint for a request, queueing it if necessary.
+
+        Room that other gateways may take in the same moment is claimed before it is used.
+        """
+        for _ in range(MAX_CLAIMS):
+            choice = await self._acquire(call, now)
+            if not isinstance(choice, Placed) or not choice.must_claim:
+                return choice
+            if await self._is_granted(call, choice):
+                return choice
+            now = self.loop.time()
+        return NoEndpoint("queue", 0.5)
+
+    async def _is_granted(self, call: Call, choice: Placed) -> bool:
+        """Return whether a claim leaves an engine within its memory; withdraw it if not."""
+        is_granted = False
+        try:
+            await asyncio.sleep(CLAIM_S)
+            is_granted = self._is_within_memory(call, choice)
+        finally:
+            if not is_granted:
+                self.release(call)
+        if not is_granted:
+            log_message(
+                "memory_claim_withdrawn",
+                request_id=call.request.request_id,
+                endpoint=choice.view.endpoint.endpoint_id,
+                held_tokens=choice.view.held_tokens(),
+            )
+        return is_granted
+
+    def _is_within_memory(self, call: Call, choice: Placed) -> bool:
+        now = self.loop.time()
+        demand = self._demand(call, now)
+        return demand.memory is None or is_within_memory(choice.view, demand, now)
+
+    async def _acquire(self, call: Call, now: float) -> Placed | NoEndpoint:
         prompt = call.request.prompt
         tokens = prompt.prompt_tokens if prompt else 0
         # A stream that goes on elsewhere comes first: its caller has a part of the answer.
@@ -210,6 +252,10 @@
         if prompt is not None:
             reservation.pending_prefill_tokens = max(0, prompt.prompt_tokens - placed.cached_tokens)
             view.cache.record_expected(placed.scope, prompt.parts, now)
+            is_bounded = self.memory.bound_of(call.service) is not None
+            output_tokens = prompt.output_tokens if is_bounded else 0
+            if is_bounded or prompt.prompt_tokens >= ANNOUNCE_MIN_TOKENS:
+                reservation.held_tokens = prompt.prompt_tokens + output_tokens
             if prompt.prompt_tokens >= ANNOUNCE_MIN_TOKENS:
                 # The last part of a prompt is not shared with other prompts.
                 message = LongPlacement(
@@ -222,8 +268,8 @@
                     placed.fetch_from,
                     placed.fetched_tokens,
                     placed.save_to,
+                    output_tokens,
                 )
-                reservation.held_tokens = prompt.prompt_tokens
                 reservation.backlog_mark = self.state.apply_placement(message, now)
                 self.announce(message)
         reservation.begin()
@@ -236,11 +282,20 @@
             call.reservation = None
 
     def _place(self, call: Call, now: float) -> Placed | NoEndpoint:
+        prompt, demand = call.request.prompt, self._demand(call, now)
+        key = call.request.request_id.encode()
+        if prompt is not None:
+            key = affinity_key(prompt, demand.scope_prefix)
+        pool = self.state.pool(call.service.name)
+        return choose_from_service(pool, key, demand, self.state.topology, now)
+
+    def _demand(self, call: Call, now: float) -> Demand:
+        """Return what a request requires of an endpoint."""
         state, prompt = self.state, call.request.prompt
         announced = state.announced.get(prompt.model) if prompt else None
         workspace = call.workspace
         scope_prefix = f"{workspace.name}/" if workspace and workspace.is_isolated else ""
-        demand = Demand(
+        return Demand(
             prompt=prompt if call.service.engine else None,
             scope_prefix=scope_prefix,
             announced_weights=announced.version if announced else None,
@@ -250,9 +305,7 @@
             cache_stores=tuple(state.cache_stores.values()),
             body_bytes=len(call.request.body),
             endangers_engine=call.trial is not None,
+            memory=self.memory.bound_of(call.service),
             software=call.software if call.has_begun else None,
             software_known=lambda view: state.knows_software(view, now),
         )
-        key = affinity_key(prompt, scope_prefix) if prompt else call.request.request_id.encode()
-        pool = state.pool(call.service.name)
-        return choose_from_service(pool, key, demand, state.topology, now)
--- a/teaselpath/gateway/_responses.py
+++ b/teaselpath/gateway/_responses.py
@@ -13,7 +13,7 @@
 from teaselpath.gateway._quarantine import Quarantined
 from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import Exchange, Headers
-from teaselpath.results import Code
+from teaselpath.results import Code, http_status
 
 # Shortest Retry-After of a refusal, in seconds.
 MIN_RETRY_AFTER_S = 0.2
@@ -65,6 +65,8 @@
 
     def end_unplaced(self, exchange: Exchange, call: Call, no_endpoint: NoEndpoint) -> Code:
         """End a request for which no endpoint is left."""
+        if no_endpoint.reason == "too_large" and not exchange.is_started:
+            return self._refuse_too_large(exchange, call)
         is_overload = no_endpoint.reason in ("queue", "limited", "held_off")
         code = Code.OVERLOADED if is_overload else Code.NO_ENDPOINT
         call.attempts.append(("", no_endpoint.reason, 0.0))
@@ -72,6 +74,17 @@
             return self.refuse(exchange, call, code, no_endpoint.retry_after_s)
         return self.fail(exchange, call, 502)
 
+    def _refuse_too_large(self, exchange: Exchange, call: Call) -> Code:
+        """Refuse a request that no engine's memory holds; another try would not fit either."""
+        call.attempts.append(("", "too_large", 0.0))
+        if call.progress.runs:
+            return self.fail(exchange, call, 502)
+        if call.workspace is not None:
+            self.state.quota.refund(call.workspace, call.tokens)
+        code = Code.LARGER_THAN_ENGINE
+        exchange.respond(http_status(code), self._headers(call, None))
+        return code
+
     def end_quarantined(self, exchange: Exchange, call: Call, quarantined: Quarantined) -> Code:
         """End a request whose prompt has a part in quarantine."""
         call.attempts.append(("", quarantined.reason, 0.0))
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -369,6 +369,7 @@
             return None
         parts = [PromptPart(part_id, tokens) for part_id, tokens in placement.parts]
         view.cache.record_expected(placement.scope, parts, now)
+        view.largest.record(placement.prompt_tokens + placement.output_tokens, now)
         transfers = {
             placement.copied_from: placement.copied_tokens,
             placement.saved_to: sum(part.tokens for part in parts),
--- /dev/null
+++ b/teaselpath/gateway/tests/test_engine_memory.py
@@ -0,0 +1,79 @@
+"""Claims on the memory of engines: reserved at once, withdrawn if they do not fit together."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from teaselpath.dispatch import Load, NoEndpoint, Placed
+from teaselpath.gateway._placement import Placer
+from teaselpath.gateway.tests.conftest import SETTINGS, endpoint_record
+from teaselpath.gateway.tests.test_placement import make_call
+
+
+@pytest.fixture
+def contended(state):
+    """Return the state of a gateway with one engine, for 100,000 tokens, in contended room."""
+    state.settings = replace(SETTINGS, is_room_contended=True)
+    state.apply_endpoint_record(endpoint_record("e", 1, slots=64), "store", 1.0)
+    return state
+
+
+async def acquire(state, others_tokens: int):
+    """Place a prompt of 17,010 tokens while another gateway claims memory."""
+    announced: list = []
+    placer = Placer(state, announced.append)
+    call = make_call(1.0)
+    task = asyncio.create_task(placer.acquire(call, placer.loop.time()))
+    await asyncio.sleep(0.01)
+    view = state.views["e"]
+    view.peers["gw-1"] = Load(requests=1, held_tokens=others_tokens)
+    queue = asyncio.create_task(placer.run_queue())
+    choice = await task
+    queue.cancel()
+    return choice, call, view.own, announced
+
+
+def test_claim_that_fits_is_kept(contended):
+    choice, _, own, announced = asyncio.run(acquire(contended, 80_000))
+    assert isinstance(choice, Placed)
+    assert (own.requests, own.held_tokens) == (1, 17_010)
+    assert (announced[0].prompt_tokens, announced[0].output_tokens) == (17_000, 10)
+
+
+def test_claim_beyond_the_memory_is_withdrawn(contended):
+    """Guards against an engine that crashes since two gateways saw the same free memory."""
+    choice, call, own, _ = asyncio.run(acquire(contended, 83_000))
+    assert isinstance(choice, NoEndpoint)
+    assert call.reservation is None
+    assert (own.requests, own.held_tokens, own.pending_prefill_tokens) == (0, 0, 0)
+
+
+def test_cancelled_claim_leaves_nothing_reserved(contended):
+    async def scenario():
+        placer, call = Placer(contended, lambda message: None), make_call()
+        task = asyncio.create_task(placer.acquire(call, placer.loop.time()))
+        await asyncio.sleep(0.01)
+        assert contended.views["e"].own.requests == 1
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(scenario())
+    assert contended.views["e"].own.requests == 0
+
+
+def test_without_contention_nothing_is_claimed(state):
+    """Guards against changes at deployments that state neither contention nor a pace."""
+
+    async def scenario():
+        state.apply_endpoint_record(endpoint_record("e", 1, slots=64), "store", 1.0)
+        placer, call = Placer(state, lambda message: None), make_call()
+        choice = await placer.acquire(call, placer.loop.time())
+        assert isinstance(choice, Placed)
+        before = choice.must_claim, state.views["e"].own.held_tokens
+        state.views["e"].record_pace(1.0, 0.0)
+        await asyncio.sleep(0.3)
+        assert placer.memory.bound_of(call.service) is not None
+        return before
+
+    assert asyncio.run(scenario()) == (False, 17_000)
