Quarantine: an engine that ends with its memory nearly full blames no innocent part

Cause: an engine that holds more than its memory ends under whatever it runs, so parts that many requests share became suspects, and would be refused for minutes. Change: the fraction of its memory that an engine held is noted with the first broken answer (engine_ended.held_fraction). Only where the memory of engines is bounded.

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -28,6 +28,7 @@
 from teaselpath.dispatch._engine_memory import (
     ANNOUNCE_MIN_TOKENS,
     CLAIM_S,
+    held_fraction,
     is_within_memory,
 )
 from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S, EngineTimes
@@ -109,6 +110,7 @@
     "choose_endpoint",
     "choose_from_service",
     "first_level",
+    "held_fraction",
     "is_within_memory",
     "next_step",
     "next_stream_step",
--- a/teaselpath/dispatch/_engine_memory.py
+++ b/teaselpath/dispatch/_engine_memory.py
@@ -13,6 +13,7 @@
 
 from teaselpath.dispatch._memory_bound import MemoryBound
 from teaselpath.dispatch._views import Demand, EndpointView, Placed
+from teaselpath.fleet import EngineLimits
 from teaselpath.utils import rendezvous_rank
 
 # Placements of prompts with at least this many tokens are announced to the other gateways.
@@ -83,6 +84,11 @@
     return held <= _usable_tokens(demand) or held == view.own.held_tokens
 
 
+def held_fraction(view: EndpointView, engine: EngineLimits, now: float) -> float:
+    """Return the fraction of an engine's memory that its requests hold, as far as is known."""
+    return _held_tokens(view, now) / max(1, engine.cache_tokens)
+
+
 def _held_tokens(view: EndpointView, now: float) -> int:
     """Return the tokens of the requests in flight from all gateways.
 
--- a/teaselpath/gateway/_engine_ends.py
+++ b/teaselpath/gateway/_engine_ends.py
@@ -12,6 +12,7 @@
 
 from teaselpath.dispatch import EndpointView
 from teaselpath.fleet import Endpoint, EndpointState
+from teaselpath.gateway._memory import SharedMemory
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import HttpClient
@@ -48,12 +49,15 @@
 
     :param number: number of the engine's start, see ``Endpoint.number``.
     :param at: event loop time at which its first answer was broken off.
+    :param held_fraction: fraction of its memory that its requests held then; 0 if it is not
+        bounded.
     """
 
     endpoint_id: str
     number: int
     at: float
     runs: tuple[BrokenRun, ...]
+    held_fraction: float = 0.0
 
 
 @dataclass(slots=True)
@@ -61,6 +65,7 @@
     """Broken answers of an engine that may have ended."""
 
     at: float
+    held_fraction: float = 0.0
     runs: list[BrokenRun] = field(default_factory=list)
     task: asyncio.Task[bool] | None = None
 
@@ -83,6 +88,7 @@
         self.http = http
         self.metrics = metrics
         self.report = report
+        self.memory = SharedMemory(state)
         self.loop = asyncio.get_running_loop()
         self.suspicions: dict[int, _Suspicion] = {}
 
@@ -94,7 +100,9 @@
         number = view.endpoint.number
         suspicion = self.suspicions.get(number)
         if suspicion is None or suspicion.task is None:
-            suspicion = self.suspicions[number] = _Suspicion(self.loop.time())
+            suspicion = self.suspicions[number] = _Suspicion(
+                self.loop.time(), self.memory.held_fraction(view)
+            )
             suspicion.task = self.loop.create_task(self._confirm(view, suspicion))
             suspicion.task.add_done_callback(
                 lambda task: self._on_checked(view.endpoint, suspicion, task)
@@ -134,7 +142,11 @@
         is_planned = not is_listed or is_leaving
         if has_ended and not is_planned:
             end = EngineEnd(
-                endpoint.endpoint_id, endpoint.number, suspicion.at, tuple(suspicion.runs)
+                endpoint.endpoint_id,
+                endpoint.number,
+                suspicion.at,
+                tuple(suspicion.runs),
+                suspicion.held_fraction,
             )
             self._log(end, endpoint.service)
             self.report(end)
@@ -147,6 +159,7 @@
             endpoint=end.endpoint_id,
             service=service,
             age_s=round(self.loop.time() - end.at, 3),
+            held_fraction=round(end.held_fraction, 2),
             runs=len(end.runs),
             unanswered=len(unanswered),
             unanswered_runs=[
--- a/teaselpath/gateway/_memory.py
+++ b/teaselpath/gateway/_memory.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from teaselpath.dispatch import MemoryBound
+from teaselpath.dispatch import EndpointView, MemoryBound, held_fraction
 from teaselpath.fleet import Service
 from teaselpath.gateway._state import GatewayState
 
@@ -39,6 +39,14 @@
             self.found, self.found_at = self._look_up(now), now
         return self.found
 
+    def held_fraction(self, view: EndpointView) -> float:
+        """Return the fraction of an engine's memory that is held; 0 where it is not bounded."""
+        config = self.state.config
+        service = config.services.get(view.endpoint.service) if config is not None else None
+        if service is None or service.engine is None or self.bound_of(service) is None:
+            return 0.0
+        return held_fraction(view, service.engine, self.loop.time())
+
     def _states_pace(self, service: str, now: float) -> bool:
         asked_at = self.stating.get(service, float("-inf"))
         if now - asked_at >= LOOKUP_S:
--- a/teaselpath/gateway/_quarantine.py
+++ b/teaselpath/gateway/_quarantine.py
@@ -20,6 +20,7 @@
     ClaimNote,
     Decision,
     Hold,
+    MemoryEnds,
     Quarantine,
     QuarantineUpdate,
     Reject,
@@ -84,6 +85,7 @@
         self, host: str, store: MetadataStore, metrics: GatewayMetrics, channel: UpdateChannel
     ):
         self.quarantine = Quarantine(host)
+        self.memory_ends = MemoryEnds()
         self.metrics = metrics
         self.channel = channel
         self.loop = asyncio.get_running_loop()
@@ -206,11 +208,21 @@
                 self.synchronizer.write(after)
 
     def handle_end(self, end: EngineEnd) -> None:
-        """Record the end of an engine as evidence, and judge the parts of a trial."""
+        """Record the end of an engine as evidence, and judge the parts of a trial.
+
+        An engine whose memory was nearly full is evidence against trials only.
+        """
         now = self.loop.time()
+        is_explained = self.memory_ends.explains(end.number, end.held_fraction, end.at)
+        if is_explained:
+            log_message(
+                "engine_memory_full",
+                endpoint=end.endpoint_id,
+                held_fraction=round(end.held_fraction, 2),
+            )
         notes = []
         for run in end.runs:
-            if run.events >= PROVING_EVENTS:
+            if run.events >= PROVING_EVENTS or (is_explained and not run.is_trial):
                 continue
             note = self.quarantine.record_end(end.number, end.at, run.parts, is_trial=run.is_trial)
             if note is not None:
--- a/teaselpath/quarantine/__init__.py
+++ b/teaselpath/quarantine/__init__.py
@@ -17,6 +17,7 @@
     verdict_note,
 )
 from teaselpath.quarantine._evidence import EvidenceLedger
+from teaselpath.quarantine._memory_ends import MemoryEnds
 from teaselpath.quarantine._messages import (
     ClaimNote,
     EndNote,
@@ -39,6 +40,7 @@
     "EndNote",
     "EvidenceLedger",
     "Hold",
+    "MemoryEnds",
     "Quarantine",
     "QuarantineUpdate",
     "Reject",
