Slow callers: streams are read on from engines, up to a bound per answer and over all

Cause: reading from an engine paused while a caller did not take its events, until the deadline; an engine cuts off a response that remains unread for some seconds, and holds its memory meanwhile. What callers had not taken was bounded per connection only, and a closed connection kept it until the network gave up. Change: where the memory of engines is bounded, streams are read 64 KiB ahead of the caller; reading then pauses for one second of an attempt in all, and the stream is broken off without an end (CALLER_TOO_SLOW), free to be taken up. Buffers of both connections are bounded, the kernel's included. Stand-ins: pace, contracts, long answers, slow readers. Not measured: what the kernel holds.

--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -4,12 +4,13 @@
 time.
 """
 
-from standins.hosted._answers import shared_parts_of
+from standins.hosted._answers import LONG_ANSWER, shared_parts_of
 from standins.hosted._client import Answer, Caller
 from standins.hosted._engine import HostedEngine
 from standins.hosted._engine_faults import EngineFaults
 from standins.hosted._records import Run
 from standins.hosted._site import (
+    ENGINE_TOKENS,
     HEARTBEAT_INTERVAL_S,
     GatewayProcess,
     HostedSite,
@@ -21,7 +22,9 @@
 from standins.hosted._store import HostedStore, StoreCopy, StoreFaults
 
 __all__ = [
+    "ENGINE_TOKENS",
     "HEARTBEAT_INTERVAL_S",
+    "LONG_ANSWER",
     "Answer",
     "Caller",
     "EngineFaults",
--- a/standins/hosted/_answers.py
+++ b/standins/hosted/_answers.py
@@ -2,6 +2,11 @@
 
 from hashlib import blake2b
 
+# Ids that begin with this have long answers, with many large events.
+LONG_ANSWER = "long-"
+LONG_EVENTS = 48
+LONG_EVENT_BYTES = 8_192
+
 
 def shared_parts_of(headers: dict[str, str]) -> list[str]:
     """Return the ids of the parts of a prompt except the last one."""
@@ -21,6 +26,9 @@
 
 def events_of(request_id: str) -> list[bytes]:
     """Return the encoded events of the streamed answer to a request."""
+    if request_id.startswith(LONG_ANSWER):
+        filler = stamp_of(request_id).encode() * (LONG_EVENT_BYTES // 16)
+        return [b"id: %d\ndata: %s\n\n" % (number, filler) for number in range(1, LONG_EVENTS + 1)]
     count = 4 + int(stamp_of(request_id), 16) % 9
     return [
         b"id: %d\ndata: %s-%d\n\n" % (number, request_id.encode(), number)
--- a/standins/hosted/_client.py
+++ b/standins/hosted/_client.py
@@ -16,6 +16,9 @@
     encode_request,
 )
 
+# Buffer of a caller that reads slowly, in bytes.
+SLOW_BUFFER_BYTES = 8_192
+
 
 @dataclass(slots=True)
 class Answer:
@@ -96,11 +99,13 @@
         body: bytes = b"{}",
         last_event_id: str = "",
         resumes: str = "",
+        read_pause_s: float = 0.0,
     ) -> Answer:
         """Send a request and return its answer.
 
         :param disconnect_after_s: time after which the caller closes its connection without waiting
             for the rest of the answer.
+        :param read_pause_s: time between two small reads of a caller that reads slowly.
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
@@ -129,10 +134,13 @@
         read_deadline = deadline if disconnect_after_s is None else loop.time() + disconnect_after_s
         head, parts = ResponseHead(0), []
         try:
+            if read_pause_s:
+                connection.limit_buffers(SLOW_BUFFER_BYTES)
             connection.send(b"POST", encode_request(b"POST", path.encode(), headers, body))
             head = await connection.read_head(read_deadline)
             while (part := await connection.read_chunk(read_deadline)) is not None:
                 parts.append(part)
+                await asyncio.sleep(read_pause_s)
         except (ConnectionBroken, ReadTimeout) as error:
             connection.abort()
             answer = _answer(request_id, head, b"".join(parts), is_complete=False)
--- a/standins/hosted/_engine.py
+++ b/standins/hosted/_engine.py
@@ -45,6 +45,7 @@
     :ivar deadly_bodies: bodies of requests that end the process as it begins to run them.
     :ivar limit: value of the header field with the requests per second that it takes; None for no
         such field.
+    :ivar pace: fourth figure of its stated load; None for no such figure.
     :ivar silent_until: time until which it sends nothing, as ``time.monotonic`` returns it.
     :ivar hold_offs: the next requests are refused with these values of Retry-After.
     :ivar leaving: value of the header field of all its answers that it leaves; None if it stays.
@@ -52,6 +53,8 @@
     :ivar arrival_ids: ids of these requests.
     :ivar end_process: ends the process of this engine.
     :ivar flooded_bytes: bytes sent by the fault ``floods``.
+    :ivar held_tokens: prompt and output tokens of the requests that it runs.
+    :ivar most_held_tokens: the most of them at any time.
     :ivar late_copies: refusals that the fault ``repeats`` sends once more, by connection.
     """
 
@@ -77,6 +80,7 @@
         self.software: object = "v1"
         self.event_interval_s = EVENT_INTERVAL_S
         self.limit: str | None = None
+        self.pace: str | None = None
         self.silent_until = 0.0
         self.leaving: str | None = None
         self.hold_offs: deque[str] = deque()
@@ -98,6 +102,8 @@
         self.started_at_ms = int(time.time() * 1000)
         self.heartbeats = 0
         self.flooded_bytes = 0
+        self.held_tokens = 0
+        self.most_held_tokens = 0
         self.late_copies: dict[ServerConnection, bytes] = {}
 
     def entry(self, address: str, zone: str) -> dict[str, object]:
@@ -146,6 +152,10 @@
     def _leaving_headers(self) -> list[tuple[bytes, bytes]]:
         return [] if self.leaving is None else [(b"Server-Leaving", self.leaving.encode())]
 
+    def _load_text(self) -> bytes:
+        pace = "" if self.pace is None else f",{self.pace}"
+        return f"{self.running},0,{self.slots}{pace}".encode()
+
     def _report(self) -> dict[str, object]:
         return {
             "models": [{"name": self.model, "version": self.version, "adapters": []}],
@@ -219,7 +229,7 @@
         base = [
             (b"Request-Id", request_id.encode()),
             (b"Instance-Id", self.endpoint_id.encode()),
-            (b"Server-Load", b"%d,0,%d" % (self.running, self.slots)),
+            (b"Server-Load", self._load_text()),
             *self._leaving_headers(),
         ]
         if self.limit is not None:
@@ -248,10 +258,14 @@
         )  # fmt: skip
         self.runs.append(run)
         self.running += 1
+        tokens = sum(int(count) for count in headers.get("token-counts", "0").split(","))
+        self.held_tokens += tokens
+        self.most_held_tokens = max(self.most_held_tokens, self.held_tokens)
         try:
             await self._answer(exchange, run, base)
         finally:
             self.running -= 1
+            self.held_tokens -= tokens
             run.ended_at = time.monotonic()
 
     async def _answer(self, exchange: Exchange, run: Run, base: list[tuple[bytes, bytes]]) -> None:
--- a/standins/hosted/_site.py
+++ b/standins/hosted/_site.py
@@ -22,6 +22,8 @@
 HEARTBEAT_INTERVAL_S = 0.4
 START_TIMEOUT_S = 20.0
 MODEL = "model-a"
+# Memory of each model engine, in tokens.
+ENGINE_TOKENS = 100_000
 ROOT = Path(__file__).resolve().parents[2]
 expected_signature = stamp_of
 
@@ -90,6 +92,7 @@
     :param folder: directory for settings files and logs.
     :param zones: region of each zone.
     :param bounds: bounds in the settings of the gateways that differ from the defaults.
+    :param contracts: contracts in these settings.
     """
 
     folder: Path
@@ -97,6 +100,7 @@
     zones: dict[str, str] = field(default_factory=lambda: {"a": "north", "b": "south"})
     routes: list[SiteRoute] = field(default_factory=lambda: list(DEFAULT_ROUTES))
     bounds: dict[str, float] = field(default_factory=dict)
+    contracts: list[str] = field(default_factory=list)
     tenants: list[SiteTenant] = field(default_factory=lambda: [SiteTenant("office", ["key-1"])])
     runs: list[Run] = field(default_factory=list)
     engines: dict[str, ListedEngine] = field(default_factory=dict)
@@ -342,6 +346,7 @@
             "seeds": list(seeds),
             "limits": {"memoryMb": 300, "maxFds": 1024},
             "bounds": {"graceS": 8, "leaseMs": 600, **self.bounds},
+            "contracts": self.contracts,
             "platform": {"address": store_address},
         }
 
@@ -388,7 +393,7 @@
 
 _ENGINE = {
     "slots": 8,
-    "kvCapacityTokens": 100_000,
+    "kvCapacityTokens": ENGINE_TOKENS,
     "kvTokenBytes": 18_432,
     "linkMbps": 180_000,
     "models": [{"name": MODEL}],
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -36,6 +36,13 @@
 from teaselpath.results import Code
 
 T = TypeVar("T")
+# Bytes of a stream that are read ahead of its caller. Beyond them reading pauses, and the time in
+# which all pauses of one attempt have to end, in seconds: less than engines wait before they cut
+# off an answer.
+MAX_AHEAD_BYTES = 65_536
+MAX_PAUSED_S = 1.0
+# Bytes of a stream that are read from an engine before they are passed on.
+ENGINE_BUFFER_BYTES = 32_768
 # Media type of the answers that a caller can take up.
 EVENT_STREAM = b"text/event-stream"
 
@@ -72,6 +79,10 @@
             return type(outcome).__name__
 
 
+class SlowCaller(Exception):
+    """The caller reads so slowly that it would hold up the engine."""
+
+
 class Attempt:
     """One attempt to run a request at an endpoint."""
 
@@ -84,6 +95,9 @@
         self.started_at = self.loop.time()
         self.events_before = call.splitter.count
         self.has_proved = False
+        # Where the memory of engines is bounded, no caller holds a part of it by reading slowly.
+        self.reads_ahead = context.detector.memory.bound_of(call.service) is not None
+        self.paused_s = 0.0
         self.limits = AttemptLimits(call.route, call.progress.runs, self.started_at, call.deadline)
         # Set if the connection was lost within the answer: whether the engine has ended.
         self.engine_end: asyncio.Future[bool] | None = None
@@ -124,6 +138,11 @@
                 self._record_broken()
         except ReadTimeout:
             outcome = Broken(is_timeout=True)
+        except SlowCaller:
+            # Nothing is wrong with the engine.
+            connection.abort()
+            call.reads_slowly = True
+            return Answered(200)
         except BaseException:
             connection.abort()
             raise
@@ -274,11 +293,14 @@
     async def _relay_events(self, connection: ClientConnection, info: AnswerInfo) -> Outcome:
         """Forward events to the caller as they arrive, complete events only.
 
-        Reading from the endpoint pauses while the caller does not take the events.
+        Reading from the endpoint pauses while the caller does not take the events, for a short time
+        only where the memory of engines is bounded.
         """
         call, exchange = self.call, self.exchange
         splitter = call.splitter
         splitter.restart()
+        if self.reads_ahead:
+            connection.limit_buffers(ENGINE_BUFFER_BYTES)
         while True:
             data = await self._with_progress(connection.read_chunk)
             if data is None:
@@ -293,6 +315,8 @@
                 call.answer = info
                 if not call.has_begun:
                     self.context.origins.record_begun(call, self.placed.view)
+                if self.reads_ahead:
+                    exchange.limit_send_buffer(MAX_AHEAD_BYTES)
                 exchange.start(200, info.forwarded_headers)
             exchange.write(complete_events)
             await self._drain()
@@ -311,9 +335,16 @@
         """Wait until the caller has taken enough of the events.
 
         :raises ReadTimeout: at the request's deadline.
+        :raises SlowCaller: if the engine has waited too long.
         """
+        if self.reads_ahead and self.exchange.unsent_bytes() <= MAX_AHEAD_BYTES:
+            return
+        started_at, until = self.loop.time(), self.call.deadline
+        if self.reads_ahead:
+            until = min(until, started_at + MAX_PAUSED_S - self.paused_s)
         try:
-            async with asyncio.timeout_at(self.call.deadline):
+            async with asyncio.timeout_at(until):
                 await self.exchange.drain()
         except TimeoutError as error:
-            raise ReadTimeout from error
+            raise (ReadTimeout if until == self.call.deadline else SlowCaller) from error
+        self.paused_s += self.loop.time() - started_at
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -184,6 +184,8 @@
                 wait_s = self.admission.stop_wait_s(self.loop.time())
                 return self.responder.end_stopping(exchange, call, wait_s)
             outcome = await self._attempt(exchange, call, placed)
+            if call.reads_slowly:
+                return self.responder.discard(exchange)
             # The attempt has relayed a complete stream.
             if exchange.is_finished:
                 return Code.OK
--- a/teaselpath/gateway/_responses.py
+++ b/teaselpath/gateway/_responses.py
@@ -63,6 +63,11 @@
         exchange.abort()
         return Code.STREAM_INCOMPLETE
 
+    def discard(self, exchange: Exchange) -> Code:
+        """Break off a stream that its caller reads too slowly; what it has not taken is lost."""
+        exchange.discard()
+        return Code.CALLER_TOO_SLOW
+
     def end_unplaced(self, exchange: Exchange, call: Call, no_endpoint: NoEndpoint) -> Code:
         """End a request for which no endpoint is left."""
         if no_endpoint.reason == "too_large" and not exchange.is_started:
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -23,7 +23,14 @@
 from teaselpath.gateway._quarantine import QuarantineGate
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway._watch import StoreWatcher
-from teaselpath.http1 import LISTEN_BACKLOG, Exchange, HttpClient, Listener, ServerConnection
+from teaselpath.http1 import (
+    LISTEN_BACKLOG,
+    Exchange,
+    HttpClient,
+    Listener,
+    ServerConnection,
+    UnsentMemory,
+)
 from teaselpath.rollout import OrderLease
 
 # Draining ends this long before SIGKILL, even with requests in flight, in seconds.
@@ -148,9 +155,10 @@
     async def _listen(self) -> None:
         settings = self.settings
         undrained: set[ServerConnection] = set()
+        unsent = UnsentMemory()
         self.caller_listener = Listener(
             lambda: ServerConnection(
-                self.forwarder.handle, self._limits, self.connections, self.reporter
+                self.forwarder.handle, self._limits, self.connections, self.reporter, unsent
             )
         )
         await self.caller_listener.open(settings.caller_address)
--- a/teaselpath/http1/__init__.py
+++ b/teaselpath/http1/__init__.py
@@ -22,6 +22,7 @@
 )
 from teaselpath.http1._pool import ConnectFailed, ConnectionPool, PoolLimits
 from teaselpath.http1._server import Exchange, ResponseStateError, ServerConnection
+from teaselpath.http1._unsent_memory import UnsentMemory
 
 __all__ = [
     "HOP_BY_HOP",
@@ -47,6 +48,7 @@
     "ResponseStateError",
     "ServerConnection",
     "ServerLimits",
+    "UnsentMemory",
     "encode_head",
     "encode_request",
 ]
--- a/teaselpath/http1/_connection.py
+++ b/teaselpath/http1/_connection.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import httptools
 
@@ -249,6 +249,13 @@
         self.skipped_bytes = 0
         self.transport.write(data)
 
+    def limit_buffers(self, size: int) -> None:
+        """Limit what the kernel holds of responses, and what is read ahead of the reader."""
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if sock is not None and sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        self.limits = replace(self.limits, high_water_bytes=size, low_water_bytes=size // 4)
+
     async def read_head(self, deadline: float) -> ResponseHead:
         """Return the head of the response to the current request.
 
--- a/teaselpath/http1/_server.py
+++ b/teaselpath/http1/_server.py
@@ -21,12 +21,16 @@
     encode_head,
 )
 from teaselpath.http1._request_parser import RequestParser, RequestRejected
+from teaselpath.http1._unsent_memory import UnsentMemory
 
 # Number of pipelined requests at which reading from a connection is paused.
 MAX_PIPELINED = 4
 
 # Time for data that the kernel holds to be read, in seconds.
 UNREAD_TIMEOUT_S = 0.05
+# Time within which the caller of a connection that closes has to take more of the last response, in
+# seconds.
+LINGER_S = 5.0
 
 Handler = Callable[["Exchange"], Awaitable[None]]
 
@@ -93,6 +97,19 @@
         """Wait until the write buffer is below its limit."""
         await self.connection.drain()
 
+    def limit_send_buffer(self, size: int) -> None:
+        """Limit what the kernel holds of the response; it may hold twice as much."""
+        self.connection.limit_send_buffer(size)
+
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that the caller has not taken."""
+        return self.connection.unsent_bytes()
+
+    def discard(self) -> None:
+        """Break the response off at once, without what the caller has not taken of it."""
+        self.is_finished = True
+        self.connection.discard()
+
     def finish(self) -> None:
         """Finish the response; close the connection if the body is shorter than announced.
 
@@ -142,6 +159,7 @@
     :param limits: function that returns the current limits.
     :param connections: set of all open connections, updated by this class.
     :param observer: learns of failed handlers and of ends that leave something unanswered.
+    :param unsent: memory for what callers have not taken, shared with other connections.
     """
 
     def __init__(
@@ -150,7 +168,9 @@
         limits: Callable[[], ServerLimits],
         connections: set["ServerConnection"],
         observer: ConnectionObserver | None = None,
+        unsent: UnsentMemory | None = None,
     ):
+        self.unsent = unsent or UnsentMemory()
         self.handler = handler
         self.observer = observer
         self.get_limits = limits
@@ -185,6 +205,7 @@
         if not self.is_closing:
             self._report_end(self.end_cause)
         self.is_closing = True
+        self.unsent.remove(self)
         self.connections.discard(self)
         self.can_write.set()
         if self.timer is not None:
@@ -253,12 +274,30 @@
         """Write to the caller unless the connection is closing."""
         if not self.is_closing and self.transport is not None:
             self.transport.write(data)
+            self.unsent.record(self, self.unsent_bytes())
 
     async def drain(self) -> None:
         """Wait until the transport's write buffer is below its limit."""
         if not self.can_write.is_set():
             await self.can_write.wait()
 
+    def limit_send_buffer(self, size: int) -> None:
+        """Limit what the kernel holds of responses; it may hold twice as much."""
+        sock = self._socket()
+        if sock is not None and sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
+    def unsent_bytes(self) -> int:
+        """Return the bytes that the caller has not taken."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
+    def discard(self) -> None:
+        """Break off the response at once, and free what the caller has not taken of it."""
+        self.must_close = True
+        self._close(EndCause.ABORTED)
+        if self.transport is not None:
+            self.transport.abort()
+
     def close_after_flush(self) -> None:
         """Close the connection after the data that is already buffered has been sent."""
         self.must_close = True
@@ -344,6 +383,23 @@
             self.is_closing = True
             self._report_end(cause)
             self.transport.close()
+            self._linger(self.unsent_bytes())
+
+    def _linger(self, unsent_bytes: int) -> None:
+        """Give the caller time to take the last response, as long as it takes some of it."""
+        if not unsent_bytes or self.transport is None:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.loop.call_later(LINGER_S, self._on_lingered, unsent_bytes)
+
+    def _on_lingered(self, unsent_bytes: int) -> None:
+        self.timer = None
+        left = self.unsent_bytes()
+        if left < unsent_bytes:
+            self._linger(left)
+        elif self.transport is not None:
+            self.transport.abort()
 
     def _report_end(self, cause: EndCause) -> None:
         """Report what the end of the connection leaves unanswered, if anything."""
