teaselpath placement: where a request would go now, and why, without sending it

Cause: operators could see from logs where a request went, not where one would go, nor what it waits for. Change: POST /placement at a gateway's internal port, read only, and the command that asks it: route, workspace with rate and level, quarantine, queue ahead, decision or refusal with its Retry-After, and the endpoints in the order of their cost with what it is made of. It goes through choose_from_service and the conditions that requests go through (taken out of the placer into methods both use); quotas can be looked at without a charge (SharedQuota.peek). No key; a workspace is named.

--- a/teaselpath/cli/_main.py
+++ b/teaselpath/cli/_main.py
@@ -7,6 +7,7 @@
 from teaselpath.cli._load import load
 from teaselpath.cli._nodes import drain, explain, explain_workspace, revoke, rollout, top
 from teaselpath.cli._outcomes import outcomes
+from teaselpath.cli._placement import placement
 from teaselpath.cli._publish import publish
 from teaselpath.cli._trace import trace
 from teaselpath.cli._verdicts import verdicts
@@ -31,6 +32,7 @@
     top,
     load,
     outcomes,
+    placement,
     trace,
     verdicts,
 ):
--- a/teaselpath/dispatch/_quota.py
+++ b/teaselpath/dispatch/_quota.py
@@ -1,7 +1,7 @@
 """Rate limits of workspaces over all gateways, from counters that the gateways exchange."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from teaselpath.fleet import Workspace
 
@@ -77,14 +77,28 @@
         if workspace.rate <= 0:
             return Granted()
         bucket = self._bucket(workspace, now)
+        grant = self._decide(bucket, tokens)
+        if isinstance(grant, Granted):
+            bucket.level -= tokens
+            self.used[workspace.name] = self.used.get(workspace.name, 0.0) + tokens
+        return grant
+
+    def peek(self, workspace: Workspace, tokens: float, now: float) -> Granted | OverRate:
+        """Return what ``charge`` would return, without a charge."""
+        if workspace.rate <= 0:
+            return Granted()
+        return self._decide(self._updated(workspace, now), tokens)
+
+    def level_of(self, workspace: Workspace, now: float) -> float | None:
+        """Return the tokens in a workspace's bucket; None without a rate."""
+        return None if workspace.rate <= 0 else self._updated(workspace, now).level
+
+    def _decide(self, bucket: _Bucket, tokens: float) -> Granted | OverRate:
         needed = min(tokens, bucket.capacity)
-        if bucket.level < needed:
-            fill_rate = max(1.0, bucket.rate)
-            wait_s = min(MAX_RETRY_AFTER_S, (needed - bucket.level) / fill_rate)
-            return OverRate(wait_s, bucket.level, bucket.rate, self.reachable_fraction)
-        bucket.level -= tokens
-        self.used[workspace.name] = self.used.get(workspace.name, 0.0) + tokens
-        return Granted()
+        if bucket.level >= needed:
+            return Granted()
+        wait_s = min(MAX_RETRY_AFTER_S, (needed - bucket.level) / max(1.0, bucket.rate))
+        return OverRate(wait_s, bucket.level, bucket.rate, self.reachable_fraction)
 
     def refund(self, workspace: Workspace, tokens: float) -> None:
         """Refund a request that provably did not run."""
@@ -119,13 +133,17 @@
                 bucket.level = min(bucket.capacity, bucket.level - spent)
 
     def _bucket(self, workspace: Workspace, now: float) -> _Bucket:
+        bucket = self.buckets[workspace.name] = self._updated(workspace, now)
+        return bucket
+
+    def _updated(self, workspace: Workspace, now: float) -> _Bucket:
+        """Return the bucket of a workspace as of now; the recorded one stays as it is."""
         rate = workspace.rate * self.reachable_fraction
         capacity = max(
             1.0, (workspace.burst + SLACK_FRACTION * self.slack) * self.reachable_fraction
         )
-        bucket = self.buckets.get(workspace.name)
-        if bucket is None:
-            bucket = self.buckets[workspace.name] = _Bucket(capacity, capacity, rate, now)
+        known = self.buckets.get(workspace.name)
+        bucket = _Bucket(capacity, capacity, rate, now) if known is None else replace(known)
         if now > bucket.updated_at:
             bucket.level += bucket.rate * (now - bucket.updated_at)
             bucket.updated_at = now
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -11,6 +11,7 @@
     LONG_PROMPT_TOKENS,
     PREFILL_TOKENS_PER_S,
     Demand,
+    EndpointView,
     NoEndpoint,
     Placed,
     QueuedRequest,
@@ -100,17 +101,14 @@
         return demand.memory is None or is_within_memory(choice.view, demand, now)
 
     async def _acquire(self, call: Call, now: float) -> Placed | NoEndpoint:
-        prompt = call.request.prompt
-        tokens = prompt.prompt_tokens if prompt else 0
-        # A stream that goes on elsewhere comes first: its caller has a part of the answer.
-        priority = RESUMED_PRIORITY if call.has_begun else call.priority
-        queued_request = QueuedRequest(call.service.name, priority, tokens, call.deadline)
+        queued_request = self._queued(call)
         choice = self._place(call, now)
         queued_request.is_held_off = isinstance(choice, NoEndpoint) and choice.reason == "held_off"
         if choice.first_choice is not None:
             choice.first_choice.limit.record_demand(now)
         if isinstance(choice, Placed) and (
-            tokens < LONG_PROMPT_TOKENS or not self.queue.has_requests_ahead(queued_request)
+            queued_request.tokens < LONG_PROMPT_TOKENS
+            or not self.queue.has_requests_ahead(queued_request)
         ):
             self._reserve(call, choice)
             return choice
@@ -125,6 +123,55 @@
             return refusal
         return await self._wait_for_endpoint(call, queued_request, now)
 
+    # for operators
+
+    def preview(self, call: Call, now: float) -> Placed | NoEndpoint:
+        """Return where a request would go now, without a reservation."""
+        return self._place(call, now)
+
+    def preview_candidates(self, call: Call, now: float) -> tuple[Demand, list[EndpointView]]:
+        """Return what a request requires, and the endpoints that are considered for it."""
+        key, demand = self._key_and_demand(call, now)
+        return demand, self.state.pool(call.service.name).candidates(key)
+
+    def must_queue(self, call: Call) -> bool:
+        """Return whether a request that an endpoint can take waits behind others."""
+        queued_request = self._queued(call)
+        is_long = queued_request.tokens >= LONG_PROMPT_TOKENS
+        return is_long and self.queue.has_requests_ahead(queued_request)
+
+    def describe_queue(self, call: Call, now: float) -> dict[str, float]:
+        """Return the requests ahead of a new one, and the wait that is expected behind them."""
+        queued_request = self._queued(call)
+        wait_s = self.queue.expected_wait_s(
+            queued_request, *self._backlog(queued_request, now), now
+        )
+        return {
+            "ahead": self.queue.count_ahead(queued_request),
+            "expected_wait_s": round(wait_s, 3),
+        }
+
+    def preview_refusal(self, call: Call, choice: NoEndpoint, now: float) -> float | None:
+        """Return the Retry-After if a request would be refused instead of waiting; else None."""
+        left_s = call.deadline - now
+        if choice.reason == "held_off":
+            is_late = choice.retry_after_s > MAX_HELD_OFF_FRACTION * left_s
+            return choice.retry_after_s if is_late else None
+        queued_request = self._queued(call)
+        if choice.reason == "limited":
+            wait_s = self._limited_wait_s(queued_request, choice)
+            if wait_s > MAX_WAIT_FRACTION * left_s:
+                return min(MAX_RETRY_AFTER_S, wait_s)
+        refusal = self._refuse_long_wait(queued_request, now)
+        return refusal.retry_after_s if refusal is not None else None
+
+    def _queued(self, call: Call) -> QueuedRequest:
+        prompt = call.request.prompt
+        # A stream that goes on elsewhere comes first: its caller has a part of the answer.
+        priority = RESUMED_PRIORITY if call.has_begun else call.priority
+        tokens = prompt.prompt_tokens if prompt else 0
+        return QueuedRequest(call.service.name, priority, tokens, call.deadline)
+
     def _refuse_held_off(
         self, call: Call, choice: Placed | NoEndpoint, now: float
     ) -> NoEndpoint | None:
@@ -169,26 +216,46 @@
         that were refused before.
         """
         service = queued_request.service
-        rate = sum(view.limit.own_rate for view in self.state.pool(service).views.values())
-        ahead = self.queue.count_ahead(queued_request)
-        wait_s = choice.retry_after_s + (ahead / rate if rate > 0.0 else 0.0)
+        wait_s = self._limited_wait_s(queued_request, choice)
         if wait_s <= MAX_WAIT_FRACTION * (queued_request.deadline - now):
             return None
         if wait_s == float("inf"):
             return NoEndpoint("limited", MAX_RETRY_AFTER_S)
         returns = self.return_times.setdefault(service, ReturnTimes())
+        rate = self._limited_rate(service)
         return NoEndpoint("limited", max(0.2, returns.book(wait_s, rate, now)))
 
+    def _limited_wait_s(self, queued_request: QueuedRequest, choice: NoEndpoint) -> float:
+        """Return when there will be room behind the requests that wait, in seconds."""
+        rate = self._limited_rate(queued_request.service)
+        ahead = self.queue.count_ahead(queued_request)
+        return choice.retry_after_s + (ahead / rate if rate > 0.0 else 0.0)
+
+    def _limited_rate(self, service: str) -> float:
+        """Return the requests per second of this gateway's shares of all limits."""
+        return sum(view.limit.own_rate for view in self.state.pool(service).views.values())
+
+    def _refuse_long_wait(self, queued_request: QueuedRequest, now: float) -> NoEndpoint | None:
+        """Return a refusal if a request would wait too long in the queue."""
+        backlog_tokens, tokens_per_s = self._backlog(queued_request, now)
+        if not self.queue.exceeds_wait_limit(queued_request, backlog_tokens, tokens_per_s, now):
+            return None
+        wait_s = self.queue.expected_wait_s(queued_request, backlog_tokens, tokens_per_s, now)
+        # Retry-After is at least 0.2 s.
+        return NoEndpoint("queue", min(MAX_RETRY_AFTER_S, max(0.2, wait_s)))
+
+    def _backlog(self, queued_request: QueuedRequest, now: float) -> tuple[int, float]:
+        """Return the tokens that the engines still have to prefill, and their speed."""
+        views = self.state.pool(queued_request.service).views.values()
+        backlog_tokens = sum(view.pending_prefill_tokens(now) for view in views)
+        return backlog_tokens, PREFILL_TOKENS_PER_S * len(views)
+
     async def _wait_for_endpoint(
         self, call: Call, queued_request: QueuedRequest, now: float
     ) -> Placed | NoEndpoint:
-        views = self.state.pool(call.service.name).views.values()
-        backlog_tokens = sum(view.pending_prefill_tokens(now) for view in views)
-        tokens_per_s = PREFILL_TOKENS_PER_S * len(views)
-        if self.queue.exceeds_wait_limit(queued_request, backlog_tokens, tokens_per_s, now):
-            wait_s = self.queue.expected_wait_s(queued_request, backlog_tokens, tokens_per_s, now)
-            # Retry-After is at least 0.2 s.
-            return NoEndpoint("queue", min(MAX_RETRY_AFTER_S, max(0.2, wait_s)))
+        refusal = self._refuse_long_wait(queued_request, now)
+        if refusal is not None:
+            return refusal
         future: asyncio.Future[Placed | NoEndpoint] = self.loop.create_future()
         self.queue.enqueue(queued_request, now)
         self.queued_calls[queued_request.number] = (call, future)
@@ -282,13 +349,16 @@
             call.reservation = None
 
     def _place(self, call: Call, now: float) -> Placed | NoEndpoint:
-        prompt, demand = call.request.prompt, self._demand(call, now)
-        key = call.request.request_id.encode()
-        if prompt is not None:
-            key = affinity_key(prompt, demand.scope_prefix)
+        key, demand = self._key_and_demand(call, now)
         pool = self.state.pool(call.service.name)
         return choose_from_service(pool, key, demand, self.state.topology, now)
 
+    def _key_and_demand(self, call: Call, now: float) -> tuple[bytes, Demand]:
+        prompt, demand = call.request.prompt, self._demand(call, now)
+        if prompt is None:
+            return call.request.request_id.encode(), demand
+        return affinity_key(prompt, demand.scope_prefix), demand
+
     def _demand(self, call: Call, now: float) -> Demand:
         """Return what a request requires of an endpoint."""
         state, prompt = self.state, call.request.prompt
--- a/teaselpath/gateway/_quarantine.py
+++ b/teaselpath/gateway/_quarantine.py
@@ -146,6 +146,18 @@
             return Admit()
         return self.quarantine.decide(call.parts, now, is_resend=call.lost_engine)
 
+    def preview(self, call: Call) -> str:
+        """Return what would become of a request, for operators."""
+        match self._decide(call, self.loop.time()):
+            case Reject(verdict):
+                return f"refused by verdict {verdict.verdict_id}"
+            case Try():
+                return "sent as a trial"
+            case Hold():
+                return "held until the trial of another request ends"
+            case Admit():
+                return "admitted"
+
     def _are_suspect(self, parts: frozenset[str], now: float) -> bool:
         return any(self.quarantine.count_ends(part, now) >= SUSPECT_ENDS for part in parts)
 
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -12,6 +12,7 @@
 from teaselpath.fleet import CallerLimits, EngineCalls, GatewaySettings, MetadataStore, RequestCodec
 from teaselpath.gateway._caches import CacheWatcher
 from teaselpath.gateway._connections import ConnectionReporter
+from teaselpath.gateway._explain import Explainer
 from teaselpath.gateway._forward import Forwarder
 from teaselpath.gateway._limits import LimitKeeper
 from teaselpath.gateway._log import LogSink
@@ -44,6 +45,8 @@
 EXPIRE_INTERVAL_S = 0.5
 # Verdicts on prompt parts and requests, for operators.
 VERDICTS_PATH = b"/verdicts"
+# Where a request would go, for operators.
+PLACEMENT_PATH = b"/placement"
 # Delay before a failed job is restarted, in seconds.
 RESTART_DELAY_S = 0.2
 # Incarnations are also written as JSON numbers, which every reader decodes exactly up to 53 bits.
@@ -105,6 +108,7 @@
         self.forwarder = Forwarder(
             self.state, codec, http, self.metrics, self.peers.announce, self.gate, self.origins
         )
+        self.explainer = Explainer(self.state, self.forwarder.placer, self.gate)
         self.keeper = WeightsKeeper(self.state, engines, self.lease, self.peers)
         self.caches = CacheWatcher(self.state, engines)
         self.connections: set[ServerConnection] = set()
@@ -201,9 +205,23 @@
                 exchange.respond(200, [], self.peers.records.encode_records(query))
             case target if target.startswith(VERDICTS_PATH):
                 self._handle_verdicts(exchange)
+            case target if target == PLACEMENT_PATH:
+                self._handle_placement(exchange)
             case _:
                 exchange.respond(404, [])
 
+    def _handle_placement(self, exchange: Exchange) -> None:
+        """Explain where a request would go."""
+        if exchange.request.method != b"POST":
+            exchange.respond(405, [])
+            return
+        try:
+            found = self.explainer.explain(exchange.request.body)
+        except msgspec.DecodeError as error:
+            exchange.respond(400, [(b"Content-Type", b"text/plain")], str(error).encode())
+            return
+        exchange.respond(200, [(b"Content-Type", b"application/json")], msgspec.json.encode(found))
+
     def _handle_verdicts(self, exchange: Exchange) -> None:
         """List the verdicts, or lift one."""
         request = exchange.request
