Merge memory of engines, slow callers and the placement command with rate limits and fair shares

Cause: both changed the quota, the placer and the service. Change: a bucket is brought up to date in one place for charges and for looks; the queued request is built in one place, with workspace and aim.

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -25,9 +25,16 @@
     first_level,
     split_limit,
 )
+from teaselpath.dispatch._engine_memory import (
+    ANNOUNCE_MIN_TOKENS,
+    CLAIM_S,
+    held_fraction,
+    is_within_memory,
+)
 from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S, EngineTimes
 from teaselpath.dispatch._fair_order import FairOrder
 from teaselpath.dispatch._health import EndpointHealth
+from teaselpath.dispatch._memory_bound import LargestRequest, MemoryBound
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.dispatch._placement import (
     LONG_PROMPT_TOKENS,
@@ -54,6 +61,8 @@
 )
 
 __all__ = [
+    "ANNOUNCE_MIN_TOKENS",
+    "CLAIM_S",
     "LONG_PROMPT_TOKENS",
     "MAX_CANDIDATES",
     "PREFILL_TOKENS_PER_S",
@@ -77,7 +86,9 @@
     "FirstStep",
     "ForwardAnswer",
     "Granted",
+    "LargestRequest",
     "Load",
+    "MemoryBound",
     "NoEndpoint",
     "NotRun",
     "NotSent",
@@ -102,6 +113,8 @@
     "choose_endpoint",
     "choose_from_service",
     "first_level",
+    "held_fraction",
+    "is_within_memory",
     "next_step",
     "next_stream_step",
     "scope_of",
--- a/teaselpath/dispatch/_quota.py
+++ b/teaselpath/dispatch/_quota.py
@@ -1,7 +1,7 @@
 """Rate limits of workspaces over all gateways, from counters that the gateways exchange."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from teaselpath.fleet import Workspace
 
@@ -143,15 +143,34 @@
             return Granted()
         self._advance(now)
         bucket = self._bucket(workspace, now)
+        grant = self._decide(bucket, tokens)
+        if isinstance(grant, Granted):
+            bucket.level -= tokens
+            bucket.known -= tokens
+            self.used[workspace.name] = self.used.get(workspace.name, 0.0) + tokens
+        return grant
+
+    def peek(self, workspace: Workspace, tokens: float, now: float) -> Granted | OverRate:
+        """Return what ``charge`` would return, without a charge."""
+        if workspace.rate <= 0:
+            return Granted()
+        self._advance(now)
+        return self._decide(self._updated(workspace, now), tokens)
+
+    def level_of(self, workspace: Workspace, now: float) -> float | None:
+        """Return the tokens in a workspace's bucket; None without a rate."""
+        if workspace.rate <= 0:
+            return None
+        self._advance(now)
+        return self._updated(workspace, now).level
+
+    def _decide(self, bucket: _Bucket, tokens: float) -> Granted | OverRate:
         needed = min(tokens, bucket.capacity * self.reachable_fraction)
-        if bucket.level < needed:
-            fill_rate = bucket.rate * self.reachable_fraction
-            wait_s = min(MAX_RETRY_AFTER_S, (needed - bucket.level) / max(1.0, fill_rate))
-            return OverRate(wait_s, bucket.level, fill_rate, self.reachable_fraction)
-        bucket.level -= tokens
-        bucket.known -= tokens
-        self.used[workspace.name] = self.used.get(workspace.name, 0.0) + tokens
-        return Granted()
+        if bucket.level >= needed:
+            return Granted()
+        fill_rate = bucket.rate * self.reachable_fraction
+        wait_s = min(MAX_RETRY_AFTER_S, (needed - bucket.level) / max(1.0, fill_rate))
+        return OverRate(wait_s, bucket.level, fill_rate, self.reachable_fraction)
 
     def refund(self, workspace: Workspace, tokens: float) -> None:
         """Refund a request that provably did not run."""
@@ -272,14 +291,21 @@
         self.reachable_fraction = 1.0 - self.silent / self.possible
 
     def _bucket(self, workspace: Workspace, now: float) -> _Bucket:
+        bucket = self.buckets[workspace.name] = self._updated(workspace, now)
+        return bucket
+
+    def _updated(self, workspace: Workspace, now: float) -> _Bucket:
+        """Return the bucket of a workspace as of now; the recorded one stays as it is."""
         capacity = max(1.0, workspace.burst + SLACK_FRACTION * self.slack)
-        bucket = self.buckets.get(workspace.name)
-        if bucket is None:
+        known = self.buckets.get(workspace.name)
+        if known is None:
             age_s = max(0.0, now - self.started_at)
             level = min(capacity, workspace.rate * age_s)
-            bucket = self.buckets[workspace.name] = _Bucket(
+            bucket = _Bucket(
                 level, level, capacity, workspace.rate, now, self.presumed_s, self.share_s
             )
+        else:
+            bucket = replace(known)
         self._refill(bucket, now)
         bucket.rate, bucket.capacity = workspace.rate, capacity
         self._limit(bucket)
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -3,10 +3,15 @@
 import asyncio
 from collections.abc import Callable
 
+from eliot import log_message
+
 from teaselpath.dispatch import (
+    ANNOUNCE_MIN_TOKENS,
+    CLAIM_S,
     LONG_PROMPT_TOKENS,
     PREFILL_TOKENS_PER_S,
     Demand,
+    EndpointView,
     NoEndpoint,
     Placed,
     QueuedRequest,
@@ -15,9 +20,11 @@
     ReturnTimes,
     affinity_key,
     choose_from_service,
+    is_within_memory,
 )
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._entities import LongPlacement
+from teaselpath.gateway._memory import SharedMemory
 from teaselpath.gateway._responses import MIN_RETRY_AFTER_S
 from teaselpath.gateway._state import GatewayState
 
@@ -33,12 +40,11 @@
 # Fraction of a request's remaining time for which it waits for an endpoint to take requests again.
 MAX_HELD_OFF_FRACTION = 0.25
 # Reasons for which a request is refused without queueing.
-IMMEDIATE_REFUSALS = frozenset({"none_listed", "unreachable"})
+IMMEDIATE_REFUSALS = frozenset({"none_listed", "unreachable", "too_large"})
 # Priority in the queue of streams that continue; lower numbers come first.
 RESUMED_PRIORITY = -1
-# Placements of prompts with at least this many tokens are announced to the other gateways.
-# LONG_TOKENS is a different threshold, for queueing.
-ANNOUNCE_MIN_TOKENS = 2_000
+# Claims on the memory of engines after which a request is refused.
+MAX_CLAIMS = 3
 
 
 class Placer:
@@ -51,32 +57,58 @@
         self.state = state
         self.announce = announce
         self.loop = asyncio.get_running_loop()
+        self.memory = SharedMemory(state)
         self.queue = RequestQueue(state.fair_order)
         self.return_times: dict[str, ReturnTimes] = {}
         self.opening_times: dict[str, ReturnTimes] = {}
         self.queued_calls: dict[int, tuple[Call, asyncio.Future[Placed | NoEndpoint]]] = {}
 
     async def acquire(self, call: Call, now: float) -> Placed | NoEndpoint:
-        """Reserve an endpoint for a request, queueing it if necessary."""
-        prompt = call.request.prompt
-        tokens = prompt.prompt_tokens if prompt else 0
-        # A stream that goes on elsewhere comes first: its caller has a part of the answer.
-        priority = RESUMED_PRIORITY if call.has_begun else call.priority
-        queued_request = QueuedRequest(
-            call.service.name,
-            priority,
-            tokens,
-            call.deadline,
-            workspace=_workspace_of(call),
-            charge=call.tokens,
-            aimed_at=call.arrived_at + call.route.target_latency_s,
-        )
+        """Reserve an endpoint for a request, queueing it if necessary.
+
+        Room that other gateways may take in the same moment is claimed before it is used.
+        """
+        for _ in range(MAX_CLAIMS):
+            choice = await self._acquire(call, now)
+            if not isinstance(choice, Placed) or not choice.must_claim:
+                return choice
+            if await self._is_granted(call, choice):
+                return choice
+            now = self.loop.time()
+        return NoEndpoint("queue", 0.5)
+
+    async def _is_granted(self, call: Call, choice: Placed) -> bool:
+        """Return whether a claim leaves an engine within its memory; withdraw it if not."""
+        is_granted = False
+        try:
+            await asyncio.sleep(CLAIM_S)
+            is_granted = self._is_within_memory(call, choice)
+        finally:
+            if not is_granted:
+                self.release(call)
+        if not is_granted:
+            log_message(
+                "memory_claim_withdrawn",
+                request_id=call.request.request_id,
+                endpoint=choice.view.endpoint.endpoint_id,
+                held_tokens=choice.view.held_tokens(),
+            )
+        return is_granted
+
+    def _is_within_memory(self, call: Call, choice: Placed) -> bool:
+        now = self.loop.time()
+        demand = self._demand(call, now)
+        return demand.memory is None or is_within_memory(choice.view, demand, now)
+
+    async def _acquire(self, call: Call, now: float) -> Placed | NoEndpoint:
+        queued_request = self._queued(call)
         choice = self._place(call, now)
         queued_request.is_held_off = isinstance(choice, NoEndpoint) and choice.reason == "held_off"
         if choice.first_choice is not None:
             choice.first_choice.limit.record_demand(now)
         if isinstance(choice, Placed) and (
-            tokens < LONG_PROMPT_TOKENS or not self.queue.has_requests_ahead(queued_request, now)
+            queued_request.tokens < LONG_PROMPT_TOKENS
+            or not self.queue.has_requests_ahead(queued_request, now)
         ):
             self._reserve(call, choice)
             return choice
@@ -91,6 +123,63 @@
             return refusal
         return await self._wait_for_endpoint(call, queued_request, now)
 
+    # for operators
+
+    def preview(self, call: Call, now: float) -> Placed | NoEndpoint:
+        """Return where a request would go now, without a reservation."""
+        return self._place(call, now)
+
+    def preview_candidates(self, call: Call, now: float) -> tuple[Demand, list[EndpointView]]:
+        """Return what a request requires, and the endpoints that are considered for it."""
+        key, demand = self._key_and_demand(call, now)
+        return demand, self.state.pool(call.service.name).candidates(key)
+
+    def must_queue(self, call: Call, now: float) -> bool:
+        """Return whether a request that an endpoint can take waits behind others."""
+        queued_request = self._queued(call)
+        is_long = queued_request.tokens >= LONG_PROMPT_TOKENS
+        return is_long and self.queue.has_requests_ahead(queued_request, now)
+
+    def describe_queue(self, call: Call, now: float) -> dict[str, float]:
+        """Return the requests ahead of a new one, and the wait that is expected behind them."""
+        queued_request = self._queued(call)
+        wait_s = self.queue.expected_wait_s(
+            queued_request, *self._backlog(queued_request, now), now
+        )
+        return {
+            "ahead": self.queue.count_ahead(queued_request, now),
+            "expected_wait_s": round(wait_s, 3),
+        }
+
+    def preview_refusal(self, call: Call, choice: NoEndpoint, now: float) -> float | None:
+        """Return the Retry-After if a request would be refused instead of waiting; else None."""
+        left_s = call.deadline - now
+        if choice.reason == "held_off":
+            is_late = choice.retry_after_s > MAX_HELD_OFF_FRACTION * left_s
+            return choice.retry_after_s if is_late else None
+        queued_request = self._queued(call)
+        if choice.reason == "limited":
+            wait_s = self._limited_wait_s(queued_request, choice, now)
+            if wait_s > MAX_WAIT_FRACTION * left_s:
+                return min(MAX_RETRY_AFTER_S, wait_s)
+        refusal = self._refuse_long_wait(queued_request, now)
+        return refusal.retry_after_s if refusal is not None else None
+
+    def _queued(self, call: Call) -> QueuedRequest:
+        prompt = call.request.prompt
+        # A stream that goes on elsewhere comes first: its caller has a part of the answer.
+        priority = RESUMED_PRIORITY if call.has_begun else call.priority
+        tokens = prompt.prompt_tokens if prompt else 0
+        return QueuedRequest(
+            call.service.name,
+            priority,
+            tokens,
+            call.deadline,
+            workspace=_workspace_of(call),
+            charge=call.tokens,
+            aimed_at=call.arrived_at + call.route.target_latency_s,
+        )
+
     def _refuse_held_off(
         self, call: Call, choice: Placed | NoEndpoint, now: float
     ) -> NoEndpoint | None:
@@ -135,26 +224,48 @@
         that were refused before.
         """
         service = queued_request.service
-        rate = sum(view.limit.own_rate for view in self.state.pool(service).views.values())
-        ahead = self.queue.count_ahead(queued_request, now)
-        wait_s = choice.retry_after_s + (ahead / rate if rate > 0.0 else 0.0)
+        wait_s = self._limited_wait_s(queued_request, choice, now)
         if wait_s <= MAX_WAIT_FRACTION * (queued_request.deadline - now):
             return None
         if wait_s == float("inf"):
             return NoEndpoint("limited", MAX_RETRY_AFTER_S)
         returns = self.return_times.setdefault(service, ReturnTimes())
+        rate = self._limited_rate(service)
         return NoEndpoint("limited", max(0.2, returns.book(wait_s, rate, now)))
 
+    def _limited_wait_s(
+        self, queued_request: QueuedRequest, choice: NoEndpoint, now: float
+    ) -> float:
+        """Return when there will be room behind the requests that wait, in seconds."""
+        rate = self._limited_rate(queued_request.service)
+        ahead = self.queue.count_ahead(queued_request, now)
+        return choice.retry_after_s + (ahead / rate if rate > 0.0 else 0.0)
+
+    def _limited_rate(self, service: str) -> float:
+        """Return the requests per second of this gateway's shares of all limits."""
+        return sum(view.limit.own_rate for view in self.state.pool(service).views.values())
+
+    def _refuse_long_wait(self, queued_request: QueuedRequest, now: float) -> NoEndpoint | None:
+        """Return a refusal if a request would wait too long in the queue."""
+        backlog_tokens, tokens_per_s = self._backlog(queued_request, now)
+        if not self.queue.exceeds_wait_limit(queued_request, backlog_tokens, tokens_per_s, now):
+            return None
+        wait_s = self.queue.expected_wait_s(queued_request, backlog_tokens, tokens_per_s, now)
+        # Retry-After is at least 0.2 s.
+        return NoEndpoint("queue", min(MAX_RETRY_AFTER_S, max(0.2, wait_s)))
+
+    def _backlog(self, queued_request: QueuedRequest, now: float) -> tuple[int, float]:
+        """Return the tokens that the engines still have to prefill, and their speed."""
+        views = self.state.pool(queued_request.service).views.values()
+        backlog_tokens = sum(view.pending_prefill_tokens(now) for view in views)
+        return backlog_tokens, PREFILL_TOKENS_PER_S * len(views)
+
     async def _wait_for_endpoint(
         self, call: Call, queued_request: QueuedRequest, now: float
     ) -> Placed | NoEndpoint:
-        views = self.state.pool(call.service.name).views.values()
-        backlog_tokens = sum(view.pending_prefill_tokens(now) for view in views)
-        tokens_per_s = PREFILL_TOKENS_PER_S * len(views)
-        if self.queue.exceeds_wait_limit(queued_request, backlog_tokens, tokens_per_s, now):
-            wait_s = self.queue.expected_wait_s(queued_request, backlog_tokens, tokens_per_s, now)
-            # Retry-After is at least 0.2 s.
-            return NoEndpoint("queue", min(MAX_RETRY_AFTER_S, max(0.2, wait_s)))
+        refusal = self._refuse_long_wait(queued_request, now)
+        if refusal is not None:
+            return refusal
         future: asyncio.Future[Placed | NoEndpoint] = self.loop.create_future()
         self.queue.enqueue(queued_request, now)
         self.queued_calls[queued_request.number] = (call, future)
@@ -220,6 +331,10 @@
         if prompt is not None:
             reservation.pending_prefill_tokens = max(0, prompt.prompt_tokens - placed.cached_tokens)
             view.cache.record_expected(placed.scope, prompt.parts, now)
+            is_bounded = self.memory.bound_of(call.service) is not None
+            output_tokens = prompt.output_tokens if is_bounded else 0
+            if is_bounded or prompt.prompt_tokens >= ANNOUNCE_MIN_TOKENS:
+                reservation.held_tokens = prompt.prompt_tokens + output_tokens
             if prompt.prompt_tokens >= ANNOUNCE_MIN_TOKENS:
                 # The last part of a prompt is not shared with other prompts.
                 message = LongPlacement(
@@ -232,8 +347,8 @@
                     placed.fetch_from,
                     placed.fetched_tokens,
                     placed.save_to,
+                    output_tokens,
                 )
-                reservation.held_tokens = prompt.prompt_tokens
                 reservation.backlog_mark = self.state.apply_placement(message, now)
                 self.announce(message)
         reservation.begin()
@@ -246,11 +361,23 @@
             call.reservation = None
 
     def _place(self, call: Call, now: float) -> Placed | NoEndpoint:
+        key, demand = self._key_and_demand(call, now)
+        pool = self.state.pool(call.service.name)
+        return choose_from_service(pool, key, demand, self.state.topology, now)
+
+    def _key_and_demand(self, call: Call, now: float) -> tuple[bytes, Demand]:
+        prompt, demand = call.request.prompt, self._demand(call, now)
+        if prompt is None:
+            return call.request.request_id.encode(), demand
+        return affinity_key(prompt, demand.scope_prefix), demand
+
+    def _demand(self, call: Call, now: float) -> Demand:
+        """Return what a request requires of an endpoint."""
         state, prompt = self.state, call.request.prompt
         announced = state.announced.get(prompt.model) if prompt else None
         workspace = call.workspace
         scope_prefix = f"{workspace.name}/" if workspace and workspace.is_isolated else ""
-        demand = Demand(
+        return Demand(
             prompt=prompt if call.service.engine else None,
             scope_prefix=scope_prefix,
             announced_weights=announced.version if announced else None,
@@ -260,12 +387,10 @@
             cache_stores=tuple(state.cache_stores.values()),
             body_bytes=len(call.request.body),
             endangers_engine=call.trial is not None,
+            memory=self.memory.bound_of(call.service),
             software=call.software if call.has_begun else None,
             software_known=lambda view: state.knows_software(view, now),
         )
-        key = affinity_key(prompt, scope_prefix) if prompt else call.request.request_id.encode()
-        pool = state.pool(call.service.name)
-        return choose_from_service(pool, key, demand, state.topology, now)
 
 
 def _workspace_of(call: Call) -> str:
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -13,6 +13,7 @@
 from teaselpath.gateway._caches import CacheWatcher
 from teaselpath.gateway._connections import ConnectionReporter
 from teaselpath.gateway._crowd import CrowdReporter
+from teaselpath.gateway._explain import Explainer
 from teaselpath.gateway._forward import Forwarder
 from teaselpath.gateway._limits import LimitKeeper
 from teaselpath.gateway._log import LogSink
@@ -24,7 +25,14 @@
 from teaselpath.gateway._quarantine import QuarantineGate
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway._watch import StoreWatcher
-from teaselpath.http1 import LISTEN_BACKLOG, Exchange, HttpClient, Listener, ServerConnection
+from teaselpath.http1 import (
+    LISTEN_BACKLOG,
+    Exchange,
+    HttpClient,
+    Listener,
+    ServerConnection,
+    UnsentMemory,
+)
 from teaselpath.rollout import OrderLease
 
 # Draining ends this long before SIGKILL, even with requests in flight, in seconds.
@@ -38,6 +46,8 @@
 EXPIRE_INTERVAL_S = 0.5
 # Verdicts on prompt parts and requests, for operators.
 VERDICTS_PATH = b"/verdicts"
+# Where a request would go, for operators.
+PLACEMENT_PATH = b"/placement"
 # Delay before a failed job is restarted, in seconds.
 RESTART_DELAY_S = 0.2
 # Incarnations are also written as JSON numbers, which every reader decodes exactly up to 53 bits.
@@ -100,6 +110,7 @@
         self.forwarder = Forwarder(
             self.state, codec, http, self.metrics, self.peers.announce, self.gate, self.origins
         )
+        self.explainer = Explainer(self.state, self.forwarder.placer, self.gate)
         self.keeper = WeightsKeeper(self.state, engines, self.lease, self.peers)
         self.caches = CacheWatcher(self.state, engines)
         self.connections: set[ServerConnection] = set()
@@ -151,9 +162,10 @@
     async def _listen(self) -> None:
         settings = self.settings
         undrained: set[ServerConnection] = set()
+        unsent = UnsentMemory()
         self.caller_listener = Listener(
             lambda: ServerConnection(
-                self.forwarder.handle, self._limits, self.connections, self.reporter
+                self.forwarder.handle, self._limits, self.connections, self.reporter, unsent
             )
         )
         await self.caller_listener.open(settings.caller_address)
@@ -196,9 +208,23 @@
                 exchange.respond(200, [], self.peers.records.encode_records(query))
             case target if target.startswith(VERDICTS_PATH):
                 self._handle_verdicts(exchange)
+            case target if target == PLACEMENT_PATH:
+                self._handle_placement(exchange)
             case _:
                 exchange.respond(404, [])
 
+    def _handle_placement(self, exchange: Exchange) -> None:
+        """Explain where a request would go."""
+        if exchange.request.method != b"POST":
+            exchange.respond(405, [])
+            return
+        try:
+            found = self.explainer.explain(exchange.request.body)
+        except msgspec.DecodeError as error:
+            exchange.respond(400, [(b"Content-Type", b"text/plain")], str(error).encode())
+            return
+        exchange.respond(200, [(b"Content-Type", b"application/json")], msgspec.json.encode(found))
+
     def _handle_verdicts(self, exchange: Exchange) -> None:
         """List the verdicts, or lift one."""
         request = exchange.request
