Engine times are learned from first events; the choice counts seconds

Notices that an engine loads weights lasted 0.6 s, statuses to the other region come once a second, so that its gateways sent to loading engines between two statuses: most refusals there (503 within 3.5 s of an order, 774 of 749 + 321 refused attempts in the logs had fewer than ten requests in flight). Change: EngineTimes learns prefill time, fixed part and slot time per engine; paces count as far as answers have shown them true and age within 0.3 s; status messages carry what is learned. Costs of a candidate are one struct of times with one sum. A gateway whose first events are overdue expects new ones to be late, too. Where times are learned, notices of loads outlast the interval between regions, and an engine that goes on refusing is avoided longer. In force only where room is contended or engines state a pace.

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -25,7 +25,12 @@
     first_level,
     split_limit,
 )
-from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S, EngineTimes
+from teaselpath.dispatch._engine_times import (
+    PREFILL_TOKENS_PER_S,
+    EngineTimes,
+    ExpectedTimes,
+    ServiceTimes,
+)
 from teaselpath.dispatch._health import EndpointHealth
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.dispatch._placement import (
@@ -70,6 +75,7 @@
     "EndpointPool",
     "EndpointView",
     "EngineTimes",
+    "ExpectedTimes",
     "Fail",
     "FirstStep",
     "ForwardAnswer",
@@ -89,6 +95,7 @@
     "Resend",
     "Reservation",
     "ReturnTimes",
+    "ServiceTimes",
     "SharedQuota",
     "SlidingRetryBudget",
     "StoreView",
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -14,7 +14,7 @@
 
 from dataclasses import replace
 
-from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S
+from teaselpath.dispatch._engine_times import ExpectedTimes
 from teaselpath.dispatch._pool import MAX_CANDIDATES, EndpointPool
 from teaselpath.dispatch._transfers import (
     RECOMPUTE_COST_S_PER_TOKEN,
@@ -48,9 +48,8 @@
 # Threshold of a long prompt, in tokens: of all its tokens where KV cache capacity is limited, of
 # its uncached tokens where prefill is limited.
 LONG_PROMPT_TOKENS = 4_000
-# Largest prefill backlog with which an engine accepts a long prompt, in tokens: about a quarter of
-# a second of prefill.
-MAX_PREFILL_BACKLOG_TOKENS = 10_000
+# Largest prefill backlog with which an engine accepts a long prompt, in seconds.
+MAX_PREFILL_BACKLOG_S = 0.25
 # Fraction of an engine's KV cache capacity that long prompts in flight may occupy; the rest is for
 # cached parts.
 MAX_RUNNING_MEMORY_FRACTION = 0.6
@@ -209,7 +208,7 @@
     uncached_tokens = tokens - candidate.cached_tokens
     return (
         uncached_tokens >= LONG_PROMPT_TOKENS
-        and candidate.view.pending_prefill_tokens(now) > MAX_PREFILL_BACKLOG_TOKENS
+        and candidate.view.pending_prefill_s(now) > MAX_PREFILL_BACKLOG_S
     )
 
 
@@ -248,56 +247,92 @@
     preferred: EndpointView,
     now: float,
 ) -> Placed:
-    slots = max(1, view.endpoint.slots)
-    requests = view.requests(now)
-    cost = topology.rtt_s(view.endpoint.failure_domain)
-    if not topology.is_own_region(view.endpoint.failure_domain):
-        cost += demand.body_bytes * CROSS_REGION_COST_S_PER_BYTE
-    cost += view.health.failure_rate(now) * FAILURE_COST_S
-    cost += max(0, requests + 1 - slots) * QUEUED_REQUEST_COST_S
-    if view.limit.rate is not None:
-        cost += LIMITED_COST_S
+    penalty_s = _endpoint_penalty_s(view, demand, topology, now)
     if demand.prompt is None:
-        # Cost of a plain endpoint with one request per slot: 0.02 s.
-        return Placed(view, cost + 0.02 * requests / slots, 0, None, "")
+        return Placed(view, _plain_times(view, topology, penalty_s, now), 0, None, "")
     version = version_of(view, demand)
     if demand.announced_weights is not None and (version or 0) < demand.announced_weights:
-        cost += OLD_WEIGHTS_COST_S
+        penalty_s += OLD_WEIGHTS_COST_S
     scope = scope_of(demand.scope_prefix, version)
     cached = view.cache.match(scope, demand.prompt, now)
     confirmed = view.cache.match(scope, demand.prompt, now, confirmed=True)
-    fetch_from, fetched_tokens, fetch_cost_s = None, 0, 0.0
+    slowness = view.times.slowness(now)
+    fetch_from, fetched_tokens, fetch_s = None, 0, 0.0
     other_sources = [
         s for s in sources if s.weights == version and s.endpoint_id != view.endpoint.endpoint_id
     ]
     # Tokens that another engine or a store has cached and this engine would recompute.
     recomputed_tokens = max((s.tokens for s in other_sources), default=0) - cached
-    best = best_source(other_sources, view, topology, cached)
-    if best is not None:
-        fetched_tokens = best[1].tokens - cached
-        fetch_cost_s = best[0] + fetched_tokens * FETCH_COST_S_PER_TOKEN
-        fetch_from, cached, recomputed_tokens = best[1].address, best[1].tokens, 0
+    fetch = best_source(other_sources, view, topology, cached, now)
+    if fetch is not None:
+        fetch_from, fetched_tokens, fetch_s = fetch.source.address, fetch.tokens, fetch.fetch_s
+        penalty_s += fetch.eviction_cost_s + fetched_tokens * FETCH_COST_S_PER_TOKEN
+        cached, recomputed_tokens = fetch.source.tokens, 0
     elif confirmed < cached:
         # Parts were sent to this engine and are about to be cached: no penalty for recomputing.
         recomputed_tokens = 0
     domains = preferred.endpoint.failure_domain, view.endpoint.failure_domain
     if not other_sources and not topology.is_same_region(*domains):
-        cost += max(0, demand.prompt.shared_tokens - cached) * OTHER_REGION_COST_S_PER_TOKEN
-    cost += (1.0 - hash_scores[view.endpoint.endpoint_id]) * MAX_HASH_COST_S
+        uncached_shared = max(0, demand.prompt.shared_tokens - cached)
+        penalty_s += uncached_shared * OTHER_REGION_COST_S_PER_TOKEN * slowness
+    penalty_s += max(0, recomputed_tokens) * RECOMPUTE_COST_S_PER_TOKEN * slowness
+    penalty_s += (1.0 - hash_scores[view.endpoint.endpoint_id]) * MAX_HASH_COST_S
     uncached_tokens = max(0, demand.prompt.prompt_tokens - cached)
-    prefill_s = (uncached_tokens + view.pending_prefill_tokens(now)) / PREFILL_TOKENS_PER_S
-    cost += fetch_cost_s + max(0, recomputed_tokens) * RECOMPUTE_COST_S_PER_TOKEN
-    # Each request in flight at the engine costs another 0.002 s.
-    first_event_s = prefill_s * (1.0 + BATCH_SLOWDOWN_FACTOR * requests) + 0.002 * requests
-    cost += first_event_s
-    first_event_s += topology.rtt_s(view.endpoint.failure_domain)
-    return Placed(
-        view,
-        cost,
-        cached,
-        version,
-        scope,
-        fetch_from,
-        fetched_tokens,
-        first_event_s=first_event_s,
+    times = replace(
+        _engine_times(view, uncached_tokens, now),
+        network_s=topology.rtt_s(view.endpoint.failure_domain),
+        fetch_s=fetch_s,
+        penalty_s=penalty_s,
+    )
+    return Placed(view, times, cached, version, scope, fetch_from, fetched_tokens)
+
+
+def _endpoint_penalty_s(
+    view: EndpointView, demand: Demand, topology: Topology, now: float
+) -> float:
+    """Return the costs of an endpoint that do not depend on the prompt, in seconds."""
+    penalty_s = view.health.failure_rate(now) * FAILURE_COST_S
+    if not topology.is_own_region(view.endpoint.failure_domain):
+        penalty_s += demand.body_bytes * CROSS_REGION_COST_S_PER_BYTE
+    if view.limit.rate is not None:
+        penalty_s += LIMITED_COST_S
+    return penalty_s
+
+
+def _plain_times(
+    view: EndpointView, topology: Topology, penalty_s: float, now: float
+) -> ExpectedTimes:
+    """Return the expected times of a request without a prompt."""
+    slots, requests = max(1, view.endpoint.slots), view.requests(now)
+    return ExpectedTimes(
+        network_s=topology.rtt_s(view.endpoint.failure_domain),
+        queue_s=max(0, requests + 1 - slots) * QUEUED_REQUEST_COST_S,
+        # 0.02 s with one request per slot.
+        fixed_s=0.02 * requests / slots,
+        penalty_s=penalty_s,
+    )
+
+
+def _engine_times(view: EndpointView, uncached_tokens: int, now: float) -> ExpectedTimes:
+    """Return the expected times of a prompt at an engine, apart from network and fetch."""
+    slots, requests = max(1, view.endpoint.slots), view.requests(now)
+    times, excess = view.times, max(0, requests + 1 - slots)
+    ahead_s = view.pending_prefill_s(now)
+    prefill_s = times.prefill_s(uncached_tokens, now)
+    if times.is_learning:
+        fixed_s = times.fixed_s(now)
+        return ExpectedTimes(
+            queue_s=excess * times.slot_s() / slots,
+            fixed_s=fixed_s,
+            batch_s=max(fixed_s * min(requests, slots) / slots, view.overdue_s(now)),
+            ahead_s=ahead_s,
+            prefill_s=prefill_s,
+        )
+    slowdown = 1.0 + BATCH_SLOWDOWN_FACTOR * requests
+    return ExpectedTimes(
+        queue_s=excess * QUEUED_REQUEST_COST_S,
+        # Each request in flight at the engine costs another 0.002 s.
+        fixed_s=0.002 * requests,
+        ahead_s=ahead_s * slowdown,
+        prefill_s=prefill_s * slowdown,
     )
--- a/teaselpath/dispatch/_transfers.py
+++ b/teaselpath/dispatch/_transfers.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass, replace
 
 from teaselpath.dispatch._views import (
-    PREFILL_TOKENS_PER_S,
     Demand,
     EndpointView,
     Placed,
@@ -96,29 +95,45 @@
     return sources
 
 
+@dataclass(slots=True, frozen=True)
+class Fetch:
+    """Fetch of cached parts.
+
+    :param tokens: tokens that are fetched.
+    :param fetch_s: expected time of the fetch, in seconds.
+    :param eviction_cost_s: expected cost of an eviction at the source, in seconds.
+    """
+
+    source: Source
+    tokens: int
+    fetch_s: float
+    eviction_cost_s: float
+
+
 def best_source(
-    sources: list[Source], view: EndpointView, topology: Topology, cached: int
-) -> tuple[float, Source] | None:
-    """Return the source that saves most compared with recomputing, after the cost of its fetch.
+    sources: list[Source], view: EndpointView, topology: Topology, cached: int, now: float
+) -> Fetch | None:
+    """Return the fetch that saves most compared with recomputing, after its cost.
 
-    The cost is in seconds: the fetch time and, for an engine, the expected cost of an eviction.
     Returns None if computing the tokens does not cost more than fetching them from any source.
     """
-    best = None
+    best: tuple[float, Fetch] | None = None
+    s_per_token = view.times.s_per_token(now)
+    slowness = view.times.slowness(now)
     for source in sources:
         fetched_tokens = source.tokens - cached
         if fetched_tokens < MIN_FETCH_TOKENS:
             continue
         factor = topology.transfer_factor(source.failure_domain, view.endpoint.failure_domain)
-        fetch_cost_s = FETCH_SETUP_S + source.wait_s + fetched_tokens * source.s_per_token * factor
+        fetch_s = FETCH_SETUP_S + source.wait_s + fetched_tokens * source.s_per_token * factor
+        eviction_cost_s = 0.0
         if source.endpoint_id:
-            fetch_cost_s += fetched_tokens * EVICTION_COST_S_PER_TOKEN
-        net_cost_s = fetch_cost_s - fetched_tokens * (
-            RECOMPUTE_COST_S_PER_TOKEN + 1 / PREFILL_TOKENS_PER_S
-        )
+            eviction_cost_s = fetched_tokens * EVICTION_COST_S_PER_TOKEN * slowness
+        recompute_cost_s = RECOMPUTE_COST_S_PER_TOKEN * slowness + s_per_token
+        net_cost_s = fetch_s + eviction_cost_s - fetched_tokens * recompute_cost_s
         if net_cost_s < 0 and (best is None or net_cost_s < best[0]):
-            best = (net_cost_s, fetch_cost_s, source)
-    return (best[1], best[2]) if best else None
+            best = (net_cost_s, Fetch(source, fetched_tokens, fetch_s, eviction_cost_s))
+    return best[1] if best else None
 
 
 def _select_save_store(
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -6,7 +6,7 @@
 from teaselpath.dispatch._availability import Availability
 from teaselpath.dispatch._backlog import Backlog
 from teaselpath.dispatch._endpoint_limit import EndpointLimit
-from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S, EngineTimes
+from teaselpath.dispatch._engine_times import EngineTimes, ExpectedTimes
 from teaselpath.dispatch._health import EndpointHealth
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.fleet import CacheStore, Endpoint, EngineLimits, Prompt
@@ -23,6 +23,8 @@
 # Time for which an engine is avoided that refuses requests although it has free slots, in seconds.
 # Loading takes longer; then the next request shows whether it still does.
 UNEXPECTED_LOAD_S = 0.3
+# Where times are learned, that time grows with each such refusal in a row, up to this multiple.
+MAX_UNEXPECTED_LOADS = 3
 # A store is not used while the queueing time on its link is at least this, in seconds. It is less
 # than the two seconds of queueing with which a transfer is not started.
 MAX_LINK_WAIT_S = 1.2
@@ -64,6 +66,10 @@
         if it states none.
     :param pace_stated_at: time at which that statement arrived.
     :param has_stated_invalid_load: whether a stated load could not be read.
+    :param unexpected_loads: requests in a row that it refused as if it were loading weights,
+        where times are learned.
+    :param awaited: times by which the first events of this gateway's requests were expected, by
+        number, in the order of their placement.
     :param times: times that it needs for its work.
     """
 
@@ -83,11 +89,18 @@
     stated_pace: float | None = None
     pace_stated_at: float = float("-inf")
     has_stated_invalid_load: bool = False
+    unexpected_loads: int = 0
+    awaited: dict[int, float] = field(default_factory=dict)
     times: EngineTimes = field(default_factory=EngineTimes)
 
     def record_weights(self, model: str, version: int) -> None:
         """Record the version of a model's weights; versions older than the recorded are ignored."""
-        self.weights[model] = max(version, self.weights.get(model, 0))
+        known = self.weights.get(model, 0)
+        self.weights[model] = max(version, known)
+        if version > known and self.times.is_learning:
+            # It has loaded what it was avoided for.
+            self.loading_until = self.own_loading_until = 0.0
+            self.unexpected_loads = 0
 
     def record_stated_requests(self, requests: int, now: float) -> None:
         """Record the number of requests that an answer of the endpoint states."""
@@ -99,6 +112,7 @@
         is_first = self.stated_pace is None
         self.stated_pace = pace
         self.pace_stated_at = now
+        self.times.record_pace(pace, now)
         return is_first
 
     def record_not_run(self, requests: int | None, now: float) -> None:
@@ -111,7 +125,10 @@
         :param requests: requests that it stated to run or to have queued; None if not stated.
         """
         if requests is not None and requests < self.endpoint.slots:
-            until = now + UNEXPECTED_LOAD_S
+            is_new = now >= self.own_loading_until
+            if self.times.is_learning and is_new and self.unexpected_loads < MAX_UNEXPECTED_LOADS:
+                self.unexpected_loads += 1
+            until = now + UNEXPECTED_LOAD_S * max(1, self.unexpected_loads)
             self.own_loading_until = max(self.own_loading_until, until)
             self.loading_until = max(self.loading_until, until)
 
@@ -126,6 +143,18 @@
             return max(known, self.stated_requests)
         return known
 
+    def record_accepted(self) -> None:
+        """Record that it runs a request."""
+        self.unexpected_loads = 0
+
+    def overdue_s(self, now: float) -> float:
+        """Return by how much the oldest first event that this gateway awaits is late, in seconds.
+
+        A request that comes now will hardly be answered sooner: the engine is slower than expected,
+        does other work or does not answer at all.
+        """
+        return max(0.0, now - next(iter(self.awaited.values()), now))
+
     def held_tokens(self) -> int:
         """Return the prompt tokens of the long prompts in flight from all gateways."""
         return self.own.held_tokens + sum(load.held_tokens for load in self.peers.values())
@@ -136,9 +165,12 @@
         This is the larger of this gateway's own tokens and the backlog of the long prompts of all
         gateways.
         """
-        return max(
-            self.own.pending_prefill_tokens, int(self.backlog.wait_s(now) * PREFILL_TOKENS_PER_S)
-        )
+        backlog_tokens = self.times.tokens_in(self.backlog.wait_s(now), now)
+        return max(self.own.pending_prefill_tokens, backlog_tokens)
+
+    def pending_prefill_s(self, now: float) -> float:
+        """Return the expected time until the pending prompts are prefilled, in seconds."""
+        return self.times.prefill_s(self.pending_prefill_tokens(now), now)
 
 
 @dataclass(slots=True, frozen=True)
@@ -209,7 +241,7 @@
 class Placed:
     """An endpoint that can run the request, with its cost.
 
-    :param cost_s: its cost, in seconds; see ``_placement``.
+    :param times: expected times of the request there.
     :param cached_tokens: leading prompt tokens that it is expected to have or fetch.
     :param weights: version of its weights; None for a plain service.
     :param scope: scope of its cached parts.
@@ -217,11 +249,10 @@
     :param fetched_tokens: tokens that it is expected to fetch.
     :param save_to: address of the store to which it saves the shared parts.
     :param first_choice: the endpoint that would have been chosen if none stated a limit.
-    :param first_event_s: expected time until its first event, in seconds, without any penalty.
     """
 
     view: EndpointView
-    cost_s: float
+    times: ExpectedTimes
     cached_tokens: int
     weights: int | None
     scope: str
@@ -229,7 +260,16 @@
     fetched_tokens: int = 0
     save_to: str | None = None
     first_choice: EndpointView | None = None
-    first_event_s: float = 0.0
+
+    @property
+    def cost_s(self) -> float:
+        """Return its cost, in seconds."""
+        return self.times.cost_s
+
+    @property
+    def first_event_s(self) -> float:
+        """Return the expected time until its first event, in seconds, without any penalty."""
+        return self.times.first_event_s
 
 
 @dataclass(slots=True, frozen=True)
--- a/teaselpath/dispatch/tests/test_placement.py
+++ b/teaselpath/dispatch/tests/test_placement.py
@@ -5,6 +5,7 @@
     Load,
     NoEndpoint,
     Placed,
+    Reservation,
     StoreView,
     choose_endpoint,
     scope_of,
@@ -328,3 +329,45 @@
     assert choose(views, topology, excluded=frozenset({"e2"})) == NoEndpoint("held_off", 2.0)
     excluded = frozenset({"e1", "e2", "e3"})
     assert choose(views, topology, excluded=excluded) == NoEndpoint("unreachable", 0.5)
+
+
+def test_engine_that_goes_on_refusing_is_avoided_longer_until_it_runs_a_request():
+    """Where times are learned; each gateway would else ask it three times a second."""
+    loading = make_view("e", slots=4)
+    loading.times.service.is_learning = True
+    waits = []
+    for now in (0.0, 10.0, 20.0, 30.0):
+        loading.record_not_run(1, now)
+        # Answers to requests that were under way do not count as further refusals.
+        loading.record_not_run(1, now + 0.01)
+        waits.append(round(loading.loading_until - now, 2))
+    assert waits == [0.31, 0.61, 0.91, 0.91]
+    loading.record_accepted()
+    loading.record_not_run(1, 40.0)
+    assert round(loading.loading_until - 40.0, 2) == 0.3
+
+
+def test_loaded_engine_is_used_as_soon_as_its_new_weights_are_known():
+    loading = make_view("e")
+    loading.times.service.is_learning = True
+    loading.loading_until = NOW + 1.0
+    loading.record_weights("m", 1)
+    assert loading.loading_until > NOW
+    loading.record_weights("m", 2)
+    assert loading.loading_until == 0.0
+
+
+def test_engine_that_keeps_callers_waiting_is_avoided(topology):
+    """A dark engine has few prompts ahead, so that it would look as good as an idle one."""
+    views = [make_view("e1"), make_view("e2")]
+    for view in views:
+        view.times.service.is_learning = True
+    first = choose(views, topology)
+    assert isinstance(first, Placed)
+    reservation = Reservation(first.view)
+    reservation.begin(NOW - 0.5)
+    second = choose(views, topology)
+    assert isinstance(second, Placed)
+    assert second.view is not first.view
+    reservation.end()
+    assert choose(views, topology).view is first.view
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -197,6 +197,8 @@
         drain_s = self.context.state.settings.bounds.drain_s
         record_availability(view, info, drain_s, self.loop.time())
         record_load(view, info, self.loop.time())
+        if info.status == 200:
+            view.record_accepted()
         is_stream = call.route.kind is RequestKind.STREAM
         if info.status == 200 and is_stream and info.has_stamp and not info.is_encoded:
             if not self._is_same_kind(info):
@@ -290,6 +292,7 @@
                 call.first_byte_at = self.loop.time()
                 if call.reservation is not None:
                     call.reservation.mark_prefilled(call.first_byte_at)
+                self._record_first_event(call.first_byte_at)
                 call.answer = info
                 if not call.has_begun:
                     self.context.origins.record_begun(call, self.placed.view)
@@ -304,9 +307,31 @@
             self._record_broken()
             return Broken()
         self._record_proof()
+        self._record_slot_time()
         exchange.finish()
         return Answered(200)
 
+    def _record_first_event(self, now: float) -> None:
+        """Compare the time to the first event with the expected one, and learn from it."""
+        call, placed = self.call, self.placed
+        prompt, times = call.request.prompt, placed.view.times
+        if prompt is None or call.service.engine is None or not times.is_learning:
+            return
+        elapsed_s = now - self.started_at
+        uncached_tokens = max(0, prompt.prompt_tokens - placed.cached_tokens)
+        times.record_first_event(placed.times, uncached_tokens, elapsed_s, now)
+        call.first_event_s = placed.first_event_s, elapsed_s
+        self.context.metrics.observe_first_event(call.service.name, placed.first_event_s, elapsed_s)
+
+    def _record_slot_time(self) -> None:
+        """Learn how long this request occupied a slot of its engine."""
+        call, times = self.call, self.placed.times
+        if call.first_event_s is None or call.first_byte_at is None:
+            return
+        begun_s = min(call.first_event_s[1], times.fixed_s + times.prefill_s)
+        duration_s = self.loop.time() - call.first_byte_at + begun_s
+        self.placed.view.times.record_slot_time(duration_s)
+
     async def _drain(self) -> None:
         """Wait until the caller has taken enough of the events.
 
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -305,6 +305,7 @@
         now = self.loop.time()
         config = self.state.config
         first_byte_at = call.first_byte_at
+        predicted_s, attempt_s = call.first_event_s or (None, None)
         prompt, placed = call.request.prompt, call.placed
         log_message(
             "request",
@@ -329,6 +330,8 @@
             weights=placed.weights if placed else None,
             cost_ms=round(placed.cost_s * 1000, 1) if placed else None,
             first_ms=round((first_byte_at - call.arrived_at) * 1000, 1) if first_byte_at else None,
+            predicted_ms=None if predicted_s is None else round(predicted_s * 1000, 1),
+            first_event_ms=None if attempt_s is None else round(attempt_s * 1000, 1),
             total_ms=round((now - call.arrived_at) * 1000, 1),
             config_version=config.version if config else None,
         )
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -5,6 +5,8 @@
 
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0, float("inf"))
 
+FIRST_EVENT_RATIO_BUCKETS = (0.25, 0.5, 0.67, 0.8, 0.9, 1.1, 1.25, 1.5, 2.0, 4.0, float("inf"))
+
 
 class GatewayMetrics:
     """Metrics of one gateway; request metrics are labelled by workspace and request kind."""
@@ -22,6 +24,12 @@
         self.request_latency = make(
             Histogram, "request_seconds", "Arrival to end of the answer", buckets=LATENCY_BUCKETS_S
         )
+        self.first_event_ratio = make(
+            Histogram,
+            "first_event_ratio",
+            "Time to the first event as a multiple of the expected one, where times are learned",
+            buckets=FIRST_EVENT_RATIO_BUCKETS,
+        )
         self.requests = make(Counter, "requests_total", "Requests by workspace, kind and result")
         self.refusals = make(Counter, "refusals_total", "Requests refused at arrival, by reason")
         self.invalid_answers = make(
@@ -71,6 +79,11 @@
         self.request_latency.observe(labels, total_s)
         self.requests.inc({**labels, "result": result})
 
+    def observe_first_event(self, service: str, expected_s: float, actual_s: float) -> None:
+        """Record the time to the first event of an attempt beside the expected one."""
+        ratio = actual_s / max(1e-3, expected_s)
+        self.first_event_ratio.observe({"service": service}, ratio)
+
     def count_refusal(self, workspace: str, reason: str) -> None:
         """Count a request that was refused at admission."""
         self.refusals.inc({"workspace": workspace, "reason": reason})
--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -6,6 +6,7 @@
 import msgspec
 from eliot import log_message
 
+from teaselpath.exchange import CROSS_REGION_INTERVAL_S
 from teaselpath.fleet import (
     UNKNOWN_ERA,
     EndpointState,
@@ -234,7 +235,10 @@
         view = self.state.views.get(key)
         if view is not None:
             is_first_notice = view.own_loading_until < self.loop.time()
-            view.own_loading_until = view.loading_until = self.loop.time() + LOADING_HOLD_OFF_S
+            # Statuses cross regions less often.
+            spare_s = CROSS_REGION_INTERVAL_S if view.times.is_learning else 0.0
+            until = self.loop.time() + LOADING_HOLD_OFF_S + spare_s
+            view.own_loading_until = view.loading_until = until
             if is_first_notice:
                 self.notice_sent_at[key] = self.loop.time()
                 self.peers.urgent_update.set()
--- a/teaselpath/gateway/_peer_messages.py
+++ b/teaselpath/gateway/_peer_messages.py
@@ -22,6 +22,8 @@
         None if it has not stated that it leaves.
     :param switching_ms: remaining time in ms for which gateways avoid the endpoint, because it is
         about to load weights.
+    :param times: what the gateway has learned of the engine's times; see
+        ``EngineTimes.statement``.
     """
 
     endpoint_number: int
@@ -33,6 +35,7 @@
     limit_age_ms: int = -1
     demand_per_s: float = 0.0
     leaves_in_ms: int | None = None
+    times: tuple[int, int, int] | None = None
 
 
 class PlacementMessage(msgspec.Struct, array_like=True, tag="placement"):
@@ -138,6 +141,7 @@
         max(0, int((view.own_loading_until - now) * 1000)),
         *_limit_status(view, now),
         leaves_in_ms=_leaves_in_ms(view, now),
+        times=view.times.statement(),
     )
 
 
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -5,7 +5,6 @@
 
 from teaselpath.dispatch import (
     LONG_PROMPT_TOKENS,
-    PREFILL_TOKENS_PER_S,
     Demand,
     NoEndpoint,
     Placed,
@@ -142,7 +141,7 @@
     ) -> Placed | NoEndpoint:
         views = self.state.pool(call.service.name).views.values()
         backlog_tokens = sum(view.pending_prefill_tokens(now) for view in views)
-        tokens_per_s = PREFILL_TOKENS_PER_S * len(views)
+        tokens_per_s = sum(view.times.tokens_in(1.0, now) for view in views)
         if self.queue.exceeds_wait_limit(queued_request, backlog_tokens, tokens_per_s, now):
             wait_s = self.queue.expected_wait_s(queued_request, backlog_tokens, tokens_per_s, now)
             # Retry-After is at least 0.2 s.
@@ -224,9 +223,12 @@
                     placed.save_to,
                 )
                 reservation.held_tokens = prompt.prompt_tokens
+                unread_tokens = reservation.pending_prefill_tokens
+                reservation.backlog_s = view.times.prefill_s(unread_tokens, now)
                 reservation.backlog_mark = self.state.apply_placement(message, now)
                 self.announce(message)
-        reservation.begin()
+        is_learning = prompt is not None and view.times.is_learning
+        reservation.begin(now + placed.first_event_s if is_learning else None)
         call.placed, call.reservation = placed, reservation
 
     def release(self, call: Call) -> None:
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -6,10 +6,11 @@
 from eliot import log_message
 
 from teaselpath.dispatch import (
-    PREFILL_TOKENS_PER_S,
     AvailabilityTable,
     EndpointPool,
     EndpointView,
+    EngineTimes,
+    ServiceTimes,
     SharedQuota,
     SlidingRetryBudget,
     StoreView,
@@ -95,6 +96,7 @@
         self.endpoint_ids: dict[int, str] = {}
         self.availabilities = AvailabilityTable()
         self.pools: dict[str, EndpointPool] = {}
+        self.service_times: dict[str, ServiceTimes] = {}
         self.cache_stores: dict[str, StoreView] = {}
         self.members: dict[str, Member] = {}
         self.quota = SharedQuota(settings.bounds.quota_slack)
@@ -330,7 +332,10 @@
         if view is None or view.endpoint.incarnation != endpoint.incarnation:
             availability = self.availabilities.get(endpoint.number)
             view = self.views[key] = EndpointView(
-                endpoint, weights=dict(endpoint.weights), availability=availability
+                endpoint,
+                weights=dict(endpoint.weights),
+                availability=availability,
+                times=EngineTimes(self._times_of(endpoint.service)),
             )
         else:
             view.endpoint = endpoint
@@ -383,7 +388,14 @@
                 )
                 if address == placement.saved_to:
                     store_view.cache.record_expected(placement.scope, parts, now)
-        return view.backlog.add(placement.unread_tokens / PREFILL_TOKENS_PER_S, now)
+        return view.backlog.add(view.times.prefill_s(placement.unread_tokens, now), now)
+
+    def _times_of(self, service: str) -> ServiceTimes:
+        times = self.service_times.get(service)
+        if times is None:
+            times = ServiceTimes(is_learning=self.settings.is_room_contended)
+            self.service_times[service] = times
+        return times
 
     def _engine_limits(self, service: str) -> EngineLimits | None:
         found = self.config.services.get(service) if self.config else None
--- a/teaselpath/gateway/tests/test_orders.py
+++ b/teaselpath/gateway/tests/test_orders.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from teaselpath.exchange import CROSS_REGION_INTERVAL_S
 from teaselpath.fleet import Position, RecordPage, StoredRecord
 from teaselpath.gateway._orders import WeightsKeeper, boot_clock, lease_key
 from teaselpath.gateway._peers import PeerExchange
@@ -128,3 +129,18 @@
         return keeper.lease.era
 
     assert asyncio.run(scenario()) == 0
+
+
+@pytest.mark.parametrize("is_learning", [False, True])
+def test_notice_of_a_load_outlasts_the_interval_between_statuses_to_other_regions(
+    state, overloaded_engine, is_learning
+):
+    """Gateways of other regions would else send to the engine between two statuses."""
+
+    async def scenario():
+        keeper = make_keeper(state)
+        overloaded_engine.times.service.is_learning = is_learning
+        keeper._send_loading_notice("e")
+        return overloaded_engine.loading_until - keeper.loop.time()
+
+    assert (asyncio.run(scenario()) > CROSS_REGION_INTERVAL_S) is is_learning
--- a/teaselpath/gateway/tests/test_peers.py
+++ b/teaselpath/gateway/tests/test_peers.py
@@ -6,10 +6,11 @@
 import msgspec
 import pytest
 
+from teaselpath.dispatch import ExpectedTimes
 from teaselpath.fleet import Position, StoredRecord
 from teaselpath.fleet._endpoints import LAPSE_GRACE_S
 from teaselpath.gateway._entities import LongPlacement
-from teaselpath.gateway._peer_messages import PlacementMessage, RecordSet
+from teaselpath.gateway._peer_messages import EndpointStatus, PlacementMessage, RecordSet
 from teaselpath.gateway._peer_records import ENDPOINTS_FETCH_DELAY_S
 from teaselpath.gateway._peers import PeerExchange
 from teaselpath.gateway._state import GatewayState
@@ -246,3 +247,32 @@
 
     # "gw-2" stands for the gateway that knows the newer era.
     assert asyncio.run(scenario()) == [None, "gw-2"]
+
+
+def test_learned_times_reach_gateways_that_have_not_used_the_engine_and_end_with_its_start():
+    async def scenario():
+        own, other = make_exchange(), make_exchange("gw-1")
+        for exchange in (own, other):
+            exchange.state.apply_endpoint_record(endpoint_record("e", 1), "store", 1.0)
+            exchange.state.views["e"].times.service.is_learning = True
+        view, now = other.state.views["e"], own.loop.time()
+        view.own.requests = 1
+        expected = ExpectedTimes(prefill_s=view.times.prefill_s(20_000, now))
+        for _ in range(40):
+            view.times.record_first_event(expected, 20_000, 0.2, now)
+        own.datagram_received(status_of(other, "gw-1", 5, 1), None)
+        heard_s = own.state.views["e"].times.prefill_s(20_000, now)
+        new_start = endpoint_record("e", 2, born=9)
+        own.state.apply_endpoint_record(new_start, "store", 1.0)
+        return heard_s, own.state.views["e"].times.prefill_s(20_000, now)
+
+    heard_s, new_s = asyncio.run(scenario())
+    assert heard_s == pytest.approx(0.2, rel=0.3)
+    assert new_s == pytest.approx(0.5)
+
+
+def test_learned_times_add_few_bytes_to_a_status():
+    encode = msgspec.msgpack.encode
+    learned = EndpointStatus(1, 1, times=(25_000, 300, 12))
+    added = len(encode(learned)) - len(encode(EndpointStatus(1, 1)))
+    assert 0 < added <= 9
