The choice of an engine counts the pauses of its answers, and spreads prompts with small parts

Change: pauses between events are learned and the time to the end of an answer is a term of the sum; the hash of shared parts costs at most what computing them takes, the request's own part decides the rest.

--- a/teaselpath/dispatch/_engine_times.py
+++ b/teaselpath/dispatch/_engine_times.py
@@ -17,6 +17,10 @@
 ASSUMED_FIXED_S = 0.02
 # Assumed time for which a request occupies a slot of its engine, in seconds.
 ASSUMED_SLOT_S = 0.5
+# Assumed pause between two events of an answer, in seconds.
+ASSUMED_STEP_S = 0.01
+# Tokens of an answer up to which the time that they take counts in the choice of an engine.
+MAX_DECODED_TOKENS = 16
 # Largest step towards one observation, as a logarithm: answers that were preempted, or whose parts
 # were not cached as expected, are off by any factor.
 MAX_LOG_STEP = 0.4
@@ -106,15 +110,17 @@
     :ivar prefill: time to prefill one token.
     :ivar fixed: time to the first event of a prompt without tokens to prefill.
     :ivar slot: time for which a request occupies a slot.
+    :ivar step: pause between two events of an answer.
     """
 
-    __slots__ = ("fixed", "is_learning", "prefill", "slot")
+    __slots__ = ("fixed", "is_learning", "prefill", "slot", "step")
 
     def __init__(self, *, is_learning: bool = False) -> None:
         self.is_learning = is_learning
         self.prefill = Estimate(1.0 / PREFILL_TOKENS_PER_S)
         self.fixed = Estimate(ASSUMED_FIXED_S)
         self.slot = Estimate(ASSUMED_SLOT_S)
+        self.step = Estimate(ASSUMED_STEP_S)
 
 
 @dataclass(slots=True, frozen=True)
@@ -128,7 +134,8 @@
     :param ahead_s: prefill of the prompts that are ahead of this one.
     :param prefill_s: prefill of its uncached tokens.
     :param fetch_s: fetch of cached parts from another engine or a store.
-    :param penalty_s: costs that do not delay its first event.
+    :param decode_s: time from its first event to the end of its answer.
+    :param penalty_s: costs that are no times of this request.
     """
 
     network_s: float = 0.0
@@ -138,6 +145,7 @@
     ahead_s: float = 0.0
     prefill_s: float = 0.0
     fetch_s: float = 0.0
+    decode_s: float = 0.0
     penalty_s: float = 0.0
 
     @property
@@ -156,7 +164,7 @@
     @property
     def cost_s(self) -> float:
         """Return the cost by which engines are compared."""
-        return self.first_event_s + self.penalty_s
+        return self.first_event_s + self.decode_s + self.penalty_s
 
 
 class EngineTimes:
@@ -166,6 +174,7 @@
     :ivar prefill: time to prefill one token, from this gateway's answers.
     :ivar fixed: the fixed part of the first event, likewise.
     :ivar slot: time for which a request occupies a slot, likewise.
+    :ivar step: pause between two events, likewise.
     :ivar peer_prefill: the prefill time as other gateways have learned it.
     :ivar peer_fixed: the fixed part, likewise.
     :ivar pace: stated pace, as a multiple of the usual time; 1 if none is stated.
@@ -186,6 +195,7 @@
         "refreshed_at",
         "service",
         "slot",
+        "step",
     )
 
     def __init__(self, service: ServiceTimes | None = None) -> None:
@@ -193,6 +203,7 @@
         self.prefill = Estimate(self.service.prefill.value_s)
         self.fixed = Estimate(self.service.fixed.value_s)
         self.slot = Estimate(self.service.slot.value_s)
+        self.step = Estimate(self.service.step.value_s)
         self.peer_prefill = PeerEstimate()
         self.peer_fixed = PeerEstimate()
         self.pace = 1.0
@@ -238,6 +249,16 @@
         known = self.slot if self.slot.weight else self.service.slot
         return known.value_s
 
+    def decode_s(self, tokens: int) -> float:
+        """Return the expected time from the first event of an answer to its end, in seconds.
+
+        It is 0 where learning is off. Most answers are shorter than what their callers allow.
+        """
+        if not self.service.is_learning:
+            return 0.0
+        known = self.step if self.step.weight else self.service.step
+        return min(tokens, MAX_DECODED_TOKENS) * known.value_s
+
     def pace_effect(self, now: float) -> float:
         """Return the factor of the moment on all times.
 
@@ -287,6 +308,11 @@
             self._add("fixed", own_s - prefilled_s, max(QUEUED_WEIGHT, weight))
         self.refreshed_at = float("-inf")
 
+    def record_step(self, pause_s: float) -> None:
+        """Learn from the pause between two events of an answer."""
+        if self.service.is_learning:
+            self._add("step", pause_s, 1.0)
+
     def record_slot_time(self, duration_s: float) -> None:
         """Learn from the time for which a request has occupied its slot."""
         if self.service.is_learning:
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -276,17 +276,37 @@
         uncached_shared = max(0, demand.prompt.shared_tokens - cached)
         penalty_s += uncached_shared * OTHER_REGION_COST_S_PER_TOKEN * slowness
     penalty_s += max(0, recomputed_tokens) * RECOMPUTE_COST_S_PER_TOKEN * slowness
-    penalty_s += (1.0 - hash_scores[view.endpoint.endpoint_id]) * MAX_HASH_COST_S
+    penalty_s += _hash_cost_s(view, demand.prompt, hash_scores, now)
     uncached_tokens = max(0, demand.prompt.prompt_tokens - cached)
     times = replace(
         _engine_times(view, uncached_tokens, now),
         network_s=topology.rtt_s(view.endpoint.failure_domain),
         fetch_s=fetch_s,
+        decode_s=view.times.decode_s(demand.prompt.output_tokens),
         penalty_s=penalty_s,
     )
     return Placed(view, times, cached, version, scope, fetch_from, fetched_tokens)
 
 
+def _hash_cost_s(
+    view: EndpointView, prompt: Prompt, hash_scores: dict[str, float], now: float
+) -> float:
+    """Return the cost of an engine by the prompt's hash, in seconds.
+
+    Where times are learned, the shared parts count as long as computing them would take, and the
+    request's own part decides the rest: many prompts with one small part would else all go to one
+    engine, and gateways with the same view of the load to the same one.
+    """
+    endpoint_id = view.endpoint.endpoint_id
+    if not view.times.is_learning:
+        return (1.0 - hash_scores[endpoint_id]) * MAX_HASH_COST_S
+    shared_s = min(MAX_HASH_COST_S, view.times.prefill_s(prompt.shared_tokens, now))
+    own_part = prompt.parts[-1].part_id if prompt.parts else ""
+    own_score = rendezvous_rank(own_part.encode(), endpoint_id) / 2**64
+    shared_cost_s = (1.0 - hash_scores[endpoint_id]) * shared_s
+    return shared_cost_s + (1.0 - own_score) * (MAX_HASH_COST_S - shared_s)
+
+
 def _endpoint_penalty_s(
     view: EndpointView, demand: Demand, topology: Topology, now: float
 ) -> float:
--- a/teaselpath/dispatch/tests/test_placement.py
+++ b/teaselpath/dispatch/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 from teaselpath.dispatch import (
     Demand,
+    ExpectedTimes,
     Load,
     NoEndpoint,
     Placed,
@@ -11,7 +12,7 @@
     scope_of,
 )
 from teaselpath.dispatch.tests.conftest import ENGINE, make_prompt, make_view
-from teaselpath.fleet import CacheStore, EngineLimits
+from teaselpath.fleet import CacheStore, EngineLimits, Prompt, PromptPart
 
 NOW = 100.0
 
@@ -371,3 +372,19 @@
     assert second.view is not first.view
     reservation.end()
     assert choose(views, topology).view is first.view
+
+
+def test_prompts_with_one_small_part_in_common_are_spread_where_times_are_learned(topology):
+    """Load: 240 prompts at once of which one part of 90 tokens is the same."""
+    views = [make_view(f"e{n}") for n in range(6)]
+    for view in views:
+        view.times.service.is_learning = True
+        for _ in range(12):
+            view.times.record_first_event(ExpectedTimes(prefill_s=0.1), 4_000, 0.1, NOW)
+    counts = dict.fromkeys(range(6), 0)
+    for n in range(240):
+        prompt = Prompt("m", (PromptPart("p", 90), PromptPart(f"own-{n}", 200)), 290, 5)
+        placed = choose(views, topology, prompt=prompt)
+        assert isinstance(placed, Placed)
+        counts[views.index(placed.view)] += 1
+    assert max(counts.values()) < 1.4 * 240 / 6
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -84,6 +84,7 @@
         self.started_at = self.loop.time()
         self.events_before = call.splitter.count
         self.has_proved = False
+        self.last_event_at: float | None = None
         self.limits = AttemptLimits(call.route, call.progress.runs, self.started_at, call.deadline)
         # Set if the connection was lost within the answer: whether the engine has ended.
         self.engine_end: asyncio.Future[bool] | None = None
@@ -297,6 +298,9 @@
                 if not call.has_begun:
                     self.context.origins.record_begun(call, self.placed.view)
                 exchange.start(200, info.forwarded_headers)
+            elif self.last_event_at is not None and call.first_event_s is not None:
+                self.placed.view.times.record_step(self.loop.time() - self.last_event_at)
+            self.last_event_at = self.loop.time()
             exchange.write(complete_events)
             await self._drain()
             self.limits.record_event(self.loop.time())
