Merge learned engine times with memory, fair shares and slow callers

Change: a claim on memory is part of the wait in the one sum of times; the queue's speed is that of the engines' own times; what is announced carries output tokens and its time.

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -31,7 +31,12 @@
     held_fraction,
     is_within_memory,
 )
-from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S, EngineTimes
+from teaselpath.dispatch._engine_times import (
+    PREFILL_TOKENS_PER_S,
+    EngineTimes,
+    ExpectedTimes,
+    ServiceTimes,
+)
 from teaselpath.dispatch._fair_order import FairOrder
 from teaselpath.dispatch._health import EndpointHealth
 from teaselpath.dispatch._memory_bound import LargestRequest, MemoryBound
@@ -81,6 +86,7 @@
     "EndpointPool",
     "EndpointView",
     "EngineTimes",
+    "ExpectedTimes",
     "Fail",
     "FairOrder",
     "FirstStep",
@@ -103,6 +109,7 @@
     "Resend",
     "Reservation",
     "ReturnTimes",
+    "ServiceTimes",
     "SharedQuota",
     "SlidingRetryBudget",
     "StoreView",
--- a/teaselpath/dispatch/_engine_memory.py
+++ b/teaselpath/dispatch/_engine_memory.py
@@ -50,7 +50,8 @@
         case Room.FREE:
             return candidate
         case Room.CLAIM:
-            return replace(candidate, cost_s=candidate.cost_s + CLAIM_S, must_claim=True)
+            times = replace(candidate.times, queue_s=candidate.times.queue_s + CLAIM_S)
+            return replace(candidate, times=times, must_claim=True)
         case Room.NONE:
             return None
 
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -35,6 +35,8 @@
         None if it is not known.
     :param known_digest: its digest, once it was needed.
     :param reads_slowly: whether its stream was broken off because its caller reads too slowly.
+    :param first_event_s: expected and actual time to the first event of the attempt that brought
+        it, in seconds; None if times are not learned.
     :param reservation: its load at the endpoint of the current attempt; None between attempts.
     """
 
@@ -64,6 +66,7 @@
     software: str | None = None
     known_digest: str | None = None
     reads_slowly: bool = False
+    first_event_s: tuple[float, float] | None = None
 
     def __post_init__(self) -> None:
         """Expect the events after the one at which the caller resumes its stream."""
