Room at engines: parts by demand, admission by the aim, bounded prefill

Requests waited 2 ms at gateways: all time was spent at engines. Change, where room is contended: gateways report their demand, keep their requests in flight within their part of the slots while engines are nearly full, and prefer engines at which they have a place by hash (dispatch/_room.py). A request without room waits only while its first event can come in time, else it is rejected at once with a time of its own (dispatch/_timeliness.py). Pending prefill at an engine is bounded in time by the shortest aim of the service (dispatch/_long_prompts.py), also where engines state their pace.

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -27,6 +27,7 @@
 )
 from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S, EngineTimes
 from teaselpath.dispatch._health import EndpointHealth
+from teaselpath.dispatch._long_prompts import max_backlog_s
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.dispatch._placement import (
     LONG_PROMPT_TOKENS,
@@ -41,6 +42,8 @@
 from teaselpath.dispatch._reservation import Reservation
 from teaselpath.dispatch._retry_budget import SlidingRetryBudget
 from teaselpath.dispatch._return_times import ReturnTimes
+from teaselpath.dispatch._room import ServiceRoom, share_of_demand
+from teaselpath.dispatch._timeliness import Reject, Wait, admit_by_aim
 from teaselpath.dispatch._views import (
     Demand,
     EndpointView,
@@ -85,22 +88,28 @@
     "Progress",
     "QueuedRequest",
     "Refuse",
+    "Reject",
     "RequestQueue",
     "Resend",
     "Reservation",
     "ReturnTimes",
+    "ServiceRoom",
     "SharedQuota",
     "SlidingRetryBudget",
     "StoreView",
     "StreamStep",
     "Topology",
+    "Wait",
+    "admit_by_aim",
     "affinity_key",
     "caller_gap_limit_s",
     "choose_endpoint",
     "choose_from_service",
     "first_level",
+    "max_backlog_s",
     "next_step",
     "next_stream_step",
     "scope_of",
+    "share_of_demand",
     "split_limit",
 ]
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -15,6 +15,7 @@
 from dataclasses import replace
 
 from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S
+from teaselpath.dispatch._long_prompts import has_prefill_room
 from teaselpath.dispatch._pool import MAX_CANDIDATES, EndpointPool
 from teaselpath.dispatch._transfers import (
     RECOMPUTE_COST_S_PER_TOKEN,
@@ -38,6 +39,9 @@
 # Cost per request by which the requests in flight, this one included, exceed the endpoint's slots,
 # in seconds.
 QUEUED_REQUEST_COST_S = 0.06
+# Cost per request beyond the places of this gateway at an engine whose room is short, in seconds:
+# other gateways use them, unseen by this one.
+BEYOND_PLACES_COST_S = 0.1
 # Cost per byte of a body sent to another region, in seconds: the link has little bandwidth and is
 # billed by volume.
 CROSS_REGION_COST_S_PER_BYTE = 5e-6
@@ -207,10 +211,16 @@
     ):
         return True
     uncached_tokens = tokens - candidate.cached_tokens
-    return (
-        uncached_tokens >= LONG_PROMPT_TOKENS
-        and candidate.view.pending_prefill_tokens(now) > MAX_PREFILL_BACKLOG_TOKENS
-    )
+    if uncached_tokens < LONG_PROMPT_TOKENS:
+        return False
+    view = candidate.view
+    pending_tokens = view.pending_prefill_tokens(now)
+    is_bounded = demand.is_room_contended or view.stated_pace is not None
+    if demand.max_backlog_s is None or not is_bounded:
+        return pending_tokens > MAX_PREFILL_BACKLOG_TOKENS
+    pending_s = view.times.prefill_s(pending_tokens, now)
+    own_s = view.times.prefill_s(uncached_tokens, now)
+    return not has_prefill_room(pending_s, own_s, demand.max_backlog_s)
 
 
 def affinity_key(prompt: Prompt, scope_prefix: str) -> bytes:
@@ -255,6 +265,8 @@
         cost += demand.body_bytes * CROSS_REGION_COST_S_PER_BYTE
     cost += view.health.failure_rate(now) * FAILURE_COST_S
     cost += max(0, requests + 1 - slots) * QUEUED_REQUEST_COST_S
+    if view.own_places is not None:
+        cost += max(0, view.own.requests + 1 - view.own_places) * BEYOND_PLACES_COST_S
     if view.limit.rate is not None:
         cost += LIMITED_COST_S
     if demand.prompt is None:
--- a/teaselpath/dispatch/_reservation.py
+++ b/teaselpath/dispatch/_reservation.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S
+from teaselpath.dispatch._room import ServiceRoom
 from teaselpath.dispatch._views import EndpointView
 
 
@@ -12,6 +13,9 @@
 
     :param pending_prefill_tokens: prompt tokens that the engine has still to prefill.
     :param held_tokens: prompt tokens that it adds to ``Load.held_tokens``.
+    :param sent_at: time at which the request is sent to the engine.
+    :param room: room at the engines of the service, if requests compete for it.
+    :param is_long: whether the request counts there as a long prompt.
     :param backlog_mark: mark of the prompt in the engine's backlog; None if it is not in it.
     """
 
@@ -19,6 +23,9 @@
     pending_prefill_tokens: int = 0
     held_tokens: int = 0
     backlog_mark: float | None = None
+    sent_at: float = 0.0
+    room: ServiceRoom | None = None
+    is_long: bool = False
 
     def begin(self) -> None:
         """Add the request to the endpoint's load."""
--- a/teaselpath/dispatch/_return_times.py
+++ b/teaselpath/dispatch/_return_times.py
@@ -26,13 +26,18 @@
         self.next_at = 0.0
         self.next_after_opening: dict[float, float] = {}
 
-    def book(self, wait_s: float, rate: float, now: float) -> float:
+    def book(
+        self, wait_s: float, rate: float, now: float, longest_s: float = float("inf")
+    ) -> float:
         """Return the time after which to return, in seconds.
 
         :param wait_s: time until there is room behind the requests that wait.
         :param rate: requests per second for which there is room.
+        :param longest_s: time beyond which nothing is booked, in seconds.
         """
         return_at = max(now + wait_s, self.next_at)
+        if return_at > now + longest_s:
+            return longest_s
         self.next_at = return_at + (1.0 / rate if rate > 0.0 else 0.0)
         return return_at - now
 
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -65,6 +65,8 @@
     :param pace_stated_at: time at which that statement arrived.
     :param has_stated_invalid_load: whether a stated load could not be read.
     :param times: times that it needs for its work.
+    :param own_places: requests that this gateway should have in flight there at most while room is
+        short; None while it is not.
     """
 
     endpoint: Endpoint
@@ -84,6 +86,7 @@
     pace_stated_at: float = float("-inf")
     has_stated_invalid_load: bool = False
     times: EngineTimes = field(default_factory=EngineTimes)
+    own_places: int | None = None
 
     def record_weights(self, model: str, version: int) -> None:
         """Record the version of a model's weights; versions older than the recorded are ignored."""
@@ -157,6 +160,9 @@
     :param endangers_engine: whether the request may end its engine, which should run few others.
     :param software: the only version of the software that may run it; None for any.
     :param software_known: whether the version of an endpoint's entry is that of its process.
+    :param max_backlog_s: longest pending prefill with a long prompt, in seconds, at engines that
+        state their pace or whose room is contended; None for the bound of all others.
+    :param is_room_contended: whether requests compete for room at the engines.
     """
 
     prompt: Prompt | None
@@ -170,6 +176,8 @@
     endangers_engine: bool = False
     software: str | None = None
     software_known: Callable[["EndpointView"], bool] | None = None
+    max_backlog_s: float | None = None
+    is_room_contended: bool = False
 
     def admits(self, view: "EndpointView") -> bool:
         """Return whether an endpoint has the one version that may run the request."""
@@ -242,7 +250,7 @@
         little KV cache capacity for the prompt; ``limited``: this gateway has used its shares of
         the limits that all state; ``held_off``: all that are left want no requests of this gateway
         for ``retry_after_s``. The gateway adds ``queue``: the wait in its queue
-        is or would be too long.
+        is or would be too long; ``late``: the first event would come after the aim.
     :param first_choice: as in ``Placed``.
     """
 
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -327,6 +327,7 @@
             saved_to=placed.save_to if placed else None,
             scope=placed.scope if placed else None,
             weights=placed.weights if placed else None,
+            room=call.room,
             cost_ms=round(placed.cost_s * 1000, 1) if placed else None,
             first_ms=round((first_byte_at - call.arrived_at) * 1000, 1) if first_byte_at else None,
             total_ms=round((now - call.arrived_at) * 1000, 1),
--- a/teaselpath/gateway/_limits.py
+++ b/teaselpath/gateway/_limits.py
@@ -13,10 +13,6 @@
 # Time in which a report of demand reaches all gateways, in seconds, and the same in a large fleet.
 DEMAND_DELAY_S = 0.3
 LARGE_FLEET_DEMAND_DELAY_S = 1.5
-# Time for which a silent gateway keeps its share, in seconds: it may be cut off from this one only.
-SILENT_S = 10.0
-# Time for which a gateway that was listed but sent nothing counts, in seconds.
-LISTED_S = 5.0
 
 
 class LimitKeeper:
@@ -45,7 +41,7 @@
         host = self.state.settings.host
         is_large = is_large_fleet(len(self.state.members))
         delay_s = LARGE_FLEET_DEMAND_DELAY_S if is_large else DEMAND_DELAY_S
-        peers = self._possible_peers(now)
+        peers = self.state.possible_peers(now)
         for view in limited:
             limit, endpoint_id = view.limit, view.endpoint.endpoint_id
             own_demand = limit.settled_demand(now, delay_s)
@@ -58,15 +54,6 @@
             share = split_limit(host, endpoint_id, limit.usable_rate, demand)
             limit.set_share(share, first_level(host, endpoint_id), now)
 
-    def _possible_peers(self, now: float) -> list[str]:
-        """Return the other gateways that may send requests."""
-        return [
-            member.host
-            for member in self.state.members.values()
-            if now - member.last_contact_at < SILENT_S
-            or (not member.last_contact_at and now - member.listed_at < LISTED_S)
-        ]
-
 
 def _log_limits(limited: list[EndpointView], now: float) -> None:
     log_message(
--- a/teaselpath/gateway/_peer_messages.py
+++ b/teaselpath/gateway/_peer_messages.py
@@ -57,6 +57,8 @@
         version.
     :param lease_end: era and offset at which the lease topic ends; None if unknown.
     :param lease: holder, nonce, fence and era of the newest known lease record.
+    :param demand: requests per second that arrive at the gateway, by service whose room is
+        contended.
     """
 
     host: str
@@ -78,6 +80,7 @@
     naming_ages_ms: dict[str, dict[int, int]]
     lease_end: tuple[int, int] | None
     lease: tuple[str, str, int, int] | None
+    demand: dict[str, float] = {}
 
 
 class StatusToRelay(msgspec.Struct, array_like=True, tag="relay_status"):
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -380,6 +380,7 @@
             },
             lease_end=None if lease.end is None else (lease.end.era, lease.end.offset),
             lease=(last.holder, last.nonce, last.fence, last.era) if last else None,
+            demand={name: room.demand_per_s(now) for name, room in state.rooms.items()},
         )
 
     def _used(self, now: float, changed_since: float) -> dict[str, int]:
@@ -440,6 +441,8 @@
             view = views[endpoint_status.endpoint_number]
             if view is not None:
                 self._apply_endpoint_status(status.host, endpoint_status, view, now)
+        for service, demand_per_s in status.demand.items():
+            self._apply_demand(status.host, service, demand_per_s)
         if status.lease_end is not None:
             record = LeaseRecord(*status.lease) if status.lease else None
             self.lease.observe(Position(*status.lease_end), record, self.clock())
@@ -499,6 +502,11 @@
         if endpoint_status.switching_ms:
             view.loading_until = max(view.loading_until, now + endpoint_status.switching_ms / 1000)
 
+    def _apply_demand(self, host: str, service: str, demand_per_s: float) -> None:
+        room = self.state.room(service)
+        if room is not None and not room.record_peer_demand(host, demand_per_s):
+            log_message("peer_demand_ignored", host=host, service=service, demand=demand_per_s)
+
     def _apply_limit(
         self, host: str, endpoint_status: EndpointStatus, view: EndpointView, now: float
     ) -> None:
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -10,11 +10,16 @@
     NoEndpoint,
     Placed,
     QueuedRequest,
+    Reject,
     RequestQueue,
     Reservation,
     ReturnTimes,
+    ServiceRoom,
+    Wait,
+    admit_by_aim,
     affinity_key,
     choose_from_service,
+    max_backlog_s,
 )
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._entities import LongPlacement
@@ -41,6 +46,27 @@
 ANNOUNCE_MIN_TOKENS = 2_000
 
 
+# Interval at which the part of this gateway in contended room is computed, in seconds.
+ROOM_INTERVAL_S = 0.05
+# Fraction of the rate at which requests are sent that rejected callers are told to return at. The
+# rest is for new ones.
+RETURNING_FRACTION = 0.5
+
+
+def _queue_priority(call: Call) -> int:
+    # A stream that goes on elsewhere comes first: its caller has a part of the answer.
+    return RESUMED_PRIORITY if call.has_begun else call.priority
+
+
+def _is_long(queued_request: QueuedRequest) -> bool:
+    return queued_request.tokens >= LONG_PROMPT_TOKENS
+
+
+def _is_bound_by_aim(call: Call) -> bool:
+    """Return whether a late first event is of little use to the caller."""
+    return call.route.target_latency_s > 0.0 and not call.has_begun and not call.progress.runs
+
+
 class Placer:
     """Places requests at endpoints and queues those that no endpoint can take.
 
@@ -54,22 +80,24 @@
         self.queue = RequestQueue()
         self.return_times: dict[str, ReturnTimes] = {}
         self.opening_times: dict[str, ReturnTimes] = {}
+        self.rooms_updated_until: dict[str, float] = {}
         self.queued_calls: dict[int, tuple[Call, asyncio.Future[Placed | NoEndpoint]]] = {}
 
     async def acquire(self, call: Call, now: float) -> Placed | NoEndpoint:
         """Reserve an endpoint for a request, queueing it if necessary."""
         prompt = call.request.prompt
         tokens = prompt.prompt_tokens if prompt else 0
-        # A stream that goes on elsewhere comes first: its caller has a part of the answer.
-        priority = RESUMED_PRIORITY if call.has_begun else call.priority
-        queued_request = QueuedRequest(call.service.name, priority, tokens, call.deadline)
+        queued_request = QueuedRequest(
+            call.service.name, _queue_priority(call), tokens, call.deadline
+        )
         choice = self._place(call, now)
         queued_request.is_held_off = isinstance(choice, NoEndpoint) and choice.reason == "held_off"
         if choice.first_choice is not None:
             choice.first_choice.limit.record_demand(now)
-        if isinstance(choice, Placed) and (
-            tokens < LONG_PROMPT_TOKENS or not self.queue.has_requests_ahead(queued_request)
-        ):
+        room = self._room(call.service.name, now)
+        if room is not None and not call.attempts:
+            room.record_arrival(now)
+        if isinstance(choice, Placed) and self._may_send(queued_request, room):
             self._reserve(call, choice)
             return choice
         if isinstance(choice, NoEndpoint) and choice.reason in IMMEDIATE_REFUSALS:
@@ -81,8 +109,84 @@
         refusal = self._refuse_held_off(call, choice, now)
         if refusal is not None:
             return refusal
+        if room is not None and _is_bound_by_aim(call):
+            return await self._wait_in_time(call, queued_request, room, now)
         return await self._wait_for_endpoint(call, queued_request, now)
 
+    def _room(self, service: str, now: float) -> ServiceRoom | None:
+        """Return the room at the engines of a service, if requests compete for it."""
+        room = self.state.room(service)
+        if room is None:
+            return None
+        if now >= self.rooms_updated_until.get(service, 0.0):
+            self.rooms_updated_until[service] = now + ROOM_INTERVAL_S
+            room.update(
+                self.state.settings.host,
+                self.state.pool(service).views.values(),
+                self.state.possible_peers(now),
+                now,
+            )
+        return room
+
+    def _may_send(self, queued_request: QueuedRequest, room: ServiceRoom | None) -> bool:
+        """Return whether a new request may be sent before those that wait."""
+        if room is None and queued_request.tokens < LONG_PROMPT_TOKENS:
+            return True
+        if room is None:
+            return not self.queue.has_requests_ahead(queued_request)
+        if queued_request.priority == RESUMED_PRIORITY:
+            return True
+        # Short prompts do not wait for long ones, which may wait for an engine with little prefill.
+        if any(
+            other.is_ahead_of(queued_request) and (_is_long(queued_request) or not _is_long(other))
+            for other in self.queue.queued.values()
+        ):
+            return False
+        return self._has_room(queued_request, room)
+
+    def _has_room(self, queued_request: QueuedRequest, room: ServiceRoom) -> bool:
+        is_long = _is_long(queued_request)
+        others_wait = any(
+            other.service == queued_request.service and _is_long(other) != is_long
+            for other in self.queue.queued.values()
+        )
+        return room.has_room(is_long, others_wait=others_wait)
+
+    async def _wait_in_time(
+        self, call: Call, queued_request: QueuedRequest, room: ServiceRoom, now: float
+    ) -> Placed | NoEndpoint:
+        """Wait as long as the first event can still come in time."""
+        is_long = _is_long(queued_request)
+        waiting = [r for r in self.queue.queued.values() if r.is_ahead_of(queued_request)]
+        ahead = sum(_is_long(request) == is_long for request in waiting)
+        rate = room.sends_per_s(is_long, others_first=ahead < len(waiting))
+        admission = admit_by_aim(
+            call.arrived_at,
+            call.route.target_latency_s,
+            call.deadline,
+            room.first_event_s.get(is_long, 0.0),
+            (ahead + 1) / rate,
+            now,
+        )
+        match admission:
+            case Reject(wait_s):
+                return self._reject_late(call, room, is_long, wait_s, rate, now)
+            case Wait(until):
+                choice = await self._queue(call, queued_request, until, now)
+        if choice is not None:
+            return choice
+        return self._reject_late(call, room, is_long, 1.0 / rate, rate, self.loop.time())
+
+    def _reject_late(
+        self, call: Call, room: ServiceRoom, is_long: bool, wait_s: float, rate: float, now: float
+    ) -> NoEndpoint:
+        """Return the refusal of a request that cannot be in time, with a time to return."""
+        call.room = room.describe(is_long)
+        call.room["expected_wait_ms"] = round(wait_s * 1000, 1)
+        returns = self.return_times.setdefault(call.service.name, ReturnTimes())
+        booked_s = returns.book(wait_s, RETURNING_FRACTION * rate, now, MAX_RETRY_AFTER_S)
+        return NoEndpoint("late", min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, booked_s)))
+
     def _refuse_held_off(
         self, call: Call, choice: Placed | NoEndpoint, now: float
     ) -> NoEndpoint | None:
@@ -147,16 +251,22 @@
             wait_s = self.queue.expected_wait_s(queued_request, backlog_tokens, tokens_per_s, now)
             # Retry-After is at least 0.2 s.
             return NoEndpoint("queue", min(MAX_RETRY_AFTER_S, max(0.2, wait_s)))
+        until = now + MAX_WAIT_FRACTION * (call.deadline - now)
+        return await self._queue(call, queued_request, until, now) or NoEndpoint("queue", 0.5)
+
+    async def _queue(
+        self, call: Call, queued_request: QueuedRequest, until: float, now: float
+    ) -> Placed | NoEndpoint | None:
+        """Queue a request; return None if it was not placed or refused until its time ended."""
         future: asyncio.Future[Placed | NoEndpoint] = self.loop.create_future()
         self.queue.enqueue(queued_request, now)
         self.queued_calls[queued_request.number] = (call, future)
         try:
-            async with asyncio.timeout_at(now + MAX_WAIT_FRACTION * (call.deadline - now)):
+            async with asyncio.timeout_at(until):
                 return await future
         except TimeoutError:
-            # The request may have been placed in the same loop iteration as the timeout. If not, it
-            # is refused with a Retry-After of 0.5 s.
-            return NoEndpoint("queue", 0.5) if future.cancelled() else future.result()
+            # The request may have been placed in the same loop iteration as the timeout.
+            return None if future.cancelled() else future.result()
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
                 self.release(call)
@@ -179,6 +289,8 @@
         requests for now: others may have endpoints left that do.
         """
         blocked: set[str] = set()
+        # Services of which only long prompts stay queued: engines have too much prefill pending.
+        reading: set[str] = set()
         # Requests that have tried the same endpoints wait for the same ones.
         held_off: dict[tuple[str, frozenset[str]], NoEndpoint] = {}
         for queued_request in self.queue.in_order():
@@ -186,6 +298,12 @@
             if future.done() or queued_request.service in blocked:
                 continue
             now = self.loop.time()
+            room = self._room(queued_request.service, now)
+            is_resumed = queued_request.priority == RESUMED_PRIORITY
+            if room is not None and not is_resumed and not self._has_room(queued_request, room):
+                continue
+            if queued_request.service in reading and _is_long(queued_request):
+                continue
             tried = queued_request.service, frozenset(call.tried)
             choice = held_off.get(tried) or self._place(call, now)
             if isinstance(choice, Placed):
@@ -199,13 +317,20 @@
             self.queue.set_held_off(queued_request, choice.reason == "held_off", now)
             if queued_request.is_held_off:
                 held_off[tried] = choice
+            elif room is not None and choice.reason == "reading":
+                reading.add(queued_request.service)
             else:
                 blocked.add(queued_request.service)
 
     def _reserve(self, call: Call, placed: Placed) -> None:
         """Reserve the load of a request at its endpoint."""
         view, prompt, now = placed.view, call.request.prompt, self.loop.time()
-        reservation = Reservation(view)
+        reservation = Reservation(view, sent_at=now)
+        room = self.state.room(call.service.name)
+        if room is not None:
+            is_long = prompt is not None and prompt.prompt_tokens >= LONG_PROMPT_TOKENS
+            reservation.room, reservation.is_long = room, is_long
+            room.record_sent(is_long)
         view.limit.record_send(now)
         if prompt is not None:
             reservation.pending_prefill_tokens = max(0, prompt.prompt_tokens - placed.cached_tokens)
@@ -231,9 +356,16 @@
 
     def release(self, call: Call) -> None:
         """Release the load that a request has reserved, if any."""
-        if call.reservation is not None:
-            call.reservation.end()
-            call.reservation = None
+        reservation = call.reservation
+        if reservation is None:
+            return
+        reservation.end()
+        call.reservation = None
+        if reservation.room is not None:
+            first_at, sent_at = call.first_byte_at, reservation.sent_at
+            first_event_s = None if first_at is None or first_at < sent_at else first_at - sent_at
+            run_s = self.loop.time() - sent_at
+            reservation.room.record_ended(reservation.is_long, run_s, first_event_s)
 
     def _place(self, call: Call, now: float) -> Placed | NoEndpoint:
         state, prompt = self.state, call.request.prompt
@@ -252,6 +384,8 @@
             endangers_engine=call.trial is not None,
             software=call.software if call.has_begun else None,
             software_known=lambda view: state.knows_software(view, now),
+            max_backlog_s=max_backlog_s(state.aims_s(call.service.name)),
+            is_room_contended=state.settings.is_room_contended,
         )
         key = affinity_key(prompt, scope_prefix) if prompt else call.request.request_id.encode()
         pool = state.pool(call.service.name)
--- a/teaselpath/gateway/_responses.py
+++ b/teaselpath/gateway/_responses.py
@@ -65,7 +65,7 @@
 
     def end_unplaced(self, exchange: Exchange, call: Call, no_endpoint: NoEndpoint) -> Code:
         """End a request for which no endpoint is left."""
-        is_overload = no_endpoint.reason in ("queue", "limited", "held_off")
+        is_overload = no_endpoint.reason in ("queue", "late", "limited", "held_off")
         code = Code.OVERLOADED if is_overload else Code.NO_ENDPOINT
         call.attempts.append(("", no_endpoint.reason, 0.0))
         if call.progress.runs == 0:
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -10,6 +10,7 @@
     AvailabilityTable,
     EndpointPool,
     EndpointView,
+    ServiceRoom,
     SharedQuota,
     SlidingRetryBudget,
     StoreView,
@@ -40,6 +41,10 @@
 # A gateway that sent a message or was listed within this time may still be running and spend
 # quota, in seconds.
 MEMBER_EXPIRY_S = 30.0
+# Time for which a silent gateway keeps its share, in seconds: it may be cut off from this one only.
+SILENT_S = 10.0
+# Time for which a gateway that was listed but sent nothing counts, in seconds.
+LISTED_S = 5.0
 # A gateway that sent a message within this time is reachable, and the quota that it has used is
 # known, in seconds. In a large fleet, messages are fewer and pass through relays.
 PEER_TIMEOUT_S = 2.5
@@ -65,6 +70,8 @@
     records tell which is newer within one era of the store; a store that returns from a copy
     begins a new one.
 
+    :ivar rooms: room at engines by service, where requests compete for it.
+    :ivar known_aims: version of the configuration and aims of its routes, by service.
     :ivar era: newest known era of the store; ``UNKNOWN_ERA`` before its first answer.
     :ivar era_seen_at: time at which this gateway first knew of that era, in seconds.
     :ivar restored_at: time at which it last saw the store return from a copy; 0 if it has not.
@@ -95,6 +102,8 @@
         self.endpoint_ids: dict[int, str] = {}
         self.availabilities = AvailabilityTable()
         self.pools: dict[str, EndpointPool] = {}
+        self.rooms: dict[str, ServiceRoom] = {}
+        self.known_aims: dict[str, tuple[int, list[float]]] = {}
         self.cache_stores: dict[str, StoreView] = {}
         self.members: dict[str, Member] = {}
         self.quota = SharedQuota(settings.bounds.quota_slack)
@@ -358,6 +367,41 @@
         """Return the endpoints of a service."""
         return self.pools.setdefault(service, EndpointPool())
 
+    def room(self, service: str) -> ServiceRoom | None:
+        """Return the room at the engines of a service; None if requests do not compete for it."""
+        config = self.config
+        if not self.settings.is_room_contended or config is None:
+            return None
+        known = config.services.get(service)
+        if known is None or known.engine is None:
+            return None
+        return self.rooms.setdefault(service, ServiceRoom())
+
+    def aims_s(self, service: str) -> list[float]:
+        """Return the aims of the routes that use a service, in seconds; 0 for none."""
+        config = self.config
+        if config is None:
+            return []
+        version, aims = self.known_aims.get(service, (0, []))
+        if version != config.version:
+            aims = [
+                route.target_latency_s
+                for routes in config.routes.values()
+                for route in routes
+                if any(backend.service == service for backend in route.backends)
+            ]
+            self.known_aims[service] = config.version, aims
+        return aims
+
+    def possible_peers(self, now: float) -> list[str]:
+        """Return the other gateways that may send requests, those that are silent included."""
+        return [
+            member.host
+            for member in self.members.values()
+            if now - member.last_contact_at < SILENT_S
+            or (not member.last_contact_at and now - member.listed_at < LISTED_S)
+        ]
+
     def apply_placement(self, placement: LongPlacement, now: float) -> float | None:
         """Account for a long prompt that this or another gateway sends to an engine.
 
--- /dev/null
+++ b/teaselpath/gateway/tests/test_contended_room.py
@@ -0,0 +1,250 @@
+"""Requests that compete for room: those that can be in time are served, the others rejected."""
+
+import asyncio
+from dataclasses import replace
+
+import msgspec
+import pytest
+
+from teaselpath.dispatch import NoEndpoint, Placed, Reservation
+from teaselpath.fleet import (
+    Backend,
+    CallerRequest,
+    EngineLimits,
+    FleetConfig,
+    Prompt,
+    PromptPart,
+    RequestKind,
+    Route,
+    Service,
+)
+from teaselpath.gateway._call import Call
+from teaselpath.gateway._peer_messages import Status
+from teaselpath.gateway._placement import Placer
+from teaselpath.gateway._state import GatewayState
+from teaselpath.gateway.tests.conftest import SETTINGS, endpoint_record
+from teaselpath.http1 import HttpClient
+from teaselpath.platform import PlatformStore
+
+SERVICE = Service("s", EngineLimits(100_000, 18_432, 1e-6))
+AIMS = {"short": 0.4, "long": 1.2}
+ROUTES = {
+    name: Route(
+        name,
+        "h",
+        f"/{name}/",
+        RequestKind.STREAM,
+        (Backend("s", 1.0),),
+        6.0,
+        aim,
+        0,
+        1,
+        False,
+        False,
+    )
+    for name, aim in AIMS.items()
+}
+SLOTS = 4
+
+
+def make_state(*, is_room_contended: bool) -> GatewayState:
+    settings = replace(SETTINGS, is_room_contended=is_room_contended)
+    state = GatewayState(settings, PlatformStore("127.0.0.1:9", HttpClient()), 1)
+    state.config = FleetConfig(1, {"h": list(ROUTES.values())}, {"s": SERVICE})
+    state.apply_endpoint_record(endpoint_record("e", 1, slots=SLOTS), "store", 1.0)
+    return state
+
+
+@pytest.fixture
+def contended() -> GatewayState:
+    """Return the state of a gateway whose settings say that room is contended."""
+    return make_state(is_room_contended=True)
+
+
+def make_call(kind: str, time_left_s: float = 4.0, part: str = "p") -> Call:
+    tokens = 17_000 if kind == "long" else 400
+    prompt = Prompt("m", (PromptPart(part, tokens - 100), PromptPart("o", 100)), tokens, 10)
+    request = CallerRequest(
+        b"POST", b"/", "h", "/", "r1", None, time_left_s, None, prompt, tokens, [], b""
+    )
+    now = asyncio.get_running_loop().time()
+    return Call(request, ROUTES[kind], SERVICE, None, now, now + time_left_s, tokens=tokens)
+
+
+async def fill(placer: Placer, kind: str = "short") -> list[Call]:
+    """Place requests until the next one would wait."""
+    calls: list[Call] = []
+    while True:
+        call = make_call(kind)
+        task = asyncio.create_task(placer.acquire(call, placer.loop.time()))
+        await asyncio.sleep(0)
+        if not task.done() or isinstance(task.result(), NoEndpoint):
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return calls
+        calls.append(call)
+        placer.rooms_updated_until.clear()
+
+
+def test_request_that_would_come_late_is_rejected_at_once_with_a_time_of_its_own(contended):
+    """Guards against late answers that delay those which could be in time."""
+
+    async def scenario():
+        placer = Placer(contended, lambda placement: None)
+        await fill(placer)
+        room = contended.rooms["s"]
+        room.run_s[False], room.first_event_s[False] = 4.0, 0.1
+        started_at = placer.loop.time()
+        refusals = [await placer.acquire(make_call("short"), started_at) for _ in range(3)]
+        return refusals, placer.loop.time() - started_at, placer.queued_calls
+
+    refusals, duration_s, queued_calls = asyncio.run(scenario())
+    assert [refusal.reason for refusal in refusals] == ["late"] * 3
+    assert duration_s < 0.04
+    assert len({refusal.retry_after_s for refusal in refusals}) == 3
+    assert queued_calls == {}
+
+
+def test_request_that_can_be_in_time_waits_for_room(contended):
+    """Guards against refusals where a short wait would have done."""
+
+    async def scenario():
+        placer = Placer(contended, lambda placement: None)
+        calls = await fill(placer)
+        contended.rooms["s"].run_s[False] = 0.4
+        task = asyncio.create_task(placer.acquire(make_call("short"), placer.loop.time()))
+        await asyncio.sleep(0)
+        placer.place_queued()
+        was_done = task.done()
+        placer.release(calls[0])
+        placer.release(calls[1])
+        placer.place_queued()
+        return was_done, await task
+
+    was_done, choice = asyncio.run(scenario())
+    assert not was_done
+    assert isinstance(choice, Placed)
+
+
+def test_waiting_request_is_rejected_when_it_can_no_longer_be_in_time(contended):
+    """Guards against requests that wait till their deadline."""
+
+    async def scenario():
+        placer, call = Placer(contended, lambda placement: None), make_call("short")
+        await fill(placer)
+        contended.rooms["s"].run_s[False] = 0.2
+        call.arrived_at = placer.loop.time()
+        choice = await placer.acquire(call, call.arrived_at)
+        return choice, placer.loop.time() - call.arrived_at, call.room
+
+    choice, waited_s, described = asyncio.run(scenario())
+    assert isinstance(choice, NoEndpoint)
+    assert choice.reason == "late"
+    assert waited_s == pytest.approx(AIMS["short"], abs=0.1)
+    assert described["is_crowded"]
+
+
+def test_stream_that_goes_on_is_not_rejected_for_its_aim(contended):
+    """Guards against callers that lose an answer of which they have a part."""
+
+    async def scenario():
+        placer, call = Placer(contended, lambda placement: None), make_call("short")
+        await fill(placer)
+        contended.rooms["s"].run_s[False] = 4.0
+        call.has_begun = True
+        return await placer.acquire(call, placer.loop.time())
+
+    assert isinstance(asyncio.run(scenario()), Placed)
+
+
+def test_long_prompts_that_wait_for_prefill_do_not_hold_up_short_ones(contended):
+    """Guards against short requests that wait behind long ones though engines have slots."""
+
+    async def scenario():
+        placer = Placer(contended, lambda placement: None)
+        first = make_call("long")
+        assert isinstance(await placer.acquire(first, placer.loop.time()), Placed)
+        waiting = asyncio.create_task(
+            placer.acquire(make_call("long", part="q"), placer.loop.time())
+        )
+        await asyncio.sleep(0)
+        choice = await placer.acquire(make_call("short"), placer.loop.time())
+        placer.place_queued()
+        is_waiting = not waiting.done()
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        return is_waiting, choice
+
+    is_waiting, choice = asyncio.run(scenario())
+    assert is_waiting
+    assert isinstance(choice, Placed)
+
+
+def test_room_is_given_back_whatever_ends_a_request(contended):
+    """Guards against room that nobody uses after cancelled and refused requests."""
+
+    async def scenario():
+        placer = Placer(contended, lambda placement: None)
+        calls = await fill(placer)
+        task = asyncio.create_task(placer.acquire(make_call("short"), placer.loop.time()))
+        await asyncio.sleep(0)
+        placer.release(calls.pop())
+        placer.place_queued()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        for call in calls:
+            placer.release(call)
+            placer.release(call)
+        return contended.rooms["s"].in_flight
+
+    assert sum(asyncio.run(scenario()).values()) == 0
+
+
+def test_gateways_without_contended_room_place_as_before():
+    """Guards against refusals for aims in deployments that did not ask for them."""
+
+    async def scenario(state):
+        placer = Placer(state, lambda placement: None)
+        calls = await fill(placer)
+        reservation = calls[0].reservation
+        assert isinstance(reservation, Reservation)
+        task = asyncio.create_task(placer.acquire(make_call("short", 1.0), placer.loop.time()))
+        await asyncio.sleep(AIMS["short"] + 0.05)
+        is_waiting = not task.done()
+        return len(calls), reservation.room, is_waiting, await task
+
+    state = make_state(is_room_contended=False)
+    placed, room, is_waiting, choice = asyncio.run(scenario(state))
+    # Six requests at an engine of four slots, as before, and a wait of half the time left.
+    assert placed == 6
+    assert room is None
+    assert is_waiting
+    assert choice == NoEndpoint("queue", 0.5)
+    assert state.rooms == {}
+
+
+def test_status_of_a_gateway_of_the_version_before_names_no_demand():
+    """Guards against gateways that cannot read each other during an update."""
+    status = Status(
+        "gw-1",
+        "::1",
+        "a",
+        1,
+        1,
+        0,
+        {},
+        1,
+        (1, 0),
+        {},
+        True,
+        [],
+        None,
+        True,
+        False,
+        False,
+        {},
+        None,
+        None,
+    )
+    data = msgspec.msgpack.decode(msgspec.msgpack.encode(status))
+    assert msgspec.convert(data[:-1], Status).demand == {}
