--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -39,6 +39,7 @@
 )
 from teaselpath.dispatch._fair_order import FairOrder
 from teaselpath.dispatch._health import EndpointHealth
+from teaselpath.dispatch._long_prompts import max_backlog_s
 from teaselpath.dispatch._memory_bound import LargestRequest, MemoryBound
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.dispatch._placement import (
@@ -54,6 +55,8 @@
 from teaselpath.dispatch._reservation import Reservation
 from teaselpath.dispatch._retry_budget import SlidingRetryBudget
 from teaselpath.dispatch._return_times import ReturnTimes
+from teaselpath.dispatch._room import ServiceRoom, share_of_demand
+from teaselpath.dispatch._timeliness import Reject, Wait, admit_by_aim
 from teaselpath.dispatch._views import (
     Demand,
     EndpointView,
@@ -105,16 +108,20 @@
     "Progress",
     "QueuedRequest",
     "Refuse",
+    "Reject",
     "RequestQueue",
     "Resend",
     "Reservation",
     "ReturnTimes",
+    "ServiceRoom",
     "ServiceTimes",
     "SharedQuota",
     "SlidingRetryBudget",
     "StoreView",
     "StreamStep",
     "Topology",
+    "Wait",
+    "admit_by_aim",
     "affinity_key",
     "caller_gap_limit_s",
     "choose_endpoint",
@@ -122,8 +129,10 @@
     "first_level",
     "held_fraction",
     "is_within_memory",
+    "max_backlog_s",
     "next_step",
     "next_stream_step",
     "scope_of",
+    "share_of_demand",
     "split_limit",
 ]
--- a/teaselpath/dispatch/_reservation.py
+++ b/teaselpath/dispatch/_reservation.py
@@ -4,6 +4,7 @@
 from functools import partial
 from itertools import count
 
+from teaselpath.dispatch._room import ServiceRoom
 from teaselpath.dispatch._views import EndpointView
 
 
@@ -13,6 +14,9 @@
 
     :param pending_prefill_tokens: prompt tokens that the engine has still to prefill.
     :param held_tokens: prompt tokens that it adds to ``Load.held_tokens``.
+    :param sent_at: time at which the request is sent to the engine.
+    :param room: room at the engines of the service, if requests compete for it.
+    :param is_long: whether the request counts there as a long prompt.
     :param backlog_mark: mark of the prompt in the engine's backlog; None if it is not in it.
     :param number: its number among the reservations of this process.
     :param backlog_s: duration by which it was added to the backlog, in seconds.
@@ -24,6 +28,9 @@
     backlog_mark: float | None = None
     backlog_s: float = 0.0
     number: int = field(default_factory=partial(next, count()))
+    sent_at: float = 0.0
+    room: ServiceRoom | None = None
+    is_long: bool = False
 
     def begin(self, first_event_at: float | None = None) -> None:
         """Add the request to the endpoint's load.
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -74,6 +74,8 @@
         number, in the order of their placement.
     :param times: times that it needs for its work.
     :param largest: largest request that was announced for it lately.
+    :param own_places: requests that this gateway should have in flight there at most while room is
+        short; None while it is not.
     """
 
     endpoint: Endpoint
@@ -96,6 +98,7 @@
     awaited: dict[int, float] = field(default_factory=dict)
     times: EngineTimes = field(default_factory=EngineTimes)
     largest: LargestRequest = field(default_factory=LargestRequest)
+    own_places: int | None = None
 
     def record_weights(self, model: str, version: int) -> None:
         """Record the version of a model's weights; versions older than the recorded are ignored."""
@@ -194,6 +197,9 @@
     :param memory: gateways that share the memory of the engines, where it is bounded; else None.
     :param software: the only version of the software that may run it; None for any.
     :param software_known: whether the version of an endpoint's entry is that of its process.
+    :param max_backlog_s: longest pending prefill with a long prompt, in seconds, at engines that
+        state their pace or whose room is contended; None for the bound of all others.
+    :param is_room_contended: whether requests compete for room at the engines.
     """
 
     prompt: Prompt | None
@@ -208,6 +214,8 @@
     memory: MemoryBound | None = None
     software: str | None = None
     software_known: Callable[["EndpointView"], bool] | None = None
+    max_backlog_s: float | None = None
+    is_room_contended: bool = False
 
     @property
     def exceeds_engine(self) -> bool:
@@ -298,7 +306,8 @@
         little KV cache capacity for the prompt; ``limited``: this gateway has used its shares of
         the limits that all state; ``too_large``: it exceeds the memory of any engine;
         ``held_off``: all that are left want no requests of this gateway for ``retry_after_s``. The
-        gateway adds ``queue``: the wait in its queue is or would be too long.
+        gateway adds ``queue``: the wait in its queue is or would be too long; ``late``: the first
+        event would come after the aim.
     :param first_choice: as in ``Placed``.
     """
 
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -37,6 +37,8 @@
     :param reads_slowly: whether its stream was broken off because its caller reads too slowly.
     :param first_event_s: expected and actual time to the first event of the attempt that brought
         it, in seconds; None if times are not learned.
+    :param room: what was known of the room at engines when it was rejected for its aim, for the
+        log.
     :param reservation: its load at the endpoint of the current attempt; None between attempts.
     """
 
@@ -67,6 +69,7 @@
     known_digest: str | None = None
     reads_slowly: bool = False
     first_event_s: tuple[float, float] | None = None
+    room: dict[str, float | bool] | None = None
 
     def __post_init__(self) -> None:
         """Expect the events after the one at which the caller resumes its stream."""
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -14,12 +14,17 @@
     NoEndpoint,
     Placed,
     QueuedRequest,
+    Reject,
     RequestQueue,
     Reservation,
     ReturnTimes,
+    ServiceRoom,
+    Wait,
+    admit_by_aim,
     affinity_key,
     choose_from_service,
     is_within_memory,
+    max_backlog_s,
 )
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._entities import LongPlacement
@@ -46,6 +51,27 @@
 MAX_CLAIMS = 3
 
 
+# Interval at which the part of this gateway in contended room is computed, in seconds.
+ROOM_INTERVAL_S = 0.05
+# Fraction of the rate at which requests are sent that rejected callers are told to return at. The
+# rest is for new ones.
+RETURNING_FRACTION = 0.5
+
+
+def _queue_priority(call: Call) -> int:
+    # A stream that goes on elsewhere comes first: its caller has a part of the answer.
+    return RESUMED_PRIORITY if call.has_begun else call.priority
+
+
+def _is_long(queued_request: QueuedRequest) -> bool:
+    return queued_request.tokens >= LONG_PROMPT_TOKENS
+
+
+def _is_bound_by_aim(call: Call) -> bool:
+    """Return whether a late first event is of little use to the caller."""
+    return call.route.target_latency_s > 0.0 and not call.has_begun and not call.progress.runs
+
+
 class Placer:
     """Places requests at endpoints and queues those that no endpoint can take.
 
@@ -60,6 +86,7 @@
         self.queue = RequestQueue(state.fair_order)
         self.return_times: dict[str, ReturnTimes] = {}
         self.opening_times: dict[str, ReturnTimes] = {}
+        self.rooms_updated_until: dict[str, float] = {}
         self.queued_calls: dict[int, tuple[Call, asyncio.Future[Placed | NoEndpoint]]] = {}
 
     async def acquire(self, call: Call, now: float) -> Placed | NoEndpoint:
@@ -105,10 +132,10 @@
         queued_request.is_held_off = isinstance(choice, NoEndpoint) and choice.reason == "held_off"
         if choice.first_choice is not None:
             choice.first_choice.limit.record_demand(now)
-        if isinstance(choice, Placed) and (
-            queued_request.tokens < LONG_PROMPT_TOKENS
-            or not self.queue.has_requests_ahead(queued_request, now)
-        ):
+        room = self._room(call.service.name, now)
+        if room is not None and not call.attempts:
+            room.record_arrival(now)
+        if isinstance(choice, Placed) and self._may_send(queued_request, room, now):
             self._reserve(call, choice)
             return choice
         if isinstance(choice, NoEndpoint) and choice.reason in IMMEDIATE_REFUSALS:
@@ -120,6 +147,8 @@
         refusal = self._refuse_held_off(call, choice, now)
         if refusal is not None:
             return refusal
+        if room is not None and _is_bound_by_aim(call):
+            return await self._wait_in_time(call, queued_request, room, now)
         return await self._wait_for_endpoint(call, queued_request, now)
 
     # for operators
@@ -135,9 +164,7 @@
 
     def must_queue(self, call: Call, now: float) -> bool:
         """Return whether a request that an endpoint can take waits behind others."""
-        queued_request = self._queued(call)
-        is_long = queued_request.tokens >= LONG_PROMPT_TOKENS
-        return is_long and self.queue.has_requests_ahead(queued_request, now)
+        return not self._may_send(self._queued(call), self.state.room(call.service.name), now)
 
     def describe_queue(self, call: Call, now: float) -> dict[str, float]:
         """Return the requests ahead of a new one, and the wait that is expected behind them."""
@@ -161,17 +188,19 @@
             wait_s = self._limited_wait_s(queued_request, choice, now)
             if wait_s > MAX_WAIT_FRACTION * left_s:
                 return min(MAX_RETRY_AFTER_S, wait_s)
+        room = self.state.room(call.service.name)
+        if room is not None and _is_bound_by_aim(call):
+            admission, _ = self._admit(call, queued_request, room, now)
+            return admission.wait_s if isinstance(admission, Reject) else None
         refusal = self._refuse_long_wait(queued_request, now)
         return refusal.retry_after_s if refusal is not None else None
 
     def _queued(self, call: Call) -> QueuedRequest:
         prompt = call.request.prompt
-        # A stream that goes on elsewhere comes first: its caller has a part of the answer.
-        priority = RESUMED_PRIORITY if call.has_begun else call.priority
         tokens = prompt.prompt_tokens if prompt else 0
         return QueuedRequest(
             call.service.name,
-            priority,
+            _queue_priority(call),
             tokens,
             call.deadline,
             workspace=_workspace_of(call),
@@ -179,6 +208,89 @@
             aimed_at=call.arrived_at + call.route.target_latency_s,
         )
 
+    def _room(self, service: str, now: float) -> ServiceRoom | None:
+        """Return the room at the engines of a service, if requests compete for it."""
+        room = self.state.room(service)
+        if room is None:
+            return None
+        if now >= self.rooms_updated_until.get(service, 0.0):
+            self.rooms_updated_until[service] = now + ROOM_INTERVAL_S
+            room.update(
+                self.state.settings.host,
+                self.state.pool(service).views.values(),
+                self.state.possible_peers(now),
+                now,
+            )
+        return room
+
+    def _may_send(
+        self, queued_request: QueuedRequest, room: ServiceRoom | None, now: float
+    ) -> bool:
+        """Return whether a new request may be sent before those that wait."""
+        if room is None and queued_request.tokens < LONG_PROMPT_TOKENS:
+            return True
+        if room is None:
+            return not self.queue.has_requests_ahead(queued_request, now)
+        if queued_request.priority == RESUMED_PRIORITY:
+            return True
+        # Short prompts do not wait for long ones, which may wait for an engine with little prefill.
+        is_long = _is_long(queued_request)
+        ahead = self.queue.ahead_of(queued_request, now)
+        if any(is_long or not _is_long(other) for other in ahead):
+            return False
+        return self._has_room(queued_request, room)
+
+    def _has_room(self, queued_request: QueuedRequest, room: ServiceRoom) -> bool:
+        is_long = _is_long(queued_request)
+        others_wait = any(
+            other.service == queued_request.service and _is_long(other) != is_long
+            for other in self.queue.queued.values()
+        )
+        return room.has_room(is_long, others_wait=others_wait)
+
+    async def _wait_in_time(
+        self, call: Call, queued_request: QueuedRequest, room: ServiceRoom, now: float
+    ) -> Placed | NoEndpoint:
+        """Wait as long as the first event can still come in time."""
+        is_long = _is_long(queued_request)
+        admission, rate = self._admit(call, queued_request, room, now)
+        match admission:
+            case Reject(wait_s):
+                return self._reject_late(call, room, is_long, wait_s, rate, now)
+            case Wait(until):
+                choice = await self._queue(call, queued_request, until, now)
+        if choice is not None:
+            return choice
+        return self._reject_late(call, room, is_long, 1.0 / rate, rate, self.loop.time())
+
+    def _admit(
+        self, call: Call, queued_request: QueuedRequest, room: ServiceRoom, now: float
+    ) -> tuple[Wait | Reject, float]:
+        """Return whether a request waits, and the rate at which its kind is sent."""
+        is_long = _is_long(queued_request)
+        waiting = self.queue.ahead_of(queued_request, now)
+        ahead = sum(_is_long(request) == is_long for request in waiting)
+        rate = room.sends_per_s(is_long, others_first=ahead < len(waiting))
+        admission = admit_by_aim(
+            call.arrived_at,
+            call.route.target_latency_s,
+            call.deadline,
+            room.first_event_s.get(is_long, 0.0),
+            (ahead + 1) / rate,
+            now,
+        )
+        return admission, rate
+
+    def _reject_late(
+        self, call: Call, room: ServiceRoom, is_long: bool, wait_s: float, rate: float, now: float
+    ) -> NoEndpoint:
+        """Return the refusal of a request that cannot be in time, with a time to return."""
+        call.room = room.describe(is_long)
+        call.room["expected_wait_ms"] = round(wait_s * 1000, 1)
+        returns = self.return_times.setdefault(call.service.name, ReturnTimes())
+        booked_s = returns.book(wait_s, RETURNING_FRACTION * rate, now, MAX_RETRY_AFTER_S)
+        return NoEndpoint("late", min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, booked_s)))
+
     def _refuse_held_off(
         self, call: Call, choice: Placed | NoEndpoint, now: float
     ) -> NoEndpoint | None:
@@ -265,16 +377,22 @@
         refusal = self._refuse_long_wait(queued_request, now)
         if refusal is not None:
             return refusal
+        until = now + MAX_WAIT_FRACTION * (call.deadline - now)
+        return await self._queue(call, queued_request, until, now) or NoEndpoint("queue", 0.5)
+
+    async def _queue(
+        self, call: Call, queued_request: QueuedRequest, until: float, now: float
+    ) -> Placed | NoEndpoint | None:
+        """Queue a request; return None if it was not placed or refused until its time ended."""
         future: asyncio.Future[Placed | NoEndpoint] = self.loop.create_future()
         self.queue.enqueue(queued_request, now)
         self.queued_calls[queued_request.number] = (call, future)
         try:
-            async with asyncio.timeout_at(now + MAX_WAIT_FRACTION * (call.deadline - now)):
+            async with asyncio.timeout_at(until):
                 return await future
         except TimeoutError:
-            # The request may have been placed in the same loop iteration as the timeout. If not, it
-            # is refused with a Retry-After of 0.5 s.
-            return NoEndpoint("queue", 0.5) if future.cancelled() else future.result()
+            # The request may have been placed in the same loop iteration as the timeout.
+            return None if future.cancelled() else future.result()
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
                 self.release(call)
@@ -297,6 +415,8 @@
         requests for now: others may have endpoints left that do.
         """
         blocked: set[str] = set()
+        # Services of which only long prompts stay queued: engines have too much prefill pending.
+        reading: set[str] = set()
         # Requests that have tried the same endpoints wait for the same ones.
         held_off: dict[tuple[str, frozenset[str]], NoEndpoint] = {}
         for queued_request in self.queue.in_order(self.loop.time()):
@@ -304,6 +424,12 @@
             if future.done() or queued_request.service in blocked:
                 continue
             now = self.loop.time()
+            room = self._room(queued_request.service, now)
+            is_resumed = queued_request.priority == RESUMED_PRIORITY
+            if room is not None and not is_resumed and not self._has_room(queued_request, room):
+                continue
+            if queued_request.service in reading and _is_long(queued_request):
+                continue
             tried = queued_request.service, frozenset(call.tried)
             choice = held_off.get(tried) or self._place(call, now)
             if isinstance(choice, Placed):
@@ -317,13 +443,20 @@
             self.queue.set_held_off(queued_request, choice.reason == "held_off", now)
             if queued_request.is_held_off:
                 held_off[tried] = choice
+            elif room is not None and choice.reason == "reading":
+                reading.add(queued_request.service)
             else:
                 blocked.add(queued_request.service)
 
     def _reserve(self, call: Call, placed: Placed) -> None:
         """Reserve the load of a request at its endpoint."""
         view, prompt, now = placed.view, call.request.prompt, self.loop.time()
-        reservation = Reservation(view)
+        reservation = Reservation(view, sent_at=now)
+        room = self.state.room(call.service.name)
+        if room is not None:
+            is_long = prompt is not None and prompt.prompt_tokens >= LONG_PROMPT_TOKENS
+            reservation.room, reservation.is_long = room, is_long
+            room.record_sent(is_long)
         view.limit.record_send(now)
         if self.state.fair_order is not None:
             self.state.fair_order.record_placed(_workspace_of(call), call.tokens, now)
@@ -358,9 +491,16 @@
 
     def release(self, call: Call) -> None:
         """Release the load that a request has reserved, if any."""
-        if call.reservation is not None:
-            call.reservation.end()
-            call.reservation = None
+        reservation = call.reservation
+        if reservation is None:
+            return
+        reservation.end()
+        call.reservation = None
+        if reservation.room is not None:
+            first_at, sent_at = call.first_byte_at, reservation.sent_at
+            first_event_s = None if first_at is None or first_at < sent_at else first_at - sent_at
+            run_s = self.loop.time() - sent_at
+            reservation.room.record_ended(reservation.is_long, run_s, first_event_s)
 
     def _place(self, call: Call, now: float) -> Placed | NoEndpoint:
         key, demand = self._key_and_demand(call, now)
@@ -392,6 +532,8 @@
             memory=self.memory.bound_of(call.service),
             software=call.software if call.has_begun else None,
             software_known=lambda view: state.knows_software(view, now),
+            max_backlog_s=max_backlog_s(state.aims_s(call.service.name)),
+            is_room_contended=state.settings.is_room_contended,
         )
 
 
--- a/teaselpath/gateway/_responses.py
+++ b/teaselpath/gateway/_responses.py
@@ -72,7 +72,7 @@
         """End a request for which no endpoint is left."""
         if no_endpoint.reason == "too_large" and not exchange.is_started:
             return self._refuse_too_large(exchange, call)
-        is_overload = no_endpoint.reason in ("queue", "limited", "held_off")
+        is_overload = no_endpoint.reason in ("queue", "late", "limited", "held_off")
         code = Code.OVERLOADED if is_overload else Code.NO_ENDPOINT
         call.attempts.append(("", no_endpoint.reason, 0.0))
         if call.progress.runs == 0:
