Software rollouts that operators ask for: order, judge, exposure, plan

No code read op/rollout/SERVICE or wrote status/rollout/SERVICE; engines of a target that started beside the old ones got requests like any other.

Change: fleet has order and record of a rollout, the platform decodes and writes them. Pure core in teaselpath/rollout: judge (Page's cumulative sums, thresholds from stated error rates), usual times by route and uncached tokens, exposure per gateway, plan of steps. Gateways count answers, tell each other in status messages while a rollout runs, and each judges by all of them; the holder of the lease on orders writes each step under a condition. Placement is restricted to old, exposed or target engines. Without the contract none of this is made; without an order it sends and reads nothing. `teaselpath software list|stop`, metrics, log lines.

--- a/standins/hosted/_site.py
+++ b/standins/hosted/_site.py
@@ -90,6 +90,7 @@
     :param folder: directory for settings files and logs.
     :param zones: region of each zone.
     :param bounds: bounds in the settings of the gateways that differ from the defaults.
+    :param contracts: what operators and callers of the site ask for beyond the common parts.
     """
 
     folder: Path
@@ -97,6 +98,7 @@
     zones: dict[str, str] = field(default_factory=lambda: {"a": "north", "b": "south"})
     routes: list[SiteRoute] = field(default_factory=lambda: list(DEFAULT_ROUTES))
     bounds: dict[str, float] = field(default_factory=dict)
+    contracts: list[str] = field(default_factory=list)
     tenants: list[SiteTenant] = field(default_factory=lambda: [SiteTenant("office", ["key-1"])])
     runs: list[Run] = field(default_factory=list)
     engines: dict[str, ListedEngine] = field(default_factory=dict)
@@ -341,6 +343,7 @@
             "internalPorts": [self.ports["peer"], self.ports["peer"]],
             "seeds": list(seeds),
             "limits": {"memoryMb": 300, "maxFds": 1024},
+            "contracts": self.contracts,
             "bounds": {"graceS": 8, "leaseMs": 600, **self.bounds},
             "platform": {"address": store_address},
         }
--- a/teaselpath/cli/_main.py
+++ b/teaselpath/cli/_main.py
@@ -8,6 +8,7 @@
 from teaselpath.cli._nodes import drain, explain, explain_workspace, revoke, rollout, top
 from teaselpath.cli._outcomes import outcomes
 from teaselpath.cli._publish import publish
+from teaselpath.cli._software import software
 from teaselpath.cli._trace import trace
 from teaselpath.cli._verdicts import verdicts
 
@@ -33,5 +34,6 @@
     outcomes,
     trace,
     verdicts,
+    software,
 ):
     main.add_command(_command)
--- a/teaselpath/cli/_verdicts.py
+++ b/teaselpath/cli/_verdicts.py
@@ -31,7 +31,7 @@
 @json_option
 def list_verdicts(address: str, as_json: bool) -> None:
     """List the verdicts in force."""
-    status, body = _request("GET", address, "/verdicts")
+    status, body = send_request("GET", address, "/verdicts")
     if status != 200:
         fail(EXIT_FAULTS, f"{address} answers {status}")
     found: list[dict[str, Any]] = msgspec.json.decode(body)
@@ -43,7 +43,7 @@
 @gateway_option
 def lift_verdict(verdict_id: str, address: str) -> None:
     """Lift a verdict at all gateways. Its parts need new evidence to be judged again."""
-    status, _ = _request("DELETE", address, f"/verdicts/{verdict_id}")
+    status, _ = send_request("DELETE", address, f"/verdicts/{verdict_id}")
     if status == 404:
         fail(EXIT_FAULTS, f"{address} knows no verdict {verdict_id}")
     if status != 204:
@@ -51,7 +51,9 @@
     click.echo(f"lifted {verdict_id}")
 
 
-def _request(method: str, address: str, path: str) -> tuple[int, bytes]:
+def send_request(method: str, address: str, path: str) -> tuple[int, bytes]:
+    """Send a request to the internal port of a gateway; return status and body."""
+
     async def send() -> tuple[int, bytes]:
         timeout = aiohttp.ClientTimeout(TIMEOUT_S)
         async with (
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -81,7 +81,7 @@
 
     :param key: hash key of the candidates of a large service.
     """
-    if demand.software is not None:
+    if demand.is_restricted:
         return choose_endpoint(pool.candidates_for(key, demand), demand, topology, now)
     first = choose_endpoint(pool.candidates(key), demand, topology, now)
     if isinstance(first, Placed) or len(pool.views) <= MAX_CANDIDATES:
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -157,6 +157,7 @@
     :param endangers_engine: whether the request may end its engine, which should run few others.
     :param software: the only version of the software that may run it; None for any.
     :param software_known: whether the version of an endpoint's entry is that of its process.
+    :param allows: which endpoints a rollout of software lets run the request; None for any.
     """
 
     prompt: Prompt | None
@@ -170,9 +171,19 @@
     endangers_engine: bool = False
     software: str | None = None
     software_known: Callable[["EndpointView"], bool] | None = None
+    allows: Callable[["EndpointView"], bool] | None = None
+
+    @property
+    def is_restricted(self) -> bool:
+        """Return whether not all endpoints of the service may run the request."""
+        return self.software is not None or self.allows is not None
 
     def admits(self, view: "EndpointView") -> bool:
-        """Return whether an endpoint has the one version that may run the request."""
+        """Return whether the software of an endpoint may run the request."""
+        if self.allows is not None and not self.allows(view):
+            return False
+        if self.software is None:
+            return True
         is_known = self.software_known is None or self.software_known(view)
         return view.endpoint.software == self.software and is_known
 
--- a/teaselpath/fleet/__init__.py
+++ b/teaselpath/fleet/__init__.py
@@ -42,6 +42,7 @@
     StoredRecord,
     Topic,
 )
+from teaselpath.fleet._rollouts import RolloutOrder, RolloutRecord, RolloutState, Step
 from teaselpath.fleet._settings import Bounds, GatewaySettings, RolloutBounds
 
 __all__ = [
@@ -76,8 +77,12 @@
     "RequestKind",
     "Revision",
     "RolloutBounds",
+    "RolloutOrder",
+    "RolloutRecord",
+    "RolloutState",
     "Route",
     "Service",
+    "Step",
     "StoreError",
     "StoredRecord",
     "Topic",
--- a/teaselpath/fleet/_endpoints.py
+++ b/teaselpath/fleet/_endpoints.py
@@ -1,6 +1,6 @@
 """Table of the endpoints listed by the store, with rules for entries that lapse in an outage."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from functools import lru_cache
 from hashlib import blake2b
@@ -30,6 +30,7 @@
     :param slots: requests that it processes concurrently.
     :param weights: version of the weights by model.
     :param software: version of its software; None if it states none, which equals no other.
+    :param cold_s: time for which it stays slow after its start, in seconds as of its entry.
     """
 
     endpoint_id: str
@@ -41,6 +42,7 @@
     started_at_ms: int | None
     weights: tuple[tuple[str, int], ...]
     software: str | None = None
+    cold_s: float = field(default=0.0, compare=False)
 
     @property
     def incarnation(self) -> tuple[str, int | None]:
--- a/teaselpath/fleet/_ports.py
+++ b/teaselpath/fleet/_ports.py
@@ -5,6 +5,7 @@
 from teaselpath.fleet._endpoints import EndpointEntry
 from teaselpath.fleet._model import FleetConfig
 from teaselpath.fleet._records import Position, RecordPage, StoredRecord, Topic
+from teaselpath.fleet._rollouts import RolloutOrder, RolloutRecord
 
 
 class StoreError(Exception):
@@ -44,5 +45,14 @@
     def decode_weights(self, record: StoredRecord) -> tuple[str, int] | None:
         """Return model and weights version announced by a record of the operators' topic."""
 
+    def decode_rollout(self, record: StoredRecord) -> RolloutOrder | None:
+        """Return the rollout that a record of the operators' topic asks for, None without one."""
+
+    def decode_rollout_status(self, record: StoredRecord) -> RolloutRecord | None:
+        """Return the rollout in a record of the status topic, None if it has none."""
+
+    def encode_rollout_status(self, rollout: RolloutRecord) -> tuple[str, bytes]:
+        """Return key and value of the record of a rollout in the status topic."""
+
     def decode_endpoint(self, record: StoredRecord) -> EndpointEntry:
         """Return the endpoint entry in a record of the endpoint topic."""
--- a/teaselpath/fleet/_records.py
+++ b/teaselpath/fleet/_records.py
@@ -7,7 +7,8 @@
 class Topic(StrEnum):
     """Record topics of the store.
 
-    Operators write the first, endpoints the second and gateways the others.
+    Operators write the first, endpoints the second and gateways the others, of which operators read
+    the last.
     """
 
     OPERATORS = "operators"
@@ -17,6 +18,7 @@
     VERDICTS = "verdicts"
     VERSIONS = "versions"
     STREAMS = "streams"
+    STATUS = "status"
 
 
 @dataclass(slots=True, frozen=True, order=True)
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -34,6 +34,8 @@
     :param software: software version of that engine, the only one at which the stream may go on;
         None if it is not known.
     :param known_digest: its digest, once it was needed.
+    :param takes_target: whether a rollout of software tries its target on this request; None if
+        that is not decided.
     :param reservation: its load at the endpoint of the current attempt; None between attempts.
     """
 
@@ -62,6 +64,7 @@
     has_begun: bool = False
     software: str | None = None
     known_digest: str | None = None
+    takes_target: bool | None = None
 
     def __post_init__(self) -> None:
         """Expect the events after the one at which the caller resumes its stream."""
--- a/teaselpath/gateway/_entities.py
+++ b/teaselpath/gateway/_entities.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from teaselpath.fleet import RolloutOrder
+
 
 @dataclass(slots=True)
 class Member:
@@ -88,3 +90,16 @@
     copied_from: str | None
     copied_tokens: int
     saved_to: str | None
+
+
+@dataclass(slots=True)
+class OrderedRollout:
+    """The newest order for a rollout of a service's software.
+
+    :param seen_at: event loop time at which it was written, as far as this gateway knows.
+    :param replaced: contents of earlier orders, which a store that returns from a copy may list.
+    """
+
+    order: RolloutOrder
+    seen_at: float
+    replaced: frozenset[tuple[str, float]] = frozenset()
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -257,8 +257,14 @@
         started_at = self.loop.time()
         call.was_sent = True
         attempt = Attempt(self.context, exchange, call, placed)
+        rollouts = self.placer.rollouts
+        flight = rollouts.begin(call, placed) if rollouts is not None else None
         try:
             outcome = await attempt.run()
+        except BaseException:
+            if rollouts is not None:
+                rollouts.finish(flight, None)
+            raise
         finally:
             self.placer.release(call)
         call.lost_engine = False
@@ -266,6 +272,8 @@
             call.checked_until = self.loop.time() + MAX_CHECK_S
             call.lost_engine = await attempt.engine_end
             call.checked_until = 0.0
+        if rollouts is not None:
+            rollouts.finish(flight, outcome, lost=call.lost_engine)
         self.gate.end_trial(call)
         now = self.loop.time()
         if call.lost_engine:
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -42,6 +42,13 @@
         self.take_ups = make(
             Counter, "take_ups_total", "Streams that callers took up, by what told their version"
         )
+        self.exposed = make(
+            Counter, "rollout_exposed_total", "Requests sent to targets of rollouts, by service"
+        )
+        self.bad_answers = make(
+            Counter, "rollout_bad_answers_total", "Bad answers of targets of rollouts, by service"
+        )
+        self.rollouts = make(Gauge, "rollouts", "1 for the state of a service's newest rollout")
         self.verdicts = make(Gauge, "verdicts", "Verdicts on prompt parts and requests in force")
         self.limited_endpoints = make(
             Gauge, "limited_endpoints", "Endpoints that state a limit, by service"
@@ -103,6 +110,14 @@
         """
         self.take_ups.inc({"source": source})
 
+    def count_exposed(self, service: str) -> None:
+        """Count a request that is sent to the target of a rollout that runs."""
+        self.exposed.inc({"service": service})
+
+    def count_bad_answer(self, service: str) -> None:
+        """Count a failed or slow answer of the target of a rollout."""
+        self.bad_answers.inc({"service": service})
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in text format and the HTTP header fields that describe it."""
         return render(self.registry, ["text/plain"])
--- a/teaselpath/gateway/_orders.py
+++ b/teaselpath/gateway/_orders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import uuid
+from collections.abc import Callable
 
 import msgspec
 from eliot import log_message
@@ -77,6 +78,8 @@
         self.notice_sent_at: dict[str, float] = {}
         self.calls: set[asyncio.Task] = set()
         self.lease_call: asyncio.Task | None = None
+        # Whether the holder of the lease has work other than weights.
+        self.has_other_work: Callable[[], bool] = lambda: False
 
     async def run(self) -> None:
         """Run the rollout until cancelled."""
@@ -91,9 +94,8 @@
     def _step(self) -> None:
         engines = self._engines()
         announced = self.state.announced_versions()
-        has_work = (
-            bool(self.rollout.outdated_engines(engines, announced)) and not self.state.is_stopping
-        )
+        has_outdated = bool(self.rollout.outdated_engines(engines, announced))
+        has_work = (has_outdated or self.has_other_work()) and not self.state.is_stopping
         if self.state.era != UNKNOWN_ERA:
             self.lease.handle_era(self.state.era, self.clock())
         plan = self.lease.plan(
--- a/teaselpath/gateway/_peer_messages.py
+++ b/teaselpath/gateway/_peer_messages.py
@@ -6,6 +6,7 @@
 from teaselpath.gateway._entities import LongPlacement
 from teaselpath.lineage import LineageMessage
 from teaselpath.quarantine import QuarantineUpdate
+from teaselpath.rollout import RolloutNote
 
 
 class EndpointStatus(msgspec.Struct, array_like=True):
@@ -57,6 +58,7 @@
         version.
     :param lease_end: era and offset at which the lease topic ends; None if unknown.
     :param lease: holder, nonce, fence and era of the newest known lease record.
+    :param rollouts: rollouts of software that run or have ended lately.
     """
 
     host: str
@@ -78,6 +80,7 @@
     naming_ages_ms: dict[str, dict[int, int]]
     lease_end: tuple[int, int] | None
     lease: tuple[str, str, int, int] | None
+    rollouts: list[RolloutNote] = []
 
 
 class StatusToRelay(msgspec.Struct, array_like=True, tag="relay_status"):
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -48,7 +48,7 @@
     VersionNote,
 )
 from teaselpath.quarantine import QuarantineUpdate
-from teaselpath.rollout import LeaseRecord, OrderLease
+from teaselpath.rollout import LeaseRecord, OrderLease, RolloutNote
 from teaselpath.utils import DECODE_ERRORS
 
 # Shortest interval between status messages that are sent early for an urgent update, in seconds.
@@ -84,6 +84,16 @@
         """Send what is known to a gateway that has started or was cut off."""
 
 
+class RolloutReceiver(Protocol):
+    """Receiver of what other gateways know of rollouts of software."""
+
+    def notes(self, now: float) -> list[RolloutNote]:
+        """Return what this gateway tells the others."""
+
+    def handle_status(self, status: Status, now: float) -> None:
+        """Apply what another gateway tells."""
+
+
 class LineageReceiver(Protocol):
     """Receiver of messages about the origins of streams."""
 
@@ -105,6 +115,8 @@
     :ivar records: fetches records of the store from peers.
     :ivar gate: receiver of updates of the quarantine, set once it exists.
     :ivar origins: receiver of messages about the origins of streams, set once it exists.
+    :ivar rollouts: receiver of what others know of rollouts of software, set where operators may
+        ask for some.
     :ivar is_urgent: whether the next status is sent to each gateway of all regions.
     :ivar to_relay: statuses to pass on to this region, by host.
     :ivar counters: last sent counter of each workspace, and the time at which it changed.
@@ -116,6 +128,7 @@
         self.clock = clock
         self.gate: UpdateReceiver | None = None
         self.origins: LineageReceiver | None = None
+        self.rollouts: RolloutReceiver | None = None
         self.transport: asyncio.DatagramTransport | None = None
         self.sequence = 0
         self.last_sequence: dict[str, tuple[int, int]] = {}
@@ -380,6 +393,7 @@
             },
             lease_end=None if lease.end is None else (lease.end.era, lease.end.offset),
             lease=(last.holder, last.nonce, last.fence, last.era) if last else None,
+            rollouts=self.rollouts.notes(now) if self.rollouts is not None else [],
         )
 
     def _used(self, now: float, changed_since: float) -> dict[str, int]:
@@ -440,6 +454,8 @@
             view = views[endpoint_status.endpoint_number]
             if view is not None:
                 self._apply_endpoint_status(status.host, endpoint_status, view, now)
+        if self.rollouts is not None and status.rollouts:
+            self.rollouts.handle_status(status, now)
         if status.lease_end is not None:
             record = LeaseRecord(*status.lease) if status.lease else None
             self.lease.observe(Position(*status.lease_end), record, self.clock())
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -19,6 +19,8 @@
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._entities import LongPlacement
 from teaselpath.gateway._responses import MIN_RETRY_AFTER_S
+from teaselpath.gateway._rollouts import Rollouts
+from teaselpath.gateway._service_rollout import Allows
 from teaselpath.gateway._state import GatewayState
 
 # Interval at which placement of queued requests is retried, in seconds.
@@ -45,11 +47,13 @@
     """Places requests at endpoints and queues those that no endpoint can take.
 
     :param announce: sends the placement of a long prompt to the other gateways.
+    :ivar rollouts: rollouts of software, set where operators may ask for some.
     """
 
     def __init__(self, state: GatewayState, announce: Callable[[LongPlacement], None]):
         self.state = state
         self.announce = announce
+        self.rollouts: Rollouts | None = None
         self.loop = asyncio.get_running_loop()
         self.queue = RequestQueue()
         self.return_times: dict[str, ReturnTimes] = {}
@@ -236,6 +240,19 @@
             call.reservation = None
 
     def _place(self, call: Call, now: float) -> Placed | NoEndpoint:
+        if self.rollouts is None:
+            return self._place_among(call, None, now)
+        choice: Placed | NoEndpoint | None = None
+        for allows in self.rollouts.choices(call, now):
+            if choice is not None:
+                call.takes_target = False
+            choice = self._place_among(call, allows, now)
+            if isinstance(choice, Placed):
+                break
+        assert choice is not None
+        return choice
+
+    def _place_among(self, call: Call, allows: Allows | None, now: float) -> Placed | NoEndpoint:
         state, prompt = self.state, call.request.prompt
         announced = state.announced.get(prompt.model) if prompt else None
         workspace = call.workspace
@@ -252,6 +269,7 @@
             endangers_engine=call.trial is not None,
             software=call.software if call.has_begun else None,
             software_known=lambda view: state.knows_software(view, now),
+            allows=allows,
         )
         key = affinity_key(prompt, scope_prefix) if prompt else call.request.request_id.encode()
         pool = state.pool(call.service.name)
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -4,12 +4,21 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
+from urllib.parse import unquote
 
 import msgspec
 from eliot import log_message, write_traceback
 
 from teaselpath.exchange import Stop, StopPeer, StopPhase, plan_stop
-from teaselpath.fleet import CallerLimits, EngineCalls, GatewaySettings, MetadataStore, RequestCodec
+from teaselpath.fleet import (
+    CallerLimits,
+    Endpoint,
+    EngineCalls,
+    GatewaySettings,
+    MetadataStore,
+    RequestCodec,
+    RolloutState,
+)
 from teaselpath.gateway._caches import CacheWatcher
 from teaselpath.gateway._connections import ConnectionReporter
 from teaselpath.gateway._forward import Forwarder
@@ -21,6 +30,7 @@
 from teaselpath.gateway._peer_records import RECORDS_PATH
 from teaselpath.gateway._peers import PeerExchange
 from teaselpath.gateway._quarantine import QuarantineGate
+from teaselpath.gateway._rollouts import Rollouts
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway._watch import StoreWatcher
 from teaselpath.http1 import LISTEN_BACKLOG, Exchange, HttpClient, Listener, ServerConnection
@@ -37,6 +47,8 @@
 EXPIRE_INTERVAL_S = 0.5
 # Verdicts on prompt parts and requests, for operators.
 VERDICTS_PATH = b"/verdicts"
+# Rollouts of software, for operators.
+ROLLOUTS_PATH = b"/rollouts"
 # Delay before a failed job is restarted, in seconds.
 RESTART_DELAY_S = 0.2
 # Incarnations are also written as JSON numbers, which every reader decodes exactly up to 53 bits.
@@ -99,6 +111,7 @@
             self.state, codec, http, self.metrics, self.peers.announce, self.gate, self.origins
         )
         self.keeper = WeightsKeeper(self.state, engines, self.lease, self.peers)
+        self.rollouts = self._make_rollouts()
         self.caches = CacheWatcher(self.state, engines)
         self.connections: set[ServerConnection] = set()
         self.reporter = ConnectionReporter(codec.id_header, self.metrics)
@@ -122,6 +135,22 @@
         log_message("stopped", host=self.settings.host)
         self.log.flush()
 
+    def _make_rollouts(self) -> Rollouts | None:
+        """Return the rollouts of software, where operators may ask for some."""
+        bounds = self.settings.rollout
+        if bounds is None:
+            return None
+        rollouts = Rollouts(self.state, bounds, self.lease, self.peers, self.metrics)
+        self.peers.rollouts = self.forwarder.placer.rollouts = rollouts
+        self.keeper.has_other_work = rollouts.has_work
+
+        def update(before: Endpoint | None, after: Endpoint | None) -> None:
+            self.origins.update_versions(before, after)
+            rollouts.update_endpoint(before, after)
+
+        self.state.on_endpoint_changed = update
+        return rollouts
+
     def _jobs(self) -> list[Job]:
         watcher = self.watcher
         return [
@@ -143,6 +172,7 @@
             self._expire_connections,
             LimitKeeper(self.state).run,
             self.log.run,
+            *([] if self.rollouts is None else [self.rollouts.run]),
         ]
 
     async def _listen(self) -> None:
@@ -193,6 +223,8 @@
                 exchange.respond(200, [], self.peers.records.encode_records(query))
             case target if target.startswith(VERDICTS_PATH):
                 self._handle_verdicts(exchange)
+            case target if target.startswith(ROLLOUTS_PATH):
+                self._handle_rollouts(exchange)
             case _:
                 exchange.respond(404, [])
 
@@ -209,6 +241,21 @@
             case _:
                 exchange.respond(405, [])
 
+    def _handle_rollouts(self, exchange: Exchange) -> None:
+        """List the rollouts of software, or stop that of a service."""
+        request, rollouts = exchange.request, self.rollouts
+        service = unquote(request.target.removeprefix(ROLLOUTS_PATH).lstrip(b"/").decode("latin-1"))
+        match request.method:
+            case b"GET" if not service:
+                fields = [(b"Content-Type", b"application/json")]
+                found = [] if rollouts is None else rollouts.describe()
+                exchange.respond(200, fields, msgspec.json.encode(found))
+            case b"DELETE" if service:
+                has_stopped = rollouts is not None and rollouts.stop(service)
+                exchange.respond(204 if has_stopped else 404, [])
+            case _:
+                exchange.respond(405, [])
+
     def _update_gauges(self) -> None:
         state, now = self.state, asyncio.get_running_loop().time()
         reachable, possible = state.count_gateways(now)
@@ -220,6 +267,10 @@
             self.metrics.leaving_endpoints.set({"service": service}, leaving)
             held_off = sum(view.availability.is_held_off(now) for view in pool.views.values())
             self.metrics.held_off_endpoints.set({"service": service}, held_off)
+        for rollout in [] if self.rollouts is None else self.rollouts.describe():
+            for known in RolloutState:
+                labels = {"service": str(rollout["service"]), "state": known.value}
+                self.metrics.rollouts.set(labels, int(rollout["state"] == known.value))
         self.metrics.running.set({}, self.forwarder.running)
         self.metrics.config_version.set({}, state.config.version if state.config else 0)
         self.metrics.store_up.set({}, int(state.store_up))
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -29,11 +29,12 @@
     MetadataStore,
     Position,
     PromptPart,
+    RolloutOrder,
     StoredRecord,
     Topic,
     Workspace,
 )
-from teaselpath.gateway._entities import AnnouncedWeights, LongPlacement, Member
+from teaselpath.gateway._entities import AnnouncedWeights, LongPlacement, Member, OrderedRollout
 from teaselpath.gateway._record_logs import log_endpoint, log_if_older
 from teaselpath.gateway._statements import record_leaving
 
@@ -71,6 +72,7 @@
     :ivar lost_before_return_at: time at which it had lost the store before that return.
     :ivar on_new_era: called for each era after the first.
     :ivar on_endpoint_changed: called with an endpoint as listed before and now, None if it is not.
+    :ivar rollout_orders: newest order for a rollout of software, by service.
     :ivar endpoint_ids: id of each known endpoint by its number.
     :ivar availabilities: what endpoints have stated on whether they take requests.
     :ivar standstill_ended_at: returns when this process last stood still, in seconds; 0 if it has
@@ -90,6 +92,7 @@
         self.config: FleetConfig | None = None
         self.operator_records: dict[str, StoredRecord] = {}
         self.announced: dict[str, AnnouncedWeights] = {}
+        self.rollout_orders: dict[str, OrderedRollout] = {}
         self.endpoints = EndpointTable()
         self.views: dict[str, EndpointView] = {}
         self.endpoint_ids: dict[int, str] = {}
@@ -155,6 +158,8 @@
             if self._is_newer_version(record, version, before, source):
                 self._apply_weights(model, version, record, source)
                 self._record_announcement(model, version, now, missed_since)
+        elif self.settings.rollout is not None and (order := self.store.decode_rollout(record)):
+            self._apply_rollout(order, record, source, now, missed_since)
         elif record.value:
             log_message("record_ignored", key=record.key, offset=record.position.offset)
 
@@ -211,6 +216,40 @@
         self.announced[model].assume_announcement(version, assumed_at)
         log_message("weights_age_assumed", model=model, version=version, age_s=now - assumed_at)
 
+    def _apply_rollout(
+        self,
+        order: RolloutOrder,
+        record: StoredRecord,
+        source: str,
+        now: float,
+        missed_since: float | None,
+    ) -> None:
+        """Record an order; one that may be old is as old as a host's recovery takes."""
+        known = self.rollout_orders.get(order.service)
+        is_copy = known is not None and known.order.position.era != order.position.era
+        if known is not None and is_copy and order.content in known.replaced:
+            log_if_older(record, self.operator_records.get(record.key), source)
+            return
+        self.operator_records[record.key] = record
+        if known is not None and order.content == known.order.content:
+            known.order = order
+            return
+        seen_at = now
+        if missed_since is not None:
+            seen_at = max(missed_since, now - self.settings.bounds.recovery_window_s)
+        replaced = frozenset() if known is None else known.replaced | {known.order.content}
+        self.rollout_orders[order.service] = OrderedRollout(
+            order, seen_at, replaced - {order.content}
+        )
+        log_message(
+            "rollout_ordered",
+            service=order.service,
+            target=order.target,
+            duration_s=order.duration_s,
+            offset=record.position.offset,
+            source=source,
+        )
+
     def required_version(self, model: str, now: float) -> int:
         """Return the oldest weights version of a model that may run requests; 0 for no limit."""
         announced = self.announced.get(model)
--- /dev/null
+++ b/teaselpath/gateway/tests/test_rollouts.py
@@ -0,0 +1,234 @@
+"""Rollouts of software over several gateways in virtual time: good and bad versions, and faults."""
+
+import json
+from functools import partial
+
+import pytest
+
+from teaselpath.fleet import Position, RolloutState, StoredRecord
+from teaselpath.gateway.tests.rollout_fleet import Fleet, Sent, good, play
+
+SEEDS = range(50)
+FEW_SEEDS = range(6)
+
+
+def bad_at_once(_sent: Sent) -> tuple[float, float]:
+    return 0.3, 1.0
+
+
+def bad_later(sent: Sent) -> tuple[float, float]:
+    return 0.4 if sent.at > 5.0 else 0.0, 1.0
+
+
+def bad_after_the_move(sent: Sent) -> tuple[float, float]:
+    return 0.4 if sent.at > 8.5 else 0.0, 1.0
+
+
+def bad_under_load(sent: Sent) -> tuple[float, float]:
+    return 0.5 if sent.running > 1 else 0.0, 1.0
+
+
+def bad_on_one_route(sent: Sent) -> tuple[float, float]:
+    return 0.5 if sent.route == "pay" else 0.0, 1.0
+
+
+def bad_on_a_rare_route(sent: Sent) -> tuple[float, float]:
+    return 0.5 if sent.route == "review" else 0.0, 1.0
+
+
+def slow(_sent: Sent) -> tuple[float, float]:
+    return 0.0, 4.0
+
+
+BAD = (
+    bad_at_once, bad_later, bad_after_the_move, bad_under_load, bad_on_one_route,
+    bad_on_a_rare_route, slow,
+)  # fmt: skip
+
+
+def assert_rolled_back(fleet: Fleet) -> None:
+    """The bound on a bad version holds, and no gateway sends it anything after its end."""
+    record = fleet.stored()
+    assert record.state is RolloutState.ROLLED_BACK, record
+    assert fleet.ended_at is not None
+    assert fleet.ended_at <= fleet.duration_s
+    assert fleet.exposed() <= fleet.allowed()
+    assert fleet.late() == 0
+
+
+def test_good_version_succeeds_in_time():
+    """Guards against duties that are missed, and streams that are lost as old engines stop."""
+    fleets = [play(seed, good) for seed in SEEDS]
+    succeeded = [f for f in fleets if f.stored().state is RolloutState.SUCCEEDED]
+    assert len(succeeded) >= 49
+    assert all(f.ended_at is not None and f.ended_at <= f.duration_s for f in fleets)
+    assert sum(f.lost for f in fleets) == 0
+    assert sum(f.unserved for f in fleets) == 0
+
+
+@pytest.mark.parametrize("behaviour", BAD)
+def test_bad_version_is_rolled_back_within_the_bound(behaviour):
+    fleets = [play(seed, behaviour) for seed in SEEDS]
+    for fleet in fleets:
+        assert_rolled_back(fleet)
+    print(behaviour.__name__, max(f.exposed() / f.allowed() for f in fleets))
+
+
+def crash_engines(fleet: Fleet) -> None:
+    """Two engines of the target and one old one end, under their requests."""
+    names = fleet.random.sample([f"new-{n}" for n in range(12)], 2)
+    fleet.at(5.0, lambda: fleet.crashed.update({*names, "old-1"}))
+
+
+def burst(fleet: Fleet) -> None:
+    fleet.at(4.0, lambda: setattr(fleet, "rate", 3 * fleet.rate))
+    fleet.at(6.0, lambda: setattr(fleet, "rate", fleet.rate / 3))
+
+
+def garble(fleet: Fleet) -> None:
+    fleet.at(4.5, lambda: setattr(fleet, "trouble", 0.3))
+    fleet.at(6.5, lambda: setattr(fleet, "trouble", 0.0))
+
+
+def store_away(fleet: Fleet) -> None:
+    fleet.at(3.5, fleet.take_store)
+    fleet.at(6.5, fleet.return_store)
+
+
+def kill_decider(fleet: Fleet) -> None:
+    """The lease passes on once it has expired and a handover has passed."""
+    fleet.at(4.0, lambda: fleet.kill("gw-0"))
+    fleet.at(4.0, lambda: setattr(fleet, "holder", ""))
+    fleet.at(9.4, lambda: setattr(fleet, "holder", "gw-1"))
+
+
+def kill_all(fleet: Fleet) -> None:
+    """All gateways end, twice, and start again with what the store has."""
+    for at in (3.5, 5.5):
+        for host in fleet.hosts:
+            fleet.at(at, partial(fleet.kill, host))
+            fleet.at(at + 0.8, partial(fleet.start, host))
+
+
+def cut_gateway(fleet: Fleet) -> None:
+    fleet.at(4.0, lambda: setattr(fleet.gateways["gw-2"], "is_cut", True))
+    fleet.at(9.0, lambda: setattr(fleet.gateways["gw-2"], "is_cut", False))
+
+
+def change_era(fleet: Fleet) -> None:
+    fleet.at(5.0, lambda: fleet.restore_store(1))
+
+
+TROUBLE = (crash_engines, burst, garble, store_away, cut_gateway, change_era)
+FAULTS = (*TROUBLE, kill_decider, kill_all)
+
+
+@pytest.mark.parametrize("prepare", FAULTS)
+def test_good_version_is_not_convicted_in_trouble(prepare):
+    """Guards against engines, callers or hosts whose trouble is taken for that of a version."""
+    fleets = [play(seed, good, prepare=prepare) for seed in FEW_SEEDS]
+    states = [fleet.stored().state for fleet in fleets]
+    reasons = [fleet.stored().reason for fleet in fleets]
+    assert all("answers" not in reason or "evidence" in reason for reason in reasons), reasons
+    if prepare in TROUBLE:
+        assert states.count(RolloutState.SUCCEEDED) >= len(fleets) - 1, reasons
+    assert all(f.ended_at is not None and f.ended_at <= f.duration_s for f in fleets)
+
+
+@pytest.mark.parametrize("prepare", FAULTS)
+@pytest.mark.parametrize("behaviour", [bad_later])
+def test_bad_version_is_rolled_back_in_trouble(behaviour, prepare):
+    for seed in FEW_SEEDS:
+        assert_rolled_back(play(seed, behaviour, prepare=prepare))
+
+
+def test_equal_order_begins_no_new_rollout():
+    """An operator's tool may write the same order again."""
+    fleet = play(1, bad_at_once, prepare=lambda f: f.at(8.0, f.order), until=20.0)
+    assert fleet.stored().serial == 1
+    assert fleet.ended_at is not None
+    assert max(fleet.sent) < fleet.ended_at + 0.2
+
+
+def test_another_order_ends_the_rollout_before():
+    fleet = play(1, good, prepare=lambda f: f.at(5.0, lambda: f.order("v3")), until=20.0)
+    record = fleet.stored()
+    assert (record.target, record.serial, record.state) == ("v3", 2, RolloutState.ROLLED_BACK)
+    assert record.reason == "no engine of the target takes requests"
+    assert record.avoided == ("v3", "v2")
+    assert max(fleet.sent) < 5.5
+
+
+def test_target_without_engines_is_rolled_back_at_its_deadline():
+    fleet = play(1, good, new=0)
+    assert_rolled_back(fleet)
+    assert fleet.stored().reason == "no engine of the target takes requests"
+
+
+def test_order_whose_deadline_has_passed_is_rolled_back_at_once():
+    fleet = play(1, good, duration_s=0.0, until=2.0)
+    assert fleet.stored().reason == "the deadline has passed"
+    assert not fleet.sent
+
+
+def test_unreadable_record_of_the_status_topic_costs_that_record_only():
+    """Guards against what another writer has left there."""
+
+    def write(fleet):
+        fleet.store.records.append(("rollout/s", b"\xff"))
+        fleet.store.records.append(("other", b"{}"))
+
+    assert play(1, good, prepare=write).stored().state is RolloutState.SUCCEEDED
+
+
+def test_engines_of_a_target_get_nothing_before_an_order_allows_it():
+    """The engines may be listed before the order arrives."""
+
+    def hide_order(fleet):
+        for gateway in fleet.gateways.values():
+            gateway.state.rollout_orders.clear()
+        fleet.orders.clear()
+
+    fleet = play(1, good, prepare=hide_order, until=1.4)
+    assert not fleet.sent
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"?", b"{}", b'{"service":"s","target":"","durationS":5}',
+     b'{"service":"t","target":"v2","durationS":5}',
+     b'{"service":"s","target":"v2","durationS":1e99}'],
+)  # fmt: skip
+def test_unreadable_order_asks_for_nothing(value):
+    def write(fleet):
+        for gateway in fleet.gateways.values():
+            gateway.state.rollout_orders.clear()
+            record = StoredRecord("rollout/s", value, Position(1, 200))
+            gateway.state.apply_operator_record(record, "store", 0.0)
+            assert not gateway.state.rollout_orders
+
+    assert play(1, good, prepare=write, until=0.5).store.records == []
+
+
+def test_operators_read_state_and_target():
+    fleet = play(1, good)
+    status = json.loads(fleet.store.records[-1][1])
+    assert (status["state"], status["target"]) == ("succeeded", "v2")
+
+
+def test_version_that_was_replaced_runs_again_if_it_is_all_there_is():
+    """Guards against a later release by the platform that goes back to it."""
+    fleet = play(1, good)
+    gateway = fleet.gateways["gw-1"]
+    assert gateway.record is not None
+    assert gateway.record.avoided == ("v1",)
+    assert gateway.rollouts._unless_alone("s", frozenset(["v1", "v2"])) == [None]
+
+
+def test_operator_stops_a_rollout_at_any_gateway():
+    def stop(fleet):
+        fleet.at(5.0, lambda: fleet.gateways["gw-3"].rollouts.stop("s"))
+
+    fleet = play(1, good, prepare=stop)
+    assert fleet.stored().reason == "stopped by an operator"
+    assert max(fleet.sent) < 5.3
--- a/teaselpath/platform/_config.py
+++ b/teaselpath/platform/_config.py
@@ -121,6 +121,8 @@
     # Number of the statement since start-up; its type is checked where it is used.
     seq: object = None
     models: list[_ServerModel] = []
+    # Remaining time in ms for which it is slow; its type is checked where it is used.
+    cold_left_ms: object = None
 
 
 def decode_config(record: StoredRecord) -> FleetConfig | None:
@@ -179,6 +181,7 @@
                 started_at_ms=raw.born,
                 weights=tuple((m.name, m.version) for m in raw.models),
                 software=_software(raw),
+                cold_s=_cold_s(raw),
             )
             revision = _revision(raw)
     except Unreadable as error:
@@ -191,6 +194,13 @@
     return version if isinstance(version, str) and 0 < len(version) <= MAX_VERSION_LENGTH else None
 
 
+def _cold_s(server: _Server) -> float:
+    left_ms = server.cold_left_ms
+    if not isinstance(left_ms, int | float) or not 0 <= left_ms <= MAX_COUNT:
+        return 0.0
+    return left_ms / 1000
+
+
 def _revision(server: _Server) -> Revision | None:
     if server.born is None or type(server.seq) is not int or not 0 <= server.seq <= MAX_COUNT:
         return None
--- a/teaselpath/platform/_store.py
+++ b/teaselpath/platform/_store.py
@@ -14,12 +14,19 @@
     FleetConfig,
     Position,
     RecordPage,
+    RolloutOrder,
+    RolloutRecord,
     StoredRecord,
     StoreError,
     Topic,
 )
 from teaselpath.http1 import ConnectFailed, ConnectionBroken, HttpClient, ReadTimeout, Response
 from teaselpath.platform._config import decode_config, decode_endpoint, decode_weights
+from teaselpath.platform._rollouts import (
+    decode_rollout,
+    decode_rollout_status,
+    encode_rollout_status,
+)
 from teaselpath.utils import Unreadable, decode_json
 
 # Time for the answer beyond the duration of the long poll, in seconds.
@@ -40,6 +47,7 @@
     Topic.VERDICTS: "keyed.verdicts",
     Topic.VERSIONS: "keyed.versions",
     Topic.STREAMS: "keyed.streams",
+    Topic.STATUS: "keyed.status",
 }
 
 
@@ -126,6 +134,18 @@
         """Return model and weights version in a record of the operators' topic."""
         return decode_weights(record)
 
+    def decode_rollout(self, record: StoredRecord) -> RolloutOrder | None:
+        """Return the rollout that a record of the operators' topic asks for."""
+        return decode_rollout(record)
+
+    def decode_rollout_status(self, record: StoredRecord) -> RolloutRecord | None:
+        """Return the rollout in a record of the status topic."""
+        return decode_rollout_status(record)
+
+    def encode_rollout_status(self, rollout: RolloutRecord) -> tuple[str, bytes]:
+        """Return key and value of the record of a rollout in the status topic."""
+        return encode_rollout_status(rollout)
+
     def decode_endpoint(self, record: StoredRecord) -> EndpointEntry:
         """Return the endpoint entry in a record of the endpoint topic."""
         return decode_endpoint(record)
