--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -39,6 +39,8 @@
         it, in seconds; None if times are not learned.
     :param room: what was known of the room at engines when it was rejected for its aim, for the
         log.
+    :param takes_target: whether a rollout of software tries its target on this request; None if
+        that is not decided.
     :param reservation: its load at the endpoint of the current attempt; None between attempts.
     """
 
@@ -70,6 +72,7 @@
     reads_slowly: bool = False
     first_event_s: tuple[float, float] | None = None
     room: dict[str, float | bool] | None = None
+    takes_target: bool | None = None
 
     def __post_init__(self) -> None:
         """Expect the events after the one at which the caller resumes its stream."""
--- a/teaselpath/gateway/_peer_messages.py
+++ b/teaselpath/gateway/_peer_messages.py
@@ -6,6 +6,7 @@
 from teaselpath.gateway._entities import LongPlacement
 from teaselpath.lineage import LineageMessage
 from teaselpath.quarantine import QuarantineUpdate
+from teaselpath.rollout import RolloutNote
 
 
 class EndpointStatus(msgspec.Struct, array_like=True):
@@ -62,6 +63,7 @@
     :param lease: holder, nonce, fence and era of the newest known lease record.
     :param demand: requests per second that arrive at the gateway, by service whose room is
         contended.
+    :param rollouts: rollouts of software that run or have ended lately.
     """
 
     host: str
@@ -84,6 +86,7 @@
     lease_end: tuple[int, int] | None
     lease: tuple[str, str, int, int] | None
     demand: dict[str, float] = {}
+    rollouts: list[RolloutNote] = []
 
 
 class StatusToRelay(msgspec.Struct, array_like=True, tag="relay_status"):
