Memory of engines: what gateways do not know of each other yet

A gateway that had just started knew of no other and used all of the memory; announcements for an engine that a gateway did not know yet were lost on it; one that had stood still used what others had filled meanwhile; and in a burst announcements wait in the socket, of which each iteration of the event loop reads one, so that a claim was checked before they were counted. Change: a gateway uses a quarter of the memory for 2 s after it has started or stood still; an engine that it has just learned of gets no long prompt of it for 1.2 s; 32 iterations of the event loop come before the check of a claim. Unit tests of the first three; none of the last.

--- a/teaselpath/dispatch/_engine_memory.py
+++ b/teaselpath/dispatch/_engine_memory.py
@@ -29,6 +29,11 @@
 # Smallest fraction of an engine's memory that a gateway uses while others are silent: each side of
 # a cut has half of it.
 MIN_FRACTION = 0.5
+# Fraction of an engine's memory that a gateway uses which may not know of all others yet.
+START_FRACTION = 0.25
+# Time in which the load of others at an engine that a gateway has just learned of becomes known, in
+# seconds: their announcements before it are lost, their next status message names it.
+NEW_ENGINE_S = 1.2
 # Rankings of gateways that are kept in memory.
 MAX_RANKINGS = 4_096
 
@@ -65,9 +70,12 @@
     assert engine is not None
     held = _held_tokens(view, now)
     free = _usable_tokens(demand) - held
+    is_new = memory.is_complete and now - view.known_since < NEW_ENGINE_S
+    if is_new and tokens >= ANNOUNCE_MIN_TOKENS:
+        return Room.NONE
     if tokens > free:
         # A gateway that hears no others still serves the engines for which it ranks first.
-        is_only = not held and tokens <= engine.cache_tokens
+        is_only = memory.is_complete and not held and tokens <= engine.cache_tokens
         return Room.CLAIM if is_only and _rank_of(view, memory) == 0 else Room.NONE
     if tokens < ANNOUNCE_MIN_TOKENS:
         return Room.FREE
@@ -103,7 +111,10 @@
     """Return how much of an engine's memory the gateways that are heard use."""
     assert demand.memory is not None
     assert demand.engine is not None
-    return max(MIN_FRACTION, demand.memory.heard_fraction) * demand.engine.cache_tokens
+    memory, fraction = demand.memory, START_FRACTION
+    if memory.is_complete:
+        fraction = max(MIN_FRACTION, memory.heard_fraction)
+    return fraction * demand.engine.cache_tokens
 
 
 def _rank_of(view: EndpointView, memory: MemoryBound) -> int:
--- a/teaselpath/dispatch/_memory_bound.py
+++ b/teaselpath/dispatch/_memory_bound.py
@@ -13,11 +13,13 @@
     :param host: this gateway.
     :param others: those that may be sending requests, sorted.
     :param heard_fraction: fraction of all, this one included, whose load is known.
+    :param is_complete: whether this gateway runs long enough to know of all others.
     """
 
     host: str
     others: tuple[str, ...]
     heard_fraction: float = 1.0
+    is_complete: bool = True
 
 
 @dataclass(slots=True)
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -67,6 +67,7 @@
     :param pace_stated_at: time at which that statement arrived.
     :param has_stated_invalid_load: whether a stated load could not be read.
     :param times: times that it needs for its work.
+    :param known_since: time from which this gateway knows of it.
     :param largest: largest request that was announced for it lately.
     """
 
@@ -87,6 +88,7 @@
     pace_stated_at: float = float("-inf")
     has_stated_invalid_load: bool = False
     times: EngineTimes = field(default_factory=EngineTimes)
+    known_since: float = float("-inf")
     largest: LargestRequest = field(default_factory=LargestRequest)
 
     def record_weights(self, model: str, version: int) -> None:
--- a/teaselpath/dispatch/tests/test_engine_memory.py
+++ b/teaselpath/dispatch/tests/test_engine_memory.py
@@ -108,6 +108,24 @@
     assert isinstance(choose(view, topology, 17_000, bound_of(heard=0.1)), Placed)
 
 
+def test_engine_that_was_just_learned_of_gets_no_long_prompt(topology):
+    """Guards against load of others whose announcements came before the engine was known."""
+    view = make_view("e")
+    view.known_since = NOW - 0.5
+    assert isinstance(choose(view, topology, 17_000, bound_of()), NoEndpoint)
+    assert isinstance(choose(view, topology, 400, bound_of()), Placed)
+    view.known_since = NOW - 2.0
+    assert isinstance(choose(view, topology, 17_000, bound_of()), Placed)
+
+
+def test_gateway_that_has_just_started_uses_a_quarter(topology):
+    """Guards against gateways that start together and do not know of each other yet."""
+    view, alone = make_view("e"), MemoryBound("gw-00", (), 1.0, is_complete=False)
+    view.known_since = NOW - 0.5
+    assert isinstance(choose(view, topology, 40_000, alone), Placed)
+    assert isinstance(choose(view, topology, 44_000, alone), NoEndpoint)
+
+
 def test_deployment_without_the_bound_is_served_as_before(topology):
     """Only long prompts beyond 0.6 of the memory wait, and nothing is claimed."""
     view = make_view("e", slots=64)
--- a/teaselpath/gateway/_memory.py
+++ b/teaselpath/gateway/_memory.py
@@ -8,6 +8,9 @@
 
 # Time for which the gateways that may be sending are not looked up again, in seconds.
 LOOKUP_S = 0.25
+# Time after the start of a gateway, or after it stood still, in which it may not know of others and
+# their load yet, in seconds.
+START_S = 2.0
 
 
 class SharedMemory:
@@ -25,6 +28,7 @@
         self.state = state
         self.loop = asyncio.get_running_loop()
         self.found = MemoryBound(state.settings.host, ())
+        self.started_at = self.loop.time()
         self.found_at = float("-inf")
         self.stating: dict[str, float] = {}
 
@@ -59,4 +63,7 @@
         state = self.state
         others = sorted(host for host in state.members if state.may_be_running(host, now))
         reachable, possible = state.count_gateways(now)
-        return MemoryBound(state.settings.host, tuple(others), reachable / possible)
+        began_at = max(self.started_at, state.standstill_ended_at())
+        is_complete = now - began_at >= START_S
+        host = state.settings.host
+        return MemoryBound(host, tuple(others), reachable / possible, is_complete)
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -45,6 +45,9 @@
 RESUMED_PRIORITY = -1
 # Claims on the memory of engines after which a request is refused.
 MAX_CLAIMS = 3
+# Iterations of the event loop in which announcements that have arrived are read before a claim is
+# checked.
+READ_ITERATIONS = 32
 
 
 class Placer:
@@ -82,6 +85,9 @@
         is_granted = False
         try:
             await asyncio.sleep(CLAIM_S)
+            # The event loop reads one datagram in each iteration; those that have arrived count.
+            for _ in range(READ_ITERATIONS):
+                await asyncio.sleep(0)
             is_granted = self._is_within_memory(call, choice)
         finally:
             if not is_granted:
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -285,7 +285,7 @@
         elif change is not None:
             log_endpoint(change, entry, source)
         if before != self.endpoints.get(record.key):
-            self._refresh_view(record.key)
+            self._refresh_view(record.key, now)
         view = self.views.get(record.key)
         if view is not None and view.endpoint.state is EndpointState.LEAVING:
             # Binds also if a stale record lists this start of the endpoint as ready again.
@@ -305,7 +305,7 @@
                 era=end.era,
                 may_be_lapse=key in self.endpoints.lapsed,
             )
-            self._refresh_view(key)
+            self._refresh_view(key, now)
 
     def expire_lapses(self, now: float) -> None:
         """Remove endpoints whose entries were not renewed after a store outage."""
@@ -314,9 +314,9 @@
             return
         for key in self.endpoints.expire(now):
             log_message("endpoint_removed", endpoint=key, source="lapse")
-            self._refresh_view(key)
+            self._refresh_view(key, now)
 
-    def _refresh_view(self, key: str) -> None:
+    def _refresh_view(self, key: str, now: float) -> None:
         endpoint = self.endpoints.get(key)
         view = self.views.get(key)
         if view is not None:
@@ -330,7 +330,10 @@
         if view is None or view.endpoint.incarnation != endpoint.incarnation:
             availability = self.availabilities.get(endpoint.number)
             view = self.views[key] = EndpointView(
-                endpoint, weights=dict(endpoint.weights), availability=availability
+                endpoint,
+                weights=dict(endpoint.weights),
+                availability=availability,
+                known_since=now,
             )
         else:
             view.endpoint = endpoint
--- a/teaselpath/gateway/tests/test_engine_memory.py
+++ b/teaselpath/gateway/tests/test_engine_memory.py
@@ -6,6 +6,7 @@
 import pytest
 
 from teaselpath.dispatch import Load, NoEndpoint, Placed
+from teaselpath.gateway._memory import START_S
 from teaselpath.gateway._placement import Placer
 from teaselpath.gateway.tests.conftest import SETTINGS, endpoint_record
 from teaselpath.gateway.tests.test_placement import make_call
@@ -23,6 +24,7 @@
     """Place a prompt of 17,010 tokens while another gateway claims memory."""
     announced: list = []
     placer = Placer(state, announced.append)
+    placer.memory.started_at -= START_S
     call = make_call(1.0)
     task = asyncio.create_task(placer.acquire(call, placer.loop.time()))
     await asyncio.sleep(0.01)
@@ -49,6 +51,39 @@
     assert (own.requests, own.held_tokens, own.pending_prefill_tokens) == (0, 0, 0)
 
 
+def test_gateway_that_has_just_started_uses_a_quarter_of_the_memory(contended):
+    """Guards against a gateway that takes all of it since it knows of no other yet."""
+
+    async def scenario():
+        placer = Placer(contended, lambda message: None)
+        contended.views["e"].own.held_tokens = 10_000
+        call = make_call(0.2)
+        queue = asyncio.create_task(placer.run_queue())
+        choice = await placer.acquire(call, placer.loop.time())
+        queue.cancel()
+        return choice
+
+    assert isinstance(asyncio.run(scenario()), NoEndpoint)
+
+
+def test_gateway_that_stood_still_counts_as_started(contended):
+    """Guards against load that others have placed meanwhile."""
+
+    async def scenario():
+        memory = Placer(contended, lambda message: None).memory
+        memory.started_at -= START_S
+        service = make_call().service
+        before = memory.bound_of(service)
+        memory.found_at = float("-inf")
+        contended.standstill_ended_at = memory.loop.time
+        after = memory.bound_of(service)
+        assert before is not None
+        assert after is not None
+        assert (before.is_complete, after.is_complete) == (True, False)
+
+    asyncio.run(scenario())
+
+
 def test_cancelled_claim_leaves_nothing_reserved(contended):
     async def scenario():
         placer, call = Placer(contended, lambda message: None), make_call()
