--- a/standins/soak/_checks.py
+++ b/standins/soak/_checks.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from itertools import pairwise
 
-from standins.hosted import Answer, HostedSite
+from standins.hosted import ENGINE_TOKENS, Answer, HostedSite
 
 REFUSED_STATUSES = (408, 421, 429, 503)
 # Routes that all configurations have, and statuses that none of their requests may get.
@@ -43,6 +43,7 @@
         *_check_runs(site, requests),
         *_check_versions(site),
         *_check_orders(site, min_interval_s),
+        *_check_memory(site),
     ]
 
 
@@ -108,6 +109,17 @@
     return broken
 
 
+def _check_memory(site: HostedSite) -> list[str]:
+    """Check that no engine was given more than its memory holds, where that is bounded."""
+    if "pressure" not in site.contracts:
+        return []
+    return [
+        f"{engine.endpoint_id} held {engine.most_held_tokens} tokens of {ENGINE_TOKENS}"
+        for engine in site.all_engines
+        if engine.most_held_tokens > ENGINE_TOKENS
+    ]
+
+
 def _check_orders(site: HostedSite, min_interval_s: float) -> list[str]:
     broken = []
     for engine in site.all_engines:
--- a/standins/soak/_faults.py
+++ b/standins/soak/_faults.py
@@ -11,6 +11,7 @@
 from standins.hosted import HEARTBEAT_INTERVAL_S, StoreCopy
 from standins.soak._answer_faults import LATE_ANSWERS, MISLEADING_ANSWERS, disturb_answers
 from standins.soak._configs import change_routes
+from standins.soak._crowd import UnusualDemand
 from standins.soak._proxy import LinkFault
 
 if TYPE_CHECKING:
@@ -62,6 +63,7 @@
         self.soak.start_fault(self.limit_engines(until))
         self.soak.start_fault(self.change_routes(until))
         self.soak.start_fault(self.restore_store(until))
+        UnusualDemand(self.soak).start(until)
         source = Random(self.plan.seed + 3)
         for service in self.soak.deadly_from:
             delay_s = source.uniform(0.1, 0.5) * self.plan.fault_s
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -142,8 +142,9 @@
         self.prepare_engine(name)
 
     def prepare_engine(self, name: str) -> None:
-        """Make an engine end on the deadly part and body."""
+        """Make an engine state its pace, and end on the deadly part and body."""
         listed_engine = self.site.engines[name]
+        listed_engine.engine.pace = "100"
         listed_engine.engine.deadly_parts = {DEADLY_PART}
         listed_engine.engine.deadly_bodies = {DEADLY_BODY}
 
@@ -319,7 +320,10 @@
 async def run_soak(plan: SoakPlan, folder: Path) -> SoakReport:
     """Run one soak test; the gateways' logs and settings are written to ``folder``."""
     tenants = [SiteTenant("office", ["key-a"]), SiteTenant("closed", ["key-b"], isolated=True)]
-    async with HostedSite(folder, Random(plan.seed + 1), tenants=tenants) as site:
+    # Engines state their pace in all runs; every other deployment has contended room besides.
+    contracts = ["pressure"] if plan.seed % 2 else []
+    site_random = Random(plan.seed + 1)
+    async with HostedSite(folder, site_random, tenants=tenants, contracts=contracts) as site:
         soak = Soak(plan, site)
         soak.watchers.append(asyncio.create_task(soak.watch_stalls()))
         await soak.start()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from standins.hosted import Answer, HostedSite, Run, expected_signature
+from standins.hosted import Answer, HostedEngine, HostedSite, Run, expected_signature
 from standins.hosted._answers import events_of
 from standins.hosted._records import Order
 from standins.soak import SoakPlan, check_guarantees, run_soak
@@ -103,6 +103,16 @@
     assert any(expected in line for line in check_guarantees(site, asked, 0.6))
 
 
+def test_check_finds_an_overfilled_engine(tmp_path):
+    site = HostedSite(tmp_path, Random(1), contracts=["pressure"])
+    engine = HostedEngine("e", "llm", site.runs, site.random, model="m")
+    site.all_engines.append(engine)
+    engine.most_held_tokens = 100_000
+    assert check_guarantees(site, [], 0.6) == []
+    engine.most_held_tokens = 100_001
+    assert any("held 100001 tokens" in line for line in check_guarantees(site, [], 0.6))
+
+
 def test_check_finds_a_denied_request(tmp_path):
     site = HostedSite(tmp_path, Random(1))
     asked = [SentRequest("pay", "office", "key-a", time.monotonic(), answer(status=404))]
