--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -73,6 +73,7 @@
     :param awaited: times by which the first events of this gateway's requests were expected, by
         number, in the order of their placement.
     :param times: times that it needs for its work.
+    :param known_since: time from which this gateway knows of it.
     :param largest: largest request that was announced for it lately.
     :param own_places: requests that this gateway should have in flight there at most while room is
         short; None while it is not.
@@ -97,6 +98,7 @@
     unexpected_loads: int = 0
     awaited: dict[int, float] = field(default_factory=dict)
     times: EngineTimes = field(default_factory=EngineTimes)
+    known_since: float = float("-inf")
     largest: LargestRequest = field(default_factory=LargestRequest)
     own_places: int | None = None
 
