Rate limits: counters of a peer, whatever they state, refuse a workspace for 8 s at most

Cause: one malformed or very large counter took a workspace out of service for good. Change: a bucket lacks at most 8 s of its rate.

--- a/teaselpath/dispatch/_quota.py
+++ b/teaselpath/dispatch/_quota.py
@@ -5,7 +5,8 @@
 
 from teaselpath.fleet import Workspace
 
-# Longest ``retry_after_s`` of a refusal, in seconds.
+# Longest ``retry_after_s`` of a refusal, in seconds, and the time in which a bucket without further
+# charges recovers from any counters.
 MAX_RETRY_AFTER_S = 8.0
 # Fraction of the tolerated slack that is added to a bucket's capacity, and that a bucket holds when
 # its gateway starts.
@@ -188,13 +189,10 @@
                 return {}
             previous = {} if self._discard_totals(peer) else dict(used)
             self.peer_totals[peer, incarnation] = previous
-        if contact is not None:
-            self._advance(contact.at)
-            is_late = peer in self.contacts and self.contacts[peer].is_late
-            if is_late and not self._ends_silence(peer, contact, is_complete=is_complete):
-                return {}
-        else:
-            is_late = False
+        is_late = contact is not None and self._is_late(peer, contact.at)
+        ends_silence = contact is not None and self._covers(peer, contact, is_complete=is_complete)
+        if is_late and not ends_silence:
+            return {}
         spent = {name: total - previous.get(name, 0.0) for name, total in used.items()}
         previous.update(used)
         if is_late:
@@ -203,15 +201,19 @@
             for name, tokens in spent.items():
                 if name in self.buckets:
                     _add(self.buckets[name], -tokens)
-        if contact is not None and self._ends_silence(peer, contact, is_complete=is_complete):
+        if contact is not None and ends_silence:
             self.without_baseline.pop(peer, None)
             late_at = contact.at + contact.late_after_s
             self.contacts[peer] = _PeerContact(contact.at, late_at, self.share_s)
             self._update_fraction()
         return spent
 
-    def _ends_silence(self, peer: str, contact: Contact, *, is_complete: bool) -> bool:
-        """Return whether the charges of a gateway are known up to a message."""
+    def _is_late(self, peer: str, now: float) -> bool:
+        self._advance(now)
+        return peer in self.contacts and self.contacts[peer].is_late
+
+    def _covers(self, peer: str, contact: Contact, *, is_complete: bool) -> bool:
+        """Return whether all charges of a gateway up to a message are known with it."""
         last = self.contacts.get(peer)
         is_covered = last is not None and contact.at - last.at <= contact.covered_s
         return contact.is_current and (is_complete or is_covered)
@@ -303,9 +305,17 @@
         if bucket.level >= usable:
             bucket.level, bucket.full_share_s = usable, self.share_s
         bucket.level = min(bucket.level, bucket.known)
+        _limit_debt(bucket)
 
 
 def _add(bucket: _Bucket, tokens: float) -> None:
     """Add tokens to a bucket, or take them if the number is negative."""
     bucket.known = min(bucket.capacity, bucket.known + tokens)
     bucket.level = min(bucket.known, bucket.level + tokens)
+    _limit_debt(bucket)
+
+
+def _limit_debt(bucket: _Bucket) -> None:
+    """Limit what a bucket lacks, whatever another gateway states."""
+    least = -MAX_RETRY_AFTER_S * bucket.rate
+    bucket.known, bucket.level = max(least, bucket.known), max(least, bucket.level)
--- a/teaselpath/dispatch/tests/test_quota_failures.py
+++ b/teaselpath/dispatch/tests/test_quota_failures.py
@@ -213,3 +213,13 @@
     fleet.granted.clear()
     fleet.run(8.0, 3.0)
     assert sum(tokens for _, tokens in fleet.granted) >= 0.9 * RATE * 8.0
+
+
+def test_absurd_counters_of_a_peer_refuse_a_workspace_for_seconds_only():
+    """Guards against one malformed message that takes a workspace out of service."""
+    quota = SharedQuota()
+    quota.charge(LIMITED, 1.0, 0.0)
+    quota.merge("g", 1, {})
+    quota.merge("g", 1, {"w": 1e18})
+    assert not isinstance(quota.charge(LIMITED, 1.0, 1.0), Granted)
+    assert isinstance(quota.charge(LIMITED, 1.0, 8.1), Granted)
