--- a/teaselpath/gateway/_rollouts.py
+++ b/teaselpath/gateway/_rollouts.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator
 
 from eliot import log_message
@@ -55,6 +56,9 @@
 RETRY_DELAY_S = 0.2
 # Age up to which a gateway's report of its requests counts, in seconds.
 MAX_REPORT_AGE_S = 2.5
+# Time without a tick after which this process has stood still, and for which messages may be late
+# then, in seconds.
+MAX_TICK_GAP_S = 0.5
 # Time for which engines of a version that is new to a service get nothing, in seconds, unless an
 # order allows it: the order may arrive after their entries.
 NEW_VERSION_HOLD_S = 1.0
@@ -73,6 +77,10 @@
     :ivar end: end of the status topic as last read or written; None if it is not known.
     :ivar read_at: time at which the topic was last read, in seconds.
     :ivar first_seen: time at which each version of a service was first listed.
+    :ivar listed: number of listed engines by version, by service.
+    :ivar ticked_at: time of the last tick; None before the first.
+    :ivar trusts_from: time from which messages tell the age of what they confirm: those that waited
+        while this process stood still do not.
     :ivar warm_at: time from which an engine is not slow for having just started, by number.
     """
 
@@ -103,7 +111,10 @@
         self.store_call: asyncio.Task[None] | None = None
         self.store_call_after = 0.0
         self.first_seen: dict[str, dict[str | None, float]] = {}
+        self.listed: dict[str, Counter[str | None]] = {}
         self.warm_at: dict[int, float] = {}
+        self.ticked_at: float | None = None
+        self.trusts_from = float("-inf")
         state.on_new_era.append(self._forget_end)
 
     # requests
@@ -119,15 +130,17 @@
         if record.state is RolloutState.SUCCEEDED:
             # The platform may go back to a version that was replaced.
             return self._unless_alone(service, held.union(record.avoided))
+        if record.is_final and self.listed.get(service, Counter()).keys().isdisjoint(
+            held.union(record.avoided)
+        ):
+            return [None]
         choices = rollout.choices(call, now)
         return [*choices] if not held else [_without(held, allows) for allows in choices]
 
     def _unless_alone(self, service: str, avoided: frozenset[str | None]) -> list[Allows | None]:
         """Return which endpoints may run a request; all, if only avoided versions are listed."""
-        if not avoided:
-            return [None]
-        views = self.state.pool(service).views.values()
-        if all(view.endpoint.software in avoided for view in views):
+        listed = self.listed.get(service, Counter()).keys()
+        if listed <= avoided or listed.isdisjoint(avoided):
             return [None]
         return [lambda view: view.endpoint.software not in avoided]
 
@@ -157,7 +170,13 @@
     def update_endpoint(self, before: Endpoint | None, after: Endpoint | None) -> None:
         """Record an endpoint as it was listed before and is now, None if it is not."""
         now = self.loop.time()
+        if before is not None:
+            listed = self.listed[before.service]
+            listed[before.software] -= 1
+            if not listed[before.software]:
+                del listed[before.software]
         if after is not None:
+            self.listed.setdefault(after.service, Counter())[after.software] += 1
             self.first_seen.setdefault(after.service, {}).setdefault(after.software, now)
             self.warm_at.setdefault(after.number, now + after.cold_s)
         elif before is not None:
@@ -227,7 +246,7 @@
                 note.record.target,
             ):
                 continue
-            if note.decider_age_ms >= 0:
+            if note.decider_age_ms >= 0 and self._is_prompt(now):
                 rollout.heard_at = max(rollout.heard_at, now - note.decider_age_ms / 1000)
             rollout.old_running[status.host] = (note.old_running, now)
             if rollout.is_running:
@@ -244,6 +263,11 @@
                 if note.conviction and not rollout.conviction:
                     self._convict(rollout, note.conviction, f"peer {status.host}")
 
+    def _is_prompt(self, now: float) -> bool:
+        """Return whether messages are handled as they arrive."""
+        has_stood = self.ticked_at is None or now - self.ticked_at > MAX_TICK_GAP_S
+        return not has_stood and now >= self.trusts_from
+
     def _tell_bad(self, now: float) -> None:
         if now - self.told_bad_at >= TELL_BAD_INTERVAL_S:
             self.told_bad_at = now
@@ -307,10 +331,14 @@
         """Judge, plan and read until cancelled; without an order there is nothing to do."""
         while True:
             await asyncio.sleep(TICK_S)
-            if self.state.rollout_orders or self.services:
-                self._tick(self.loop.time())
+            self._tick(self.loop.time())
 
     def _tick(self, now: float) -> None:
+        if self.ticked_at is not None and now - self.ticked_at > MAX_TICK_GAP_S:
+            self.trusts_from = now + MAX_TICK_GAP_S
+        self.ticked_at = now
+        if not self.state.rollout_orders and not self.services:
+            return
         for service in self.state.rollout_orders:
             self._rollout(service)
         for rollout in self.services.values():
--- a/teaselpath/gateway/tests/rollout_fleet.py
+++ b/teaselpath/gateway/tests/rollout_fleet.py
@@ -123,6 +123,7 @@
         self.state.observe_era(fleet.store.era, "store", fleet.now)
         self.state.store_up = True
         self.is_cut = False
+        self.frozen_until = 0.0
         self.sends_at = 0.0
         peers = SimpleNamespace(urgent_update=SimpleNamespace(set=self.send_soon))
         lease = VirtualLease(fleet, host)
@@ -278,7 +279,7 @@
             rollouts.store_call = None
             if gateway.is_cut:
                 rollouts.store_call_after = self.now + 0.05
-            if gateway.state.rollout_orders or rollouts.services:
+            if self.now >= gateway.frozen_until:
                 rollouts._tick(self.now)
                 rollouts.store_call = None
         self.at(self.now + 0.1, lambda: self._tick(host))
@@ -301,7 +302,12 @@
 
     def _receive(self, host: str, status) -> None:
         gateway = self.gateways.get(host)
-        if gateway is not None and not gateway.is_cut:
+        if gateway is None or gateway.is_cut:
+            return
+        if self.now < gateway.frozen_until:
+            # Datagrams wait in its socket.
+            self.at(gateway.frozen_until, partial(self._receive, host, status))
+        else:
             gateway.state.members[status.host].last_contact_at = self.now
             gateway.rollouts.handle_status(status, self.now)
 
@@ -311,6 +317,8 @@
         if not self.gateways:
             return
         gateway = self.random.choice(list(self.gateways.values()))
+        if self.now < gateway.frozen_until:
+            return
         weights = [part for _, part, _ in ROUTES]
         ((route, _, _),) = self.random.choices(ROUTES, weights)
         call = SimpleNamespace(
--- a/teaselpath/gateway/tests/test_rollouts.py
+++ b/teaselpath/gateway/tests/test_rollouts.py
@@ -225,6 +225,27 @@
     assert gateway.rollouts._unless_alone("s", frozenset(["v1", "v2"])) == [None]
 
 
+def test_gateway_that_stood_still_sends_the_target_nothing_by_old_messages():
+    """Datagrams that waited in its socket confirm what was so before."""
+
+    def freeze(fleet):
+        fleets.append(fleet)
+        fleet.at(4.0, lambda: setattr(fleet.gateways["gw-2"], "frozen_until", 8.0))
+        for host in ("gw-0", "gw-1", "gw-3"):
+            fleet.at(7.9, partial(fleet.kill, host))
+        fleet.at(8.2, seen.append_state)
+
+    class Seen(list):
+        def append_state(self):
+            rollout = fleets[0].gateways["gw-2"].rollouts.services["s"]
+            self.append(rollout.is_confirmed(fleets[0].now))
+
+    fleets: list[Fleet] = []
+    seen = Seen()
+    play(1, good, prepare=freeze, until=9.0)
+    assert seen == [False]
+
+
 def test_operator_stops_a_rollout_at_any_gateway():
     def stop(fleet):
         fleet.at(5.0, lambda: fleet.gateways["gw-3"].rollouts.stop("s"))
--- a/teaselpath/rollout/_judge.py
+++ b/teaselpath/rollout/_judge.py
@@ -123,7 +123,7 @@
         return self.totals.get(route, [0, 0, 0])
 
     def _count(self, answers: Answers, sign: int) -> None:
-        for route in {answers.route, ALL_ROUTES}:
+        for route in dict.fromkeys((answers.route, ALL_ROUTES)):
             total = self.totals.setdefault(route, [0, 0, 0])
             total[0] += sign * answers.answered
             total[1] += sign * answers.failed
@@ -197,7 +197,7 @@
         self.by_route[answers.route] = self.by_route.get(answers.route, 0) + answers.answered
         self.bad += bad
         for kind, count in ((FAILED, answers.failed), (SLOW, answers.slow)):
-            for route in {answers.route, ALL_ROUTES}:
+            for route in dict.fromkeys((answers.route, ALL_ROUTES)):
                 expected = self.expected_fraction(route, kind, now)
                 increase = _log_ratio(expected, count, answers.answered)
                 found = self.sums.setdefault((route, kind), Sum())
