Long prompts wait for a backlog that the service's shortest target latency cannot bear

Change: where times are learned the bound is a quarter of the shortest target latency of the routes to the service, at most 0.25 s as before.

--- a/teaselpath/dispatch/_engine_times.py
+++ b/teaselpath/dispatch/_engine_times.py
@@ -39,6 +39,11 @@
 PEER_GAIN = 0.2
 # Interval at which the combined estimates are refreshed, in seconds.
 REFRESH_S = 0.05
+# Largest prefill backlog with which an engine accepts a long prompt, in seconds.
+MAX_PREFILL_BACKLOG_S = 0.25
+# The same where times are learned, as a fraction of the shortest target latency of the service's
+# routes: a short prompt that comes behind the backlog and another long prompt should meet it.
+BACKLOG_TARGET_FRACTION = 0.25
 # Time constant with which a stated pace loses its effect, in seconds.
 PACE_LIFE_S = 0.3
 # Bounds of the effect of a stated pace.
@@ -111,9 +116,11 @@
     :ivar fixed: time to the first event of a prompt without tokens to prefill.
     :ivar slot: time for which a request occupies a slot.
     :ivar step: pause between two events of an answer.
+    :ivar max_backlog_s: largest prefill backlog with which an engine accepts a long prompt, in
+        seconds.
     """
 
-    __slots__ = ("fixed", "is_learning", "prefill", "slot", "step")
+    __slots__ = ("fixed", "is_learning", "max_backlog_s", "prefill", "slot", "step")
 
     def __init__(self, *, is_learning: bool = False) -> None:
         self.is_learning = is_learning
@@ -121,6 +128,13 @@
         self.fixed = Estimate(ASSUMED_FIXED_S)
         self.slot = Estimate(ASSUMED_SLOT_S)
         self.step = Estimate(ASSUMED_STEP_S)
+        self.max_backlog_s = MAX_PREFILL_BACKLOG_S
+
+    def set_targets(self, target_latencies_s: list[float]) -> None:
+        """Set the bound of the backlog by the target latencies of the service's routes."""
+        stated = [target_s for target_s in target_latencies_s if target_s > 0.0]
+        bound_s = BACKLOG_TARGET_FRACTION * min(stated, default=float("inf"))
+        self.max_backlog_s = min(MAX_PREFILL_BACKLOG_S, bound_s)
 
 
 @dataclass(slots=True, frozen=True)
@@ -218,6 +232,11 @@
         """Return whether times are learned and used."""
         return self.service.is_learning
 
+    @property
+    def max_backlog_s(self) -> float:
+        """Return the largest backlog with which the engine accepts a long prompt, in seconds."""
+        return self.service.max_backlog_s if self.is_learning else MAX_PREFILL_BACKLOG_S
+
     def s_per_token(self, now: float) -> float:
         """Return the expected time to prefill one token at this moment, in seconds."""
         if not self.service.is_learning:
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -48,8 +48,6 @@
 # Threshold of a long prompt, in tokens: of all its tokens where KV cache capacity is limited, of
 # its uncached tokens where prefill is limited.
 LONG_PROMPT_TOKENS = 4_000
-# Largest prefill backlog with which an engine accepts a long prompt, in seconds.
-MAX_PREFILL_BACKLOG_S = 0.25
 # Fraction of an engine's KV cache capacity that long prompts in flight may occupy; the rest is for
 # cached parts.
 MAX_RUNNING_MEMORY_FRACTION = 0.6
@@ -208,7 +206,7 @@
     uncached_tokens = tokens - candidate.cached_tokens
     return (
         uncached_tokens >= LONG_PROMPT_TOKENS
-        and candidate.view.pending_prefill_s(now) > MAX_PREFILL_BACKLOG_S
+        and candidate.view.pending_prefill_s(now) > candidate.view.times.max_backlog_s
     )
 
 
--- a/teaselpath/dispatch/tests/test_engine_times.py
+++ b/teaselpath/dispatch/tests/test_engine_times.py
@@ -5,7 +5,15 @@
 
 import pytest
 
-from teaselpath.dispatch import Demand, EngineTimes, ExpectedTimes, Placed, ServiceTimes, Topology
+from teaselpath.dispatch import (
+    Demand,
+    EngineTimes,
+    ExpectedTimes,
+    NoEndpoint,
+    Placed,
+    ServiceTimes,
+    Topology,
+)
 from teaselpath.dispatch._placement import choose_endpoint
 from teaselpath.dispatch.tests.conftest import ENGINE, make_prompt, make_view
 
@@ -176,3 +184,18 @@
     learned_s, counts = simulate(is_learning=True)
     assert learned_s < assumed_s
     assert max(counts) < 1.4 * sum(counts) / len(counts)
+
+
+def test_long_prompt_waits_for_a_backlog_that_short_ones_could_not_bear(topology):
+    # A route with a target latency of 0.4 s bears a backlog of 0.1 s.
+    view = make_view("e1")
+    view.backlog.add(0.15, 0.0)
+    demand = Demand(make_prompt(), engine=ENGINE)
+    service = view.times.service
+    assert isinstance(choose_endpoint([view], demand, topology, 0.0), Placed)
+    service.set_targets([0.0, 1.2, 0.4])
+    assert isinstance(choose_endpoint([view], demand, topology, 0.0), Placed)
+    service.is_learning = True
+    assert choose_endpoint([view], demand, topology, 0.0) == NoEndpoint("reading", 0.5)
+    service.set_targets([1.2])
+    assert isinstance(choose_endpoint([view], demand, topology, 0.0), Placed)
--- a/teaselpath/fleet/_model.py
+++ b/teaselpath/fleet/_model.py
@@ -141,6 +141,15 @@
     limits: CallerLimits = field(default_factory=CallerLimits)
     has_workspaces: bool = False
 
+    def target_latencies_s(self, service: str) -> list[float]:
+        """Return the target latencies of the routes to a service, in seconds."""
+        return [
+            route.target_latency_s
+            for routes in self.routes.values()
+            for route in routes
+            if any(backend.service == service for backend in route.backends)
+        ]
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest matching path prefix."""
         for route in self.routes.get(host, ()):
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -181,6 +181,8 @@
         self.cache_stores = {
             s.address: self.cache_stores.get(s.address) or StoreView(s) for s in config.cache_stores
         }
+        for service in config.services:
+            self._times_of(service).set_targets(config.target_latencies_s(service))
         log_message(
             "config_applied",
             version=config.version,
