Recomputing a shared part costs at fast engines what it did

Cause: costs of recomputing scaled by the learned speed let engines faster than assumed recompute more shared parts, although each delays all other requests. Change: the factor is at least 1.

--- a/teaselpath/dispatch/_engine_times.py
+++ b/teaselpath/dispatch/_engine_times.py
@@ -245,8 +245,11 @@
         return self.known_prefill_s * self.pace_effect(now)
 
     def slowness(self, now: float) -> float:
-        """Return the time to prefill a token as a multiple of the assumed one."""
-        return self.s_per_token(now) * PREFILL_TOKENS_PER_S
+        """Return the factor on costs of recomputing tokens: their time over the assumed one, or 1.
+
+        Recomputing takes time from all other requests, at fast engines, too.
+        """
+        return max(1.0, self.s_per_token(now) * PREFILL_TOKENS_PER_S)
 
     def tokens_in(self, duration_s: float, now: float) -> int:
         """Return the tokens that the engine prefills in a time."""
