--- a/teaselpath/dispatch/tests/test_engine_times.py
+++ b/teaselpath/dispatch/tests/test_engine_times.py
@@ -5,7 +5,14 @@
 
 import pytest
 
-from teaselpath.dispatch import Demand, EngineTimes, ExpectedTimes, Placed, ServiceTimes, Topology
+from teaselpath.dispatch import (
+    Demand,
+    EngineTimes,
+    ExpectedTimes,
+    Placed,
+    ServiceTimes,
+    Topology,
+)
 from teaselpath.dispatch._placement import choose_endpoint
 from teaselpath.dispatch.tests.conftest import ENGINE, make_prompt, make_view
 
