Rollouts: the operators' commands against gateway processes

Cause: `teaselpath software` had no test. Change: the process test of a good version lists the rollout, and finds that none runs to stop.

--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -7,7 +7,10 @@
 from contextlib import asynccontextmanager
 from random import Random
 
+from click.testing import CliRunner
+
 from standins.hosted import EngineFaults, HostedSite
+from teaselpath.cli import main
 from tests.test_gateway import assert_whole, make_caller, wait_until
 
 GATEWAYS = 3
@@ -77,9 +80,17 @@
                 site.crash_engine(f"old-{number}")
             before = len(answers)
             await wait_until(lambda: len(answers) > before + 200, "no answers any more")
-            return status, list(answers)
-
-    status, answers = asyncio.run(scenario())
+            address = f"{site.gateways['gw-1'].ip}:{site.ports['peer']}"
+            runner = CliRunner()
+            arguments = ["software", "list", "--json", "--gateway", address]
+            listed = await asyncio.to_thread(runner.invoke, main, arguments)
+            arguments = ["software", "stop", "desk", "--gateway", address]
+            stopped = await asyncio.to_thread(runner.invoke, main, arguments)
+            return status, list(answers), json.loads(listed.output), stopped
+
+    status, answers, listed, stopped = asyncio.run(scenario())
+    assert [(row["service"], row["state"]) for row in listed] == [("desk", "succeeded")]
+    assert "knows no rollout of desk that runs" in stopped.output
     assert (status["state"], status["target"], status["avoided"]) == ("succeeded", "v2", ["v1"])
     assert_whole(answers, is_stream=False)
 
