--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -25,9 +25,17 @@
     first_level,
     split_limit,
 )
+from teaselpath.dispatch._engine_memory import (
+    ANNOUNCE_MIN_TOKENS,
+    CLAIM_S,
+    held_fraction,
+    is_within_memory,
+)
 from teaselpath.dispatch._engine_times import PREFILL_TOKENS_PER_S, EngineTimes
+from teaselpath.dispatch._fair_order import FairOrder
 from teaselpath.dispatch._health import EndpointHealth
 from teaselpath.dispatch._long_prompts import max_backlog_s
+from teaselpath.dispatch._memory_bound import LargestRequest, MemoryBound
 from teaselpath.dispatch._part_cache import PartCache
 from teaselpath.dispatch._placement import (
     LONG_PROMPT_TOKENS,
@@ -38,7 +46,7 @@
 from teaselpath.dispatch._pool import MAX_CANDIDATES, EndpointPool
 from teaselpath.dispatch._progress import AttemptLimits, caller_gap_limit_s
 from teaselpath.dispatch._queue import QueuedRequest, RequestQueue
-from teaselpath.dispatch._quota import Granted, OverRate, SharedQuota
+from teaselpath.dispatch._quota import Contact, Granted, OverRate, SharedQuota
 from teaselpath.dispatch._reservation import Reservation
 from teaselpath.dispatch._retry_budget import SlidingRetryBudget
 from teaselpath.dispatch._return_times import ReturnTimes
@@ -56,6 +64,8 @@
 )
 
 __all__ = [
+    "ANNOUNCE_MIN_TOKENS",
+    "CLAIM_S",
     "LONG_PROMPT_TOKENS",
     "MAX_CANDIDATES",
     "PREFILL_TOKENS_PER_S",
@@ -66,6 +76,7 @@
     "AvailabilityTable",
     "Backlog",
     "Broken",
+    "Contact",
     "Cut",
     "Demand",
     "EndpointHealth",
@@ -74,10 +85,13 @@
     "EndpointView",
     "EngineTimes",
     "Fail",
+    "FairOrder",
     "FirstStep",
     "ForwardAnswer",
     "Granted",
+    "LargestRequest",
     "Load",
+    "MemoryBound",
     "NoEndpoint",
     "NotRun",
     "NotSent",
@@ -106,6 +120,8 @@
     "choose_endpoint",
     "choose_from_service",
     "first_level",
+    "held_fraction",
+    "is_within_memory",
     "max_backlog_s",
     "next_step",
     "next_stream_step",
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -3,10 +3,14 @@
 import asyncio
 from collections.abc import Callable
 
+from eliot import log_message
+
 from teaselpath.dispatch import (
-    LONG_PROMPT_TOKENS,
+    ANNOUNCE_MIN_TOKENS,
+    CLAIM_S,
     PREFILL_TOKENS_PER_S,
     Demand,
+    EndpointView,
     NoEndpoint,
     Placed,
     QueuedRequest,
@@ -14,16 +18,17 @@
     RequestQueue,
     Reservation,
     ReturnTimes,
-    ServiceRoom,
     Wait,
-    admit_by_aim,
     affinity_key,
     choose_from_service,
+    is_within_memory,
     max_backlog_s,
 )
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._entities import LongPlacement
+from teaselpath.gateway._memory import SharedMemory
 from teaselpath.gateway._responses import MIN_RETRY_AFTER_S
+from teaselpath.gateway._room import RoomKeeper, is_long
 from teaselpath.gateway._state import GatewayState
 
 # Interval at which placement of queued requests is retried, in seconds.
@@ -38,33 +43,11 @@
 # Fraction of a request's remaining time for which it waits for an endpoint to take requests again.
 MAX_HELD_OFF_FRACTION = 0.25
 # Reasons for which a request is refused without queueing.
-IMMEDIATE_REFUSALS = frozenset({"none_listed", "unreachable"})
+IMMEDIATE_REFUSALS = frozenset({"none_listed", "unreachable", "too_large"})
 # Priority in the queue of streams that continue; lower numbers come first.
 RESUMED_PRIORITY = -1
-# Placements of prompts with at least this many tokens are announced to the other gateways.
-# LONG_TOKENS is a different threshold, for queueing.
-ANNOUNCE_MIN_TOKENS = 2_000
-
-
-# Interval at which the part of this gateway in contended room is computed, in seconds.
-ROOM_INTERVAL_S = 0.05
-# Fraction of the rate at which requests are sent that rejected callers are told to return at. The
-# rest is for new ones.
-RETURNING_FRACTION = 0.5
-
-
-def _queue_priority(call: Call) -> int:
-    # A stream that goes on elsewhere comes first: its caller has a part of the answer.
-    return RESUMED_PRIORITY if call.has_begun else call.priority
-
-
-def _is_long(queued_request: QueuedRequest) -> bool:
-    return queued_request.tokens >= LONG_PROMPT_TOKENS
-
-
-def _is_bound_by_aim(call: Call) -> bool:
-    """Return whether a late first event is of little use to the caller."""
-    return call.route.target_latency_s > 0.0 and not call.has_begun and not call.progress.runs
+# Claims on the memory of engines after which a request is refused.
+MAX_CLAIMS = 3
 
 
 class Placer:
@@ -77,27 +60,58 @@
         self.state = state
         self.announce = announce
         self.loop = asyncio.get_running_loop()
-        self.queue = RequestQueue()
+        self.memory = SharedMemory(state)
+        self.queue = RequestQueue(state.fair_order)
+        self.rooms = RoomKeeper(state, self.queue)
         self.return_times: dict[str, ReturnTimes] = {}
         self.opening_times: dict[str, ReturnTimes] = {}
-        self.rooms_updated_until: dict[str, float] = {}
         self.queued_calls: dict[int, tuple[Call, asyncio.Future[Placed | NoEndpoint]]] = {}
 
     async def acquire(self, call: Call, now: float) -> Placed | NoEndpoint:
-        """Reserve an endpoint for a request, queueing it if necessary."""
-        prompt = call.request.prompt
-        tokens = prompt.prompt_tokens if prompt else 0
-        queued_request = QueuedRequest(
-            call.service.name, _queue_priority(call), tokens, call.deadline
-        )
+        """Reserve an endpoint for a request, queueing it if necessary.
+
+        Room that other gateways may take in the same moment is claimed before it is used.
+        """
+        for _ in range(MAX_CLAIMS):
+            choice = await self._acquire(call, now)
+            if not isinstance(choice, Placed) or not choice.must_claim:
+                return choice
+            if await self._is_granted(call, choice):
+                return choice
+            now = self.loop.time()
+        return NoEndpoint("queue", 0.5)
+
+    async def _is_granted(self, call: Call, choice: Placed) -> bool:
+        """Return whether a claim leaves an engine within its memory; withdraw it if not."""
+        is_granted = False
+        try:
+            await asyncio.sleep(CLAIM_S)
+            is_granted = self._is_within_memory(call, choice)
+        finally:
+            if not is_granted:
+                self.release(call)
+        if not is_granted:
+            log_message(
+                "memory_claim_withdrawn",
+                request_id=call.request.request_id,
+                endpoint=choice.view.endpoint.endpoint_id,
+                held_tokens=choice.view.held_tokens(),
+            )
+        return is_granted
+
+    def _is_within_memory(self, call: Call, choice: Placed) -> bool:
+        now = self.loop.time()
+        demand = self._demand(call, now)
+        return demand.memory is None or is_within_memory(choice.view, demand, now)
+
+    async def _acquire(self, call: Call, now: float) -> Placed | NoEndpoint:
+        queued_request = self._queued(call)
         choice = self._place(call, now)
         queued_request.is_held_off = isinstance(choice, NoEndpoint) and choice.reason == "held_off"
         if choice.first_choice is not None:
             choice.first_choice.limit.record_demand(now)
-        room = self._room(call.service.name, now)
-        if room is not None and not call.attempts:
-            room.record_arrival(now)
-        if isinstance(choice, Placed) and self._may_send(queued_request, room):
+        self.rooms.record_arrival(call, now)
+        if isinstance(choice, Placed) and self.rooms.may_send(queued_request, now):
             self._reserve(call, choice)
             return choice
         if isinstance(choice, NoEndpoint) and choice.reason in IMMEDIATE_REFUSALS:
@@ -109,83 +123,83 @@
         refusal = self._refuse_held_off(call, choice, now)
         if refusal is not None:
             return refusal
-        if room is not None and _is_bound_by_aim(call):
-            return await self._wait_in_time(call, queued_request, room, now)
+        if self.rooms.is_bound_by_aim(call):
+            return await self._wait_in_time(call, queued_request, now)
         return await self._wait_for_endpoint(call, queued_request, now)
 
-    def _room(self, service: str, now: float) -> ServiceRoom | None:
-        """Return the room at the engines of a service, if requests compete for it."""
-        room = self.state.room(service)
-        if room is None:
-            return None
-        if now >= self.rooms_updated_until.get(service, 0.0):
-            self.rooms_updated_until[service] = now + ROOM_INTERVAL_S
-            room.update(
-                self.state.settings.host,
-                self.state.pool(service).views.values(),
-                self.state.possible_peers(now),
-                now,
-            )
-        return room
-
-    def _may_send(self, queued_request: QueuedRequest, room: ServiceRoom | None) -> bool:
-        """Return whether a new request may be sent before those that wait."""
-        if room is None and queued_request.tokens < LONG_PROMPT_TOKENS:
-            return True
-        if room is None:
-            return not self.queue.has_requests_ahead(queued_request)
-        if queued_request.priority == RESUMED_PRIORITY:
-            return True
-        # Short prompts do not wait for long ones, which may wait for an engine with little prefill.
-        if any(
-            other.is_ahead_of(queued_request) and (_is_long(queued_request) or not _is_long(other))
-            for other in self.queue.queued.values()
-        ):
-            return False
-        return self._has_room(queued_request, room)
-
-    def _has_room(self, queued_request: QueuedRequest, room: ServiceRoom) -> bool:
-        is_long = _is_long(queued_request)
-        others_wait = any(
-            other.service == queued_request.service and _is_long(other) != is_long
-            for other in self.queue.queued.values()
-        )
-        return room.has_room(is_long, others_wait=others_wait)
-
     async def _wait_in_time(
-        self, call: Call, queued_request: QueuedRequest, room: ServiceRoom, now: float
+        self, call: Call, queued_request: QueuedRequest, now: float
     ) -> Placed | NoEndpoint:
         """Wait as long as the first event can still come in time."""
-        is_long = _is_long(queued_request)
-        waiting = [r for r in self.queue.queued.values() if r.is_ahead_of(queued_request)]
-        ahead = sum(_is_long(request) == is_long for request in waiting)
-        rate = room.sends_per_s(is_long, others_first=ahead < len(waiting))
-        admission = admit_by_aim(
-            call.arrived_at,
-            call.route.target_latency_s,
-            call.deadline,
-            room.first_event_s.get(is_long, 0.0),
-            (ahead + 1) / rate,
-            now,
-        )
-        match admission:
+        match self.rooms.admit(call, queued_request, now):
             case Reject(wait_s):
-                return self._reject_late(call, room, is_long, wait_s, rate, now)
+                return self.rooms.reject(call, queued_request, wait_s, now)
             case Wait(until):
                 choice = await self._queue(call, queued_request, until, now)
-        if choice is not None:
-            return choice
-        return self._reject_late(call, room, is_long, 1.0 / rate, rate, self.loop.time())
-
-    def _reject_late(
-        self, call: Call, room: ServiceRoom, is_long: bool, wait_s: float, rate: float, now: float
-    ) -> NoEndpoint:
-        """Return the refusal of a request that cannot be in time, with a time to return."""
-        call.room = room.describe(is_long)
-        call.room["expected_wait_ms"] = round(wait_s * 1000, 1)
-        returns = self.return_times.setdefault(call.service.name, ReturnTimes())
-        booked_s = returns.book(wait_s, RETURNING_FRACTION * rate, now, MAX_RETRY_AFTER_S)
-        return NoEndpoint("late", min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, booked_s)))
+                if choice is not None:
+                    return choice
+                return self.rooms.reject(call, queued_request, None, self.loop.time())
+
+    # for operators
+
+    def preview(self, call: Call, now: float) -> Placed | NoEndpoint:
+        """Return where a request would go now, without a reservation."""
+        return self._place(call, now)
+
+    def preview_candidates(self, call: Call, now: float) -> tuple[Demand, list[EndpointView]]:
+        """Return what a request requires, and the endpoints that are considered for it."""
+        key, demand = self._key_and_demand(call, now)
+        return demand, self.state.pool(call.service.name).candidates(key)
+
+    def must_queue(self, call: Call, now: float) -> bool:
+        """Return whether a request that an endpoint can take waits behind others."""
+        return not self.rooms.may_send(self._queued(call), now)
+
+    def describe_queue(self, call: Call, now: float) -> dict[str, float]:
+        """Return the requests ahead of a new one, and the wait that is expected behind them."""
+        queued_request = self._queued(call)
+        wait_s = self.queue.expected_wait_s(
+            queued_request, *self._backlog(queued_request, now), now
+        )
+        return {
+            "ahead": self.queue.count_ahead(queued_request, now),
+            "expected_wait_s": round(wait_s, 3),
+        }
+
+    def preview_refusal(self, call: Call, choice: NoEndpoint, now: float) -> float | None:
+        """Return the Retry-After if a request would be refused instead of waiting; else None."""
+        left_s = call.deadline - now
+        if choice.reason == "held_off":
+            is_late = choice.retry_after_s > MAX_HELD_OFF_FRACTION * left_s
+            return choice.retry_after_s if is_late else None
+        queued_request = self._queued(call)
+        if choice.reason == "limited":
+            wait_s = self._limited_wait_s(queued_request, choice, now)
+            if wait_s > MAX_WAIT_FRACTION * left_s:
+                return min(MAX_RETRY_AFTER_S, wait_s)
+        if self.rooms.is_bound_by_aim(call):
+            match self.rooms.admit(call, queued_request, now):
+                case Reject(wait_s):
+                    return min(MAX_RETRY_AFTER_S, wait_s)
+                case Wait():
+                    return None
+        refusal = self._refuse_long_wait(queued_request, now)
+        return refusal.retry_after_s if refusal is not None else None
+
+    def _queued(self, call: Call) -> QueuedRequest:
+        prompt = call.request.prompt
+        # A stream that goes on elsewhere comes first: its caller has a part of the answer.
+        priority = RESUMED_PRIORITY if call.has_begun else call.priority
+        tokens = prompt.prompt_tokens if prompt else 0
+        return QueuedRequest(
+            call.service.name,
+            priority,
+            tokens,
+            call.deadline,
+            workspace=_workspace_of(call),
+            charge=call.tokens,
+            aimed_at=call.arrived_at + call.route.target_latency_s,
+        )
 
     def _refuse_held_off(
         self, call: Call, choice: Placed | NoEndpoint, now: float
@@ -231,26 +245,48 @@
         that were refused before.
         """
         service = queued_request.service
-        rate = sum(view.limit.own_rate for view in self.state.pool(service).views.values())
-        ahead = self.queue.count_ahead(queued_request)
-        wait_s = choice.retry_after_s + (ahead / rate if rate > 0.0 else 0.0)
+        wait_s = self._limited_wait_s(queued_request, choice, now)
         if wait_s <= MAX_WAIT_FRACTION * (queued_request.deadline - now):
             return None
         if wait_s == float("inf"):
             return NoEndpoint("limited", MAX_RETRY_AFTER_S)
         returns = self.return_times.setdefault(service, ReturnTimes())
+        rate = self._limited_rate(service)
         return NoEndpoint("limited", max(0.2, returns.book(wait_s, rate, now)))
 
+    def _limited_wait_s(
+        self, queued_request: QueuedRequest, choice: NoEndpoint, now: float
+    ) -> float:
+        """Return when there will be room behind the requests that wait, in seconds."""
+        rate = self._limited_rate(queued_request.service)
+        ahead = self.queue.count_ahead(queued_request, now)
+        return choice.retry_after_s + (ahead / rate if rate > 0.0 else 0.0)
+
+    def _limited_rate(self, service: str) -> float:
+        """Return the requests per second of this gateway's shares of all limits."""
+        return sum(view.limit.own_rate for view in self.state.pool(service).views.values())
+
+    def _refuse_long_wait(self, queued_request: QueuedRequest, now: float) -> NoEndpoint | None:
+        """Return a refusal if a request would wait too long in the queue."""
+        backlog_tokens, tokens_per_s = self._backlog(queued_request, now)
+        if not self.queue.exceeds_wait_limit(queued_request, backlog_tokens, tokens_per_s, now):
+            return None
+        wait_s = self.queue.expected_wait_s(queued_request, backlog_tokens, tokens_per_s, now)
+        # Retry-After is at least 0.2 s.
+        return NoEndpoint("queue", min(MAX_RETRY_AFTER_S, max(0.2, wait_s)))
+
+    def _backlog(self, queued_request: QueuedRequest, now: float) -> tuple[int, float]:
+        """Return the tokens that the engines still have to prefill, and their speed."""
+        views = self.state.pool(queued_request.service).views.values()
+        backlog_tokens = sum(view.pending_prefill_tokens(now) for view in views)
+        return backlog_tokens, PREFILL_TOKENS_PER_S * len(views)
+
     async def _wait_for_endpoint(
         self, call: Call, queued_request: QueuedRequest, now: float
     ) -> Placed | NoEndpoint:
-        views = self.state.pool(call.service.name).views.values()
-        backlog_tokens = sum(view.pending_prefill_tokens(now) for view in views)
-        tokens_per_s = PREFILL_TOKENS_PER_S * len(views)
-        if self.queue.exceeds_wait_limit(queued_request, backlog_tokens, tokens_per_s, now):
-            wait_s = self.queue.expected_wait_s(queued_request, backlog_tokens, tokens_per_s, now)
-            # Retry-After is at least 0.2 s.
-            return NoEndpoint("queue", min(MAX_RETRY_AFTER_S, max(0.2, wait_s)))
+        refusal = self._refuse_long_wait(queued_request, now)
+        if refusal is not None:
+            return refusal
         until = now + MAX_WAIT_FRACTION * (call.deadline - now)
         return await self._queue(call, queued_request, until, now) or NoEndpoint("queue", 0.5)
 
@@ -293,16 +329,14 @@
         reading: set[str] = set()
         # Requests that have tried the same endpoints wait for the same ones.
         held_off: dict[tuple[str, frozenset[str]], NoEndpoint] = {}
-        for queued_request in self.queue.in_order():
+        for queued_request in self.queue.in_order(self.loop.time()):
             call, future = self.queued_calls[queued_request.number]
             if future.done() or queued_request.service in blocked:
                 continue
             now = self.loop.time()
-            room = self._room(queued_request.service, now)
-            is_resumed = queued_request.priority == RESUMED_PRIORITY
-            if room is not None and not is_resumed and not self._has_room(queued_request, room):
+            if queued_request.service in reading and is_long(queued_request):
                 continue
-            if queued_request.service in reading and _is_long(queued_request):
+            if not self.rooms.has_room(queued_request, now):
                 continue
             tried = queued_request.service, frozenset(call.tried)
             choice = held_off.get(tried) or self._place(call, now)
@@ -317,7 +351,7 @@
             self.queue.set_held_off(queued_request, choice.reason == "held_off", now)
             if queued_request.is_held_off:
                 held_off[tried] = choice
-            elif room is not None and choice.reason == "reading":
+            elif choice.reason == "reading" and self.rooms.is_bound_by_aim(call):
                 reading.add(queued_request.service)
             else:
                 blocked.add(queued_request.service)
@@ -325,16 +359,18 @@
     def _reserve(self, call: Call, placed: Placed) -> None:
         """Reserve the load of a request at its endpoint."""
         view, prompt, now = placed.view, call.request.prompt, self.loop.time()
-        reservation = Reservation(view, sent_at=now)
-        room = self.state.room(call.service.name)
-        if room is not None:
-            is_long = prompt is not None and prompt.prompt_tokens >= LONG_PROMPT_TOKENS
-            reservation.room, reservation.is_long = room, is_long
-            room.record_sent(is_long)
+        reservation = Reservation(view)
+        self.rooms.record_sent(call, reservation, now)
         view.limit.record_send(now)
+        if self.state.fair_order is not None:
+            self.state.fair_order.record_placed(_workspace_of(call), call.tokens, now)
         if prompt is not None:
             reservation.pending_prefill_tokens = max(0, prompt.prompt_tokens - placed.cached_tokens)
             view.cache.record_expected(placed.scope, prompt.parts, now)
+            is_bounded = self.memory.bound_of(call.service) is not None
+            output_tokens = prompt.output_tokens if is_bounded else 0
+            if is_bounded or prompt.prompt_tokens >= ANNOUNCE_MIN_TOKENS:
+                reservation.held_tokens = prompt.prompt_tokens + output_tokens
             if prompt.prompt_tokens >= ANNOUNCE_MIN_TOKENS:
                 # The last part of a prompt is not shared with other prompts.
                 message = LongPlacement(
@@ -347,8 +383,8 @@
                     placed.fetch_from,
                     placed.fetched_tokens,
                     placed.save_to,
+                    output_tokens,
                 )
-                reservation.held_tokens = prompt.prompt_tokens
                 reservation.backlog_mark = self.state.apply_placement(message, now)
                 self.announce(message)
         reservation.begin()
@@ -356,23 +392,29 @@
 
     def release(self, call: Call) -> None:
         """Release the load that a request has reserved, if any."""
-        reservation = call.reservation
-        if reservation is None:
-            return
-        reservation.end()
-        call.reservation = None
-        if reservation.room is not None:
-            first_at, sent_at = call.first_byte_at, reservation.sent_at
-            first_event_s = None if first_at is None or first_at < sent_at else first_at - sent_at
-            run_s = self.loop.time() - sent_at
-            reservation.room.record_ended(reservation.is_long, run_s, first_event_s)
+        if call.reservation is not None:
+            call.reservation.end()
+            self.rooms.record_ended(call, call.reservation)
+            call.reservation = None
 
     def _place(self, call: Call, now: float) -> Placed | NoEndpoint:
+        key, demand = self._key_and_demand(call, now)
+        pool = self.state.pool(call.service.name)
+        return choose_from_service(pool, key, demand, self.state.topology, now)
+
+    def _key_and_demand(self, call: Call, now: float) -> tuple[bytes, Demand]:
+        prompt, demand = call.request.prompt, self._demand(call, now)
+        if prompt is None:
+            return call.request.request_id.encode(), demand
+        return affinity_key(prompt, demand.scope_prefix), demand
+
+    def _demand(self, call: Call, now: float) -> Demand:
+        """Return what a request requires of an endpoint."""
         state, prompt = self.state, call.request.prompt
         announced = state.announced.get(prompt.model) if prompt else None
         workspace = call.workspace
         scope_prefix = f"{workspace.name}/" if workspace and workspace.is_isolated else ""
-        demand = Demand(
+        return Demand(
             prompt=prompt if call.service.engine else None,
             scope_prefix=scope_prefix,
             announced_weights=announced.version if announced else None,
@@ -382,11 +424,13 @@
             cache_stores=tuple(state.cache_stores.values()),
             body_bytes=len(call.request.body),
             endangers_engine=call.trial is not None,
+            memory=self.memory.bound_of(call.service),
             software=call.software if call.has_begun else None,
             software_known=lambda view: state.knows_software(view, now),
             max_backlog_s=max_backlog_s(state.aims_s(call.service.name)),
             is_room_contended=state.settings.is_room_contended,
         )
-        key = affinity_key(prompt, scope_prefix) if prompt else call.request.request_id.encode()
-        pool = state.pool(call.service.name)
-        return choose_from_service(pool, key, demand, state.topology, now)
+
+
+def _workspace_of(call: Call) -> str:
+    return call.workspace.name if call.workspace is not None else ""
