--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -36,6 +36,7 @@
     :param known_digest: its digest, once it was needed.
     :param room: what was known of the room at engines when it was rejected for its aim, for the
         log.
+    :param reads_slowly: whether its stream was broken off because its caller reads too slowly.
     :param reservation: its load at the endpoint of the current attempt; None between attempts.
     """
 
@@ -65,6 +66,7 @@
     software: str | None = None
     known_digest: str | None = None
     room: dict[str, float | bool] | None = None
+    reads_slowly: bool = False
 
     def __post_init__(self) -> None:
         """Expect the events after the one at which the caller resumes its stream."""
--- a/teaselpath/gateway/_quarantine.py
+++ b/teaselpath/gateway/_quarantine.py
@@ -20,6 +20,7 @@
     ClaimNote,
     Decision,
     Hold,
+    MemoryEnds,
     Quarantine,
     QuarantineUpdate,
     Reject,
@@ -84,6 +85,7 @@
         self, host: str, store: MetadataStore, metrics: GatewayMetrics, channel: UpdateChannel
     ):
         self.quarantine = Quarantine(host)
+        self.memory_ends = MemoryEnds()
         self.metrics = metrics
         self.channel = channel
         self.loop = asyncio.get_running_loop()
@@ -144,6 +146,18 @@
             return Admit()
         return self.quarantine.decide(call.parts, now, is_resend=call.lost_engine)
 
+    def preview(self, call: Call) -> str:
+        """Return what would become of a request, for operators."""
+        match self._decide(call, self.loop.time()):
+            case Reject(verdict):
+                return f"refused by verdict {verdict.verdict_id}"
+            case Try():
+                return "sent as a trial"
+            case Hold():
+                return "held until the trial of another request ends"
+            case Admit():
+                return "admitted"
+
     def _are_suspect(self, parts: frozenset[str], now: float) -> bool:
         return any(self.quarantine.count_ends(part, now) >= SUSPECT_ENDS for part in parts)
 
@@ -206,11 +220,21 @@
                 self.synchronizer.write(after)
 
     def handle_end(self, end: EngineEnd) -> None:
-        """Record the end of an engine as evidence, and judge the parts of a trial."""
+        """Record the end of an engine as evidence, and judge the parts of a trial.
+
+        An engine whose memory was nearly full is evidence against trials only.
+        """
         now = self.loop.time()
+        is_explained = self.memory_ends.explains(end.number, end.held_fraction, end.at)
+        if is_explained:
+            log_message(
+                "engine_memory_full",
+                endpoint=end.endpoint_id,
+                held_fraction=round(end.held_fraction, 2),
+            )
         notes = []
         for run in end.runs:
-            if run.events >= PROVING_EVENTS:
+            if run.events >= PROVING_EVENTS or (is_explained and not run.is_trial):
                 continue
             note = self.quarantine.record_end(end.number, end.at, run.parts, is_trial=run.is_trial)
             if note is not None:
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -12,6 +12,8 @@
 from teaselpath.fleet import CallerLimits, EngineCalls, GatewaySettings, MetadataStore, RequestCodec
 from teaselpath.gateway._caches import CacheWatcher
 from teaselpath.gateway._connections import ConnectionReporter
+from teaselpath.gateway._crowd import CrowdReporter
+from teaselpath.gateway._explain import Explainer
 from teaselpath.gateway._forward import Forwarder
 from teaselpath.gateway._limits import LimitKeeper
 from teaselpath.gateway._log import LogSink
@@ -23,7 +25,14 @@
 from teaselpath.gateway._quarantine import QuarantineGate
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway._watch import StoreWatcher
-from teaselpath.http1 import LISTEN_BACKLOG, Exchange, HttpClient, Listener, ServerConnection
+from teaselpath.http1 import (
+    LISTEN_BACKLOG,
+    Exchange,
+    HttpClient,
+    Listener,
+    ServerConnection,
+    UnsentMemory,
+)
 from teaselpath.rollout import OrderLease
 
 # Draining ends this long before SIGKILL, even with requests in flight, in seconds.
@@ -37,6 +46,8 @@
 EXPIRE_INTERVAL_S = 0.5
 # Verdicts on prompt parts and requests, for operators.
 VERDICTS_PATH = b"/verdicts"
+# Where a request would go, for operators.
+PLACEMENT_PATH = b"/placement"
 # Delay before a failed job is restarted, in seconds.
 RESTART_DELAY_S = 0.2
 # Incarnations are also written as JSON numbers, which every reader decodes exactly up to 53 bits.
@@ -86,6 +97,7 @@
         self.watcher = StoreWatcher(self.state)
         self.lease = OrderLease(settings.host, settings.bounds.lease_handover_s)
         self.peers = PeerExchange(self.state, self.lease, http, boot_clock)
+        self.state.quota.started_at = self.peers.started_at
         self.gate = QuarantineGate(settings.host, store, self.metrics, self.peers)
         self.peers.gate = self.gate
         self.state.on_new_era.append(self.gate.synchronizer.read_soon)
@@ -98,6 +110,7 @@
         self.forwarder = Forwarder(
             self.state, codec, http, self.metrics, self.peers.announce, self.gate, self.origins
         )
+        self.explainer = Explainer(self.state, self.forwarder.placer, self.gate)
         self.keeper = WeightsKeeper(self.state, engines, self.lease, self.peers)
         self.caches = CacheWatcher(self.state, engines)
         self.connections: set[ServerConnection] = set()
@@ -142,15 +155,17 @@
             self.caches.run,
             self._expire_connections,
             LimitKeeper(self.state).run,
+            CrowdReporter(self.state, self.forwarder.placer.queue).run,
             self.log.run,
         ]
 
     async def _listen(self) -> None:
         settings = self.settings
         undrained: set[ServerConnection] = set()
+        unsent = UnsentMemory()
         self.caller_listener = Listener(
             lambda: ServerConnection(
-                self.forwarder.handle, self._limits, self.connections, self.reporter
+                self.forwarder.handle, self._limits, self.connections, self.reporter, unsent
             )
         )
         await self.caller_listener.open(settings.caller_address)
@@ -193,9 +208,23 @@
                 exchange.respond(200, [], self.peers.records.encode_records(query))
             case target if target.startswith(VERDICTS_PATH):
                 self._handle_verdicts(exchange)
+            case target if target == PLACEMENT_PATH:
+                self._handle_placement(exchange)
             case _:
                 exchange.respond(404, [])
 
+    def _handle_placement(self, exchange: Exchange) -> None:
+        """Explain where a request would go."""
+        if exchange.request.method != b"POST":
+            exchange.respond(405, [])
+            return
+        try:
+            found = self.explainer.explain(exchange.request.body)
+        except msgspec.DecodeError as error:
+            exchange.respond(400, [(b"Content-Type", b"text/plain")], str(error).encode())
+            return
+        exchange.respond(200, [(b"Content-Type", b"application/json")], msgspec.json.encode(found))
+
     def _handle_verdicts(self, exchange: Exchange) -> None:
         """List the verdicts, or lift one."""
         request = exchange.request
@@ -220,6 +249,14 @@
             self.metrics.leaving_endpoints.set({"service": service}, leaving)
             held_off = sum(view.availability.is_held_off(now) for view in pool.views.values())
             self.metrics.held_off_endpoints.set({"service": service}, held_off)
+        if state.fair_order is not None:
+            for name, excess in state.fair_order.excesses(now).items():
+                self.metrics.workspace_excess.set({"workspace": name}, excess)
+        self.metrics.waiting.set({}, len(self.forwarder.placer.queue.queued))
+        for service, room in state.rooms.items():
+            self.metrics.room_part.set({"service": service}, room.part)
+            self.metrics.room_in_flight.set({"service": service}, sum(room.in_flight.values()))
+            self.metrics.room_crowded.set({"service": service}, int(room.is_crowded))
         self.metrics.running.set({}, self.forwarder.running)
         self.metrics.config_version.set({}, state.config.version if state.config else 0)
         self.metrics.store_up.set({}, int(state.store_up))
