--- a/teaselpath/gateway/tests/test_room.py
+++ b/teaselpath/gateway/tests/test_room.py
@@ -20,11 +20,13 @@
 )
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._peer_messages import Status
+from teaselpath.gateway._peers import PeerExchange
 from teaselpath.gateway._placement import Placer
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway.tests.conftest import SETTINGS, endpoint_record
 from teaselpath.http1 import HttpClient
 from teaselpath.platform import PlatformStore
+from teaselpath.rollout import OrderLease
 
 SERVICE = Service("s", EngineLimits(100_000, 18_432, 1e-6))
 AIMS = {"short": 0.4, "long": 1.2}
@@ -71,6 +73,13 @@
     return Call(request, ROUTES[kind], SERVICE, None, now, now + time_left_s, tokens=tokens)
 
 
+def make_status(host: str) -> Status:
+    return Status(
+        host, "::1", "a", 1, 1, 0, {}, 1, (1, 0), {}, True, [], None, True, False, False, {}, None,
+        None,
+    )  # fmt: skip
+
+
 async def fill(placer: Placer, kind: str = "short") -> list[Call]:
     """Place requests until the next one would wait."""
     calls: list[Call] = []
@@ -225,26 +234,39 @@
 
 def test_status_of_a_gateway_of_the_version_before_names_no_demand():
     """Guards against gateways that cannot read each other during an update."""
-    status = Status(
-        "gw-1",
-        "::1",
-        "a",
-        1,
-        1,
-        0,
-        {},
-        1,
-        (1, 0),
-        {},
-        True,
-        [],
-        None,
-        True,
-        False,
-        False,
-        {},
-        None,
-        None,
-    )
+    status = make_status("gw-1")
     data = msgspec.msgpack.decode(msgspec.msgpack.encode(status))
     assert msgspec.convert(data[:-1], Status).demand == {}
+
+
+def test_demand_of_a_silent_gateway_counts_until_it_cannot_be_cut_off_only(contended):
+    """Guards against both sides of a cut, or all others after a kill, taking its room at once."""
+    contended.record_member("gw-1", "127.0.0.3", 7, 100.0, "a")
+    contended.members["gw-1"].last_contact_at = 100.0
+    room = contended.room("s")
+    views = contended.pool("s").views.values()
+    assert room.record_peer_demand("gw-1", 20.0)
+    parts = []
+    for now in (100.5, 109.0, 111.0):
+        for _ in range(40):
+            room.record_arrival(now)
+        room.update("gw-0", views, contended.possible_peers(now), now)
+        parts.append(room.part)
+    assert parts[0] == pytest.approx(parts[1])
+    assert parts[2] == pytest.approx(2 * parts[1], rel=0.1)
+
+
+def test_impossible_demand_of_a_peer_costs_itself_only(contended):
+    """Guards against a gateway whose message takes the room of all others."""
+
+    async def scenario():
+        peers = PeerExchange(contended, OrderLease("gw-0", 3.0), HttpClient(), lambda: 0.0)
+        for host, demand in (("gw-1", float("nan")), ("gw-2", 20.0)):
+            status = msgspec.structs.replace(
+                make_status(host), demand={"s": demand, "unknown": 1.0}
+            )
+            peers.datagram_received(msgspec.msgpack.encode(status), ("127.0.0.3", 3))
+
+    asyncio.run(scenario())
+    assert contended.rooms["s"].peer_demand == {"gw-2": 20.0}
+    assert set(contended.rooms) == {"s"}
