--- a/teaselpath/dispatch/_queue.py
+++ b/teaselpath/dispatch/_queue.py
@@ -106,13 +106,13 @@
 
     def has_requests_ahead(self, request: QueuedRequest, now: float = 0.0) -> bool:
         """Return whether requests of the same service are ahead of this new one."""
-        return bool(self.ahead(request, now))
+        return bool(self.ahead_of(request, now))
 
     def count_ahead(self, request: QueuedRequest, now: float = 0.0) -> int:
         """Return the number of requests of the same service that are ahead of this new one."""
-        return len(self.ahead(request, now))
+        return len(self.ahead_of(request, now))
 
-    def ahead(self, request: QueuedRequest, now: float) -> list[QueuedRequest]:
+    def ahead_of(self, request: QueuedRequest, now: float) -> list[QueuedRequest]:
         """Return the requests of the same service that are ahead of this new one."""
         if self.fair_order is None:
             return [r for r in self.queued.values() if r.is_ahead_of(request)]
@@ -129,7 +129,7 @@
         :param backlog_tokens: tokens that the engines still have to prefill.
         :param tokens_per_s: prefill speed of all engines together.
         """
-        ahead = sum(r.tokens for r in self.ahead(request, now))
+        ahead = sum(r.tokens for r in self.ahead_of(request, now))
         wait_s = _duration_s(backlog_tokens + ahead, tokens_per_s)
         rate = self.rates.get(request.service)
         measured_tokens_per_s = rate.tokens_per_s(now) if rate is not None else None
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -34,9 +34,11 @@
     :param software: software version of that engine, the only one at which the stream may go on;
         None if it is not known.
     :param known_digest: its digest, once it was needed.
+    :param reads_slowly: whether its stream was broken off because its caller reads too slowly.
+    :param first_event_s: expected and actual time to the first event of the attempt that brought
+        it, in seconds; None if times are not learned.
     :param room: what was known of the room at engines when it was rejected for its aim, for the
         log.
-    :param reads_slowly: whether its stream was broken off because its caller reads too slowly.
     :param reservation: its load at the endpoint of the current attempt; None between attempts.
     """
 
@@ -65,8 +67,9 @@
     has_begun: bool = False
     software: str | None = None
     known_digest: str | None = None
-    room: dict[str, float | bool] | None = None
     reads_slowly: bool = False
+    first_event_s: tuple[float, float] | None = None
+    room: dict[str, float | bool] | None = None
 
     def __post_init__(self) -> None:
         """Expect the events after the one at which the caller resumes its stream."""
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -8,7 +8,6 @@
 from teaselpath.dispatch import (
     ANNOUNCE_MIN_TOKENS,
     CLAIM_S,
-    PREFILL_TOKENS_PER_S,
     Demand,
     EndpointView,
     NoEndpoint,
@@ -188,9 +187,9 @@
 
     def _queued(self, call: Call) -> QueuedRequest:
         prompt = call.request.prompt
+        tokens = prompt.prompt_tokens if prompt else 0
         # A stream that goes on elsewhere comes first: its caller has a part of the answer.
         priority = RESUMED_PRIORITY if call.has_begun else call.priority
-        tokens = prompt.prompt_tokens if prompt else 0
         return QueuedRequest(
             call.service.name,
             priority,
@@ -279,7 +278,7 @@
         """Return the tokens that the engines still have to prefill, and their speed."""
         views = self.state.pool(queued_request.service).views.values()
         backlog_tokens = sum(view.pending_prefill_tokens(now) for view in views)
-        return backlog_tokens, PREFILL_TOKENS_PER_S * len(views)
+        return backlog_tokens, sum(view.times.tokens_in(1.0, now) for view in views)
 
     async def _wait_for_endpoint(
         self, call: Call, queued_request: QueuedRequest, now: float
@@ -385,9 +384,12 @@
                     placed.save_to,
                     output_tokens,
                 )
+                unread_tokens = reservation.pending_prefill_tokens
+                reservation.backlog_s = view.times.prefill_s(unread_tokens, now)
                 reservation.backlog_mark = self.state.apply_placement(message, now)
                 self.announce(message)
-        reservation.begin()
+        is_learning = prompt is not None and view.times.is_learning
+        reservation.begin(now + placed.first_event_s if is_learning else None)
         call.placed, call.reservation = placed, reservation
 
     def release(self, call: Call) -> None:
--- a/teaselpath/gateway/_room.py
+++ b/teaselpath/gateway/_room.py
@@ -68,7 +68,7 @@
         if request.is_resumed:
             return True
         # Short prompts do not wait for long ones, which may wait for an engine with little prefill.
-        ahead = self.queue.ahead(request, now)
+        ahead = self.queue.ahead_of(request, now)
         if any(is_long(request) or not is_long(other) for other in ahead):
             return False
         return self.has_room(request, now)
@@ -95,7 +95,7 @@
     def admit(self, call: Call, request: QueuedRequest, now: float) -> Wait | Reject:
         """Return whether a request that cannot be sent now waits."""
         room = self.state.rooms[request.service]
-        ahead = sum(is_long(o) == is_long(request) for o in self.queue.ahead(request, now))
+        ahead = sum(is_long(o) == is_long(request) for o in self.queue.ahead_of(request, now))
         return admit_by_aim(
             call.arrived_at,
             call.route.target_latency_s,
@@ -122,7 +122,9 @@
 
     def _sends_per_s(self, request: QueuedRequest, now: float) -> float:
         """Return the expected rate at which requests of a kind are sent."""
-        others_first = any(is_long(o) != is_long(request) for o in self.queue.ahead(request, now))
+        others_first = any(
+            is_long(o) != is_long(request) for o in self.queue.ahead_of(request, now)
+        )
         room = self.state.rooms[request.service]
         return room.sends_per_s(is_long(request), others_first=others_first)
 
