--- a/standins/hosted/_site.py
+++ b/standins/hosted/_site.py
@@ -92,7 +92,7 @@
     :param folder: directory for settings files and logs.
     :param zones: region of each zone.
     :param bounds: bounds in the settings of the gateways that differ from the defaults.
-    :param contracts: contracts in these settings.
+    :param contracts: what operators and callers of the site ask for beyond the common parts.
     """
 
     folder: Path
@@ -345,8 +345,8 @@
             "internalPorts": [self.ports["peer"], self.ports["peer"]],
             "seeds": list(seeds),
             "limits": {"memoryMb": 300, "maxFds": 1024},
-            "bounds": {"graceS": 8, "leaseMs": 600, **self.bounds},
             "contracts": self.contracts,
+            "bounds": {"graceS": 8, "leaseMs": 600, **self.bounds},
             "platform": {"address": store_address},
         }
 
--- a/teaselpath/cli/_main.py
+++ b/teaselpath/cli/_main.py
@@ -9,6 +9,7 @@
 from teaselpath.cli._outcomes import outcomes
 from teaselpath.cli._placement import placement
 from teaselpath.cli._publish import publish
+from teaselpath.cli._software import software
 from teaselpath.cli._trace import trace
 from teaselpath.cli._verdicts import verdicts
 
@@ -35,5 +36,6 @@
     placement,
     trace,
     verdicts,
+    software,
 ):
     main.add_command(_command)
--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -87,7 +87,7 @@
     """
     if demand.exceeds_engine:
         return NoEndpoint("too_large", 0.0)
-    if demand.software is not None:
+    if demand.is_restricted:
         return choose_endpoint(pool.candidates_for(key, demand), demand, topology, now)
     first = choose_endpoint(pool.candidates(key), demand, topology, now)
     if isinstance(first, Placed) or len(pool.views) <= MAX_CANDIDATES:
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -73,6 +73,7 @@
     :param awaited: times by which the first events of this gateway's requests were expected, by
         number, in the order of their placement.
     :param times: times that it needs for its work.
+    :param known_since: time from which this gateway knows of it.
     :param largest: largest request that was announced for it lately.
     :param own_places: requests that this gateway should have in flight there at most while room is
         short; None while it is not.
@@ -97,6 +98,7 @@
     unexpected_loads: int = 0
     awaited: dict[int, float] = field(default_factory=dict)
     times: EngineTimes = field(default_factory=EngineTimes)
+    known_since: float = float("-inf")
     largest: LargestRequest = field(default_factory=LargestRequest)
     own_places: int | None = None
 
@@ -200,6 +202,7 @@
     :param max_backlog_s: longest pending prefill with a long prompt, in seconds, at engines that
         state their pace or whose room is contended; None for the bound of all others.
     :param is_room_contended: whether requests compete for room at the engines.
+    :param allows: which endpoints a rollout of software lets run the request; None for any.
     """
 
     prompt: Prompt | None
@@ -216,6 +219,7 @@
     software_known: Callable[["EndpointView"], bool] | None = None
     max_backlog_s: float | None = None
     is_room_contended: bool = False
+    allows: Callable[["EndpointView"], bool] | None = None
 
     @property
     def exceeds_engine(self) -> bool:
@@ -225,8 +229,17 @@
         tokens = self.prompt.prompt_tokens + self.prompt.output_tokens
         return tokens > self.engine.cache_tokens
 
+    @property
+    def is_restricted(self) -> bool:
+        """Return whether not all endpoints of the service may run the request."""
+        return self.software is not None or self.allows is not None
+
     def admits(self, view: "EndpointView") -> bool:
-        """Return whether an endpoint has the one version that may run the request."""
+        """Return whether the software of an endpoint may run the request."""
+        if self.allows is not None and not self.allows(view):
+            return False
+        if self.software is None:
+            return True
         is_known = self.software_known is None or self.software_known(view)
         return view.endpoint.software == self.software and is_known
 
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -27,7 +27,9 @@
 from teaselpath.gateway._entities import LongPlacement
 from teaselpath.gateway._memory import SharedMemory
 from teaselpath.gateway._responses import MIN_RETRY_AFTER_S
+from teaselpath.gateway._rollouts import Rollouts
 from teaselpath.gateway._room import RoomKeeper, is_long
+from teaselpath.gateway._service_rollout import Allows
 from teaselpath.gateway._state import GatewayState
 
 # Interval at which placement of queued requests is retried, in seconds.
@@ -47,17 +49,22 @@
 RESUMED_PRIORITY = -1
 # Claims on the memory of engines after which a request is refused.
 MAX_CLAIMS = 3
+# Iterations of the event loop in which announcements that have arrived are read before a claim is
+# checked.
+READ_ITERATIONS = 32
 
 
 class Placer:
     """Places requests at endpoints and queues those that no endpoint can take.
 
     :param announce: sends the placement of a long prompt to the other gateways.
+    :ivar rollouts: rollouts of software, set where operators may ask for some.
     """
 
     def __init__(self, state: GatewayState, announce: Callable[[LongPlacement], None]):
         self.state = state
         self.announce = announce
+        self.rollouts: Rollouts | None = None
         self.loop = asyncio.get_running_loop()
         self.memory = SharedMemory(state)
         self.queue = RequestQueue(state.fair_order)
@@ -85,6 +92,9 @@
         is_granted = False
         try:
             await asyncio.sleep(CLAIM_S)
+            # The event loop reads one datagram in each iteration; those that have arrived count.
+            for _ in range(READ_ITERATIONS):
+                await asyncio.sleep(0)
             is_granted = self._is_within_memory(call, choice)
         finally:
             if not is_granted:
@@ -142,7 +152,11 @@
     # for operators
 
     def preview(self, call: Call, now: float) -> Placed | NoEndpoint:
-        """Return where a request would go now, without a reservation."""
+        """Return where a request would go now, without a reservation.
+
+        A rollout of software does not try its target on it.
+        """
+        call.takes_target = False
         return self._place(call, now)
 
     def preview_candidates(self, call: Call, now: float) -> tuple[Demand, list[EndpointView]]:
@@ -400,17 +414,32 @@
             call.reservation = None
 
     def _place(self, call: Call, now: float) -> Placed | NoEndpoint:
-        key, demand = self._key_and_demand(call, now)
+        if self.rollouts is None:
+            return self._place_among(call, None, now)
+        choice: Placed | NoEndpoint | None = None
+        for allows in self.rollouts.choices(call, now):
+            if choice is not None:
+                call.takes_target = False
+            choice = self._place_among(call, allows, now)
+            if isinstance(choice, Placed):
+                break
+        assert choice is not None
+        return choice
+
+    def _place_among(self, call: Call, allows: Allows | None, now: float) -> Placed | NoEndpoint:
+        key, demand = self._key_and_demand(call, now, allows)
         pool = self.state.pool(call.service.name)
         return choose_from_service(pool, key, demand, self.state.topology, now)
 
-    def _key_and_demand(self, call: Call, now: float) -> tuple[bytes, Demand]:
-        prompt, demand = call.request.prompt, self._demand(call, now)
+    def _key_and_demand(
+        self, call: Call, now: float, allows: Allows | None = None
+    ) -> tuple[bytes, Demand]:
+        prompt, demand = call.request.prompt, self._demand(call, now, allows)
         if prompt is None:
             return call.request.request_id.encode(), demand
         return affinity_key(prompt, demand.scope_prefix), demand
 
-    def _demand(self, call: Call, now: float) -> Demand:
+    def _demand(self, call: Call, now: float, allows: Allows | None = None) -> Demand:
         """Return what a request requires of an endpoint."""
         state, prompt = self.state, call.request.prompt
         announced = state.announced.get(prompt.model) if prompt else None
@@ -431,6 +460,7 @@
             software_known=lambda view: state.knows_software(view, now),
             max_backlog_s=max_backlog_s(state.aims_s(call.service.name)),
             is_room_contended=state.settings.is_room_contended,
+            allows=allows,
         )
 
 
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -32,11 +32,12 @@
     MetadataStore,
     Position,
     PromptPart,
+    RolloutOrder,
     StoredRecord,
     Topic,
     Workspace,
 )
-from teaselpath.gateway._entities import AnnouncedWeights, LongPlacement, Member
+from teaselpath.gateway._entities import AnnouncedWeights, LongPlacement, Member, OrderedRollout
 from teaselpath.gateway._record_logs import log_endpoint, log_if_older
 from teaselpath.gateway._statements import record_leaving
 
@@ -81,6 +82,7 @@
     :ivar on_new_era: called for each era after the first.
     :ivar on_endpoint_changed: called with an endpoint as listed before and now, None if it is not.
     :ivar fair_order: shares of the workspaces; None if they do not compete for room.
+    :ivar rollout_orders: newest order for a rollout of software, by service.
     :ivar endpoint_ids: id of each known endpoint by its number.
     :ivar availabilities: what endpoints have stated on whether they take requests.
     :ivar standstill_ended_at: returns when this process last stood still, in seconds; 0 if it has
@@ -100,6 +102,7 @@
         self.config: FleetConfig | None = None
         self.operator_records: dict[str, StoredRecord] = {}
         self.announced: dict[str, AnnouncedWeights] = {}
+        self.rollout_orders: dict[str, OrderedRollout] = {}
         self.endpoints = EndpointTable()
         self.views: dict[str, EndpointView] = {}
         self.endpoint_ids: dict[int, str] = {}
@@ -169,6 +172,8 @@
             if self._is_newer_version(record, version, before, source):
                 self._apply_weights(model, version, record, source)
                 self._record_announcement(model, version, now, missed_since)
+        elif self.settings.rollout is not None and (order := self.store.decode_rollout(record)):
+            self._apply_rollout(order, record, source, now, missed_since)
         elif record.value:
             log_message("record_ignored", key=record.key, offset=record.position.offset)
 
@@ -227,6 +232,40 @@
         self.announced[model].assume_announcement(version, assumed_at)
         log_message("weights_age_assumed", model=model, version=version, age_s=now - assumed_at)
 
+    def _apply_rollout(
+        self,
+        order: RolloutOrder,
+        record: StoredRecord,
+        source: str,
+        now: float,
+        missed_since: float | None,
+    ) -> None:
+        """Record an order; one that may be old is as old as a host's recovery takes."""
+        known = self.rollout_orders.get(order.service)
+        is_copy = known is not None and known.order.position.era != order.position.era
+        if known is not None and is_copy and order.content in known.replaced:
+            log_if_older(record, self.operator_records.get(record.key), source)
+            return
+        self.operator_records[record.key] = record
+        if known is not None and order.content == known.order.content:
+            known.order = order
+            return
+        seen_at = now
+        if missed_since is not None:
+            seen_at = max(missed_since, now - self.settings.bounds.recovery_window_s)
+        replaced = frozenset() if known is None else known.replaced | {known.order.content}
+        self.rollout_orders[order.service] = OrderedRollout(
+            order, seen_at, replaced - {order.content}
+        )
+        log_message(
+            "rollout_ordered",
+            service=order.service,
+            target=order.target,
+            duration_s=order.duration_s,
+            offset=record.position.offset,
+            source=source,
+        )
+
     def required_version(self, model: str, now: float) -> int:
         """Return the oldest weights version of a model that may run requests; 0 for no limit."""
         announced = self.announced.get(model)
@@ -301,7 +340,7 @@
         elif change is not None:
             log_endpoint(change, entry, source)
         if before != self.endpoints.get(record.key):
-            self._refresh_view(record.key)
+            self._refresh_view(record.key, now)
         view = self.views.get(record.key)
         if view is not None and view.endpoint.state is EndpointState.LEAVING:
             # Binds also if a stale record lists this start of the endpoint as ready again.
@@ -321,7 +360,7 @@
                 era=end.era,
                 may_be_lapse=key in self.endpoints.lapsed,
             )
-            self._refresh_view(key)
+            self._refresh_view(key, now)
 
     def expire_lapses(self, now: float) -> None:
         """Remove endpoints whose entries were not renewed after a store outage."""
@@ -330,9 +369,9 @@
             return
         for key in self.endpoints.expire(now):
             log_message("endpoint_removed", endpoint=key, source="lapse")
-            self._refresh_view(key)
+            self._refresh_view(key, now)
 
-    def _refresh_view(self, key: str) -> None:
+    def _refresh_view(self, key: str, now: float) -> None:
         endpoint = self.endpoints.get(key)
         view = self.views.get(key)
         if view is not None:
@@ -350,6 +389,7 @@
                 weights=dict(endpoint.weights),
                 availability=availability,
                 times=EngineTimes(self._times_of(endpoint.service)),
+                known_since=now,
             )
         else:
             view.endpoint = endpoint
