--- a/teaselpath/dispatch/_queue.py
+++ b/teaselpath/dispatch/_queue.py
@@ -54,6 +54,11 @@
     aimed_at: float = float("inf")
     overdue_at: float = float("inf")
 
+    @property
+    def is_resumed(self) -> bool:
+        """Return whether it continues a stream of which the caller has a part."""
+        return self.priority < 0
+
     def is_ahead_of(self, other: "QueuedRequest") -> bool:
         """Return whether the other request, which comes later, has to wait for this one.
 
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -71,6 +71,15 @@
             Gauge, "workspace_excess", "Part of its recent use above its fair share, by workspace"
         )
         self.waiting = make(Gauge, "waiting", "Requests that wait for an endpoint")
+        self.room_part = make(
+            Gauge, "room_part", "Requests that this host may have at engines, by service"
+        )
+        self.room_in_flight = make(
+            Gauge, "room_in_flight", "Requests of this host at engines, by service"
+        )
+        self.room_crowded = make(
+            Gauge, "room_crowded", "1 if the engines of a service are nearly full"
+        )
         self.running = make(Gauge, "running", "Requests under way")
         self.config_version = make(Gauge, "config_version", "Configuration in force")
         self.store_up = make(Gauge, "store_up", "1 if the last call to the store succeeded")
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -8,7 +8,6 @@
 from teaselpath.dispatch import (
     ANNOUNCE_MIN_TOKENS,
     CLAIM_S,
-    LONG_PROMPT_TOKENS,
     Demand,
     EndpointView,
     NoEndpoint,
@@ -18,9 +17,7 @@
     RequestQueue,
     Reservation,
     ReturnTimes,
-    ServiceRoom,
     Wait,
-    admit_by_aim,
     affinity_key,
     choose_from_service,
     is_within_memory,
@@ -31,6 +28,7 @@
 from teaselpath.gateway._memory import SharedMemory
 from teaselpath.gateway._responses import MIN_RETRY_AFTER_S
 from teaselpath.gateway._rollouts import Rollouts
+from teaselpath.gateway._room import RoomKeeper, is_long
 from teaselpath.gateway._service_rollout import Allows
 from teaselpath.gateway._state import GatewayState
 
@@ -56,27 +54,6 @@
 READ_ITERATIONS = 32
 
 
-# Interval at which the part of this gateway in contended room is computed, in seconds.
-ROOM_INTERVAL_S = 0.05
-# Fraction of the rate at which requests are sent that rejected callers are told to return at. The
-# rest is for new ones.
-RETURNING_FRACTION = 0.5
-
-
-def _queue_priority(call: Call) -> int:
-    # A stream that goes on elsewhere comes first: its caller has a part of the answer.
-    return RESUMED_PRIORITY if call.has_begun else call.priority
-
-
-def _is_long(queued_request: QueuedRequest) -> bool:
-    return queued_request.tokens >= LONG_PROMPT_TOKENS
-
-
-def _is_bound_by_aim(call: Call) -> bool:
-    """Return whether a late first event is of little use to the caller."""
-    return call.route.target_latency_s > 0.0 and not call.has_begun and not call.progress.runs
-
-
 class Placer:
     """Places requests at endpoints and queues those that no endpoint can take.
 
@@ -91,9 +68,9 @@
         self.loop = asyncio.get_running_loop()
         self.memory = SharedMemory(state)
         self.queue = RequestQueue(state.fair_order)
+        self.rooms = RoomKeeper(state, self.queue)
         self.return_times: dict[str, ReturnTimes] = {}
         self.opening_times: dict[str, ReturnTimes] = {}
-        self.rooms_updated_until: dict[str, float] = {}
         self.queued_calls: dict[int, tuple[Call, asyncio.Future[Placed | NoEndpoint]]] = {}
 
     async def acquire(self, call: Call, now: float) -> Placed | NoEndpoint:
@@ -142,10 +119,8 @@
         queued_request.is_held_off = isinstance(choice, NoEndpoint) and choice.reason == "held_off"
         if choice.first_choice is not None:
             choice.first_choice.limit.record_demand(now)
-        room = self._room(call.service.name, now)
-        if room is not None and not call.attempts:
-            room.record_arrival(now)
-        if isinstance(choice, Placed) and self._may_send(queued_request, room, now):
+        self.rooms.record_arrival(call, now)
+        if isinstance(choice, Placed) and self.rooms.may_send(queued_request, now):
             self._reserve(call, choice)
             return choice
         if isinstance(choice, NoEndpoint) and choice.reason in IMMEDIATE_REFUSALS:
@@ -157,10 +132,23 @@
         refusal = self._refuse_held_off(call, choice, now)
         if refusal is not None:
             return refusal
-        if room is not None and _is_bound_by_aim(call):
-            return await self._wait_in_time(call, queued_request, room, now)
+        if self.rooms.is_bound_by_aim(call):
+            return await self._wait_in_time(call, queued_request, now)
         return await self._wait_for_endpoint(call, queued_request, now)
 
+    async def _wait_in_time(
+        self, call: Call, queued_request: QueuedRequest, now: float
+    ) -> Placed | NoEndpoint:
+        """Wait as long as the first event can still come in time."""
+        match self.rooms.admit(call, queued_request, now):
+            case Reject(wait_s):
+                return self.rooms.reject(call, queued_request, wait_s, now)
+            case Wait(until):
+                choice = await self._queue(call, queued_request, until, now)
+                if choice is not None:
+                    return choice
+                return self.rooms.reject(call, queued_request, None, self.loop.time())
+
     # for operators
 
     def preview(self, call: Call, now: float) -> Placed | NoEndpoint:
@@ -178,7 +166,7 @@
 
     def must_queue(self, call: Call, now: float) -> bool:
         """Return whether a request that an endpoint can take waits behind others."""
-        return not self._may_send(self._queued(call), self.state.room(call.service.name), now)
+        return not self.rooms.may_send(self._queued(call), now)
 
     def describe_queue(self, call: Call, now: float) -> dict[str, float]:
         """Return the requests ahead of a new one, and the wait that is expected behind them."""
@@ -202,19 +190,23 @@
             wait_s = self._limited_wait_s(queued_request, choice, now)
             if wait_s > MAX_WAIT_FRACTION * left_s:
                 return min(MAX_RETRY_AFTER_S, wait_s)
-        room = self.state.room(call.service.name)
-        if room is not None and _is_bound_by_aim(call):
-            admission, _ = self._admit(call, queued_request, room, now)
-            return admission.wait_s if isinstance(admission, Reject) else None
+        if self.rooms.is_bound_by_aim(call):
+            match self.rooms.admit(call, queued_request, now):
+                case Reject(wait_s):
+                    return min(MAX_RETRY_AFTER_S, wait_s)
+                case Wait():
+                    return None
         refusal = self._refuse_long_wait(queued_request, now)
         return refusal.retry_after_s if refusal is not None else None
 
     def _queued(self, call: Call) -> QueuedRequest:
         prompt = call.request.prompt
         tokens = prompt.prompt_tokens if prompt else 0
+        # A stream that goes on elsewhere comes first: its caller has a part of the answer.
+        priority = RESUMED_PRIORITY if call.has_begun else call.priority
         return QueuedRequest(
             call.service.name,
-            _queue_priority(call),
+            priority,
             tokens,
             call.deadline,
             workspace=_workspace_of(call),
@@ -222,89 +214,6 @@
             aimed_at=call.arrived_at + call.route.target_latency_s,
         )
 
-    def _room(self, service: str, now: float) -> ServiceRoom | None:
-        """Return the room at the engines of a service, if requests compete for it."""
-        room = self.state.room(service)
-        if room is None:
-            return None
-        if now >= self.rooms_updated_until.get(service, 0.0):
-            self.rooms_updated_until[service] = now + ROOM_INTERVAL_S
-            room.update(
-                self.state.settings.host,
-                self.state.pool(service).views.values(),
-                self.state.possible_peers(now),
-                now,
-            )
-        return room
-
-    def _may_send(
-        self, queued_request: QueuedRequest, room: ServiceRoom | None, now: float
-    ) -> bool:
-        """Return whether a new request may be sent before those that wait."""
-        if room is None and queued_request.tokens < LONG_PROMPT_TOKENS:
-            return True
-        if room is None:
-            return not self.queue.has_requests_ahead(queued_request, now)
-        if queued_request.priority == RESUMED_PRIORITY:
-            return True
-        # Short prompts do not wait for long ones, which may wait for an engine with little prefill.
-        is_long = _is_long(queued_request)
-        ahead = self.queue.ahead_of(queued_request, now)
-        if any(is_long or not _is_long(other) for other in ahead):
-            return False
-        return self._has_room(queued_request, room)
-
-    def _has_room(self, queued_request: QueuedRequest, room: ServiceRoom) -> bool:
-        is_long = _is_long(queued_request)
-        others_wait = any(
-            other.service == queued_request.service and _is_long(other) != is_long
-            for other in self.queue.queued.values()
-        )
-        return room.has_room(is_long, others_wait=others_wait)
-
-    async def _wait_in_time(
-        self, call: Call, queued_request: QueuedRequest, room: ServiceRoom, now: float
-    ) -> Placed | NoEndpoint:
-        """Wait as long as the first event can still come in time."""
-        is_long = _is_long(queued_request)
-        admission, rate = self._admit(call, queued_request, room, now)
-        match admission:
-            case Reject(wait_s):
-                return self._reject_late(call, room, is_long, wait_s, rate, now)
-            case Wait(until):
-                choice = await self._queue(call, queued_request, until, now)
-        if choice is not None:
-            return choice
-        return self._reject_late(call, room, is_long, 1.0 / rate, rate, self.loop.time())
-
-    def _admit(
-        self, call: Call, queued_request: QueuedRequest, room: ServiceRoom, now: float
-    ) -> tuple[Wait | Reject, float]:
-        """Return whether a request waits, and the rate at which its kind is sent."""
-        is_long = _is_long(queued_request)
-        waiting = self.queue.ahead_of(queued_request, now)
-        ahead = sum(_is_long(request) == is_long for request in waiting)
-        rate = room.sends_per_s(is_long, others_first=ahead < len(waiting))
-        admission = admit_by_aim(
-            call.arrived_at,
-            call.route.target_latency_s,
-            call.deadline,
-            room.first_event_s.get(is_long, 0.0),
-            (ahead + 1) / rate,
-            now,
-        )
-        return admission, rate
-
-    def _reject_late(
-        self, call: Call, room: ServiceRoom, is_long: bool, wait_s: float, rate: float, now: float
-    ) -> NoEndpoint:
-        """Return the refusal of a request that cannot be in time, with a time to return."""
-        call.room = room.describe(is_long)
-        call.room["expected_wait_ms"] = round(wait_s * 1000, 1)
-        returns = self.return_times.setdefault(call.service.name, ReturnTimes())
-        booked_s = returns.book(wait_s, RETURNING_FRACTION * rate, now, MAX_RETRY_AFTER_S)
-        return NoEndpoint("late", min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, booked_s)))
-
     def _refuse_held_off(
         self, call: Call, choice: Placed | NoEndpoint, now: float
     ) -> NoEndpoint | None:
@@ -438,11 +347,9 @@
             if future.done() or queued_request.service in blocked:
                 continue
             now = self.loop.time()
-            room = self._room(queued_request.service, now)
-            is_resumed = queued_request.priority == RESUMED_PRIORITY
-            if room is not None and not is_resumed and not self._has_room(queued_request, room):
+            if queued_request.service in reading and is_long(queued_request):
                 continue
-            if queued_request.service in reading and _is_long(queued_request):
+            if not self.rooms.has_room(queued_request, now):
                 continue
             tried = queued_request.service, frozenset(call.tried)
             choice = held_off.get(tried) or self._place(call, now)
@@ -457,7 +364,7 @@
             self.queue.set_held_off(queued_request, choice.reason == "held_off", now)
             if queued_request.is_held_off:
                 held_off[tried] = choice
-            elif room is not None and choice.reason == "reading":
+            elif choice.reason == "reading" and self.rooms.is_bound_by_aim(call):
                 reading.add(queued_request.service)
             else:
                 blocked.add(queued_request.service)
@@ -465,12 +372,8 @@
     def _reserve(self, call: Call, placed: Placed) -> None:
         """Reserve the load of a request at its endpoint."""
         view, prompt, now = placed.view, call.request.prompt, self.loop.time()
-        reservation = Reservation(view, sent_at=now)
-        room = self.state.room(call.service.name)
-        if room is not None:
-            is_long = prompt is not None and prompt.prompt_tokens >= LONG_PROMPT_TOKENS
-            reservation.room, reservation.is_long = room, is_long
-            room.record_sent(is_long)
+        reservation = Reservation(view)
+        self.rooms.record_sent(call, reservation, now)
         view.limit.record_send(now)
         if self.state.fair_order is not None:
             self.state.fair_order.record_placed(_workspace_of(call), call.tokens, now)
@@ -505,16 +408,10 @@
 
     def release(self, call: Call) -> None:
         """Release the load that a request has reserved, if any."""
-        reservation = call.reservation
-        if reservation is None:
-            return
-        reservation.end()
-        call.reservation = None
-        if reservation.room is not None:
-            first_at, sent_at = call.first_byte_at, reservation.sent_at
-            first_event_s = None if first_at is None or first_at < sent_at else first_at - sent_at
-            run_s = self.loop.time() - sent_at
-            reservation.room.record_ended(reservation.is_long, run_s, first_event_s)
+        if call.reservation is not None:
+            call.reservation.end()
+            self.rooms.record_ended(call, call.reservation)
+            call.reservation = None
 
     def _place(self, call: Call, now: float) -> Placed | NoEndpoint:
         if self.rollouts is None:
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -300,6 +300,10 @@
             for name, excess in state.fair_order.excesses(now).items():
                 self.metrics.workspace_excess.set({"workspace": name}, excess)
         self.metrics.waiting.set({}, len(self.forwarder.placer.queue.queued))
+        for service, room in state.rooms.items():
+            self.metrics.room_part.set({"service": service}, room.part)
+            self.metrics.room_in_flight.set({"service": service}, sum(room.in_flight.values()))
+            self.metrics.room_crowded.set({"service": service}, int(room.is_crowded))
         for rollout in [] if self.rollouts is None else self.rollouts.describe():
             for known in RolloutState:
                 labels = {"service": str(rollout["service"]), "state": known.value}
