Long beside short: the part of long prompts follows the first events of short ones

Pending prefill is underestimated: attention grows with the square of the length, and learned speeds admit more long prompts than the assumed one did. Change: a gateway's long prompts in flight keep within a share of its part that falls when the first event of a short prompt is late and rises when it is not; what is overdue counts as pending. The test of the fair order at the placer has no stated memory, whose claims end at any time (it counted a claim as placed late); what it checks is unchanged.

--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -227,6 +227,8 @@
     if demand.max_backlog_s is None or not is_bounded:
         return pending_s > MAX_PREFILL_BACKLOG_S
     own_s = view.times.prefill_s(uncached_tokens, now)
+    # What is overdue has not been prefilled yet, whatever was expected.
+    pending_s += view.overdue_s(now)
     return not has_prefill_room(pending_s, own_s, demand.max_backlog_s)
 
 
--- a/teaselpath/dispatch/_room.py
+++ b/teaselpath/dispatch/_room.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterable, Mapping
 from math import isfinite
 
+from teaselpath.dispatch._long_prompts import LongShare
 from teaselpath.dispatch._views import EndpointView
 from teaselpath.fleet import EndpointState
 from teaselpath.utils import rendezvous_rank
@@ -45,6 +46,7 @@
     :ivar slots: slots of the engines that take requests.
     :ivar part: requests that this gateway may have in flight while room is short.
     :ivar is_crowded: whether room is short.
+    :ivar long_share: part of the room that long prompts may take.
     :ivar run_s: mean time that requests spend at engines, by whether their prompts are long, in
         seconds.
     :ivar first_event_s: mean time from sending a request to its first event, the same way.
@@ -55,6 +57,7 @@
         "first_event_s",
         "in_flight",
         "is_crowded",
+        "long_share",
         "part",
         "peer_demand",
         "run_s",
@@ -68,6 +71,7 @@
         self.slots = 0
         self.part = 0.0
         self.is_crowded = False
+        self.long_share = LongShare()
         self.run_s: dict[bool, float] = {}
         self.first_event_s: dict[bool, float] = {}
 
@@ -118,6 +122,8 @@
         :param is_long: whether its prompt is long.
         :param others_wait: whether requests of the other kind wait.
         """
+        if is_long and self.in_flight.get(True, 0) >= self.long_share.limit(self.part):
+            return False
         if not self.is_crowded:
             return True
         if self.is_used_up():
@@ -135,6 +141,8 @@
         :param others_first: whether more urgent requests of the other kind wait.
         """
         part = LEFT_FRACTION * self.part if others_first else self.part
+        if is_long:
+            part = min(part, self.long_share.limit(self.part))
         run_s = self.run_s.get(is_long, 0.0)
         return part / run_s if run_s > 0.0 else float("inf")
 
@@ -144,6 +152,7 @@
             "is_crowded": self.is_crowded,
             "slots": self.slots,
             "part": round(self.part, 2),
+            "long_share": round(self.long_share.share, 2),
             "in_flight": sum(self.in_flight.values()),
             "in_flight_of_kind": self.in_flight.get(is_long, 0),
             "run_ms": round(self.run_s.get(is_long, 0.0) * 1000, 1),
--- a/teaselpath/dispatch/tests/test_long_prompts.py
+++ b/teaselpath/dispatch/tests/test_long_prompts.py
@@ -3,7 +3,12 @@
 import pytest
 
 from teaselpath.dispatch import max_backlog_s
-from teaselpath.dispatch._long_prompts import has_prefill_room
+from teaselpath.dispatch._long_prompts import (
+    MAX_LONG_SHARE,
+    MIN_LONG_SHARE,
+    LongShare,
+    has_prefill_room,
+)
 
 
 def test_bound_comes_from_the_shortest_aim_of_the_service():
@@ -55,3 +60,36 @@
     shares = play_mix(bound_s)
     assert shares["short"] >= 0.95
     assert shares["long"] >= 0.95
+
+
+def test_long_prompts_get_less_room_while_short_ones_are_held_up_and_get_it_back():
+    """Guards against long prompts that take longer than anybody expects."""
+    share = LongShare()
+    for _ in range(30):
+        share.record_short(0.5, 0.4)
+    assert share.share == MIN_LONG_SHARE
+    assert share.limit(part=4.0) == 1.0
+    for _ in range(60):
+        share.record_short(0.05, 0.4)
+    assert share.share == MAX_LONG_SHARE
+
+
+def test_short_prompts_without_an_aim_take_no_room_from_long_ones():
+    """Guards against routes that state no aim."""
+    share = LongShare()
+    share.record_short(9.0, 0.0)
+    assert share.share == MAX_LONG_SHARE
+
+
+def test_share_settles_where_short_prompts_meet_their_aim():
+    """Guards against a part that swings between all and nothing.
+
+    The first event of a short prompt takes as long as the long prompts in flight are prefilled.
+    """
+    share, firsts = LongShare(), []
+    for _ in range(400):
+        firsts.append(0.02 + 0.05 * share.limit(part=12.0))
+        share.record_short(firsts[-1], 0.4)
+    settled = firsts[100:]
+    assert sum(first_s <= 0.4 for first_s in settled) == len(settled)
+    assert sum(settled) / len(settled) > 0.15
--- a/teaselpath/dispatch/tests/test_room.py
+++ b/teaselpath/dispatch/tests/test_room.py
@@ -72,6 +72,16 @@
         assert room.has_room(not is_long, others_wait=True)
 
 
+def test_long_prompts_keep_within_their_share_while_short_ones_are_held_up(views):
+    """Guards against long prompts that fill the engines while short ones come late."""
+    room = crowded_room("gw-0", views, dict.fromkeys(HOSTS, 10.0))
+    for _ in range(30):
+        room.long_share.record_short(0.5, 0.4)
+    room.record_sent(True)
+    assert not room.has_room(True, others_wait=False)
+    assert room.has_room(False, others_wait=False)
+
+
 def test_room_that_is_not_short_bounds_nothing(views):
     """Guards against refusals while engines have free places."""
     room = ServiceRoom()
--- a/teaselpath/gateway/_room.py
+++ b/teaselpath/gateway/_room.py
@@ -146,6 +146,10 @@
         first_event_s = None if first_at is None or first_at < sent_at else first_at - sent_at
         run_s = self.loop.time() - sent_at
         reservation.room.record_ended(reservation.is_long, run_s, first_event_s)
+        if not reservation.is_long:
+            # A prompt without a first event was held up at least as long as it ran.
+            held_s = run_s if first_event_s is None else first_event_s
+            reservation.room.long_share.record_short(held_s, call.route.target_latency_s)
 
 
 def is_long(request: QueuedRequest) -> bool:
--- a/teaselpath/gateway/tests/test_contended_room.py
+++ b/teaselpath/gateway/tests/test_contended_room.py
@@ -5,7 +5,7 @@
 import json
 
 from teaselpath.dispatch import Placed
-from teaselpath.fleet import Position, StoredRecord, Workspace
+from teaselpath.fleet import EngineLimits, Position, Service, StoredRecord, Workspace
 from teaselpath.gateway._placement import Placer
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway.tests.conftest import SETTINGS, endpoint_record
@@ -47,6 +47,8 @@
         async def ask(name):
             call = make_call()
             call.workspace = Workspace(name, 1e6, 1e6, 10, None, False)
+            # Without stated memory no request waits for a claim, which ends at any time.
+            call.service = Service("s", EngineLimits(0, 18_432, 1e-6))
             assert isinstance(await placer.acquire(call, placer.loop.time()), Placed)
             placed.append(name)
             # Its engine has room for others once the queue is full.
