Admission: a request that would come late even from its best engine waits while room is short

Change: while room is short, a request bound by its aim is not sent to an engine whose expected first event is too late for it; it waits as long as it can be in time, and is rejected then.

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -56,7 +56,7 @@
 from teaselpath.dispatch._retry_budget import SlidingRetryBudget
 from teaselpath.dispatch._return_times import ReturnTimes
 from teaselpath.dispatch._room import ServiceRoom, share_of_demand
-from teaselpath.dispatch._timeliness import Reject, Wait, admit_by_aim
+from teaselpath.dispatch._timeliness import Reject, Wait, admit_by_aim, comes_late
 from teaselpath.dispatch._views import (
     Demand,
     EndpointView,
@@ -126,6 +126,7 @@
     "caller_gap_limit_s",
     "choose_endpoint",
     "choose_from_service",
+    "comes_late",
     "first_level",
     "held_fraction",
     "is_within_memory",
--- a/teaselpath/dispatch/_timeliness.py
+++ b/teaselpath/dispatch/_timeliness.py
@@ -3,7 +3,9 @@
 Load: bursts in which requests need more than the engines have. Answers that come after their aim
 are worth little to callers and delay those that could be in time, so that in the end nearly all are
 late. A request that finds no room waits only as long as its first event can still come in time; one
-whose expected wait is longer is rejected at once, as is one whose time runs out while it waits.
+whose expected wait is longer is rejected at once, as is one whose time runs out while it waits. One
+that would come late even from the best engine waits as well, so that this engine can answer others
+in time.
 """
 
 from dataclasses import dataclass
@@ -33,6 +35,16 @@
     wait_s: float
 
 
+def comes_late(arrived_at: float, aim_s: float, first_event_s: float, now: float) -> bool:
+    """Return whether the first event of a request that is sent now is expected after its aim.
+
+    :param arrived_at: time at which the request arrived.
+    :param aim_s: time in which its first event is to come, in seconds.
+    :param first_event_s: expected time from sending it to its first event, in seconds.
+    """
+    return now + first_event_s > arrived_at + aim_s
+
+
 def admit_by_aim(
     arrived_at: float,
     aim_s: float,
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -120,7 +120,11 @@
         if choice.first_choice is not None:
             choice.first_choice.limit.record_demand(now)
         self.rooms.record_arrival(call, now)
-        if isinstance(choice, Placed) and self.rooms.may_send(queued_request, now):
+        if (
+            isinstance(choice, Placed)
+            and self.rooms.may_send(queued_request, now)
+            and not self.rooms.is_late(call, choice, now)
+        ):
             self._reserve(call, choice)
             return choice
         if isinstance(choice, NoEndpoint) and choice.reason in IMMEDIATE_REFUSALS:
@@ -353,6 +357,8 @@
                 continue
             tried = queued_request.service, frozenset(call.tried)
             choice = held_off.get(tried) or self._place(call, now)
+            if isinstance(choice, Placed) and self.rooms.is_late(call, choice, now):
+                continue
             if isinstance(choice, Placed):
                 self._reserve(call, choice)
                 self.queue.record_placed(queued_request, now)
--- a/teaselpath/gateway/_room.py
+++ b/teaselpath/gateway/_room.py
@@ -5,6 +5,7 @@
 from teaselpath.dispatch import (
     LONG_PROMPT_TOKENS,
     NoEndpoint,
+    Placed,
     QueuedRequest,
     Reject,
     RequestQueue,
@@ -13,6 +14,7 @@
     ServiceRoom,
     Wait,
     admit_by_aim,
+    comes_late,
 )
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._responses import MIN_RETRY_AFTER_S
@@ -92,6 +94,13 @@
             return False
         return call.route.target_latency_s > 0.0 and not call.has_begun and not call.progress.runs
 
+    def is_late(self, call: Call, placed: Placed, now: float) -> bool:
+        """Return whether a request would come late if it were sent now, while room is short."""
+        if not self.is_bound_by_aim(call) or not self.state.rooms[call.service.name].is_crowded:
+            return False
+        aim_s = call.route.target_latency_s
+        return comes_late(call.arrived_at, aim_s, placed.first_event_s, now)
+
     def admit(self, call: Call, request: QueuedRequest, now: float) -> Wait | Reject:
         """Return whether a request that cannot be sent now waits."""
         room = self.state.rooms[request.service]
--- a/teaselpath/gateway/tests/test_room.py
+++ b/teaselpath/gateway/tests/test_room.py
@@ -270,3 +270,29 @@
     asyncio.run(scenario())
     assert contended.rooms["s"].peer_demand == {"gw-2": 20.0}
     assert set(contended.rooms) == {"s"}
+
+
+def test_request_that_the_best_engine_would_answer_late_leaves_it_to_others_in_a_crowd(contended):
+    """Guards against room that goes to answers which come too late to be of use."""
+
+    async def scenario():
+        placer = Placer(contended, lambda placement: None)
+        view, now = contended.views["e"], placer.loop.time()
+        # A first event that is overdue for longer than the aim of short requests.
+        view.awaited[-1] = now - 2.0
+        room = contended.room("s")
+        room.first_event_s[False] = 10.0
+        outcomes = []
+        for is_crowded in (True, False):
+            # The state of the room is not computed anew.
+            placer.rooms.updated_until["s"] = now + 60.0
+            room.is_crowded, room.part, room.slots = is_crowded, 4.0, SLOTS
+            call = make_call("short")
+            outcomes.append(await asyncio.wait_for(placer.acquire(call, now), 1.0))
+            placer.release(call)
+        return outcomes
+
+    late, sent = asyncio.run(scenario())
+    assert isinstance(late, NoEndpoint)
+    assert late.reason == "late"
+    assert isinstance(sent, Placed)
