Prompts larger than any engine's memory are refused with 503

Cause: LARGER_THAN_ENGINE was answered with 413. Own 4xx for proper requests break the rule DENIED beyond a few, and a caller doesn't send the request again after 413 though a new configuration may serve it. Change: 503, not run, Retry-After 3 s (TOO_LARGE_RETRY_AFTER_S), as an engine that is full; the placement command says the same. Code 5012 stays. Measured: test_request_larger_than_any_engine_is_refused_as_by_a_full_one fails before and passes now, with the other tests of test_responses.py, test_explain.py, results and cli.

--- a/teaselpath/gateway/_explain.py
+++ b/teaselpath/gateway/_explain.py
@@ -21,6 +21,7 @@
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._placement import IMMEDIATE_REFUSALS, Placer
 from teaselpath.gateway._quarantine import QuarantineGate
+from teaselpath.gateway._responses import TOO_LARGE_RETRY_AFTER_S
 from teaselpath.gateway._state import GatewayState
 from teaselpath.results import Code
 
@@ -156,7 +157,7 @@
         if choice.reason in IMMEDIATE_REFUSALS:
             is_large = choice.reason == "too_large"
             code = Code.LARGER_THAN_ENGINE if is_large else Code.NO_ENDPOINT
-            wait_s = None if is_large else choice.retry_after_s
+            wait_s = TOO_LARGE_RETRY_AFTER_S if is_large else choice.retry_after_s
             return {**_refusal(code, wait_s), "reason": choice.reason}
         refused_after_s = self.placer.preview_refusal(call, choice, now)
         if refused_after_s is None:
--- a/teaselpath/gateway/_responses.py
+++ b/teaselpath/gateway/_responses.py
@@ -13,10 +13,13 @@
 from teaselpath.gateway._quarantine import Quarantined
 from teaselpath.gateway._state import GatewayState
 from teaselpath.http1 import Exchange, Headers
-from teaselpath.results import Code, http_status
+from teaselpath.results import Code
 
 # Shortest Retry-After of a refusal, in seconds.
 MIN_RETRY_AFTER_S = 0.2
+# Retry-After of a request that no engine's memory holds, in seconds: only a changed configuration
+# helps.
+TOO_LARGE_RETRY_AFTER_S = 3.0
 
 
 class Responder:
@@ -80,15 +83,11 @@
         return self.fail(exchange, call, 502)
 
     def _refuse_too_large(self, exchange: Exchange, call: Call) -> Code:
-        """Refuse a request that no engine's memory holds; another try would not fit either."""
+        """Refuse a request that no engine's memory holds, as an engine does that is full."""
         call.attempts.append(("", "too_large", 0.0))
         if call.progress.runs:
             return self.fail(exchange, call, 502)
-        if call.workspace is not None:
-            self.state.quota.refund(call.workspace, call.tokens)
-        code = Code.LARGER_THAN_ENGINE
-        exchange.respond(http_status(code), self._headers(call, None))
-        return code
+        return self.refuse(exchange, call, Code.LARGER_THAN_ENGINE, TOO_LARGE_RETRY_AFTER_S)
 
     def end_quarantined(self, exchange: Exchange, call: Call, quarantined: Quarantined) -> Code:
         """End a request whose prompt has a part in quarantine."""
--- a/teaselpath/gateway/tests/test_responses.py
+++ b/teaselpath/gateway/tests/test_responses.py
@@ -1,7 +1,7 @@
 """Last responses: a stream that was begun is cut, whatever ends its request."""
 
 import asyncio
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
@@ -11,7 +11,7 @@
 from teaselpath.gateway.tests.test_placement import make_call
 from teaselpath.http1 import Exchange, Request
 from teaselpath.platform import PlatformRequests
-from teaselpath.results import Code
+from teaselpath.results import Code, http_status
 
 NO_ENDPOINT = NoEndpoint("full", retry_after_s=0.5)
 QUARANTINED = Quarantined(Code.PART_QUARANTINED, 1.0, "verdict")
@@ -77,3 +77,20 @@
     assert code in codes
     assert is_unchanged
     assert is_closed
+
+
+def test_request_larger_than_any_engine_is_refused_as_by_a_full_one(state):
+    """Guards against a 4xx for a proper request, and against one without a time to return."""
+
+    async def scenario():
+        call, connection = make_call(), RecordingConnection()
+        exchange = Exchange(cast(Any, connection), Request(b"POST", b"/", [], b"", True, 0.0))
+        too_large = NoEndpoint("too_large", retry_after_s=0.0)
+        code = Responder(state, PlatformRequests()).end_unplaced(exchange, call, too_large)
+        return code, connection.written
+
+    code, written = asyncio.run(scenario())
+    assert code is Code.LARGER_THAN_ENGINE
+    assert http_status(code) == 503
+    assert written.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: 3" in written
