The placement command shows what a cost is made of

Cause: it gave cost_s and first_event_s only, so that an operator could not see which part makes an engine dear. Change: each candidate has its ExpectedTimes (field times, in seconds); the command prints them as a second table. Measured: test_summands_of_a_cost_are_shown and test_command_names_the_engine_that_a_request_then_reaches fail before and pass now.

--- a/teaselpath/cli/_placement.py
+++ b/teaselpath/cli/_placement.py
@@ -16,6 +16,11 @@
     "requests", "slots", "pending_tokens", "held_tokens", "rtt_s", "failure_rate", "pace",
     "left_out",
 )  # fmt: skip
+# What the cost of an endpoint is made of: ``ExpectedTimes``.
+TIMES_COLUMNS = (
+    "network_s", "queue_s", "fixed_s", "batch_s", "ahead_s", "prefill_s", "fetch_s", "decode_s",
+    "penalty_s",
+)  # fmt: skip
 
 
 @click.command()
@@ -67,6 +72,14 @@
     if candidates:
         rows = [[_cell(candidate.get(name)) for name in COLUMNS] for candidate in candidates]
         click.echo(format_table(COLUMNS, rows))
+    placed = [candidate for candidate in candidates if candidate.get("times")]
+    if placed:
+        click.echo("cost_s is the sum of:")
+        rows = [
+            [candidate["endpoint"], *(_cell(candidate["times"].get(n)) for n in TIMES_COLUMNS)]
+            for candidate in placed
+        ]
+        click.echo(format_table(("endpoint", *TIMES_COLUMNS), rows))
 
 
 def _parse_parts(text: str) -> list[tuple[str, int]]:
--- a/teaselpath/gateway/_explain.py
+++ b/teaselpath/gateway/_explain.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from dataclasses import replace
+from dataclasses import asdict, replace
 
 import msgspec
 
@@ -196,6 +196,7 @@
             **self._describe_view(placed.view, now),
             "cost_s": round(placed.cost_s, 4),
             "first_event_s": round(placed.first_event_s, 4),
+            "times": {name: round(value, 4) for name, value in asdict(placed.times).items()},
             "uncached_tokens": uncached,
             "fetch_from": placed.fetch_from,
             "must_claim": placed.must_claim,
--- a/teaselpath/gateway/tests/test_explain.py
+++ b/teaselpath/gateway/tests/test_explain.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from teaselpath.dispatch import Load, Placed
+from teaselpath.dispatch import ExpectedTimes, Load, Placed
 from teaselpath.fleet import Position, StoredRecord
 from teaselpath.gateway._explain import ExplainedRequest, Explainer
 from teaselpath.gateway._metrics import GatewayMetrics
@@ -87,6 +87,23 @@
     assert {c["endpoint"]: c["left_out"] for c in listed}["e1"] == "reading"
 
 
+def test_summands_of_a_cost_are_shown(site):
+    """Guards against a cost of which operators cannot see what makes it large."""
+
+    def load(site):
+        site.views["e0"].own.pending_prefill_tokens = 4_000
+        site.views["e0"].own.requests = 5
+
+    listed = {c["endpoint"]: c for c in explain(site, load)["candidates"]}
+    names = set(ExpectedTimes.__dataclass_fields__)
+    for candidate in listed.values():
+        assert set(candidate["times"]) == names
+        assert sum(candidate["times"].values()) == pytest.approx(candidate["cost_s"], abs=1e-3)
+    assert listed["e0"]["times"]["queue_s"] > listed["e1"]["times"]["queue_s"] == 0.0
+    assert listed["e0"]["times"]["ahead_s"] > listed["e1"]["times"]["ahead_s"] == 0.0
+    assert listed["e1"]["times"]["prefill_s"] == pytest.approx(17_000 / 40_000)
+
+
 def test_explaining_changes_nothing(site):
     """Guards against a tool that takes room, quota or places in the queue from callers."""
 
--- a/tests/test_placement_command.py
+++ b/tests/test_placement_command.py
@@ -8,6 +8,7 @@
 
 from standins.hosted import Caller, HostedSite
 from teaselpath.cli import main
+from teaselpath.dispatch import ExpectedTimes
 
 
 async def ask(address: str, *options: str):
@@ -44,5 +45,8 @@
     assert (answer.status, [run.endpoint_id for run in ran]) == (200, [found["endpoint"]])
     assert table.exit_code == 0
     assert f"endpoint: {found['endpoint']}" in table.output
+    costs = table.output.partition("cost_s is the sum of:\n")[2].splitlines()
+    assert costs[0].split() == ["endpoint", *ExpectedTimes.__dataclass_fields__]
+    assert [line.split()[0] for line in costs[1:]] == [c["endpoint"] for c in found["candidates"]]
     assert json.loads(unknown.output)["code"] == "UNKNOWN_KEY"
     assert (malformed.exit_code, nobody.exit_code) == (2, 3)
