A claim that is withdrawn costs its workspace and its gateway nothing

Cause: each of up to three claims of one request was charged to its workspace in the fair order and counted as an arrival, so that the workspace fell behind by requests that never ran, and the gateway stated up to three times its demand and took a larger part of the room. What is placed but not sent otherwise (its caller left, its trial or its time was over) stayed charged, too. Change: Placer.withdraw gives the charge back (FairOrder.record_withdrawn); arrivals count once for a request.

--- a/teaselpath/dispatch/_fair_order.py
+++ b/teaselpath/dispatch/_fair_order.py
@@ -85,6 +85,13 @@
         flow.charge(tokens)
         flow.add_use(tokens, now)
 
+    def record_withdrawn(self, workspace: str, tokens: float, now: float) -> None:
+        """Give back what ``record_placed`` has charged for a request that was not sent."""
+        flow = self.flows.get(workspace)
+        if flow is not None:
+            flow.correct(-tokens)
+            flow.add_use(-tokens, now)
+
     def record_others(self, used: Mapping[str, float], now: float) -> None:
         """Charge what another gateway has charged since its last message, by workspace."""
         for workspace, tokens in used.items():
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -175,12 +175,12 @@
             if isinstance(placed, NoEndpoint):
                 return self.responder.end_unplaced(exchange, call, placed)
             if not self.gate.may_send(call):
-                self.placer.release(call)
+                self.placer.withdraw(call)
                 self.gate.end_trial(call)
                 continue
             # The end of a stop has come nearer while the request waited, or was sent elsewhere.
             if not self._may_send(exchange, call):
-                self.placer.release(call)
+                self.placer.withdraw(call)
                 wait_s = self.admission.stop_wait_s(self.loop.time())
                 return self.responder.end_stopping(exchange, call, wait_s)
             outcome = await self._attempt(exchange, call, placed)
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -101,8 +101,8 @@
 
         Room that other gateways may take in the same moment is claimed before it is used.
         """
-        for _ in range(MAX_CLAIMS):
-            choice = await self._acquire(call, now)
+        for claims in range(MAX_CLAIMS):
+            choice = await self._acquire(call, now, is_new=not claims and not call.attempts)
             if not isinstance(choice, Placed) or not choice.must_claim:
                 return choice
             if await self._is_granted(call, choice):
@@ -121,7 +121,7 @@
             is_granted = self._is_within_memory(call, choice)
         finally:
             if not is_granted:
-                self.release(call)
+                self.withdraw(call)
         if not is_granted:
             log_message(
                 "memory_claim_withdrawn",
@@ -136,14 +136,14 @@
         demand = self._demand(call, now)
         return demand.memory is None or is_within_memory(choice.view, demand, now)
 
-    async def _acquire(self, call: Call, now: float) -> Placed | NoEndpoint:
+    async def _acquire(self, call: Call, now: float, *, is_new: bool) -> Placed | NoEndpoint:
         queued_request = self._queued(call)
         choice = self._place(call, now)
         queued_request.is_held_off = isinstance(choice, NoEndpoint) and choice.reason == "held_off"
         if choice.first_choice is not None:
             choice.first_choice.limit.record_demand(now)
         room = self._room(call.service.name, now)
-        if room is not None and not call.attempts:
+        if room is not None and is_new:
             room.record_arrival(now)
         if isinstance(choice, Placed) and self._may_send(queued_request, room, now):
             self._reserve(call, choice)
@@ -409,7 +409,7 @@
             return None if future.cancelled() else future.result()
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
-                self.release(call)
+                self.withdraw(call)
             raise
         finally:
             self.queue.remove(queued_request)
@@ -503,6 +503,13 @@
         reservation.begin(now + placed.first_event_s if is_learning else None)
         call.placed, call.reservation = placed, reservation
 
+    def withdraw(self, call: Call) -> None:
+        """Release the load of a request that is not sent, if any, and what it was charged."""
+        if call.reservation is not None and self.state.fair_order is not None:
+            now = self.loop.time()
+            self.state.fair_order.record_withdrawn(_workspace_of(call), call.tokens, now)
+        self.release(call)
+
     def release(self, call: Call) -> None:
         """Release the load that a request has reserved, if any."""
         reservation = call.reservation
--- a/teaselpath/gateway/tests/test_engine_memory.py
+++ b/teaselpath/gateway/tests/test_engine_memory.py
@@ -1,11 +1,13 @@
 """Claims on the memory of engines: reserved at once, withdrawn if they do not fit together."""
 
 import asyncio
+import json
 from dataclasses import replace
 
 import pytest
 
-from teaselpath.dispatch import Load, NoEndpoint, Placed
+from teaselpath.dispatch import FairOrder, Load, NoEndpoint, Placed
+from teaselpath.fleet import Position, Prompt, PromptPart, StoredRecord
 from teaselpath.gateway._memory import START_S
 from teaselpath.gateway._placement import Placer
 from teaselpath.gateway.tests.conftest import SETTINGS, endpoint_record
@@ -51,6 +53,49 @@
     assert (own.requests, own.held_tokens, own.pending_prefill_tokens) == (0, 0, 0)
 
 
+def test_withdrawn_claims_cost_their_request_nothing(contended):
+    """Guards against a workspace that pays, and a part of room that grows, with each claim."""
+    config = {
+        "version": 1,
+        "services": [
+            {"name": "s", "engine": {"slots": 64, "kvCapacityTokens": 100_000,
+                                     "kvTokenBytes": 18_432, "linkMbps": 180_000,
+                                     "models": [{"name": "m"}]}},
+        ],
+    }  # fmt: skip
+    value = json.dumps(config).encode()
+    contended.apply_operator_record(StoredRecord("config", value, Position(1, 2)), "store", 1.0)
+
+    async def scenario():
+        order = contended.fair_order = FairOrder()
+        placer = Placer(contended, lambda message: None)
+        placer.memory.started_at -= START_S
+        call, view = make_call(2.0), contended.views["e"]
+        # Over a quarter of the memory, so that each try is a claim.
+        prompt = Prompt("m", (PromptPart("p", 26_000), PromptPart("o", 4_000)), 30_000, 10)
+        call.request = replace(call.request, prompt=prompt)
+        queue = asyncio.create_task(placer.run_queue())
+        task = asyncio.create_task(placer.acquire(call, placer.loop.time()))
+        claims = 0
+        while not task.done():
+            if view.own.requests and not view.peers:
+                # Another gateway claims the memory at the same time, and withdraws its claim.
+                claims += 1
+                view.peers["gw-1"] = Load(requests=1, held_tokens=90_000)
+            elif not view.own.requests:
+                view.peers.clear()
+            await asyncio.sleep(0.001)
+        queue.cancel()
+        return task.result(), claims, contended.room("s"), order.flows[""]
+
+    choice, claims, room, flow = asyncio.run(scenario())
+    assert isinstance(choice, NoEndpoint)
+    assert claims == 3
+    assert (list(room.in_flight.values()), len(room.arrivals)) == ([0], 1)
+    assert flow.use == pytest.approx(0.0, abs=1.0)
+    assert flow.finish_tag == pytest.approx(0.0, abs=1.0)
+
+
 def test_gateway_that_has_just_started_uses_a_quarter_of_the_memory(contended):
     """Guards against a gateway that takes all of it since it knows of no other yet."""
 
