A slow caller that takes its last response keeps its connection

Cause: a connection that closes is given up, everywhere, if what the gateway itself holds does not shrink in 5 s. The kernel takes more of it only after the caller has taken much of what the kernel holds, up to megabytes, so that an honest slow caller lost the rest of its answer, which it got before. Change: what the kernel holds unacknowledged (TIOCOUTQ) counts, too: only a caller that takes nothing is given up.

--- a/teaselpath/http1/_ends.py
+++ b/teaselpath/http1/_ends.py
@@ -72,6 +72,18 @@
     return size[0]
 
 
+def count_untaken_bytes(sock: socket.socket | None) -> int:
+    """Return the number of sent bytes that the kernel holds, as the other side has not taken them.
+
+    It is 0 for a closed socket.
+    """
+    if sock is None or sock.fileno() < 0:
+        return 0
+    size = array.array("i", [0])
+    fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, size)
+    return size[0]
+
+
 def has_unread_data(sock: socket.socket | None) -> bool:
     """Return whether the kernel holds data that was not read; closing would reset the caller.
 
--- a/teaselpath/http1/_server.py
+++ b/teaselpath/http1/_server.py
@@ -11,6 +11,7 @@
     ConnectionObserver,
     EndCause,
     count_unread_bytes,
+    count_untaken_bytes,
     has_unread_data,
 )
 from teaselpath.http1._messages import (
@@ -383,24 +384,27 @@
             self.is_closing = True
             self._report_end(cause)
             self.transport.close()
-            self._linger(self.unsent_bytes())
+            self._linger()
 
-    def _linger(self, unsent_bytes: int) -> None:
+    def _linger(self) -> None:
         """Give the caller time to take the last response, as long as it takes some of it."""
-        if not unsent_bytes or self.transport is None:
+        if not self.unsent_bytes() or self.transport is None:
             return
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = self.loop.call_later(LINGER_S, self._on_lingered, unsent_bytes)
+        self.timer = self.loop.call_later(LINGER_S, self._on_lingered, self._untaken_bytes())
 
-    def _on_lingered(self, unsent_bytes: int) -> None:
+    def _on_lingered(self, untaken_bytes: int) -> None:
         self.timer = None
-        left = self.unsent_bytes()
-        if left < unsent_bytes:
-            self._linger(left)
-        elif self.transport is not None:
+        if self._untaken_bytes() < untaken_bytes:
+            self._linger()
+        elif self.transport is not None and self.unsent_bytes():
             self.transport.abort()
 
+    def _untaken_bytes(self) -> int:
+        # The kernel takes more of the rest only after the caller has taken much of what it holds.
+        return self.unsent_bytes() + count_untaken_bytes(self._socket())
+
     def _report_end(self, cause: EndCause) -> None:
         """Report what the end of the connection leaves unanswered, if anything."""
         if self.observer is None or self.transport is None:
--- a/teaselpath/http1/tests/test_unsent_memory.py
+++ b/teaselpath/http1/tests/test_unsent_memory.py
@@ -75,3 +75,38 @@
     held, left = asyncio.run(scenario())
     assert held > 0
     assert left == 0
+
+
+def test_slow_caller_that_takes_something_keeps_its_last_response(monkeypatch):
+    """Guards against a cut while the kernel sends what it holds before it takes more."""
+    monkeypatch.setattr("teaselpath.http1._server.LINGER_S", 0.2)
+    size, taken = 3 << 20, 0
+
+    async def handle(exchange):
+        exchange.limit_send_buffer(1 << 20)
+        exchange.start(200, [], size)
+        exchange.write(b"x" * size)
+        exchange.finish()
+        exchange.connection.close_after_flush()
+
+    async def scenario():
+        nonlocal taken
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: ServerConnection(handle, CallerLimits, set(), None, UnsentMemory()),
+            "127.0.0.1", 0,
+        )  # fmt: skip
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        caller.connect(server.sockets[0].getsockname())
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        caller.setblocking(False)
+        # 1.3 MB/s: the kernel's part alone takes longer than a caller may take nothing.
+        while data := await loop.sock_recv(caller, 65_536):
+            taken += len(data)
+            await asyncio.sleep(0.05)
+        caller.close()
+        server.close()
+
+    asyncio.run(scenario())
+    assert taken > size
