Requests that wait for their aim compete with the highest priority in time

Change: the queue learns until when a request waits. Where room is not contended the order does not use it. Measured: test_request_that_waits_long_for_its_aim_competes_with_the_highest_priority fails before, passes now; dispatch tests, test_room.py, test_placement.py pass.

--- a/teaselpath/dispatch/_queue.py
+++ b/teaselpath/dispatch/_queue.py
@@ -22,9 +22,9 @@
 # that gives a usable rate.
 RATE_WINDOW_S = 3.0
 MIN_RATE_WINDOW_S = 1.0
-# Fraction of a request's remaining time after which, still queued, it competes with the requests of
-# the highest priority. It is refused at MAX_WAIT_FRACTION.
-OVERDUE_FRACTION = 0.375
+# Fraction of its longest wait after which a request, still queued, competes with the requests of
+# the highest priority.
+OVERDUE_FRACTION = 0.75
 
 
 @dataclass(slots=True)
@@ -139,11 +139,15 @@
         wait_s = self.expected_wait_s(request, backlog_tokens, tokens_per_s, now)
         return wait_s > MAX_WAIT_FRACTION * (request.deadline - now)
 
-    def enqueue(self, request: QueuedRequest, now: float) -> None:
-        """Add a request behind the others of its priority."""
+    def enqueue(self, request: QueuedRequest, now: float, until: float | None = None) -> None:
+        """Add a request behind the others of its priority.
+
+        :param until: time until which it waits; None for ``MAX_WAIT_FRACTION`` of what is left.
+        """
         request.number = next(self.arrival_numbers)
         self.queued[request.number] = request
-        request.overdue_at = now + OVERDUE_FRACTION * (request.deadline - now)
+        wait_s = MAX_WAIT_FRACTION * (request.deadline - now) if until is None else until - now
+        request.overdue_at = now + OVERDUE_FRACTION * wait_s
         if self.fair_order is not None:
             self.fair_order.add_waiting(request.workspace, now)
         self.set_held_off(request, request.is_held_off, now)
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -399,7 +399,7 @@
     ) -> Placed | NoEndpoint | None:
         """Queue a request; return None if it was not placed or refused until its time ended."""
         future: asyncio.Future[Placed | NoEndpoint] = self.loop.create_future()
-        self.queue.enqueue(queued_request, now)
+        self.queue.enqueue(queued_request, now, until)
         self.queued_calls[queued_request.number] = (call, future)
         try:
             async with asyncio.timeout_at(until):
--- a/teaselpath/gateway/tests/test_room.py
+++ b/teaselpath/gateway/tests/test_room.py
@@ -144,6 +144,33 @@
     assert described["is_crowded"]
 
 
+def test_request_that_waits_long_for_its_aim_competes_with_the_highest_priority(contended):
+    """Guards against long prompts that starve: their wait ends at the aim, before the deadline."""
+
+    async def scenario():
+        placer = Placer(contended, lambda placement: None)
+        await fill(placer)
+        low = make_call("long")
+        low.route = replace(low.route, priority=1)
+        started_at = low.arrived_at
+        contended.rooms["s"].run_s[False] = contended.rooms["s"].run_s[True] = 0.2
+        tasks = [
+            asyncio.create_task(placer.acquire(call, started_at))
+            for call in (low, make_call("short", time_left_s=30.0))
+        ]
+        await asyncio.sleep(0)
+        order = [
+            [request.tokens for request in placer.queue.in_order(started_at + waited_s)]
+            for waited_s in (0.1, 0.95 * AIMS["long"])
+        ]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return order
+
+    assert asyncio.run(scenario()) == [[400, 17_000], [17_000, 400]]
+
+
 def test_stream_that_goes_on_is_not_rejected_for_its_aim(contended):
     """Guards against callers that lose an answer of which they have a part."""
 
