The placement command tells when a request would be rejected for its aim

Cause: a request that an endpoint could take, but that waits behind others where room is contended, was shown as queued, though it is rejected at once if it cannot be in time; and the Retry-After of others had neither the bounds nor the places booked before of a real refusal. Change: Placer.preview_refusal returns the refusal as acquire gives it, with its reason (late, queue). Measured: test_request_that_cannot_be_in_time_is_refused_as_a_real_one: decision queue before, refuse now, with the reason and the Retry-After (within 2 ms) of acquire; test_explain.py, test_room.py and test_placement_command.py pass.

--- a/teaselpath/gateway/_explain.py
+++ b/teaselpath/gateway/_explain.py
@@ -148,21 +148,22 @@
         self, call: Call, choice: Placed | NoEndpoint, now: float
     ) -> dict[str, object]:
         if isinstance(choice, Placed):
-            must_queue = self.placer.must_queue(call, now)
-            return {
-                "decision": "queue" if must_queue else "claim" if choice.must_claim else "send",
-                "endpoint": choice.view.endpoint.endpoint_id,
-                "first_event_s": round(choice.first_event_s, 4),
-            }
-        if choice.reason in IMMEDIATE_REFUSALS:
+            if not self.placer.must_queue(call, now):
+                return {
+                    "decision": "claim" if choice.must_claim else "send",
+                    **_describe_endpoint(choice),
+                }
+        elif choice.reason in IMMEDIATE_REFUSALS:
             is_large = choice.reason == "too_large"
             code = Code.LARGER_THAN_ENGINE if is_large else Code.NO_ENDPOINT
             wait_s = TOO_LARGE_RETRY_AFTER_S if is_large else choice.retry_after_s
             return {**_refusal(code, wait_s), "reason": choice.reason}
-        refused_after_s = self.placer.preview_refusal(call, choice, now)
-        if refused_after_s is None:
-            return {"decision": "queue", "reason": choice.reason}
-        return {**_refusal(Code.OVERLOADED, refused_after_s), "reason": choice.reason}
+        refusal = self.placer.preview_refusal(call, choice, now)
+        if refusal is not None:
+            return {**_refusal(Code.OVERLOADED, refusal.retry_after_s), "reason": refusal.reason}
+        if isinstance(choice, Placed):
+            return {"decision": "queue", **_describe_endpoint(choice)}
+        return {"decision": "queue", "reason": choice.reason}
 
     def _describe_candidates(
         self, call: Call, choice: Placed | NoEndpoint, now: float
@@ -218,6 +219,13 @@
         }
 
 
+def _describe_endpoint(placed: Placed) -> dict[str, object]:
+    return {
+        "endpoint": placed.view.endpoint.endpoint_id,
+        "first_event_s": round(placed.first_event_s, 4),
+    }
+
+
 def _refusal(code: Code, retry_after_s: float | None = None) -> dict[str, object]:
     wait_s = None if retry_after_s is None else round(retry_after_s, 3)
     return {"decision": "refuse", "code": code.name, "retry_after_s": wait_s}
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -191,23 +191,28 @@
             "expected_wait_s": round(wait_s, 3),
         }
 
-    def preview_refusal(self, call: Call, choice: NoEndpoint, now: float) -> float | None:
-        """Return the Retry-After if a request would be refused instead of waiting; else None."""
+    def preview_refusal(
+        self, call: Call, choice: Placed | NoEndpoint, now: float
+    ) -> NoEndpoint | None:
+        """Return the refusal if a request that is not sent now would not wait either; else None."""
         left_s = call.deadline - now
-        if choice.reason == "held_off":
-            is_late = choice.retry_after_s > MAX_HELD_OFF_FRACTION * left_s
-            return choice.retry_after_s if is_late else None
+        reason = choice.reason if isinstance(choice, NoEndpoint) else ""
+        if isinstance(choice, NoEndpoint) and reason == "held_off":
+            return choice if choice.retry_after_s > MAX_HELD_OFF_FRACTION * left_s else None
         queued_request = self._queued(call)
-        if choice.reason == "limited":
+        if isinstance(choice, NoEndpoint) and reason == "limited":
             wait_s = self._limited_wait_s(queued_request, choice, now)
             if wait_s > MAX_WAIT_FRACTION * left_s:
-                return min(MAX_RETRY_AFTER_S, wait_s)
+                return NoEndpoint(reason, min(MAX_RETRY_AFTER_S, wait_s))
         room = self.state.room(call.service.name)
-        if room is not None and _is_bound_by_aim(call):
-            admission, _ = self._admit(call, queued_request, room, now)
-            return admission.wait_s if isinstance(admission, Reject) else None
-        refusal = self._refuse_long_wait(queued_request, now)
-        return refusal.retry_after_s if refusal is not None else None
+        if room is None or not _is_bound_by_aim(call):
+            return self._refuse_long_wait(queued_request, now)
+        admission, _ = self._admit(call, queued_request, room, now)
+        if isinstance(admission, Wait):
+            return None
+        returns = self.return_times.get(call.service.name, ReturnTimes())
+        wait_s = max(admission.wait_s, returns.next_at - now)
+        return NoEndpoint("late", min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s)))
 
     def _queued(self, call: Call) -> QueuedRequest:
         prompt = call.request.prompt
--- a/teaselpath/gateway/tests/test_explain.py
+++ b/teaselpath/gateway/tests/test_explain.py
@@ -15,6 +15,7 @@
 from teaselpath.gateway._quarantine import QuarantineGate
 from teaselpath.gateway.tests.conftest import endpoint_record
 from teaselpath.gateway.tests.front import NoPeers
+from teaselpath.gateway.tests.test_room import fill, make_call, make_state
 
 CONFIG = {
     "version": 1,
@@ -179,3 +180,25 @@
         return explainer.explain(msgspec.json.encode(REQUEST))
 
     assert asyncio.run(scenario())["quarantine"] == "sent as a trial"
+
+
+def test_request_that_cannot_be_in_time_is_refused_as_a_real_one():
+    """Guards against "queue" for a request that is rejected, and a Retry-After it never gets."""
+
+    async def scenario():
+        contended = make_state(is_room_contended=True)
+        placer = Placer(contended, lambda _: None)
+        await fill(placer)
+        room = contended.rooms["s"]
+        room.run_s[False], room.first_event_s[False] = 40.0, 0.1
+        gate = QuarantineGate("gw-0", contended.store, GatewayMetrics("gw-0"), NoPeers())
+        explainer = Explainer(contended, placer, gate)
+        request = {"host": "h", "path": "/short/x", "model": "m", "parts": [["p", 400]]}
+        found = explainer.explain(msgspec.json.encode(request))
+        return found, await placer.acquire(make_call("short"), placer.loop.time())
+
+    found, refusal = asyncio.run(scenario())
+    assert refusal.reason == "late"
+    assert (found["decision"], found.get("code")) == ("refuse", "OVERLOADED")
+    assert found["reason"] == "late"
+    assert found["retry_after_s"] == pytest.approx(refusal.retry_after_s, abs=2e-3)
