A peer's impossible times of an engine are ignored, with a log line

Change: a statement with a weight, prefill or fixed part that no engine has is ignored as a whole (peer_times_ignored). Measured: test_statement_of_a_peer_that_no_engine_fits_is_ignored, six cases, fails before and passes now; test_peers.py passes.

--- a/teaselpath/dispatch/_engine_times.py
+++ b/teaselpath/dispatch/_engine_times.py
@@ -37,6 +37,10 @@
 PEER_HALF_LIFE_S = 10.0
 # Share of a peer's statement in what is known from all of them.
 PEER_GAIN = 0.2
+# Longest times that a peer can state, in seconds: no engine takes as long to prefill a token, or
+# for the fixed part.
+MAX_STATED_PREFILL_S = 0.01
+MAX_STATED_FIXED_S = 60.0
 # Interval at which the combined estimates are refreshed, in seconds.
 REFRESH_S = 0.05
 # Time constant with which a stated pace loses its effect, in seconds.
@@ -337,15 +341,17 @@
             weight,
         )
 
-    def record_peer(self, statement: tuple[int, int, int], now: float) -> None:
-        """Record what another gateway has learned of this engine."""
-        prefill, fixed, weight = statement
-        if not 0 < weight <= MAX_WEIGHT:
-            return
-        if prefill > 0:
-            self.peer_prefill.add(prefill * 1e-9, weight, now)
-        if fixed > 0:
-            self.peer_fixed.add(fixed * 1e-4, weight, now)
+    def record_peer(self, statement: tuple[int, int, int], now: float) -> bool:
+        """Record what another gateway has learned of this engine; return whether it is valid."""
+        prefill_s, fixed_s, weight = statement[0] * 1e-9, statement[1] * 1e-4, statement[2]
+        is_possible = 0 <= prefill_s <= MAX_STATED_PREFILL_S and 0 <= fixed_s <= MAX_STATED_FIXED_S
+        if not is_possible or not 0 < weight <= MAX_WEIGHT:
+            return False
+        if prefill_s:
+            self.peer_prefill.add(prefill_s, weight, now)
+        if fixed_s:
+            self.peer_fixed.add(fixed_s, weight, now)
+        return True
 
     def _add(self, name: str, observed_s: float, weight: float) -> None:
         own: Estimate = getattr(self, name)
--- a/teaselpath/dispatch/tests/test_engine_times.py
+++ b/teaselpath/dispatch/tests/test_engine_times.py
@@ -13,6 +13,7 @@
     ServiceTimes,
     Topology,
 )
+from teaselpath.dispatch._engine_times import REFRESH_S
 from teaselpath.dispatch._placement import choose_endpoint
 from teaselpath.dispatch.tests.conftest import ENGINE, make_prompt, make_view
 
@@ -96,6 +97,21 @@
     assert unused.prefill_s(4_000, later) == pytest.approx(4_000 * SLOW_S, rel=0.2)
 
 
+@pytest.mark.parametrize(
+    "statement",
+    [(2**63, 1, 12), (1, 2**63, 12), (-1, 1, 12), (1, -1, 12), (1, 1, 0), (1, 1, 10**6)],
+)
+def test_statement_of_a_peer_that_no_engine_fits_is_ignored(statement):
+    """Guards against one malformed message that keeps requests from a good engine."""
+    times = EngineTimes(ServiceTimes(is_learning=True))
+    now = learn(times, FAST_S)
+    before = times.prefill_s(4_000, now), times.fixed_s(now)
+    assert not times.record_peer(statement, now)
+    later = now + 2 * REFRESH_S
+    assert (times.prefill_s(4_000, later), times.fixed_s(later)) == before
+    assert times.record_peer((25_000, 200, 12), now)
+
+
 def test_engine_of_which_nothing_is_known_has_the_typical_times_of_its_service():
     service = ServiceTimes(is_learning=True)
     for _ in range(3):
--- a/teaselpath/gateway/_peers.py
+++ b/teaselpath/gateway/_peers.py
@@ -540,8 +540,10 @@
         for model, version in endpoint_status.weights.items():
             view.record_weights(model, version)
         self._apply_limit(host, endpoint_status, view, now)
-        if endpoint_status.times is not None:
-            view.times.record_peer(endpoint_status.times, now)
+        times = endpoint_status.times
+        if times is not None and not view.times.record_peer(times, now):
+            endpoint_id = view.endpoint.endpoint_id
+            log_message("peer_times_ignored", host=host, endpoint=endpoint_id, times=times)
         if endpoint_status.leaves_in_ms is not None:
             leaves_at = now + endpoint_status.leaves_in_ms / 1000
             record_leaving(view, leaves_at, f"peer {host}")
