A claim is kept beyond a gateway's fraction of the memory only as it is begun

Cause: a claim was kept, whatever the fraction of the memory that a gateway may use by then, if all that it knew to be held was its own. A gateway that stood still, or was cut off, while its claim waited hears of nobody, so that each of them kept a claim of more than its part of an engine that others may have filled. Change: beyond the fraction only the gateway that ranks first keeps it, once it knows of all others, as when it claims.

--- a/teaselpath/dispatch/_engine_memory.py
+++ b/teaselpath/dispatch/_engine_memory.py
@@ -89,8 +89,13 @@
 
 def is_within_memory(view: EndpointView, demand: Demand, now: float) -> bool:
     """Return whether all that an engine holds, a claimed request included, fits its memory."""
-    held = _held_tokens(view, now)
-    return held <= _usable_tokens(demand) or held == view.own.held_tokens
+    memory, held = demand.memory, _held_tokens(view, now)
+    assert memory is not None
+    if held <= _usable_tokens(demand):
+        return True
+    # As in ``find_room``: alone at an engine for which this gateway ranks first.
+    is_alone = memory.is_complete and held == view.own.held_tokens
+    return is_alone and _rank_of(view, memory) == 0
 
 
 def held_fraction(view: EndpointView, engine: EngineLimits, now: float) -> float:
--- a/teaselpath/dispatch/tests/test_engine_memory.py
+++ b/teaselpath/dispatch/tests/test_engine_memory.py
@@ -1,5 +1,6 @@
 """No engine is given more than its memory holds, whatever gateways place in the same moment."""
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -126,6 +127,28 @@
     assert isinstance(choose(view, topology, 44_000, alone), NoEndpoint)
 
 
+def test_claim_of_a_gateway_that_stood_still_is_not_kept_since_it_hears_nobody():
+    """Guards against an engine that others have filled while a gateway did not run."""
+    view = make_view("e", slots=64)
+    view.own = Load(requests=1, held_tokens=100_000)
+    # Only the gateway that ranks first may hold more than its fraction, alone at an idle engine.
+    kept = {
+        (heard, is_complete): [
+            host
+            for host in HOSTS
+            if is_within_memory(
+                view,
+                demand_of(100_000, replace(bound_of(host, heard), is_complete=is_complete)),
+                NOW,
+            )
+        ]
+        for heard, is_complete in ((1.0, True), (0.1, True), (0.1, False))
+    }
+    assert len(kept[1.0, True]) == len(HOSTS)
+    assert len(kept[0.1, True]) == 1
+    assert kept[0.1, False] == []
+
+
 def test_deployment_without_the_bound_is_served_as_before(topology):
     """Only long prompts beyond 0.6 of the memory wait, and nothing is claimed."""
     view = make_view("e", slots=64)
