Engine times are learned from claimed prompts as from others

Cause: the 50 ms of a claim stayed part of the expected wait for a slot, though the time of the first event is measured from the send. So claimed prompts, most long ones where many gateways share an engine, counted as queued: with a tenth of the weight, and 50 ms were taken off what was measured; the predicted first event in log and metric was 50 ms too long. Change: once a claim is granted, its expected times count from the send. Measured: test_times_of_a_granted_claim_count_from_its_send fails before (queue_s 0.05) and passes now. Ten prompts of 17,000 tokens at 50 us a token, computed: weight 1.0 and 47.1 us before, 10.0 and 50.0 us now.

--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from eliot import log_message
 
@@ -106,7 +107,10 @@
             if not isinstance(choice, Placed) or not choice.must_claim:
                 return choice
             if await self._is_granted(call, choice):
-                return choice
+                # The time of the claim is over: expected times count from the send.
+                times = replace(choice.times, queue_s=choice.times.queue_s - CLAIM_S)
+                call.placed = replace(choice, times=times)
+                return call.placed
             now = self.loop.time()
         return NoEndpoint("queue", 0.5)
 
--- a/teaselpath/gateway/tests/test_engine_memory.py
+++ b/teaselpath/gateway/tests/test_engine_memory.py
@@ -45,6 +45,19 @@
     assert (announced[0].prompt_tokens, announced[0].output_tokens) == (17_000, 10)
 
 
+def test_times_of_a_granted_claim_count_from_its_send(contended):
+    """Guards against engines whose speed is learned with a claim's wait, or hardly at all."""
+    choice, call, _, _ = asyncio.run(acquire(contended, 0))
+    assert isinstance(choice, Placed)
+    assert call.placed is choice
+    assert choice.times.queue_s == 0.0
+    times, s_per_token = choice.view.times, 50e-6
+    elapsed_s = 17_000 * s_per_token + choice.times.fixed_s
+    times.record_first_event(choice.times, 17_000, elapsed_s, 1.0)
+    assert times.prefill.weight == pytest.approx(1.0)
+    assert times.prefill.value_s == pytest.approx(s_per_token, rel=0.02)
+
+
 def test_claim_beyond_the_memory_is_withdrawn(contended):
     """Guards against an engine that crashes since two gateways saw the same free memory."""
     choice, call, own, _ = asyncio.run(acquire(contended, 83_000))
