A request that an engine has rejected no longer stops the queue of its service

Cause: an engine that rejects a request is excluded for it. If all others were full, it stayed in the queue, and all requests behind it did, though the engine that had rejected it had free slots for them by then. Change: where room is contended, only requests that were not sent before stop the queue. Elsewhere as before. Measured: test_request_that_an_engine_rejected_does_not_keep_others_from_its_free_slots fails before, passes now; test_room.py, test_placement.py, test_engine_memory.py and test_explain.py pass.

--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -435,7 +435,8 @@
 
         Those that no endpoint will want in time are refused. If a request cannot be placed, later
         requests of its service stay queued, too, unless it waits only for endpoints that want no
-        requests for now: others may have endpoints left that do.
+        requests for now or, where callers compete for room, has been sent before: others may have
+        endpoints left that do.
         """
         blocked: set[str] = set()
         # Services of which only long prompts stay queued: engines have too much prefill pending.
@@ -468,7 +469,8 @@
                 held_off[tried] = choice
             elif room is not None and choice.reason == "reading":
                 reading.add(queued_request.service)
-            else:
+            elif room is None or not call.tried:
+                # Where callers compete, others may use the engines that have rejected this one.
                 blocked.add(queued_request.service)
 
     def _reserve(self, call: Call, placed: Placed) -> None:
--- a/teaselpath/gateway/tests/test_room.py
+++ b/teaselpath/gateway/tests/test_room.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from teaselpath.dispatch import NoEndpoint, Placed, Reservation
+from teaselpath.dispatch import Load, NoEndpoint, Placed, Reservation
 from teaselpath.fleet import (
     Backend,
     CallerRequest,
@@ -207,6 +207,32 @@
     assert isinstance(choice, Placed)
 
 
+def test_request_that_an_engine_rejected_does_not_keep_others_from_its_free_slots(contended):
+    """Guards against a queue that stands while engines have room for all but its first request."""
+
+    async def scenario():
+        endpoint = endpoint_record("full", 2, slots=SLOTS, address="10.0.0.2:80")
+        contended.apply_endpoint_record(endpoint, "store", 1.0)
+        placer = Placer(contended, lambda placement: None)
+        contended.views["full"].peers["gw-1"] = Load(requests=2 * SLOTS)
+        retry, other = make_call("short"), make_call("short")
+        retry.tried.add("e")
+        retry.attempts.append(("e", "NotRun 503", 0.01))
+        tasks = [
+            asyncio.create_task(placer.acquire(call, placer.loop.time())) for call in (retry, other)
+        ]
+        await asyncio.sleep(0)
+        placer.place_queued()
+        await asyncio.sleep(0)
+        is_placed = [task.done() for task in tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return is_placed
+
+    assert asyncio.run(scenario()) == [False, True]
+
+
 def test_room_is_given_back_whatever_ends_a_request(contended):
     """Guards against room that nobody uses after cancelled and refused requests."""
 
