--- a/teaselpath/gateway/_explain.py
+++ b/teaselpath/gateway/_explain.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from dataclasses import replace
+from dataclasses import asdict, replace
 
 import msgspec
 
@@ -21,6 +21,7 @@
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._placement import IMMEDIATE_REFUSALS, Placer
 from teaselpath.gateway._quarantine import QuarantineGate
+from teaselpath.gateway._responses import TOO_LARGE_RETRY_AFTER_S
 from teaselpath.gateway._state import GatewayState
 from teaselpath.results import Code
 
@@ -147,21 +148,22 @@
         self, call: Call, choice: Placed | NoEndpoint, now: float
     ) -> dict[str, object]:
         if isinstance(choice, Placed):
-            must_queue = self.placer.must_queue(call, now)
-            return {
-                "decision": "queue" if must_queue else "claim" if choice.must_claim else "send",
-                "endpoint": choice.view.endpoint.endpoint_id,
-                "first_event_s": round(choice.first_event_s, 4),
-            }
-        if choice.reason in IMMEDIATE_REFUSALS:
+            if not self.placer.must_queue(call, choice, now):
+                return {
+                    "decision": "claim" if choice.must_claim else "send",
+                    **_describe_endpoint(choice),
+                }
+        elif choice.reason in IMMEDIATE_REFUSALS:
             is_large = choice.reason == "too_large"
             code = Code.LARGER_THAN_ENGINE if is_large else Code.NO_ENDPOINT
-            wait_s = None if is_large else choice.retry_after_s
+            wait_s = TOO_LARGE_RETRY_AFTER_S if is_large else choice.retry_after_s
             return {**_refusal(code, wait_s), "reason": choice.reason}
-        refused_after_s = self.placer.preview_refusal(call, choice, now)
-        if refused_after_s is None:
-            return {"decision": "queue", "reason": choice.reason}
-        return {**_refusal(Code.OVERLOADED, refused_after_s), "reason": choice.reason}
+        refusal = self.placer.preview_refusal(call, choice, now)
+        if refusal is not None:
+            return {**_refusal(Code.OVERLOADED, refusal.retry_after_s), "reason": refusal.reason}
+        if isinstance(choice, Placed):
+            return {"decision": "queue", **_describe_endpoint(choice)}
+        return {"decision": "queue", "reason": choice.reason}
 
     def _describe_candidates(
         self, call: Call, choice: Placed | NoEndpoint, now: float
@@ -195,6 +197,7 @@
             **self._describe_view(placed.view, now),
             "cost_s": round(placed.cost_s, 4),
             "first_event_s": round(placed.first_event_s, 4),
+            "times": {name: round(value, 4) for name, value in asdict(placed.times).items()},
             "uncached_tokens": uncached,
             "fetch_from": placed.fetch_from,
             "must_claim": placed.must_claim,
@@ -216,6 +219,13 @@
         }
 
 
+def _describe_endpoint(placed: Placed) -> dict[str, object]:
+    return {
+        "endpoint": placed.view.endpoint.endpoint_id,
+        "first_event_s": round(placed.first_event_s, 4),
+    }
+
+
 def _refusal(code: Code, retry_after_s: float | None = None) -> dict[str, object]:
     wait_s = None if retry_after_s is None else round(retry_after_s, 3)
     return {"decision": "refuse", "code": code.name, "retry_after_s": wait_s}
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from eliot import log_message
 
@@ -78,12 +79,15 @@
 
         Room that other gateways may take in the same moment is claimed before it is used.
         """
-        for _ in range(MAX_CLAIMS):
-            choice = await self._acquire(call, now)
+        for claims in range(MAX_CLAIMS):
+            choice = await self._acquire(call, now, is_new=not claims and not call.attempts)
             if not isinstance(choice, Placed) or not choice.must_claim:
                 return choice
             if await self._is_granted(call, choice):
-                return choice
+                # The time of the claim is over: expected times count from the send.
+                times = replace(choice.times, queue_s=choice.times.queue_s - CLAIM_S)
+                call.placed = replace(choice, times=times)
+                return call.placed
             now = self.loop.time()
         return NoEndpoint("queue", 0.5)
 
@@ -98,7 +102,7 @@
             is_granted = self._is_within_memory(call, choice)
         finally:
             if not is_granted:
-                self.release(call)
+                self.withdraw(call)
         if not is_granted:
             log_message(
                 "memory_claim_withdrawn",
@@ -113,18 +117,15 @@
         demand = self._demand(call, now)
         return demand.memory is None or is_within_memory(choice.view, demand, now)
 
-    async def _acquire(self, call: Call, now: float) -> Placed | NoEndpoint:
+    async def _acquire(self, call: Call, now: float, *, is_new: bool) -> Placed | NoEndpoint:
         queued_request = self._queued(call)
         choice = self._place(call, now)
         queued_request.is_held_off = isinstance(choice, NoEndpoint) and choice.reason == "held_off"
         if choice.first_choice is not None:
             choice.first_choice.limit.record_demand(now)
-        self.rooms.record_arrival(call, now)
-        if (
-            isinstance(choice, Placed)
-            and self.rooms.may_send(queued_request, now)
-            and not self.rooms.is_late(call, choice, now)
-        ):
+        if is_new:
+            self.rooms.record_arrival(call, now)
+        if isinstance(choice, Placed) and self.may_send(call, queued_request, choice, now):
             self._reserve(call, choice)
             return choice
         if isinstance(choice, NoEndpoint) and choice.reason in IMMEDIATE_REFUSALS:
@@ -168,9 +169,16 @@
         key, demand = self._key_and_demand(call, now)
         return demand, self.state.pool(call.service.name).candidates(key)
 
-    def must_queue(self, call: Call, now: float) -> bool:
-        """Return whether a request that an endpoint can take waits behind others."""
-        return not self.rooms.may_send(self._queued(call), now)
+    def may_send(
+        self, call: Call, queued_request: QueuedRequest, placed: Placed, now: float
+    ) -> bool:
+        """Return whether a request that an endpoint can take is sent at once."""
+        is_next = self.rooms.may_send(queued_request, now)
+        return is_next and not self.rooms.is_late(call, placed, now)
+
+    def must_queue(self, call: Call, placed: Placed, now: float) -> bool:
+        """Return whether a request that an endpoint can take waits."""
+        return not self.may_send(call, self._queued(call), placed, now)
 
     def describe_queue(self, call: Call, now: float) -> dict[str, float]:
         """Return the requests ahead of a new one, and the wait that is expected behind them."""
@@ -183,25 +191,26 @@
             "expected_wait_s": round(wait_s, 3),
         }
 
-    def preview_refusal(self, call: Call, choice: NoEndpoint, now: float) -> float | None:
-        """Return the Retry-After if a request would be refused instead of waiting; else None."""
+    def preview_refusal(
+        self, call: Call, choice: Placed | NoEndpoint, now: float
+    ) -> NoEndpoint | None:
+        """Return the refusal if a request that is not sent now would not wait either; else None."""
         left_s = call.deadline - now
-        if choice.reason == "held_off":
-            is_late = choice.retry_after_s > MAX_HELD_OFF_FRACTION * left_s
-            return choice.retry_after_s if is_late else None
+        reason = choice.reason if isinstance(choice, NoEndpoint) else ""
+        if isinstance(choice, NoEndpoint) and reason == "held_off":
+            return choice if choice.retry_after_s > MAX_HELD_OFF_FRACTION * left_s else None
         queued_request = self._queued(call)
-        if choice.reason == "limited":
+        if isinstance(choice, NoEndpoint) and reason == "limited":
             wait_s = self._limited_wait_s(queued_request, choice, now)
             if wait_s > MAX_WAIT_FRACTION * left_s:
-                return min(MAX_RETRY_AFTER_S, wait_s)
-        if self.rooms.is_bound_by_aim(call):
-            match self.rooms.admit(call, queued_request, now):
-                case Reject(wait_s):
-                    return min(MAX_RETRY_AFTER_S, wait_s)
-                case Wait():
-                    return None
-        refusal = self._refuse_long_wait(queued_request, now)
-        return refusal.retry_after_s if refusal is not None else None
+                return NoEndpoint(reason, min(MAX_RETRY_AFTER_S, wait_s))
+        if not self.rooms.is_bound_by_aim(call):
+            return self._refuse_long_wait(queued_request, now)
+        match self.rooms.admit(call, queued_request, now):
+            case Reject(wait_s):
+                return self.rooms.preview_rejection(queued_request, wait_s, now)
+            case Wait():
+                return None
 
     def _queued(self, call: Call) -> QueuedRequest:
         prompt = call.request.prompt
@@ -312,7 +321,7 @@
     ) -> Placed | NoEndpoint | None:
         """Queue a request; return None if it was not placed or refused until its time ended."""
         future: asyncio.Future[Placed | NoEndpoint] = self.loop.create_future()
-        self.queue.enqueue(queued_request, now)
+        self.queue.enqueue(queued_request, now, until)
         self.queued_calls[queued_request.number] = (call, future)
         try:
             async with asyncio.timeout_at(until):
@@ -322,7 +331,7 @@
             return None if future.cancelled() else future.result()
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
-                self.release(call)
+                self.withdraw(call)
             raise
         finally:
             self.queue.remove(queued_request)
@@ -339,7 +348,8 @@
 
         Those that no endpoint will want in time are refused. If a request cannot be placed, later
         requests of its service stay queued, too, unless it waits only for endpoints that want no
-        requests for now: others may have endpoints left that do.
+        requests for now or, where callers compete for room, has been sent before: others may have
+        endpoints left that do.
         """
         blocked: set[str] = set()
         # Services of which only long prompts stay queued: engines have too much prefill pending.
@@ -372,7 +382,8 @@
                 held_off[tried] = choice
             elif choice.reason == "reading" and self.rooms.is_bound_by_aim(call):
                 reading.add(queued_request.service)
-            else:
+            elif self.state.room(queued_request.service) is None or not call.tried:
+                # Where callers compete, others may use the engines that have rejected this one.
                 blocked.add(queued_request.service)
 
     def _reserve(self, call: Call, placed: Placed) -> None:
@@ -412,6 +423,13 @@
         reservation.begin(now + placed.first_event_s if is_learning else None)
         call.placed, call.reservation = placed, reservation
 
+    def withdraw(self, call: Call) -> None:
+        """Release the load of a request that is not sent, if any, and what it was charged."""
+        if call.reservation is not None and self.state.fair_order is not None:
+            now = self.loop.time()
+            self.state.fair_order.record_withdrawn(_workspace_of(call), call.tokens, now)
+        self.release(call)
+
     def release(self, call: Call) -> None:
         """Release the load that a request has reserved, if any."""
         if call.reservation is not None:
--- a/teaselpath/gateway/_room.py
+++ b/teaselpath/gateway/_room.py
@@ -127,7 +127,12 @@
         call.room["expected_wait_ms"] = round(wait_s * 1000, 1)
         returns = self.return_times.setdefault(request.service, ReturnTimes())
         booked_s = returns.book(wait_s, RETURNING_FRACTION * rate, now, MAX_RETRY_AFTER_S)
-        return NoEndpoint("late", min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, booked_s)))
+        return _late(booked_s)
+
+    def preview_rejection(self, request: QueuedRequest, wait_s: float, now: float) -> NoEndpoint:
+        """Return the refusal that a request would get, without booking its time to return."""
+        returns = self.return_times.get(request.service, ReturnTimes())
+        return _late(max(wait_s, returns.next_at - now))
 
     def _sends_per_s(self, request: QueuedRequest, now: float) -> float:
         """Return the expected rate at which requests of a kind are sent."""
@@ -161,6 +166,10 @@
             reservation.room.long_share.record_short(held_s, call.route.target_latency_s)
 
 
+def _late(wait_s: float) -> NoEndpoint:
+    return NoEndpoint("late", min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s)))
+
+
 def is_long(request: QueuedRequest) -> bool:
     """Return whether a request counts as a long prompt."""
     return request.tokens >= LONG_PROMPT_TOKENS
--- a/teaselpath/gateway/tests/test_explain.py
+++ b/teaselpath/gateway/tests/test_explain.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from teaselpath.dispatch import Load, Placed
+from teaselpath.dispatch import ExpectedTimes, Load, Placed
 from teaselpath.fleet import Position, StoredRecord
 from teaselpath.gateway._explain import ExplainedRequest, Explainer
 from teaselpath.gateway._metrics import GatewayMetrics
@@ -15,6 +15,7 @@
 from teaselpath.gateway._quarantine import QuarantineGate
 from teaselpath.gateway.tests.conftest import endpoint_record
 from teaselpath.gateway.tests.front import NoPeers
+from teaselpath.gateway.tests.test_room import fill, make_call, make_state
 
 CONFIG = {
     "version": 1,
@@ -87,6 +88,23 @@
     assert {c["endpoint"]: c["left_out"] for c in listed}["e1"] == "reading"
 
 
+def test_summands_of_a_cost_are_shown(site):
+    """Guards against a cost of which operators cannot see what makes it large."""
+
+    def load(site):
+        site.views["e0"].own.pending_prefill_tokens = 4_000
+        site.views["e0"].own.requests = 5
+
+    listed = {c["endpoint"]: c for c in explain(site, load)["candidates"]}
+    names = set(ExpectedTimes.__dataclass_fields__)
+    for candidate in listed.values():
+        assert set(candidate["times"]) == names
+        assert sum(candidate["times"].values()) == pytest.approx(candidate["cost_s"], abs=1e-3)
+    assert listed["e0"]["times"]["queue_s"] > listed["e1"]["times"]["queue_s"] == 0.0
+    assert listed["e0"]["times"]["ahead_s"] > listed["e1"]["times"]["ahead_s"] == 0.0
+    assert listed["e1"]["times"]["prefill_s"] == pytest.approx(17_000 / 40_000)
+
+
 def test_explaining_changes_nothing(site):
     """Guards against a tool that takes room, quota or places in the queue from callers."""
 
@@ -162,3 +180,25 @@
         return explainer.explain(msgspec.json.encode(REQUEST))
 
     assert asyncio.run(scenario())["quarantine"] == "sent as a trial"
+
+
+def test_request_that_cannot_be_in_time_is_refused_as_a_real_one():
+    """Guards against "queue" for a request that is rejected, and a Retry-After it never gets."""
+
+    async def scenario():
+        contended = make_state(is_room_contended=True)
+        placer = Placer(contended, lambda _: None)
+        await fill(placer)
+        room = contended.rooms["s"]
+        room.run_s[False], room.first_event_s[False] = 40.0, 0.1
+        gate = QuarantineGate("gw-0", contended.store, GatewayMetrics("gw-0"), NoPeers())
+        explainer = Explainer(contended, placer, gate)
+        request = {"host": "h", "path": "/short/x", "model": "m", "parts": [["p", 400]]}
+        found = explainer.explain(msgspec.json.encode(request))
+        return found, await placer.acquire(make_call("short"), placer.loop.time())
+
+    found, refusal = asyncio.run(scenario())
+    assert refusal.reason == "late"
+    assert (found["decision"], found.get("code")) == ("refuse", "OVERLOADED")
+    assert found["reason"] == "late"
+    assert found["retry_after_s"] == pytest.approx(refusal.retry_after_s, abs=2e-3)
