A gateway that starts takes no old version for one that has just appeared

Cause: a version that is listed later than another gets nothing for a second. A gateway that starts reads the target's entries and the old ones within a moment; with the target first, the old version was held, too. With an order and no record read yet, all versions were held, so that all were allowed: a version that had been rolled back got requests. In a rollout that runs, no engine was allowed for a second: requests were refused. Change: versions that get nothing, or only a part of the requests, are none beside which another appears. Measured: both tests failed before and pass; gateway/tests/test_rollouts.py and rollout/tests pass.

--- a/teaselpath/gateway/_rollouts.py
+++ b/teaselpath/gateway/_rollouts.py
@@ -150,19 +150,24 @@
         """Return the versions that get nothing yet.
 
         That is the target of an order that no rollout answers, and versions that have just appeared
-        beside others.
+        beside others. A gateway that starts reads all versions within a moment: one that gets
+        nothing or only a part of the requests is none beside which another has appeared.
         """
         ordered = self.state.rollout_orders.get(service)
         held: set[str | None] = set()
         if ordered is not None and (record is None or not record.answers(ordered.order)):
             held.add(ordered.order.target)
+        target = record.target if record is not None else None
+        barred = {*held, *(record.avoided if record is not None else ())}
+        if record is not None and not record.is_final:
+            barred.add(target)
         seen = self.first_seen.get(service, {})
-        if len(seen) > 1:
-            first = min(seen.values())
-            target = record.target if record is not None else None
+        usable = {version: at for version, at in seen.items() if version not in barred}
+        if len(usable) > 1:
+            first = min(usable.values())
             held |= {
                 version
-                for version, at in seen.items()
+                for version, at in usable.items()
                 if first < at and now < at + NEW_VERSION_HOLD_S and version != target
             }
         return frozenset(held)
--- a/teaselpath/gateway/tests/test_rollouts.py
+++ b/teaselpath/gateway/tests/test_rollouts.py
@@ -1,7 +1,10 @@
 """Rollouts of software over several gateways in virtual time: good and bad versions, and faults."""
 
+import asyncio
 import json
 from functools import partial
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
@@ -253,3 +256,62 @@
     fleet = play(1, good, prepare=stop)
     assert fleet.stored().reason == "stopped by an operator"
     assert max(fleet.sent) < 5.3
+
+
+def plain_call(route: str = "query") -> Any:
+    """Return a call as the fleet makes them."""
+    return SimpleNamespace(
+        takes_target=None, tried=set(), has_begun=False, first_byte_at=None,
+        route=SimpleNamespace(name=route), service=SimpleNamespace(name="s"),
+        splitter=SimpleNamespace(count=0), request=SimpleNamespace(prompt=None),
+    )  # fmt: skip
+
+
+def allowed_versions(fleet: Fleet, host: str) -> list[set[str | None]]:
+    """Return the versions that each choice for a new request at a gateway allows."""
+    gateway = fleet.gateways[host]
+    views = list(gateway.state.pool("s").views.values())
+    choices = gateway.rollouts.choices(plain_call(), fleet.now)
+    return [{v.endpoint.software for v in views if not a or a(v)} for a in choices]
+
+
+def restart_with_target_listed_first(fleet: Fleet, host: str) -> None:
+    """Start a gateway that reads the target's entries before the others, all within a moment."""
+    now, entries = fleet.now, fleet.engines
+    fleet.engines = []
+    fleet.start(host)
+    fleet.engines = entries
+    state = fleet.gateways[host].state
+    for record in sorted(entries, key=lambda e: e.key):
+        fleet.now += 1e-5
+        state.apply_endpoint_record(record, "store", fleet.now)
+    assert now < fleet.now < now + 0.01
+
+
+def test_gateway_that_starts_sends_a_version_that_was_rolled_back_nothing():
+    """It has read engines and order, and not yet how the rollout ended."""
+
+    async def scenario():
+        fleet = Fleet(1, bad_at_once)
+        fleet.order()
+        fleet.run(8.0)
+        assert fleet.stored().state is RolloutState.ROLLED_BACK
+        restart_with_target_listed_first(fleet, "gw-1")
+        return allowed_versions(fleet, "gw-1")
+
+    assert asyncio.run(scenario()) == [{"v1"}]
+
+
+def test_gateway_that_starts_in_a_rollout_has_engines_for_requests_at_once():
+    """The old version was taken for one that had just appeared beside the target."""
+
+    async def scenario():
+        fleet = Fleet(1, good)
+        fleet.order()
+        fleet.run(5.0)
+        restart_with_target_listed_first(fleet, "gw-1")
+        fleet.gateways["gw-1"].rollouts._tick(fleet.now)
+        assert fleet.gateways["gw-1"].record is not None
+        return allowed_versions(fleet, "gw-1")
+
+    assert asyncio.run(scenario())[-1] == {"v1"}
