An order for the version that already runs succeeds at once

Cause: an operator may order the version that runs, for example again with another duration. The rollout held all but a few requests back from its target, of which all engines are: they were refused until shortly before the deadline. One whose deadline had passed was rolled back, so that no engine was left to use. Change: if all listed engines of the service are of the target, the first record says `succeeded`.

--- a/teaselpath/gateway/_rollouts.py
+++ b/teaselpath/gateway/_rollouts.py
@@ -397,7 +397,9 @@
         if ordered is None:
             return None
         ends_in_s = ordered.seen_at + ordered.order.duration_s - now
-        return begin(ordered.order, record, int((self.unix_clock() + ends_in_s) * 1000))
+        ends_at_ms = int((self.unix_clock() + ends_in_s) * 1000)
+        is_alone = self.listed.get(rollout.service, Counter()).keys() == {ordered.order.target}
+        return begin(ordered.order, record, ends_at_ms, is_alone=is_alone)
 
     def _situation(self, rollout: ServiceRollout, now: float) -> Situation:
         record, judge = rollout.record, rollout.evidence.judge
--- a/teaselpath/gateway/tests/test_rollouts.py
+++ b/teaselpath/gateway/tests/test_rollouts.py
@@ -315,3 +315,20 @@
         return allowed_versions(fleet, "gw-1")
 
     assert asyncio.run(scenario())[-1] == {"v1"}
+
+
+def test_order_for_the_version_that_runs_leaves_its_engines_in_use():
+    """An operator may order the same target again, with another duration."""
+
+    async def scenario():
+        fleet = Fleet(1, good, old=0, new=0)
+        for number in range(12):
+            fleet.list_engine(f"engine-{number}", "v2")
+        fleet.at(2.0, fleet.order)
+        return fleet.run(16.0)
+
+    fleet = asyncio.run(scenario())
+    assert fleet.stored().state is RolloutState.SUCCEEDED
+    assert fleet.ended_at is not None
+    assert fleet.ended_at < 2.5
+    assert fleet.unserved == 0
--- a/teaselpath/rollout/_software.py
+++ b/teaselpath/rollout/_software.py
@@ -71,11 +71,12 @@
 
 
 def begin(
-    order: RolloutOrder, before: RolloutRecord | None, ends_at_ms: int
+    order: RolloutOrder, before: RolloutRecord | None, ends_at_ms: int, *, is_alone: bool = False
 ) -> RolloutRecord | None:
     """Return the first record of an order; None if it was answered, or one must end before.
 
     :param before: newest record of the service.
+    :param is_alone: whether all listed engines are of the target, so that there is nothing to move.
     """
     if before is not None and (before.answers(order) or not before.is_final):
         return None
@@ -85,6 +86,8 @@
         order.service, order.target, order.duration_s, RolloutState.RUNNING, serial, 1,
         Step.NONE, ends_at_ms, avoided,
     )  # fmt: skip
+    if is_alone:
+        return replace(record, state=RolloutState.SUCCEEDED, step=Step.ALL)
     return roll_back(record, "the deadline has passed") if order.duration_s <= 0 else record
 
 
