Requests at the target before do not tell against the next one

Cause: requests in flight were counted as slow in the rollout that runs, whichever rollout sent them. A version that answers nothing and is replaced by another order left requests that convicted the next version. Change: only requests of the rollout that runs are counted. Measured: the test (40 requests of the rollout before, 4 s in flight) failed before: "16 of 16 answers slow on route query"; passes now.

--- a/teaselpath/gateway/_service_rollout.py
+++ b/teaselpath/gateway/_service_rollout.py
@@ -229,8 +229,12 @@
         return limit_s is not None and time_s > limit_s and not flight.is_cold
 
     def count_overdue(self, now: float) -> bool:
-        """Count requests in flight that are slow by now; return whether the target has some."""
-        waiting = [flight for flight in self.flights if not flight.is_slow]
+        """Count requests in flight that are slow by now; return whether the target has some.
+
+        Those of an earlier rollout, which may be at its target, tell nothing of this one.
+        """
+        serial = self.record.serial if self.record is not None else 0
+        waiting = [f for f in self.flights if f.serial == serial and not f.is_slow]
         for flight in waiting:
             self._count_overdue(flight, now)
         return any(flight.is_slow and flight.engine != OLD_VERSION for flight in waiting)
--- a/teaselpath/gateway/tests/test_rollouts.py
+++ b/teaselpath/gateway/tests/test_rollouts.py
@@ -9,7 +9,8 @@
 import pytest
 
 from teaselpath.fleet import Position, RolloutState, StoredRecord
-from teaselpath.gateway.tests.rollout_fleet import Fleet, Sent, good, play
+from teaselpath.gateway._service_rollout import Flight
+from teaselpath.gateway.tests.rollout_fleet import ROUTES, Fleet, Sent, good, play
 
 SEEDS = range(50)
 FEW_SEEDS = range(6)
@@ -332,3 +333,27 @@
     assert fleet.ended_at is not None
     assert fleet.ended_at < 2.5
     assert fleet.unserved == 0
+
+
+def test_requests_at_the_target_before_do_not_tell_against_the_next_one():
+    """A version that answers nothing is replaced by another order; its requests still wait."""
+
+    async def scenario():
+        fleet = Fleet(1, good)
+        fleet.order()
+        fleet.run(5.0)
+        rollouts = fleet.gateways["gw-0"].rollouts
+        rollout = rollouts.services["s"]
+        evidence = rollout.evidence
+        assert rollout.record is not None
+        for number in range(40):
+            call = plain_call(ROUTES[0][0])
+            serial = rollout.record.serial - 1
+            flight = Flight(call, serial, 1 + number % 5, 0, fleet.now - 4.0, False)
+            rollout.begin(flight)
+        before = dict(evidence.own)
+        rollout.count_overdue(fleet.now)
+        rollout.judge(fleet.now)
+        return rollout.conviction, set(evidence.own) - set(before)
+
+    assert asyncio.run(scenario()) == ("", set())
