A request tries the target once, also if its engine is no longer usable

Cause: a request that the target had not finished went to the old version only while the engine it had tried was among those that take requests. After a failure that makes an engine suspect, or its end, the retry went to another engine of the target, though the exposure had counted one request. Change: sending a request to the target uses up its try.

--- a/teaselpath/gateway/_service_rollout.py
+++ b/teaselpath/gateway/_service_rollout.py
@@ -154,8 +154,7 @@
         if call.takes_target is None:
             fraction = fraction_of(record.step, self.bounds.exposed_fraction)
             call.takes_target = bool(self.exposed) and self.exposure.take(call.route.name, fraction)
-        # A request that the target did not finish goes to the old version.
-        if call.takes_target and call.tried.isdisjoint(self.engines):
+        if call.takes_target:
             return [self._allows_exposed, self._allows_old]
         return [self._allows_old]
 
@@ -179,6 +178,9 @@
     def begin(self, flight: Flight) -> None:
         """Record that a request was sent to an engine."""
         self.flights.add(flight)
+        if flight.engine != OLD_VERSION:
+            # One that the target does not finish goes to the old version.
+            flight.call.takes_target = False
 
     def end(self, flight: Flight, outcome: Outcome | None, now: float, *, lost: bool) -> bool:
         """Count the answer to a request; return whether it is a bad one of the target.
--- a/teaselpath/gateway/tests/test_rollouts.py
+++ b/teaselpath/gateway/tests/test_rollouts.py
@@ -4,7 +4,7 @@
 import json
 from functools import partial
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
@@ -357,3 +357,29 @@
         return rollout.conviction, set(evidence.own) - set(before)
 
     assert asyncio.run(scenario()) == ("", set())
+
+
+def test_request_that_the_target_had_goes_to_the_old_version_though_its_engine_is_gone():
+    """Guards against a retry that exposes a request twice, at another engine of the target."""
+
+    async def scenario():
+        fleet = Fleet(1, good)
+        fleet.order()
+        fleet.run(5.0)
+        gateway = fleet.gateways["gw-0"]
+        rollout = gateway.rollouts.services["s"]
+        call = plain_call()
+        call.takes_target = True
+        views = gateway.state.pool("s").views
+        name = sorted(rollout.engines)[0]
+        gateway.rollouts.begin(call, cast(Any, SimpleNamespace(view=views[name])))
+        call.tried.add(name)
+        rollout.engines -= {name}
+        return allowed(gateway, call, fleet.now)
+
+    def allowed(gateway, call, now):
+        views = gateway.state.pool("s").views.values()
+        choices = gateway.rollouts.choices(call, now)
+        return [{v.endpoint.software for v in views if allows(v)} for allows in choices]
+
+    assert asyncio.run(scenario()) == [{"v1"}]
