An answer that broke off counts in a rollout though its caller leaves

Cause: a request whose caller left while its engine was checked ended without its answer being counted. It stayed among those in flight for good, and was counted as slow once the time of a usual answer had passed. Change: it is counted as broken when the caller leaves. Measured: the test failed before (nothing counted within 2 s) and passes; tests of shared waits and engine ends pass.

--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -272,7 +272,12 @@
         call.lost_engine = False
         if attempt.engine_end is not None:
             call.checked_until = self.loop.time() + MAX_CHECK_S
-            call.lost_engine = await attempt.engine_end
+            try:
+                call.lost_engine = await attempt.engine_end
+            except BaseException:
+                if rollouts is not None:
+                    rollouts.finish(flight, outcome)
+                raise
             call.checked_until = 0.0
         if rollouts is not None:
             rollouts.finish(flight, outcome, lost=call.lost_engine)
--- a/teaselpath/gateway/tests/test_shared_wait.py
+++ b/teaselpath/gateway/tests/test_shared_wait.py
@@ -1,9 +1,11 @@
 """Requests that wait for the same finding about an engine do not depend on each other."""
 
 import asyncio
+from typing import Any, cast
 
 import pytest
 
+from teaselpath.dispatch import Broken, Outcome
 from teaselpath.gateway._engine_ends import BrokenRun, EngineEnd, EngineEndDetector
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway.tests.conftest import endpoint_record
@@ -117,3 +119,45 @@
         return second.cancelled(), len(ends)
 
     assert asyncio.run(scenario()) == (False, 1)
+
+
+def test_answer_that_broke_off_counts_in_a_rollout_though_its_caller_leaves():
+    """Its request was kept as one in flight for good, and counted as slow later."""
+
+    class Rollouts:
+        """A rollout that records which requests have ended, and how."""
+
+        def __init__(self) -> None:
+            self.finished: list[tuple[object, Outcome | None]] = []
+
+        def choices(self, _call, _now) -> list[None]:
+            return [None]
+
+        def begin(self, _call, _placed) -> str:
+            return "flight"
+
+        def finish(self, flight: object, outcome: Outcome | None, *, lost: bool = False) -> None:
+            assert not lost
+            self.finished.append((flight, outcome))
+
+    async def scenario():
+        async def break_off(exchange: Exchange):
+            exchange.abort()
+
+        async with Front() as front:
+            front.put_config(services=[ENGINE])
+            await front.add_endpoint("e", break_off)
+            rollouts = Rollouts()
+            front.forwarder.placer.rollouts = cast(Any, rollouts)
+            host, _, port = front.address.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write((REQUEST % (1, 1)).encode())
+            while not front.forwarder.context.detector.suspicions:
+                await asyncio.sleep(0)
+            writer.close()
+            async with asyncio.timeout(2):
+                while not rollouts.finished:
+                    await asyncio.sleep(0.01)
+            return rollouts.finished
+
+    assert asyncio.run(scenario()) == [("flight", Broken())]
