Times outside the bins of a rollout raise nothing

Cause: the bins in which another gateway counts times came from its message as they were. One beyond the last raised an IndexError in the task that judges, which ends with it; so would a version of the gateway with more bins. Change: such a time counts in the first or last bin. Measured: the test failed for three of four numbers before and passes; rollout/tests/test_judge.py passes.

--- a/teaselpath/rollout/_times.py
+++ b/teaselpath/rollout/_times.py
@@ -52,7 +52,8 @@
         self.limits: dict[tuple[str, int], tuple[float | None, float]] = {}
 
     def observe(self, route: str, size: int, number: int, count: int, now: float) -> None:
-        """Record answers whose times lie in a bin."""
+        """Record answers whose times lie in a bin; another gateway may state any number."""
+        number = min(BINS - 1, max(0, number))
         self.seen.setdefault((route, size), deque()).append((now, number, count))
 
     def limit_s(self, route: str, size: int, now: float) -> float | None:
--- a/teaselpath/rollout/tests/test_judge.py
+++ b/teaselpath/rollout/tests/test_judge.py
@@ -5,6 +5,7 @@
 import pytest
 
 from teaselpath.rollout import Answers, Exposure, UsualTimes, VersionJudge, bin_of, size_of
+from teaselpath.rollout._times import BINS, MIN_TIMES
 
 
 def feed(judge: VersionJudge, engine: int, bad: int, answered: int, now: float, route="r") -> None:
@@ -83,3 +84,14 @@
             (route,) = random.choices(("a", "b"), weights)
             taken += exposure.take(route, 0.08)
     assert 0.05 * requests <= taken <= 0.085 * requests
+
+
+@pytest.mark.parametrize("number", [BINS, 10**9, -1, -(10**9)])
+def test_time_outside_the_bins_raises_nothing(number):
+    """Another gateway may count in other bins; an error would end the task that judges."""
+    times = UsualTimes()
+    times.observe("r", 3, bin_of(0.1), 3 * MIN_TIMES, 1.0)
+    times.observe("r", 3, number, 1, 1.0)
+    limit_s = times.limit_s("r", 3, 1.0)
+    assert limit_s is not None
+    assert limit_s < 0.5
