The end of a rollout prevails over a step of the same number

Cause: a step that the store lost as it returned from a copy may have the number of an end that another lease holder, which did not know it, wrote since. A gateway that was cut off with the step never followed the end: after `succeeded` it kept new requests from the only version that was left. Change: of two records with one number, one that ends the rollout is the newer one.

--- a/teaselpath/gateway/_service_rollout.py
+++ b/teaselpath/gateway/_service_rollout.py
@@ -94,10 +94,13 @@
     def adopt(self, record: RolloutRecord, now: float, unix_now: float) -> bool:
         """Follow a record if it is newer than the known one; return whether it is.
 
+        A step of an era that a copy has replaced may have the number of an end that was written
+        since, which is the newer one.
+
         :param unix_now: Unix time in seconds.
         """
         known = self.record
-        if known is not None and record.number <= known.number:
+        if known is not None and (record.number, record.is_final) <= (known.number, known.is_final):
             return False
         if known is None or (record.serial, record.target) != (known.serial, known.target):
             self.evidence, self.conviction = RolloutEvidence(), ""
--- a/teaselpath/gateway/tests/test_rollouts.py
+++ b/teaselpath/gateway/tests/test_rollouts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 from functools import partial
 from types import SimpleNamespace
 from typing import Any, cast
@@ -11,6 +12,7 @@
 from teaselpath.fleet import Position, RolloutState, StoredRecord
 from teaselpath.gateway._service_rollout import Flight
 from teaselpath.gateway.tests.rollout_fleet import ROUTES, Fleet, Sent, good, play
+from teaselpath.rollout import roll_back
 
 SEEDS = range(50)
 FEW_SEEDS = range(6)
@@ -383,3 +385,24 @@
         return [{v.endpoint.software for v in views if allows(v)} for allows in choices]
 
     assert asyncio.run(scenario()) == [{"v1"}]
+
+
+def test_end_of_a_rollout_prevails_over_a_step_of_the_same_number():
+    """The step was written in an era that a copy has replaced, and its gateway was cut off."""
+
+    async def scenario():
+        fleet = Fleet(1, good)
+        fleet.order()
+        fleet.run(8.0)
+        rollouts = fleet.gateways["gw-2"].rollouts
+        rollout = rollouts.services["s"]
+        step = rollout.record
+        assert step is not None
+        assert not step.is_final
+        end = replace(roll_back(step, "bad"), revision=step.revision)
+        rollouts._adopt(rollout, end, "peer gw-1", fleet.now)
+        assert rollout.record == end
+        rollouts._adopt(rollout, step, "peer gw-3", fleet.now)
+        return rollout.record == end
+
+    assert asyncio.run(scenario())
