A version that was replaced runs again while all others drain

Cause: after a rollout the replaced versions get nothing as long as another one is listed. Engines that drain are listed, too: if the platform goes back to a replaced version, no engine took requests until the last entry was gone. Change: a replaced version is avoided only while an engine of another one is ready. Measured: the test failed before (only v2 allowed, all of it draining) and passes.

--- a/teaselpath/gateway/_rollouts.py
+++ b/teaselpath/gateway/_rollouts.py
@@ -68,6 +68,14 @@
     return lambda view: view.endpoint.software not in held and allows(view)
 
 
+def _remove(numbers: dict[str, Counter[str | None]], endpoint: Endpoint) -> None:
+    """Remove an endpoint from the numbers by version and service."""
+    by_version = numbers[endpoint.service]
+    by_version[endpoint.software] -= 1
+    if not by_version[endpoint.software]:
+        del by_version[endpoint.software]
+
+
 class Rollouts:
     """Rollouts of all services at one gateway.
 
@@ -78,6 +86,7 @@
     :ivar read_at: time at which the topic was last read, in seconds.
     :ivar first_seen: time at which each version of a service was first listed.
     :ivar listed: number of listed engines by version, by service.
+    :ivar ready: the same without engines that leave.
     :ivar ticked_at: time of the last tick; None before the first.
     :ivar trusts_from: time from which messages tell the age of what they confirm: those that waited
         while this process stood still do not.
@@ -112,6 +121,7 @@
         self.store_call_after = 0.0
         self.first_seen: dict[str, dict[str | None, float]] = {}
         self.listed: dict[str, Counter[str | None]] = {}
+        self.ready: dict[str, Counter[str | None]] = {}
         self.warm_at: dict[int, float] = {}
         self.ticked_at: float | None = None
         self.trusts_from = float("-inf")
@@ -128,8 +138,11 @@
         if rollout is None or record is None:
             return self._unless_alone(service, held)
         if record.state is RolloutState.SUCCEEDED:
-            # The platform may go back to a version that was replaced.
-            return self._unless_alone(service, held.union(record.avoided))
+            avoided = held.union(record.avoided)
+            if self.ready.get(service, Counter()).keys() <= avoided:
+                # The platform may go back to a version that was replaced.
+                avoided = held
+            return self._unless_alone(service, avoided)
         if record.is_final and self.listed.get(service, Counter()).keys().isdisjoint(
             held.union(record.avoided)
         ):
@@ -176,12 +189,13 @@
         """Record an endpoint as it was listed before and is now, None if it is not."""
         now = self.loop.time()
         if before is not None:
-            listed = self.listed[before.service]
-            listed[before.software] -= 1
-            if not listed[before.software]:
-                del listed[before.software]
+            _remove(self.listed, before)
+            if before.state is EndpointState.READY:
+                _remove(self.ready, before)
         if after is not None:
             self.listed.setdefault(after.service, Counter())[after.software] += 1
+            if after.state is EndpointState.READY:
+                self.ready.setdefault(after.service, Counter())[after.software] += 1
             self.first_seen.setdefault(after.service, {}).setdefault(after.software, now)
             self.warm_at.setdefault(after.number, now + after.cold_s)
         elif before is not None:
--- a/teaselpath/gateway/tests/test_rollouts.py
+++ b/teaselpath/gateway/tests/test_rollouts.py
@@ -406,3 +406,21 @@
         return rollout.record == end
 
     assert asyncio.run(scenario())
+
+
+def test_version_that_was_replaced_runs_again_while_the_others_drain():
+    """A release by the platform goes back to it: engines that drain take no new request."""
+
+    async def scenario():
+        fleet = Fleet(1, good)
+        fleet.order()
+        fleet.run(13.0)
+        assert fleet.stored().state is RolloutState.SUCCEEDED
+        before = allowed_versions(fleet, "gw-1")
+        for number in range(12):
+            fleet.list_engine(f"new-{number}", "v2", state="draining")
+        return before, allowed_versions(fleet, "gw-1")
+
+    before, after = asyncio.run(scenario())
+    assert before == [{"v2"}]
+    assert "v1" in after[0]
