A gateway cut off in the last step uses the target once the old engines are gone

Cause: a gateway that heard no lease holder for 2 s sent the target nothing new, in the last step as well. If the rollout succeeded meanwhile, the old engines had stopped: it refused all requests of the service until it was heard again. Change: in the last step, and while all old engines are unreachable there, it uses the target. An old engine that only wants no requests for now keeps the target excluded, as does a verdict. The test failed before and passes; its second case, old engines that are there, passes before and after.

--- a/teaselpath/gateway/_service_rollout.py
+++ b/teaselpath/gateway/_service_rollout.py
@@ -58,6 +58,7 @@
     :ivar heard_at: time at which the lease holder last confirmed the record.
     :ivar conviction: why the target is bad, which binds before the store knows it.
     :ivar engines: ids of all engines of the target that take requests.
+    :ivar has_old: whether an engine of another version may be reached.
     :ivar exposed: ids of those that get requests at this step.
     :ivar old_running: requests at old engines and time of the report, by gateway.
     """
@@ -74,6 +75,7 @@
         self.conviction = ""
         self.evidence = RolloutEvidence()
         self.engines: frozenset[str] = frozenset()
+        self.has_old = True
         self.exposed: frozenset[str] = frozenset()
         self.old_running: dict[str, tuple[int, float]] = {}
         self.flights: set[Flight] = set()
@@ -115,7 +117,7 @@
         """Choose the engines of the target that get requests."""
         if self.record is None:
             return
-        self.engines, old_count = self._find_engines(views, now)
+        self.engines, old_count, self.has_old = self._find_engines(views, now)
         fraction = fraction_of(self.record.step, self.bounds.exposed_fraction)
         key = f"{self.service}/{self.record.target}"
         turn = int((self.deadline - now) / TURN_S)
@@ -123,21 +125,26 @@
 
     def _find_engines(
         self, views: Iterable[EndpointView], now: float
-    ) -> tuple[frozenset[str], int]:
-        """Return the engines of the target that take requests, and the number of all others."""
+    ) -> tuple[frozenset[str], int, bool]:
+        """Return the engines of the target that take requests, and the number of all others.
+
+        The last item is whether one of the others may be reached.
+        """
         assert self.record is not None
-        found, old_count = set(), 0
+        found, old_count, has_old = set(), 0, False
         for view in views:
+            is_suspect = view.health.is_suspect(now)
             if view.endpoint.software != self.record.target:
                 old_count += 1
+                has_old = has_old or not is_suspect
             elif (
                 view.endpoint.state is EndpointState.READY
                 and not view.availability.is_leaving
                 and view.availability.takes_requests(now)
-                and not view.health.is_suspect(now)
+                and not is_suspect
             ):
                 found.add(view.endpoint.endpoint_id)
-        return frozenset(found), old_count
+        return frozenset(found), old_count, has_old
 
     def choices(self, call: Call, now: float) -> list[Allows]:
         """Return which endpoints may run a request, the preferred ones first."""
@@ -151,7 +158,9 @@
             # Its stream goes on only at the version that began it.
             return [self._allows_kept]
         if not self.is_confirmed(now):
-            return [self._allows_old]
+            # Without any old engine, the rollout may have succeeded unheard.
+            is_moved = record.step is Step.ALL and not self.has_old
+            return [self._allows_target if is_moved else self._allows_old]
         if record.step is Step.ALL:
             return [self._allows_target]
         if call.takes_target is None:
--- a/teaselpath/gateway/tests/test_rollouts.py
+++ b/teaselpath/gateway/tests/test_rollouts.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from teaselpath.fleet import Position, RolloutState, StoredRecord
+from teaselpath.fleet import Position, RolloutState, Step, StoredRecord
 from teaselpath.gateway._service_rollout import Flight
 from teaselpath.gateway.tests.rollout_fleet import ROUTES, Fleet, Sent, good, play
 from teaselpath.rollout import roll_back
@@ -424,3 +424,27 @@
     before, after = asyncio.run(scenario())
     assert before == [{"v2"}]
     assert "v1" in after[0]
+
+
+@pytest.mark.parametrize(("are_gone", "allowed"), [(True, {"v2"}), (False, {"v1"})])
+def test_gateway_cut_off_in_the_last_step_uses_the_target_once_the_old_engines_are_gone(
+    are_gone, allowed
+):
+    """It did not hear that the rollout succeeded, on which the old engines stopped."""
+
+    async def scenario():
+        fleet = Fleet(1, good)
+        fleet.order()
+        fleet.run(10.5)
+        rollout = fleet.gateways["gw-2"].rollouts.services["s"]
+        assert rollout.record is not None
+        assert (rollout.is_running, rollout.record.step) == (True, Step.ALL)
+        fleet.now += 3.0
+        views = fleet.gateways["gw-2"].state.pool("s").views.values()
+        for view in views:
+            if view.endpoint.software == "v1" and are_gone:
+                view.health.record_unreachable(fleet.now)
+        rollout.update_engines(views, fleet.now)
+        return allowed_versions(fleet, "gw-2")
+
+    assert asyncio.run(scenario()) == [allowed]
