Quota: a bucket holds nothing when its gateway starts

Cause: a comment still said that it holds a part of the slack then. Change: the comment says what the code does; no behaviour changes, so no test.

--- a/teaselpath/dispatch/_quota.py
+++ b/teaselpath/dispatch/_quota.py
@@ -8,8 +8,7 @@
 # Longest ``retry_after_s`` of a refusal, in seconds, and the time in which a bucket without further
 # charges recovers from any counters.
 MAX_RETRY_AFTER_S = 8.0
-# Fraction of the tolerated slack that is added to a bucket's capacity, and that a bucket holds when
-# its gateway starts.
+# Fraction of the tolerated slack that is added to a bucket's capacity.
 SLACK_FRACTION = 0.3
 # Time without counters after which a gateway is forgotten, in seconds: from then on only the number
 # of gateways that may be running counts, and its next counters are a new baseline.
