--- a/teaselpath/gateway/_service_rollout.py
+++ b/teaselpath/gateway/_service_rollout.py
@@ -58,6 +58,7 @@
     :ivar heard_at: time at which the lease holder last confirmed the record.
     :ivar conviction: why the target is bad, which binds before the store knows it.
     :ivar engines: ids of all engines of the target that take requests.
+    :ivar has_old: whether an engine of another version may be reached.
     :ivar exposed: ids of those that get requests at this step.
     :ivar old_running: requests at old engines and time of the report, by gateway.
     """
@@ -74,6 +75,7 @@
         self.conviction = ""
         self.evidence = RolloutEvidence()
         self.engines: frozenset[str] = frozenset()
+        self.has_old = True
         self.exposed: frozenset[str] = frozenset()
         self.old_running: dict[str, tuple[int, float]] = {}
         self.flights: set[Flight] = set()
@@ -94,10 +96,13 @@
     def adopt(self, record: RolloutRecord, now: float, unix_now: float) -> bool:
         """Follow a record if it is newer than the known one; return whether it is.
 
+        A step of an era that a copy has replaced may have the number of an end that was written
+        since, which is the newer one.
+
         :param unix_now: Unix time in seconds.
         """
         known = self.record
-        if known is not None and record.number <= known.number:
+        if known is not None and (record.number, record.is_final) <= (known.number, known.is_final):
             return False
         if known is None or (record.serial, record.target) != (known.serial, known.target):
             self.evidence, self.conviction = RolloutEvidence(), ""
@@ -112,7 +117,7 @@
         """Choose the engines of the target that get requests."""
         if self.record is None:
             return
-        self.engines, old_count = self._find_engines(views, now)
+        self.engines, old_count, self.has_old = self._find_engines(views, now)
         fraction = fraction_of(self.record.step, self.bounds.exposed_fraction)
         key = f"{self.service}/{self.record.target}"
         turn = int((self.deadline - now) / TURN_S)
@@ -120,21 +125,26 @@
 
     def _find_engines(
         self, views: Iterable[EndpointView], now: float
-    ) -> tuple[frozenset[str], int]:
-        """Return the engines of the target that take requests, and the number of all others."""
+    ) -> tuple[frozenset[str], int, bool]:
+        """Return the engines of the target that take requests, and the number of all others.
+
+        The last item is whether one of the others may be reached.
+        """
         assert self.record is not None
-        found, old_count = set(), 0
+        found, old_count, has_old = set(), 0, False
         for view in views:
+            is_suspect = view.health.is_suspect(now)
             if view.endpoint.software != self.record.target:
                 old_count += 1
+                has_old = has_old or not is_suspect
             elif (
                 view.endpoint.state is EndpointState.READY
                 and not view.availability.is_leaving
                 and view.availability.takes_requests(now)
-                and not view.health.is_suspect(now)
+                and not is_suspect
             ):
                 found.add(view.endpoint.endpoint_id)
-        return frozenset(found), old_count
+        return frozenset(found), old_count, has_old
 
     def choices(self, call: Call, now: float) -> list[Allows]:
         """Return which endpoints may run a request, the preferred ones first."""
@@ -148,14 +158,15 @@
             # Its stream goes on only at the version that began it.
             return [self._allows_kept]
         if not self.is_confirmed(now):
-            return [self._allows_old]
+            # Without any old engine, the rollout may have succeeded unheard.
+            is_moved = record.step is Step.ALL and not self.has_old
+            return [self._allows_target if is_moved else self._allows_old]
         if record.step is Step.ALL:
             return [self._allows_target]
         if call.takes_target is None:
             fraction = fraction_of(record.step, self.bounds.exposed_fraction)
             call.takes_target = bool(self.exposed) and self.exposure.take(call.route.name, fraction)
-        # A request that the target did not finish goes to the old version.
-        if call.takes_target and call.tried.isdisjoint(self.engines):
+        if call.takes_target:
             return [self._allows_exposed, self._allows_old]
         return [self._allows_old]
 
@@ -179,6 +190,9 @@
     def begin(self, flight: Flight) -> None:
         """Record that a request was sent to an engine."""
         self.flights.add(flight)
+        if flight.engine != OLD_VERSION:
+            # One that the target does not finish goes to the old version.
+            flight.call.takes_target = False
 
     def end(self, flight: Flight, outcome: Outcome | None, now: float, *, lost: bool) -> bool:
         """Count the answer to a request; return whether it is a bad one of the target.
@@ -229,8 +243,12 @@
         return limit_s is not None and time_s > limit_s and not flight.is_cold
 
     def count_overdue(self, now: float) -> bool:
-        """Count requests in flight that are slow by now; return whether the target has some."""
-        waiting = [flight for flight in self.flights if not flight.is_slow]
+        """Count requests in flight that are slow by now; return whether the target has some.
+
+        Those of an earlier rollout, which may be at its target, tell nothing of this one.
+        """
+        serial = self.record.serial if self.record is not None else 0
+        waiting = [f for f in self.flights if f.serial == serial and not f.is_slow]
         for flight in waiting:
             self._count_overdue(flight, now)
         return any(flight.is_slow and flight.engine != OLD_VERSION for flight in waiting)
--- a/teaselpath/gateway/tests/test_rollouts.py
+++ b/teaselpath/gateway/tests/test_rollouts.py
@@ -1,12 +1,18 @@
 """Rollouts of software over several gateways in virtual time: good and bad versions, and faults."""
 
+import asyncio
 import json
+from dataclasses import replace
 from functools import partial
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
-from teaselpath.fleet import Position, RolloutState, StoredRecord
-from teaselpath.gateway.tests.rollout_fleet import Fleet, Sent, good, play
+from teaselpath.fleet import Position, RolloutState, Step, StoredRecord
+from teaselpath.gateway._service_rollout import Flight
+from teaselpath.gateway.tests.rollout_fleet import ROUTES, Fleet, Sent, good, play
+from teaselpath.rollout import roll_back
 
 SEEDS = range(50)
 FEW_SEEDS = range(6)
@@ -253,3 +259,192 @@
     fleet = play(1, good, prepare=stop)
     assert fleet.stored().reason == "stopped by an operator"
     assert max(fleet.sent) < 5.3
+
+
+def plain_call(route: str = "query") -> Any:
+    """Return a call as the fleet makes them."""
+    return SimpleNamespace(
+        takes_target=None, tried=set(), has_begun=False, first_byte_at=None,
+        route=SimpleNamespace(name=route), service=SimpleNamespace(name="s"),
+        splitter=SimpleNamespace(count=0), request=SimpleNamespace(prompt=None),
+    )  # fmt: skip
+
+
+def allowed_versions(fleet: Fleet, host: str) -> list[set[str | None]]:
+    """Return the versions that each choice for a new request at a gateway allows."""
+    gateway = fleet.gateways[host]
+    views = list(gateway.state.pool("s").views.values())
+    choices = gateway.rollouts.choices(plain_call(), fleet.now)
+    return [{v.endpoint.software for v in views if not a or a(v)} for a in choices]
+
+
+def restart_with_target_listed_first(fleet: Fleet, host: str) -> None:
+    """Start a gateway that reads the target's entries before the others, all within a moment."""
+    now, entries = fleet.now, fleet.engines
+    fleet.engines = []
+    fleet.start(host)
+    fleet.engines = entries
+    state = fleet.gateways[host].state
+    for record in sorted(entries, key=lambda e: e.key):
+        fleet.now += 1e-5
+        state.apply_endpoint_record(record, "store", fleet.now)
+    assert now < fleet.now < now + 0.01
+
+
+def test_gateway_that_starts_sends_a_version_that_was_rolled_back_nothing():
+    """It has read engines and order, and not yet how the rollout ended."""
+
+    async def scenario():
+        fleet = Fleet(1, bad_at_once)
+        fleet.order()
+        fleet.run(8.0)
+        assert fleet.stored().state is RolloutState.ROLLED_BACK
+        restart_with_target_listed_first(fleet, "gw-1")
+        return allowed_versions(fleet, "gw-1")
+
+    assert asyncio.run(scenario()) == [{"v1"}]
+
+
+def test_gateway_that_starts_in_a_rollout_has_engines_for_requests_at_once():
+    """The old version was taken for one that had just appeared beside the target."""
+
+    async def scenario():
+        fleet = Fleet(1, good)
+        fleet.order()
+        fleet.run(5.0)
+        restart_with_target_listed_first(fleet, "gw-1")
+        fleet.gateways["gw-1"].rollouts._tick(fleet.now)
+        assert fleet.gateways["gw-1"].record is not None
+        return allowed_versions(fleet, "gw-1")
+
+    assert asyncio.run(scenario())[-1] == {"v1"}
+
+
+def test_order_for_the_version_that_runs_leaves_its_engines_in_use():
+    """An operator may order the same target again, with another duration."""
+
+    async def scenario():
+        fleet = Fleet(1, good, old=0, new=0)
+        for number in range(12):
+            fleet.list_engine(f"engine-{number}", "v2")
+        fleet.at(2.0, fleet.order)
+        return fleet.run(16.0)
+
+    fleet = asyncio.run(scenario())
+    assert fleet.stored().state is RolloutState.SUCCEEDED
+    assert fleet.ended_at is not None
+    assert fleet.ended_at < 2.5
+    assert fleet.unserved == 0
+
+
+def test_requests_at_the_target_before_do_not_tell_against_the_next_one():
+    """A version that answers nothing is replaced by another order; its requests still wait."""
+
+    async def scenario():
+        fleet = Fleet(1, good)
+        fleet.order()
+        fleet.run(5.0)
+        rollouts = fleet.gateways["gw-0"].rollouts
+        rollout = rollouts.services["s"]
+        evidence = rollout.evidence
+        assert rollout.record is not None
+        for number in range(40):
+            call = plain_call(ROUTES[0][0])
+            serial = rollout.record.serial - 1
+            flight = Flight(call, serial, 1 + number % 5, 0, fleet.now - 4.0, False)
+            rollout.begin(flight)
+        before = dict(evidence.own)
+        rollout.count_overdue(fleet.now)
+        rollout.judge(fleet.now)
+        return rollout.conviction, set(evidence.own) - set(before)
+
+    assert asyncio.run(scenario()) == ("", set())
+
+
+def test_request_that_the_target_had_goes_to_the_old_version_though_its_engine_is_gone():
+    """Guards against a retry that exposes a request twice, at another engine of the target."""
+
+    async def scenario():
+        fleet = Fleet(1, good)
+        fleet.order()
+        fleet.run(5.0)
+        gateway = fleet.gateways["gw-0"]
+        rollout = gateway.rollouts.services["s"]
+        call = plain_call()
+        call.takes_target = True
+        views = gateway.state.pool("s").views
+        name = sorted(rollout.engines)[0]
+        gateway.rollouts.begin(call, cast(Any, SimpleNamespace(view=views[name])))
+        call.tried.add(name)
+        rollout.engines -= {name}
+        return allowed(gateway, call, fleet.now)
+
+    def allowed(gateway, call, now):
+        views = gateway.state.pool("s").views.values()
+        choices = gateway.rollouts.choices(call, now)
+        return [{v.endpoint.software for v in views if allows(v)} for allows in choices]
+
+    assert asyncio.run(scenario()) == [{"v1"}]
+
+
+def test_end_of_a_rollout_prevails_over_a_step_of_the_same_number():
+    """The step was written in an era that a copy has replaced, and its gateway was cut off."""
+
+    async def scenario():
+        fleet = Fleet(1, good)
+        fleet.order()
+        fleet.run(8.0)
+        rollouts = fleet.gateways["gw-2"].rollouts
+        rollout = rollouts.services["s"]
+        step = rollout.record
+        assert step is not None
+        assert not step.is_final
+        end = replace(roll_back(step, "bad"), revision=step.revision)
+        rollouts._adopt(rollout, end, "peer gw-1", fleet.now)
+        assert rollout.record == end
+        rollouts._adopt(rollout, step, "peer gw-3", fleet.now)
+        return rollout.record == end
+
+    assert asyncio.run(scenario())
+
+
+def test_version_that_was_replaced_runs_again_while_the_others_drain():
+    """A release by the platform goes back to it: engines that drain take no new request."""
+
+    async def scenario():
+        fleet = Fleet(1, good)
+        fleet.order()
+        fleet.run(13.0)
+        assert fleet.stored().state is RolloutState.SUCCEEDED
+        before = allowed_versions(fleet, "gw-1")
+        for number in range(12):
+            fleet.list_engine(f"new-{number}", "v2", state="draining")
+        return before, allowed_versions(fleet, "gw-1")
+
+    before, after = asyncio.run(scenario())
+    assert before == [{"v2"}]
+    assert "v1" in after[0]
+
+
+@pytest.mark.parametrize(("are_gone", "allowed"), [(True, {"v2"}), (False, {"v1"})])
+def test_gateway_cut_off_in_the_last_step_uses_the_target_once_the_old_engines_are_gone(
+    are_gone, allowed
+):
+    """It did not hear that the rollout succeeded, on which the old engines stopped."""
+
+    async def scenario():
+        fleet = Fleet(1, good)
+        fleet.order()
+        fleet.run(10.5)
+        rollout = fleet.gateways["gw-2"].rollouts.services["s"]
+        assert rollout.record is not None
+        assert (rollout.is_running, rollout.record.step) == (True, Step.ALL)
+        fleet.now += 3.0
+        views = fleet.gateways["gw-2"].state.pool("s").views.values()
+        for view in views:
+            if view.endpoint.software == "v1" and are_gone:
+                view.health.record_unreachable(fleet.now)
+        rollout.update_engines(views, fleet.now)
+        return allowed_versions(fleet, "gw-2")
+
+    assert asyncio.run(scenario()) == [allowed]
