Commands: one request to a gateway's internal port, in a module of its own

Cause: the placement command had a copy of what the verdicts command has, and the software command imported it from there; a method that decides on sending stood among those for operators. Change: cli/_gateway.py with the option and the request; Placer.may_send moved. Behaviour is unchanged.

--- a/teaselpath/cli/_placement.py
+++ b/teaselpath/cli/_placement.py
@@ -1,16 +1,14 @@
 """The placement command: where a request would go now at a gateway, and why."""
 
-import asyncio
 from typing import Any
 
-import aiohttp
 import click
 import msgspec
 
-from teaselpath.cli._common import EXIT_FAULTS, EXIT_UNREACHABLE, EXIT_USAGE, fail, json_option
+from teaselpath.cli._common import EXIT_FAULTS, EXIT_USAGE, fail, json_option
+from teaselpath.cli._gateway import send_request
 from teaselpath.cli._tables import format_table
 
-TIMEOUT_S = 5.0
 COLUMNS = (
     "endpoint", "failure_domain", "cost_s", "first_event_s", "uncached_tokens", "fetch_from",
     "requests", "slots", "pending_tokens", "held_tokens", "rtt_s", "failure_rate", "pace",
@@ -59,7 +57,7 @@
         "output_tokens": output_tokens,
         "time_left_s": time_left,
     }
-    status, body = _ask(address, msgspec.json.encode(request))
+    status, body = send_request("POST", address, "/placement", msgspec.json.encode(request))
     if status != 200:
         fail(EXIT_FAULTS, f"{address} answers {status}: {body.decode(errors='replace')}")
     if as_json:
@@ -101,18 +99,3 @@
 def _cell(value: object) -> object:
     # Costs are small fractions of a second, which tables would round.
     return f"{value:.4g}" if isinstance(value, float) else value
-
-
-def _ask(address: str, body: bytes) -> tuple[int, bytes]:
-    async def send() -> tuple[int, bytes]:
-        timeout = aiohttp.ClientTimeout(TIMEOUT_S)
-        async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
-            session.post(f"http://{address}/placement", data=body) as response,
-        ):
-            return response.status, await response.read()
-
-    try:
-        return asyncio.run(send())
-    except (aiohttp.ClientError, TimeoutError) as error:
-        fail(EXIT_UNREACHABLE, f"{address} cannot be reached: {error}")
--- a/teaselpath/cli/_software.py
+++ b/teaselpath/cli/_software.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from teaselpath.cli._common import EXIT_FAULTS, fail, json_option
+from teaselpath.cli._gateway import gateway_option, send_request
 from teaselpath.cli._tables import print_rows
-from teaselpath.cli._verdicts import gateway_option, send_request
 
 COLUMNS = (
     "service", "target", "state", "step", "left_s", "confirmed", "answered", "bad", "reason",
--- a/teaselpath/cli/_verdicts.py
+++ b/teaselpath/cli/_verdicts.py
@@ -1,25 +1,16 @@
 """The verdicts command: lists and lifts verdicts on prompt parts and requests at the gateways."""
 
-import asyncio
 from typing import Any
 
-import aiohttp
 import click
 import msgspec
 
-from teaselpath.cli._common import EXIT_FAULTS, EXIT_UNREACHABLE, fail, json_option
+from teaselpath.cli._common import EXIT_FAULTS, fail, json_option
+from teaselpath.cli._gateway import gateway_option, send_request
 from teaselpath.cli._tables import print_rows
 
-TIMEOUT_S = 5.0
 COLUMNS = ("verdict", "parts", "ends", "strikes", "issued_by", "age_s", "left_s")
 
-gateway_option = click.option(
-    "--gateway",
-    "address",
-    required=True,
-    help="IP:PORT of a gateway, first of its internal ports; any gateway will do.",
-)
-
 
 @click.group()
 def verdicts() -> None:
@@ -49,20 +40,3 @@
     if status != 204:
         fail(EXIT_FAULTS, f"{address} answers {status}")
     click.echo(f"lifted {verdict_id}")
-
-
-def send_request(method: str, address: str, path: str) -> tuple[int, bytes]:
-    """Send a request to the internal port of a gateway; return status and body."""
-
-    async def send() -> tuple[int, bytes]:
-        timeout = aiohttp.ClientTimeout(TIMEOUT_S)
-        async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
-            session.request(method, f"http://{address}{path}") as response,
-        ):
-            return response.status, await response.read()
-
-    try:
-        return asyncio.run(send())
-    except (aiohttp.ClientError, TimeoutError) as error:
-        fail(EXIT_UNREACHABLE, f"{address} cannot be reached: {error}")
--- a/teaselpath/gateway/_placement.py
+++ b/teaselpath/gateway/_placement.py
@@ -154,6 +154,13 @@
                     return choice
                 return self.rooms.reject(call, queued_request, None, self.loop.time())
 
+    def may_send(
+        self, call: Call, queued_request: QueuedRequest, placed: Placed, now: float
+    ) -> bool:
+        """Return whether a request that an endpoint can take is sent at once."""
+        is_next = self.rooms.may_send(queued_request, now)
+        return is_next and not self.rooms.is_late(call, placed, now)
+
     # for operators
 
     def preview(self, call: Call, now: float) -> Placed | NoEndpoint:
@@ -169,13 +176,6 @@
         key, demand = self._key_and_demand(call, now)
         return demand, self.state.pool(call.service.name).candidates(key)
 
-    def may_send(
-        self, call: Call, queued_request: QueuedRequest, placed: Placed, now: float
-    ) -> bool:
-        """Return whether a request that an endpoint can take is sent at once."""
-        is_next = self.rooms.may_send(queued_request, now)
-        return is_next and not self.rooms.is_late(call, placed, now)
-
     def must_queue(self, call: Call, placed: Placed, now: float) -> bool:
         """Return whether a request that an endpoint can take waits."""
         return not self.may_send(call, self._queued(call), placed, now)
