--- a/review/loopback.py
+++ b/review/loopback.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import shutil
 import signal
 import socket
 import struct
@@ -264,7 +265,7 @@
         """Start the store, with the first configuration."""
         sockets = [socket.socket() for _ in range(4)]
         for sock in sockets:
-            sock.bind(("0.0.0.0", 0))
+            sock.bind(("127.0.0.1", 0))
         names = ("front", "ready", "control", "peer")
         self.ports = {n: s.getsockname()[1] for n, s in zip(names, sockets, strict=True)}
         for sock in sockets:
@@ -358,6 +359,7 @@
             if gateway.process is not None and gateway.process.returncode is None:
                 gateway.process.kill()
                 await gateway.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Caller:
