Log and metrics: fetches from peers, and when retries are sent

The logs told which peer did not answer, but not for how long a gateway knew that it was behind, nor whether the fetch was for configuration.

Adds behind_s and lacks_operators to peer_records_failed, the line peer_records_fetched, retry_waits_s of request lines, and the metrics teaselpath_retries_total and teaselpath_retry_wait_seconds. No change of logic; tests of the gateway's peers, retries and lines pass.

--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -124,6 +124,7 @@
                 self.context.codec.id_header,
                 request_id,
             )
+            self._record_retry_sent()
             head = await self._with_progress(connection.read_head)
             info = self.context.codec.decode_answer(head.status, head.headers)
             outcome = await self._read_answer(connection, info)
@@ -153,6 +154,17 @@
             pool.release(connection, head)
         return outcome
 
+    def _record_retry_sent(self) -> None:
+        """Record that a request that was sent before is on its way to an endpoint again."""
+        call = self.call
+        if call.progress.sends == 0:
+            return
+        self.context.metrics.count_retry(call.service.name, "sent")
+        if call.retry_taken_at is not None:
+            wait_s = self.loop.time() - call.retry_taken_at
+            call.retry_waits.append(wait_s)
+            self.context.metrics.observe_retry_wait(call.service.name, wait_s)
+
     def _record_broken(self) -> None:
         call = self.call
         run = BrokenRun(
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -25,6 +25,8 @@
     :param attempts: endpoint, outcome and duration of each attempt, for the log.
     :param was_sent: whether an attempt is in flight, or ran or may have run.
     :param has_retry: whether a retry was taken from the budget and not used yet.
+    :param retry_taken_at: event loop time at which the last retry was taken; None if none was.
+    :param retry_waits: times from the grant of each retry to its sending in seconds, for the log.
     :param lost_engine: whether the engine of its last attempt ended before it answered.
     :param checked_until: event loop time until which that is found out; 0 if it is known.
     :param trial: its claim, if it is sent to find out whether its prompt crashes engines.
@@ -57,6 +59,8 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     was_sent: bool = False
     has_retry: bool = False
+    retry_taken_at: float | None = None
+    retry_waits: list[float] = field(default_factory=list)
     lost_engine: bool = False
     checked_until: float = 0.0
     trial: Claim | None = None
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -240,9 +240,13 @@
         return self._may_send(exchange, call) and self._acquire_retry(call)
 
     def _acquire_retry(self, call: Call) -> bool:
-        now = self.loop.time()
+        now, service = self.loop.time(), call.service.name
         _, gateways = self.state.count_gateways(now)
-        return self.state.retry_budget(call.service.name).try_acquire(now, gateways)
+        is_granted = self.state.retry_budget(service).try_acquire(now, gateways)
+        self.metrics.count_retry(service, "taken" if is_granted else "refused")
+        if is_granted:
+            call.retry_taken_at = now
+        return is_granted
 
     def _step_without_resend(self, call: Call, outcome: Outcome) -> ForwardAnswer | Refuse | Fail:
         match outcome:
@@ -331,6 +335,7 @@
             reason=code.name,
             status=call.answer.status if call.answer else None,
             attempts=call.attempts,
+            retry_waits_s=[round(wait_s, 3) for wait_s in call.retry_waits],
             software=placed.view.endpoint.software if placed else None,
             resumes=call.request.resumes,
             events=call.splitter.count,
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -47,6 +47,18 @@
         self.quarantined = make(
             Counter, "quarantine_total", "Trials, verdicts and requests not sent for their parts"
         )
+        self.retries = make(
+            Counter,
+            "retries_total",
+            "Retries of requests that were sent before, by service and event: taken from the "
+            "budget, refused by it, sent",
+        )
+        self.retry_wait = make(
+            Histogram,
+            "retry_wait_seconds",
+            "From the budget's grant of a retry to its sending",
+            buckets=LATENCY_BUCKETS_S,
+        )
         self.take_ups = make(
             Counter, "take_ups_total", "Streams that callers took up, by what told their version"
         )
@@ -128,6 +140,17 @@
         """Count an event of the quarantine: a trial, a verdict, a request that was not sent."""
         self.quarantined.inc({"event": event})
 
+    def count_retry(self, service: str, event: str) -> None:
+        """Count an event of the retry budget.
+
+        :param event: ``taken``, ``refused`` or ``sent``.
+        """
+        self.retries.inc({"service": service, "event": event})
+
+    def observe_retry_wait(self, service: str, wait_s: float) -> None:
+        """Record the time from the grant of a retry to its sending, in seconds."""
+        self.retry_wait.observe({"service": service}, wait_s)
+
     def count_take_up(self, source: str) -> None:
         """Count a stream that a caller takes up.
 
--- a/teaselpath/gateway/_peer_records.py
+++ b/teaselpath/gateway/_peer_records.py
@@ -176,10 +176,18 @@
             )
             records = decode_msgpack(response.body, RecordSet)
         except (ConnectFailed, ConnectionBroken, ReadTimeout, Unreadable) as error:
-            log_message("peer_records_failed", host=status.host, reason=repr(error))
+            log_message(
+                "peer_records_failed",
+                host=status.host,
+                reason=repr(error),
+                lacks_operators=self._lacks_operator_records(status),
+                behind_s=self._behind_s(),
+            )
             return
         now = self.loop.time()
         source = f"peer {status.host}"
+        if self._lacks_operator_records(status):
+            log_message("peer_records_fetched", host=status.host, behind_s=self._behind_s())
         for record in map(_to_record, records.operators):
             # The statuses of peers tell the age of announced weights.
             state.apply_operator_record(record, source, now, UNKNOWN_SINCE)
@@ -192,6 +200,10 @@
         if self._lacks_records(status):
             self.incomplete_from = status.host
 
+    def _behind_s(self) -> float:
+        """Return how long a peer has been known to have newer records, in seconds."""
+        return self.loop.time() - self.behind_since if self.behind_since is not None else 0.0
+
     def encode_records(self, query: bytes = b"") -> bytes:
         """Return the encoded store records of this gateway, for a peer.
 
