A gateway asks another peer, and the store, after a fetch that failed

Cause: in a fleet of 12 peers or more, most gateways get the operators' records from peers. The near peer that was asked first stood still; nothing remembered the failure, so it was asked again after each time-out of 1 s until its last status expired after 4 s, though others had the records, and the store too.

Change: a peer whose fetch failed is asked after all others for 5 s, and the gateway reads the store itself until no peer is ahead. The same call fetches endpoint records, so a removal can't be missed in this way either.

--- a/teaselpath/gateway/_peer_records.py
+++ b/teaselpath/gateway/_peer_records.py
@@ -34,6 +34,8 @@
 # Time after a failed call to the store for which a gateway does not follow it for others, in
 # seconds.
 STORE_DISTRUST_S = 10.0
+# Time after a failed fetch for which a peer is asked after all others, in seconds.
+FETCH_DISTRUST_S = 5.0
 
 
 class RecordFetcher:
@@ -43,6 +45,9 @@
     :param statuses: newest status of each reachable gateway, by host.
     :param discard_unreachable: discards the status of gateways that are unreachable at a time.
     :ivar incomplete_from: host of the peer whose last answer lacked records that it has.
+    :ivar distrusted_until: time until which peers whose last fetch failed are asked last, by host.
+    :ivar needs_store: whether this gateway reads the store itself, because a fetch has failed,
+        until no peer has newer records.
     """
 
     def __init__(
@@ -59,6 +64,8 @@
         self.behind_since: float | None = None
         self.behind_at: tuple[Position, Position] = (BEFORE_ALL, BEFORE_ALL)
         self.incomplete_from: str | None = None
+        self.distrusted_until: dict[str, float] = {}
+        self.needs_store = False
         self.random = random.Random()
         self.encoder = msgspec.msgpack.Encoder()
         self.loop = asyncio.get_running_loop()
@@ -83,9 +90,10 @@
         None if no peer has newer ones, or the store may still deliver them.
         """
         state = self.state
-        ahead = self._peer_ahead()
+        ahead = self._peer_ahead(now)
         if ahead is None:
             self.behind_since = self.incomplete_from = None
+            self.needs_store = False
             return None
         # A gateway that receives records is not behind since the first of them was missing.
         position = (state.newest_position(Topic.OPERATORS), state.endpoints.position)
@@ -115,20 +123,23 @@
         if state.reaches_store(now, STORE_DISTRUST_S) and not state.is_stopping:
             candidates.append(settings.host)
         readers = select_readers(settings.failure_domain, candidates)
-        reads = not is_large_fleet(len(reachable)) or not readers or settings.host in readers
+        follows_others = is_large_fleet(len(reachable)) and readers and not self.needs_store
+        reads = not follows_others or settings.host in readers
         if reads != state.reads_store:
             state.reads_store = reads
             log_message("store_reading_changed", reads_store=reads, readers=readers)
         if not reads:
             state.record_store_success(now)
 
-    def _peer_ahead(self) -> Status | None:
+    def _peer_ahead(self, now: float) -> Status | None:
         """Return a peer that has newer records than this gateway, one that is near if possible."""
         settings = self.state.settings
         ahead = [status for status in self.statuses.values() if self._lacks_records(status)]
         return min(
             ahead,
             key=lambda status: (
+                # A near peer that stands still fails each fetch until its status expires.
+                self.distrusted_until.get(status.host, 0.0) > now,
                 # A peer whose last answer lacked records comes last.
                 status.host == self.incomplete_from,
                 not self._lacks_operator_records(status),
@@ -183,7 +194,10 @@
                 lacks_operators=self._lacks_operator_records(status),
                 behind_s=self._behind_s(),
             )
+            self.distrusted_until[status.host] = self.loop.time() + FETCH_DISTRUST_S
+            self.needs_store = True
             return
+        self.distrusted_until.pop(status.host, None)
         now = self.loop.time()
         source = f"peer {status.host}"
         if self._lacks_operator_records(status):
