A silent reader of the store is replaced after 1.5 s

In a large fleet two gateways of a failure domain read the store for the others. A gateway that fell silent counted as a reader for the 4 s after which any peer counts as unreachable, the time in which a configuration has to be in force. If the readers of all domains fall silent at once, nobody reads meanwhile.

A reader now counts while its last message is younger than 1.5 s or 3.5 status intervals. Two gateways more read for a moment if messages are lost.

--- a/teaselpath/gateway/_peer_records.py
+++ b/teaselpath/gateway/_peer_records.py
@@ -8,7 +8,7 @@
 import msgspec
 from eliot import log_message
 
-from teaselpath.exchange import is_large_fleet, select_readers
+from teaselpath.exchange import is_large_fleet, select_readers, status_interval_s
 from teaselpath.fleet import BEFORE_ALL, Position, StoredRecord, Topic
 from teaselpath.gateway._peer_messages import RecordSet, Status
 from teaselpath.gateway._state import UNKNOWN_SINCE, GatewayState
@@ -36,6 +36,10 @@
 STORE_DISTRUST_S = 10.0
 # Time after a failed fetch for which a peer is asked after all others, in seconds.
 FETCH_DISTRUST_S = 5.0
+# A gateway that reads the store for others is replaced if it sends no message for this time, in
+# seconds, or for a number of status intervals if that is longer.
+READER_TIMEOUT_S = 1.5
+READER_TIMEOUT_INTERVALS = 3.5
 
 
 class RecordFetcher:
@@ -113,12 +117,15 @@
         """
         state, settings = self.state, self.state.settings
         reachable = [h for h in self.statuses if h in state.members]
+        interval_s = status_interval_s(len(reachable))
+        reader_timeout_s = max(READER_TIMEOUT_S, READER_TIMEOUT_INTERVALS * interval_s)
         candidates = [
             host
             for host in reachable
             if state.members[host].failure_domain == settings.failure_domain
             and self.statuses[host].store_up
             and not self.statuses[host].is_stopping
+            and now - state.members[host].last_contact_at < reader_timeout_s
         ]
         if state.reaches_store(now, STORE_DISTRUST_S) and not state.is_stopping:
             candidates.append(settings.host)
--- a/teaselpath/gateway/tests/test_silent_peers.py
+++ b/teaselpath/gateway/tests/test_silent_peers.py
@@ -8,7 +8,7 @@
 from teaselpath.gateway._peers import PeerExchange
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway.tests.conftest import SETTINGS, config_record
-from teaselpath.gateway.tests.test_large_fleet import Clock
+from teaselpath.gateway.tests.test_large_fleet import Clock, Fleet, in_loop
 from teaselpath.http1 import HttpClient, ReadTimeout, Response, ResponseHead
 from teaselpath.platform import PlatformStore
 from teaselpath.rollout import OrderLease
@@ -112,3 +112,22 @@
         return [*reads, follower.state.reads_store]
 
     assert asyncio.run(scenario()) == [False, True, False]
+
+
+def test_store_is_read_for_a_domain_soon_after_all_its_readers_have_fallen_silent():
+    def scenario():
+        fleet = Fleet(24)
+        fleet.run(6.0)
+        readers = fleet.readers()
+        fleet.network.cut.update(reader.ip for reader in readers)
+        silent_since = fleet.clock.now
+        others = [g for g in fleet.gateways if g not in readers]
+        while (
+            not any(g.state.reads_store for g in others) and fleet.clock.now < silent_since + 20.0
+        ):
+            fleet.run(0.1)
+        return len(readers), fleet.clock.now - silent_since
+
+    readers, duration_s = in_loop(scenario)
+    assert readers == 12
+    assert duration_s < APPLY_LIMIT_S / 2
