Retries count when they are sent, not when they are granted

Cause: the budget counted a retry at its grant. The request then waits, by the queue's limit up to half of its remaining time, 6 s of 12 on the route of long prompts; retries of more than one window arrive together when there is room.

Change: a granted retry occupies the budget until it is sent, and for a window from then on; one that is not sent is given back. test_quota.py records each grant as sent; its bound is unchanged.

--- a/teaselpath/dispatch/tests/test_quota.py
+++ b/teaselpath/dispatch/tests/test_quota.py
@@ -92,6 +92,7 @@
             budget.record_request(now)
             requests.append(now)
             while budget.try_acquire(now, gateways):
+                budget.record_sent(now)
                 retries.append(now)
     for start in range(30):
         inside = sum(start <= at < start + window_s for at in retries)
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -155,15 +155,17 @@
         return outcome
 
     def _record_retry_sent(self) -> None:
-        """Record that a request that was sent before is on its way to an endpoint again."""
-        call = self.call
-        if call.progress.sends == 0:
+        """Count the retry that was taken for this attempt, if it is one, as sent."""
+        call, now, metrics = self.call, self.loop.time(), self.context.metrics
+        if call.retry_taken_at is None:
             return
-        self.context.metrics.count_retry(call.service.name, "sent")
-        if call.retry_taken_at is not None:
-            wait_s = self.loop.time() - call.retry_taken_at
-            call.retry_waits.append(wait_s)
-            self.context.metrics.observe_retry_wait(call.service.name, wait_s)
+        wait_s = now - call.retry_taken_at
+        call.retry_taken_at = None
+        call.retry_waits.append(wait_s)
+        service = call.service.name
+        self.context.state.retry_budget(service).record_sent(now)
+        metrics.count_retry(service, "sent")
+        metrics.observe_retry_wait(service, wait_s)
 
     def _record_broken(self) -> None:
         call = self.call
@@ -217,8 +219,7 @@
                 now, call = self.loop.time(), self.call
                 if now >= call.deadline:
                     raise
-                call.has_retry = call.has_retry or self.context.acquire_retry(self.exchange, call)
-                if call.has_retry:
+                if call.has_retry or self.context.acquire_retry(self.exchange, call):
                     raise
                 self.limits.extend(now)
 
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -118,6 +118,7 @@
             raise
         finally:
             self.gate.end_trial(call)
+            self._give_retry_back(call)
             if code is Code.OK:
                 self.origins.record_finished(call)
             self.running -= 1
@@ -227,9 +228,7 @@
             return False
         if not step.is_retry:
             return True
-        has_retry = call.has_retry or self._acquire_retry(call)
-        call.has_retry = False
-        return has_retry
+        return call.has_retry or self._acquire_retry(call)
 
     def _may_send(self, exchange: Exchange, call: Call) -> bool:
         """Return whether a stop of this gateway leaves the time for another attempt."""
@@ -248,6 +247,13 @@
             call.retry_taken_at = now
         return is_granted
 
+    def _give_retry_back(self, call: Call) -> None:
+        """Give back a retry that was taken for a request that has ended without sending it."""
+        if call.has_retry:
+            call.retry_taken_at = None
+            self.state.retry_budget(call.service.name).give_back()
+            self.metrics.count_retry(call.service.name, "given_back")
+
     def _step_without_resend(self, call: Call, outcome: Outcome) -> ForwardAnswer | Refuse | Fail:
         match outcome:
             case Answered():
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -51,7 +51,7 @@
             Counter,
             "retries_total",
             "Retries of requests that were sent before, by service and event: taken from the "
-            "budget, refused by it, sent",
+            "budget, refused by it, sent, given back",
         )
         self.retry_wait = make(
             Histogram,
@@ -143,7 +143,7 @@
     def count_retry(self, service: str, event: str) -> None:
         """Count an event of the retry budget.
 
-        :param event: ``taken``, ``refused`` or ``sent``.
+        :param event: ``taken``, ``refused``, ``sent`` or ``given_back``.
         """
         self.retries.inc({"service": service, "event": event})
 
