Extra retries of a gateway that has just started

Cause: the share of the extra retries was whole again with each process, and a process that knew no other gateway took the share of all. The ratio of retries to requests is not concerned: it counts the requests of the same process.

Change: the share is a token bucket of half its size that refills the other half in a window, so that both are the share however often a process ends. It begins empty if the store lists an earlier process of the host, whose record is read before it is replaced, and does not fill until the store has listed the gateways. A gateway without a predecessor begins with a full bucket. At once, a gateway has half as many extra retries as before. No further call or message.

--- a/teaselpath/dispatch/__init__.py
+++ b/teaselpath/dispatch/__init__.py
@@ -53,7 +53,7 @@
 from teaselpath.dispatch._queue import QueuedRequest, RequestQueue
 from teaselpath.dispatch._quota import Contact, Granted, OverRate, SharedQuota
 from teaselpath.dispatch._reservation import Reservation
-from teaselpath.dispatch._retry_budget import SlidingRetryBudget
+from teaselpath.dispatch._retry_budget import RetryGrant, SlidingRetryBudget
 from teaselpath.dispatch._return_times import ReturnTimes
 from teaselpath.dispatch._room import ServiceRoom, share_of_demand
 from teaselpath.dispatch._timeliness import Reject, Wait, admit_by_aim, comes_late
@@ -112,6 +112,7 @@
     "RequestQueue",
     "Resend",
     "Reservation",
+    "RetryGrant",
     "ReturnTimes",
     "ServiceRoom",
     "ServiceTimes",
--- a/teaselpath/dispatch/tests/test_quota.py
+++ b/teaselpath/dispatch/tests/test_quota.py
@@ -84,15 +84,15 @@
 
 def test_retries_of_all_gateways_stay_within_the_budget_in_any_window():
     gateways, ratio, extra, window_s = 5, 0.2, 56.0, 10.0
-    budgets = [SlidingRetryBudget(ratio, extra, window_s) for _ in range(gateways)]
+    budgets = [SlidingRetryBudget(ratio, extra, window_s, 0.0) for _ in range(gateways)]
     retries, requests = [], []
     for step in range(400):
         now = step * 0.1
         for budget in budgets:
             budget.record_request(now)
             requests.append(now)
-            while budget.try_acquire(now, gateways):
-                budget.record_sent(now)
+            while grant := budget.try_acquire(now, gateways):
+                budget.record_sent(grant, now)
                 retries.append(now)
     for start in range(30):
         inside = sum(start <= at < start + window_s for at in retries)
--- a/teaselpath/gateway/_admission.py
+++ b/teaselpath/gateway/_admission.py
@@ -107,7 +107,7 @@
                     share=round(grant.reachable_fraction, 3),
                 )
                 return None
-        state.retry_budget(service.name).record_request(now)
+        state.retry_budget(service.name, now).record_request(now)
         return call
 
     def has_time(self, call: Call, now: float) -> bool:
--- a/teaselpath/gateway/_attempt.py
+++ b/teaselpath/gateway/_attempt.py
@@ -157,13 +157,13 @@
     def _record_retry_sent(self) -> None:
         """Count the retry that was taken for this attempt, if it is one, as sent."""
         call, now, metrics = self.call, self.loop.time(), self.context.metrics
-        if call.retry_taken_at is None:
+        if call.retry is None:
             return
-        wait_s = now - call.retry_taken_at
-        call.retry_taken_at = None
+        grant, call.retry = call.retry, None
+        wait_s = now - grant.taken_at
         call.retry_waits.append(wait_s)
         service = call.service.name
-        self.context.state.retry_budget(service).record_sent(now)
+        self.context.state.retry_budget(service, now).record_sent(grant, now)
         metrics.count_retry(service, "sent")
         metrics.observe_retry_wait(service, wait_s)
 
@@ -219,7 +219,7 @@
                 now, call = self.loop.time(), self.call
                 if now >= call.deadline:
                     raise
-                if call.has_retry or self.context.acquire_retry(self.exchange, call):
+                if call.retry is not None or self.context.acquire_retry(self.exchange, call):
                     raise
                 self.limits.extend(now)
 
--- a/teaselpath/gateway/_call.py
+++ b/teaselpath/gateway/_call.py
@@ -7,6 +7,7 @@
     Placed,
     Progress,
     Reservation,
+    RetryGrant,
     caller_gap_limit_s,
 )
 from teaselpath.fleet import AnswerInfo, CallerRequest, RequestKind, Route, Service, Workspace
@@ -24,8 +25,7 @@
         excluded from placement.
     :param attempts: endpoint, outcome and duration of each attempt, for the log.
     :param was_sent: whether an attempt is in flight, or ran or may have run.
-    :param retry_taken_at: event loop time at which a retry was taken from the budget that is not
-        sent yet; None if there is none.
+    :param retry: a retry that was taken from the budget and not sent yet; None if there is none.
     :param retry_waits: times from the grant of each retry to its sending in seconds, for the log.
     :param lost_engine: whether the engine of its last attempt ended before it answered.
     :param checked_until: event loop time until which that is found out; 0 if it is known.
@@ -58,7 +58,7 @@
     attempts: list[tuple[str, str, float]] = field(default_factory=list)
     splitter: EventSplitter = field(default_factory=EventSplitter)
     was_sent: bool = False
-    retry_taken_at: float | None = None
+    retry: RetryGrant | None = None
     retry_waits: list[float] = field(default_factory=list)
     lost_engine: bool = False
     checked_until: float = 0.0
@@ -93,11 +93,6 @@
         """Return whether another engine can continue the stream of which the caller has a part."""
         return self.splitter.can_resume and (self.software is not None or not self.has_begun)
 
-    @property
-    def has_retry(self) -> bool:
-        """Return whether a retry was taken from the budget that is not sent yet."""
-        return self.retry_taken_at is not None
-
     @property
     def digest(self) -> str:
         """Return what this request has in common with equal ones of its caller."""
--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -228,7 +228,7 @@
             return False
         if not step.is_retry:
             return True
-        return call.has_retry or self._acquire_retry(call)
+        return call.retry is not None or self._acquire_retry(call)
 
     def _may_send(self, exchange: Exchange, call: Call) -> bool:
         """Return whether a stop of this gateway leaves the time for another attempt."""
@@ -240,19 +240,17 @@
 
     def _acquire_retry(self, call: Call) -> bool:
         now, service = self.loop.time(), call.service.name
-        _, gateways = self.state.count_gateways(now)
-        is_granted = self.state.retry_budget(service).try_acquire(now, gateways)
-        self.metrics.count_retry(service, "taken" if is_granted else "refused")
-        if is_granted:
-            call.retry_taken_at = now
-        return is_granted
+        budget = self.state.retry_budget(service, now)
+        call.retry = budget.try_acquire(now, self.state.count_retry_shares(now))
+        self.metrics.count_retry(service, "refused" if call.retry is None else "taken")
+        return call.retry is not None
 
     def _give_retry_back(self, call: Call) -> None:
         """Give back a retry that was taken for a request that has ended without sending it."""
-        if call.has_retry:
-            call.retry_taken_at = None
-            self.state.retry_budget(call.service.name).give_back()
-            self.metrics.count_retry(call.service.name, "given_back")
+        if call.retry is not None:
+            service, grant, call.retry = call.service.name, call.retry, None
+            self.state.retry_budget(service, self.loop.time()).give_back(grant)
+            self.metrics.count_retry(service, "given_back")
 
     def _step_without_resend(self, call: Call, outcome: Outcome) -> ForwardAnswer | Refuse | Fail:
         match outcome:
--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -81,6 +81,8 @@
     :ivar lost_before_return_at: time at which it had lost the store before that return.
     :ivar on_new_era: called for each era after the first.
     :ivar on_endpoint_changed: called with an endpoint as listed before and now, None if it is not.
+    :ivar retries_refilled_at: time from which on retry budgets refill, in seconds; None until the
+        store has listed the gateways among which they are divided.
     :ivar fair_order: shares of the workspaces; None if they do not compete for room.
     :ivar rollout_orders: newest order for a rollout of software, by service.
     :ivar endpoint_ids: id of each known endpoint by its number.
@@ -113,6 +115,7 @@
         self.known_aims: dict[str, tuple[int, list[float]]] = {}
         self.cache_stores: dict[str, StoreView] = {}
         self.members: dict[str, Member] = {}
+        self.retries_refilled_at: float | None = None
         self.quota = SharedQuota(settings.bounds.quota_slack)
         self.fair_order = FairOrder() if settings.is_room_contended else None
         self.retry_budgets: dict[str, SlidingRetryBudget] = {}
@@ -559,6 +562,14 @@
         member.failure_domain = failure_domain or member.failure_domain
         return member
 
+    def record_member_list(self, now: float, *, is_restart: bool) -> None:
+        """Record that the store has listed the gateways for the first time.
+
+        :param is_restart: whether an earlier process on this host may have spent its retries.
+        """
+        window_s = self.settings.bounds.retry_window_s
+        self.retries_refilled_at = now if is_restart else now - window_s
+
     def peer_timeout_s(self) -> float:
         """Return the time without a message after which a gateway counts as unreachable."""
         return LARGE_FLEET_PEER_TIMEOUT_S if is_large_fleet(len(self.members)) else PEER_TIMEOUT_S
@@ -579,13 +590,21 @@
         member = self.members[host]
         return now - max(member.last_contact_at, member.listed_at) < MEMBER_EXPIRY_S
 
-    def retry_budget(self, service: str) -> SlidingRetryBudget:
+    def count_retry_shares(self, now: float) -> int:
+        """Return the number of gateways that may send retries, including this one; 0 if unknown."""
+        if self.retries_refilled_at is None:
+            return 0
+        return 1 + sum(self.may_be_running(host, now) for host in self.members)
+
+    def retry_budget(self, service: str, now: float) -> SlidingRetryBudget:
         """Return the retry budget of a service."""
         budget = self.retry_budgets.get(service)
         if budget is None:
             bounds = self.settings.bounds
+            refilled_at = self.retries_refilled_at
+            refilled_at = now if refilled_at is None else refilled_at
             budget = SlidingRetryBudget(
-                bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
+                bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s, refilled_at
             )
             self.retry_budgets[service] = budget
         return budget
--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -88,6 +88,10 @@
         while True:
             beat += 1
             try:
+                # The first read comes before the own record replaces that of an earlier process.
+                is_read = cursor is None
+                if is_read:
+                    cursor = await self._read_members(None)
                 is_announced = await self._announce(beat)
                 is_large = is_large_fleet(len(self.state.members))
                 interval_s = LARGE_FLEET_MEMBER_INTERVAL_S if is_large else MEMBER_INTERVAL_S
@@ -95,7 +99,9 @@
                 # about the same time as this one.
                 delays_s = (interval_s,) if is_large and beat > 1 else (2.0, interval_s - 2.0)
                 for delay_s in delays_s:
-                    cursor = await self._read_members(cursor)
+                    if not is_read:
+                        cursor = await self._read_members(cursor)
+                    is_read = False
                     if await self._is_new_era_within(delay_s):
                         break
                 if not is_announced:
@@ -120,6 +126,10 @@
         self.state.observe_era(page.end.era, "store", self.loop.time())
         is_copied = cursor is not None and cursor.era != page.end.era
         self._apply_members(page.records, self.loop.time(), is_copied=is_copied)
+        if cursor is None:
+            listed = {record.key for record in page.records if record.value}
+            is_restart = self.state.settings.host in listed
+            self.state.record_member_list(self.loop.time(), is_restart=is_restart)
         return page.end
 
     async def _is_new_era_within(self, delay_s: float) -> bool:
--- a/teaselpath/gateway/tests/front.py
+++ b/teaselpath/gateway/tests/front.py
@@ -70,6 +70,7 @@
         self.state = GatewayState(SETTINGS, store, 1)
         gate = QuarantineGate("gw-0", store, metrics, NoPeers())
         gate.has_snapshot = True
+        self.state.record_member_list(asyncio.get_running_loop().time(), is_restart=False)
         origins = StreamOrigins(self.state, store, metrics, NoPeers(), _confirm)
         origins.synchronizer.has_read = True
         self.state.on_endpoint_changed = origins.update_versions
--- a/teaselpath/gateway/tests/test_retry_budget.py
+++ b/teaselpath/gateway/tests/test_retry_budget.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from teaselpath.dispatch import SlidingRetryBudget
+from teaselpath.gateway.tests.conftest import SETTINGS
 from teaselpath.gateway.tests.front import Front, answer_headers
 from teaselpath.http1 import Exchange
 
@@ -48,7 +51,8 @@
             await front.add_endpoint("busy", reject)
             await front.add_endpoint("held-off", recorder.answer)
             front.state.views["held-off"].availability.record_hold_off(loop.time() + 2.5)
-            front.state.retry_budgets["s"] = SlidingRetryBudget(0.0, float(RETRIES), WINDOW_S)
+            budget = SlidingRetryBudget(0.0, float(RETRIES), WINDOW_S, loop.time() - 60.0)
+            front.state.retry_budgets["s"] = budget
             queue = asyncio.create_task(front.forwarder.placer.run_queue())
             waiting = []
             for number in range(80):
@@ -62,3 +66,44 @@
     recorder, statuses = asyncio.run(scenario())
     assert 0 < recorder.most_in_window() <= RETRIES
     assert set(statuses) == {200, 503}
+
+
+def send_all(budget: SlidingRetryBudget, now: float, gateways: int) -> int:
+    """Send all retries that a budget grants at a time; return their number."""
+    sent = 0
+    while grant := budget.try_acquire(now, gateways):
+        budget.record_sent(grant, now)
+        sent += 1
+    return sent
+
+
+def test_gateways_that_are_killed_again_and_again_stay_within_the_extra_retries():
+    gateways, extra, window_s = 4, 88.0, 10.0
+    budgets = [SlidingRetryBudget(0.0, extra, window_s, 0.0) for _ in range(gateways)]
+    sent = []
+    for step in range(800):
+        now = step * 0.05
+        for number, budget in enumerate(budgets):
+            sent += [now] * send_all(budget, now, gateways)
+            if step and step % 40 == number % 3:
+                budgets[number] = SlidingRetryBudget(0.0, extra, window_s, now)
+    assert sent
+    for start in range(30):
+        assert sum(start <= at < start + window_s for at in sent) <= extra
+
+
+def test_gateway_that_does_not_know_the_others_takes_no_share_of_the_extra_retries(state):
+    budget = state.retry_budget("s", 100.0)
+    alone = send_all(budget, 160.0, state.count_retry_shares(160.0))
+    state.record_member_list(160.0, is_restart=True)
+    state.record_member("gw-1", "10.0.0.1", 1, 160.0)
+    later = send_all(budget, 170.0, state.count_retry_shares(170.0))
+    assert alone == 0
+    assert 0 < later <= SETTINGS.bounds.retry_extra / 2
+
+
+@pytest.mark.parametrize("is_restart", [False, True])
+def test_gateway_that_has_restarted_does_not_spend_its_extra_retries_again(state, is_restart):
+    state.record_member_list(100.0, is_restart=is_restart)
+    at_once = send_all(state.retry_budget("s", 100.0), 100.0, state.count_retry_shares(100.0))
+    assert (at_once == 0) == is_restart
