Extra retries of a gateway that is cut off stay its own for ten minutes

A member that was silent for 30 s was forgotten, so that both sides of a longer cut used its share of the extra retries.

A gateway that was heard keeps its share of the retry budget for 600 s; one that the store merely lists keeps it for 30 s as before. The test failed before: the share of a gateway that is silent for 60 s was taken by the other one.

--- a/teaselpath/gateway/_state.py
+++ b/teaselpath/gateway/_state.py
@@ -44,6 +44,8 @@
 # A gateway that sent a message or was listed within this time may still be running and spend
 # quota, in seconds.
 MEMBER_EXPIRY_S = 30.0
+# Time for which a gateway that was heard keeps its share of the retry budget, in seconds.
+RETRY_SHARE_S = 600.0
 # Time for which a silent gateway keeps its share, in seconds: it may be cut off from this one only.
 SILENT_S = 10.0
 # Time for which a gateway that was listed but sent nothing counts, in seconds.
@@ -591,10 +593,17 @@
         return now - max(member.last_contact_at, member.listed_at) < MEMBER_EXPIRY_S
 
     def count_retry_shares(self, now: float) -> int:
-        """Return the number of gateways that may send retries, including this one; 0 if unknown."""
+        """Return the number of gateways that may send retries, including this one; 0 if unknown.
+
+        One that was heard keeps its share for long: behind a cut it still uses it.
+        """
         if self.retries_refilled_at is None:
             return 0
-        return 1 + sum(self.may_be_running(host, now) for host in self.members)
+        return 1 + sum(
+            self.may_be_running(host, now)
+            or (member.last_contact_at > 0.0 and now - member.last_contact_at < RETRY_SHARE_S)
+            for host, member in self.members.items()
+        )
 
     def retry_budget(self, service: str, now: float) -> SlidingRetryBudget:
         """Return the retry budget of a service."""
--- a/teaselpath/gateway/tests/test_retry_budget.py
+++ b/teaselpath/gateway/tests/test_retry_budget.py
@@ -102,6 +102,13 @@
     assert 0 < later <= SETTINGS.bounds.retry_extra / 2
 
 
+def test_share_of_a_gateway_that_is_cut_off_for_a_minute_is_not_used_by_others(state):
+    state.record_member_list(100.0, is_restart=False)
+    member = state.record_member("gw-1", "10.0.0.1", 1, 100.0)
+    member.last_contact_at = 100.0
+    assert state.count_retry_shares(160.0) == 2
+
+
 @pytest.mark.parametrize("is_restart", [False, True])
 def test_gateway_that_has_restarted_does_not_spend_its_extra_retries_again(state, is_restart):
     state.record_member_list(100.0, is_restart=is_restart)
