--- a/teaselpath/http1/_request_parser.py
+++ b/teaselpath/http1/_request_parser.py
@@ -19,6 +19,10 @@
 class RequestParser:
     """Parses the data of one connection into requests.
 
+    Offers of another protocol are ignored (RFC 9110, section 7.8). httptools ends such a request
+    with its head and takes the rest for the other protocol, so the rest is parsed anew, behind a
+    head with the same framing. ``CONNECT`` requests are rejected. Trailer fields are discarded.
+
     :param limits: function that returns the current limits.
     :param on_head: called once the head of a request is complete.
     :param on_request: called with each complete request.
@@ -36,9 +40,13 @@
         self.on_request = on_request
         self.loop = asyncio.get_running_loop()
         self.parser = httptools.HttpRequestParser(self)
+        self.method = b""
+        self.is_replayed = False
         self._reset_request()
 
     def _reset_request(self) -> None:
+        self.has_offer = False
+        self.has_head = False
         self.target = b""
         self.headers: Headers = []
         self.body: list[bytes] = []
@@ -52,35 +60,70 @@
         :raises RequestRejected: if a request is malformed or too large; nothing can be parsed then.
         """
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade as error:
-            raise RequestRejected(400) from error
+            while True:
+                try:
+                    self.parser.feed_data(data)
+                    return
+                except httptools.HttpParserUpgrade as error:
+                    data = data[error.args[0] :]
+                    self._ignore_offer()
         except httptools.HttpParserError as error:
             # httptools wraps exceptions that callbacks raise.
             cause = error.__context__
             status = cause.status if isinstance(cause, RequestRejected) else 400
             raise RequestRejected(status) from error
 
+    def _ignore_offer(self) -> None:
+        """Parse what follows the head of a request as its body and the next requests."""
+        framing = [
+            (name, value)
+            for name, value in self.headers
+            if name.lower() in (b"content-length", b"transfer-encoding")
+        ]
+        options = [value for name, value in self.headers if name.lower() == b"connection"]
+        for option in b",".join(options).split(b","):
+            if option.strip().lower() in (b"close", b"keep-alive"):
+                framing.append((b"Connection", option.strip()))
+        version = self.parser.get_http_version().encode()
+        fields = b"".join(b"%b: %b\r\n" % field for field in framing)
+        self.parser = httptools.HttpRequestParser(self)
+        self.is_replayed = True
+        self.parser.feed_data(b"%b / HTTP/%b\r\n%b\r\n" % (self.method, version, fields))
+
     # httptools callbacks
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        if self.is_replayed:
+            return
         self._reset_request()
         self.is_reading = True
 
     def on_url(self, url: bytes) -> None:
         """Collect the target, which may arrive in fragments."""
-        self.target += url
+        if not self.is_replayed:
+            self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
-        self.headers.append((name, value))
+        if self.is_replayed:
+            return
+        if not self.has_head:
+            self.headers.append((name, value))
         self.field_bytes += len(name) + len(value)
         if self.field_bytes > self.get_limits().header_bytes:
             raise RequestRejected(431)
 
     def on_headers_complete(self) -> None:
         """Report the complete head."""
+        if self.is_replayed:
+            self.is_replayed = self.has_offer = False
+            return
+        self.has_head = True
+        self.method = self.parser.get_method()
+        if self.method == b"CONNECT":
+            raise RequestRejected(400)
+        self.has_offer = self.parser.should_upgrade()
         self.on_head()
 
     def on_body(self, data: bytes) -> None:
@@ -92,8 +135,10 @@
 
     def on_message_complete(self) -> None:
         """Report the complete request."""
+        if self.has_offer:
+            return
         request = Request(
-            self.parser.get_method(),
+            self.method,
             self.target,
             self.headers,
             b"".join(self.body),
