Engines of unknown weights run no prompts (STALE)

What callers saw: after an entry without models and born, requests ran with Cache-Salt vNone and without Expect-Version until the engine's own entry was back; the text of an unknown version was one for all versions, so that they used cached parts of weights that had been replaced.

Cause: a missing version was written into the text like a known one; an entry whose models lack a version stood for version 0.

Change: an engine without a known version of the prompt's model is not listed for the prompt, and is no source of its parts; a text needs a version, by its type. An entry of a model without a version cannot be read.

The test failed before: the engine of unknown weights was chosen.

--- a/teaselpath/dispatch/_placement.py
+++ b/teaselpath/dispatch/_placement.py
@@ -127,8 +127,11 @@
 ) -> Placed | NoEndpoint:
     """Return the endpoint with the lowest cost.
 
-    Endpoints that leave are considered only if no other can take the request.
+    Endpoints that leave are considered only if no other can take the request. An engine of which
+    the weights version is not known runs no prompts: its cached parts could be of any version.
     """
+    if demand.prompt is not None:
+        views = [view for view in views if version_of(view, demand) is not None]
     open_views = [view for view in views if view.availability.takes_requests(now)]
     if all(view.endpoint.endpoint_id in demand.excluded for view in open_views):
         return _refuse_unopen(views, demand, now)
@@ -271,7 +274,8 @@
     if demand.prompt is None:
         return Placed(view, _plain_times(view, topology, penalty_s, now), 0, None, "")
     version = version_of(view, demand)
-    if demand.announced_weights is not None and (version or 0) < demand.announced_weights:
+    assert version is not None
+    if demand.announced_weights is not None and version < demand.announced_weights:
         penalty_s += OLD_WEIGHTS_COST_S
     scope = scope_of(demand.scope_prefix, version)
     cached = view.cache.match(scope, demand.prompt, now)
--- a/teaselpath/dispatch/_transfers.py
+++ b/teaselpath/dispatch/_transfers.py
@@ -60,6 +60,8 @@
         if view.health.is_suspect(now) or view.loading_until > now:
             continue
         version = version_of(view, demand)
+        if version is None:
+            continue
         scope = scope_of(demand.scope_prefix, version)
         tokens = view.cache.match(scope, prompt, now, confirmed=True)
         if tokens >= MIN_FETCH_TOKENS:
@@ -74,7 +76,7 @@
                     demand.engine.fetch_s_per_token,
                 )
             )
-    versions = {version_of(view, demand) for view in views}
+    versions = {version for view in views if (version := version_of(view, demand)) is not None}
     for store_view in demand.cache_stores:
         for version in versions:
             scope = scope_of(demand.scope_prefix, version)
--- a/teaselpath/dispatch/_views.py
+++ b/teaselpath/dispatch/_views.py
@@ -363,13 +363,13 @@
         )
 
 
-def scope_of(prefix: str, weights: int | None) -> str:
+def scope_of(prefix: str, weights: int) -> str:
     """Return the scope of cached parts: the scope prefix and the weights version."""
     return f"{prefix}v{weights}"
 
 
 def version_of(view: EndpointView, demand: Demand) -> int | None:
-    """Return the weights version with which an engine would run a request."""
+    """Return the weights version with which an engine would run a request; None if unknown."""
     if demand.prompt is None:
         return None
     return view.weights.get(demand.prompt.model, view.endpoint.weights_of(demand.prompt.model))
--- a/teaselpath/dispatch/tests/test_placement.py
+++ b/teaselpath/dispatch/tests/test_placement.py
@@ -1,5 +1,7 @@
 """Choice of an endpoint by caches, KV cache transfers, weights, load and distance."""
 
+from dataclasses import replace
+
 from teaselpath.dispatch import (
     Demand,
     ExpectedTimes,
@@ -52,6 +54,18 @@
     assert placed.scope == scope_of("", 2)
 
 
+def test_engine_of_unknown_weights_runs_no_prompts_and_shares_no_parts(topology):
+    unknown, known = make_view("e1"), make_view("e2")
+    unknown.endpoint, unknown.weights = replace(unknown.endpoint, weights=()), {}
+    unknown.cache.record_stored(scope_of("", 1), "p1", 13_300)
+    placed = choose([unknown, known], topology)
+    assert isinstance(placed, Placed)
+    assert placed.view is known
+    assert placed.fetch_from is None
+    assert choose([unknown], topology) == NoEndpoint("none_listed", 1.0)
+    assert isinstance(choose([unknown], topology, prompt=None), Placed)
+
+
 def test_parts_of_another_workspace_do_not_count_for_an_isolated_one(topology):
     views = [make_view("e1"), make_view("e2")]
     views[1].cache.record_stored(scope_of("", 1), "p1", 13_300)
--- a/teaselpath/platform/_config.py
+++ b/teaselpath/platform/_config.py
@@ -105,7 +105,7 @@
 
 class _ServerModel(msgspec.Struct):
     name: str
-    version: Count = 0
+    version: Count
 
 
 class _Server(msgspec.Struct, rename="camel"):
