--- a/teaselpath/quarantine/_core.py
+++ b/teaselpath/quarantine/_core.py
@@ -30,8 +30,8 @@
 # Failed trials after which a part that was answered lately is judged, if other requests were at the
 # engines that ended.
 PROVEN_VERDICT_TRIALS = 5
-# Parts of one prompt or one ended engine that are observed; a prompt seldom has more than a few.
-MAX_OBSERVED_PARTS = 64
+# Parts in a note to other gateways, those under which most engines ended; a prompt may have more.
+MAX_NOTED_PARTS = 64
 # Ends and answers in one message, the most recent ones.
 MAX_NOTES = 24
 
@@ -99,7 +99,7 @@
         """
         if self.is_empty:
             return Admit()
-        observed = frozenset(parts[:MAX_OBSERVED_PARTS])
+        observed = frozenset(parts)
         verdict = self.table.find(observed, now)
         if verdict is not None:
             return Reject(verdict)
@@ -110,6 +110,8 @@
         return Try(suspects) if until is None else Hold(suspects, until)
 
     def _is_suspect(self, part: str, now: float, is_resend: bool) -> bool:
+        if part not in self.evidence.suspects and not self.table.names(part):
+            return False
         ends = self.count_ends(part, now)
         if is_resend and ends and not self.evidence.was_sound(part, now):
             return True
@@ -172,9 +174,14 @@
 
         :returns: note for the other gateways; None if all parts have been answered on since.
         """
-        observed = parts[:MAX_OBSERVED_PARTS]
-        counted = self.evidence.record_end(number, at, observed, is_trial=is_trial)
-        return EndNote(number, 0, counted, is_trial) if counted else None
+        counted = self.evidence.record_end(number, at, parts, is_trial=is_trial)
+        return EndNote(number, 0, self._noted(counted), is_trial) if counted else None
+
+    def _noted(self, parts: list[str]) -> list[str]:
+        """Return the parts that a note names."""
+        if len(parts) <= MAX_NOTED_PARTS:
+            return parts
+        return sorted(parts, key=lambda part: -len(self.evidence.ends_of(part)))[:MAX_NOTED_PARTS]
 
     def judge(self, parts: tuple[str, ...], now: float) -> Verdict | None:
         """Issue a verdict on the parts of a failed trial if the evidence suffices.
@@ -183,7 +190,7 @@
         that several deadly ones come with has more ends than each of them. Those that no engine
         has answered on are judged alone if there are any.
         """
-        observed = frozenset(parts[:MAX_OBSERVED_PARTS])
+        observed = frozenset(parts)
         if self.table.find(observed, now) is not None:
             return None
         counts = {part: self.count_ends(part, now) for part in observed}
@@ -196,7 +203,7 @@
             return None
         unproven = frozenset(part for part in suspects if not self.evidence.was_sound(part, now))
         judged = self._without_explained_request(unproven or suspects)
-        return self.table.issue(judged, ends, self.host, now)
+        return self.table.issue(frozenset(self._noted(sorted(judged))), ends, self.host, now)
 
     def _without_explained_request(self, judged: frozenset[str]) -> frozenset[str]:
         """Return the judged parts without the whole request if one of the others ends engines.
@@ -212,7 +219,7 @@
     def record_sound(self, parts: tuple[str, ...], at: float) -> list[str]:
         """Record that an engine has answered on parts; return those that were suspects."""
         cleared = []
-        for part in parts[:MAX_OBSERVED_PARTS]:
+        for part in parts:
             was_suspect = self.evidence.record_sound(part, at)
             if self.table.verdicts and self.table.names(part):
                 self.table.clear_part(part, at)
@@ -243,7 +250,7 @@
     def snapshot(self, now: float) -> QuarantineUpdate:
         """Return everything that another gateway has to know, the most recent if it is much."""
         ends = [
-            EndNote(number, _milliseconds(now - engine.at), parts, run.is_trial)
+            EndNote(number, _milliseconds(now - engine.at), self._noted(parts), run.is_trial)
             for number, engine in reversed(self.evidence.engines.items())
             for run in engine.runs
             if (parts := [part for part in sorted(run.parts) if self._counts(part, number)])
@@ -276,7 +283,7 @@
             self.record_sound((note.part,), now - note.age_ms / 1000)
         for end in update.ends:
             at = now - end.age_ms / 1000
-            observed = end.parts[:MAX_OBSERVED_PARTS]
+            observed = end.parts[:MAX_NOTED_PARTS]
             counted = self.evidence.record_end(end.number, at, observed, is_trial=end.is_trial)
             for part in set(observed).difference(counted):
                 age_ms = _milliseconds(now - self.evidence.last_sound_at(part))
@@ -307,7 +314,7 @@
             self.trials.release(note.host, note.number)
             return
         left_s = min(CLAIM_S, note.left_ms / 1000)
-        parts = frozenset(note.parts[:MAX_OBSERVED_PARTS])
+        parts = frozenset(note.parts[:MAX_NOTED_PARTS])
         self.trials.observe(
             Claim(note.host, note.number, parts, note.is_running, now + left_s), now
         )
@@ -316,7 +323,8 @@
 def claim_note(claim: Claim, now: float) -> ClaimNote:
     """Return the message about a claim."""
     left_ms = _milliseconds(claim.until - now)
-    return ClaimNote(claim.host, claim.number, sorted(claim.parts), claim.is_running, left_ms)
+    parts = sorted(claim.parts)[:MAX_NOTED_PARTS]
+    return ClaimNote(claim.host, claim.number, parts, claim.is_running, left_ms)
 
 
 def verdict_note(verdict: Verdict, now: float) -> VerdictNote:
--- a/teaselpath/quarantine/_evidence.py
+++ b/teaselpath/quarantine/_evidence.py
@@ -20,9 +20,10 @@
 # whole requests, most of which never come again, beside them.
 MAX_SUSPECTS = 2_048
 MAX_SOUND_PARTS = 8_192
-# Ended engines that are kept in memory, and requests of each.
+# Ended engines that are kept in memory, requests of each, and parts of all these requests.
 MAX_ENGINES = 128
 MAX_RUNS = 32
+MAX_RUN_PARTS = 32_768
 
 
 @dataclass(slots=True, frozen=True)
@@ -43,7 +44,10 @@
 
 @dataclass(slots=True, frozen=True)
 class EndedRun:
-    """A request that an engine had not answered when it ended."""
+    """A request that an engine had not answered when it ended.
+
+    :param parts: those that counted against it.
+    """
 
     parts: frozenset[str]
     is_trial: bool
@@ -83,21 +87,23 @@
         :param number: number of the engine's start.
         :returns: parts that count; the others were answered on since.
         """
-        observed = frozenset(parts)
         counted = [
             part
-            for part in sorted(observed)
+            for part in sorted(set(parts))
             if self._record_part(part, number, at, is_trial=is_trial)
         ]
         if counted:
             engine = self.engines.setdefault(number, EndedEngine(at))
             engine.at = min(at, engine.at)
             if len(engine.runs) < MAX_RUNS:
-                engine.runs.add(EndedRun(observed, is_trial))
-            while len(self.engines) > MAX_ENGINES:
+                engine.runs.add(EndedRun(frozenset(counted), is_trial))
+            while len(self.engines) > MAX_ENGINES or self._count_run_parts() > MAX_RUN_PARTS:
                 self.engines.popitem(last=False)
         return counted
 
+    def _count_run_parts(self) -> int:
+        return sum(len(run.parts) for engine in self.engines.values() for run in engine.runs)
+
     def _record_part(self, part: str, number: int, at: float, *, is_trial: bool) -> bool:
         if self.last_sound_at(part) >= at:
             return False
--- a/teaselpath/quarantine/tests/test_core.py
+++ b/teaselpath/quarantine/tests/test_core.py
@@ -14,7 +14,12 @@
     VerdictNote,
     whole_request,
 )
-from teaselpath.quarantine._evidence import EVIDENCE_S, MAX_SOUND_PARTS, MAX_SUSPECTS
+from teaselpath.quarantine._evidence import (
+    EVIDENCE_S,
+    MAX_RUN_PARTS,
+    MAX_SOUND_PARTS,
+    MAX_SUSPECTS,
+)
 from teaselpath.quarantine._trials import CLAIM_S
 from teaselpath.quarantine._verdicts import MAX_VERDICTS, VERDICT_S
 
@@ -50,6 +55,36 @@
     assert isinstance(quarantine.decide((DEADLY,), 2.5 + CLAIM_S), Try)
 
 
+@pytest.mark.parametrize("shared", [5, 70, 400])
+def test_deadly_part_behind_many_others_is_judged_after_as_many_ends_as_behind_few(shared):
+    """Each request has sound parts that others share, and the deadly one behind them."""
+    quarantine = Quarantine("gw-0")
+    sound = tuple(f"m/{n}" for n in range(shared))
+    for number in range(3):
+        parts = (REQUESTS[number], *sound, DEADLY)
+        quarantine.record_end(number, 1.0 + number, parts, is_trial=number > 0)
+        quarantine.record_sound(sound, 1.5 + number)
+    assert quarantine.decide((REQUESTS[3], *sound, DEADLY), 4.0) == Try(frozenset({DEADLY}))
+    verdict = quarantine.judge((REQUESTS[2], *sound, DEADLY), 4.0)
+    assert verdict is not None
+    assert verdict.parts == {DEADLY}
+    assert quarantine.decide((REQUESTS[3], *sound), 4.0) == Admit()
+
+
+def test_notes_on_prompts_of_many_parts_fit_a_datagram_and_memory_is_bounded():
+    quarantine, sizes = Quarantine("gw-0"), []
+    for number in range(200):
+        parts = tuple(f"model-a/{number:04x}{n:04x}" for n in range(1_200))
+        for _ in range(2):
+            note = quarantine.record_end(number, float(number), parts, is_trial=False)
+        sizes.append(len(msgspec.msgpack.encode(note)))
+        quarantine.decide(parts, float(number))
+    runs = [run for engine in quarantine.evidence.engines.values() for run in engine.runs]
+    assert max(sizes) < 4_096
+    assert len(msgspec.msgpack.encode(quarantine.snapshot(200.0))) < 65_507
+    assert sum(len(run.parts) for run in runs) <= MAX_RUN_PARTS
+
+
 def test_request_that_lost_its_engine_is_tried_alone_unless_its_parts_are_proven(quarantine):
     quarantine.record_sound((HOT,), 0.0)
     quarantine.record_end(1, 1.0, (HOT, DEADLY), is_trial=False)
