--- a/teaselpath/gateway/_forward.py
+++ b/teaselpath/gateway/_forward.py
@@ -30,7 +30,7 @@
 from teaselpath.gateway._call import Call
 from teaselpath.gateway._engine_ends import MAX_CHECK_S, EngineEndDetector
 from teaselpath.gateway._entities import LongPlacement
-from teaselpath.gateway._held import HeldExchange
+from teaselpath.gateway._held import HeldExchange, HeldMemory
 from teaselpath.gateway._metrics import GatewayMetrics
 from teaselpath.gateway._origins import StreamOrigins
 from teaselpath.gateway._placement import Placer
@@ -79,6 +79,7 @@
         )
         self.placer = Placer(state, announce)
         self.times = ServiceTimes()
+        self.held = HeldMemory()
         self.admission = Admission(state, codec, metrics, self.times)
         self.responder = Responder(state, codec)
         self.metrics = metrics
@@ -119,6 +120,8 @@
         finally:
             self.gate.end_trial(call)
             self._give_retry_back(call)
+            if isinstance(exchange, HeldExchange):
+                exchange.discard_data()
             if code is Code.OK:
                 self.origins.record_finished(call)
             self.running -= 1
@@ -132,7 +135,8 @@
         if stop is None or not stop.must_hold(call.arrived_at, call.deadline):
             return exchange
         headers = self.codec.own_response_headers(call.request.request_id, None)
-        return HeldExchange(exchange, (502, headers), stop.fails_held_at(call.abandoned_at))
+        fails_at = stop.fails_held_at(call.abandoned_at)
+        return HeldExchange(exchange, (502, headers), self.held, fails_at)
 
     def _end_cancelled(self, exchange: Exchange, call: Call) -> Code:
         """End a request whose handler was cancelled though its caller still waits."""
@@ -155,7 +159,7 @@
         """Serve a request until its caller is about to leave, which has received nothing."""
         try:
             async with asyncio.timeout_at(exchange.fails_at) as limit:
-                exchange.on_release = lambda: limit.reschedule(None)
+                exchange.on_full = lambda: limit.reschedule(self.loop.time())
                 return await self._serve(exchange, call)
         except TimeoutError:
             if not limit.expired():
--- a/teaselpath/gateway/_held.py
+++ b/teaselpath/gateway/_held.py
@@ -6,20 +6,43 @@
 
 from teaselpath.http1 import Exchange, Headers
 
-# Bytes of one response that are held back; beyond that it is passed on as it arrives.
-MAX_HELD_BYTES = 262_144
+# Memory for all responses that are held back together, in bytes.
+MAX_HELD_BYTES = 16_777_216
+
+
+class HeldMemory:
+    """Limits what is held of all responses together.
+
+    :param limit_bytes: size of all of them.
+    """
+
+    def __init__(self, limit_bytes: int = MAX_HELD_BYTES):
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+
+    def take(self, size: int) -> bool:
+        """Take memory for data; return whether there is enough."""
+        if self.held_bytes + size > self.limit_bytes:
+            return False
+        self.held_bytes += size
+        return True
+
+    def free(self, size: int) -> None:
+        """Free memory that was taken."""
+        self.held_bytes -= size
 
 
 class HeldExchange(Exchange):
     """Exchange of a request whose answer may outlast the process.
 
     A stream that has begun can only be cut. This one begins once it is complete, so that its caller
-    gets a failure instead if it does not become complete in time.
+    gets a failure instead if it does not become complete in time, or if the memory is used up.
 
     :param exchange: exchange with the caller.
     :param failure: status and header fields of the response to an incomplete answer.
+    :param memory: memory for its data.
     :param fails_at: event loop time at which the failure is sent; None for the end of the stop.
-    :ivar on_release: called when the answer begins.
+    :ivar on_full: called when the memory is used up, from which on no data is kept.
     """
 
     __slots__ = (
@@ -27,24 +50,30 @@
         "fails_at",
         "failure",
         "head",
-        "is_released",
-        "on_release",
+        "is_full",
+        "memory",
+        "on_full",
         "parts",
         "size",
     )
 
     def __init__(
-        self, exchange: Exchange, failure: tuple[int, Headers], fails_at: float | None = None
+        self,
+        exchange: Exchange,
+        failure: tuple[int, Headers],
+        memory: HeldMemory,
+        fails_at: float | None = None,
     ):
         super().__init__(exchange.connection, exchange.request)
         self.exchange = exchange
         self.failure = failure
+        self.memory = memory
         self.fails_at = fails_at
-        self.on_release: Callable[[], None] | None = None
+        self.on_full: Callable[[], None] | None = None
         self.head: tuple[int, Headers, int | None] = (*failure, 0)
         self.parts: list[bytes] = []
         self.size = 0
-        self.is_released = False
+        self.is_full = False
 
     def start(self, status: int, headers: Headers, length: int | None = None) -> None:
         """Keep the head.
@@ -58,26 +87,31 @@
     def write(self, data: bytes) -> None:
         """Keep data of the body."""
         self._check_is_open()
-        if self.is_released:
-            self.exchange.write(data)
+        if self.is_full:
+            return
+        if self.memory.take(len(data)):
+            self.parts.append(data)
+            self.size += len(data)
             return
-        self.parts.append(data)
-        self.size += len(data)
-        if self.size > MAX_HELD_BYTES:
-            log_message("held_response_released", size=self.size)
-            self._release()
+        log_message("held_response_given_up", bytes=self.size, all_bytes=self.memory.held_bytes)
+        self.is_full = True
+        self.discard_data()
+        if self.on_full is not None:
+            self.on_full()
 
     async def drain(self) -> None:
-        """Wait until the write buffer is below its limit, if data is written to it."""
-        if self.is_released:
-            await self.exchange.drain()
+        """Return at once: the data is kept."""
 
     def finish(self) -> None:
-        """Send the response, which is complete."""
+        """Send the response, which is complete, or the failure if not all of it was kept."""
         self._check_is_open()
+        if self.is_full:
+            self._pass_on(*self.failure)
+            return
         self.is_finished = True
-        if not self.is_released:
-            self._release()
+        self.exchange.start(*self.head)
+        self.exchange.write(b"".join(self.parts))
+        self.discard_data()
         self.exchange.finish()
 
     def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
@@ -86,21 +120,19 @@
         self._pass_on(status, headers, body)
 
     def abort(self) -> None:
-        """Send the failure, or cut a response that is passed on."""
-        if self.is_released:
-            self.is_finished = True
+        """Send the failure, or close the connection behind a response that was sent."""
+        if self.is_finished:
             self.exchange.abort()
         else:
             self._pass_on(*self.failure)
 
     def _pass_on(self, status: int, headers: Headers, body: bytes = b"") -> None:
-        self.is_started = self.is_finished = self.is_released = True
+        self.is_started = self.is_finished = True
+        self.discard_data()
         self.exchange.respond(status, headers, body)
 
-    def _release(self) -> None:
-        self.is_released = True
-        if self.on_release is not None:
-            self.on_release()
-        self.exchange.start(*self.head)
-        self.exchange.write(b"".join(self.parts))
+    def discard_data(self) -> None:
+        """Free the memory of what is held."""
         self.parts.clear()
+        self.memory.free(self.size)
+        self.size = 0
