--- a/teaselpath/gateway/_admission.py
+++ b/teaselpath/gateway/_admission.py
@@ -18,6 +18,8 @@
 DEFAULT_CALLER_TIMEOUT_S = 30.0
 # Retry-After while this gateway has no configuration, or no service for a route, in seconds.
 UNCONFIGURED_RETRY_AFTER_S = 1.0
+# Retry-After of a request for whose body there was no memory, in seconds.
+MEMORY_RETRY_AFTER_S = 2.0
 
 
 class Admission:
@@ -53,6 +55,9 @@
             if request is None:
                 exchange.respond(400, [])
                 return None
+            if raw.is_body_discarded:
+                self._refuse(exchange, request, Code.OVERLOADED, 503, MEMORY_RETRY_AFTER_S)
+                return None
             return self._decide(exchange, request)
         except Exception:
             if not exchange.is_started:
--- a/teaselpath/gateway/_metrics.py
+++ b/teaselpath/gateway/_metrics.py
@@ -93,6 +93,9 @@
             Gauge, "room_crowded", "1 if the engines of a service are nearly full"
         )
         self.running = make(Gauge, "running", "Requests under way")
+        self.held_bytes = make(
+            Gauge, "held_bytes", "Bodies of requests, and held answers, in memory, by direction"
+        )
         self.config_version = make(Gauge, "config_version", "Configuration in force")
         self.store_up = make(Gauge, "store_up", "1 if the last call to the store succeeded")
         self.store_era = make(Gauge, "store_era", "Newest known era of the store")
--- a/teaselpath/gateway/_service.py
+++ b/teaselpath/gateway/_service.py
@@ -40,6 +40,7 @@
     Exchange,
     HttpClient,
     Listener,
+    RequestMemory,
     ServerConnection,
     UnsentMemory,
 )
@@ -127,6 +128,7 @@
         self.rollouts = self._make_rollouts()
         self.caches = CacheWatcher(self.state, engines)
         self.connections: set[ServerConnection] = set()
+        self.request_bodies = RequestMemory()
         self.reporter = ConnectionReporter(codec.id_header, self.metrics)
         self.stop_requested = asyncio.Event()
         self.servers: list[asyncio.Server] = []
@@ -195,7 +197,12 @@
         unsent = UnsentMemory()
         self.caller_listener = Listener(
             lambda: ServerConnection(
-                self.forwarder.handle, self._limits, self.connections, self.reporter, unsent
+                self.forwarder.handle,
+                self._limits,
+                self.connections,
+                self.reporter,
+                unsent,
+                self.request_bodies,
             )
         )
         await self.caller_listener.open(settings.caller_address)
@@ -309,6 +316,8 @@
                 labels = {"service": str(rollout["service"]), "state": known.value}
                 self.metrics.rollouts.set(labels, int(rollout["state"] == known.value))
         self.metrics.running.set({}, self.forwarder.running)
+        self.metrics.held_bytes.set({"direction": "requests"}, self.request_bodies.held_bytes)
+        self.metrics.held_bytes.set({"direction": "answers"}, self.forwarder.held.held_bytes)
         self.metrics.config_version.set({}, state.config.version if state.config else 0)
         self.metrics.store_up.set({}, int(state.store_up))
         self.metrics.store_era.set({}, state.era)
--- a/teaselpath/gateway/tests/front.py
+++ b/teaselpath/gateway/tests/front.py
@@ -13,7 +13,7 @@
 from teaselpath.gateway._quarantine import QuarantineGate
 from teaselpath.gateway._state import GatewayState
 from teaselpath.gateway.tests.conftest import SETTINGS, endpoint_record
-from teaselpath.http1 import Exchange, HttpClient, ServerConnection
+from teaselpath.http1 import Exchange, HttpClient, RequestMemory, ServerConnection
 from teaselpath.platform import PlatformRequests, PlatformStore
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -34,11 +34,15 @@
     def reply_lineage(self, ip, message) -> None: ...
 
 
-async def listen(handler: Handler, observer=None) -> tuple[asyncio.Server, str]:
+async def listen(
+    handler: Handler, observer=None, bodies: RequestMemory | None = None
+) -> tuple[asyncio.Server, str]:
     """Serve on loopback; return the server and its address."""
     connections: set[ServerConnection] = set()
     server = await asyncio.get_running_loop().create_server(
-        lambda: ServerConnection(handler, CallerLimits, connections, observer), "127.0.0.1", 0
+        lambda: ServerConnection(handler, CallerLimits, connections, observer, None, bodies),
+        "127.0.0.1",
+        0,
     )
     host, port = server.sockets[0].getsockname()
     return server, f"{host}:{port}"
@@ -53,9 +57,12 @@
 class Front:
     """A gateway's forwarder behind a listener.
 
+    :param bodies: memory for the bodies of requests.
     :ivar offset: offset of the last record.
     """
 
+    bodies: RequestMemory = field(default_factory=RequestMemory)
+
     state: GatewayState = field(init=False)
     forwarder: Forwarder = field(init=False)
     server: asyncio.Server = field(init=False)
@@ -76,7 +83,7 @@
         self.state.on_endpoint_changed = origins.update_versions
         self.forwarder = Forwarder(self.state, codec, http, metrics, lambda _: None, gate, origins)
         reporter = ConnectionReporter(codec.id_header, metrics)
-        self.server, self.address = await listen(self.forwarder.handle, reporter)
+        self.server, self.address = await listen(self.forwarder.handle, reporter, self.bodies)
         return self
 
     async def __aexit__(self, *exc: object) -> None:
@@ -104,13 +111,15 @@
         now = asyncio.get_running_loop().time()
         self.state.apply_endpoint_record(endpoint_record(name, self.offset, **fields), "test", now)
 
-    async def send(self, path: str = "/", fields: str = "", request_id: str = "r") -> bytes:
+    async def send(
+        self, path: str = "/", fields: str = "", request_id: str = "r", body: bytes = b"{}"
+    ) -> bytes:
         """Send a request on a connection of its own; return all bytes of the response."""
         host, _, port = self.address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         head = f"POST {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n{fields}"
-        head += f"Request-Id: {request_id}\r\nContent-Length: 2\r\n\r\n"
-        writer.write(head.encode("latin-1") + b"{}")
+        head += f"Request-Id: {request_id}\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode("latin-1") + body)
         try:
             async with asyncio.timeout(10):
                 return await reader.read()
--- a/teaselpath/http1/__init__.py
+++ b/teaselpath/http1/__init__.py
@@ -21,6 +21,7 @@
     encode_request,
 )
 from teaselpath.http1._pool import ConnectFailed, ConnectionPool, PoolLimits
+from teaselpath.http1._request_memory import RequestMemory
 from teaselpath.http1._server import Exchange, ResponseStateError, ServerConnection
 from teaselpath.http1._unsent_memory import UnsentMemory
 
@@ -42,6 +43,7 @@
     "PoolLimits",
     "ReadTimeout",
     "Request",
+    "RequestMemory",
     "Response",
     "ResponseHead",
     "ResponseLimits",
--- a/teaselpath/http1/_messages.py
+++ b/teaselpath/http1/_messages.py
@@ -61,6 +61,8 @@
 
     :param target: path and query as sent.
     :param received_at: event loop time at which its last byte arrived, in seconds.
+    :param held_bytes: memory for bodies that it occupies.
+    :param is_body_discarded: whether its body was discarded, as there was no memory for it.
     """
 
     method: bytes
@@ -69,6 +71,8 @@
     body: bytes
     keep_alive: bool
     received_at: float
+    held_bytes: int = 0
+    is_body_discarded: bool = False
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header field; ``name`` is lower case."""
--- a/teaselpath/http1/_request_parser.py
+++ b/teaselpath/http1/_request_parser.py
@@ -6,6 +6,7 @@
 import httptools
 
 from teaselpath.http1._messages import Headers, Request, ServerLimits
+from teaselpath.http1._request_memory import RequestMemory
 
 
 class RequestRejected(Exception):
@@ -25,7 +26,10 @@
 
     :param limits: function that returns the current limits.
     :param on_head: called once the head of a request is complete.
-    :param on_request: called with each complete request.
+    :param on_request: called with each complete request, whose memory the caller frees.
+    :param memory: memory for bodies, shared with other connections. A body that finds none is read
+        to its end and discarded.
+    :ivar held_bytes: memory of the body that is being read.
     :ivar is_reading: whether a part of a request was parsed.
     """
 
@@ -34,7 +38,10 @@
         limits: Callable[[], ServerLimits],
         on_head: Callable[[], None],
         on_request: Callable[[Request], None],
+        memory: RequestMemory | None = None,
     ):
+        self.memory = memory or RequestMemory()
+        self.held_bytes = 0
         self.get_limits = limits
         self.on_head = on_head
         self.on_request = on_request
@@ -50,6 +57,7 @@
         self.target = b""
         self.headers: Headers = []
         self.body: list[bytes] = []
+        self.is_body_discarded = False
         self.field_bytes = 0
         self.body_bytes = 0
         self.is_reading = False
@@ -131,7 +139,20 @@
         self.body_bytes += len(data)
         if self.body_bytes > self.get_limits().body_bytes:
             raise RequestRejected(413)
-        self.body.append(data)
+        if self.is_body_discarded:
+            return
+        if self.memory.take(len(data), self.held_bytes):
+            self.held_bytes += len(data)
+            self.body.append(data)
+            return
+        self.is_body_discarded = True
+        self.discard_body()
+
+    def discard_body(self) -> None:
+        """Free the memory of the body that is being read."""
+        self.body.clear()
+        self.memory.free(self.held_bytes)
+        self.held_bytes = 0
 
     def on_message_complete(self) -> None:
         """Report the complete request."""
@@ -144,6 +165,9 @@
             b"".join(self.body),
             self.parser.should_keep_alive(),
             self.loop.time(),
+            self.held_bytes,
+            self.is_body_discarded,
         )
+        self.held_bytes = 0
         self._reset_request()
         self.on_request(request)
--- a/teaselpath/http1/_server.py
+++ b/teaselpath/http1/_server.py
@@ -21,6 +21,7 @@
     ServerLimits,
     encode_head,
 )
+from teaselpath.http1._request_memory import RequestMemory
 from teaselpath.http1._request_parser import RequestParser, RequestRejected
 from teaselpath.http1._unsent_memory import UnsentMemory
 
@@ -161,6 +162,7 @@
     :param connections: set of all open connections, updated by this class.
     :param observer: learns of failed handlers and of ends that leave something unanswered.
     :param unsent: memory for what callers have not taken, shared with other connections.
+    :param bodies: memory for the bodies of requests, shared with other connections.
     """
 
     def __init__(
@@ -170,7 +172,9 @@
         connections: set["ServerConnection"],
         observer: ConnectionObserver | None = None,
         unsent: UnsentMemory | None = None,
+        bodies: RequestMemory | None = None,
     ):
+        self.bodies = bodies or RequestMemory()
         self.unsent = unsent or UnsentMemory()
         self.handler = handler
         self.observer = observer
@@ -190,7 +194,7 @@
         self.idle_since = 0.0
         self.can_write = asyncio.Event()
         self.loop = asyncio.get_running_loop()
-        self.parser = RequestParser(limits, self._on_head, self._on_request)
+        self.parser = RequestParser(limits, self._on_head, self._on_request, self.bodies)
 
     # asyncio.Protocol
 
@@ -207,6 +211,9 @@
             self._report_end(self.end_cause)
         self.is_closing = True
         self.unsent.remove(self)
+        self.parser.discard_body()
+        while self.pipelined:
+            self.bodies.free(self.pipelined.popleft().held_bytes)
         self.connections.discard(self)
         self.can_write.set()
         if self.timer is not None:
@@ -347,6 +354,7 @@
                 self._close(EndCause.HANDLER_FAILED)
         finally:
             self.task = None
+            self.bodies.free(exchange.request.held_bytes)
             if not exchange.is_finished:
                 exchange.abort()
             self.exchange = None
