--- a/teaselpath/dispatch/_retry_budget.py
+++ b/teaselpath/dispatch/_retry_budget.py
@@ -33,8 +33,8 @@
     without any message exchange. A retry occupies the budget from its grant until it is sent, and
     for one window from then on: it may wait for an endpoint meanwhile.
 
-    The share of ``extra`` is a token bucket that is empty when its gateway starts: what an earlier
-    process on this host has spent is not known.
+    The share of ``extra`` is a token bucket that is empty when its gateway has restarted: what the
+    earlier process has spent is not known.
 
     :param ratio: retries allowed per request.
     :param extra: additional retries allowed in any window, over all gateways.
