A gateway reads the members again as soon as it has announced itself

One gateway kept sending the deadly request for a second and more after the verdict of another.

Cause: since a gateway reads the members before it announces itself, and the read that followed was left out until 2 s later. Gateways that start together each read a list without the others; if the store is away then, a verdict does not reach them. That gateway 2 was unknown is concluded from its two 502; its log was not kept.

Change: the read after the announcement is back, the one before it is a further call of each start.

--- a/teaselpath/gateway/_watch.py
+++ b/teaselpath/gateway/_watch.py
@@ -88,9 +88,8 @@
         while True:
             beat += 1
             try:
-                # The first read comes before the own record replaces that of an earlier process.
-                is_read = cursor is None
-                if is_read:
+                if cursor is None:
+                    # Before the own record replaces that of an earlier process on this host.
                     cursor = await self._read_members(None)
                 is_announced = await self._announce(beat)
                 is_large = is_large_fleet(len(self.state.members))
@@ -99,9 +98,7 @@
                 # about the same time as this one.
                 delays_s = (interval_s,) if is_large and beat > 1 else (2.0, interval_s - 2.0)
                 for delay_s in delays_s:
-                    if not is_read:
-                        cursor = await self._read_members(cursor)
-                    is_read = False
+                    cursor = await self._read_members(cursor)
                     if await self._is_new_era_within(delay_s):
                         break
                 if not is_announced:
--- a/teaselpath/gateway/tests/test_watch.py
+++ b/teaselpath/gateway/tests/test_watch.py
@@ -151,10 +151,25 @@
     assert follow(state, scenario, "follow_operators") == 2
 
 
-def test_gateway_announces_itself_again_in_a_new_era(state):
+def test_gateway_reads_the_members_again_as_soon_as_it_has_announced_itself(state):
+    """Gateways that start together and then lose the store did not know each other."""
+
     async def scenario(store):
+        before = len(store.appends)
         store.answer(Topic.MEMBERS, end=Position(1, 1), is_listing=True)
         await settle()
+        return before, len(store.appends), store.starts[Topic.MEMBERS]
+
+    expected = (0, 1, [None, Position(1, 1)])
+    assert follow(state, scenario, "follow_members") == expected
+
+
+def test_gateway_announces_itself_again_in_a_new_era(state):
+    async def scenario(store):
+        # It reads before and after its first announcement.
+        for _ in range(2):
+            store.answer(Topic.MEMBERS, end=Position(1, 1), is_listing=True)
+            await settle()
         before = len(store.appends)
         state.observe_era(2, "peer x", 1.0)
         await settle()
