Evidence: memory is counted only when a run is added

Since each end that is recorded counted the parts of all runs kept, up to 4,096 of them, also when it repeats what is known, as the messages of other gateways do each second. The limits can be exceeded only after an addition, so they are looked at only then.

--- a/teaselpath/quarantine/_evidence.py
+++ b/teaselpath/quarantine/_evidence.py
@@ -95,12 +95,18 @@
         if counted:
             engine = self.engines.setdefault(number, EndedEngine(at))
             engine.at = min(at, engine.at)
-            if len(engine.runs) < MAX_RUNS:
-                engine.runs.add(EndedRun(frozenset(counted), is_trial))
-            while len(self.engines) > MAX_ENGINES or self._count_run_parts() > MAX_RUN_PARTS:
-                self.engines.popitem(last=False)
+            run = EndedRun(frozenset(counted), is_trial)
+            # Other gateways repeat each end in their messages.
+            if run not in engine.runs and len(engine.runs) < MAX_RUNS:
+                engine.runs.add(run)
+                self._limit_memory()
         return counted
 
+    def _limit_memory(self) -> None:
+        """Forget the oldest ended engines if there are too many, or parts of their requests."""
+        while len(self.engines) > MAX_ENGINES or self._count_run_parts() > MAX_RUN_PARTS:
+            self.engines.popitem(last=False)
+
     def _count_run_parts(self) -> int:
         return sum(len(run.parts) for engine in self.engines.values() for run in engine.runs)
 
