--- a/teaselpath/gateway/_held.py
+++ b/teaselpath/gateway/_held.py
@@ -4,32 +4,17 @@
 
 from eliot import log_message
 
-from teaselpath.http1 import Exchange, Headers
+from teaselpath.http1 import Exchange, Headers, MemoryLimit
 
 # Memory for all responses that are held back together, in bytes.
 MAX_HELD_BYTES = 16_777_216
 
 
-class HeldMemory:
-    """Limits what is held of all responses together.
-
-    :param limit_bytes: size of all of them.
-    """
+class HeldMemory(MemoryLimit):
+    """Limits what is held of all responses together."""
 
     def __init__(self, limit_bytes: int = MAX_HELD_BYTES):
-        self.limit_bytes = limit_bytes
-        self.held_bytes = 0
-
-    def take(self, size: int) -> bool:
-        """Take memory for data; return whether there is enough."""
-        if self.held_bytes + size > self.limit_bytes:
-            return False
-        self.held_bytes += size
-        return True
-
-    def free(self, size: int) -> None:
-        """Free memory that was taken."""
-        self.held_bytes -= size
+        super().__init__(limit_bytes)
 
 
 class HeldExchange(Exchange):
--- a/teaselpath/http1/__init__.py
+++ b/teaselpath/http1/__init__.py
@@ -10,6 +10,7 @@
 )
 from teaselpath.http1._ends import ConnectionEnd, ConnectionObserver, EndCause
 from teaselpath.http1._listener import LISTEN_BACKLOG, Listener
+from teaselpath.http1._memory_limit import MemoryLimit
 from teaselpath.http1._messages import (
     HOP_BY_HOP,
     Headers,
@@ -40,6 +41,7 @@
     "HttpClient",
     "InvalidResponse",
     "Listener",
+    "MemoryLimit",
     "PoolLimits",
     "ReadTimeout",
     "Request",
--- a/teaselpath/http1/_request_parser.py
+++ b/teaselpath/http1/_request_parser.py
@@ -141,7 +141,7 @@
             raise RequestRejected(413)
         if self.is_body_discarded:
             return
-        if self.memory.take(len(data), self.held_bytes):
+        if self.memory.take_part(len(data), self.held_bytes):
             self.held_bytes += len(data)
             self.body.append(data)
             return
