--- a/review/deadly_part.py
+++ b/review/deadly_part.py
@@ -49,7 +49,11 @@
         print(text)
         return False
     since = crashes[4] + BOUNDS["stableWindowMs"] / 1000
-    late = [found for found, at in platform.arrivals if found in deadly_ids and at > since]
+    late = [
+        arrival
+        for arrival in platform.arrivals
+        if arrival.request_id in deadly_ids and arrival.at > since
+    ]
     text += f", {len(late)} requests with the part at engines later than the window after the fifth"
     platform.record.write(f"BUDGET: {text}, {time.monotonic() - crashes[4]:.1f} s after that crash")
     print(text)
--- a/review/small_platform.py
+++ b/review/small_platform.py
@@ -360,6 +360,15 @@
     runs: int = 0
 
 
+@dataclass(slots=True)
+class Arrival:
+    """A request that the process of an engine has begun to run."""
+
+    request_id: str
+    engine: str
+    at: float
+
+
 @dataclass(slots=True)
 class Tenant:
     """A tenant of the configuration."""
@@ -378,8 +387,8 @@
         self.engines: list[Engine] = []
         self.engine_processes: list[EngineProcess] = []
         self.tasks: set[asyncio.Task[None]] = set()
-        # Id and time of each request that an engine process has run, and times at which they ended.
-        self.arrivals: list[tuple[str, float]] = []
+        # Requests that engine processes have begun to run, and times at which such processes ended.
+        self.arrivals: list[Arrival] = []
         self.crashes: list[float] = []
         self.gateways: dict[str, asyncio.subprocess.Process] = {}
         self.store = Store(self.record)
@@ -404,18 +413,22 @@
         self.engines.append(engine)
         self.store.put("keyed.servers", engine.name, engine.entry())
 
-    async def add_engine_process(self, name: str, **behaviour: object) -> None:
-        """Start a model engine as a process and register it.
+    async def add_engine_process(
+        self, name: str, *, has_model: bool = True, **behaviour: object
+    ) -> EngineProcess:
+        """Start an engine as a process and register it.
 
         :param behaviour: see ``stream_engine.Behaviour``.
         """
-        engine = Engine(name, self.record, self.runs, has_model=True, zone="a")
+        behaviour["has_model"] = has_model
+        engine = Engine(name, self.record, self.runs, has_model=has_model, zone="a")
         with socket.socket() as found:
             found.bind(("127.0.0.1", 0))
             engine.address = f"127.0.0.1:{found.getsockname()[1]}"
         listed = EngineProcess(engine, behaviour)
         self.engine_processes.append(listed)
         await self._start_engine_process(listed)
+        return listed
 
     async def _start_engine_process(self, listed: EngineProcess) -> None:
         engine = listed.engine
@@ -439,7 +452,8 @@
             self.record.write(f"engine {listed.engine.name} {text}")
             if text.startswith("runs"):
                 listed.runs += 1
-                self.arrivals.append((text.split()[1], time.monotonic()))
+                arrival = Arrival(text.split()[1], listed.engine.name, time.monotonic())
+                self.arrivals.append(arrival)
             else:
                 self.crashes.append(time.monotonic())
 
@@ -461,11 +475,14 @@
 
     async def kill_busiest_engine(self) -> None:
         """Kill the process of the engine that has run most requests."""
-        busiest = max(self.engine_processes, key=lambda listed: listed.runs)
-        assert busiest.process is not None
-        self.record.write(f"SIGKILL of the process of engine {busiest.engine.name}")
-        busiest.process.send_signal(signal.SIGKILL)
-        await busiest.process.wait()
+        await self.kill_engine(max(self.engine_processes, key=lambda listed: listed.runs))
+
+    async def kill_engine(self, listed: EngineProcess) -> None:
+        """Kill the process of an engine."""
+        assert listed.process is not None
+        self.record.write(f"SIGKILL of the process of engine {listed.engine.name}")
+        listed.process.send_signal(signal.SIGKILL)
+        await listed.process.wait()
 
     def write_config(self, tenants: list[Tenant]) -> None:
         """Write the next version of the configuration."""
--- a/review/stream_engine.py
+++ b/review/stream_engine.py
@@ -1,4 +1,4 @@
-"""A model engine as a process of its own, which streams its answers.
+"""An engine as a process of its own: a model engine, which streams its answers, or a plain one.
 
 Arguments: name, IP:PORT and a JSON object, see ``Behaviour``. It writes a line to standard output
 for each request that it runs.
@@ -14,18 +14,22 @@
 
 EVENTS = 20
 EVENT_INTERVAL_S = 0.1
+# Work of a plain engine on a request, in seconds.
+WORK_S = 0.3
 
 
 @dataclass(slots=True)
 class Behaviour:
     """How an engine behaves.
 
+    :param has_model: whether it is a model engine.
     :param is_framed: whether streams come in chunks; else they end with their connection.
     :param deadly_part: id of a part of prompts that ends the process as it begins to write an
         answer on it; empty for none.
     :param deadly_events: events of that answer that the process writes before it ends.
     """
 
+    has_model: bool = True
     is_framed: bool = True
     deadly_part: str = ""
     deadly_events: int = 1
@@ -35,11 +39,17 @@
     """Sends the events of an answer one after the other."""
 
     def __init__(self, name: str, behaviour: Behaviour):
-        super().__init__(name, Record(None), [], has_model=True, zone="a")
+        has_model = behaviour.has_model
+        super().__init__(name, Record(None), [], has_model=has_model, zone="a")
         self.behaviour = behaviour
 
     async def answer(self, run: Run, base: dict[str, str], writer: asyncio.StreamWriter) -> None:
-        """Stream the answer."""
+        """Stream the answer, or send it whole if this engine has no model."""
+        if not self.has_model:
+            print(f"runs {run.request_id}", flush=True)
+            await asyncio.sleep(WORK_S)
+            await super().answer(run, base, writer)
+            return
         is_framed = self.behaviour.is_framed
         framing = ("Transfer-Encoding", "chunked") if is_framed else ("Connection", "close")
         headers = {
