--- a/review/deadly_part.py
+++ b/review/deadly_part.py
@@ -1,4 +1,4 @@
-"""A part of prompts ends each engine that begins to answer on it; for the cases 11 and 13."""
+"""A part of prompts ends each engine that begins to answer on it; for the cases 12 and 13."""
 
 import asyncio
 import time
