--- a/review/small_platform.py
+++ b/review/small_platform.py
@@ -435,7 +435,7 @@
         program = str(ROOT / "review" / "stream_engine.py")
         listed.process = await asyncio.create_subprocess_exec(
             sys.executable, program, engine.name, engine.address, json.dumps(listed.behaviour),
-            stdout=asyncio.subprocess.PIPE,
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
         )  # fmt: skip
         task = asyncio.create_task(self._read_output(listed))
         self.tasks.add(task)
@@ -644,6 +644,11 @@
 def run_case(case: Callable[[Platform], Awaitable[bool]], folder: Path, limit_s: float) -> None:
     """Run a case and exit with 1 if a rule was broken, 0 if it held, 2 if it could not run."""
 
+    def end(_number: int, _frame: object) -> None:
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, end)
+
     async def run() -> bool:
         platform = Platform(folder)
         try:
--- a/review/stream_engine.py
+++ b/review/stream_engine.py
@@ -82,11 +82,22 @@
         return bool(self.behaviour.deadly_part) and self.behaviour.deadly_part in parts[:-1]
 
 
+async def _end_with_parent() -> None:
+    """End this process once the other end of its standard input is closed."""
+    reader = asyncio.StreamReader()
+    protocol = asyncio.StreamReaderProtocol(reader)
+    await asyncio.get_running_loop().connect_read_pipe(lambda: protocol, sys.stdin)
+    await reader.read()
+    os._exit(0)
+
+
 async def main(name: str, address: str, behaviour: str) -> None:
-    """Serve until killed."""
+    """Serve until killed, or until the process that started this one ends."""
+    watch = asyncio.create_task(_end_with_parent())
     engine = StreamEngine(name, Behaviour(**json.loads(behaviour)))
     server = await serve_at(engine.handle, address)
     await server.serve_forever()
+    await watch
 
 
 if __name__ == "__main__":
